--- /dev/null
+++ b/knapweedhitch/budget.py
@@ -0,0 +1,43 @@
+"""Token buckets that bound retries, hedges, bytes and events."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+
+class TokenBucket:
+    """Hold tokens that refill at a constant rate up to a maximum."""
+
+    def __init__(
+        self, rate_per_s: float, burst: float, now_ms: Callable[[], float], *, full: bool = True
+    ) -> None:
+        self.rate_per_s = rate_per_s
+        self.burst = burst
+        self._now_ms = now_ms
+        self._tokens = burst if full else 0.0
+        self._updated_ms = now_ms()
+
+    @property
+    def tokens(self) -> float:
+        """Return the tokens that are available now."""
+        self._refill()
+        return self._tokens
+
+    def deposit(self, n: float) -> None:
+        """Add tokens, up to the burst."""
+        self._refill()
+        self._tokens = min(self.burst, self._tokens + n)
+
+    def take(self, n: float = 1.0) -> bool:
+        """Take n tokens if all of them are available."""
+        self._refill()
+        if self._tokens < n:
+            return False
+        self._tokens -= n
+        return True
+
+    def _refill(self) -> None:
+        now = self._now_ms()
+        elapsed_ms = max(0.0, now - self._updated_ms)
+        self._updated_ms = now
+        self._tokens = min(self.burst, self._tokens + self.rate_per_s * elapsed_ms / 1_000.0)
--- /dev/null
+++ b/knapweedhitch/counters.py
@@ -0,0 +1,92 @@
+"""Counters by reason and histograms of times."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+
+from hdrh.histogram import HdrHistogram
+
+from knapweedhitch.kernel import Kernel, service
+
+# Histograms count microseconds, from 1 us to 1 hour, with 2 significant digits.
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+# A reason comes from our own types, but a fault must not grow the map without bound.
+MAX_COUNTERS = 4_096
+OVERFLOW = ("counters_overflow", "")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistogramSummary:
+    """Hold the percentiles of one histogram in milliseconds."""
+
+    count: int
+    percentiles_ms: Mapping[float, float]
+    max_ms: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MetricsSnapshot:
+    """Hold all counters and histograms at one moment."""
+
+    counters: Mapping[tuple[str, str], int]
+    gauges: Mapping[str, float]
+    histograms: Mapping[str, HistogramSummary]
+
+
+@service("counters")
+class Counters:
+    """Count events by name and reason and record times in milliseconds."""
+
+    def __init__(self, kernel: Kernel | None = None) -> None:
+        self._counters: dict[tuple[str, str], int] = {}
+        self._gauges: dict[str, float] = {}
+        self._histograms: dict[str, HdrHistogram] = {}
+
+    async def start(self) -> None:
+        """Do nothing; counting needs no task."""
+
+    async def stop(self) -> None:
+        """Do nothing; the counters stay readable."""
+
+    def add(self, name: str, reason: str = "", n: int = 1) -> None:
+        """Add n to the counter of the name and reason."""
+        key = (name, reason)
+        if key not in self._counters and len(self._counters) >= MAX_COUNTERS:
+            key = OVERFLOW
+        self._counters[key] = self._counters.get(key, 0) + n
+
+    def get(self, name: str, reason: str = "") -> int:
+        """Return the value of one counter."""
+        return self._counters.get((name, reason), 0)
+
+    def gauge(self, name: str, value: float) -> None:
+        """Set the current value of a gauge."""
+        self._gauges[name] = value
+
+    def record(self, histogram: str, value_ms: float) -> None:
+        """Record a time in milliseconds."""
+        hist = self._histograms.get(histogram)
+        if hist is None:
+            hist = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self._histograms[histogram] = hist
+        hist.record_value(min(max(int(value_ms * 1_000), LOWEST_US), HIGHEST_US))
+
+    def snapshot(self) -> MetricsSnapshot:
+        """Return a copy of everything counted so far."""
+        return MetricsSnapshot(
+            counters=dict(self._counters),
+            gauges=dict(self._gauges),
+            histograms={name: _summary(hist) for name, hist in self._histograms.items()},
+        )
+
+
+def _summary(hist: HdrHistogram) -> HistogramSummary:
+    return HistogramSummary(
+        count=hist.get_total_count(),
+        percentiles_ms={p: hist.get_value_at_percentile(p) / 1_000 for p in PERCENTILES},
+        max_ms=hist.get_max_value() / 1_000,
+    )
--- /dev/null
+++ b/knapweedhitch/logs.py
@@ -0,0 +1,44 @@
+"""Log events as one line of key=value pairs."""
+
+from __future__ import annotations
+
+import sys
+from typing import IO
+
+import logbook
+
+_log = logbook.Logger("knapweedhitch")
+
+FORMAT = "time={record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name} {record.message}"
+
+
+def _quote(value: object) -> str:
+    text = str(value)
+    if text and not any(ch in text for ch in ' ="\n\r\t'):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t") + '"'
+
+
+def render(name: str, fields: dict[str, object]) -> str:
+    """Return an event as one line of key=value pairs."""
+    return " ".join([f"event={_quote(name)}", *(f"{k}={_quote(v)}" for k, v in fields.items())])
+
+
+def event(name: str, **fields: object) -> None:
+    """Log an event at level INFO."""
+    _log.info(render(name, fields).replace("{", "{{").replace("}", "}}"))
+
+
+def warning(name: str, **fields: object) -> None:
+    """Log an event at level WARNING."""
+    _log.warning(render(name, fields).replace("{", "{{").replace("}", "}}"))
+
+
+def setup(level: str, stream: IO[str] | None = None) -> logbook.Handler:
+    """Send events at or above the level to the stream, standard error by default."""
+    handler = logbook.StreamHandler(
+        stream or sys.stderr, level=logbook.lookup_level(level), format_string=FORMAT
+    )
+    handler.push_application()
+    return handler
--- /dev/null
+++ b/knapweedhitch/timers.py
@@ -0,0 +1,104 @@
+"""The timer service that the other parts subscribe to."""
+
+from __future__ import annotations
+
+import dataclasses
+import heapq
+import itertools
+import random
+import time
+from collections.abc import Callable
+
+import trio
+
+from knapweedhitch.kernel import Kernel, service
+
+MS_PER_S = 1_000.0
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Subscription:
+    """Hold one timer; `cancel` ends it."""
+
+    fn: Callable[[], None]
+    interval_ms: float | None
+    jitter: float
+    cancelled: bool = False
+
+    def cancel(self) -> None:
+        """Stop the timer; a cancelled timer never fires again."""
+        self.cancelled = True
+
+
+@service("timers")
+class Timers:
+    """Call subscribed functions at their times, from one task on the trio clock."""
+
+    def __init__(self, kernel: Kernel, rng: random.Random | None = None) -> None:
+        self._kernel = kernel
+        self._rng = rng or random.Random()
+        self._heap: list[tuple[float, int, Subscription]] = []
+        self._sequence = itertools.count()
+        self._wakeup = trio.Event()
+
+    async def start(self) -> None:
+        """Start the timer task."""
+        self._kernel.nursery.start_soon(self._run)
+
+    async def stop(self) -> None:
+        """Drop every subscription."""
+        self._heap.clear()
+
+    @staticmethod
+    def now_ms() -> float:
+        """Return the monotonic clock of trio in milliseconds."""
+        return trio.current_time() * MS_PER_S
+
+    @staticmethod
+    def wall_ms() -> int:
+        """Return the wall clock in milliseconds since 1970; for key times only."""
+        return time.time_ns() // 1_000_000
+
+    def every(
+        self, interval_ms: float, fn: Callable[[], None], *, jitter: float = 0.0
+    ) -> Subscription:
+        """Call fn each interval; jitter is a share of the interval, added or taken off."""
+        sub = Subscription(fn, interval_ms, jitter)
+        self._push(self._spread(interval_ms, jitter), sub)
+        return sub
+
+    def after(self, delay_ms: float, fn: Callable[[], None]) -> Subscription:
+        """Call fn once after the delay in milliseconds."""
+        sub = Subscription(fn, None, 0.0)
+        self._push(delay_ms, sub)
+        return sub
+
+    def _spread(self, interval_ms: float, jitter: float) -> float:
+        return interval_ms * (1.0 + jitter * (2.0 * self._rng.random() - 1.0))
+
+    def _push(self, delay_ms: float, sub: Subscription) -> None:
+        heapq.heappush(self._heap, (self.now_ms() + delay_ms, next(self._sequence), sub))
+        self._wakeup.set()
+
+    async def _run(self) -> None:
+        while True:
+            self._fire_due()
+            self._wakeup = trio.Event()
+            timeout_s = (self._heap[0][0] - self.now_ms()) / MS_PER_S if self._heap else None
+            if timeout_s is None:
+                await self._wakeup.wait()
+            elif timeout_s > 0:
+                with trio.move_on_after(timeout_s):
+                    await self._wakeup.wait()
+            else:
+                await trio.lowlevel.checkpoint()
+
+    def _fire_due(self) -> None:
+        now = self.now_ms()
+        while self._heap and self._heap[0][0] <= now:
+            sub = heapq.heappop(self._heap)[2]
+            if sub.cancelled:
+                continue
+            if sub.interval_ms is not None:
+                self._push(self._spread(sub.interval_ms, sub.jitter), sub)
+            sub.fn()
--- /dev/null
+++ b/tests/run.py
@@ -0,0 +1,135 @@
+"""Run every unit test module and every behave feature, and print one verdict."""
+
+from __future__ import annotations
+
+import concurrent.futures
+import dataclasses
+import re
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+# Some tests start daemons; more jobs at once than this makes their timings meet each other.
+MAX_JOBS = 4
+JOB_TIMEOUT_S = 600
+
+UNIT_LINE = re.compile(r"^(test\w*) \(([\w.]+)\).* \.\.\. (ok|FAIL|ERROR|skipped.*)$")
+UNIT_RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
+SCENARIO = re.compile(r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.MULTILINE)
+FAILING = re.compile(r"^  (tests/features/\S+:\d+)  (.*)$", re.MULTILINE)
+
+
+@dataclasses.dataclass(frozen=True)
+class JobResult:
+    """Hold the counts and the output of one test process."""
+
+    name: str
+    passed: int
+    failed: tuple[str, ...]
+    seconds: float
+    output: str
+
+
+def unit_jobs() -> list[str]:
+    """Return the names of all unit test modules."""
+    return sorted(path.stem for path in (ROOT / "tests").glob("test_*.py"))
+
+
+def feature_jobs() -> list[str]:
+    """Return the paths of all feature files."""
+    return sorted(str(p.relative_to(ROOT)) for p in (ROOT / "tests/features").glob("*.feature"))
+
+
+def execute(args: list[str]) -> tuple[int, str]:
+    """Return exit code and output of one test process."""
+    try:
+        done = subprocess.run(
+            [sys.executable, *args],
+            cwd=ROOT,
+            stdin=subprocess.DEVNULL,
+            capture_output=True,
+            text=True,
+            timeout=JOB_TIMEOUT_S,
+            check=False,
+        )
+    except subprocess.TimeoutExpired:
+        return 1, f"no result within {JOB_TIMEOUT_S} s"
+    return done.returncode, done.stdout + done.stderr
+
+
+def run_unit(module: str) -> JobResult:
+    """Run one unit test module."""
+    started = time.monotonic()
+    code, output = execute(["-m", "unittest", "-v", f"tests.{module}"])
+    failed = tuple(
+        f"{m[2]}" for line in output.splitlines() if (m := UNIT_LINE.match(line)) and m[3] in BAD
+    )
+    ran = UNIT_RAN.search(output)
+    total = int(ran[1]) if ran else 0
+    if code != 0 and not failed:
+        failed = (f"tests.{module}",)
+    return JobResult(
+        module, max(0, total - len(failed)), failed, time.monotonic() - started, output
+    )
+
+
+BAD = ("FAIL", "ERROR")
+
+
+def run_feature(path: str) -> JobResult:
+    """Run one behave feature."""
+    started = time.monotonic()
+    code, output = execute(["-m", "behave", "--no-color", "--format", "progress", path])
+    counts = SCENARIO.search(output)
+    passed = int(counts[1]) if counts else 0
+    failed = tuple(sorted({f"{path}: {m[2].strip()}" for m in FAILING.finditer(output)}))
+    if code != 0 and not failed:
+        failed = (path,)
+    return JobResult(path, passed, failed, time.monotonic() - started, output)
+
+
+def known_red() -> set[str]:
+    """Return the test names that KNOWN-RED.txt lists on lines that start with `test: `."""
+    if not KNOWN_RED.exists():
+        return set()
+    lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
+    return {line.removeprefix("test: ").strip() for line in lines if line.startswith("test: ")}
+
+
+def main() -> int:
+    """Run everything; return 0 if only tests of KNOWN-RED.txt failed."""
+    selected = sys.argv[1:]
+    units = [name for name in unit_jobs() if not selected or name in selected]
+    features = [name for name in feature_jobs() if not selected or name in selected]
+    with concurrent.futures.ThreadPoolExecutor(MAX_JOBS) as pool:
+        jobs = [pool.submit(run_feature, name) for name in features]
+        jobs += [pool.submit(run_unit, name) for name in units]
+        results = [job.result() for job in jobs]
+    return report(results, known_red())
+
+
+def report(results: list[JobResult], red: set[str]) -> int:
+    """Print one line a job and the verdict; return the exit code."""
+    new_failures: list[str] = []
+    for result in results:
+        print(
+            f"{result.name}: {result.passed} ok, {len(result.failed)} bad, {result.seconds:.1f} s"
+        )
+        unexpected = [name for name in result.failed if name not in red]
+        new_failures += unexpected
+        if unexpected:
+            print(result.output)
+    for name in sorted(name for result in results for name in result.failed if name in red):
+        print(f"known red: {name}")
+    for name in new_failures:
+        print(f"FAILED: {name}")
+    passed = sum(result.passed for result in results)
+    print(f"{passed} passed, {len(new_failures)} failed")
+    return 1 if new_failures or not passed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_codec.py
@@ -0,0 +1,46 @@
+"""Tests of the message codec."""
+
+from __future__ import annotations
+
+import unittest
+
+import cbor2
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweedhitch import codec, messages
+from knapweedhitch.exceptions import CodecError, MessageTooLarge, UnknownMessage
+
+PING = messages.Ping(7)
+
+
+class CodecTest(unittest.TestCase):
+    def test_round_trip(self) -> None:
+        """Guards against fields that change on the wire."""
+        self.assertEqual(codec.decode(codec.encode(PING)), PING)
+
+    def test_damaged_messages_are_refused(self) -> None:
+        """Guards against half-decoded messages: each damage gives its own typed error."""
+        cases = [
+            (b"", CodecError),
+            (codec.encode(PING)[:-1], CodecError),
+            (codec.encode(PING) + b"\x00", CodecError),
+            (cbor2.dumps({"a": 1}), CodecError),
+            (cbor2.dumps([999_999, 1]), UnknownMessage),
+            (cbor2.dumps([4, "x"]), CodecError),
+            (cbor2.dumps([4, 1, 2]), CodecError),
+            (cbor2.dumps([4, True]), CodecError),
+            (b"x" * 2_000_000, MessageTooLarge),
+        ]
+        for data, error in cases:
+            with self.subTest(data=data[:12]), self.assertRaises(error):
+                codec.decode(data)
+
+    @settings(derandomize=True, max_examples=500, deadline=None)
+    @given(st.binary(max_size=200))
+    def test_any_bytes_give_a_message_or_a_codec_error(self, data: bytes) -> None:
+        """Guards against a peer that stops the process with arbitrary bytes."""
+        try:
+            codec.decode(data)
+        except CodecError:
+            pass
