--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,42 @@
+"""Tests of log lines and counters."""
+
+from __future__ import annotations
+
+import io
+import unittest
+
+from knapweedhitch import counters, logs
+
+
+class LogsTest(unittest.TestCase):
+    def test_one_event_is_one_line(self) -> None:
+        """Guards against values that break a line or forge a second event."""
+        stream = io.StringIO()
+        handler = logs.setup("INFO", stream)
+        try:
+            logs.event("request", path='/a b\nevent=forged "x" {0}', status=200)
+        finally:
+            handler.pop_application()
+        lines = stream.getvalue().splitlines()
+        self.assertEqual(len(lines), 1)
+        self.assertIn(r'event=request path="/a b\nevent=forged \"x\" {0}" status=200', lines[0])
+
+
+class CountersTest(unittest.TestCase):
+    def test_number_of_counters_is_bounded(self) -> None:
+        """Guards against memory that grows with the number of different reasons."""
+        count = counters.Counters()
+        for i in range(counters.MAX_COUNTERS + 100):
+            count.add("refused", f"reason-{i}")
+        self.assertLessEqual(len(count.snapshot().counters), counters.MAX_COUNTERS + 1)
+        self.assertEqual(count.get(*counters.OVERFLOW), 100)
+
+    def test_percentiles_are_in_milliseconds(self) -> None:
+        """Guards against a unit mistake between milliseconds and the histogram's microseconds."""
+        count = counters.Counters()
+        for value_ms in (1.0, 2.0, 3.0, 100.0):
+            count.record("total", value_ms)
+        summary = count.snapshot().histograms["total"]
+        self.assertEqual(summary.count, 4)
+        self.assertAlmostEqual(summary.percentiles_ms[50.0], 2.0, delta=0.05)
+        self.assertAlmostEqual(summary.max_ms, 100.0, delta=1.0)
