Leave braces in log lines alone and name failed unit tests

The runner also missed the names of failed unit tests, since unittest prints the docstring on a second line. Change: no escaping; the runner reads the FAIL and ERROR headers.

--- a/knapweedhitch/logs.py
+++ b/knapweedhitch/logs.py
@@ -27,12 +27,12 @@
 
 def event(name: str, **fields: object) -> None:
     """Log an event at level INFO."""
-    _log.info(render(name, fields).replace("{", "{{").replace("}", "}}"))
+    _log.info(render(name, fields))
 
 
 def warning(name: str, **fields: object) -> None:
     """Log an event at level WARNING."""
-    _log.warning(render(name, fields).replace("{", "{{").replace("}", "}}"))
+    _log.warning(render(name, fields))
 
 
 def setup(level: str, stream: IO[str] | None = None) -> logbook.Handler:
--- a/tests/run.py
+++ b/tests/run.py
@@ -16,7 +16,7 @@
 MAX_JOBS = 4
 JOB_TIMEOUT_S = 600
 
-UNIT_LINE = re.compile(r"^(test\w*) \(([\w.]+)\).* \.\.\. (ok|FAIL|ERROR|skipped.*)$")
+UNIT_FAILED = re.compile(r"^(?:FAIL|ERROR): \w+ \(([\w.]+)\)", re.MULTILINE)
 UNIT_RAN = re.compile(r"^Ran (\d+) tests? in", re.MULTILINE)
 SCENARIO = re.compile(r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.MULTILINE)
 FAILING = re.compile(r"^  (tests/features/\S+:\d+)  (.*)$", re.MULTILINE)
@@ -64,9 +64,7 @@
     """Run one unit test module."""
     started = time.monotonic()
     code, output = execute(["-m", "unittest", "-v", f"tests.{module}"])
-    failed = tuple(
-        f"{m[2]}" for line in output.splitlines() if (m := UNIT_LINE.match(line)) and m[3] in BAD
-    )
+    failed = tuple(sorted(set(UNIT_FAILED.findall(output))))
     ran = UNIT_RAN.search(output)
     total = int(ran[1]) if ran else 0
     if code != 0 and not failed:
@@ -76,9 +74,6 @@
     )
 
 
-BAD = ("FAIL", "ERROR")
-
-
 def run_feature(path: str) -> JobResult:
     """Run one behave feature."""
     started = time.monotonic()
