Add first versions of pick, admission, cold start, retry and key parsing

Cause: the request path is written against these services. Change: add loadtable, ejection, pick, coldstart, limiter, admission, slotlease, retry and idempotency with unit tests; add settings max_tracked_targets and max_lease_use_ms.

--- /dev/null
+++ b/knapweedhitch/loadtable.py
@@ -0,0 +1,149 @@
+"""The load of every target as this node knows it, with the age of each report."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Callable, Iterable
+
+from knapweedhitch.model import CallResult, LoadSample, Warmth
+from knapweedhitch.settings import RoutingSettings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadView:
+    """Hold the estimate for one target; `own` is exact, `others` is discounted by age."""
+
+    own: int
+    others: float
+    latency_ms: float
+    limit: int | None
+    warmth: Warmth | None
+    draining: bool
+    age_ms: float
+
+    @property
+    def in_flight(self) -> float:
+        """Return the estimated number of calls at the target."""
+        return self.own + self.others
+
+
+@dataclasses.dataclass(slots=True)
+class _Entry:
+    own: int = 0
+    incarnation: int | None = None
+    sample: LoadSample | None = None
+    sample_at_ms: float = -math.inf
+    others: float = 0.0
+    latency_ms: float | None = None
+    latency_at_ms: float = -math.inf
+    touched_ms: float = 0.0
+
+
+class LoadTable:
+    """Keep own counts, reported samples and latencies by instance id, bounded in number."""
+
+    def __init__(self, cfg: RoutingSettings, now_ms: Callable[[], float]) -> None:
+        self._cfg = cfg
+        self._now_ms = now_ms
+        self._entries: dict[str, _Entry] = {}
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def started(self, instance_id: str) -> None:
+        """Count a call to the target."""
+        self._entry(instance_id).own += 1
+
+    def finished(self, instance_id: str, result: CallResult) -> None:
+        """Count the end of a call and learn from its time in milliseconds."""
+        entry = self._entries.get(instance_id)
+        if entry is None:
+            return
+        entry.own = max(0, entry.own - 1)
+        latency_ms = result.service_ms
+        if not result.ok:
+            # A fast failure must not look like a fast target.
+            latency_ms = max(latency_ms, self._cfg.failure_penalty_ms)
+        self._learn(entry, latency_ms)
+
+    def observe(self, instance_id: str, sample: LoadSample) -> None:
+        """Take a load report; the own share at its arrival is taken off its count."""
+        entry = self._entry(instance_id)
+        entry.sample = sample
+        entry.sample_at_ms = self._now_ms()
+        entry.others = max(0.0, float(sample.in_flight + sample.queued - entry.own))
+
+    def saw_incarnation(self, instance_id: str, incarnation: int) -> None:
+        """Drop what was learnt of an earlier incarnation of the target."""
+        entry = self._entry(instance_id)
+        if entry.incarnation is not None and entry.incarnation != incarnation:
+            self.assume_unknown(instance_id)
+        entry.incarnation = incarnation
+
+    def assume_unknown(self, instance_id: str) -> None:
+        """Drop reports and latencies of the target; the own count stays, as calls go on."""
+        entry = self._entry(instance_id)
+        entry.sample = None
+        entry.sample_at_ms = -math.inf
+        entry.others = 0.0
+        entry.latency_ms = None
+
+    def forget(self, instance_id: str) -> None:
+        """Drop everything about the target."""
+        self._entries.pop(instance_id, None)
+
+    def views(self, instance_ids: Iterable[str]) -> dict[str, LoadView]:
+        """Return the estimates of the targets of one service, discounted towards their average."""
+        now = self._now_ms()
+        ids = tuple(instance_ids)
+        entries = {i: self._entries.get(i) for i in ids}
+        sampled = [e for e in entries.values() if e is not None and e.sample is not None]
+        mean_others = sum(e.others for e in sampled) / len(sampled) if sampled else 0.0
+        known = [e for e in entries.values() if e is not None and e.latency_ms is not None]
+        mean_latency = sum(self._latency(e, now) for e in known) / len(known) if known else 0.0
+        return {i: self._view(e, now, mean_others, mean_latency) for i, e in entries.items()}
+
+    def _view(
+        self, entry: _Entry | None, now: float, mean_others: float, mean_latency: float
+    ) -> LoadView:
+        if entry is None:
+            return LoadView(0, mean_others, mean_latency, None, None, False, math.inf)
+        sample = entry.sample
+        latency_ms = mean_latency if entry.latency_ms is None else self._latency(entry, now)
+        if sample is None:
+            return LoadView(entry.own, mean_others, latency_ms, None, None, False, math.inf)
+        age_ms = now - entry.sample_at_ms
+        weight = 0.5 ** (age_ms / self._cfg.sample_half_life_ms)
+        others = entry.others * weight + mean_others * (1.0 - weight)
+        return LoadView(
+            entry.own, others, latency_ms, sample.limit, sample.warmth, sample.draining, age_ms
+        )
+
+    def _learn(self, entry: _Entry, latency_ms: float) -> None:
+        now = self._now_ms()
+        old = entry.latency_ms
+        if old is None or latency_ms >= old:
+            entry.latency_ms = latency_ms
+        else:
+            keep = math.exp(-(now - entry.latency_at_ms) / self._cfg.latency_decay_ms)
+            entry.latency_ms = old * keep + latency_ms * (1.0 - keep)
+        entry.latency_at_ms = now
+
+    def _latency(self, entry: _Entry, now: float) -> float:
+        # Without new calls a bad value halves each decay time, so that the target is tried again.
+        idle_ms = max(0.0, now - entry.latency_at_ms)
+        return (entry.latency_ms or 0.0) * math.exp(-idle_ms / self._cfg.latency_decay_ms)
+
+    def _entry(self, instance_id: str) -> _Entry:
+        entry = self._entries.get(instance_id)
+        if entry is None:
+            if len(self._entries) >= self._cfg.max_tracked_targets:
+                self._evict()
+            entry = self._entries[instance_id] = _Entry()
+        entry.touched_ms = self._now_ms()
+        return entry
+
+    def _evict(self) -> None:
+        idle = [i for i, e in self._entries.items() if e.own == 0] or list(self._entries)
+        del self._entries[min(idle, key=lambda i: self._entries[i].touched_ms)]
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -187,6 +187,7 @@
     latency_tolerance: Annotated[float, Field(ge=1.0, le=100.0)] = 2.0
     lease_lifetime_ms: Ms = 250
     max_leases_per_peer: Annotated[int, Field(ge=0, le=1_000)] = 2
+    max_lease_use_ms: Ms = 60_000
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -211,6 +212,7 @@
     interest_ms: Ms = 10_000
     report_interval_ms: Ms = 100
     measure_budget_bytes_per_s: Count = 512
+    max_tracked_targets: Count = 20_000
 
 
 @dataclass(frozen=True, config=_STRICT)
--- /dev/null
+++ b/tests/test_coldstart.py
@@ -0,0 +1,60 @@
+"""Tests of the ramp of cold start."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from knapweedhitch.coldstart import ColdCause, Ramp
+from knapweedhitch.model import Warmth
+from tests.decision_fakes import BAD, GOOD, settings
+
+
+def warm_ramp(slots: int = 9) -> Ramp:
+    ramp = Ramp(settings().admission)
+    ramp.reset(ColdCause.STARTED, slots)
+    while ramp.warmth is Warmth.COLD:
+        ramp.on_result(GOOD, at_limit=True)
+    return ramp
+
+
+class RampTest(unittest.TestCase):
+    def test_the_limit_grows_by_one_after_a_full_round(self) -> None:
+        """Guards against growth faster than the work that proved the present limit."""
+        ramp = Ramp(settings().admission)
+        ramp.reset(ColdCause.STARTED, 9)
+        limits = []
+        for _ in range(6):
+            ramp.on_result(GOOD, at_limit=True)
+            limits.append(ramp.limit)
+        self.assertEqual(limits, [2, 2, 3, 3, 3, 4])
+
+    def test_failures_never_grow_the_limit(self) -> None:
+        """Guards against full load on an upstream that fails fast while cold."""
+        ramp = Ramp(settings().admission)
+        ramp.reset(ColdCause.STARTED, 9)
+        for _ in range(50):
+            ramp.on_result(BAD, at_limit=True)
+            self.assertEqual(ramp.limit, 1)
+
+    def test_signs_of_cold_fall_back_at_once(self) -> None:
+        """Guards against full load on a warm upstream that turned cold."""
+        slow = dataclasses.replace(GOOD, service_ms=100.0)
+        cases = {
+            ColdCause.CONNECT_FAILED: [dataclasses.replace(BAD, connect_failed=True)],
+            ColdCause.FAILURE_RUN: [BAD, BAD, BAD],
+            ColdCause.LATENCY_JUMP: [slow, slow, slow],
+        }
+        for cause, results in cases.items():
+            with self.subTest(cause=cause):
+                ramp = warm_ramp()
+                causes = [ramp.on_result(result, at_limit=True) for result in results]
+                self.assertEqual(causes[-1], cause)
+                self.assertEqual((ramp.limit, ramp.warmth), (1, Warmth.COLD))
+
+    def test_single_slow_calls_keep_it_warm(self) -> None:
+        """Guards against capacity lost to the heavy tail of normal service times."""
+        ramp = warm_ramp()
+        for n in range(300):
+            result = dataclasses.replace(GOOD, service_ms=200.0) if n % 5 == 0 else GOOD
+            self.assertIsNone(ramp.on_result(result, at_limit=True))
--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,50 @@
+"""Tests of outlier ejection."""
+
+from __future__ import annotations
+
+import unittest
+
+from knapweedhitch.ejection import Ejector
+from tests.decision_fakes import BAD, GOOD, settings
+
+PEERS = ("a", "b", "c", "d")
+
+
+class EjectionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now_ms = 0.0
+        self.ejector = Ejector(settings().routing, lambda: self.now_ms)
+
+    def fail(self, name: str, n: int = 5) -> None:  # type: ignore[override]
+        for _ in range(n):
+            self.ejector.finished(name, BAD, PEERS, 0.5)
+
+    def test_the_ceiling_holds(self) -> None:
+        """Guards against ejecting a whole service that has a common fault."""
+        for name in PEERS:
+            self.fail(name, 20)
+        self.assertEqual(sum(self.ejector.is_ejected(name) for name in PEERS), 2)
+
+    def test_one_live_call_probes_and_the_time_grows(self) -> None:
+        """Guards against a stampede on a target whose ejection time is over."""
+        self.fail("a")
+        for length_ms in (2_000.0, 4_000.0, 8_000.0):
+            self.now_ms += length_ms - 1.0
+            self.assertTrue(self.ejector.is_ejected("a"))
+            self.now_ms += 1.0
+            self.assertFalse(self.ejector.is_ejected("a"))
+            self.ejector.started("a")
+            self.assertTrue(self.ejector.is_ejected("a"))
+            self.ejector.finished("a", BAD, PEERS, 0.5)
+        self.now_ms += 16_000.0
+        self.ejector.started("a")
+        self.ejector.finished("a", GOOD, PEERS, 0.5)
+        self.assertFalse(self.ejector.is_ejected("a"))
+
+    def test_failing_part_of_the_time_is_an_outlier(self) -> None:
+        """Guards against a target that fails three of four calls and so never fails in a run."""
+        for n in range(40):
+            for name in PEERS:
+                result = BAD if name == "a" and n % 4 else GOOD
+                self.ejector.finished(name, result, PEERS, 0.5)
+        self.assertTrue(self.ejector.is_ejected("a"))
