--- /dev/null
+++ b/knapweedhitch/changes.py
@@ -0,0 +1,194 @@
+"""Typed changes of the configuration and their encoding."""
+
+from __future__ import annotations
+
+import dataclasses
+import secrets
+from collections.abc import Callable, Mapping
+from typing import Any, ClassVar, TypeVar
+
+import cbor2
+
+from knapweedhitch.codec import from_plain, load_plain, to_plain
+from knapweedhitch.exceptions import CodecError, DuplicateRegistration, InvalidChange
+from knapweedhitch.model import ClaimGroup, ServiceConfig
+
+MAX_ID_CHARS = 128
+
+
+class Operation:
+    """Be the base of every operation; `needs_base` tells if a base version must be given."""
+
+    __slots__ = ()
+    kind: ClassVar[str] = ""
+    needs_base: ClassVar[bool] = False
+
+
+O = TypeVar("O", bound=type[Operation])  # noqa: E741
+
+_by_kind: dict[str, type[Operation]] = {}
+
+
+def operation(kind: str, *, needs_base: bool = False) -> Callable[[O], O]:
+    """Register an operation data class by its kind; raises DuplicateRegistration."""
+
+    def register(cls: O) -> O:
+        if kind in _by_kind:
+            raise DuplicateRegistration(f"operation {kind} is registered twice")
+        cls.kind = kind
+        cls.needs_base = needs_base
+        _by_kind[kind] = cls
+        return cls
+
+    return register
+
+
+def operations() -> Mapping[str, type[Operation]]:
+    """Return every operation class by its kind."""
+    return dict(_by_kind)
+
+
+@operation("put_service", needs_base=True)
+@dataclasses.dataclass(frozen=True)
+class PutService(Operation):
+    """Add or replace one service."""
+
+    service: ServiceConfig
+
+
+@operation("remove_service", needs_base=True)
+@dataclasses.dataclass(frozen=True)
+class RemoveService(Operation):
+    """Remove one service."""
+
+    name: str
+
+
+@operation("put_all_services", needs_base=True)
+@dataclasses.dataclass(frozen=True)
+class PutAllServices(Operation):
+    """Replace the whole set of services at once, as a generated configuration does."""
+
+    services: tuple[ServiceConfig, ...]
+
+
+@operation("domain_out")
+@dataclasses.dataclass(frozen=True)
+class DomainOut(Operation):
+    """Take a failure domain out; allow_last permits it for the last domain of a service."""
+
+    domain: str
+    allow_last: bool = False
+
+
+@operation("domain_in")
+@dataclasses.dataclass(frozen=True)
+class DomainIn(Operation):
+    """Bring a failure domain back."""
+
+    domain: str
+
+
+@operation("node_drain")
+@dataclasses.dataclass(frozen=True)
+class NodeDrain(Operation):
+    """Drain one node."""
+
+    node_id: str
+
+
+@operation("node_undrain")
+@dataclasses.dataclass(frozen=True)
+class NodeUndrain(Operation):
+    """End the drain of one node."""
+
+    node_id: str
+
+
+@operation("claim_group")
+@dataclasses.dataclass(frozen=True)
+class AddClaimGroup(Operation):
+    """Add the next claim group of a service."""
+
+    group: ClaimGroup
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Change:
+    """Hold one change; a change sent again carries the same change id."""
+
+    change_id: str
+    base_version: int | None
+    operator: str
+    op: Operation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StampedChange:
+    """Hold a change with what the leader knew: wall clock and domains that serve a service."""
+
+    change: Change
+    wall_ms: int
+    serving: Mapping[str, frozenset[str]]
+
+
+def new_change_id() -> str:
+    """Return a random change id."""
+    return secrets.token_hex(16)
+
+
+def encode_change(change: Change) -> bytes:
+    """Return the bytes of a change."""
+    return cbor2.dumps(_change_to_plain(change))
+
+
+def decode_change(data: bytes) -> Change:
+    """Return a checked change; raises InvalidChange."""
+    try:
+        return _change_from_plain(load_plain(data))
+    except CodecError as exc:
+        raise InvalidChange(f"not a change: {exc}") from None
+
+
+def encode_stamped(stamped: StampedChange) -> bytes:
+    """Return the bytes of a stamped change, as the log keeps them."""
+    serving = [[name, sorted(domains)] for name, domains in sorted(stamped.serving.items())]
+    return cbor2.dumps([_change_to_plain(stamped.change), stamped.wall_ms, serving])
+
+
+def decode_stamped(data: bytes) -> StampedChange:
+    """Return a checked stamped change; raises InvalidChange."""
+    try:
+        raw = load_plain(data)
+        if not isinstance(raw, list) or len(raw) != 3 or type(raw[1]) is not int:
+            raise CodecError("a change, a time and the serving domains are expected")
+        serving = {str(name): frozenset(map(str, domains)) for name, domains in raw[2]}
+        return StampedChange(_change_from_plain(raw[0]), raw[1], serving)
+    except (CodecError, TypeError, ValueError) as exc:
+        raise InvalidChange(f"not a stamped change: {exc}") from None
+
+
+def _change_to_plain(change: Change) -> list[Any]:
+    return [
+        change.change_id,
+        change.base_version,
+        change.operator,
+        change.op.kind,
+        to_plain(change.op),
+    ]
+
+
+def _change_from_plain(raw: Any) -> Change:
+    if not isinstance(raw, list) or len(raw) != 5:
+        raise CodecError("five fields are expected")
+    change_id, base, operator, kind, fields = raw
+    if not isinstance(change_id, str) or not 1 <= len(change_id) <= MAX_ID_CHARS:
+        raise CodecError(f"a change id has 1 to {MAX_ID_CHARS} characters")
+    if not isinstance(operator, str) or len(operator) > MAX_ID_CHARS:
+        raise CodecError(f"an operator name has up to {MAX_ID_CHARS} characters")
+    if base is not None and (type(base) is not int or base < 0):
+        raise CodecError("a base version is a number from 0 or absent")
+    cls = _by_kind.get(kind) if isinstance(kind, str) else None
+    if cls is None:
+        raise CodecError(f"no operation {kind!r}")
+    return Change(change_id, base, operator, from_plain(cls, fields))
--- /dev/null
+++ b/knapweedhitch/claimgroups.py
@@ -0,0 +1,101 @@
+"""The choice of claim holders: three nodes in different failure domains for each service."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterator, Mapping, Sequence
+
+from knapweedhitch.model import ClaimGroup, Configuration, Member, MemberState
+from knapweedhitch.settings import ControlSettings
+
+HOLDERS = 3
+PRESENT = (MemberState.ALIVE, MemberState.SUSPECT)
+
+
+class ClaimGroupKeeper:
+    """Decide which services need their first or next claim group."""
+
+    def __init__(self, cfg: ControlSettings) -> None:
+        self._cfg = cfg
+        self._lacking_since_ms: dict[str, float] = {}
+
+    def forget(self) -> None:
+        """Forget what was seen; used when leadership starts."""
+        self._lacking_since_ms.clear()
+
+    def due(
+        self, cfg: Configuration, members: Mapping[str, Member], now_ms: float, wall_ms: int
+    ) -> Iterator[ClaimGroup]:
+        """Return the groups to propose now; times are in milliseconds."""
+        usable = {n: m for n, m in members.items() if _is_usable(cfg, m)}
+        for name in [n for n in self._lacking_since_ms if n not in cfg.services]:
+            del self._lacking_since_ms[name]
+        for name in cfg.services:
+            group = self._next_group(name, cfg, usable, now_ms, wall_ms)
+            if group is not None:
+                yield group
+
+    def _next_group(
+        self,
+        name: str,
+        cfg: Configuration,
+        usable: Mapping[str, Member],
+        now_ms: float,
+        wall_ms: int,
+    ) -> ClaimGroup | None:
+        groups = cfg.claim_groups.get(name, ())
+        last = groups[-1] if groups else None
+        present = [h for h in last.holders if h in usable] if last else []
+        if last and (last.from_wall_ms > wall_ms or _quality(present, usable)[0] >= HOLDERS):
+            self._lacking_since_ms.pop(name, None)
+            return None
+        chosen = choose_holders(name, usable, present)
+        if _quality(chosen, usable) <= _quality(present, usable):
+            return None
+        since_ms = self._lacking_since_ms.setdefault(name, now_ms)
+        is_whole = _quality(chosen, usable)[0] >= HOLDERS
+        # A first group starts at once if it is whole; with nodes missing, more may be about to
+        # announce themselves. A later group waits until the holder is gone for long enough.
+        if not (last is None and is_whole) and now_ms - since_ms < self._cfg.claim_group_repair_ms:
+            return None
+        self._lacking_since_ms.pop(name, None)
+        if last is None:
+            return ClaimGroup(name, 1, 0, tuple(chosen))
+        from_ms = wall_ms + self._cfg.activation_delay_ms
+        return ClaimGroup(name, last.epoch + 1, from_ms, tuple(chosen))
+
+
+def _is_usable(cfg: Configuration, member: Member) -> bool:
+    return (
+        member.state in PRESENT
+        and not member.draining
+        and member.node_id not in cfg.draining_nodes
+        and not cfg.is_domain_out(member.domain)
+    )
+
+
+def _quality(holders: Sequence[str], usable: Mapping[str, Member]) -> tuple[int, int]:
+    return len({usable[h].domain for h in holders}), len(holders)
+
+
+def choose_holders(service: str, usable: Mapping[str, Member], present: Sequence[str]) -> list[str]:
+    """Return up to three holders: present ones stay, then nodes of the service, then others."""
+
+    def rank(node_id: str) -> tuple[bool, bool, bytes]:
+        upstream = usable[node_id].upstream
+        serves = upstream is not None and upstream.service == service
+        spread = hashlib.blake2b(f"{service}/{node_id}".encode(), digest_size=8).digest()
+        return node_id not in present, not serves, spread
+
+    chosen: list[str] = []
+    ranked = sorted(usable, key=rank)
+    for node_id in ranked:
+        domains = {usable[h].domain for h in chosen}
+        if len(chosen) < HOLDERS and usable[node_id].domain not in domains:
+            chosen.append(node_id)
+    # With fewer domains than holders, a second holder in a domain still helps against the loss
+    # of a single node.
+    for node_id in ranked:
+        if len(chosen) < HOLDERS and node_id not in chosen:
+            chosen.append(node_id)
+    return chosen
--- /dev/null
+++ b/knapweedhitch/consensus.py
@@ -0,0 +1,275 @@
+"""One replica of the replicated log: its tasks, proposals, first start and freshness."""
+
+from __future__ import annotations
+
+import random
+import secrets
+from collections.abc import Awaitable, Callable
+from typing import Any, TypeVar
+
+import trio
+
+from knapweedhitch import logs
+from knapweedhitch.codec import Message
+from knapweedhitch.counters import Counters
+from knapweedhitch.disk import Disk
+from knapweedhitch.election import Elections
+from knapweedhitch.exceptions import (
+    CorruptFile,
+    NotLeader,
+    PeerError,
+    ReplicaBusy,
+    ReplicaStopped,
+    StorageError,
+)
+from knapweedhitch.messages import (
+    AppendRequest,
+    Introduce,
+    IntroduceReply,
+    LogEntry,
+    SnapshotChunk,
+    VoteRequest,
+)
+from knapweedhitch.raftstate import (
+    CHANGE,
+    MEMBERS,
+    MS_PER_S,
+    NOOP,
+    Machine,
+    Proposal,
+    ReplicaState,
+    Role,
+    Transport,
+    encode_members,
+    now_ms,
+)
+from knapweedhitch.replication import Replication
+from knapweedhitch.settings import Settings
+from knapweedhitch.snapshot import Snapshot
+from knapweedhitch.store import Store
+
+M = TypeVar("M", bound=Message)
+
+
+class Replica:
+    """Keep the replicated log of 1, 3 or 5 members and apply it to a machine."""
+
+    def __init__(
+        self,
+        cfg: Settings,
+        disk: Disk,
+        transport: Transport,
+        machine: Machine,
+        counters: Counters,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._cfg = cfg
+        self._disk = disk
+        self._transport = transport
+        self._machine = machine
+        self._counters = counters
+        self._rng = rng or random.Random()
+        self._state: ReplicaState | None = None
+        self._scope = trio.CancelScope()
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open the data folder and start the tasks; raises CorruptFile, StorageError."""
+        store = await self._open_store()
+        s = self._state = ReplicaState(
+            self._cfg, store, self._transport, self._machine, self._counters, self._rng
+        )
+        self._elections = Elections(s)
+        self._replication = Replication(s)
+        self._answer(VoteRequest, self._elections.on_vote)
+        self._answer(AppendRequest, self._replication.on_append)
+        self._answer(SnapshotChunk, self._replication.on_snapshot)
+        self._answer(Introduce, self._on_introduce)
+        nursery.start_soon(self._run)
+
+    async def _open_store(self) -> Store:
+        cluster, node_id = self._cfg.node.cluster, self._cfg.node.id
+        try:
+            return await Store.open(self._disk, cluster, node_id)
+        except CorruptFile as exc:
+            self._counters.add("consensus_corrupt", exc.path)
+            logs.warning("corrupt_file", node=node_id, path=exc.path, offset=exc.offset, detail=exc)
+            if len(self._cfg.control.members) == 1:
+                raise
+            # The other replicas hold everything that was accepted. This one starts empty under a
+            # new disk id and does not vote until the log has admitted it again.
+            return await Store.create(self._disk, cluster, node_id)
+
+    async def stop(self) -> None:
+        """End the tasks and release the data folder."""
+        self._scope.cancel()
+        if self._state is not None:
+            self._state.follow(None)
+            self._state.role = Role.STOPPED
+        await self._disk.close()
+
+    async def _run(self) -> None:
+        s = self.state
+        with self._scope:
+            async with trio.open_nursery() as nursery:
+                for node_id in s.progress:
+                    nursery.start_soon(self._guarded, self._replication.run_peer, node_id)
+                nursery.start_soon(self._guarded, self._write_loop)
+                nursery.start_soon(self._guarded, self._compact_loop)
+                nursery.start_soon(self._guarded, self._form_group)
+                nursery.start_soon(self._guarded, self._elections.run)
+
+    async def _guarded(self, fn: Callable[..., Awaitable[None]], *args: object) -> None:
+        try:
+            await fn(*args)
+        except StorageError as exc:
+            self.state.fail(exc)
+
+    def _answer(self, msg_type: type[M], fn: Callable[[str, Any], Awaitable[Message]]) -> None:
+        async def handler(node_id: str, msg: Any) -> Message:
+            s = self.state
+            if s.role is Role.STOPPED:
+                raise ReplicaStopped(f"{s.node_id} has stopped")
+            try:
+                return await fn(node_id, msg)
+            except StorageError as exc:
+                s.fail(exc)
+                raise ReplicaStopped(f"{s.node_id} has stopped") from exc
+
+        self._transport.handle(msg_type, handler)
+
+    @property
+    def state(self) -> ReplicaState:
+        """Return the state of the started replica; raises ReplicaStopped before the start."""
+        if self._state is None:
+            raise ReplicaStopped("the replica has not started")
+        return self._state
+
+    @property
+    def is_leader(self) -> bool:
+        """Tell whether this replica leads."""
+        return self._state is not None and self._state.role is Role.LEADER
+
+    @property
+    def is_stopped(self) -> bool:
+        """Tell whether a failed write has stopped this replica."""
+        return self._state is not None and self._state.role is Role.STOPPED
+
+    @property
+    def leader_id(self) -> str | None:
+        """Return the leader as far as it is known."""
+        return self._state.leader_id if self._state is not None else None
+
+    @property
+    def group_id(self) -> str:
+        """Return the random id that the group got at its first start, empty before it."""
+        return self._state.group_id if self._state is not None else ""
+
+    async def propose(self, change: bytes) -> int:
+        """Return the version of a change; raises NotLeader, ReplicaBusy, ProposalUnknown."""
+        s = self._state
+        if s is None or s.role is not Role.LEADER:
+            raise NotLeader(self.leader_id)
+        if len(s.pending) >= s.cfg.max_pending_proposals:
+            raise ReplicaBusy(f"{len(s.pending)} proposals wait")
+        proposal = Proposal(CHANGE, change)
+        s.pending.append(proposal)
+        s.write.set()
+        await proposal.done.wait()
+        if proposal.error is not None:
+            raise proposal.error
+        assert proposal.result is not None, "a committed change has a result"
+        return proposal.result.unwrap()
+
+    def freshness_age_ms(self) -> float | None:
+        """Return the age in ms of the leader's proof that its state is current, else None."""
+        s = self._state
+        if s is None or s.role is not Role.LEADER or s.applied_index < s.noop_index:
+            return None
+        age_ms = now_ms() - s.quorum_acked_ms()
+        return age_ms if age_ms < float("inf") else None
+
+    async def _write_loop(self) -> None:
+        s = self.state
+        while s.role is not Role.STOPPED:
+            await s.write.wait()
+            while s.pending and s.role is Role.LEADER:
+                async with s.lock:
+                    await self._write_batch()
+
+    async def _write_batch(self) -> None:
+        s = self.state
+        if s.role is not Role.LEADER or not s.pending:
+            return
+        batch: list[LogEntry] = []
+        while s.pending and len(batch) < s.cfg.max_batch_entries:
+            proposal = s.pending.popleft()
+            entry = LogEntry(
+                s.store.term, s.store.last_index + len(batch) + 1, proposal.kind, proposal.body
+            )
+            batch.append(entry)
+            s.waiting[entry.index] = proposal
+            s.note_members(entry)
+            if entry.kind == NOOP:
+                s.noop_index = entry.index
+        s.store.stage(batch)
+        # The peers get the batch while the own disk syncs it; the own copy counts only after.
+        s.wake_peers()
+        await s.store.flush(batch)
+        s.counters.add("consensus_syncs")
+        if s.role is Role.LEADER:
+            s.durable_index = max(s.durable_index, batch[-1].index)
+            s.advance_commit()
+
+    async def _compact_loop(self) -> None:
+        s = self.state
+        while s.role is not Role.STOPPED:
+            await s.compact.wait()
+            async with s.lock:
+                index, term = s.applied_index, s.store.term_at(s.applied_index)
+                if term is None or (s.store.snapshot and s.store.snapshot.index >= index):
+                    continue
+                group_id, voters = s.members_at(index)
+                snap = Snapshot(index, term, voters, group_id, s.machine.snapshot())
+                await s.store.save_snapshot(snap)
+                s.trim_members(index)
+                s.counters.add("consensus_snapshots")
+
+    async def _form_group(self) -> None:
+        """Write the first members entry once every configured member is present and empty."""
+        s = self.state
+        while s.store.is_empty and s.node_id == s.configured[0]:
+            disks = await self._introduce_all()
+            if disks is not None:
+                async with s.lock:
+                    if s.store.is_empty:
+                        body = encode_members(secrets.token_hex(16), disks)
+                        entry = LogEntry(0, 1, MEMBERS, body)
+                        s.store.stage([entry])
+                        await s.store.flush([entry])
+                        s.note_members(entry)
+                        logs.event("group_formed", node=s.node_id, group=s.group_id)
+                await self._elections.stand()
+                return
+            await trio.sleep(s.cfg.heartbeat_ms / MS_PER_S)
+
+    async def _introduce_all(self) -> dict[str, str] | None:
+        s = self.state
+        disks = {s.node_id: s.store.disk_id}
+
+        async def ask(node_id: str) -> None:
+            try:
+                req = Introduce(s.store.disk_id)
+                reply = await s.transport.call(node_id, req, s.cfg.call_timeout_ms)
+            except PeerError:
+                return
+            if isinstance(reply, IntroduceReply) and reply.empty:
+                disks[node_id] = reply.disk_id
+
+        async with trio.open_nursery() as nursery:
+            for node_id in s.progress:
+                nursery.start_soon(ask, node_id)
+        return disks if len(disks) == len(s.configured) else None
+
+    async def _on_introduce(self, node_id: str, msg: Introduce) -> IntroduceReply:
+        s = self.state
+        return IntroduceReply(s.store.disk_id, s.store.is_empty)
--- /dev/null
+++ b/knapweedhitch/control.py
@@ -0,0 +1,207 @@
+"""The control service: takes changes, keeps version reports and maintains claim groups."""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Mapping
+
+import trio
+
+from knapweedhitch import changes, logs
+from knapweedhitch.changes import AddClaimGroup, Change, DomainOut, StampedChange
+from knapweedhitch.claimgroups import ClaimGroupKeeper
+from knapweedhitch.consensus import Replica
+from knapweedhitch.disk import FolderDisk
+from knapweedhitch.exceptions import (
+    ChangeError,
+    ConsensusError,
+    InvalidChange,
+    KnapweedhitchError,
+    NotLeader,
+    PeerError,
+    PeerQueueFull,
+    PeerUnreachable,
+    ProposalUnknown,
+    ReplicaBusy,
+    VersionConflict,
+)
+from knapweedhitch.history import ConfigurationMachine
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.messages import Propose, ProposeReply, VersionReport
+from knapweedhitch.raftstate import now_ms
+
+CLAIM_GROUP_TICK_MS = 1_000
+# Repairs after the loss of a domain are spread out, so that the feed stays within its budget.
+MAX_GROUPS_PER_TICK = 10
+RETRY_MS = 50
+NOT_PROCESSED = (PeerUnreachable, PeerQueueFull)
+
+
+@service("control")
+class Control:
+    """Accept changes on any node; run the replica on control instances."""
+
+    def __init__(self, kernel: Kernel, rng: random.Random | None = None) -> None:
+        self._kernel = kernel
+        self._cfg = kernel.cfg.control
+        self._rng = rng or random.Random()
+        self.machine = ConfigurationMachine(self._cfg) if kernel.cfg.is_control else None
+        self.replica: Replica | None = None
+        self._leader_hint: str | None = None
+        self._reports: dict[str, VersionReport] = {}
+        self._keeper = ClaimGroupKeeper(self._cfg)
+        self._keeper_runs = False
+
+    async def start(self) -> None:
+        """Start the replica and the claim-group task; raises CorruptFile, StorageError."""
+        self._peers = self._kernel.get("peers")
+        self._timers = self._kernel.get("timers")
+        self._counters = self._kernel.get("counters")
+        if self.machine is None:
+            return
+        self._peers.handle(Propose, self._on_propose)
+        self._peers.handle(VersionReport, self._on_report)
+        disk = self._kernel.get("disk") if self._kernel.has("disk") else None
+        if disk is None:
+            assert self._cfg.data_dir is not None, "the settings check it"
+            disk = FolderDisk(self._cfg.data_dir)
+        cfg = self._kernel.cfg
+        self.replica = Replica(cfg, disk, self._peers, self.machine, self._counters, self._rng)
+        await self.replica.start(self._kernel.nursery)
+        self._timers.every(CLAIM_GROUP_TICK_MS, self._tick)
+
+    async def stop(self) -> None:
+        """Stop the replica."""
+        if self.replica is not None:
+            await self.replica.stop()
+
+    @property
+    def leader_id(self) -> str | None:
+        """Return the leader as far as it is known here."""
+        known = self.replica.leader_id if self.replica is not None else None
+        return known or self._leader_hint
+
+    def versions(self) -> Mapping[str, VersionReport]:
+        """Return the last report of each node that a control instance has heard of."""
+        return dict(self._reports)
+
+    def note_report(self, msg: VersionReport) -> None:
+        """Keep the report of a node, up to a bounded number of nodes."""
+        known = self._reports.pop(msg.node_id, None)
+        if known is None and len(self._reports) >= self._cfg.max_reported_nodes:
+            self._reports.pop(next(iter(self._reports)))
+        self._reports[msg.node_id] = msg
+
+    async def _on_report(self, node_id: str, msg: VersionReport) -> None:
+        self.note_report(msg)
+
+    # Proposals
+
+    async def submit(self, change: Change, timeout_ms: float | None = None) -> int:
+        """Return the version of a change; raises ChangeError, NotLeader, ProposalUnknown."""
+        data = changes.encode_change(change)
+        if len(data) > self._cfg.max_change_bytes:
+            raise InvalidChange(f"{len(data)} bytes are over {self._cfg.max_change_bytes}")
+        limit_ms = timeout_ms if timeout_ms is not None else self._cfg.submit_timeout_ms
+        unknown: KnapweedhitchError | None = None
+        end_ms = now_ms() + limit_ms
+        while (left_ms := end_ms - now_ms()) > 0:
+            try:
+                with trio.fail_after(left_ms / 1_000.0):
+                    return await self._submit_once(change, data, left_ms)
+            except (ReplicaBusy, NotLeader, *NOT_PROCESSED) as exc:
+                self._counters.add("submit_retry", type(exc).__name__)
+            except (ConsensusError, PeerError, trio.TooSlowError) as exc:
+                # Sending it again is safe: the change id gives the first result.
+                unknown = ProposalUnknown(f"{change.change_id}: {type(exc).__name__}")
+                self._counters.add("submit_retry", "ProposalUnknown")
+            await trio.sleep(RETRY_MS / 1_000.0)
+        raise unknown or NotLeader(self.leader_id)
+
+    async def _submit_once(self, change: Change, data: bytes, left_ms: float) -> int:
+        if self.replica is not None and self.replica.is_leader:
+            return await self._propose(change)
+        target = self._target()
+        if target is None:
+            raise NotLeader(None)
+        timeout_ms = min(left_ms, 2.0 * self._cfg.election_timeout_ms)
+        try:
+            reply = await self._peers.call(target, Propose(data), timeout_ms)
+        except PeerError:
+            self._leader_hint = None
+            raise
+        if not isinstance(reply, ProposeReply):
+            raise ProposalUnknown(f"{target} gave another reply")
+        return self._unwrap(change, reply)
+
+    def _target(self) -> str | None:
+        """Return the leader if it is known, else any other control instance."""
+        leader = self.leader_id
+        own = self._kernel.cfg.node.id
+        if leader is not None and leader != own:
+            return leader
+        others = [m.id for m in self._cfg.members if m.id != own]
+        return self._rng.choice(others) if others else None
+
+    def _unwrap(self, change: Change, reply: ProposeReply) -> int:
+        self._leader_hint = reply.leader_id or None
+        if not reply.error:
+            return reply.version
+        if reply.error == VersionConflict.__name__:
+            raise VersionConflict(change.base_version or 0, reply.version, reply.detail)
+        if reply.error == InvalidChange.__name__:
+            raise InvalidChange(reply.detail)
+        if reply.error in (NotLeader.__name__, ReplicaBusy.__name__):
+            raise NotLeader(self._leader_hint)
+        raise ProposalUnknown(f"{change.change_id}: {reply.error}")
+
+    async def _on_propose(self, node_id: str, msg: Propose) -> ProposeReply:
+        leader_id = self.leader_id or ""
+        try:
+            version = await self._propose(changes.decode_change(msg.change))
+            return ProposeReply(version, "", "", leader_id)
+        except VersionConflict as exc:
+            return ProposeReply(exc.current_version, type(exc).__name__, exc.winner, leader_id)
+        except (ChangeError, ConsensusError) as exc:
+            return ProposeReply(0, type(exc).__name__, str(exc), self.leader_id or "")
+
+    async def _propose(self, change: Change) -> int:
+        if self.replica is None or not self.replica.is_leader:
+            raise NotLeader(self.leader_id)
+        if self.replica.freshness_age_ms() is None:
+            raise ReplicaBusy("the state of earlier terms is not known yet")
+        stamped = StampedChange(change, self._timers.wall_ms(), self._serving(change))
+        return await self.replica.propose(changes.encode_stamped(stamped))
+
+    def _serving(self, change: Change) -> Mapping[str, frozenset[str]]:
+        """Return the domains with targets for each service, where the change needs them."""
+        if not isinstance(change.op, DomainOut) or self.machine is None:
+            return {}
+        membership = self._kernel.get("membership")
+        return {
+            name: frozenset(t.domain for t in membership.targets(name) if not t.draining)
+            for name in self.machine.current.services
+        }
+
+    # Claim groups
+
+    def _tick(self) -> None:
+        if self.replica is None or not self.replica.is_leader:
+            self._keeper.forget()
+        elif not self._keeper_runs and self.replica.freshness_age_ms() is not None:
+            self._kernel.nursery.start_soon(self._maintain_groups)
+
+    async def _maintain_groups(self) -> None:
+        assert self.machine is not None, "only control instances maintain claim groups"
+        members = self._kernel.get("membership").members()
+        self._keeper_runs = True
+        try:
+            due = self._keeper.due(self.machine.current, members, now_ms(), self._timers.wall_ms())
+            for _, group in zip(range(MAX_GROUPS_PER_TICK), due, strict=False):
+                change = Change(changes.new_change_id(), None, "control", AddClaimGroup(group))
+                version = await self._propose(change)
+                logs.event("claim_group", service=group.service, epoch=group.epoch, version=version)
+        except (ChangeError, ConsensusError) as exc:
+            self._counters.add("claim_group_failed", type(exc).__name__)
+        finally:
+            self._keeper_runs = False
--- /dev/null
+++ b/knapweedhitch/disk.py
@@ -0,0 +1,170 @@
+"""File operations of one data folder; tests replace them by a faulty implementation."""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import os
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
+from typing import Protocol
+
+import trio
+
+from knapweedhitch.exceptions import DataFolderLocked, DiskFull, StorageError, SyncFailed
+
+LOCK_NAME = "lock"
+TEMPORARY_SUFFIX = ".new"
+NO_SPACE = (errno.ENOSPC, errno.EDQUOT, errno.EFBIG)
+
+
+class Disk(Protocol):
+    """Name the file operations that durable state needs; every name is inside one folder."""
+
+    async def names(self) -> frozenset[str]:
+        """Return the names of all files; raises StorageError."""
+
+    async def read(self, name: str) -> bytes | None:
+        """Return a whole file, None if it is missing; raises StorageError."""
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Add bytes to the end of a file without syncing; raises DiskFull, StorageError."""
+
+    async def sync(self, name: str) -> None:
+        """Make the content of a file durable; raises SyncFailed."""
+
+    async def sync_folder(self) -> None:
+        """Make the names of the files durable; raises SyncFailed."""
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Write, sync and rename a whole file; raises DiskFull, SyncFailed, StorageError."""
+
+    async def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes and sync it; raises SyncFailed, StorageError."""
+
+    async def rename(self, name: str, new_name: str) -> None:
+        """Rename a file and sync the folder; raises SyncFailed, StorageError."""
+
+    async def close(self) -> None:
+        """Release the folder."""
+
+
+@contextmanager
+def _typed_errors(place: str, *, sync: bool = False) -> Iterator[None]:
+    try:
+        yield
+    except OSError as exc:
+        problem = f"{place}: {exc.strerror or exc}"
+        if exc.errno in NO_SPACE:
+            raise DiskFull(problem) from exc
+        raise (SyncFailed if sync else StorageError)(problem) from exc
+
+
+class FolderDisk:
+    """Run the file operations on a real folder; syncs run in a worker thread."""
+
+    def __init__(self, folder: str) -> None:
+        self.folder = Path(folder)
+        self._files: dict[str, int] = {}
+        with _typed_errors(folder):
+            self.folder.mkdir(parents=True, exist_ok=True, mode=0o700)
+            self._lock = os.open(self.folder / LOCK_NAME, os.O_RDWR | os.O_CREAT, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            os.close(self._lock)
+            raise DataFolderLocked(f"{folder}: another process uses this data folder") from None
+
+    async def names(self) -> frozenset[str]:
+        """Return the names of all files; raises StorageError."""
+        with _typed_errors(str(self.folder)):
+            return frozenset(p.name for p in self.folder.iterdir()) - {LOCK_NAME}
+
+    async def read(self, name: str) -> bytes | None:
+        """Return a whole file, None if it is missing; raises StorageError."""
+        with _typed_errors(str(self.folder / name)):
+            try:
+                return await trio.to_thread.run_sync((self.folder / name).read_bytes)
+            except FileNotFoundError:
+                return None
+
+    async def append(self, name: str, data: bytes) -> None:
+        """Add bytes to the end of a file without syncing; raises DiskFull, StorageError."""
+        with _typed_errors(str(self.folder / name)):
+            _write_all(self._file(name), data)
+
+    async def sync(self, name: str) -> None:
+        """Make the content of a file durable; raises SyncFailed."""
+        with _typed_errors(str(self.folder / name), sync=True):
+            await trio.to_thread.run_sync(os.fsync, self._file(name))
+
+    async def sync_folder(self) -> None:
+        """Make the names of the files durable; raises SyncFailed."""
+        with _typed_errors(str(self.folder), sync=True):
+            await trio.to_thread.run_sync(self._sync_folder)
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Write, sync and rename a whole file; raises DiskFull, SyncFailed, StorageError."""
+        self._forget(name)
+        with _typed_errors(str(self.folder / name), sync=True):
+            await trio.to_thread.run_sync(self._replace, name, data)
+
+    async def truncate(self, name: str, size: int) -> None:
+        """Cut a file to a size in bytes and sync it; raises SyncFailed, StorageError."""
+        with _typed_errors(str(self.folder / name), sync=True):
+            fd = self._file(name)
+            os.ftruncate(fd, size)
+            await trio.to_thread.run_sync(os.fsync, fd)
+
+    async def rename(self, name: str, new_name: str) -> None:
+        """Rename a file and sync the folder; raises SyncFailed, StorageError."""
+        self._forget(name)
+        self._forget(new_name)
+        with _typed_errors(str(self.folder / name), sync=True):
+            os.replace(self.folder / name, self.folder / new_name)
+            await trio.to_thread.run_sync(self._sync_folder)
+
+    async def close(self) -> None:
+        """Release the folder."""
+        for name in list(self._files):
+            self._forget(name)
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
+
+    def _file(self, name: str) -> int:
+        fd = self._files.get(name)
+        if fd is None:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            fd = self._files[name] = os.open(self.folder / name, flags, 0o600)
+        return fd
+
+    def _forget(self, name: str) -> None:
+        fd = self._files.pop(name, None)
+        if fd is not None:
+            os.close(fd)
+
+    def _replace(self, name: str, data: bytes) -> None:
+        temporary = self.folder / (name + TEMPORARY_SUFFIX)
+        fd = os.open(temporary, os.O_WRONLY | os.O_CREAT | os.O_TRUNC, 0o600)
+        try:
+            _write_all(fd, data)
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+        os.replace(temporary, self.folder / name)
+        self._sync_folder()
+
+    def _sync_folder(self) -> None:
+        fd = os.open(self.folder, os.O_RDONLY | os.O_DIRECTORY)
+        try:
+            os.fsync(fd)
+        finally:
+            os.close(fd)
+
+
+def _write_all(fd: int, data: bytes) -> None:
+    view = memoryview(data)
+    while view:
+        view = view[os.write(fd, view) :]
--- /dev/null
+++ b/knapweedhitch/election.py
@@ -0,0 +1,155 @@
+"""Elections of the replicated log: pre-vote, votes and check-quorum."""
+
+from __future__ import annotations
+
+import math
+
+import trio
+
+from knapweedhitch import logs
+from knapweedhitch.exceptions import PeerError
+from knapweedhitch.messages import VoteReply, VoteRequest
+from knapweedhitch.raftstate import MS_PER_S, NOOP, Proposal, ReplicaState, Role, now_ms
+
+
+class Elections:
+    """Stand for election when no leader is heard and answer vote requests."""
+
+    def __init__(self, state: ReplicaState) -> None:
+        self._s = state
+
+    async def run(self) -> None:
+        """Watch for a silent leader, or as leader for a lost majority."""
+        s = self._s
+        while s.role is not Role.STOPPED:
+            if s.role is Role.LEADER:
+                await trio.sleep(s.cfg.heartbeat_ms / MS_PER_S)
+                self._check_quorum()
+                continue
+            if not (s.is_voter and len(s.voters) == 1):
+                await self._wait_for_silence()
+            if s.is_voter and s.role is Role.FOLLOWER and not self._hears_leader():
+                await self.stand()
+            if s.role is Role.FOLLOWER:
+                await trio.sleep(s.rng.random() * s.cfg.heartbeat_ms / MS_PER_S)
+
+    async def _wait_for_silence(self) -> None:
+        s = self._s
+        timeout_ms = s.cfg.election_timeout_ms * (1.0 + s.rng.random())
+        silent_at_ms = now_ms() + timeout_ms
+        while s.role is Role.FOLLOWER:
+            await trio.sleep_until(silent_at_ms / MS_PER_S)
+            if s.heard_ms + timeout_ms <= silent_at_ms:
+                return
+            silent_at_ms = s.heard_ms + timeout_ms
+
+    def _check_quorum(self) -> None:
+        s = self._s
+        if s.role is Role.LEADER:
+            silent_ms = now_ms() - max(s.quorum_acked_ms(), self._leader_since_ms)
+            if silent_ms > s.cfg.election_timeout_ms:
+                s.counters.add("consensus_quorum_lost")
+                s.follow(None)
+
+    _leader_since_ms = -math.inf
+
+    async def stand(self) -> None:
+        """Ask for pre-votes, then for votes, and lead on a majority; raises StorageError."""
+        s = self._s
+        if not await self._collect(s.store.term + 1, pre_vote=True):
+            return
+        async with s.lock:
+            if s.role is not Role.FOLLOWER or not s.is_voter or self._hears_leader():
+                return
+            term = s.store.term + 1
+            s.leader_id = None
+            await s.store.set_term(term, s.node_id)
+        s.counters.add("consensus_elections")
+        if await self._collect(term, pre_vote=False):
+            async with s.lock:
+                if s.store.term == term and s.role is Role.FOLLOWER and s.is_voter:
+                    self._lead()
+
+    def _lead(self) -> None:
+        s = self._s
+        s.role, s.leader_id = Role.LEADER, s.node_id
+        s.durable_index = s.store.last_index
+        s.noop_index = math.inf
+        self._leader_since_ms = now_ms()
+        for progress in s.progress.values():
+            progress.reset(s.store.last_index + 1)
+        s.pending.appendleft(Proposal(NOOP, b""))
+        s.write.set()
+        s.wake_peers()
+        logs.event("leader", node=s.node_id, term=s.store.term)
+
+    async def _collect(self, term: int, *, pre_vote: bool) -> bool:
+        """Return whether a majority of the voting disks grants the vote."""
+        s = self._s
+        voters = dict(s.voters)
+        granted = {s.node_id}
+        needed = len(voters) // 2 + 1
+        if len(granted) >= needed:
+            return True
+
+        async def ask(node_id: str, disk_id: str) -> None:
+            req = VoteRequest(
+                term,
+                s.node_id,
+                s.store.last_index,
+                s.store.last_term,
+                pre_vote,
+                s.store.disk_id,
+                disk_id,
+            )
+            try:
+                reply = await s.transport.call(node_id, req, s.cfg.call_timeout_ms)
+            except PeerError:
+                return
+            if not isinstance(reply, VoteReply):
+                return
+            if reply.granted and reply.disk_id == disk_id:
+                granted.add(node_id)
+            elif reply.term > s.store.term:
+                async with s.lock:
+                    if reply.term > s.store.term:
+                        await s.adopt_term(reply.term)
+            if len(granted) >= needed:
+                nursery.cancel_scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            for node_id, disk_id in voters.items():
+                if node_id != s.node_id:
+                    nursery.start_soon(ask, node_id, disk_id)
+        return len(granted) >= needed
+
+    def _hears_leader(self) -> bool:
+        s = self._s
+        return s.role is Role.LEADER or now_ms() - s.heard_ms < s.cfg.election_timeout_ms
+
+    async def on_vote(self, node_id: str, msg: VoteRequest) -> VoteReply:
+        """Answer a vote request after the vote is durable; raises StorageError."""
+        s = self._s
+        async with s.lock:
+            # The request names the disk that the candidate's log admitted. An empty or an older
+            # disk is not named by any log, so it cannot vote.
+            admitted = msg.voter_disk_id == s.store.disk_id
+            if not admitted or self._hears_leader() or not self._is_up_to_date(msg):
+                return self._reply(False)
+            if msg.pre_vote:
+                return self._reply(msg.term > s.store.term)
+            if msg.term < s.store.term:
+                return self._reply(False)
+            if msg.term == s.store.term and s.store.vote not in ("", msg.candidate_id):
+                return self._reply(False)
+            if (msg.term, msg.candidate_id) != (s.store.term, s.store.vote):
+                s.follow(None)
+                await s.store.set_term(msg.term, msg.candidate_id)
+            return self._reply(True)
+
+    def _is_up_to_date(self, msg: VoteRequest) -> bool:
+        store = self._s.store
+        return (msg.last_term, msg.last_index) >= (store.last_term, store.last_index)
+
+    def _reply(self, granted: bool) -> VoteReply:
+        return VoteReply(self._s.store.term, granted, self._s.store.disk_id)
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -107,6 +107,14 @@
     """Report a failed fsync; what was written before it cannot be trusted."""
 
 
+class StoreClosed(StorageError):
+    """Report a store that was closed for good after a failed write or sync."""
+
+
+class DataFolderLocked(StorageError):
+    """Report a data folder that another process uses."""
+
+
 class ConsensusError(KnapweedhitchError):
     """Be the base of refusals of the replicated log."""
 
@@ -123,6 +131,14 @@
     """Report a proposal whose result is not known; send it again with the same change id."""
 
 
+class ReplicaBusy(ConsensusError):
+    """Report that the bounded queue of proposals is full; the proposal was not processed."""
+
+
+class ReplicaStopped(ConsensusError):
+    """Report a replica that stopped after a failed write; it answers nothing any more."""
+
+
 class ChangeError(KnapweedhitchError):
     """Be the base of refusals of a configuration change."""
 
--- /dev/null
+++ b/knapweedhitch/history.py
@@ -0,0 +1,184 @@
+"""The state machine behind the log: versions, change ids, history and snapshots."""
+
+from __future__ import annotations
+
+import dataclasses
+import zlib
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+
+from knapweedhitch import configuration
+from knapweedhitch.changes import Change, StampedChange, decode_stamped
+from knapweedhitch.codec import from_plain, load_plain, to_plain
+from knapweedhitch.exceptions import ChangeError, CodecError, InvalidChange, VersionConflict
+from knapweedhitch.model import Configuration
+from knapweedhitch.settings import ControlSettings
+
+MAX_DETAIL_CHARS = 400
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeResult:
+    """Hold how a change ended; error is empty, `VersionConflict` or `InvalidChange`."""
+
+    version: int
+    error: str = ""
+    detail: str = ""
+    base_version: int = 0
+
+    def unwrap(self) -> int:
+        """Return the version of an accepted change; raises VersionConflict, InvalidChange."""
+        if self.error == VersionConflict.__name__:
+            raise VersionConflict(self.base_version, self.version, self.detail)
+        if self.error:
+            raise InvalidChange(self.detail)
+        return self.version
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryRecord:
+    """Hold one accepted change with its difference; the body is the change as logged."""
+
+    version: int
+    change_id: str
+    operator: str
+    kind: str
+    wall_ms: int
+    diff: tuple[str, ...]
+    body: bytes
+
+
+AcceptedFn = Callable[[HistoryRecord], None]
+
+
+class ConfigurationMachine:
+    """Apply log entries in order; equal entries give equal states on every replica."""
+
+    def __init__(self, limits: ControlSettings) -> None:
+        self._limits = limits
+        self.current = Configuration()
+        # The version that a base version must reach: claim groups are added by the leader
+        # itself and must not make the changes of operators fail.
+        self.operator_version = 0
+        self._results: OrderedDict[str, ChangeResult] = OrderedDict()
+        self._history: deque[HistoryRecord] = deque(maxlen=limits.max_history_entries)
+        self._subscribers: list[AcceptedFn] = []
+
+    def subscribe(self, fn: AcceptedFn) -> None:
+        """Call fn with each change that is accepted from now on."""
+        self._subscribers.append(fn)
+
+    def apply(self, body: bytes) -> ChangeResult:
+        """Apply one logged change and return its result, or its first result if sent again."""
+        try:
+            stamped = decode_stamped(body)
+        except InvalidChange as exc:
+            return ChangeResult(self.current.version, InvalidChange.__name__, str(exc))
+        change = stamped.change
+        known = self._results.get(change.change_id)
+        if known is not None:
+            return known
+        result = self._try(stamped, body)
+        self._results[change.change_id] = result
+        while len(self._results) > self._limits.max_change_ids:
+            self._results.popitem(last=False)
+        return result
+
+    def _try(self, stamped: StampedChange, body: bytes) -> ChangeResult:
+        change, before = stamped.change, self.current
+        try:
+            self._check_base(change)
+            after = configuration.apply_accepted(before, stamped, self._limits.max_services)
+        except VersionConflict as exc:
+            return ChangeResult(
+                exc.current_version, type(exc).__name__, exc.winner, exc.base_version
+            )
+        except ChangeError as exc:
+            return ChangeResult(before.version, "InvalidChange", str(exc)[:MAX_DETAIL_CHARS])
+        self.current = after
+        if change.op.kind != "claim_group":
+            self.operator_version = after.version
+        record = HistoryRecord(
+            after.version,
+            change.change_id,
+            change.operator,
+            change.op.kind,
+            stamped.wall_ms,
+            configuration.diff(before, after),
+            body,
+        )
+        self._history.append(record)
+        for fn in self._subscribers:
+            fn(record)
+        return ChangeResult(after.version)
+
+    def _check_base(self, change: Change) -> None:
+        base = change.base_version
+        if base is None:
+            if change.op.needs_base:
+                raise InvalidChange(f"{change.op.kind} needs a base version")
+            return
+        if not self.operator_version <= base <= self.current.version:
+            raise VersionConflict(base, self.current.version, self._name_both(change))
+
+    def _name_both(self, change: Change) -> str:
+        winner = next(
+            (r for r in reversed(self._history) if r.version == self.operator_version), None
+        )
+        lost = f"{change.change_id} ({change.op.kind} by {change.operator})"
+        if winner is None:
+            return f"version {self.operator_version}; refused: {lost}"
+        return f"{winner.change_id} ({winner.kind} by {winner.operator}); refused: {lost}"
+
+    def result_of(self, change_id: str) -> ChangeResult | None:
+        """Return the remembered result of a change id."""
+        return self._results.get(change_id)
+
+    def history(self, after_version: int = 0) -> tuple[HistoryRecord, ...]:
+        """Return the kept records after a version, oldest first."""
+        return tuple(r for r in self._history if r.version > after_version)
+
+    def bodies_since(self, version: int, limit: int) -> tuple[bytes, ...] | None:
+        """Return the changes after a version, None if too many or no longer kept."""
+        missing = self.current.version - version
+        if missing < 0 or missing > min(limit, len(self._history)):
+            return None
+        return tuple(self._history[i].body for i in range(-missing, 0))
+
+    def snapshot(self) -> bytes:
+        """Return the whole state as bytes."""
+        plain = [
+            configuration.to_state(self.current),
+            self.operator_version,
+            [[change_id, to_plain(result)] for change_id, result in self._results.items()],
+            [to_plain(record) for record in self._history],
+        ]
+        return zlib.compress(cbor2.dumps(plain), 1)
+
+    def restore(self, data: bytes) -> None:
+        """Take the whole state from a snapshot; raises CodecError."""
+        raw = _unpack(data, self._limits.max_snapshot_bytes)
+        try:
+            state, operator_version, results, history = raw
+            current = configuration.from_state(state, self._limits.max_snapshot_bytes)
+            self._results = OrderedDict((n, from_plain(ChangeResult, r)) for n, r in results)
+            records = [from_plain(HistoryRecord, r) for r in history]
+        except (TypeError, ValueError) as exc:
+            raise CodecError(f"not a state: {exc}") from None
+        self._history = deque(records, maxlen=self._limits.max_history_entries)
+        self.operator_version = int(operator_version)
+        self.current = current
+
+
+def _unpack(data: bytes, max_bytes: int) -> Any:
+    unpacker = zlib.decompressobj()
+    try:
+        plain = unpacker.decompress(data, max_bytes)
+    except zlib.error as exc:
+        raise CodecError(f"not a state: {exc}") from None
+    if not unpacker.eof:
+        raise CodecError(f"a state is cut short, or over {max_bytes} bytes")
+    return load_plain(plain)
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -296,6 +296,7 @@
 class FeedReply(Message):
     """Carry changes or a whole state; age_ms is negative when the source has no proof."""
 
+    group_id: str
     version: int
     age_ms: float
     changes: tuple[bytes, ...]
@@ -307,6 +308,7 @@
 class FeedPush(Message):
     """Push changes that were just accepted; from_version is the version before the first."""
 
+    group_id: str
     from_version: int
     changes: tuple[bytes, ...]
 
@@ -346,7 +348,7 @@
 @message(50)
 @dataclass(frozen=True, slots=True)
 class VoteRequest(Message):
-    """Ask for a vote, or with pre_vote set ask whether a vote would be given."""
+    """Ask the named disk for a vote, or with pre_vote set ask whether it would be given."""
 
     term: int
     candidate_id: str
@@ -354,6 +356,7 @@
     last_term: int
     pre_vote: bool
     disk_id: str
+    voter_disk_id: str
 
 
 @message(51)
@@ -426,6 +429,23 @@
     disk_id: str
 
 
+@message(57)
+@dataclass(frozen=True, slots=True)
+class Introduce(Message):
+    """Ask a control instance for its disk before the first start of a group."""
+
+    disk_id: str
+
+
+@message(58)
+@dataclass(frozen=True, slots=True)
+class IntroduceReply(Message):
+    """Answer with the own disk and whether it has never held any state."""
+
+    disk_id: str
+    empty: bool
+
+
 # 60-69 membership
 
 
--- /dev/null
+++ b/knapweedhitch/replication.py
@@ -0,0 +1,260 @@
+"""Replication of the log: one task per peer on the leader, and the receiving side."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import trio
+
+from knapweedhitch import logs, snapshot
+from knapweedhitch.exceptions import CorruptFile, PeerError
+from knapweedhitch.messages import AppendReply, AppendRequest, SnapshotChunk, SnapshotReply
+from knapweedhitch.raftstate import (
+    MEMBERS,
+    MS_PER_S,
+    Progress,
+    Proposal,
+    ReplicaState,
+    Role,
+    encode_members,
+    now_ms,
+)
+
+MAX_APPEND_BYTES = 524_288
+
+
+@dataclasses.dataclass
+class _Transfer:
+    """Hold the parts of a snapshot that have arrived."""
+
+    key: tuple[str, int, int]
+    data: bytearray
+
+
+class Replication:
+    """Send entries and snapshots to the peers, or take them from the leader."""
+
+    def __init__(self, state: ReplicaState) -> None:
+        self._s = state
+        self._transfer: _Transfer | None = None
+
+    async def run_peer(self, node_id: str) -> None:
+        """Keep one peer up to date while this replica leads."""
+        s, peer = self._s, self._s.progress[node_id]
+        while s.role is not Role.STOPPED:
+            if s.role is not Role.LEADER:
+                await peer.wake.wait()
+                continue
+            try:
+                await self._exchange(peer)
+            except PeerError:
+                await trio.sleep(s.cfg.heartbeat_ms / MS_PER_S)
+                continue
+            if peer.next_index > s.store.last_index:
+                await peer.wake.wait(s.cfg.heartbeat_ms)
+
+    async def _exchange(self, peer: Progress) -> None:
+        s = self._s
+        previous = peer.next_index - 1
+        previous_term = s.store.term_at(previous)
+        if previous_term is None:
+            await self._send_snapshot(peer)
+            return
+        entries = s.store.entries_from(peer.next_index, s.cfg.max_batch_entries, MAX_APPEND_BYTES)
+        term, sent_ms = s.store.term, now_ms()
+        req = AppendRequest(
+            term,
+            s.node_id,
+            previous,
+            previous_term,
+            s.commit_index,
+            entries,
+            s.store.disk_id,
+        )
+        reply = await s.transport.call(peer.node_id, req, s.cfg.call_timeout_ms)
+        if isinstance(reply, AppendReply) and await self._accepts(peer, term, sent_ms, reply):
+            self._note_match(peer, reply)
+
+    async def _accepts(
+        self, peer: Progress, term: int, sent_ms: float, reply: AppendReply | SnapshotReply
+    ) -> bool:
+        """Tell whether a reply belongs to the present term, and note its acknowledgement."""
+        s = self._s
+        if reply.term > s.store.term:
+            async with s.lock:
+                if reply.term > s.store.term:
+                    await s.adopt_term(reply.term)
+            return False
+        if s.role is not Role.LEADER or s.store.term != term or reply.term != term:
+            return False
+        peer.saw_disk(reply.disk_id)
+        peer.acked_ms = max(peer.acked_ms, sent_ms)
+        return True
+
+    def _note_match(self, peer: Progress, reply: AppendReply) -> None:
+        s = self._s
+        if reply.ok:
+            peer.match_index = max(peer.match_index, reply.match_index)
+            peer.next_index = peer.match_index + 1
+        else:
+            peer.next_index = max(1, min(peer.next_index - 1, reply.match_index + 1))
+        s.advance_commit()
+        self._manage_members()
+
+    async def _send_snapshot(self, peer: Progress) -> None:
+        s = self._s
+        snap = s.store.snapshot
+        if snap is None:
+            return
+        data, offset, term = snapshot.encode(snap), 0, s.store.term
+        while s.role is Role.LEADER and s.store.term == term:
+            part = data[offset : offset + s.cfg.max_snapshot_chunk_bytes]
+            done = offset + len(part) == len(data)
+            sent_ms = now_ms()
+            req = SnapshotChunk(term, s.node_id, snap.index, snap.term, offset, part, done)
+            reply = await s.transport.call(peer.node_id, req, s.cfg.call_timeout_ms)
+            if not isinstance(reply, SnapshotReply):
+                return
+            if not await self._accepts(peer, term, sent_ms, reply):
+                return
+            if done and reply.next_offset == len(data):
+                peer.match_index = max(peer.match_index, snap.index)
+                peer.next_index = peer.match_index + 1
+                s.counters.add("consensus_snapshots_sent")
+                s.advance_commit()
+                return
+            offset = min(reply.next_offset, len(data))
+
+    def _manage_members(self) -> None:
+        """Propose the next change of members: one at a time, after the one before committed."""
+        s = self._s
+        # A leader changes members only after an entry of its own term has committed; otherwise
+        # two leaders could each use members that the other one does not know.
+        if s.members_index > s.commit_index or s.commit_index < s.noop_index:
+            return
+        if any(proposal.kind == MEMBERS for proposal in s.pending):
+            return
+        voters = self._next_voters()
+        if voters is not None:
+            logs.event("members", node=s.node_id, voters=",".join(sorted(voters)))
+            s.pending.append(Proposal(MEMBERS, encode_members(s.group_id, voters)))
+            s.write.set()
+
+    def _next_voters(self) -> dict[str, str] | None:
+        s = self._s
+        for peer in s.progress.values():
+            known = s.voters.get(peer.node_id)
+            if not peer.disk_id or known == peer.disk_id or not self._is_caught_up(peer):
+                continue
+            voters = {n: d for n, d in s.voters.items() if n != peer.node_id}
+            # A replaced disk leaves first and joins in a second entry: exchanging both at once
+            # would allow majorities of the old and the new members that do not overlap.
+            return voters if known is not None else {**voters, peer.node_id: peer.disk_id}
+        for node_id in s.voters:
+            if node_id not in s.configured:
+                return {n: d for n, d in s.voters.items() if n != node_id}
+        return None
+
+    def _is_caught_up(self, peer: Progress) -> bool:
+        s = self._s
+        is_present = now_ms() - peer.acked_ms <= s.cfg.election_timeout_ms
+        return is_present and peer.match_index >= s.commit_index
+
+    async def on_append(self, node_id: str, msg: AppendRequest) -> AppendReply:
+        """Take entries of the leader and answer once they are synced; raises StorageError."""
+        s = self._s
+        self._note_contact(msg.term)
+        async with s.lock:
+            if msg.term < s.store.term:
+                return self._reply(False, 0)
+            await self._follow_leader(msg.term, msg.leader_id)
+            held = s.store.term_at(msg.previous_index)
+            if msg.previous_index < s.store.first_index - 1:
+                # Everything up to the commit index is equal on both sides.
+                return self._reply(True, s.commit_index)
+            if held != msg.previous_term:
+                return self._reply(False, self._last_possible_match(msg.previous_index))
+            await self._store_entries(msg)
+            match = msg.previous_index + len(msg.entries)
+            s.commit_to(min(msg.commit_index, match))
+            return self._reply(True, match)
+
+    def _note_contact(self, term: int) -> None:
+        # Noted before the lock: a slow disk must not look like a silent leader.
+        if term >= self._s.store.term:
+            self._s.heard_ms = now_ms()
+
+    async def _follow_leader(self, term: int, leader_id: str) -> None:
+        s = self._s
+        if s.role is Role.LEADER and term == s.store.term:
+            s.counters.add("consensus_two_leaders")
+            logs.warning("two_leaders", node=s.node_id, other=leader_id, term=term)
+        if term > s.store.term or s.role is not Role.FOLLOWER:
+            await s.adopt_term(term, leader_id)
+        s.leader_id = leader_id
+
+    def _last_possible_match(self, previous: int) -> int:
+        """Return an index at or before which the logs may agree, skipping one term."""
+        s = self._s
+        if previous > s.store.last_index:
+            return s.store.last_index
+        term, index = s.store.term_at(previous), previous - 1
+        while index > s.commit_index and s.store.term_at(index) == term:
+            index -= 1
+        return index
+
+    async def _store_entries(self, msg: AppendRequest) -> None:
+        s = self._s
+        fresh = [e for e in msg.entries if s.store.term_at(e.index) != e.term]
+        if not fresh:
+            return
+        first = fresh[0].index
+        if first <= s.commit_index:
+            raise CorruptFile("log", 0, f"committed entry {first} differs from the leader's")
+        added = msg.entries[first - msg.previous_index - 1 :]
+        if first <= s.store.last_index:
+            s.forget_members_from(first)
+            await s.store.replace_tail(added)
+        else:
+            s.store.stage(added)
+            await s.store.flush(added)
+        for entry in added:
+            s.note_members(entry)
+
+    async def on_snapshot(self, node_id: str, msg: SnapshotChunk) -> SnapshotReply:
+        """Take one part of a snapshot and install it with the last one; raises StorageError."""
+        s = self._s
+        self._note_contact(msg.term)
+        async with s.lock:
+            if msg.term < s.store.term:
+                return SnapshotReply(s.store.term, 0, s.store.disk_id)
+            await self._follow_leader(msg.term, msg.leader_id)
+            key = (msg.leader_id, msg.last_term, msg.last_index)
+            if msg.offset == 0 or self._transfer is None or self._transfer.key != key:
+                self._transfer = _Transfer(key, bytearray())
+            transfer = self._transfer
+            if msg.offset == len(transfer.data):
+                transfer.data += msg.data
+            size = len(transfer.data)
+            if size > s.cfg.max_snapshot_bytes:
+                self._transfer, size = None, 0
+            elif msg.done and msg.offset + len(msg.data) == size:
+                await self._install(bytes(transfer.data))
+                self._transfer = None
+            return SnapshotReply(s.store.term, size, s.store.disk_id)
+
+    async def _install(self, data: bytes) -> None:
+        s = self._s
+        snap = snapshot.decode(data, "received snapshot")
+        if snap.index <= s.commit_index:
+            return
+        await s.store.install_snapshot(snap)
+        s.restore(snap)
+        s.counters.add("consensus_snapshots_installed")
+        for index in range(s.store.first_index, s.store.last_index + 1):
+            entry = s.store.entry(index)
+            if entry is not None:
+                s.note_members(entry)
+
+    def _reply(self, ok: bool, match_index: int) -> AppendReply:
+        return AppendReply(self._s.store.term, ok, match_index, self._s.store.disk_id)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -96,7 +96,14 @@
     max_batch_entries: Count = 256
     max_pending_proposals: Count = 1_024
     snapshot_after_entries: Count = 1_000
+    max_snapshot_chunk_bytes: Bytes = 262_144
+    max_snapshot_bytes: Bytes = 268_435_456
     max_change_ids: Count = 20_000
+    max_change_bytes: Bytes = 524_288
+    max_history_entries: Count = 1_000
+    max_services: Count = 10_000
+    max_reported_nodes: Count = 40_000
+    submit_timeout_ms: Ms = 5_000
     claim_group_repair_ms: Ms = 5_000
     activation_delay_ms: Ms = 10_000
 
@@ -109,6 +116,11 @@
     config_lease_ms: Ms = 2_000
     call_timeout_ms: Ms = 1_000
     max_subscribers: Count = 5_000
+    max_lag_changes: Count = 32
+    max_changes_per_reply: Count = 200
+    max_state_bytes: Bytes = 16_777_216
+    report_interval_ms: Ms = 10_000
+    report_delay_ms: Ms = 200
 
 
 @dataclass(frozen=True, config=_STRICT)
--- /dev/null
+++ b/knapweedhitch/store.py
@@ -0,0 +1,230 @@
+"""The durable state of one replica: identity, term and vote, log entries and snapshot."""
+
+from __future__ import annotations
+
+import secrets
+from collections.abc import Sequence
+from typing import Any
+
+import trio
+
+from knapweedhitch import snapshot as snapshots
+from knapweedhitch.disk import Disk
+from knapweedhitch.exceptions import CorruptFile, StorageError, StoreClosed
+from knapweedhitch.messages import LogEntry
+from knapweedhitch.snapshot import Snapshot
+from knapweedhitch.wal import WriteAheadLog, frame, scan
+
+IDENTITY_NAME = "identity"
+LOG_NAME = "log"
+DAMAGED_SUFFIX = ".damaged"
+# A peer that misses a few entries gets them from the log; more come in a snapshot.
+KEPT_ENTRIES = 200
+
+
+class Store:
+    """Keep what a replica may not forget; after a failed write it is closed for good."""
+
+    def __init__(self, disk: Disk, disk_id: str) -> None:
+        self._disk = disk
+        self._wal = WriteAheadLog(disk, LOG_NAME)
+        self.disk_id = disk_id
+        self.term = 0
+        self.vote = ""
+        self.snapshot: Snapshot | None = None
+        self._base_index = 0
+        self._base_term = 0
+        self._entries: list[LogEntry] = []
+
+    @classmethod
+    async def open(cls, disk: Disk, cluster: str, node_id: str) -> Store:
+        """Return the store of a folder, a new one if it has no identity; raises CorruptFile."""
+        disk_id = await _load_identity(disk, cluster, node_id)
+        if disk_id is None:
+            return await cls.create(disk, cluster, node_id)
+        store = cls(disk, disk_id)
+        store.snapshot = await snapshots.load(disk)
+        store._replay(await store._wal.load())
+        # After a failed sync the system may show content that never reached the disk. Writing
+        # the log anew makes durable what was read.
+        await store._rewrite_log()
+        return store
+
+    @classmethod
+    async def create(cls, disk: Disk, cluster: str, node_id: str) -> Store:
+        """Return an empty store with a new disk id; files of the folder are set aside."""
+        for name in (IDENTITY_NAME, LOG_NAME, snapshots.SNAPSHOT_NAME):
+            if name in await disk.names():
+                await disk.rename(name, name + DAMAGED_SUFFIX)
+        store = cls(disk, secrets.token_hex(16))
+        # The identity comes last, so that a folder with an identity always has its log.
+        await store._rewrite_log()
+        await disk.replace(IDENTITY_NAME, frame(0, [cluster, node_id, store.disk_id]))
+        return store
+
+    @property
+    def closed(self) -> bool:
+        """Tell whether a failed write has closed the store."""
+        return self._wal.closed
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether the store has never held a vote, an entry or a snapshot."""
+        return self.term == 0 and self.last_index == 0
+
+    @property
+    def first_index(self) -> int:
+        """Return the index of the first entry in the log."""
+        return self._base_index + 1
+
+    @property
+    def last_index(self) -> int:
+        """Return the index of the last entry."""
+        return self._base_index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Return the term of the last entry."""
+        return self._entries[-1].term if self._entries else self._base_term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, None if the log does not reach it."""
+        if index == self._base_index:
+            return self._base_term
+        entry = self.entry(index)
+        return None if entry is None else entry.term
+
+    def entry(self, index: int) -> LogEntry | None:
+        """Return one entry, None if the log does not hold it."""
+        if not self._base_index < index <= self.last_index:
+            return None
+        return self._entries[index - self._base_index - 1]
+
+    def entries_from(self, index: int, max_entries: int, max_bytes: int) -> tuple[LogEntry, ...]:
+        """Return entries from an index on, at least one if there is one, up to the bounds."""
+        start = index - self._base_index - 1
+        found: list[LogEntry] = []
+        n_bytes = 0
+        for entry in self._entries[start : start + max_entries]:
+            n_bytes += len(entry.body)
+            if found and n_bytes > max_bytes:
+                break
+            found.append(entry)
+        return tuple(found)
+
+    async def set_term(self, term: int, vote: str) -> None:
+        """Make term and vote durable; raises StorageError."""
+        await self._wal.append([["term", term, vote]])
+        self.term, self.vote = term, vote
+
+    def stage(self, entries: Sequence[LogEntry]) -> None:
+        """Add entries in memory; `flush` makes them durable."""
+        self._entries.extend(entries)
+
+    async def flush(self, entries: Sequence[LogEntry]) -> None:
+        """Make staged entries durable; raises StorageError."""
+        await self._wal.append([_entry_record(entry) for entry in entries])
+
+    async def replace_tail(self, entries: Sequence[LogEntry]) -> None:
+        """Replace the log from the first of the entries on; raises StorageError."""
+        keep = entries[0].index - 1
+        del self._entries[keep - self._base_index :]
+        self._entries.extend(entries)
+        await self._wal.append([["cut", keep], *map(_entry_record, entries)])
+
+    async def save_snapshot(self, snap: Snapshot) -> None:
+        """Make a snapshot of applied entries durable and cut the log; raises StorageError."""
+        cut = max(self._base_index, snap.index - KEPT_ENTRIES)
+        cut_term = self.term_at(cut)
+        if cut_term is None:
+            raise StoreClosed(f"a snapshot at {snap.index} is beyond the log")
+        with trio.CancelScope(shield=True):
+            await self._save(snap)
+            self._entries = self._entries[cut - self._base_index :]
+            self._base_index, self._base_term = cut, cut_term
+            await self._rewrite_log()
+
+    async def install_snapshot(self, snap: Snapshot) -> None:
+        """Replace log and state by a snapshot of the leader; raises StorageError."""
+        with trio.CancelScope(shield=True):
+            await self._save(snap)
+            if self.term_at(snap.index) == snap.term:
+                self._entries = self._entries[snap.index - self._base_index :]
+            else:
+                self._entries = []
+            self._base_index, self._base_term = snap.index, snap.term
+            await self._rewrite_log()
+
+    async def close(self) -> None:
+        """Close the files."""
+        await self._disk.close()
+
+    async def _save(self, snap: Snapshot) -> None:
+        if self.closed:
+            raise StoreClosed("closed after a failed write")
+        try:
+            await snapshots.save(self._disk, snap)
+        except StorageError:
+            self._wal.closed = True
+            raise
+        self.snapshot = snap
+
+    async def _rewrite_log(self) -> None:
+        head = [self.disk_id, self._base_index, self._base_term, self.term, self.vote]
+        await self._wal.rewrite([head, [_entry_record(entry) for entry in self._entries]])
+
+    def _replay(self, batches: tuple[Any, ...]) -> None:
+        try:
+            disk_id, self._base_index, self._base_term, self.term, self.vote = batches[0]
+            if disk_id != self.disk_id:
+                raise CorruptFile(LOG_NAME, 0, "the log belongs to another disk")
+            for batch in batches[1:]:
+                for record in batch:
+                    self._replay_record(record)
+        except (IndexError, TypeError, ValueError) as exc:
+            raise CorruptFile(LOG_NAME, 0, f"a record is not valid: {exc}") from None
+        known = self.snapshot.index if self.snapshot else 0
+        if self._base_index > known:
+            raise CorruptFile(snapshots.SNAPSHOT_NAME, 0, "the snapshot before the log is missing")
+        self._drop_before_snapshot()
+
+    def _replay_record(self, record: Any) -> None:
+        kind, *fields = record
+        if kind == "term":
+            self.term, self.vote = fields
+        elif kind == "cut":
+            del self._entries[max(0, fields[0] - self._base_index) :]
+        else:
+            term, index, entry_kind, body = fields
+            if index != self.last_index + 1:
+                raise CorruptFile(LOG_NAME, 0, f"entry {index} follows {self.last_index}")
+            self._entries.append(LogEntry(term, index, entry_kind, body))
+
+    def _drop_before_snapshot(self) -> None:
+        # A crash between snapshot and log leaves a log that ends before, or contradicts, the
+        # snapshot; the snapshot is the committed one.
+        snap = self.snapshot
+        if snap is None or self.term_at(snap.index) == snap.term:
+            return
+        self._entries = []
+        self._base_index, self._base_term = snap.index, snap.term
+
+
+def _entry_record(entry: LogEntry) -> list[Any]:
+    return ["entry", entry.term, entry.index, entry.kind, entry.body]
+
+
+async def _load_identity(disk: Disk, cluster: str, node_id: str) -> str | None:
+    data = await disk.read(IDENTITY_NAME)
+    if data is None:
+        return None
+    result = scan(IDENTITY_NAME, data)
+    if len(result.frames) != 1 or result.good_bytes != len(data):
+        raise CorruptFile(IDENTITY_NAME, result.good_bytes, "the identity is not whole")
+    try:
+        found_cluster, found_node, disk_id = result.frames[0]
+    except (TypeError, ValueError):
+        raise CorruptFile(IDENTITY_NAME, 0, "not an identity") from None
+    if (found_cluster, found_node) != (cluster, node_id):
+        raise StorageError(f"the data folder belongs to {found_cluster}/{found_node}")
+    return str(disk_id)
--- /dev/null
+++ b/tests/state_cluster.py
@@ -0,0 +1,369 @@
+"""Replicas on a fake network in one process, with faults and an oracle."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Any
+
+import trio
+import trio.testing
+
+from knapweedhitch import changes, codec
+from knapweedhitch.changes import Change, DomainOut, Operation, StampedChange
+from knapweedhitch.codec import Message
+from knapweedhitch.consensus import Replica
+from knapweedhitch.counters import Counters
+from knapweedhitch.exceptions import (
+    ConsensusError,
+    KnapweedhitchError,
+    PeerCallFailed,
+    PeerTimeout,
+    PeerUnreachable,
+)
+from knapweedhitch.history import ConfigurationMachine
+from knapweedhitch.model import ServiceConfig
+from knapweedhitch.raftstate import now_ms
+from knapweedhitch.settings import (
+    ControlMember,
+    ControlSettings,
+    FeedSettings,
+    NodeSettings,
+    SecretSettings,
+    Settings,
+)
+from tests.faulty_disk import FaultyDisk
+
+Handler = Callable[[str, Any], Awaitable[Message | None]]
+NAMES = ("c1", "c2", "c3", "c4", "c5")
+
+
+def make_settings(node_id: str, size: int = 3, domain: str = "d1", **control: Any) -> Settings:
+    """Return settings of a node with the first control instances of NAMES."""
+    members = tuple(ControlMember(name, "127.0.0.1", 7_001) for name in NAMES[:size])
+    return Settings(
+        node=NodeSettings(id=node_id, domain=domain),
+        secrets=SecretSettings("unused", "unused"),
+        control=ControlSettings(members=members, data_dir="unused", **control),
+        feed=FeedSettings(),
+    )
+
+
+def stamped(op: Operation, change_id: str = "", base: int | None = None) -> bytes:
+    """Return a logged change."""
+    change = Change(change_id or changes.new_change_id(), base, "op", op)
+    return changes.encode_stamped(StampedChange(change, 1_000, {}))
+
+
+async def until(condition: Callable[[], bool], timeout_ms: float = 10_000.0) -> None:
+    """Wait for a condition; fail after the time in milliseconds."""
+    with trio.fail_after(timeout_ms / 1_000.0):
+        while True:
+            if condition():
+                return
+            await trio.sleep(0.02)
+
+
+class Network:
+    """Carry calls between named ends, with latency, loss, duplication and one-way cuts."""
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.ends: dict[str, End] = {}
+        self.cut: set[tuple[str, str]] = set()
+        self.loss = self.duplication = 0.0
+        self.latency_ms = (0.5, 3.0)
+        self.n_bytes = 0
+
+    async def travel(self, src: str, dst: str) -> None:
+        """Take the time of one way; never arrive if the way is cut or the message lost."""
+        await trio.sleep(self.rng.uniform(*self.latency_ms) / 1_000.0)
+        if (src, dst) in self.cut or self.rng.random() < self.loss:
+            await trio.sleep_forever()
+
+
+class End:
+    """Be the transport of one node; it lives as long as the node's nursery."""
+
+    def __init__(self, network: Network, node_id: str, nursery: trio.Nursery) -> None:
+        self.network = network
+        self.node_id = node_id
+        self.nursery = nursery
+        self.handlers: dict[type, Handler] = {}
+        network.ends[node_id] = self
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+    def handle(self, msg_type: type[Message], fn: Handler) -> None:
+        self.handlers[msg_type] = fn
+
+    def send(self, node_id: str, msg: Message) -> None:
+        async def deliver() -> None:
+            try:
+                await self.call(node_id, msg, 5_000.0)
+            except KnapweedhitchError:
+                pass
+
+        self.nursery.start_soon(deliver)
+
+    async def call(self, node_id: str, msg: Message, timeout_ms: float) -> Message:
+        net = self.network
+        data = codec.encode(msg)
+        net.n_bytes += len(data)
+        with trio.move_on_after(timeout_ms / 1_000.0):
+            await net.travel(self.node_id, node_id)
+            end = net.ends.get(node_id)
+            if end is None:
+                raise PeerUnreachable(node_id)
+            if net.rng.random() < net.duplication:
+                end.nursery.start_soon(end.answer_late, self.node_id, data)
+            reply = await end.answer(self.node_id, data)
+            await net.travel(node_id, self.node_id)
+            if reply is None:
+                raise PeerCallFailed(node_id)
+            net.n_bytes += len(reply)
+            return codec.decode(reply)
+        raise PeerTimeout(node_id)
+
+    async def answer_late(self, src: str, data: bytes) -> None:
+        """Handle a duplicate after later messages."""
+        await trio.sleep(self.network.rng.uniform(0.0, 0.3))
+        await self.answer(src, data)
+
+    async def answer(self, src: str, data: bytes) -> bytes | None:
+        """Run the handler in the nursery of this node, so that it dies with the node."""
+        done = trio.Event()
+        reply: bytes | None = None
+
+        async def run() -> None:
+            nonlocal reply
+            msg = codec.decode(data)
+            try:
+                found = await self.handlers[type(msg)](src, msg)
+                reply = codec.encode(found) if found is not None else b""
+            except (ConsensusError, KeyError):
+                pass
+            finally:
+                done.set()
+
+        self.nursery.start_soon(run)
+        await done.wait()
+        return reply
+
+
+@dataclasses.dataclass
+class Accepted:
+    """Hold one accepted change and the virtual time at which its acceptance was known."""
+
+    change_id: str
+    version: int
+    at_ms: float
+
+
+class RecordingMachine(ConfigurationMachine):
+    """Remember which change got which version."""
+
+    def __init__(self, limits: ControlSettings) -> None:
+        super().__init__(limits)
+        self.order: dict[int, str] = {}
+        self.subscribe(lambda record: self.order.update({record.version: record.change_id}))
+
+    def restore(self, data: bytes) -> None:
+        super().restore(data)
+        self.order.update({r.version: r.change_id for r in self.history()})
+
+
+class Node:
+    """Run one replica until it crashes."""
+
+    def __init__(self, cluster: Cluster, node_id: str, disk: FaultyDisk) -> None:
+        self.cluster = cluster
+        self.node_id = node_id
+        self.disk = disk
+        self.scope: trio.CancelScope | None = None
+        self.counters = Counters()
+
+    async def run(self, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        cluster = self.cluster
+        self.machine = RecordingMachine(cluster.cfg(self.node_id).control)
+        with trio.CancelScope() as self.scope:
+            async with trio.open_nursery() as nursery:
+                end = End(cluster.network, self.node_id, nursery)
+                self.replica = Replica(
+                    cluster.cfg(self.node_id),
+                    self.disk,
+                    end,
+                    self.machine,
+                    self.counters,
+                    random.Random(cluster.rng.random()),
+                )
+                await self.replica.start(nursery)
+                task_status.started()
+                await trio.sleep_forever()
+
+
+class Cluster:
+    """Run replicas and check what they promise."""
+
+    def __init__(
+        self, nursery: trio.Nursery, size: int, seed: int = 1, control: Mapping[str, Any] = {}
+    ) -> None:
+        self.nursery = nursery
+        self.rng = random.Random(seed)
+        self.network = Network(self.rng)
+        self.names = NAMES[:size]
+        self.control = dict(control)
+        self.nodes: dict[str, Node] = {}
+        self.accepted: list[Accepted] = []
+        self.order: dict[int, str] = {}
+        self.leaders: dict[int, str] = {}
+        self._count = 0
+
+    def cfg(self, node_id: str) -> Settings:
+        return make_settings(node_id, len(self.names), **self.control)
+
+    async def start(self, *names: str) -> None:
+        for name in names or self.names:
+            self.nodes[name] = Node(self, name, FaultyDisk(self.rng))
+            await self.nursery.start(self.nodes[name].run)
+
+    async def crash(self, name: str, *, power: bool = False) -> None:
+        """Kill a process; with power, its machine loses unsynced data."""
+        node = self.nodes.get(name)
+        if node is None or node.scope is None:
+            return
+        node.disk.dead = True
+        node.scope.cancel()
+        node.scope = None
+        self.network.ends.pop(name, None)
+        await trio.testing.wait_all_tasks_blocked()
+        if power:
+            node.disk.lose_power()
+
+    async def restart(self, name: str, *, empty: bool = False) -> None:
+        """Start a crashed process again, on its folder or on an empty one."""
+        await self.crash(name)
+        old = self.nodes[name].disk
+        disk = FaultyDisk(self.rng) if empty else old.reopened()
+        self.nodes[name] = Node(self, name, disk)
+        await self.nursery.start(self.nodes[name].run)
+
+    def is_up(self, name: str) -> bool:
+        return name in self.network.ends
+
+    def leader(self) -> Node | None:
+        """Return the node that leads in the highest term."""
+        leading = [n for n in self.nodes.values() if n.scope and n.replica.is_leader]
+        return max(leading, key=lambda n: n.replica.state.store.term, default=None)
+
+    def voters(self) -> Mapping[str, str]:
+        """Return the voting disks as the leader knows them."""
+        leader = self.leader()
+        return leader.replica.state.voters if leader is not None else {}
+
+    async def wait_leader(self, timeout_ms: float = 20_000.0) -> Node:
+        """Return a leader that can accept changes."""
+        with trio.fail_after(timeout_ms / 1_000.0):
+            while True:
+                node = self.leader()
+                if node is not None and node.replica.freshness_age_ms() is not None:
+                    return node
+                await trio.sleep(0.02)
+
+    async def propose(self, name: str, body: bytes, timeout_ms: float = 3_000.0) -> int | None:
+        """Propose at one node; return the version, None if it was not accepted in time."""
+        version: int | None = None
+        with trio.move_on_after(timeout_ms / 1_000.0):
+            try:
+                version = await self.nodes[name].replica.propose(body)
+            except KnapweedhitchError:
+                return None
+            change_id = changes.decode_stamped(body).change.change_id
+            self.accepted.append(Accepted(change_id, version, now_ms()))
+        return version
+
+    async def change(self, timeout_ms: float = 10_000.0) -> int:
+        """Get one change accepted by whichever node leads."""
+        self._count += 1
+        body = stamped(DomainOut(f"domain-{self._count}"))
+        with trio.fail_after(timeout_ms / 1_000.0):
+            while True:
+                node = await self.wait_leader()
+                version = await self.propose(node.node_id, body)
+                if version is not None:
+                    return version
+                await trio.sleep(0.05)
+
+    def heal(self) -> None:
+        self.network.cut.clear()
+        self.network.loss = self.network.duplication = 0.0
+        for node in self.nodes.values():
+            node.disk.latency_ms = 0.0
+
+    def check(self) -> None:
+        """Check the oracle: one order everywhere, one leader a term, freshness never too early."""
+        for name, node in self.nodes.items():
+            if node.scope is None or not hasattr(node, "machine"):
+                continue
+            for version, change_id in node.machine.order.items():
+                known = self.order.setdefault(version, change_id)
+                assert known == change_id, f"{name}: version {version} is {change_id}, not {known}"
+            if node.replica.is_leader:
+                term = node.replica.state.store.term
+                known = self.leaders.setdefault(term, name)
+                assert known == name, f"{name} and {known} lead in term {term}"
+            self._check_freshness(node)
+
+    def _check_freshness(self, node: Node) -> None:
+        age_ms = node.replica.freshness_age_ms()
+        if age_ms is None:
+            return
+        proof_ms = now_ms() - age_ms
+        for item in self.accepted:
+            if item.at_ms < proof_ms:
+                version = node.machine.current.version
+                assert version >= item.version, f"{node.node_id} claims to be fresh at {version}"
+
+    async def watch(self) -> None:
+        """Check the oracle every few milliseconds."""
+        while True:
+            self.check()
+            await trio.sleep(0.007)
+
+    async def check_nothing_lost(self) -> None:
+        """Heal everything and check that each accepted change is in the order of the leader."""
+        self.heal()
+        for name in self.names:
+            if not self.is_up(name) or self.nodes[name].replica.is_stopped:
+                await self.restart(name)
+        await self.change()
+        self.check()
+        leader = await self.wait_leader()
+        for item in self.accepted:
+            held = leader.machine.order.get(item.version)
+            assert held == item.change_id, f"accepted {item} was lost; the leader holds {held}"
+        goal = leader.machine.current.version
+        await until(lambda: all(n.machine.current.version >= goal for n in self.nodes.values()))
+        self.check()
+
+
+def service_config(name: str) -> ServiceConfig:
+    """Return a service with one host."""
+    return ServiceConfig(name, (f"{name}.example",))
+
+
+async def with_cluster(
+    fn: Callable[[Cluster], Awaitable[None]], size: int, seed: int = 1, **control: Any
+) -> None:
+    """Run a function with a cluster whose oracle is watched all the time."""
+    async with trio.open_nursery() as nursery:
+        cluster = Cluster(nursery, size, seed, control)
+        await cluster.start()
+        nursery.start_soon(cluster.watch)
+        await fn(cluster)
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/test_consensus.py
@@ -0,0 +1,224 @@
+"""Tests of the replicated log on a fake network."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from trio.testing import MockClock
+
+from knapweedhitch.changes import DomainIn, DomainOut, PutService
+from knapweedhitch.exceptions import CorruptFile, NotLeader, VersionConflict
+from tests.state_cluster import Cluster, service_config, stamped, until, with_cluster
+
+
+def run(
+    fn: Callable[[Cluster], Awaitable[None]], size: int = 3, seed: int = 1, **control: Any
+) -> None:
+    """Run a test with a cluster on the virtual clock."""
+
+    async def main() -> None:
+        with trio.fail_after(600):
+            await with_cluster(fn, size, seed, **control)
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+class SingleMemberTest(unittest.TestCase):
+    def test_one_member_keeps_its_changes_over_a_power_loss(self) -> None:
+        """Guards against an answer before the sync."""
+
+        async def check(cluster: Cluster) -> None:
+            for _ in range(5):
+                await cluster.change()
+            await cluster.crash("c1", power=True)
+            await cluster.restart("c1")
+            await cluster.check_nothing_lost()
+            self.assertEqual(cluster.nodes["c1"].machine.current.version, 6)
+
+        run(check, size=1)
+
+    def test_conflict_is_raised_to_the_proposer(self) -> None:
+        """Guards against a refused change that looks accepted."""
+
+        async def check(cluster: Cluster) -> None:
+            await cluster.wait_leader()
+            first = stamped(PutService(service_config("a")), "first", 0)
+            second = stamped(PutService(service_config("b")), "second", 0)
+            self.assertEqual(await cluster.nodes["c1"].replica.propose(first), 1)
+            with self.assertRaisesRegex(VersionConflict, r"first.*second"):
+                await cluster.nodes["c1"].replica.propose(second)
+
+        run(check, size=1)
+
+    def test_damaged_log_of_the_only_member_stops_the_start(self) -> None:
+        """Guards against a group that silently starts anew over a damaged log."""
+
+        async def check(cluster: Cluster) -> None:
+            for _ in range(5):
+                await cluster.change()
+            await cluster.crash("c1")
+            cluster.nodes["c1"].disk.flip_bit("log", 100)
+            with self.assertRaises(CorruptFile):
+                await cluster.restart("c1")
+
+        with self.assertRaises(BaseExceptionGroup) as caught:
+            run(check, size=1)
+        self.assertIsNotNone(caught.exception.subgroup(CorruptFile))
+
+
+class ThreeMembersTest(unittest.TestCase):
+    def test_first_start_needs_every_member(self) -> None:
+        """Guards against a second group formed by a part of the members."""
+
+        async def main() -> None:
+            async with trio.open_nursery() as nursery:
+                cluster = Cluster(nursery, 3)
+                await cluster.start("c1", "c2")
+                await trio.sleep(10)
+                self.assertIsNone(cluster.leader())
+                await cluster.start("c3")
+                await cluster.change()
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def test_leader_crash_keeps_accepted_changes(self) -> None:
+        """Guards against a new leader without the changes of the old one."""
+
+        async def check(cluster: Cluster) -> None:
+            for _ in range(10):
+                await cluster.change()
+                leader = await cluster.wait_leader()
+                await cluster.crash(leader.node_id, power=True)
+                await cluster.change()
+                await cluster.restart(leader.node_id)
+            await cluster.check_nothing_lost()
+
+        run(check)
+
+    def test_isolated_leader_is_not_fresh_and_accepts_nothing(self) -> None:
+        """Guards against freshness that is claimed without a majority."""
+
+        async def check(cluster: Cluster) -> None:
+            old = await cluster.wait_leader()
+            others = [n for n in cluster.names if n != old.node_id]
+            for name in others:
+                cluster.network.cut |= {(old.node_id, name), (name, old.node_id)}
+            cut_ms = trio.current_time()
+            body = stamped(DomainOut("x"))
+            self.assertIsNone(await cluster.propose(old.node_id, body))
+            await trio.sleep(3)
+            self.assertIsNone(old.replica.freshness_age_ms())
+            self.assertFalse(old.replica.is_leader)
+            await cluster.change()
+            with self.assertRaises(NotLeader):
+                await old.replica.propose(body)
+            self.assertLess(trio.current_time() - cut_ms, 15)
+            await cluster.check_nothing_lost()
+
+        run(check)
+
+    def test_lost_disk_is_admitted_again_and_the_next_loss_loses_nothing(self) -> None:
+        """Guards against an empty disk that counts towards a majority."""
+
+        async def check(cluster: Cluster) -> None:
+            for _ in range(20):
+                await cluster.change()
+            for name in ("c1", "c2", "c3", "c1"):
+                await cluster.crash(name)
+                await cluster.change()
+                await cluster.restart(name, empty=True)
+                disk_id = cluster.nodes[name].replica.state.store.disk_id
+                await until(lambda n=name, d=disk_id: cluster.voters().get(n) == d, 20_000)
+            await cluster.check_nothing_lost()
+
+        run(check)
+
+    def test_two_empty_disks_elect_no_leader(self) -> None:
+        """Guards against a majority of empty disks that forgets accepted changes."""
+
+        async def check(cluster: Cluster) -> None:
+            await cluster.change()
+            for name in cluster.names:
+                await cluster.crash(name)
+            await cluster.restart("c1", empty=True)
+            await cluster.restart("c2", empty=True)
+            await trio.sleep(20)
+            self.assertIsNone(cluster.leader())
+            await cluster.restart("c3")
+            await trio.sleep(20)
+            self.assertIsNone(cluster.leader())
+            self.assertEqual(cluster.nodes["c3"].replica.state.store.last_index, 3)
+
+        run(check)
+
+    def test_lagging_member_gets_a_snapshot(self) -> None:
+        """Guards against a member that needs entries which the log no longer holds."""
+
+        async def check(cluster: Cluster) -> None:
+            await cluster.change()
+            await cluster.crash("c3")
+            for number in range(600):
+                domain = f"d{number % 7}"
+                op = DomainIn(domain) if number % 2 else DomainOut(domain)
+                leader = await cluster.wait_leader()
+                await cluster.propose(leader.node_id, stamped(op))
+            await cluster.restart("c3")
+            await cluster.check_nothing_lost()
+            got = cluster.nodes["c3"].counters.get("consensus_snapshots_installed")
+            self.assertGreaterEqual(got, 1)
+
+        run(check, snapshot_after_entries=50, max_snapshot_chunk_bytes=1_000)
+
+    def test_failed_sync_stops_the_replica_for_good(self) -> None:
+        """Guards against an answer after a failed sync."""
+
+        async def check(cluster: Cluster) -> None:
+            await cluster.change()
+            leader = await cluster.wait_leader()
+            leader.disk.failing_syncs = 1
+            await cluster.propose(leader.node_id, stamped(DomainOut("x")))
+            await trio.sleep(1)
+            self.assertTrue(leader.replica.is_stopped)
+            await cluster.change()
+            syncs = leader.disk.syncs
+            await trio.sleep(5)
+            self.assertEqual(leader.disk.syncs, syncs)
+            await cluster.check_nothing_lost()
+
+        run(check)
+
+    def test_damaged_copy_is_rebuilt_from_the_others(self) -> None:
+        """Guards against a replica that serves damaged entries."""
+
+        async def check(cluster: Cluster) -> None:
+            for _ in range(10):
+                await cluster.change()
+            await cluster.crash("c2")
+            cluster.nodes["c2"].disk.flip_bit("log", 300)
+            await cluster.restart("c2")
+            self.assertEqual(cluster.nodes["c2"].counters.get("consensus_corrupt", "log"), 1)
+            await trio.sleep(3)
+            disk_id = cluster.nodes["c2"].replica.state.store.disk_id
+            leader = await cluster.wait_leader()
+            self.assertEqual(leader.replica.state.voters["c2"], disk_id)
+            await cluster.check_nothing_lost()
+
+        run(check)
+
+    def test_slow_disk_does_not_look_like_a_silent_leader(self) -> None:
+        """Guards against elections caused by a slow sync of a follower."""
+
+        async def check(cluster: Cluster) -> None:
+            leader = await cluster.wait_leader()
+            slow = next(n for n in cluster.names if n != leader.node_id)
+            cluster.nodes[slow].disk.latency_ms = 2_500.0
+            for _ in range(10):
+                await cluster.change()
+            self.assertEqual(cluster.leader(), leader)
+            await cluster.check_nothing_lost()
+
+        run(check)
--- /dev/null
+++ b/tests/test_control.py
@@ -0,0 +1,156 @@
+"""Tests of the control service with real feeds and replicas on a fake network."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+from trio.testing import MockClock
+
+from knapweedhitch.changes import Change, DomainIn, DomainOut, PutService, new_change_id
+from knapweedhitch.exceptions import InvalidChange, NotLeader, ProposalUnknown, VersionConflict
+from tests.state_cluster import service_config, until
+from tests.state_nodes import WALL_START_MS, World
+
+
+def run(fn: Callable[[World], Awaitable[None]], size: int = 1) -> None:
+    """Run a test with a world on the virtual clock."""
+
+    async def main() -> None:
+        with trio.fail_after(600):
+            async with trio.open_nursery() as nursery:
+                await fn(World(nursery, size))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+class ControlTest(unittest.TestCase):
+    def test_change_submitted_anywhere_is_in_force_everywhere(self) -> None:
+        """Guards against a change that stays at the control instances."""
+
+        async def check(world: World) -> None:
+            await world.start("n1", "n2")
+            for name in ("n1", "c1", "n2"):
+                version = await world.submit(name, DomainOut("d1"))
+                accepted_s = trio.current_time()
+                feeds = [host.feed for host in world.hosts.values()]
+                await until(
+                    lambda f=feeds, v=version: all(
+                        x.current.version == v and x.is_fresh() for x in f
+                    )
+                )
+                self.assertLess(trio.current_time() - accepted_s, 1.0)
+            reports = world.hosts["c1"].control.versions
+            in_force = dict.fromkeys(world.hosts, 3)
+            await until(lambda: {n: r.version for n, r in reports().items()} == in_force)
+
+        for size in (1, 3):
+            with self.subTest(size=size):
+                run(check, size)
+
+    def test_resent_change_gives_the_first_result(self) -> None:
+        """Guards against a second effect of a change whose answer was lost."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            out = Change("out-1", None, "op", DomainOut("d1"))
+            submit = world.hosts["n1"].control.submit
+            self.assertEqual(await submit(out), 1)
+            self.assertEqual(await world.submit("n1", DomainIn("d1")), 2)
+            self.assertEqual(await submit(out), 1)
+            self.assertFalse(world.hosts["c1"].feed.current.is_domain_out("d1"))
+
+        run(check)
+
+    def test_typed_errors_reach_the_node_that_submitted(self) -> None:
+        """Guards against a conflict that looks like a failure to reach the leader."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            world.membership.add("t1", "d1", "a")
+            await world.submit("n1", PutService(service_config("a")), 0, change_id="first")
+            with self.assertRaisesRegex(VersionConflict, "first.*second"):
+                await world.submit("n1", PutService(service_config("b")), 0, change_id="second")
+            with self.assertRaisesRegex(InvalidChange, "last one that serves a"):
+                await world.submit("n1", DomainOut("d1"))
+            await world.submit("n1", DomainOut("d1", allow_last=True))
+
+        run(check)
+
+    def test_submit_without_a_control_instance_ends_as_not_processed(self) -> None:
+        """Guards against an unknown result when nothing was sent."""
+
+        async def check(world: World) -> None:
+            await world.add("n1")
+            with self.assertRaises(NotLeader):
+                await world.submit("n1", DomainOut("d1"), timeout_ms=1_000)
+
+        run(check)
+
+    def test_submit_over_a_silent_link_ends_as_unknown(self) -> None:
+        """Guards against a result that is claimed without an answer."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            world.network.cut = {("c1", "n1")}
+            with self.assertRaises(ProposalUnknown):
+                await world.submit("n1", DomainOut("d1"), timeout_ms=3_000)
+            self.assertEqual(world.hosts["c1"].feed.current.version, 1)
+
+        run(check)
+
+    def test_leader_loss_during_submit_is_hidden(self) -> None:
+        """Guards against operators who must find the new leader themselves."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            await world.submit("n1", DomainOut("d1"))
+            leader = next(h for h in world.hosts.values() if h.control.replica.is_leader)
+            await world.remove(leader.node_id)
+            change = Change(new_change_id(), None, "op", DomainOut("d2"))
+            self.assertEqual(await world.hosts["n1"].control.submit(change, 8_000), 2)
+
+        run(check, size=3)
+
+
+class ClaimGroupTest(unittest.TestCase):
+    def test_first_group_spans_three_domains_and_a_lost_holder_is_replaced(self) -> None:
+        """Guards against a group in one domain and against one that never recovers."""
+
+        async def check(world: World) -> None:
+            await world.start()
+            for number in range(6):
+                world.membership.add(f"t{number}", f"d{number % 3}", "a")
+            await world.submit("c1", PutService(service_config("a")), 0)
+            feed = world.hosts["c1"].feed
+            await until(lambda: "a" in feed.current.claim_groups)
+            group = feed.current.claim_groups["a"][0]
+            self.assertEqual((group.epoch, group.from_wall_ms, len(group.holders)), (1, 0, 3))
+            domains = {world.membership.all[h].domain for h in group.holders}
+            self.assertEqual(len(domains), 3)
+            del world.membership.all[group.holders[0]]
+            lost_s = trio.current_time()
+            await trio.sleep(4)
+            self.assertEqual(len(feed.current.claim_groups["a"]), 1)
+            await until(lambda: len(feed.current.claim_groups["a"]) == 2)
+            second = feed.current.claim_groups["a"][1]
+            self.assertEqual(set(second.holders) & set(group.holders), set(group.holders[1:]))
+            self.assertGreaterEqual(
+                second.from_wall_ms, WALL_START_MS + (lost_s + 5 + 10) * 1_000 - 1_000
+            )
+
+        run(check)
+
+    def test_group_changes_do_not_make_operators_fail(self) -> None:
+        """Guards against a conflict with the leader's own changes."""
+
+        async def check(world: World) -> None:
+            await world.start()
+            world.membership.add("t1", "d1", "a")
+            version = await world.submit("c1", PutService(service_config("a")), 0)
+            await until(lambda: bool(world.hosts["c1"].feed.current.claim_groups))
+            await world.submit("c1", PutService(service_config("b")), version)
+
+        run(check)
