--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -74,18 +74,46 @@
     """Report a link that was lost; messages on it may have been processed."""
 
 
+class RejectReason(enum.Enum):
+    """State why one side refused a handshake."""
+
+    WRONG_CLUSTER = "wrong-cluster"
+    WRONG_VERSION = "wrong-version"
+    WRONG_SECRET = "wrong-secret"
+    OWN_NODE_ID = "own-node-id"
+    UNEXPECTED_NODE = "unexpected-node"
+    MALFORMED = "malformed"
+    TOO_MANY_LINKS = "too-many-links"
+
+
 class PeerRejected(PeerError):
     """Report a handshake that one side refused, with the reason."""
 
+    def __init__(self, reason: RejectReason, detail: str = "") -> None:
+        self.reason = reason
+        super().__init__(f"{reason.value} {detail}".rstrip())
+
+
+class PeerProtocolError(PeerError):
+    """Report a peer that broke the rules of the link; the link is closed."""
+
 
 class PeerQueueFull(PeerError):
     """Report that the bounded send queue of a link is full; the message was not sent."""
 
 
+class PeerBusy(PeerQueueFull):
+    """Report a peer that has no handler free; the message was not processed."""
+
+
 class PeerCallFailed(PeerError):
     """Report that the handler at the peer raised an error."""
 
 
+class NoLease(KnapweedhitchError):
+    """Report that no slot lease of the target is held; nothing was sent."""
+
+
 class StorageError(KnapweedhitchError):
     """Be the base of failures of the data folder."""
 
--- /dev/null
+++ b/knapweedhitch/forward.py
@@ -0,0 +1,355 @@
+"""Calls through the node of a target: the entry side and the target side."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from typing import Any
+
+import trio
+
+from knapweedhitch import logs
+from knapweedhitch.counters import Counters
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import (
+    CallerGone,
+    DeadlineExceeded,
+    InternalError,
+    Outcome,
+    PeerDisconnected,
+    PeerFailed,
+    PeerProtocolError,
+    PeerQueueFull,
+    PeerUnreachable,
+    Refusal,
+)
+from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
+from knapweedhitch.handlers import fail_frame
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.messages import (
+    OpenStream,
+    StreamCancelled,
+    StreamData,
+    StreamEnd,
+    StreamFail,
+    StreamHead,
+    StreamInformational,
+    StreamResult,
+)
+from knapweedhitch.model import CallResult, LoadSample
+from knapweedhitch.peers import Peers
+from knapweedhitch.streams import PeerStream
+
+MAX_INFORMATIONAL = 8
+
+
+def _subclasses(cls: type[Refusal]) -> Iterator[type[Refusal]]:
+    for sub in cls.__subclasses__():
+        yield sub
+        yield from _subclasses(sub)
+
+
+def refusal_of(msg: StreamFail, outcome: Outcome) -> Refusal:
+    """Return the refusal that a fail frame carries; PeerFailed for an unknown reason."""
+    for cls in _subclasses(Refusal):
+        if cls.reason == msg.reason:
+            return cls(outcome, msg.detail)
+    return PeerFailed(outcome, f"reason={msg.reason[:64]} {msg.detail}")
+
+
+@service("forward")
+class Forward:
+    """Run calls on the node of a target, and run calls of other nodes on the own gate."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._peers: Peers = kernel.get("peers")
+        self._counters: Counters = kernel.get("counters")
+
+    async def start(self) -> None:
+        """Take the streams of other nodes."""
+        self._peers.handle_streams(self._serve)
+
+    async def stop(self) -> None:
+        """Do nothing; the streams end with their links."""
+
+    # Entry side
+
+    async def execute(
+        self, node_id: str, spec: CallSpec, body: BodySource, sink: ResponseSink
+    ) -> CallResult:
+        """Run the call on the node; raises Refusal with the outcome that the node confirmed."""
+        stream: PeerStream | None = None
+        deadline_s = spec.deadline.at_s
+        with trio.move_on_at(deadline_s) as scope:
+            try:
+                stream = await self._open(node_id, spec)
+                return await self._exchange(stream, spec, body, sink)
+            except trio.Cancelled:
+                if stream is not None and not scope.cancel_called:
+                    self._counters.add("forward_cancels", (await stream.cancel()).value)
+                raise
+            except PeerDisconnected as exc:
+                raise PeerFailed(Outcome.UNKNOWN, str(exc)) from None
+            except PeerProtocolError as exc:
+                assert stream is not None
+                await stream.cancel()
+                raise PeerFailed(Outcome.UNKNOWN, str(exc)) from None
+        if stream is None:
+            raise DeadlineExceeded(Outcome.NOT_RUN, f"no link to node={node_id} in time")
+        outcome = await stream.cancel()
+        self._counters.add("forward_deadlines", outcome.value)
+        raise DeadlineExceeded(outcome, f"at node={node_id}")
+
+    async def _open(self, node_id: str, spec: CallSpec) -> PeerStream:
+        opening = OpenStream(
+            0,
+            spec.request_id,
+            spec.service,
+            spec.instance_id,
+            spec.method,
+            spec.target,
+            spec.headers,
+            spec.has_body,
+            spec.deadline.remaining_ms(),
+            spec.retries_left,
+            spec.depth,
+            spec.config_version,
+        )
+        try:
+            return await self._peers.open_stream(node_id, opening)
+        except (PeerUnreachable, PeerQueueFull) as exc:
+            raise PeerFailed(Outcome.NOT_RUN, str(exc)) from None
+
+    async def _exchange(
+        self, stream: PeerStream, spec: CallSpec, body: BodySource, sink: ResponseSink
+    ) -> CallResult:
+        if not spec.has_body:
+            return await self._answer(stream, spec, sink)
+        pump = _Pump(stream, body)
+        result: CallResult | None = None
+        failure: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(pump.run, nursery.cancel_scope)
+            try:
+                result = await self._answer(stream, spec, sink)
+            except Exception as exc:
+                # An exception out of the nursery would arrive wrapped in a group.
+                failure = exc
+            nursery.cancel_scope.cancel()
+        if pump.failure is not None:
+            raise await self._body_failed(stream, pump.failure)
+        if failure is not None:
+            raise failure
+        assert result is not None
+        return result
+
+    async def _body_failed(self, stream: PeerStream, failure: Exception) -> Exception:
+        outcome = await stream.cancel()
+        if isinstance(failure, Refusal):
+            return type(failure)(outcome, failure.detail)
+        return failure
+
+    async def _answer(self, stream: PeerStream, spec: CallSpec, sink: ResponseSink) -> CallResult:
+        has_head = False
+        while True:
+            msg = await stream.receive()
+            if isinstance(msg, StreamData):
+                await sink.data(msg.data)
+            elif isinstance(msg, StreamHead):
+                has_head = True
+                self._observe(spec, msg.load)
+                await sink.head(msg.status, msg.headers, msg.load)
+            elif isinstance(msg, StreamInformational):
+                await sink.informational(msg.status, msg.headers)
+            elif isinstance(msg, StreamResult):
+                self._observe(spec, msg.load)
+                if not has_head:
+                    raise PeerProtocolError("an answer without a head")
+                await sink.end()
+                return CallResult(msg.ok, msg.service_ms, msg.status, shed=msg.shed)
+            elif isinstance(msg, StreamFail):
+                self._observe(spec, msg.load)
+                raise refusal_of(msg, Outcome.UNKNOWN if has_head else msg.outcome)
+            elif isinstance(msg, StreamCancelled):
+                raise PeerFailed(Outcome.UNKNOWN if has_head else msg.outcome, "cancelled there")
+
+    def _observe(self, spec: CallSpec, load: LoadSample | None) -> None:
+        if load is not None and self._kernel.has("picker"):
+            self._kernel.get("picker").observe(spec.instance_id, load)
+
+    # Target side
+
+    async def _serve(self, node_id: str, opening: OpenStream, stream: PeerStream) -> None:
+        spec = CallSpec(
+            opening.request_id,
+            opening.service,
+            opening.instance_id,
+            opening.method,
+            opening.target,
+            opening.headers,
+            opening.has_body,
+            Deadline.after_ms(_bounded_ms(opening.deadline_ms)),
+            max(0, opening.retries_left),
+            max(0, opening.depth),
+            opening.config_version,
+        )
+        if self._kernel.has("loadreports"):
+            self._kernel.get("loadreports").interested(node_id)
+        sink = RemoteSink(stream, self._load)
+        scope = trio.CancelScope()
+        stream.on_stop = scope.cancel
+        if stream.stop_requested:
+            scope.cancel()
+        result: CallResult | None = None
+        failure: Refusal | None = None
+        with scope:
+            try:
+                gate = self._kernel.get("gate")
+                result = await gate.execute(
+                    self._kernel.cfg.node.id, spec, RemoteBody(stream), sink
+                )
+            except Refusal as exc:
+                failure = exc
+            except CallerGone:
+                # The link was lost; the entry node has told its caller that already.
+                return
+            except Exception as exc:
+                logs.warning("forwarded_call_failed", error=f"{type(exc).__name__}: {exc}")
+                failure = InternalError(Outcome.UNKNOWN, type(exc).__name__)
+        self._finish(stream, sink, result, failure)
+
+    def _finish(
+        self,
+        stream: PeerStream,
+        sink: RemoteSink,
+        result: CallResult | None,
+        failure: Refusal | None,
+    ) -> None:
+        if stream.finished:
+            return
+        if result is not None:
+            frame = StreamResult(
+                stream.stream_id,
+                result.ok,
+                result.status,
+                result.service_ms,
+                result.shed,
+                self._load(),
+            )
+            stream.put(frame)
+        elif failure is not None:
+            if sink.has_head:
+                failure.outcome = Outcome.UNKNOWN
+            stream.put(fail_frame(stream.stream_id, failure, self._load()))
+        else:
+            # The gate has returned, so nothing can be dispatched after this is decided.
+            outcome = sink.cancel_outcome(self._kernel.get("gate"))
+            self._counters.add("forward_cancelled", outcome.value)
+            stream.put(StreamCancelled(stream.stream_id, outcome))
+
+    def _load(self) -> LoadSample | None:
+        if not self._kernel.has("admission"):
+            return None
+        load: LoadSample | None = self._kernel.get("admission").load()
+        return load
+
+
+def _bounded_ms(deadline_ms: float) -> float:
+    return min(max(0.0, deadline_ms), 86_400_000.0) if math.isfinite(deadline_ms) else 0.0
+
+
+class _Pump:
+    """Send a request body to the stream."""
+
+    def __init__(self, stream: PeerStream, body: BodySource) -> None:
+        self._stream = stream
+        self._body = body
+        self.failure: Exception | None = None
+
+    async def run(self, scope: trio.CancelScope) -> None:
+        """Send the whole body; a failed body cancels the exchange."""
+        try:
+            while (part := await self._body.receive()) is not None:
+                await self._stream.send_data(part)
+            await self._stream.end()
+        except PeerDisconnected:
+            # The answer came before the body was read, or the link was lost; the reader knows.
+            pass
+        except Exception as exc:
+            self.failure = exc
+            scope.cancel()
+
+
+class RemoteBody:
+    """Give the body that the entry node sends."""
+
+    def __init__(self, stream: PeerStream) -> None:
+        self._stream = stream
+
+    async def receive(self) -> bytes | None:
+        """Return the next part, None at the whole end; raises CallerGone when it was cut."""
+        if self._stream.body_ended and not self._stream.has_unread:
+            return None
+        try:
+            msg = await self._stream.receive()
+        except PeerDisconnected as exc:
+            raise CallerGone(str(exc)) from None
+        if isinstance(msg, StreamEnd):
+            return None
+        assert isinstance(msg, StreamData)
+        return msg.data
+
+
+class RemoteSink:
+    """Send the answer to the entry node.
+
+    The gate calls `dispatched` right before it hands the call to the upstream, and says so by its
+    attribute `marks_dispatch`; without the mark a cancelled call is never confirmed as not run.
+    """
+
+    def __init__(self, stream: PeerStream, load: Any) -> None:
+        self._stream = stream
+        self._load = load
+        self._informational = 0
+        self.has_head = False
+        self.was_dispatched = False
+
+    def dispatched(self) -> None:
+        """Note that the call is handed to the upstream now."""
+        self.was_dispatched = True
+
+    def cancel_outcome(self, gate: Any) -> Outcome:
+        """Return what is known of a cancelled call once the gate has returned."""
+        if getattr(gate, "marks_dispatch", False) and not self.was_dispatched:
+            return Outcome.NOT_RUN
+        return Outcome.UNKNOWN
+
+    async def informational(self, status: int, headers: Headers) -> None:
+        """Pass a 1xx answer on, up to a number for each call."""
+        self.was_dispatched = True
+        self._informational += 1
+        if self._informational <= MAX_INFORMATIONAL:
+            self._put(StreamInformational(self._stream.stream_id, status, headers))
+
+    async def head(self, status: int, headers: Headers, load: LoadSample | None) -> None:
+        """Send status and headers with a load sample."""
+        self.was_dispatched = self.has_head = True
+        sample = load if load is not None else self._load()
+        self._put(StreamHead(self._stream.stream_id, status, headers, sample))
+
+    async def data(self, data: bytes) -> None:
+        """Send a part of the body as the window allows; raises CallerGone."""
+        try:
+            await self._stream.send_data(data)
+        except PeerDisconnected as exc:
+            raise CallerGone(str(exc)) from None
+
+    async def end(self) -> None:
+        """Do nothing; the result that follows ends the answer."""
+
+    def _put(self, msg: Any) -> None:
+        try:
+            self._stream.put(msg)
+        except PeerDisconnected as exc:
+            raise CallerGone(str(exc)) from None
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -6,7 +6,7 @@
 
 from knapweedhitch.codec import Message, message
 from knapweedhitch.exceptions import Outcome
-from knapweedhitch.model import LoadSample, Member
+from knapweedhitch.model import LoadSample, Member, MemberState
 
 PROTOCOL_VERSION = 1
 
@@ -77,6 +77,12 @@
     error: str
 
 
+@message(8)
+@dataclass(frozen=True, slots=True)
+class Retire(Message):
+    """Tell that the sender starts nothing more on this link."""
+
+
 # 10-19 streams
 
 
@@ -166,6 +172,29 @@
     outcome: Outcome
 
 
+@message(18)
+@dataclass(frozen=True, slots=True)
+class StreamInformational(Message):
+    """Carry a 1xx answer of the upstream."""
+
+    stream_id: int
+    status: int
+    headers: Headers
+
+
+@message(19)
+@dataclass(frozen=True, slots=True)
+class StreamResult(Message):
+    """End an answer that is whole, with the result of the call and a load sample."""
+
+    stream_id: int
+    ok: bool
+    status: int
+    service_ms: float
+    shed: bool
+    load: LoadSample | None
+
+
 # 20-29 load
 
 
@@ -429,61 +458,90 @@
 # 60-69 membership
 
 
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """Hold what is believed of a member, without its record."""
+
+    node_id: str
+    started_wall_ms: int
+    incarnation: int
+    state: MemberState
+
+
 @message(60)
 @dataclass(frozen=True, slots=True)
 class Probe(Message):
-    """Ask a member for a sign of life, for itself or on behalf of another."""
+    """Ask a node for a sign of life; an empty target means whoever listens."""
 
     sequence: int
     sender: str
     target: str
-    updates: tuple[Member, ...]
+    members: tuple[Member, ...]
+    verdicts: tuple[Verdict, ...]
 
 
 @message(61)
 @dataclass(frozen=True, slots=True)
 class ProbeAck(Message):
-    """Answer a probe."""
+    """Answer a probe; sender is the node that was probed."""
 
     sequence: int
     sender: str
-    updates: tuple[Member, ...]
+    members: tuple[Member, ...]
+    verdicts: tuple[Verdict, ...]
 
 
 @message(62)
 @dataclass(frozen=True, slots=True)
 class IndirectProbe(Message):
-    """Ask a member to probe another one."""
+    """Ask a member to probe another one and to pass its answer on."""
 
     sequence: int
     sender: str
     target: str
-    updates: tuple[Member, ...]
 
 
 @message(63)
 @dataclass(frozen=True, slots=True)
 class Gossip(Message):
-    """Spread updates."""
+    """Spread records and verdicts."""
 
     sender: str
-    updates: tuple[Member, ...]
+    members: tuple[Member, ...]
+    verdicts: tuple[Verdict, ...]
 
 
 @message(64)
 @dataclass(frozen=True, slots=True)
 class SyncDigest(Message):
-    """Compare the members of two nodes by a hash for each bucket."""
+    """Compare the live members of two nodes by one hash for each bucket."""
 
     sender: str
-    hashes: tuple[bytes, ...]
+    hashes: bytes
 
 
 @message(65)
 @dataclass(frozen=True, slots=True)
-class SyncMembers(Message):
-    """Send the members of the buckets that differ."""
+class SyncVerdicts(Message):
+    """Answer a digest with what is believed of the members in the buckets that differ."""
 
-    sender: str
     buckets: tuple[int, ...]
+    verdicts: tuple[Verdict, ...]
+
+
+@message(66)
+@dataclass(frozen=True, slots=True)
+class SyncExchange(Message):
+    """Send the records that the other side lacks and ask for the wanted ones."""
+
+    wanted: tuple[str, ...]
+    members: tuple[Member, ...]
+    verdicts: tuple[Verdict, ...]
+
+
+@message(67)
+@dataclass(frozen=True, slots=True)
+class SyncMembers(Message):
+    """Answer an exchange with the wanted records."""
+
     members: tuple[Member, ...]
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -72,6 +72,15 @@
     started_wall_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemberEvent:
+    """Hold one change of a member; `old` is None for a member that was not known."""
+
+    node_id: str
+    old: Member | None
+    new: Member
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
     """Hold one upstream of a service together with the node in its slot."""
--- /dev/null
+++ b/knapweedhitch/peers.py
@@ -0,0 +1,328 @@
+"""Links to other nodes: at most one preferred link for each peer, calls and streams."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections import deque
+
+import trio
+
+from knapweedhitch import handshake, logs
+from knapweedhitch.codec import Message
+from knapweedhitch.counters import Counters
+from knapweedhitch.exceptions import (
+    PeerDisconnected,
+    PeerError,
+    PeerRejected,
+    PeerTimeout,
+    PeerUnreachable,
+    RejectReason,
+)
+from knapweedhitch.handlers import Handler, Handlers, StreamHandler
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.link import Link
+from knapweedhitch.messages import OpenStream
+from knapweedhitch.model import Address
+from knapweedhitch.settings import load_secret
+from knapweedhitch.streams import PeerStream
+from knapweedhitch.timers import Timers
+from knapweedhitch.transport import NetTransport, Transport, Wire
+
+BEATS_PER_HEARTBEAT = 4
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Dial:
+    done: trio.Event
+    error: str = ""
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Peer:
+    node_id: str
+    links: list[Link] = dataclasses.field(default_factory=list)
+    preferred: Link | None = None
+    dial: _Dial | None = None
+    failed_ms: float = float("-inf")
+    failure: str = ""
+    unsent: deque[Message] = dataclasses.field(default_factory=deque)
+
+
+@service("peers")
+class Peers:
+    """Send messages to other nodes and run the handlers of what they send."""
+
+    def __init__(
+        self, kernel: Kernel, transport: Transport | None = None, secret: bytes | None = None
+    ) -> None:
+        self._kernel = kernel
+        self._cfg = kernel.cfg.peers
+        self._node_id = kernel.cfg.node.id
+        self._counters: Counters = kernel.get("counters")
+        self._timers: Timers = kernel.get("timers")
+        self._transport = transport or NetTransport(self._cfg)
+        self._secret = secret
+        self._identity: handshake.Identity | None = None
+        self._peers: dict[str, _Peer] = {}
+        self._links: set[Link] = set()
+        self._handlers = Handlers(kernel)
+        self.address = Address(kernel.cfg.listen.peers.host, kernel.cfg.listen.peers.port)
+
+    @property
+    def transport(self) -> Transport:
+        """Return the sockets of this node."""
+        return self._transport
+
+    @property
+    def secret(self) -> bytes:
+        """Return the peer secret; raises SettingsError."""
+        if self._secret is None:
+            self._secret = load_secret(self._kernel.cfg.secrets.peer_secret_file)
+        return self._secret
+
+    async def start(self) -> None:
+        """Bind the listener and accept links; raises OSError and SettingsError."""
+        node = self._kernel.cfg.node
+        self._identity = handshake.Identity(node.cluster, node.id, self.secret)
+        listen = self._kernel.cfg.listen.peers
+        self.address = await self._transport.bind(listen.host, listen.port)
+        self._kernel.nursery.start_soon(self._transport.serve, self._accept)
+        self._timers.every(self._cfg.heartbeat_interval_ms / BEATS_PER_HEARTBEAT, self._beat)
+
+    async def stop(self) -> None:
+        """Close every link."""
+        for peer in list(self._peers.values()):
+            for link in list(peer.links):
+                link.close("the node stops")
+
+    def _beat(self) -> None:
+        for link in list(self._links):
+            link.beat()
+
+    # Interface
+
+    def handle(self, msg_type: type[Message], fn: Handler) -> None:
+        """Register the handler of a message type; raises DuplicateRegistration."""
+        self._handlers.add(msg_type, fn)
+
+    def handle_streams(self, fn: StreamHandler) -> None:
+        """Register the handler of streams; raises DuplicateRegistration."""
+        self._handlers.add_streams(fn)
+
+    async def call(self, node_id: str, msg: Message, timeout_ms: float) -> Message:
+        """Return the peer's reply.
+
+        Raises PeerUnreachable and PeerQueueFull (not processed), PeerTimeout and PeerDisconnected
+        (may have been processed) and PeerCallFailed (the handler raised).
+        """
+        sent = False
+        with trio.move_on_after(timeout_ms / 1_000):
+            if node_id == self._node_id:
+                sent = True
+                return await self._handlers.call_own(msg)
+            link = await self._link(node_id)
+            sent = True
+            return await link.call(msg)
+        if not sent:
+            raise PeerUnreachable(f"peer={node_id} no link within {timeout_ms:.0f} ms")
+        self._counters.add("peer_call_timeouts")
+        raise PeerTimeout(f"peer={node_id} no reply within {timeout_ms:.0f} ms")
+
+    def send(self, node_id: str, msg: Message) -> None:
+        """Send without a reply; a message that cannot be sent is dropped and counted."""
+        if node_id == self._node_id:
+            self._counters.add("peer_sends_dropped", "own-node")
+            return
+        peer = self._peer(node_id)
+        try:
+            if peer.preferred is not None and peer.preferred.is_usable:
+                peer.preferred.put(msg)
+                peer.preferred.used_ms = Timers.now_ms()
+                return
+        except PeerError as exc:
+            self._counters.add("peer_sends_dropped", type(exc).__name__)
+            return
+        if len(peer.unsent) >= self._cfg.max_pending_sends:
+            self._counters.add("peer_sends_dropped", "PeerQueueFull")
+            return
+        peer.unsent.append(msg)
+        if peer.dial is None:
+            self._dial(peer)
+
+    async def open_stream(self, node_id: str, opening: OpenStream) -> PeerStream:
+        """Return a stream whose opening is queued; raises PeerUnreachable and PeerQueueFull."""
+        link = await self._link(node_id)
+        try:
+            return link.open_stream(opening)
+        except PeerDisconnected as exc:
+            raise PeerUnreachable(str(exc)) from None
+
+    def linked(self) -> list[str]:
+        """Return the peers with an open link."""
+        return [
+            node_id
+            for node_id, peer in self._peers.items()
+            if peer.preferred is not None and peer.preferred.is_usable
+        ]
+
+    def release(self, node_id: str) -> None:
+        """Close the link to a peer once nothing runs on it."""
+        peer = self._peers.get(node_id)
+        if peer is not None and peer.preferred is not None:
+            peer.preferred.retire()
+
+    # Dialling
+
+    def _peer(self, node_id: str) -> _Peer:
+        peer = self._peers.get(node_id)
+        if peer is None:
+            peer = self._peers[node_id] = _Peer(node_id)
+        return peer
+
+    def _forget_if_unused(self, peer: _Peer) -> None:
+        if not (peer.links or peer.dial or peer.unsent):
+            self._peers.pop(peer.node_id, None)
+
+    async def _link(self, node_id: str) -> Link:
+        peer = self._peer(node_id)
+        if peer.preferred is not None and peer.preferred.is_usable:
+            return peer.preferred
+        dial = peer.dial or self._dial(peer)
+        await dial.done.wait()
+        # The link may come from the peer's own dial, and may already be lost again.
+        current = self._peers.get(node_id)
+        if current is not None and current.preferred is not None and current.preferred.is_usable:
+            return current.preferred
+        raise PeerUnreachable(f"peer={node_id} {dial.error or 'the link was lost'}")
+
+    def _dial(self, peer: _Peer) -> _Dial:
+        dial = _Dial(trio.Event())
+        if Timers.now_ms() - peer.failed_ms < self._cfg.redial_backoff_ms:
+            dial.error = f"{peer.failure} (dialled a moment ago)"
+            dial.done.set()
+            self._drop_unsent(peer)
+            return dial
+        peer.dial = dial
+        self._kernel.nursery.start_soon(self._run_dial, peer, dial)
+        return dial
+
+    async def _run_dial(self, peer: _Peer, dial: _Dial) -> None:
+        try:
+            await self._dial_and_run(peer, dial)
+        except PeerError as exc:
+            self._dial_failed(peer, dial, exc)
+        finally:
+            self._dial_ended(peer, dial)
+            self._forget_if_unused(peer)
+
+    async def _dial_and_run(self, peer: _Peer, dial: _Dial) -> None:
+        address = self._address_of(peer.node_id)
+        if address is None:
+            raise PeerUnreachable("no address is known")
+        if peer.node_id == self._node_id:
+            raise PeerUnreachable("a node has no link to itself")
+        if len(self._links) >= self._cfg.max_links:
+            raise PeerUnreachable(f"{len(self._links)} links are open")
+        assert self._identity is not None
+        async with self._transport.connect(address) as wire:
+            with trio.move_on_after(self._cfg.handshake_timeout_ms / 1_000) as scope:
+                await handshake.dial(wire, self._identity, peer.node_id)
+            if scope.cancelled_caught:
+                raise PeerUnreachable("no handshake in time")
+            await self._run_link(wire, peer.node_id, dial)
+
+    def _dial_failed(self, peer: _Peer, dial: _Dial, exc: PeerError) -> None:
+        if isinstance(exc, PeerRejected):
+            self._counters.add("peer_rejected", exc.reason.value)
+            logs.warning("peer_rejected", peer=peer.node_id, reason=exc.reason.value)
+        self._counters.add("peer_dial_failed")
+        dial.error = str(exc)
+        peer.failed_ms = Timers.now_ms()
+        peer.failure = dial.error
+
+    def _dial_ended(self, peer: _Peer, dial: _Dial) -> None:
+        if peer.dial is dial:
+            peer.dial = None
+            self._drop_unsent(peer)
+        dial.done.set()
+
+    def _drop_unsent(self, peer: _Peer) -> None:
+        if peer.unsent:
+            self._counters.add("peer_sends_dropped", "PeerUnreachable", len(peer.unsent))
+            peer.unsent.clear()
+
+    def _address_of(self, node_id: str) -> Address | None:
+        if self._kernel.has("membership"):
+            known: Address | None = self._kernel.get("membership").address_of(node_id)
+            if known is not None:
+                return known
+        return self._kernel.cfg.control_address(node_id)
+
+    # Links
+
+    async def _accept(self, wire: Wire) -> None:
+        assert self._identity is not None
+        try:
+            with trio.move_on_after(self._cfg.handshake_timeout_ms / 1_000) as scope:
+                node_id = await handshake.accept(wire, self._identity)
+                if len(self._links) >= self._cfg.max_links:
+                    raise PeerRejected(RejectReason.TOO_MANY_LINKS)
+            if scope.cancelled_caught:
+                self._counters.add("peer_rejected", "handshake-timeout")
+                return
+        except PeerRejected as exc:
+            self._counters.add("peer_rejected", exc.reason.value)
+            return
+        except PeerDisconnected:
+            self._counters.add("peer_rejected", "disconnected")
+            return
+        await self._run_link(wire, node_id, None)
+
+    async def _run_link(self, wire: Wire, node_id: str, dial: _Dial | None) -> None:
+        peer = self._peer(node_id)
+        link = Link(wire, node_id, self, self._cfg, self._counters, dialled=dial is not None)
+        peer.links.append(link)
+        self._counters.add("peer_links_opened")
+        self._links.add(link)
+        self._prefer(peer, link)
+        if peer.dial is not None:
+            peer.dial.done.set()
+            peer.dial = None
+        for msg in peer.unsent:
+            link.put_frame(msg, "control")
+        peer.unsent.clear()
+        try:
+            await link.run()
+        finally:
+            self._links.discard(link)
+            peer.links.remove(link)
+            self._forget_if_unused(peer)
+
+    def _prefer(self, peer: _Peer, link: Link) -> None:
+        """Prefer the newest link; of a simultaneous dial, the one that the lower id opened."""
+        old = peer.preferred
+        if old is None or not old.is_usable:
+            peer.preferred = link
+            return
+        window_ms = self._cfg.connect_timeout_ms + self._cfg.handshake_timeout_ms
+        simultaneous = old.dialled != link.dialled and link.opened_ms - old.opened_ms < window_ms
+        own_is_lower = self._node_id < peer.node_id
+        if simultaneous and old.dialled == own_is_lower:
+            link.retire()
+            return
+        peer.preferred = link
+        old.retire()
+
+    def on_link_change(self, link: Link) -> None:
+        """Prefer another link of the peer, if one is usable."""
+        peer = self._peers.get(link.peer_id)
+        if peer is not None and peer.preferred is link and not link.is_usable:
+            peer.preferred = next((other for other in peer.links if other.is_usable), None)
+
+    def on_message(self, link: Link, msg: Message, call_id: int) -> None:
+        """Start the handler of a message."""
+        self._handlers.on_message(link, msg, call_id)
+
+    def on_stream(self, link: Link, opening: OpenStream, stream: PeerStream | None) -> None:
+        """Start the handler of a stream, or refuse it as not run."""
+        self._handlers.on_stream(link, opening, stream)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -124,6 +124,10 @@
     sync_interval_ms: Ms = 10_000
     max_members: Count = 40_000
     max_events_per_s: Count = 200
+    max_pending_updates: Count = 4_096
+    gossip_fanout: Count = 3
+    gossip_bytes_per_s: Count = 2_048
+    gossip_burst_bytes: Count = 32_768
     max_datagram_bytes: Annotated[int, Field(ge=512, le=60_000)] = 1_200
     dead_retention_ms: Ms = 600_000
 
@@ -138,10 +142,16 @@
     missed_heartbeats: Count = 3
     max_message_bytes: Bytes = 1_048_576
     max_queued_messages: Count = 1_024
+    max_queued_bytes: Bytes = 8_388_608
+    max_received_messages: Count = 64
+    max_handlers: Count = 64
+    max_pending_sends: Count = 64
     max_streams: Count = 1_024
     max_links: Count = 4_096
-    window_bytes: Bytes = 262_144
+    window_bytes: Annotated[int, Field(ge=4_096, le=1 << 30)] = 262_144
     idle_close_ms: Ms = 300_000
+    redial_backoff_ms: Ms = 200
+    cancel_wait_ms: Ms = 250
 
 
 @dataclass(frozen=True, config=_STRICT)
--- /dev/null
+++ b/knapweedhitch/transport.py
@@ -0,0 +1,284 @@
+"""Sockets between nodes: websockets over TCP for links, UDP for gossip."""
+
+from __future__ import annotations
+
+import contextlib
+import errno
+import logging
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from typing import Protocol
+
+import trio
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.protocol import State
+from websockets.trio.client import connect
+from websockets.trio.connection import Connection
+from websockets.trio.server import ServerConnection, serve
+
+from knapweedhitch.exceptions import PeerDisconnected, PeerUnreachable
+from knapweedhitch.model import Address
+from knapweedhitch.settings import PeerSettings
+
+# The system picks the TCP port when it is 0; the same UDP port may be taken, then another is tried.
+BIND_ATTEMPTS = 16
+MAX_DATAGRAM_BYTES = 65_535
+# A frame of a link is at most 64 KiB and a header; the close handshake must not hold up a new link.
+CLOSE_TIMEOUT_S = 0.2
+
+# Failed handshakes of strangers are counted, not logged: anyone can cause them at any rate.
+_quiet = logging.getLogger("knapweedhitch.websockets")
+_quiet.addHandler(logging.NullHandler())
+_quiet.propagate = False
+_quiet.setLevel(logging.CRITICAL)
+
+
+class Wire(Protocol):
+    """Carry whole binary messages in order between two nodes."""
+
+    @property
+    def overhead_bytes(self) -> int:
+        """Return the bytes that framing adds to a short message."""
+        ...
+
+    async def send(self, frames: Sequence[bytes]) -> None:
+        """Send messages in one write; raises PeerDisconnected."""
+        ...
+
+    async def receive(self) -> bytes:
+        """Return the next message; raises PeerDisconnected."""
+        ...
+
+    async def abort(self) -> None:
+        """Close at once, without a handshake."""
+        ...
+
+
+class Datagrams(Protocol):
+    """Send and receive datagrams; losing one is no error."""
+
+    def send(self, data: bytes, address: Address) -> bool:
+        """Send at once; returns False when the datagram was dropped."""
+        ...
+
+    async def receive(self) -> tuple[bytes, Address]:
+        """Return the next datagram and its sender."""
+        ...
+
+
+WireHandler = Callable[[Wire], Awaitable[None]]
+
+
+class Transport(Protocol):
+    """Open the sockets of one node."""
+
+    async def bind(self, host: str, port: int) -> Address:
+        """Bind TCP and UDP to one port and return it."""
+        ...
+
+    async def serve(self, handler: WireHandler) -> None:
+        """Accept links until cancelled."""
+        ...
+
+    def connect(self, address: Address) -> contextlib.AbstractAsyncContextManager[Wire]:
+        """Open a link; raises PeerUnreachable."""
+        ...
+
+    @property
+    def datagrams(self) -> Datagrams:
+        """Return the UDP socket."""
+        ...
+
+
+class WebsocketWire:
+    """Carry messages over one websocket connection."""
+
+    def __init__(self, conn: Connection, *, masked: bool) -> None:
+        self._conn = conn
+        # RFC 6455: 2 bytes of header, 4 more for the mask of a client.
+        self.overhead_bytes = 6 if masked else 2
+
+    async def send(self, frames: Sequence[bytes]) -> None:
+        """Send messages in one write; raises PeerDisconnected."""
+        conn = self._conn
+        # One write for all messages saves a system call and a packet for each of them.
+        async with conn.send_lock:
+            if conn.protocol.state is not State.OPEN:
+                raise PeerDisconnected("the link is closed")
+            for frame in frames:
+                conn.protocol.send_binary(frame)
+            try:
+                await conn.stream.send_all(b"".join(conn.protocol.data_to_send()))
+            except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as exc:
+                raise PeerDisconnected(f"the link broke: {exc}") from None
+
+    async def receive(self) -> bytes:
+        """Return the next message; raises PeerDisconnected."""
+        try:
+            return await self._conn.recv(decode=False)
+        except ConnectionClosed as exc:
+            raise PeerDisconnected(f"the link was closed: {exc}") from None
+
+    async def abort(self) -> None:
+        """Close at once, without a handshake."""
+        await trio.aclose_forcefully(self._conn.stream)
+
+
+class BoundedListener(trio.abc.Listener[trio.SocketStream]):
+    """Accept connections up to a limit and close those above it at once."""
+
+    def __init__(self, listener: trio.SocketListener, limit: int) -> None:
+        self.socket = listener.socket
+        self._listener = listener
+        self._limit = limit
+        self._open: list[trio.SocketStream] = []
+
+    async def accept(self) -> trio.SocketStream:
+        """Return the next connection under the limit."""
+        while True:
+            stream = await self._listener.accept()
+            if len(self._open) >= self._limit:
+                # A closed socket has no file number; looking only at the limit keeps accept cheap.
+                self._open = [other for other in self._open if other.socket.fileno() != -1]
+            if len(self._open) < self._limit:
+                self._open.append(stream)
+                return stream
+            await trio.aclose_forcefully(stream)
+
+    async def aclose(self) -> None:
+        """Close the listening socket."""
+        await self._listener.aclose()
+
+
+class UdpSocket:
+    """Send and receive datagrams on a UDP socket."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self._sock = sock
+
+    def send(self, data: bytes, address: Address) -> bool:
+        """Send at once; returns False when the system did not take the datagram."""
+        try:
+            self._sock.sendto(data, (address.host, address.port))
+        except OSError:
+            # A full buffer or an unreachable network is a lost datagram; probes notice it.
+            return False
+        return True
+
+    async def receive(self) -> tuple[bytes, Address]:
+        """Return the next datagram and its sender."""
+        while True:
+            try:
+                data, place = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+                return data, Address(place[0], place[1])
+            except BlockingIOError:
+                await trio.lowlevel.wait_readable(self._sock)
+            except OSError as exc:
+                # Linux reports ICMP errors of earlier sends here; they concern no datagram read.
+                if exc.errno in (errno.EBADF, errno.ENOTSOCK):
+                    raise trio.ClosedResourceError from None
+                await trio.lowlevel.checkpoint()
+
+    def close(self) -> None:
+        """Close the socket."""
+        trio.lowlevel.notify_closing(self._sock)
+        self._sock.close()
+
+
+class NetTransport:
+    """Open real sockets; compression is off and keepalive is left to the links."""
+
+    def __init__(self, cfg: PeerSettings) -> None:
+        self._cfg = cfg
+        self._listener: BoundedListener | None = None
+        self._udp: UdpSocket | None = None
+
+    @property
+    def datagrams(self) -> Datagrams:
+        """Return the UDP socket; raises PeerUnreachable before `bind`."""
+        if self._udp is None:
+            raise PeerUnreachable("the node has no UDP socket yet")
+        return self._udp
+
+    async def bind(self, host: str, port: int) -> Address:
+        """Bind TCP and UDP to one port and return it; raises OSError."""
+        for attempt in range(BIND_ATTEMPTS):
+            listeners = await trio.open_tcp_listeners(port, host=host)
+            sock = listeners[0].socket
+            bound = Address(host, sock.getsockname()[1])
+            udp = socket.socket(sock.family, socket.SOCK_DGRAM)
+            udp.setblocking(False)
+            try:
+                udp.bind((bound.host, bound.port))
+            except OSError:
+                udp.close()
+                await listeners[0].aclose()
+                if port != 0 or attempt == BIND_ATTEMPTS - 1:
+                    raise
+                continue
+            self._listener = BoundedListener(listeners[0], self._cfg.max_links)
+            self._udp = UdpSocket(udp)
+            return bound
+        raise OSError(errno.EADDRINUSE, "no port is free for both TCP and UDP")
+
+    async def serve(self, handler: WireHandler) -> None:
+        """Accept links until cancelled."""
+        if self._listener is None:
+            raise PeerUnreachable("the listener is not bound")
+
+        async def handle(conn: ServerConnection) -> None:
+            await handler(WebsocketWire(conn, masked=False))
+
+        try:
+            await serve(
+                handle,
+                listeners=[self._listener],  # type: ignore[list-item]
+                compression=None,
+                server_header=None,
+                open_timeout=self._cfg.handshake_timeout_ms / 1_000,
+                ping_interval=None,
+                close_timeout=CLOSE_TIMEOUT_S,
+                max_size=self._cfg.max_message_bytes,
+                max_queue=self._cfg.max_received_messages,
+                logger=_quiet,
+            )
+        finally:
+            if self._udp is not None:
+                self._udp.close()
+
+    @contextlib.asynccontextmanager
+    async def connect(self, address: Address) -> AsyncIterator[Wire]:
+        """Open a link; raises PeerUnreachable."""
+        try:
+            with trio.fail_after(self._cfg.connect_timeout_ms / 1_000):
+                # trio sets TCP_NODELAY on every stream it opens or accepts.
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as exc:
+            raise PeerUnreachable(f"{address}: {exc or 'no connection in time'}") from None
+        dialling = connect(
+            f"ws://{address}/",
+            stream=stream,
+            compression=None,
+            proxy=None,
+            user_agent_header=None,
+            open_timeout=self._cfg.connect_timeout_ms / 1_000,
+            ping_interval=None,
+            close_timeout=CLOSE_TIMEOUT_S,
+            max_size=self._cfg.max_message_bytes,
+            max_queue=self._cfg.max_received_messages,
+            logger=_quiet,
+        )
+        opened = False
+        try:
+            async with dialling as conn:
+                opened = True
+                try:
+                    yield WebsocketWire(conn, masked=True)
+                finally:
+                    # The close handshake would hold up the end of a silent link.
+                    await trio.aclose_forcefully(stream)
+        except (OSError, InvalidHandshake, TimeoutError) as exc:
+            if opened:
+                raise
+            await trio.aclose_forcefully(stream)
+            raise PeerUnreachable(f"{address}: {exc}") from None
--- /dev/null
+++ b/tests/fake_net.py
@@ -0,0 +1,265 @@
+"""An in-memory network of nodes with faults, for tests of links and of the membership."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import math
+import random
+from collections.abc import AsyncIterator, Callable, Sequence
+from typing import Any
+
+import trio
+
+from knapweedhitch.counters import Counters
+from knapweedhitch.exceptions import PeerDisconnected, PeerUnreachable
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.model import Address
+from knapweedhitch.peers import Peers
+from knapweedhitch.settings import Listener, Settings, parse_settings, replace
+from knapweedhitch.timers import Timers
+from knapweedhitch.transport import WireHandler
+
+SECRET = b"0123456789abcdef"
+
+
+def make_settings(node_id: str, index: int = 0, **sections: Any) -> Settings:
+    """Return settings of one node whose control instance is n0."""
+    text = (
+        f"node: {{id: {node_id}, domain: d{index % 3}}}\n"
+        "secrets: {peer_secret_file: /unused, operator_token_file: /unused}\n"
+        "control: {members: [{id: n0, host: 127.0.0.1, port: 7000}], data_dir: /unused}\n"
+        f"listen: {{peers: {{host: 127.0.0.1, port: {7000 + index}}}}}\n"
+    )
+    return replace(parse_settings(text), **sections)
+
+
+class MemoryWire:
+    """One end of a link; `silent` loses everything without an error."""
+
+    overhead_bytes = 2
+
+    def __init__(self, net: MemoryNet, own: Address, other: Address) -> None:
+        self._net = net
+        self.own = own
+        self.other = other
+        self._out, self._in = trio.open_memory_channel[bytes](math.inf)
+        self.peer: MemoryWire | None = None
+        self.silent = False
+        self.sent: list[bytes] = []
+
+    async def send(self, frames: Sequence[bytes]) -> None:
+        await trio.lowlevel.checkpoint()
+        assert self.peer is not None
+        self.sent += frames
+        del self.sent[:-1_000]
+        if self.silent or self._net.is_cut(self.own, self.other):
+            return
+        try:
+            for frame in frames:
+                self.peer._out.send_nowait(frame)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            raise PeerDisconnected("broken") from None
+
+    async def receive(self) -> bytes:
+        try:
+            return await self._in.receive()
+        except (trio.EndOfChannel, trio.ClosedResourceError):
+            raise PeerDisconnected("closed") from None
+
+    async def abort(self) -> None:
+        self._in.close()
+        if self.peer is not None and not self.silent and not self._net.is_cut(self.own, self.other):
+            self.peer._out.close()
+
+
+class MemoryDatagrams:
+    """The UDP socket of one node."""
+
+    def __init__(self, net: MemoryNet, own: Address) -> None:
+        self._net = net
+        self._own = own
+        self.out, self._in = trio.open_memory_channel[tuple[bytes, Address]](10_000)
+
+    def send(self, data: bytes, address: Address) -> bool:
+        self._net.carry(data, self._own, address)
+        return True
+
+    async def receive(self) -> tuple[bytes, Address]:
+        return await self._in.receive()
+
+
+class MemoryTransport:
+    """The sockets of one node in the memory network."""
+
+    def __init__(self, net: MemoryNet) -> None:
+        self._net = net
+        self._nursery: trio.Nursery | None = None
+        self._handler: WireHandler | None = None
+        self.address = Address("127.0.0.1", 0)
+
+    async def bind(self, host: str, port: int) -> Address:
+        self.address = Address(host, port)
+        self.datagrams = MemoryDatagrams(self._net, self.address)
+        self._net.nodes[self.address] = self
+        return self.address
+
+    async def serve(self, handler: WireHandler) -> None:
+        self._handler = handler
+        async with trio.open_nursery() as self._nursery:
+            await trio.sleep_forever()
+
+    @contextlib.asynccontextmanager
+    async def connect(self, address: Address) -> AsyncIterator[MemoryWire]:
+        await trio.sleep(self._net.connect_s)
+        other = self._net.nodes.get(address)
+        if other is None or other._nursery is None or self._net.is_cut(self.address, address):
+            raise PeerUnreachable(f"{address} refuses")
+        near = MemoryWire(self._net, self.address, address)
+        far = MemoryWire(self._net, address, self.address)
+        near.peer, far.peer = far, near
+        self._net.wires += [near, far]
+        assert other._handler is not None
+        other._nursery.start_soon(other._run, far)
+        try:
+            yield near
+        finally:
+            await near.abort()
+
+    async def _run(self, wire: MemoryWire) -> None:
+        assert self._handler is not None
+        try:
+            await self._handler(wire)
+        finally:
+            await wire.abort()
+
+
+@dataclasses.dataclass
+class MemoryNet:
+    """Hold the nodes and the faults between them; probabilities are for datagrams."""
+
+    rng: random.Random = dataclasses.field(default_factory=lambda: random.Random(1))
+    loss: float = 0.0
+    duplication: float = 0.0
+    max_delay_s: float = 0.0
+    connect_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.nodes: dict[Address, MemoryTransport] = {}
+        self.wires: list[MemoryWire] = []
+        self.groups: dict[Address, int] = {}
+        self.nursery: trio.Nursery | None = None
+        self.datagrams: list[tuple[bytes, Address, Address]] = []
+
+    def is_cut(self, a: Address, b: Address) -> bool:
+        """Tell whether a partition lies between two addresses."""
+        return self.groups.get(a, 0) != self.groups.get(b, 0)
+
+    def carry(self, data: bytes, source: Address, address: Address) -> None:
+        """Deliver a datagram with the faults in force."""
+        self.datagrams.append((data, source, address))
+        del self.datagrams[:-2_000]
+        for _ in range(2 if self.rng.random() < self.duplication else 1):
+            if self.rng.random() < self.loss or self.is_cut(source, address):
+                continue
+            if self.max_delay_s and self.nursery is not None:
+                delay = self.rng.random() * self.max_delay_s
+                self.nursery.start_soon(self._deliver_later, delay, data, source, address)
+            else:
+                self._deliver(data, source, address)
+
+    async def _deliver_later(
+        self, delay: float, data: bytes, source: Address, address: Address
+    ) -> None:
+        await trio.sleep(delay)
+        self._deliver(data, source, address)
+
+    def _deliver(self, data: bytes, source: Address, address: Address) -> None:
+        node = self.nodes.get(address)
+        if node is not None:
+            with contextlib.suppress(trio.WouldBlock, trio.BrokenResourceError):
+                node.datagrams.out.send_nowait((data, source))
+
+
+class Node:
+    """One node with counters, timers, peers and whatever a test adds."""
+
+    def __init__(
+        self,
+        net: MemoryNet,
+        index: int,
+        secret: bytes = SECRET,
+        node_id: str = "",
+        **sections: Any,
+    ) -> None:
+        self.node_id = node_id or f"n{index}"
+        self.kernel = Kernel(make_settings(self.node_id, index, **sections))
+        self.transport = MemoryTransport(net)
+        self.counters = Counters()
+        self.kernel.add("counters", self.counters)
+        self.kernel.add("timers", Timers(self.kernel, random.Random(index)))
+        self.peers = Peers(self.kernel, self.transport, secret)
+        self.kernel.add("peers", self.peers)
+        self.scope = trio.CancelScope()
+        self.stopped = trio.Event()
+
+    def add(self, name: str, instance: Any) -> Any:
+        """Add a service to the node before it runs."""
+        self.kernel.add(name, instance)
+        return instance
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED) -> None:
+        """Run until `crash`."""
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                await self.kernel.start(nursery)
+                task_status.started()
+                await trio.sleep_forever()
+        self.stopped.set()
+
+    async def crash(self, net: MemoryNet) -> None:
+        """End the node at once."""
+        net.nodes.pop(self.transport.address, None)
+        self.scope.cancel()
+        await self.stopped.wait()
+
+
+class StaticMembership:
+    """Addresses of nodes that never change."""
+
+    def __init__(self, count: int) -> None:
+        self.addresses = {f"n{i}": Address("127.0.0.1", 7000 + i) for i in range(count)}
+
+    def address_of(self, node_id: str) -> Address | None:
+        """Return the address of a node."""
+        return self.addresses.get(node_id)
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+
+@contextlib.asynccontextmanager
+async def running(
+    count: int, net: MemoryNet | None = None, prepare: Callable[[Node], None] | None = None, **kw: Any
+) -> AsyncIterator[list[Node]]:
+    """Run nodes n0, n1... that know each other's addresses."""
+    net = net or MemoryNet()
+    nodes = [Node(net, i, **kw) for i in range(count)]
+    async with trio.open_nursery() as nursery:
+        net.nursery = nursery
+        for node in nodes:
+            node.add("membership", StaticMembership(count + 8))
+            if prepare is not None:
+                prepare(node)
+            await nursery.start(node.run)
+        await trio.testing.wait_all_tasks_blocked()
+        yield nodes
+        nursery.cancel_scope.cancel()
+
+
+def listen(port: int) -> Listener:
+    """Return a listener on loopback."""
+    return Listener("127.0.0.1", port)
