--- /dev/null
+++ b/knapweedhitch/gossip.py
@@ -0,0 +1,154 @@
+"""Gossip: authenticated datagrams and the updates that still have to spread."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+import math
+from collections.abc import Callable
+
+import cbor2
+
+from knapweedhitch import codec
+from knapweedhitch.codec import Message
+from knapweedhitch.counters import Counters
+from knapweedhitch.exceptions import CodecError
+from knapweedhitch.messages import PROTOCOL_VERSION, Verdict
+from knapweedhitch.model import Address, Member
+from knapweedhitch.transport import Datagrams
+
+MAC_BYTES = 16
+# A push to every member is missed by one node in e^4 when each node sends an update
+# ln(members) + 4 times; anti-entropy repairs the rest.
+EXTRA_TRANSMISSIONS = 4
+URGENT_LEVEL = 0
+NORMAL_LEVEL = 1
+
+Update = Member | Verdict
+
+
+def encoded_bytes(update: Update) -> int:
+    """Return the size of an update inside a message."""
+    return len(cbor2.dumps(codec.to_plain(update)))
+
+
+class Spread:
+    """Hold the updates to send, those sent least often first, one for each node."""
+
+    def __init__(self, max_updates: int, max_update_bytes: int, counters: Counters) -> None:
+        self._max_updates = max_updates
+        self._max_update_bytes = max_update_bytes
+        self._counters = counters
+        self._levels: list[dict[str, tuple[Update, int]]] = []
+        self._level_of: dict[str, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._level_of)
+
+    def add(self, update: Update, *, urgent: bool = False) -> None:
+        """Replace the update of a node; over the limit the one sent most often goes."""
+        self._drop(update.node_id)
+        size = encoded_bytes(update)
+        if size > self._max_update_bytes:
+            # Links and anti-entropy carry it.
+            self._counters.add("gossip_updates_dropped", "too-large")
+            return
+        if len(self) >= self._max_updates:
+            level = next(i for i in range(len(self._levels) - 1, -1, -1) if self._levels[i])
+            self._drop(next(iter(self._levels[level])))
+            self._counters.add("gossip_updates_dropped", "full")
+        level = URGENT_LEVEL if urgent else NORMAL_LEVEL
+        self._place(level, update, size)
+
+    def _place(self, level: int, update: Update, size: int) -> None:
+        while len(self._levels) <= level:
+            self._levels.append({})
+        self._levels[level][update.node_id] = (update, size)
+        self._level_of[update.node_id] = level
+
+    def _drop(self, node_id: str) -> None:
+        level = self._level_of.pop(node_id, None)
+        if level is not None:
+            del self._levels[level][node_id]
+
+    def take(self, max_bytes: int, members: int) -> tuple[tuple[Member, ...], tuple[Verdict, ...]]:
+        """Return updates of at most the size and count them as sent once more."""
+        limit = math.ceil(math.log(members + 1)) + EXTRA_TRANSMISSIONS
+        taken: list[tuple[int, Update, int]] = []
+        for level, entries in enumerate(self._levels):
+            for update, size in entries.values():
+                if size <= max_bytes:
+                    max_bytes -= size
+                    taken.append((level, update, size))
+                elif max_bytes < 32:
+                    break
+        for level, update, size in taken:
+            self._drop(update.node_id)
+            if level + 1 < limit:
+                self._place(level + 1, update, size)
+        updates = [update for _, update, _ in taken]
+        return (
+            tuple(u for u in updates if isinstance(u, Member)),
+            tuple(u for u in updates if isinstance(u, Verdict)),
+        )
+
+
+class GossipSocket:
+    """Send and receive messages in datagrams with a keyed hash.
+
+    A replayed datagram is taken as valid: it holds only beliefs that are older than the present
+    ones, or an answer to a probe that nobody waits for.
+    """
+
+    def __init__(
+        self,
+        datagrams: Datagrams,
+        secret: bytes,
+        cluster: str,
+        max_bytes: int,
+        counters: Counters,
+    ) -> None:
+        self._datagrams = datagrams
+        self._max_bytes = max_bytes
+        self._counters = counters
+        label = f"knapweedhitch gossip {PROTOCOL_VERSION} {cluster}".encode()
+        self._key = hmac.digest(secret, label, hashlib.sha256)
+
+    def send(self, msg: Message, address: Address) -> int:
+        """Send a message at once and return its size in bytes; 0 when it was dropped."""
+        body = codec.encode(msg)
+        data = self._mac(body) + body
+        if len(data) > self._max_bytes:
+            self._counters.add("gossip_dropped", "too-large")
+            return 0
+        if not self._datagrams.send(data, address):
+            self._counters.add("gossip_dropped", "send")
+            return 0
+        self._counters.add("gossip_bytes_out", type(msg).__name__, len(data))
+        return len(data)
+
+    async def run(self, fn: Callable[[Message, Address], None]) -> None:
+        """Pass every valid message to fn until cancelled."""
+        while True:
+            data, address = await self._datagrams.receive()
+            msg = self._open(data)
+            if msg is not None:
+                fn(msg, address)
+
+    def _open(self, data: bytes) -> Message | None:
+        self._counters.add("gossip_bytes_in", "", len(data))
+        if not MAC_BYTES < len(data) <= self._max_bytes:
+            self._counters.add("gossip_rejected", "size")
+            return None
+        body = data[MAC_BYTES:]
+        if not hmac.compare_digest(data[:MAC_BYTES], self._mac(body)):
+            self._counters.add("gossip_rejected", "mac")
+            return None
+        try:
+            return codec.decode(body, self._max_bytes)
+        except CodecError:
+            self._counters.add("gossip_rejected", "codec")
+            return None
+
+    def _mac(self, body: bytes) -> bytes:
+        return hmac.digest(self._key, body, hashlib.sha256)[:MAC_BYTES]
--- /dev/null
+++ b/knapweedhitch/membership.py
@@ -0,0 +1,382 @@
+"""Which nodes exist, where they are and what their upstreams announce: SWIM over gossip."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable, Mapping
+
+import trio
+
+from knapweedhitch import logs
+from knapweedhitch.budget import TokenBucket
+from knapweedhitch.codec import Message
+from knapweedhitch.counters import Counters
+from knapweedhitch.gossip import MAC_BYTES, GossipSocket, Spread
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.members import LIVE, MemberTable, precedence, verdict_of, with_state
+from knapweedhitch.messages import Gossip, IndirectProbe, Probe, ProbeAck, Verdict
+from knapweedhitch.model import (
+    Address,
+    Member,
+    MemberEvent,
+    MemberState,
+    Target,
+    UpstreamRecord,
+    UpstreamState,
+)
+from knapweedhitch.peers import Peers
+from knapweedhitch.probing import Prober
+from knapweedhitch.sync import Syncer
+from knapweedhitch.timers import Timers
+
+# Room for the message number, the sender and the array heads of a datagram.
+ENVELOPE_BYTES = MAC_BYTES + 112
+JOIN_RETRY_MS = 500.0
+# Own changes above this rate wait: an upstream that flaps must not cost its cluster bytes.
+OWN_CHANGES_PER_S = 5.0
+OWN_CHANGES_BURST = 10.0
+# A leave or a drain does not wait for the next gossip interval, but is not sent more often.
+EAGER_GAP_MS = 50.0
+LEAVE_ROUNDS = 4
+
+
+@service("membership")
+class Membership:
+    """Keep the table of members by probes, gossip and anti-entropy."""
+
+    def __init__(self, kernel: Kernel, rng: random.Random | None = None) -> None:
+        self._kernel = kernel
+        self._cfg = kernel.cfg.membership
+        self._peers: Peers = kernel.get("peers")
+        self._timers: Timers = kernel.get("timers")
+        self.counters: Counters = kernel.get("counters")
+        self._rng = rng or random.Random()
+        self._subscribers: list[Callable[[MemberEvent], None]] = []
+        self.table = MemberTable(self._timers.now_ms, self._notify)
+        self.spread = Spread(
+            self._cfg.max_pending_updates,
+            self._cfg.max_datagram_bytes - ENVELOPE_BYTES,
+            self.counters,
+        )
+        self.own_id = kernel.cfg.node.id
+        self._suspects: dict[str, float] = {}
+        self._left = False
+        self._eager = False
+        self._gossiped_ms = 0.0
+        self._announce_pending = False
+        self._wanted: tuple[UpstreamRecord | None, bool] = (None, False)
+
+    async def start(self) -> None:
+        """Join the cluster through the seeds and keep the table; raises SettingsError."""
+        now_ms = self._timers.now_ms
+        cfg = self._cfg
+        self.socket = GossipSocket(
+            self._peers.transport.datagrams,
+            self._peers.secret,
+            self._kernel.cfg.node.cluster,
+            cfg.max_datagram_bytes,
+            self.counters,
+        )
+        self._events = TokenBucket(cfg.max_events_per_s, 2 * cfg.max_events_per_s, now_ms)
+        self._bytes = TokenBucket(cfg.gossip_bytes_per_s, cfg.gossip_burst_bytes, now_ms)
+        self._changes = TokenBucket(OWN_CHANGES_PER_S, OWN_CHANGES_BURST, now_ms)
+        self._put_own(self._first_record())
+        self.prober = Prober(self, self._timers, cfg, self._rng)
+        self.syncer = Syncer(self, self._peers, cfg, self._rng)
+        self._peers.handle(Gossip, self._on_pushed)
+        self._tick_ms = now_ms()
+        self._timers.every(cfg.gossip_interval_ms, self._on_tick, jitter=0.1)
+        self._timers.every(cfg.probe_interval_ms, self.prober.tick, jitter=0.1)
+        self._timers.every(cfg.sync_interval_ms, self._on_sync, jitter=0.2)
+        self._kernel.nursery.start_soon(self.socket.run, self._on_message)
+        self._kernel.nursery.start_soon(self.syncer.run)
+        self._join()
+
+    async def stop(self) -> None:
+        """Do nothing; `leave` is called before a planned stop."""
+
+    def _first_record(self) -> Member:
+        node = self._kernel.cfg.node
+        return Member(
+            node.id,
+            self._peers.address,
+            node.region,
+            node.domain,
+            incarnation=1,
+            started_wall_ms=self._timers.wall_ms(),
+        )
+
+    # Interface
+
+    @property
+    def own(self) -> Member:
+        """Return the own record."""
+        member = self.table.get(self.own_id)
+        assert member is not None
+        return member
+
+    def members(self) -> Mapping[str, Member]:
+        """Return a live view of the members that are alive or suspect, with the own node."""
+        return self.table.live
+
+    def targets(self, service: str) -> tuple[Target, ...]:
+        """Return the targets of a service in time that does not depend on the members."""
+        return self.table.targets(service)
+
+    def address_of(self, node_id: str) -> Address | None:
+        """Return the peer address of a node unless it has left."""
+        member = self.table.get(node_id)
+        return None if member is None or member.state is MemberState.LEFT else member.address
+
+    def subscribe(self, fn: Callable[[MemberEvent], None]) -> None:
+        """Call fn after each change of a record."""
+        self._subscribers.append(fn)
+
+    def announce_local(self, upstream: UpstreamRecord | None) -> None:
+        """Spread the announcement of the own upstream, or that there is none."""
+        self._wanted = (upstream, self._wanted[1])
+        self._announce()
+
+    def set_draining(self, draining: bool) -> None:
+        """Spread whether the own node is draining."""
+        self._wanted = (self._wanted[0], draining)
+        self._announce()
+
+    async def leave(self) -> None:
+        """Tell that the node leaves, and wait until the news has been sent a few times."""
+        self._left = True
+        self._change_own(state=MemberState.LEFT)
+        for _ in range(LEAVE_ROUNDS):
+            await trio.sleep(EAGER_GAP_MS / 1_000)
+            self._gossip()
+
+    # The own record
+
+    def _announce(self) -> None:
+        upstream, draining = self._wanted
+        own = self.own
+        if (own.upstream, own.draining) == (upstream, draining) or self._left:
+            return
+        # Leaving is never delayed: the node must get no new work.
+        urgent = draining or upstream is None or upstream.state is UpstreamState.LEAVING
+        if not self._changes.take() and not urgent:
+            if not self._announce_pending:
+                self._announce_pending = True
+                self._timers.after(1_000 / OWN_CHANGES_PER_S, self._announce_later)
+            return
+        self._change_own(upstream=upstream, draining=draining)
+
+    def _announce_later(self) -> None:
+        self._announce_pending = False
+        self._announce()
+
+    def _change_own(self, **fields: object) -> None:
+        own = self.own
+        values: dict[str, object] = {"incarnation": own.incarnation + 1, **fields}
+        self._put_own(dataclasses.replace(own, **values))  # type: ignore[arg-type]
+        news = Gossip(self.own_id, (self.own,), ())
+        for node_id in self._peers.linked():
+            self._peers.send(node_id, news)
+
+    def _put_own(self, member: Member) -> None:
+        self.table.put(member)
+        self.spread.add(member, urgent=True)
+        self._gossip_soon()
+
+    def _refute(self, verdict: Member | Verdict) -> None:
+        """Raise the own incarnation over a belief that is newer than the own record and wrong."""
+        if self._left or precedence(verdict) <= precedence(self.own):
+            return
+        self.counters.add("member_refutations")
+        # After a clock that went back, the start time of the former life is taken over.
+        self._change_own(
+            started_wall_ms=verdict.started_wall_ms, incarnation=verdict.incarnation + 1
+        )
+
+    # Beliefs about others
+
+    def learn(self, member: Member) -> None:
+        """Take a record over if it is newer than what is known."""
+        if member.node_id == self.own_id:
+            self._refute(member)
+            return
+        known = self.table.get(member.node_id)
+        if known is not None and precedence(member) <= precedence(known):
+            return
+        if member.state not in LIVE:
+            self.learn_verdict(verdict_of(member))
+            return
+        if known is None and not self._make_room():
+            self.counters.add("member_table_full")
+            return
+        self._accept(member, spread=member)
+
+    def learn_verdict(self, verdict: Verdict) -> None:
+        """Take a belief over if it is newer and the record it concerns is known."""
+        if verdict.node_id == self.own_id:
+            self._refute(verdict)
+            return
+        known = self.table.get(verdict.node_id)
+        if known is None or precedence(verdict) <= precedence(known):
+            return
+        same_record = (known.started_wall_ms, known.incarnation) == (
+            verdict.started_wall_ms,
+            verdict.incarnation,
+        )
+        if verdict.state in LIVE and not same_record:
+            # The record itself is on its way; its content must not be mixed with this verdict.
+            return
+        if verdict.state is MemberState.DEAD and known.state is MemberState.ALIVE:
+            # After a partition both sides hold such verdicts about live nodes. A probe lets the
+            # node refute, and a node that is really dead fails the probe.
+            self.prober.check_soon(verdict.node_id, verdict)
+            return
+        member = dataclasses.replace(
+            known,
+            started_wall_ms=verdict.started_wall_ms,
+            incarnation=verdict.incarnation,
+            state=verdict.state,
+        )
+        self._accept(member, spread=verdict)
+
+    def suspect(self, node_id: str) -> None:
+        """Suspect a member that failed its probes."""
+        known = self.table.get(node_id)
+        if known is not None and known.state is MemberState.ALIVE:
+            member = with_state(known, MemberState.SUSPECT)
+            self._accept(member, spread=verdict_of(member))
+
+    def _accept(self, member: Member, spread: Member | Verdict) -> None:
+        known = self.table.get(member.node_id)
+        self.counters.add("member_changes", member.state.value)
+        if member.state is MemberState.SUSPECT:
+            self._suspects[member.node_id] = self._timers.now_ms() + self._cfg.suspicion_timeout_ms
+        else:
+            self._suspects.pop(member.node_id, None)
+        self.table.put(member)
+        if not self._events.take():
+            # A rack that is lost or restarted at once spreads over several syncs instead.
+            self.counters.add("member_events_limited")
+            return
+        urgent = member.state is MemberState.LEFT or (
+            known is not None and _stops_work(member) and not _stops_work(known)
+        )
+        self.spread.add(spread, urgent=urgent)
+        if urgent:
+            self._gossip_soon()
+
+    def _make_room(self) -> bool:
+        return len(self.table) < self._cfg.max_members or self.table.drop_oldest_dead()
+
+    def _notify(self, event: MemberEvent) -> None:
+        for fn in self._subscribers:
+            try:
+                fn(event)
+            except Exception as exc:
+                logs.warning("member_subscriber_failed", error=f"{type(exc).__name__}: {exc}")
+
+    # Timers
+
+    def _on_tick(self) -> None:
+        now = self._timers.now_ms()
+        pause_ms = now - self._tick_ms - 5 * self._cfg.gossip_interval_ms
+        self._tick_ms = now
+        if pause_ms > 0:
+            # This process stood still: refutations may wait unread in the socket.
+            self.counters.add("member_clock_pauses")
+            for node_id in self._suspects:
+                self._suspects[node_id] += pause_ms + self._cfg.suspicion_timeout_ms
+        for node_id in [n for n, deadline in self._suspects.items() if deadline <= now]:
+            known = self.table.get(node_id)
+            del self._suspects[node_id]
+            if known is not None and known.state is MemberState.SUSPECT:
+                member = with_state(known, MemberState.DEAD)
+                self._accept(member, spread=verdict_of(member))
+        self._gossip()
+
+    def _gossip_soon(self) -> None:
+        if not self._eager:
+            self._eager = True
+            wait_ms = self._gossiped_ms + EAGER_GAP_MS - self._timers.now_ms()
+            self._timers.after(max(1.0, wait_ms), self._gossip)
+
+    def _gossip(self) -> None:
+        self._eager = False
+        self._gossiped_ms = self._timers.now_ms()
+        for member in self.choose(self._cfg.gossip_fanout):
+            if not len(self.spread):
+                return
+            if self._bytes.tokens < self._cfg.max_datagram_bytes:
+                self.counters.add("gossip_budget_waits")
+                return
+            members, verdicts = self.take_updates()
+            if not (members or verdicts):
+                return
+            size = self.socket.send(Gossip(self.own_id, members, verdicts), member.address)
+            self._bytes.take(size)
+
+    def _on_sync(self) -> None:
+        self.table.expire(self._cfg.dead_retention_ms)
+        self._join()
+        dead = self.table.dead()
+        if dead:
+            # A partition heals only if someone still asks the other side.
+            self.prober.try_dead(self._rng.choice(dead))
+        self.syncer.wake()
+
+    def _join(self) -> None:
+        """Ask seeds: all of them while no other member is known, later one that is not a member."""
+        addresses = {member.address for member in self.table.live.values()}
+        seeds = [Address(s.host, s.port) for s in self._cfg.seeds]
+        missing = [seed for seed in seeds if seed not in addresses]
+        if len(self.table.live) > 1:
+            missing = self._rng.sample(missing, min(1, len(missing)))
+        elif missing:
+            self._timers.after(JOIN_RETRY_MS, self._retry_join)
+        for seed in missing:
+            self.prober.try_seed(seed)
+
+    def _retry_join(self) -> None:
+        if len(self.table.live) <= 1 and not self._left:
+            self._join()
+
+    # Messages
+
+    def choose(self, count: int, exclude: str = "") -> list[Member]:
+        """Return random live members other than the own node."""
+        ids = list(self.table.live)
+        picked = self._rng.sample(ids, min(len(ids), count + 2))
+        others = [n for n in picked if n not in (self.own_id, exclude)][:count]
+        return [self.table.live[n] for n in others]
+
+    def take_updates(self, taken_bytes: int = 0) -> tuple[tuple[Member, ...], tuple[Verdict, ...]]:
+        """Return updates that fit into a datagram beside the bytes that are taken."""
+        room = self._cfg.max_datagram_bytes - ENVELOPE_BYTES - taken_bytes
+        return self.spread.take(room, len(self.table.live))
+
+    def merge(self, members: tuple[Member, ...], verdicts: tuple[Verdict, ...]) -> None:
+        """Take over whatever is newer."""
+        for member in members:
+            self.learn(member)
+        for verdict in verdicts:
+            self.learn_verdict(verdict)
+
+    async def _on_pushed(self, node_id: str, msg: Gossip) -> None:
+        self.merge(msg.members, msg.verdicts)
+
+    def _on_message(self, msg: Message, address: Address) -> None:
+        if isinstance(msg, (Gossip, Probe, ProbeAck)):
+            self.merge(msg.members, msg.verdicts)
+        if isinstance(msg, Probe):
+            self.prober.on_probe(msg, address)
+        elif isinstance(msg, ProbeAck):
+            self.prober.on_ack(msg)
+        elif isinstance(msg, IndirectProbe):
+            self.prober.on_indirect(msg, address)
+
+
+def _stops_work(member: Member) -> bool:
+    """Tell whether the node must get no new work."""
+    leaving = member.upstream is not None and member.upstream.state is UpstreamState.LEAVING
+    return member.draining or leaving or member.state not in LIVE
--- a/tests/fake_net.py
+++ b/tests/fake_net.py
@@ -243,7 +243,10 @@
 
 @contextlib.asynccontextmanager
 async def running(
-    count: int, net: MemoryNet | None = None, prepare: Callable[[Node], None] | None = None, **kw: Any
+    count: int,
+    net: MemoryNet | None = None,
+    prepare: Callable[[Node], None] | None = None,
+    **kw: Any,
 ) -> AsyncIterator[list[Node]]:
     """Run nodes n0, n1... that know each other's addresses."""
     net = net or MemoryNet()
