Add the daemon and the process harness

Cause: nothing starts the services, and tests and the demo need processes. Change: knapweedhitchd with run, check-settings and version; scripts/harness.py.

--- /dev/null
+++ b/knapweedhitch/daemon.py
@@ -0,0 +1,202 @@
+"""The daemon `knapweedhitchd`: start every service, report readiness, stop on a signal."""
+
+from __future__ import annotations
+
+import importlib
+import signal
+import sys
+from collections.abc import AsyncIterator, Iterator, Sequence
+
+import fire
+import trio
+
+from knapweedhitch import __version__, logs
+from knapweedhitch.exceptions import KnapweedhitchError, MissingModule, SettingsError
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.settings import Settings, load_secret, load_settings
+
+EXIT_OK = 0
+EXIT_FAULT = 1
+EXIT_SETTINGS = 2
+
+# Each service of the daemon and the module that registers it, in the order of construction.
+SERVICES = (
+    ("counters", "counters"),
+    ("timers", "timers"),
+    ("peers", "peers"),
+    ("membership", "membership"),
+    ("config", "feed"),
+    ("control", "control"),
+    ("picker", "pick"),
+    ("admission", "admission"),
+    ("retry", "retry"),
+    ("slotlease", "slotlease"),
+    ("pool", "pool"),
+    ("gate", "gate"),
+    ("forward", "forward"),
+    ("loadreports", "loadreports"),
+    ("direct", "direct"),
+    ("claims", "claims"),
+    ("announce", "announce"),
+    ("router", "router"),
+    ("ingress", "ingress"),
+    ("operator_api", "operator_api"),
+    ("drain", "drain"),
+)
+# The service that owns each listener; it has the bound port number as its attribute `port`.
+LISTENERS = (
+    ("callers", "ingress"),
+    ("peers", "peers"),
+    ("announce", "announce"),
+    ("operator", "operator_api"),
+)
+
+
+def load_services(cfg: Settings, services: Sequence[tuple[str, str]] = SERVICES) -> list[str]:
+    """Import the service modules and return the names to build; raises MissingModule."""
+    names = []
+    for name, module in services:
+        if name == "control" and not cfg.is_control:
+            continue
+        try:
+            importlib.import_module(f"knapweedhitch.{module}")
+        except ImportError as exc:
+            raise MissingModule(
+                f"service {name}: module knapweedhitch.{module} cannot be imported: {exc}; "
+                "install knapweedhitch again"
+            ) from exc
+        names.append(name)
+    return names
+
+
+def check_settings(path: str) -> Settings:
+    """Return the settings of a file after reading its secret files too; raises SettingsError."""
+    cfg = load_settings(path)
+    load_secret(cfg.secrets.peer_secret_file)
+    load_secret(cfg.secrets.operator_token_file)
+    return cfg
+
+
+def bound_addresses(kernel: Kernel) -> dict[str, str]:
+    """Return host:port of every listener that its service has bound."""
+    found = {}
+    for listener, owner in LISTENERS:
+        port = getattr(kernel.get(owner), "port", None) if kernel.has(owner) else None
+        if port is not None:
+            host = getattr(kernel.cfg.listen, listener).host
+            found[listener] = f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+    return found
+
+
+async def serve(cfg: Settings, names: Sequence[str]) -> None:
+    """Run the named services until the planned stop or the hard stop has finished."""
+    kernel = Kernel(cfg)
+    # The receiver is open before the services start, so that no signal ends a half-started process.
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_follow_signals, signals, kernel, nursery.cancel_scope)
+            await nursery.start(kernel.run, names)
+            if kernel.has("operator_api"):
+                kernel.get("operator_api").started = True
+            logs.event(
+                "ready",
+                node=cfg.node.id,
+                domain=cfg.node.domain,
+                release=__version__,
+                **bound_addresses(kernel),
+            )
+            await kernel.get("drain").finished.wait()
+            logs.event("stopped", node=cfg.node.id)
+            nursery.cancel_scope.cancel()
+
+
+async def _follow_signals(
+    signals: AsyncIterator[int], kernel: Kernel, scope: trio.CancelScope
+) -> None:
+    count = 0
+    async for number in signals:
+        count += 1
+        name = signal.Signals(number).name
+        if not kernel.has("drain"):
+            logs.event("stop_during_start", signal=name)
+            scope.cancel()
+            return
+        if count == 1:
+            logs.event("planned_stop", signal=name)
+            kernel.get("drain").begin()
+        else:
+            logs.warning("hard_stop", signal=name)
+            kernel.get("drain").cut()
+
+
+def _leaves(exc: BaseException) -> Iterator[BaseException]:
+    if isinstance(exc, BaseExceptionGroup):
+        for inner in exc.exceptions:
+            yield from _leaves(inner)
+    else:
+        yield exc
+
+
+def _refuse(problem: str, code: int) -> int:
+    print(f"knapweedhitchd: {problem}", file=sys.stderr)
+    return code
+
+
+def run_daemon(path: str) -> int:
+    """Run the daemon with a settings file and return its exit code."""
+    try:
+        cfg = check_settings(path)
+    except SettingsError as exc:
+        return _refuse(str(exc), EXIT_SETTINGS)
+    logs.setup(cfg.log.level)
+    try:
+        names = load_services(cfg)
+        trio.run(serve, cfg, names, strict_exception_groups=True)
+    except (KnapweedhitchError, OSError, trio.TooSlowError, BaseExceptionGroup) as exc:
+        return _explain(exc)
+    return EXIT_OK
+
+
+def _explain(exc: BaseException) -> int:
+    faults = list(_leaves(exc))
+    for fault in faults:
+        if isinstance(fault, SettingsError):
+            return _refuse(str(fault), EXIT_SETTINGS)
+    unknown = [f for f in faults if not isinstance(f, (KnapweedhitchError, OSError))]
+    if unknown and not all(isinstance(f, trio.TooSlowError) for f in unknown):
+        # A fault of the program itself; the traceback is what a report of it needs.
+        raise exc
+    problem = "; ".join(f"{type(f).__name__}: {f}" for f in faults)
+    return _refuse(f"stopped by a fault: {problem}", EXIT_FAULT)
+
+
+class Commands:
+    """Run and check one knapweedhitch daemon."""
+
+    def run(self, settings: str) -> None:
+        """Run the daemon with a settings file until SIGTERM; a second SIGTERM cuts work off."""
+        sys.exit(run_daemon(str(settings)))
+
+    def check_settings(self, settings: str) -> None:
+        """Check a settings file and its secret files; exit 0 if the daemon would start."""
+        try:
+            cfg = check_settings(str(settings))
+        except SettingsError as exc:
+            sys.exit(_refuse(str(exc), EXIT_SETTINGS))
+        role = "control instance" if cfg.is_control else "instance"
+        print(f"ok: {role} {cfg.node.id} in failure domain {cfg.node.domain}")
+
+    def version(self) -> None:
+        """Print the version."""
+        print(__version__)
+
+
+def main(argv: list[str] | None = None) -> None:
+    """Run one command of `knapweedhitchd`."""
+    args = sys.argv[1:] if argv is None else argv
+    args = [arg.replace("-", "_") if arg == "check-settings" else arg for arg in args]
+    fire.Fire(Commands, command=args, name="knapweedhitchd")
+
+
+if __name__ == "__main__":
+    main()
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -42,6 +42,10 @@
     """Report a second entry under one key of a registry."""
 
 
+class MissingModule(KernelError):
+    """Report a module of the daemon that cannot be imported."""
+
+
 class ServiceStartTimeout(KernelError):
     """Report a service that did not finish its start in time."""
 
--- /dev/null
+++ b/scripts/harness.py
@@ -0,0 +1,250 @@
+"""Start daemons and stand-in upstreams on loopback for demos, tests and measurements."""
+
+from __future__ import annotations
+
+import contextlib
+import copy
+import dataclasses
+import os
+import re
+import secrets
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import yaml
+
+ROOT = Path(__file__).resolve().parent.parent
+LOOPBACK = "127.0.0.1"
+LISTENERS = ("callers", "peers", "announce", "operator")
+READY = re.compile(r"event=ready\b(.*)$", re.MULTILINE)
+FIELD = re.compile(r"(\w+)=(\S+)")
+POLL_S = 0.02
+TAIL_LINES = 15
+
+
+class HarnessError(Exception):
+    """Report a process that did not start or stop as asked, with the end of its log."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Endpoint:
+    """Hold host and port of a bound listener."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclasses.dataclass(eq=False)
+class Child:
+    """Hold one process that the harness started, and the file that takes its output."""
+
+    name: str
+    process: subprocess.Popen[bytes]
+    log_path: Path
+
+    @property
+    def pid(self) -> int:
+        """Return the process id."""
+        return self.process.pid
+
+    @property
+    def alive(self) -> bool:
+        """Tell whether the process still runs."""
+        return self.process.poll() is None
+
+    def output(self) -> str:
+        """Return everything that the process has written."""
+        return self.log_path.read_text(encoding="utf-8", errors="replace")
+
+    def tail(self) -> str:
+        """Return the last lines of the output."""
+        return "\n".join(self.output().splitlines()[-TAIL_LINES:])
+
+    def signal(self, number: int) -> None:
+        """Send a signal to this process alone."""
+        if self.alive:
+            self.process.send_signal(number)
+
+    def wait(self, timeout_s: float) -> int:
+        """Return the exit code; raises HarnessError after the timeout in seconds."""
+        try:
+            return self.process.wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            raise HarnessError(f"{self.name} still runs after {timeout_s} s") from None
+
+
+@dataclasses.dataclass(eq=False)
+class Daemon(Child):
+    """Hold one daemon and its bound listeners."""
+
+    settings_path: Path = Path()
+    endpoints: dict[str, Endpoint] = dataclasses.field(default_factory=dict)
+
+    def find_ready(self) -> bool:
+        """Read the ready line from the log; return whether it is there."""
+        match = READY.search(self.output())
+        if match is None:
+            return False
+        for key, value in FIELD.findall(match[1]):
+            if key in LISTENERS:
+                host, port = value.rsplit(":", 1)
+                self.endpoints[key] = Endpoint(host, int(port))
+        return True
+
+
+def free_ports(n: int) -> list[int]:
+    """Return port numbers that are free for TCP and UDP on loopback at this moment."""
+    ports: list[int] = []
+    with contextlib.ExitStack() as stack:
+        while len(ports) < n:
+            tcp = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
+            udp = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
+            tcp.bind((LOOPBACK, 0))
+            port = tcp.getsockname()[1]
+            with contextlib.suppress(OSError):
+                udp.bind((LOOPBACK, port))
+                ports.append(port)
+    return ports
+
+
+def on_loopback(settings: Mapping[str, dict[str, Any]], folder: Path) -> dict[str, dict[str, Any]]:
+    """Return settings by node id with every address on a free loopback port, files in folder."""
+    ports = iter(free_ports(len(LISTENERS) * len(settings)))
+    listen = {
+        node_id: {name: {"host": LOOPBACK, "port": next(ports)} for name in LISTENERS}
+        for node_id in settings
+    }
+    secret_files = {
+        "peer_secret_file": str(folder / "peer.secret"),
+        "operator_token_file": str(folder / "operator.token"),
+    }
+    for path in secret_files.values():
+        write_secret(Path(path))
+    result = {}
+    for node_id, original in settings.items():
+        cfg = copy.deepcopy(original)
+        cfg["listen"] = listen[node_id]
+        cfg["secrets"] = secret_files
+        for member in cfg["control"]["members"]:
+            member.update(listen[member["id"]]["peers"])
+        if any(member["id"] == node_id for member in cfg["control"]["members"]):
+            cfg["control"]["data_dir"] = str(folder / node_id / "data")
+        seeds = [listen[member["id"]]["peers"] for member in cfg["control"]["members"]]
+        cfg.setdefault("membership", {})["seeds"] = [dict(seed) for seed in seeds]
+        result[node_id] = cfg
+    return result
+
+
+def write_secret(path: Path) -> None:
+    """Write a new random secret that its owner alone can read, unless the file exists."""
+    if not path.exists():
+        descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600)
+        with os.fdopen(descriptor, "w", encoding="ascii") as file:
+            file.write(secrets.token_hex(32))
+
+
+class Harness:
+    """Own a temporary folder and every process started in it; leaving the block ends them all."""
+
+    def __init__(self, folder: Path | None = None) -> None:
+        self._own_folder = folder is None
+        self.folder = folder or Path(tempfile.mkdtemp(prefix="knapweedhitch-"))
+        self.children: list[Child] = []
+
+    def __enter__(self) -> Harness:
+        return self
+
+    def __exit__(
+        self,
+        exc_type: type[BaseException] | None,
+        exc: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self.close()
+
+    def start(self, name: str, args: Sequence[str]) -> Child:
+        """Start a Python process in the repository root with its output in a file."""
+        log_path = self.folder / f"{name}.log"
+        return self._adopt(Child(name, self._spawn(args, log_path), log_path))
+
+    def start_daemon(self, node_id: str, settings: Mapping[str, Any]) -> Daemon:
+        """Start a daemon with the settings; it may not be ready yet."""
+        path = self.folder / f"{node_id}.yaml"
+        path.write_text(yaml.safe_dump(dict(settings), sort_keys=False), encoding="utf-8")
+        data_dir = settings.get("control", {}).get("data_dir")
+        if data_dir:
+            Path(data_dir).mkdir(parents=True, exist_ok=True)
+        return self.restart_daemon(node_id, path)
+
+    def restart_daemon(self, node_id: str, path: Path) -> Daemon:
+        """Start a daemon with a settings file that exists; each start has a log of its own."""
+        starts = sum(child.name == node_id for child in self.children)
+        log_path = self.folder / f"{node_id}.{starts}.log"
+        process = self._spawn(["-m", "knapweedhitch.daemon", "run", str(path)], log_path)
+        return self._adopt(Daemon(node_id, process, log_path, path))
+
+    def start_stand_in(self, name: str, service: str, slots: int, announce: Endpoint) -> Child:
+        """Start a stand-in upstream that announces itself to the daemon in its slot."""
+        args = ["-m", "tests.stand_in", "--service", service, "--slots", str(slots)]
+        return self.start(name, [*args, "--announce", str(announce)])
+
+    def wait_ready(self, daemons: Sequence[Daemon], timeout_s: float = 30.0) -> None:
+        """Wait for the ready line of every daemon; raises HarnessError with the log's end."""
+        deadline = time.monotonic() + timeout_s
+        for daemon in daemons:
+            while not daemon.find_ready():
+                if not daemon.alive:
+                    code = daemon.process.returncode
+                    raise HarnessError(f"{daemon.name} ended with {code}:\n{daemon.tail()}")
+                if time.monotonic() > deadline:
+                    raise HarnessError(
+                        f"{daemon.name} not ready in {timeout_s} s:\n{daemon.tail()}"
+                    )
+                time.sleep(POLL_S)
+
+    def stop(self, child: Child, timeout_s: float = 30.0) -> int:
+        """Ask for the planned stop and return the exit code; raises HarnessError."""
+        child.signal(signal.SIGTERM)
+        return child.wait(timeout_s)
+
+    def kill(self, child: Child) -> None:
+        """End a process at once, as a crash would."""
+        child.signal(signal.SIGKILL)
+        child.wait(10.0)
+
+    def close(self) -> None:
+        """End every process that still runs and remove the temporary folder."""
+        for child in self.children:
+            child.signal(signal.SIGKILL)
+        for child in self.children:
+            child.process.wait()
+        if self._own_folder:
+            shutil.rmtree(self.folder, ignore_errors=True)
+
+    def _adopt(self, child: Any) -> Any:
+        self.children.append(child)
+        return child
+
+    def _spawn(self, args: Sequence[str], log_path: Path) -> subprocess.Popen[bytes]:
+        with log_path.open("ab") as log:
+            return subprocess.Popen(
+                [sys.executable, *args],
+                cwd=ROOT,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=subprocess.STDOUT,
+                # A Ctrl-C on the terminal goes to the harness alone, which then ends its children.
+                start_new_session=True,
+            )
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,173 @@
+"""Tests of the daemon and of the process harness that starts it."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import logging
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import trio
+import trio.testing
+import yaml
+
+from knapweedhitch import daemon, kernel
+from knapweedhitch.exceptions import MissingModule
+from knapweedhitch.settings import parse_settings
+from scripts import harness
+
+logging.disable(logging.CRITICAL)
+
+BASE: dict[str, Any] = {
+    "node": {"id": "a1", "domain": "a"},
+    "secrets": {"peer_secret_file": "/nowhere/p", "operator_token_file": "/nowhere/t"},
+    "control": {"members": [{"id": "a1", "host": "10.0.0.1", "port": 7001}], "data_dir": "/d"},
+}
+
+
+def run_cli(*args: str) -> subprocess.CompletedProcess[str]:
+    """Run knapweedhitchd in a process of its own."""
+    return subprocess.run(
+        [sys.executable, "-m", "knapweedhitch.daemon", *args],
+        cwd=harness.ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+class FakeDrain:
+    """Record the stop calls; the planned stop ends only when the test says so."""
+
+    def __init__(self, kernel: kernel.Kernel) -> None:
+        self.calls: list[str] = []
+        self.finished = trio.Event()
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None:
+        self.calls.append("stop")
+
+    def begin(self) -> None:
+        self.calls.append("begin")
+
+    def cut(self) -> None:
+        self.calls.append("cut")
+        self.finished.set()
+
+
+class ServeTest(unittest.TestCase):
+    def serve(self, *signals: signal.Signals) -> FakeDrain:
+        made: list[FakeDrain] = []
+
+        def build(k: kernel.Kernel) -> FakeDrain:
+            made.append(FakeDrain(k))
+            return made[-1]
+
+        async def scenario() -> None:
+            with trio.move_on_after(60):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(daemon.serve, parse_settings(yaml.dump(BASE)), ["drain"])
+                    await trio.testing.wait_all_tasks_blocked()
+                    for number in signals:
+                        signal.raise_signal(number)
+                        await trio.sleep(1)
+
+        with mock.patch.dict(kernel._factories, {"drain": build}):
+            trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+        return made[0]
+
+    def test_second_sigterm_cuts_a_planned_stop_that_does_not_end(self) -> None:
+        """Guards against a process that cannot be ended while an upload never finishes."""
+        drain = self.serve(signal.SIGTERM, signal.SIGTERM)
+        self.assertEqual(drain.calls, ["begin", "cut", "stop"])
+
+    def test_first_sigterm_alone_does_not_end_the_process(self) -> None:
+        """Guards against work cut off by a planned stop."""
+        drain = self.serve(signal.SIGTERM)
+        self.assertEqual(drain.calls[0], "begin")
+        self.assertNotIn("cut", drain.calls)
+        self.assertFalse(drain.finished.is_set())
+
+
+class StartTest(unittest.TestCase):
+    def test_missing_module_is_named(self) -> None:
+        """Guards against a start that fails without saying what is missing."""
+        cfg = parse_settings(yaml.dump(BASE))
+        with self.assertRaisesRegex(MissingModule, "service x: module knapweedhitch.nothere"):
+            daemon.load_services(cfg, [("counters", "counters"), ("x", "nothere")])
+
+    def test_control_runs_on_control_instances_alone(self) -> None:
+        """Guards against a log replica on an instance that is no member."""
+        services = [("counters", "counters"), ("control", "counters")]
+        other = parse_settings(yaml.dump(BASE | {"node": {"id": "b1", "domain": "b"}}))
+        self.assertEqual(daemon.load_services(other, services), ["counters"])
+        member = parse_settings(yaml.dump(BASE))
+        self.assertEqual(daemon.load_services(member, services), ["counters", "control"])
+
+    def test_bad_settings_refuse_to_start_with_one_line(self) -> None:
+        """Guards against a daemon that starts, or prints a traceback, on bad settings."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "s.yaml"
+            for text in ("", "[1", "node: {id: a}", yaml.dump(BASE), "\x00"):
+                path.write_text(text, encoding="utf-8")
+                for command in ("run", "check-settings"):
+                    err = io.StringIO()
+                    with self.subTest(text=text[:20], command=command):
+                        with contextlib.redirect_stderr(err), self.assertRaises(SystemExit) as done:
+                            daemon.main([command, str(path)])
+                        self.assertEqual(done.exception.code, daemon.EXIT_SETTINGS)
+                        self.assertEqual(len(err.getvalue().splitlines()), 1, err.getvalue())
+
+    def test_missing_file_has_exit_code_2(self) -> None:
+        """Guards against a supervisor that restarts forever with settings that cannot work."""
+        done = run_cli("run", "/nowhere/s.yaml")
+        self.assertEqual((done.returncode, done.stdout), (2, ""))
+        self.assertIn("/nowhere/s.yaml: cannot be read", done.stderr)
+
+
+class HarnessTest(unittest.TestCase):
+    def test_processes_end_when_the_block_fails(self) -> None:
+        """Guards against processes left behind by a test that fails."""
+        with self.assertRaises(ZeroDivisionError), harness.Harness() as h:
+            child = h.start("sleeper", ["-c", "import time; time.sleep(600)"])
+            self.assertTrue(child.alive)
+            raise ZeroDivisionError
+        self.assertFalse(child.alive)
+        self.assertFalse(h.folder.exists())
+
+    def test_daemon_that_ends_early_is_reported_with_its_log(self) -> None:
+        """Guards against a wait until the timeout for a daemon that refused to start."""
+        with harness.Harness() as h:
+            d = h.start_daemon("a1", BASE | {"control": {"members": []}})
+            with self.assertRaisesRegex(harness.HarnessError, "(?s)a1 ended with 2.*control"):
+                h.wait_ready([d], 30.0)
+
+    def test_ready_line_gives_the_bound_ports(self) -> None:
+        """Guards against requests to a port that the daemon has not bound."""
+        log = Path(tempfile.mkstemp()[1])
+        log.write_text("x\ntime=1 event=ready node=a1 callers=127.0.0.1:81 peers=127.0.0.1:82\n")
+        d = harness.Daemon("a1", mock.Mock(), log)
+        self.assertTrue(d.find_ready())
+        self.assertEqual(d.endpoints["callers"], harness.Endpoint("127.0.0.1", 81))
+        log.unlink()
+
+    def test_loopback_settings_share_no_port_and_stay_valid(self) -> None:
+        """Guards against two daemons of one harness on the same port."""
+        with harness.Harness() as h:
+            both = harness.on_loopback(
+                {"a1": BASE, "b1": BASE | {"node": {"id": "b1", "domain": "b"}}}, h.folder
+            )
+        ports = [one["port"] for cfg in both.values() for one in cfg["listen"].values()]
+        self.assertEqual(len(set(ports)), 8)
+        for cfg in both.values():
+            parsed = parse_settings(yaml.dump(cfg))
+            self.assertEqual(parsed.control.members[0].port, both["a1"]["listen"]["peers"]["port"])
