Add the operator listener

Cause: operators have no way to see the state of a node or to change it. Change: operator_api with its HTTP side, views, metrics page, JSON changes and proposals; settings section operator; refusals for operators. Conclusion: knapweedhitch.configuration joins in changes_json.to_change and encode_change.

--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -96,8 +96,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_follow_signals, signals, kernel, nursery.cancel_scope)
             await nursery.start(kernel.run, names)
-            if kernel.has("operator_api"):
-                kernel.get("operator_api").started = True
+            _set_phase(kernel, "running")
             logs.event(
                 "ready",
                 node=cfg.node.id,
@@ -110,6 +109,11 @@
             nursery.cancel_scope.cancel()
 
 
+def _set_phase(kernel: Kernel, phase: str) -> None:
+    if kernel.has("operator_api"):
+        kernel.get("operator_api").phase = phase
+
+
 async def _follow_signals(
     signals: AsyncIterator[int], kernel: Kernel, scope: trio.CancelScope
 ) -> None:
@@ -121,6 +125,7 @@
             logs.event("stop_during_start", signal=name)
             scope.cancel()
             return
+        _set_phase(kernel, "stopping")
         if count == 1:
             logs.event("planned_stop", signal=name)
             kernel.get("drain").begin()
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -158,6 +158,37 @@
         super().__init__(f"{question}: {answer!r} is not accepted; use {accepted}")
 
 
+class OperatorError(KnapweedhitchError):
+    """Be the base of failures of a request to the operator listener."""
+
+
+class OperatorUnreachable(OperatorError):
+    """Report an operator listener that gave no answer; nothing was changed."""
+
+
+class OperatorAnswerLost(OperatorError):
+    """Report a change whose answer was lost; send it again with the same change id."""
+
+    def __init__(self, change_id: str, problem: str) -> None:
+        self.change_id = change_id
+        super().__init__(f"{problem}; the change may be in force, change_id={change_id}")
+
+
+class OperatorRefused(OperatorError):
+    """Report a typed refusal of the operator listener."""
+
+    def __init__(self, status: int, error: str, detail: str, fields: dict[str, object]) -> None:
+        self.status = status
+        self.error = error
+        self.detail = detail
+        self.fields = fields
+        super().__init__(f"{error}: {detail}" if detail else error)
+
+
+class CommandError(KnapweedhitchError):
+    """Report a command line that cannot be carried out as written."""
+
+
 class HttpError(KnapweedhitchError):
     """Be the base of failures on an HTTP connection."""
 
@@ -445,3 +476,73 @@
 
     reason = "unauthorized"
     status = 401
+
+
+class NoSuchResource(Refusal):
+    """Refuse an operator request for a path or object that does not exist."""
+
+    reason = "no-such-resource"
+    status = 404
+
+
+class MethodNotAllowed(Refusal):
+    """Refuse an operator request whose method the path does not have."""
+
+    reason = "method-not-allowed"
+    status = 405
+
+
+class NotControlInstance(Refusal):
+    """Refuse an operator request that only control instances can answer."""
+
+    reason = "not-a-control-instance"
+    status = 404
+
+
+class UnknownDomain(Refusal):
+    """Refuse to take out a failure domain that no known node is in."""
+
+    reason = "unknown-domain"
+    status = 404
+
+
+class UnknownNode(Refusal):
+    """Refuse to drain a node that is not known."""
+
+    reason = "unknown-node"
+    status = 404
+
+
+class LastDomain(Refusal):
+    """Refuse to take out the last failure domain in which a service has targets."""
+
+    reason = "last-domain"
+    status = 422
+
+
+class ChangeConflict(Refusal):
+    """Refuse a change whose base version is not the current one."""
+
+    reason = "version-conflict"
+    status = 409
+
+
+class ChangeInvalid(Refusal):
+    """Refuse a change that the rules of the configuration refuse."""
+
+    reason = "invalid-change"
+    status = 422
+
+
+class NoLeader(Refusal):
+    """Refuse a change because no control instance could take it."""
+
+    reason = "no-leader"
+    status = 503
+
+
+class ChangeUnconfirmed(Refusal):
+    """Report a change that may or may not be in force."""
+
+    reason = "proposal-unknown"
+    status = 503
--- /dev/null
+++ b/knapweedhitch/operator_api.py
@@ -0,0 +1,312 @@
+"""The operator listener: status, configuration and changes as JSON, metrics, readiness."""
+
+from __future__ import annotations
+
+import hmac
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from knapweedhitch import changes_json, logs, metrics, operator_views, plain
+from knapweedhitch.exceptions import (
+    BadRequest,
+    ChangeConflict,
+    ChangeInvalid,
+    ChangeUnconfirmed,
+    InternalError,
+    InvalidChange,
+    MethodNotAllowed,
+    NoLeader,
+    NoSuchResource,
+    NotLeader,
+    Outcome,
+    ProposalUnknown,
+    Refusal,
+    TooManyConnections,
+    Unauthorized,
+    VersionConflict,
+)
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.operator_http import (
+    OperatorConnection,
+    OperatorRequest,
+    Reply,
+    refusal_reply,
+)
+from knapweedhitch.proposals import Proposer
+from knapweedhitch.settings import load_secret
+
+RouteHandler = Callable[["OperatorApi", OperatorRequest, str], Awaitable[Reply]]
+
+_routes: dict[tuple[str, tuple[str, ...]], RouteHandler] = {}
+
+# The path that a process supervisor may ask without a token; it tells nothing but readiness.
+OPEN_PATHS = frozenset({("ready",)})
+ANY = "*"
+COMMAND_FIELDS = frozenset({"change_id", "operator", "allow_last", "allow_unknown"})
+
+
+def route(method: str, path: str) -> Callable[[RouteHandler], RouteHandler]:
+    """Register the handler of a method and path; `*` stands for one segment."""
+
+    def register(fn: RouteHandler) -> RouteHandler:
+        _routes[method, tuple(path[1:].split("/"))] = fn
+        return fn
+
+    return register
+
+
+def _json(value: Any, status: int = 200) -> Reply:
+    return Reply(plain.dump(value), status)
+
+
+@service("operator_api")
+class OperatorApi:
+    """Serve the operator listener."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.kernel = kernel
+        self.cfg = kernel.cfg.operator
+        self.port: int | None = None
+        self.phase = "starting"
+        self.proposer = Proposer(kernel)
+        self._token = b""
+        self._connections = 0
+        self._scope = trio.CancelScope()
+
+    async def start(self) -> None:
+        """Bind the listener; raises SettingsError for the token file and OSError for the port."""
+        self._token = load_secret(self.kernel.cfg.secrets.operator_token_file)
+        place = self.kernel.cfg.listen.operator
+        listeners = await trio.open_tcp_listeners(place.port, host=place.host)
+        self.port = listeners[0].socket.getsockname()[1]
+        self.kernel.nursery.start_soon(self._listen, listeners)
+
+    async def stop(self) -> None:
+        """Close the listener and its connections."""
+        self._scope.cancel()
+
+    async def _listen(self, listeners: list[trio.SocketListener]) -> None:
+        with self._scope:
+            await trio.serve_listeners(self.serve_stream, listeners)
+
+    async def serve_stream(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection; no fault of it ends the process."""
+        connection = OperatorConnection(stream, self.cfg, self.authorize, self.handle)
+        if self._connections >= self.cfg.max_connections:
+            self._count("operator_refused", TooManyConnections.reason)
+            await connection.refuse(TooManyConnections(detail="close other connections first"))
+            return
+        self._connections += 1
+        try:
+            await connection.serve()
+        finally:
+            self._connections -= 1
+
+    def authorize(self, request: OperatorRequest) -> None:
+        """Compare the bearer token in constant time; raises Unauthorized."""
+        if request.segments in OPEN_PATHS:
+            return
+        scheme, _, token = request.authorization.partition(b" ")
+        same = hmac.compare_digest(token.strip(), self._token)
+        if scheme.lower() != b"bearer" or not same:
+            self._count("operator_refused", Unauthorized.reason)
+            raise Unauthorized(detail="send Authorization: Bearer with the token of this node")
+
+    async def handle(self, request: OperatorRequest) -> Reply:
+        """Return the answer of any request; every failure becomes a typed refusal."""
+        try:
+            fn, parameter = self._find(request)
+            return await fn(self, request, parameter)
+        except Exception as exc:
+            return self._failure(exc)
+
+    def _find(self, request: OperatorRequest) -> tuple[RouteHandler, str]:
+        methods = []
+        for (method, pattern), fn in _routes.items():
+            parameter = _match(pattern, request.segments)
+            if parameter is None:
+                continue
+            if method == request.method:
+                return fn, parameter
+            methods.append(method)
+        if methods:
+            raise MethodNotAllowed(detail=f"use {' or '.join(methods)}")
+        raise NoSuchResource(detail="/" + "/".join(request.segments)[:100])
+
+    def _failure(self, exc: Exception) -> Reply:
+        refusal, fields = _refusal_of(exc)
+        self._count("operator_refused", refusal.reason)
+        if isinstance(refusal, InternalError):
+            logs.warning("operator_request_failed", error=type(exc).__name__, detail=exc)
+        return refusal_reply(refusal, **fields)
+
+    def _count(self, name: str, reason: str) -> None:
+        self.kernel.get("counters").add(name, reason)
+
+    async def submit(self, raw: dict[str, Any]) -> Reply:
+        """Submit the change of a JSON object and return the version that it made."""
+        form = changes_json.parse_change(raw)
+        version = await self.proposer.submit(changes_json.to_change(form))
+        logs.event(
+            "change_accepted",
+            change_id=form.change_id,
+            kind=form.kind,
+            operator=form.operator,
+            version=version,
+        )
+        self._count("operator_changes", form.kind)
+        return _json({"change_id": form.change_id, "version": version})
+
+
+def _refusal_of(exc: Exception) -> tuple[Refusal, dict[str, object]]:
+    if isinstance(exc, Refusal):
+        return exc, {}
+    if isinstance(exc, VersionConflict):
+        fields: dict[str, object] = {
+            "base_version": exc.base_version,
+            "current_version": exc.current_version,
+            "winner": exc.winner,
+        }
+        return ChangeConflict(detail=str(exc)), fields
+    if isinstance(exc, InvalidChange):
+        return ChangeInvalid(detail=str(exc)), {}
+    if isinstance(exc, NotLeader):
+        detail = "no leader among the control instances could be reached; nothing was changed"
+        return NoLeader(detail=detail), {"leader_id": exc.leader_id}
+    if isinstance(exc, ProposalUnknown):
+        detail = "the change may be in force; send it again with the same change id"
+        return ChangeUnconfirmed(Outcome.UNKNOWN, detail), {}
+    return InternalError(Outcome.UNKNOWN, type(exc).__name__), {}
+
+
+def _match(pattern: tuple[str, ...], segments: tuple[str, ...]) -> str | None:
+    """Return the segment that stands for `*`, empty without one, None if nothing matches."""
+    if len(pattern) != len(segments):
+        return None
+    parameter = ""
+    for expected, actual in zip(pattern, segments, strict=True):
+        if expected == ANY and actual:
+            parameter = actual
+        elif expected != actual:
+            return None
+    return parameter
+
+
+@route("GET", "/ready")
+async def _ready(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
+    fresh = bool(api.kernel.get("config").is_fresh())
+    ready = fresh and api.phase == "running"
+    body = {"ready": ready, "phase": api.phase, "config_fresh": fresh}
+    return _json(body, 200 if ready else 503)
+
+
+@route("GET", "/metrics")
+async def _metrics(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
+    page = metrics.render(api.kernel.get("counters").snapshot())
+    return Reply(page.encode("utf-8", errors="replace"), content_type=metrics.CONTENT_TYPE)
+
+
+@route("GET", "/v1/status")
+async def _status(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
+    return _json(operator_views.status(api.kernel, api.phase))
+
+
+@route("GET", "/v1/config")
+async def _config(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
+    return _json(api.kernel.get("config").current)
+
+
+@route("GET", "/v1/config/history")
+async def _history(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
+    text = request.query.get("limit", str(api.cfg.max_history))
+    # isdecimal alone also accepts digits of other scripts, and int() is slow on long ones.
+    if not (text.isascii() and text.isdecimal() and len(text) <= 9 and int(text) > 0):
+        raise BadRequest(detail="limit: use a whole number from 1")
+    return _json(operator_views.history(api.kernel, min(int(text), api.cfg.max_history)))
+
+
+@route("GET", "/v1/services")
+async def _services(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
+    return _json(operator_views.services(api.kernel))
+
+
+@route("GET", "/v1/upstreams")
+async def _upstreams(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
+    return _json(operator_views.upstreams(api.kernel))
+
+
+@route("GET", "/v1/members")
+async def _members(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
+    return _json(operator_views.members(api.kernel))
+
+
+@route("GET", "/v1/explain/*")
+async def _explain(api: OperatorApi, request: OperatorRequest, request_id: str) -> Reply:
+    found = api.kernel.get("router").explain(request_id)
+    if found is None:
+        raise NoSuchResource(
+            detail="no explanation is kept for this request; send it with Knapweedhitch-Explain: 1"
+        )
+    return _json(found)
+
+
+@route("POST", "/v1/changes")
+async def _changes(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
+    return await api.submit(plain.parse_object(request.body))
+
+
+def _command(request: OperatorRequest) -> dict[str, Any]:
+    fields = plain.parse_object(request.body)
+    unknown = sorted(set(fields) - COMMAND_FIELDS)
+    if unknown:
+        raise BadRequest(detail=f"unknown field {unknown[0][:60]!r}")
+    for flag in ("allow_last", "allow_unknown"):
+        if type(fields.get(flag, False)) is not bool:
+            raise BadRequest(detail=f"{flag}: use true or false")
+    return fields
+
+
+def _change(fields: dict[str, Any], op: dict[str, str], base: int | None) -> dict[str, Any]:
+    return {
+        "change_id": fields.get("change_id"),
+        "operator": fields.get("operator"),
+        "base_version": base,
+        "op": op,
+    }
+
+
+@route("POST", "/v1/domains/*/out")
+async def _domain_out(api: OperatorApi, request: OperatorRequest, domain: str) -> Reply:
+    fields = _command(request)
+    if not fields.get("allow_unknown", False):
+        operator_views.check_known_domain(api.kernel, domain)
+    base = None
+    if not fields.get("allow_last", False):
+        # Two operators who take out two domains at once must not both pass this check.
+        base = api.kernel.get("config").current.version
+        operator_views.check_last_domain(api.kernel, domain)
+    return await api.submit(_change(fields, {"kind": "domain_out", "domain": domain}, base))
+
+
+@route("POST", "/v1/domains/*/in")
+async def _domain_in(api: OperatorApi, request: OperatorRequest, domain: str) -> Reply:
+    fields = _command(request)
+    operator_views.check_known_domain(api.kernel, domain)
+    return await api.submit(_change(fields, {"kind": "domain_in", "domain": domain}, None))
+
+
+@route("POST", "/v1/nodes/*/drain")
+async def _node_drain(api: OperatorApi, request: OperatorRequest, node_id: str) -> Reply:
+    fields = _command(request)
+    if not fields.get("allow_unknown", False):
+        operator_views.check_known_node(api.kernel, node_id)
+    return await api.submit(_change(fields, {"kind": "node_drain", "node_id": node_id}, None))
+
+
+@route("POST", "/v1/nodes/*/undrain")
+async def _node_undrain(api: OperatorApi, request: OperatorRequest, node_id: str) -> Reply:
+    fields = _command(request)
+    operator_views.check_known_node(api.kernel, node_id)
+    return await api.submit(_change(fields, {"kind": "node_undrain", "node_id": node_id}, None))
--- /dev/null
+++ b/knapweedhitch/operator_http.py
@@ -0,0 +1,208 @@
+"""The HTTP side of the operator listener: one connection, bounded in sizes and times."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Awaitable, Callable, Mapping
+from urllib.parse import parse_qsl, unquote
+
+import h11
+import trio
+
+from knapweedhitch import plain
+from knapweedhitch.exceptions import (
+    BadRequest,
+    BodyTimeout,
+    BodyTooLarge,
+    HeaderTimeout,
+    HeaderTooLarge,
+    Refusal,
+    UpgradeRefused,
+)
+from knapweedhitch.settings import OperatorSettings
+
+READ_BYTES = 16_384
+MAX_QUERY_FIELDS = 10
+JSON = "application/json"
+MS_PER_S = 1_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorRequest:
+    """Hold one whole request."""
+
+    method: str
+    segments: tuple[str, ...]
+    query: Mapping[str, str]
+    authorization: bytes
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reply:
+    """Hold one whole answer."""
+
+    body: bytes
+    status: int = 200
+    content_type: str = JSON
+
+
+Handler = Callable[[OperatorRequest], Awaitable[Reply]]
+
+
+def refusal_reply(refusal: Refusal, **fields: object) -> Reply:
+    """Return the JSON answer of a refusal."""
+    body = {
+        "error": refusal.reason,
+        "detail": refusal.detail,
+        "outcome": refusal.outcome,
+        **fields,
+    }
+    return Reply(plain.dump(body), refusal.status)
+
+
+class OperatorConnection:
+    """Serve the requests of one connection, one after the other."""
+
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        cfg: OperatorSettings,
+        authorize: Callable[[OperatorRequest], None],
+        handler: Handler,
+    ) -> None:
+        self._stream = stream
+        self._authorize = authorize
+        self._handler = handler
+        self._method = b""
+        self._cfg = cfg
+        self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=cfg.max_header_bytes)
+
+    async def serve(self) -> None:
+        """Answer requests until the connection ends; bad ones get a typed refusal."""
+        try:
+            while await self._serve_one():
+                self._conn.start_next_cycle()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.LocalProtocolError):
+            # The client has gone, or its bytes leave no valid way to answer.
+            pass
+        finally:
+            await trio.aclose_forcefully(self._stream)
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Answer without reading a request, then close."""
+        try:
+            await self._send(refusal_reply(refusal), close=True)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.LocalProtocolError):
+            pass
+        finally:
+            await trio.aclose_forcefully(self._stream)
+
+    async def _serve_one(self) -> bool:
+        try:
+            request = await self._read_request()
+        except Refusal as refusal:
+            if self._conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                await self._send(refusal_reply(refusal), close=True)
+            return False
+        if request is None:
+            return False
+        await self._send(await self._handler(request), close=False)
+        return self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
+
+    async def _read_request(self) -> OperatorRequest | None:
+        with trio.move_on_after(self._cfg.idle_timeout_ms / MS_PER_S) as idle:
+            first = await self._fill()
+        if idle.cancelled_caught or not first:
+            return None
+        timeout_s = self._cfg.request_timeout_ms / MS_PER_S
+        head = None
+        with trio.move_on_after(timeout_s) as reading:
+            head = await self._next_event()
+        if reading.cancelled_caught:
+            raise HeaderTimeout(detail=f"the header took over {self._cfg.request_timeout_ms} ms")
+        if not isinstance(head, h11.Request):
+            return None
+        self._method = head.method
+        request = _request(head)
+        # Before the body is read, so that only operators can make the process hold one.
+        self._authorize(request)
+        with trio.move_on_after(timeout_s):
+            return dataclasses.replace(request, body=await self._read_body())
+        raise BodyTimeout(detail=f"the body took over {self._cfg.request_timeout_ms} ms")
+
+    async def _fill(self) -> bool:
+        """Wait for the first bytes of a request; return False at the end of the connection."""
+        if self._conn.trailing_data[0]:
+            return True
+        data = bytes(await self._stream.receive_some(READ_BYTES))
+        self._conn.receive_data(data)
+        return bool(data)
+
+    async def _next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        while True:
+            try:
+                event = self._conn.next_event()
+            except h11.RemoteProtocolError as exc:
+                if exc.error_status_hint == HeaderTooLarge.status:
+                    raise HeaderTooLarge(
+                        detail=f"use at most {self._cfg.max_header_bytes} bytes"
+                    ) from None
+                raise BadRequest(detail=str(exc)) from None
+            if event is not h11.NEED_DATA:
+                return event
+            if self._conn.they_are_waiting_for_100_continue:
+                go_on = h11.InformationalResponse(status_code=100, headers=[])
+                await self._stream.send_all(self._conn.send(go_on) or b"")
+            self._conn.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
+
+    async def _read_body(self) -> bytes:
+        body = bytearray()
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._cfg.max_body_bytes:
+                    raise BodyTooLarge(detail=f"use at most {self._cfg.max_body_bytes} bytes")
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            else:
+                raise BadRequest(detail="the request ends early")
+
+    async def _send(self, reply: Reply, *, close: bool) -> None:
+        headers = [
+            ("Content-Type", reply.content_type),
+            ("Content-Length", str(len(reply.body))),
+            ("Cache-Control", "no-store"),
+        ]
+        if close:
+            headers.append(("Connection", "close"))
+        head = h11.Response(status_code=reply.status, headers=headers)
+        data = self._conn.send(head) or b""
+        if self._method != b"HEAD":
+            data += self._conn.send(h11.Data(reply.body)) or b""
+        data += self._conn.send(h11.EndOfMessage()) or b""
+        with trio.move_on_after(self._cfg.write_timeout_ms / MS_PER_S) as writing:
+            await self._stream.send_all(data)
+        if writing.cancelled_caught:
+            raise trio.BrokenResourceError("the client does not read its answer")
+
+
+def _request(head: h11.Request) -> OperatorRequest:
+    if any(name == b"upgrade" for name, _ in head.headers):
+        raise UpgradeRefused(detail="no other protocol is spoken here")
+    path, _, query = head.target.decode("latin-1").partition("?")
+    if not path.startswith("/"):
+        raise BadRequest(detail="the target is not a path")
+    try:
+        pairs = parse_qsl(query, keep_blank_values=True, max_num_fields=MAX_QUERY_FIELDS)
+    except ValueError as exc:
+        raise BadRequest(detail=f"query: {exc}") from None
+    authorization = [value for name, value in head.headers if name == b"authorization"]
+    return OperatorRequest(
+        method=head.method.decode("latin-1"),
+        segments=tuple(unquote(part) for part in path[1:].split("/")),
+        query=dict(pairs),
+        authorization=authorization[0] if len(authorization) == 1 else b"",
+        body=b"",
+    )
--- /dev/null
+++ b/knapweedhitch/operator_views.py
@@ -0,0 +1,170 @@
+"""What the operator listener shows: status, configuration, services, upstreams, members."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from knapweedhitch.exceptions import LastDomain, NotControlInstance, UnknownDomain, UnknownNode
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.model import Configuration, Target, UpstreamState
+
+
+def _control_ids(kernel: Kernel) -> list[str]:
+    return [member.id for member in kernel.cfg.control.members]
+
+
+def status(kernel: Kernel, phase: str) -> dict[str, Any]:
+    """Return the version in force here and, on control instances, at every node."""
+    config = kernel.get("config")
+    current: Configuration = config.current
+    return {
+        "node": kernel.cfg.node.id,
+        "domain": kernel.cfg.node.domain,
+        "region": kernel.cfg.node.region,
+        "phase": phase,
+        "version": current.version,
+        "config_fresh": config.is_fresh(),
+        "config_age_ms": config.age_ms(),
+        "domains_out": sorted(name for name in current.domains if current.is_domain_out(name)),
+        "draining_nodes": current.draining_nodes,
+        "control_instances": _control_ids(kernel),
+        "nodes": _node_versions(kernel, current) if kernel.has("control") else None,
+    }
+
+
+def _node_versions(kernel: Kernel, current: Configuration) -> list[dict[str, Any]]:
+    reports = kernel.get("control").versions()
+    members = kernel.get("membership").members()
+    rows = []
+    for node_id in sorted({*reports, *members}):
+        report = reports.get(node_id)
+        member = members.get(node_id)
+        rows.append(
+            {
+                "node": node_id,
+                "domain": member.domain if member else None,
+                "state": member.state if member else "unknown",
+                "version": report.version if report else None,
+                "age_ms": report.age_ms if report else None,
+                "lags": report is None or report.version < current.version,
+            }
+        )
+    return rows
+
+
+def history(kernel: Kernel, limit: int) -> dict[str, Any]:
+    """Return the last changes, oldest first; raises NotControlInstance."""
+    if not kernel.has("control"):
+        raise NotControlInstance(detail=f"ask one of {', '.join(_control_ids(kernel))}")
+    return {"changes": list(kernel.get("control").history())[-limit:]}
+
+
+def services(kernel: Kernel) -> dict[str, Any]:
+    """Return each service with its configuration and its targets by failure domain."""
+    current: Configuration = kernel.get("config").current
+    rows = []
+    for name in sorted(current.services):
+        targets = kernel.get("membership").targets(name)
+        usable = [target for target in targets if _usable(target, current)]
+        rows.append(
+            {
+                "name": name,
+                "config": current.services[name],
+                "targets": len(targets),
+                "usable": len(usable),
+                "usable_by_domain": _count(target.domain for target in usable),
+            }
+        )
+    return {"version": current.version, "services": rows}
+
+
+def _count(names: Iterable[str]) -> dict[str, int]:
+    counts: dict[str, int] = {}
+    for name in names:
+        counts[name] = counts.get(name, 0) + 1
+    return dict(sorted(counts.items()))
+
+
+def _usable(target: Target, current: Configuration) -> bool:
+    return not (
+        target.draining
+        or target.upstream.state is UpstreamState.LEAVING
+        or target.node_id in current.draining_nodes
+        or current.is_domain_out(target.domain)
+    )
+
+
+def upstreams(kernel: Kernel) -> dict[str, Any]:
+    """Return every announced upstream with its node, place and state."""
+    current: Configuration = kernel.get("config").current
+    rows = []
+    for name in sorted(current.services):
+        for target in sorted(kernel.get("membership").targets(name), key=lambda t: t.node_id):
+            rows.append(
+                {
+                    "service": name,
+                    "node": target.node_id,
+                    "domain": target.domain,
+                    "address": str(target.upstream.address),
+                    "slots": target.upstream.slots,
+                    "connections": target.upstream.connections,
+                    "instance_id": target.upstream.instance_id,
+                    "state": target.upstream.state,
+                    "suspect": target.suspect,
+                    "usable": _usable(target, current),
+                }
+            )
+    return {"version": current.version, "upstreams": rows}
+
+
+def members(kernel: Kernel) -> dict[str, Any]:
+    """Return what the membership protocol knows of every node."""
+    known = kernel.get("membership").members()
+    rows = [
+        {
+            "node": node_id,
+            "address": str(known[node_id].address),
+            "region": known[node_id].region,
+            "domain": known[node_id].domain,
+            "state": known[node_id].state,
+            "draining": known[node_id].draining,
+            "service": known[node_id].upstream.service if known[node_id].upstream else None,
+        }
+        for node_id in sorted(known)
+    ]
+    return {"members": rows}
+
+
+def check_known_domain(kernel: Kernel, domain: str) -> None:
+    """Refuse a failure domain that no node and no configuration names; raises UnknownDomain."""
+    current: Configuration = kernel.get("config").current
+    known = {member.domain for member in kernel.get("membership").members().values()}
+    known.update(current.domains, (kernel.cfg.node.domain,))
+    if domain not in known:
+        raise UnknownDomain(detail=f"{domain}; known are {', '.join(sorted(known))}")
+
+
+def check_known_node(kernel: Kernel, node_id: str) -> None:
+    """Refuse a node that no node and no configuration names; raises UnknownNode."""
+    known = kernel.get("membership").members()
+    drained = kernel.get("config").current.draining_nodes
+    if node_id not in known and node_id not in drained and node_id != kernel.cfg.node.id:
+        raise UnknownNode(detail=node_id)
+
+
+def check_last_domain(kernel: Kernel, domain: str) -> None:
+    """Refuse to leave a service without any domain; raises LastDomain that names the services."""
+    current: Configuration = kernel.get("config").current
+    if current.is_domain_out(domain):
+        return
+    stranded = []
+    for name in sorted(current.services):
+        targets = kernel.get("membership").targets(name)
+        domains = {target.domain for target in targets if _usable(target, current)}
+        if domains == {domain}:
+            stranded.append(name)
+    if stranded:
+        raise LastDomain(
+            detail=f"{domain} is the last domain with usable targets of {', '.join(stranded)}"
+        )
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -224,6 +224,20 @@
     split_vote_retries: Count = 3
 
 
+@dataclass(frozen=True, config=_STRICT)
+class OperatorSettings:
+    """Hold the limits of the operator listener."""
+
+    max_connections: Count = 64
+    max_header_bytes: Bytes = 16_384
+    max_body_bytes: Bytes = 1_048_576
+    request_timeout_ms: Ms = 5_000
+    idle_timeout_ms: Ms = 30_000
+    write_timeout_ms: Ms = 10_000
+    propose_timeout_ms: Ms = 5_000
+    max_history: Count = 1_000
+
+
 @dataclass(frozen=True, config=_STRICT)
 class StopSettings:
     """Hold the pace of a planned stop."""
@@ -256,6 +270,7 @@
     admission: AdmissionSettings = AdmissionSettings()
     routing: RoutingSettings = RoutingSettings()
     claims: ClaimSettings = ClaimSettings()
+    operator: OperatorSettings = OperatorSettings()
     stop: StopSettings = StopSettings()
     log: LogSettings = LogSettings()
 
--- /dev/null
+++ b/tests/operator_fakes.py
@@ -0,0 +1,258 @@
+"""Fakes of the services that the operator listener asks, and a client on a memory stream."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import json
+import sys
+import types
+from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+import trio
+import trio.testing
+
+from knapweedhitch import operator_api, settings
+from knapweedhitch.counters import Counters
+from knapweedhitch.exceptions import InvalidChange, VersionConflict
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.messages import ProposeReply, VersionReport
+from knapweedhitch.model import (
+    Address,
+    Configuration,
+    DomainStatus,
+    Member,
+    ServiceConfig,
+    Target,
+    UpstreamRecord,
+)
+
+TOKEN = "0123456789abcdef0123"
+CFG = settings.parse_settings("""
+node: {id: n1, domain: east}
+secrets: {peer_secret_file: /nowhere/p, operator_token_file: /nowhere/t}
+control:
+  data_dir: /nowhere/data
+  members:
+    - {id: n1, host: 10.0.0.1, port: 7001}
+    - {id: n2, host: 10.0.0.2, port: 7001}
+    - {id: n3, host: 10.0.0.3, port: 7001}
+""")
+
+
+@dataclasses.dataclass(frozen=True)
+class Op:
+    """Stand for any op of knapweedhitch.configuration."""
+
+    value: object
+
+
+@dataclasses.dataclass(frozen=True)
+class Change:
+    """Stand for knapweedhitch.configuration.Change."""
+
+    change_id: str
+    base_version: int | None
+    operator: str
+    op: Op
+
+
+def configuration_module() -> types.ModuleType:
+    """Return a stand-in of knapweedhitch.configuration."""
+    module = types.ModuleType("knapweedhitch.configuration")
+    names = "PutService RemoveService DomainOut DomainIn NodeDrain NodeUndrain ApplyAll"
+    for name in names.split():
+        setattr(module, name, type(name, (Op,), {}))
+    module.Change = Change  # type: ignore[attr-defined]
+    module.encode_change = lambda change: change.change_id.encode()  # type: ignore[attr-defined]
+    return module
+
+
+class FakeConfig:
+    """Hold a configuration that tests set."""
+
+    def __init__(self) -> None:
+        self.current = Configuration(
+            version=7,
+            services={"robes": ServiceConfig("robes", ("robes.example",))},
+            domains={"south": DomainStatus(True, 5)},
+        )
+        self.fresh = True
+
+    def is_fresh(self) -> bool:
+        return self.fresh
+
+    def age_ms(self) -> float:
+        return 12.0 if self.fresh else float("inf")
+
+
+class FakeControl:
+    """Accept changes by change id, or raise what the test sets."""
+
+    def __init__(self, config: FakeConfig) -> None:
+        self.config = config
+        self.accepted: dict[str, int] = {}
+        self.changes: list[Change] = []
+        self.errors: list[Exception] = []
+
+    async def submit(self, change: Change) -> int:
+        await trio.lowlevel.checkpoint()
+        if self.errors:
+            raise self.errors.pop(0)
+        if change.change_id in self.accepted:
+            return self.accepted[change.change_id]
+        current = self.config.current.version
+        if change.base_version is not None and change.base_version != current:
+            raise VersionConflict(change.base_version, current, "other")
+        if change.change_id == "invalid":
+            raise InvalidChange("hosts of two services are equal")
+        self.changes.append(change)
+        self.accepted[change.change_id] = current + 1
+        self.config.current = dataclasses.replace(self.config.current, version=current + 1)
+        return current + 1
+
+    def versions(self) -> dict[str, VersionReport]:
+        return {"n1": VersionReport("n1", 7, 3.0), "n2": VersionReport("n2", 6, 900.0)}
+
+    def history(self) -> list[Change]:
+        return self.changes
+
+
+class FakePeers:
+    """Answer Propose calls with what the test sets for each node, in order."""
+
+    def __init__(self) -> None:
+        self.replies: dict[str, list[ProposeReply | Exception]] = {}
+        self.calls: list[str] = []
+
+    async def call(self, node_id: str, msg: Any, timeout_ms: float) -> ProposeReply:
+        await trio.sleep(0.01)
+        self.calls.append(node_id)
+        replies = self.replies.get(node_id) or [ProposeReply(0, "NotLeader", "", "")]
+        reply = replies.pop(0) if len(replies) > 1 else replies[0]
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+class FakeMembership:
+    """Hold three nodes in two failure domains; robes has targets in both."""
+
+    def __init__(self) -> None:
+        self.domains = {"n1": "east", "n2": "west", "n3": "east"}
+
+    def members(self) -> dict[str, Member]:
+        return {
+            node: Member(node, Address("10.0.0.1", 7001), "r", domain, 1)
+            for node, domain in self.domains.items()
+        }
+
+    def targets(self, service: str) -> tuple[Target, ...]:
+        record = UpstreamRecord(service, Address("10.0.0.1", 80), 9, 220, "i", 1)
+        return tuple(Target(node, domain, record) for node, domain in self.domains.items())
+
+
+class FakeRouter:
+    """Explain one request; fail for another as a fault of the program would."""
+
+    def explain(self, request_id: str) -> dict[str, object] | None:
+        if request_id == "fault":
+            raise KeyError("fault")
+        return {"picked": "n2"} if request_id == "req-1" else None
+
+
+class World:
+    """Hold a kernel with the operator listener and all fakes."""
+
+    def __init__(self, *, control: bool = True, cfg: settings.Settings = CFG) -> None:
+        self.kernel = Kernel(cfg)
+        self.config = FakeConfig()
+        self.control = FakeControl(self.config)
+        self.peers = FakePeers()
+        self.membership = FakeMembership()
+        self.counters = Counters()
+        parts = {
+            "config": self.config,
+            "peers": self.peers,
+            "membership": self.membership,
+            "counters": self.counters,
+            "router": FakeRouter(),
+        }
+        if control:
+            parts["control"] = self.control
+        for name, part in parts.items():
+            self.kernel.add(name, part)
+        self.api = operator_api.OperatorApi(self.kernel)
+        self.api._token = TOKEN.encode()
+        self.api.phase = "running"
+
+    @contextlib.asynccontextmanager
+    async def connected(self) -> AsyncIterator[trio.abc.Stream]:
+        """Serve one memory connection and give its client end."""
+        client, server = trio.testing.memory_stream_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.api.serve_stream, server)
+            yield client
+            await client.aclose()
+
+    async def raw(self, data: bytes) -> bytes:
+        """Send bytes, end the stream and return everything that is answered."""
+        async with self.connected() as client:
+            with contextlib.suppress(trio.BrokenResourceError):
+                await client.send_all(data)
+                await client.send_eof()  # type: ignore[attr-defined]
+            return await read_all(client)
+
+    async def ask(
+        self, method: str, path: str, body: object = None, token: str = TOKEN
+    ) -> tuple[int, Any]:
+        """Send one request and return status and body, decoded if it is JSON."""
+        payload = json.dumps(body).encode() if body is not None else b""
+        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {token}\r\n"
+        head += f"Content-Length: {len(payload)}\r\nConnection: close\r\n\r\n"
+        return split_answer(await self.raw(head.encode("latin-1") + payload))
+
+
+async def read_all(stream: trio.abc.Stream) -> bytes:
+    """Return all bytes up to the end of the stream."""
+    found = b""
+    with contextlib.suppress(trio.BrokenResourceError):
+        while data := await stream.receive_some(65_536):
+            found += data
+    return found
+
+
+def split_answer(data: bytes) -> tuple[int, Any]:
+    """Return status and body of one HTTP answer."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    is_json = b"application/json" in head
+    return int(head.split()[1]), json.loads(body) if is_json and body else body.decode()
+
+
+@contextlib.contextmanager
+def patched_configuration() -> Iterator[None]:
+    """Put the stand-in of knapweedhitch.configuration in place."""
+    with mock.patch.dict(sys.modules, {"knapweedhitch.configuration": configuration_module()}):
+        yield
+
+
+def run(fn: Any, *args: Any) -> Any:
+    """Run an async function on a mock clock that jumps while nothing else happens."""
+
+    async def limited() -> Any:
+        with trio.fail_after(300):
+            return await fn(*args)
+
+    with patched_configuration():
+        return trio.run(limited, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def write_token(folder: Path) -> Path:
+    """Write the token file that a client reads."""
+    path = folder / "operator.token"
+    path.write_text(TOKEN)
+    path.chmod(0o600)
+    return path
--- /dev/null
+++ b/tests/test_operator_api.py
@@ -0,0 +1,346 @@
+"""Tests of the operator listener, its metrics page and the JSON form of changes."""
+
+from __future__ import annotations
+
+import logging
+import re
+import unittest
+import unittest.mock
+
+import trio
+import trio.testing
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweedhitch import changes_json, metrics, operator_views
+from knapweedhitch.counters import Counters, MetricsSnapshot
+from knapweedhitch.exceptions import (
+    InvalidChange,
+    NotLeader,
+    PeerTimeout,
+    PeerUnreachable,
+    ProposalUnknown,
+)
+from knapweedhitch.messages import ProposeReply
+from tests import operator_fakes
+from tests.operator_fakes import TOKEN, World, read_all, run, split_answer
+
+logging.disable(logging.CRITICAL)
+
+BOUNDED = settings(derandomize=True, deadline=None, max_examples=150)
+OUT = {"change_id": "c1", "operator": "ann"}
+JSON_VALUE = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
+    lambda inner: st.lists(inner, max_size=4)
+    | st.dictionaries(st.sampled_from(["op", "kind", "service", "name", "x"]), inner, max_size=4),
+    max_leaves=12,
+)
+
+
+class RequestTest(unittest.TestCase):
+    @BOUNDED
+    @given(st.binary(max_size=300) | st.text(max_size=100).map(lambda t: f"GET /{t}".encode()))
+    def test_any_bytes_leave_the_listener_serving(self, data: bytes) -> None:
+        """Guards against an operator connection that ends the process or hangs."""
+        world = World()
+        answer = run(world.raw, data)
+        if answer:
+            self.assertIn(int(answer.split()[1]), {400, 401, 404, 405, 408, 413, 431, 501})
+        self.assertEqual(run(world.ask, "GET", "/ready")[0], 200)
+
+    @BOUNDED
+    @given(
+        st.sampled_from(["/v1/changes", "/v1/domains/east/out", "/v1/nodes/n2/drain", "/v1/x"]),
+        JSON_VALUE,
+    )
+    def test_any_json_gets_a_typed_refusal_or_a_version(self, path: str, body: object) -> None:
+        """Guards against a body that reaches the log unchecked or ends in an internal error."""
+        status, answer = run(World().ask, "POST", path, body)
+        self.assertIn(status, {200, 400, 404, 422})
+        self.assertTrue("version" in answer if status == 200 else answer["error"])
+
+    def test_wrong_tokens_see_nothing(self) -> None:
+        """Guards against status, metrics or changes for anyone without the token."""
+        world = World()
+        for token in ("", "x", TOKEN[:-1], TOKEN + "x", "\u00ff"):
+            for method, path in (("GET", "/v1/status"), ("GET", "/metrics"), ("POST", "/v1/x")):
+                with self.subTest(token=token, path=path):
+                    status, answer = run(world.ask, method, path, None, token)
+                    self.assertEqual((status, answer["error"]), (401, "unauthorized"))
+
+    def test_two_authorization_headers_are_no_token(self) -> None:
+        """Guards against a check that reads one header while a proxy reads the other."""
+        line = f"Authorization: Bearer {TOKEN}\r\n"
+        data = f"GET /v1/status HTTP/1.1\r\nHost: x\r\n{line}{line}\r\n"
+        self.assertEqual(split_answer(run(World().raw, data.encode()))[0], 401)
+
+    def test_body_of_a_stranger_is_not_read(self) -> None:
+        """Guards against memory taken by clients without the token."""
+        head = b"POST /v1/changes HTTP/1.1\r\nHost: x\r\nContent-Length: 1000000\r\n\r\n"
+        answer = run(World().raw, head + b"x" * 10)
+        self.assertEqual(split_answer(answer)[0], 401)
+
+    def test_oversized_header_and_body_are_refused(self) -> None:
+        """Guards against memory taken by one request."""
+        world = World()
+        big = b"GET / HTTP/1.1\r\nHost: x\r\nX-Y: " + b"y" * 40_000 + b"\r\n\r\n"
+        self.assertEqual(split_answer(run(world.raw, big))[1]["error"], "header-too-large")
+        body = {"x": "y" * (world.api.cfg.max_body_bytes + 1)}
+        self.assertEqual(run(world.ask, "POST", "/v1/changes", body)[0], 413)
+
+    def test_silent_and_slow_connections_end(self) -> None:
+        """Guards against connections that hold a place for ever."""
+
+        async def scenario(data: bytes) -> tuple[bytes, float]:
+            started = trio.current_time()
+            async with World().connected() as client:
+                await client.send_all(data)
+                answer = await read_all(client)
+            return answer, trio.current_time() - started
+
+        auth = f"Host: x\r\nAuthorization: Bearer {TOKEN}\r\n".encode()
+        cases = [
+            (b"GET /rea", 408, 5.0),
+            (b"POST /v1/changes HTTP/1.1\r\n" + auth + b"Content-Length: 9\r\n\r\n{", 408, 5.0),
+            (b"", 0, 30.0),
+        ]
+        for data, status, seconds in cases:
+            with self.subTest(data=data):
+                answer, took = run(scenario, data)
+                self.assertEqual(int(answer.split()[1]) if answer else 0, status)
+                self.assertAlmostEqual(took, seconds, delta=0.1)
+
+    def test_reader_that_stops_reading_is_cut(self) -> None:
+        """Guards against an answer that waits for ever for a client that does not read."""
+
+        async def scenario() -> float:
+            world = World()
+            client, server = trio.testing.lockstep_stream_pair()
+            started = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(world.api.serve_stream, server)
+                await client.send_all(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+            return trio.current_time() - started
+
+        self.assertAlmostEqual(run(scenario), 10.0, delta=0.1)
+
+    def test_connection_over_the_limit_is_told(self) -> None:
+        """Guards against operators locked out without a reason."""
+
+        async def scenario() -> bytes:
+            world = World()
+            world.api._connections = world.api.cfg.max_connections
+            return await world.raw(b"")
+
+        self.assertEqual(split_answer(run(scenario))[1]["error"], "too-many-connections")
+
+    def test_requests_follow_each_other_on_one_connection(self) -> None:
+        """Guards against a second request that is lost or answered by the first one's answer."""
+        one = b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+        two = b"HEAD /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+        answers = run(World().raw, one + two + one).split(b"HTTP/1.1 ")[1:]
+        self.assertEqual([a[:3] for a in answers], [b"200", b"405", b"200"])
+
+    def test_fault_in_a_handler_is_an_internal_error(self) -> None:
+        """Guards against a fault in another service that ends the listener."""
+        world = World()
+        status, answer = run(world.ask, "GET", "/v1/explain/fault")
+        self.assertEqual((status, answer["error"], answer["outcome"]), (500, "internal", "unknown"))
+        self.assertEqual(run(world.ask, "GET", "/v1/explain/req-1"), (200, {"picked": "n2"}))
+
+    def test_listener_binds_and_stops(self) -> None:
+        """Guards against a port that stays bound after the stop."""
+
+        async def scenario() -> None:
+            world = World()
+            with unittest.mock.patch.object(
+                operator_fakes.operator_api, "load_secret", lambda path: TOKEN.encode()
+            ):
+                async with trio.open_nursery() as nursery:
+                    world.kernel._nursery = nursery
+                    await world.api.start()
+                    port = world.api.port
+                    assert port
+                    stream = await trio.open_tcp_stream("127.0.0.1", port)
+                    await stream.send_all(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+                    self.assertIn(b"200", await stream.receive_some(100))
+                    await stream.aclose()
+                    await world.api.stop()
+            with self.assertRaises(OSError):
+                await trio.open_tcp_stream("127.0.0.1", port)
+
+        run(scenario)
+
+
+class ChangeTest(unittest.TestCase):
+    def test_last_domain_needs_permission(self) -> None:
+        """Guards against a service that an operator leaves without any target by mistake."""
+        world = World()
+        world.membership.domains = {"n1": "east", "n3": "east"}
+        status, answer = run(world.ask, "POST", "/v1/domains/east/out", OUT)
+        self.assertEqual((status, answer["error"]), (422, "last-domain"))
+        self.assertIn("robes", answer["detail"])
+        status, _ = run(world.ask, "POST", "/v1/domains/east/out", OUT | {"allow_last": True})
+        self.assertEqual(status, 200)
+
+    def test_two_domains_at_once_are_not_both_taken_out(self) -> None:
+        """Guards against two operators who each see the other domain as the one that remains."""
+        world = World()
+        run(world.ask, "POST", "/v1/domains/east/out", OUT)
+        self.assertEqual(world.control.changes[0].base_version, 7)
+
+    def test_resent_change_is_applied_once(self) -> None:
+        """Guards against a change that is applied twice after its answer was lost."""
+        world = World()
+        body = {**OUT, "base_version": None, "op": {"kind": "node_drain", "node_id": "n2"}}
+        first = run(world.ask, "POST", "/v1/changes", body)
+        self.assertEqual(run(world.ask, "POST", "/v1/changes", body), first)
+        self.assertEqual(len(world.control.changes), 1)
+
+    def test_unknown_names_are_refused(self) -> None:
+        """Guards against a misspelt domain that an operator believes to be out."""
+        for path, error in (
+            ("/v1/domains/eats/out", "unknown-domain"),
+            ("/v1/domains/eats/in", "unknown-domain"),
+            ("/v1/nodes/n9/drain", "unknown-node"),
+            ("/v1/nodes/n9/undrain", "unknown-node"),
+        ):
+            with self.subTest(path=path):
+                self.assertEqual(run(World().ask, "POST", path, OUT)[1]["error"], error)
+        allowed = OUT | {"allow_unknown": True}
+        self.assertEqual(run(World().ask, "POST", "/v1/domains/gone/out", allowed)[0], 200)
+
+    def test_conflict_names_both_versions(self) -> None:
+        """Guards against a conflict that leaves the operator without the version in force."""
+        body = {**OUT, "base_version": 3, "op": {"kind": "domain_in", "domain": "east"}}
+        status, answer = run(World().ask, "POST", "/v1/changes", body)
+        self.assertEqual((status, answer["error"]), (409, "version-conflict"))
+        self.assertEqual((answer["base_version"], answer["current_version"]), (3, 7))
+
+    def test_service_fields_are_checked(self) -> None:
+        """Guards against a service in the log that nodes cannot use."""
+        good = {"name": "a", "hosts": ["a.example"]}
+        self.assertEqual(changes_json.parse_service(good).hosts, ("a.example",))
+        bad = [
+            {"hosts": []},
+            {"hosts": ["A.example"]},
+            {"hosts": "a.example"},
+            {"name": "a/b"},
+            {"retries": True},
+            {"retries": 11},
+            {"require_key": 1},
+            {"unknown": 1},
+            {"default_deadline_ms": 70_000},
+            {"max_ejected_ratio": 1.5},
+            {"claim_retention_s": 10**30},
+        ]
+        for fields in bad:
+            with self.subTest(fields=fields), self.assertRaises(InvalidChange):
+                changes_json.parse_service(good | fields)
+
+    def test_apply_all_refuses_one_host_in_two_services(self) -> None:
+        """Guards against a host name whose calls go to either of two services."""
+        services = [{"name": n, "hosts": ["a.example"]} for n in ("a", "b")]
+        op = {"kind": "apply_all", "services": services}
+        with self.assertRaises(InvalidChange):
+            changes_json.parse_change({**OUT, "base_version": 1, "op": op})
+
+
+BODY = {**OUT, "base_version": None, "op": {"kind": "domain_in", "domain": "east"}}
+
+
+class ProposerTest(unittest.TestCase):
+    def post(self, world: World) -> tuple[int, str]:
+        status, answer = run(world.ask, "POST", "/v1/changes", BODY)
+        return status, answer.get("error", answer.get("version"))
+
+    def test_follows_the_leader_from_any_node(self) -> None:
+        """Guards against changes that only the leader's own listener accepts."""
+        for control in (True, False):
+            world = World(control=control)
+            world.control.errors = [NotLeader("n3")]
+            world.peers.replies = {
+                "n1": [ProposeReply(0, "NotLeader", "", "n3")],
+                "n3": [ProposeReply(9, "", "", "")],
+            }
+            self.assertEqual(self.post(world), (200, 9))
+
+    def test_nobody_reachable_means_not_changed(self) -> None:
+        """Guards against an unknown outcome when the change was never sent."""
+        world = World(control=False)
+        world.peers.replies = {n: [PeerUnreachable("down")] for n in ("n1", "n2", "n3")}
+        self.assertEqual(self.post(world), (503, "no-leader"))
+
+    def test_lost_reply_means_unknown(self) -> None:
+        """Guards against a change reported as refused that is in force."""
+        world = World(control=False)
+        world.peers.replies = {"n2": [PeerTimeout("late"), PeerUnreachable("down")]}
+        self.assertEqual(self.post(world), (503, "proposal-unknown"))
+        world = World()
+        world.control.errors = [ProposalUnknown("lost")] + [NotLeader(None)] * 1_000
+        self.assertEqual(self.post(world), (503, "proposal-unknown"))
+
+    def test_refusals_of_the_leader_keep_their_type(self) -> None:
+        """Guards against a conflict that scripts see as another failure."""
+        world = World(control=False)
+        world.peers.replies = {"n1": [ProposeReply(12, "VersionConflict", "c0", "")]}
+        status, answer = run(world.ask, "POST", "/v1/changes", {**BODY, "base_version": 4})
+        self.assertEqual((status, answer["current_version"], answer["winner"]), (409, 12, "c0"))
+        world.peers.replies = {"n1": [ProposeReply(0, "InvalidChange", "why", "")]}
+        self.assertEqual(self.post(world), (422, "invalid-change"))
+
+
+class ViewTest(unittest.TestCase):
+    def test_status_shows_who_lags(self) -> None:
+        """Guards against a change reported as everywhere in force while a node lacks it."""
+        rows = {row["node"]: row for row in run(World().ask, "GET", "/v1/status")[1]["nodes"]}
+        self.assertEqual([rows[n]["lags"] for n in ("n1", "n2", "n3")], [False, True, True])
+
+    def test_other_nodes_name_the_control_instances(self) -> None:
+        """Guards against an empty history where the answer is only elsewhere."""
+        world = World(control=False)
+        self.assertIsNone(run(world.ask, "GET", "/v1/status")[1]["nodes"])
+        status, answer = run(world.ask, "GET", "/v1/config/history")
+        self.assertEqual((status, answer["error"]), (404, "not-a-control-instance"))
+        self.assertIn("n1, n2, n3", answer["detail"])
+
+    def test_every_page_is_valid_json_without_a_fresh_configuration(self) -> None:
+        """Guards against pages that break when the age of the configuration is infinite."""
+        world = World()
+        world.config.fresh = False
+        for page in ("status", "config", "config/history", "services", "upstreams", "members"):
+            self.assertEqual(run(world.ask, "GET", f"/v1/{page}")[0], 200, page)
+        self.assertIsNone(run(world.ask, "GET", "/v1/status")[1]["config_age_ms"])
+        self.assertEqual(run(world.ask, "GET", "/ready")[0], 503)
+
+    def test_usable_targets_leave_out_what_gets_no_work(self) -> None:
+        """Guards against a service shown as well served by targets that are out."""
+        world = World()
+        world.membership.domains["n3"] = "south"
+        row = operator_views.services(world.kernel)["services"][0]
+        self.assertEqual((row["targets"], row["usable_by_domain"]), (3, {"east": 1, "west": 1}))
+
+    @BOUNDED
+    @given(
+        st.dictionaries(st.tuples(st.text(max_size=8), st.text(max_size=8)), st.integers(0, 9)),
+        st.dictionaries(st.text(max_size=8), st.floats()),
+    )
+    def test_metrics_page_holds_whole_lines(
+        self, counts: dict[tuple[str, str], int], gauges: dict[str, float]
+    ) -> None:
+        """Guards against a name or reason that damages the page for every reader."""
+        counters = Counters()
+        counters.record("call", 1.5)
+        page = metrics.render(MetricsSnapshot(counts, gauges, counters.snapshot().histograms))
+        line = re.compile(
+            r"# TYPE [a-zA-Z0-9_]+ (counter|gauge|summary)"
+            r'|[a-zA-Z0-9_]+(\{[a-z]+="([^"\\\n]|\\["\\n])*"\})? (-?[0-9.e+-]+|NaN|[+-]Inf)'
+        )
+        kind, total = "", 0
+        for text in page.split("\n")[:-1]:
+            self.assertRegex(text, re.compile(rf"\A(?:{line.pattern})\Z"))
+            if text.startswith("# TYPE"):
+                kind = text.rsplit(" ", 1)[1]
+            elif kind == "counter":
+                total += int(text.rsplit(" ", 1)[1])
+        self.assertEqual(total, sum(counts.values()))
