--- /dev/null
+++ b/knapweedhitch/cli.py
@@ -0,0 +1,376 @@
+"""The command-line tool `knapweedhitch`."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import os
+import re
+import sys
+import time
+import uuid
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+from urllib.parse import quote
+
+import fire
+import trio
+
+from knapweedhitch import __version__, cli_answers, cli_pages
+from knapweedhitch.cli_answers import Pending, command
+from knapweedhitch.exceptions import (
+    AnswersError,
+    ChangeConflict,
+    ChangeUnconfirmed,
+    CommandError,
+    KnapweedhitchError,
+    NoLeader,
+    OperatorAnswerLost,
+    OperatorRefused,
+    OperatorUnreachable,
+    SettingsError,
+)
+from knapweedhitch.operator_client import OperatorClient, new_change_id, parse_address
+from knapweedhitch.settings import load_secret, load_settings
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_UNREACHABLE = 3
+EXIT_CONFLICT = 4
+
+DEFAULT_SETTINGS = "/etc/knapweedhitch/settings.yaml"
+# These take no value on the command line; fire would read the next word as their value.
+SWITCHES = frozenset({"--json", "--yes", "--allow-last", "--allow-unknown", "--force"})
+TOKEN = re.compile(rb"[A-Za-z0-9._~+/=-]+")
+HELP = (["--help"], ["-h"], ["help"])
+HELP_NOTE = re.compile(r"^INFO: Showing help.*\n\n?", re.MULTILINE)
+CONFLICT_TRIES = 3
+KEY_RANDOM_BITS = 74
+
+
+def new_key(now_ms: int) -> str:
+    """Return a UUIDv7 whose time is given in milliseconds since 1970."""
+    random = int.from_bytes(os.urandom(10), "big") >> (80 - KEY_RANDOM_BITS)
+    value = (now_ms & ((1 << 48) - 1)) << 80 | 7 << 76 | (random >> 62) << 64
+    return str(uuid.UUID(int=value | 2 << 62 | random & ((1 << 62) - 1)))
+
+
+class Context:
+    """Hold the options of every command: where the listener is and how results are shown."""
+
+    def __init__(self, address: str, token_file: str, settings: str, as_json: bool) -> None:
+        self._address = address
+        self._token_file = token_file
+        self._settings = settings
+        self.as_json = as_json
+
+    def show(self, value: Any, page: Callable[[Any], str] | None = None) -> None:
+        """Print a result as JSON or as a page for people."""
+        if self.as_json or page is None:
+            print(json.dumps(value, indent=2))
+            return
+        try:
+            text = page(value)
+        except (LookupError, TypeError, AttributeError, ValueError):
+            raise CommandError(
+                "the daemon answers in the form of another version; add --json to see it"
+            ) from None
+        print(text.rstrip("\n"))
+
+    def client(self) -> OperatorClient:
+        """Return the client of the chosen listener; raises CommandError and SettingsError."""
+        address, token_file = self._address, self._token_file
+        if not address or not token_file:
+            cfg = load_settings(self._settings)
+            place = cfg.listen.operator
+            host = f"[{place.host}]" if ":" in place.host else place.host
+            address = address or f"{host}:{place.port}"
+            token_file = token_file or cfg.secrets.operator_token_file
+        try:
+            parsed = parse_address(address)
+        except ValueError as exc:
+            raise CommandError(f"--address: {exc}") from None
+        token = load_secret(token_file)
+        if not TOKEN.fullmatch(token):
+            raise CommandError(f"{token_file}: use letters, digits and -._~+/= for the token")
+        return OperatorClient(parsed, token.decode("ascii"))
+
+    def get(self, path: str) -> Any:
+        """Return a page of the listener."""
+        return self._run(self.client().get, path)
+
+    def change(self, path: str, body: dict[str, Any], change_id: str = "") -> dict[str, Any]:
+        """Post a change under one change id and return the answer."""
+        fields = {"change_id": change_id or new_change_id(), "operator": operator_name(), **body}
+        answer: dict[str, Any] = self._run(self.client().change, path, fields)
+        return answer
+
+    @staticmethod
+    def _run(fn: Callable[..., Awaitable[Any]], *args: Any) -> Any:
+        return trio.run(fn, *args)
+
+
+def segment(text: str) -> str:
+    """Return the text as one segment of a path."""
+    return quote(text, safe="", errors="replace")
+
+
+def operator_name() -> str:
+    """Return the name under which changes are recorded."""
+    return os.environ.get("KNAPWEEDHITCH_OPERATOR") or os.environ.get("USER") or "unknown"
+
+
+class Config:
+    """See the configuration in force, its history, or how it differs from answers."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    @command
+    def show(self) -> None:
+        """Show the configuration in force at this node."""
+        self._context.show(self._context.get("/v1/config"), cli_pages.config)
+
+    @command
+    def history(self, *, limit: str = "20") -> None:
+        """Show the last changes; ask a control instance."""
+        page = self._context.get(f"/v1/config/history?limit={segment(limit)}")
+        self._context.show(page, cli_pages.history)
+
+    @command
+    def diff(self, answers: str) -> None:
+        """Show what `answers apply` would change, without changing anything."""
+        difference = cli_answers.difference(self._context, answers)
+        self._context.show(difference.plain(), lambda _: difference.text())
+
+
+class Domain:
+    """Take a failure domain out of service, or back in."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+        # The command is called like a keyword of the language.
+        setattr(self, "in", self._into)
+
+    @command
+    def out(
+        self,
+        name: str,
+        *,
+        allow_last: bool = False,
+        allow_unknown: bool = False,
+        change_id: str = "",
+    ) -> None:
+        """Take out a failure domain; --allow-last if it is the last one of a service."""
+        body = {"allow_last": bool(allow_last), "allow_unknown": bool(allow_unknown)}
+        path = f"/v1/domains/{segment(name)}/out"
+        for attempt in range(CONFLICT_TRIES):
+            try:
+                answer = self._context.change(path, body, change_id)
+                break
+            except OperatorRefused as exc:
+                # Another change came between; the daemon checks the last domain again.
+                last = attempt == CONFLICT_TRIES - 1 or bool(change_id)
+                if exc.error != ChangeConflict.reason or last:
+                    raise
+        self._context.show(answer, lambda a: f"{name} is out since version {a['version']}")
+
+    @command
+    def _into(self, name: str, *, change_id: str = "") -> None:
+        """Take a failure domain back in; it gets its load little by little."""
+        answer = self._context.change(f"/v1/domains/{segment(name)}/in", {}, change_id)
+        self._context.show(answer, lambda a: f"{name} is in since version {a['version']}")
+
+
+class Node:
+    """Drain a node, or end its drain."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    @command
+    def drain(self, node_id: str, *, change_id: str = "") -> None:
+        """Give a node no new work; work in progress goes on."""
+        self._post(node_id, "drain", change_id)
+
+    @command
+    def undrain(self, node_id: str, *, change_id: str = "") -> None:
+        """Give a node work again."""
+        self._post(node_id, "undrain", change_id)
+
+    def _post(self, node_id: str, verb: str, change_id: str) -> None:
+        path = f"/v1/nodes/{segment(node_id)}/{verb}"
+        answer = self._context.change(path, {}, change_id)
+        self._context.show(answer, lambda a: f"{node_id}: {verb} since version {a['version']}")
+
+
+class Commands:
+    """See and change a knapweedhitch deployment.
+
+    A new team starts with `knapweedhitch answers template`.
+
+    Options of every command: --json for output that scripts read; --settings FILE for the settings
+    of the daemon on this instance, from which the address and the token come; --address HOST:PORT
+    and --token-file FILE to name them instead. The environment variables KNAPWEEDHITCH_SETTINGS,
+    KNAPWEEDHITCH_ADDRESS and KNAPWEEDHITCH_TOKEN_FILE stand for these options.
+
+    Exit codes: 0 done, 1 refused, 2 wrong use, 3 no answer from the daemon, 4 another change came
+    first.
+    """
+
+    def __init__(
+        self, address: str = "", token_file: str = "", settings: str = "", json: bool = False
+    ) -> None:
+        env = os.environ
+        self._context = Context(
+            address or env.get("KNAPWEEDHITCH_ADDRESS", ""),
+            token_file or env.get("KNAPWEEDHITCH_TOKEN_FILE", ""),
+            settings or env.get("KNAPWEEDHITCH_SETTINGS", DEFAULT_SETTINGS),
+            bool(json),
+        )
+        self.answers = cli_answers.AnswerCommands(self._context)
+        self.config = Config(self._context)
+        self.domain = Domain(self._context)
+        self.node = Node(self._context)
+
+    @command
+    def status(self) -> None:
+        """Show the version in force, and on a control instance which nodes lag behind."""
+        self._context.show(self._context.get("/v1/status"), cli_pages.status)
+
+    @command
+    def services(self) -> None:
+        """Show each service and how many targets can take work in each failure domain."""
+        self._context.show(self._context.get("/v1/services"), cli_pages.services)
+
+    @command
+    def upstreams(self) -> None:
+        """Show every upstream that announced itself."""
+        self._context.show(self._context.get("/v1/upstreams"), cli_pages.upstreams)
+
+    @command
+    def members(self) -> None:
+        """Show every node that this node knows."""
+        self._context.show(self._context.get("/v1/members"), cli_pages.members)
+
+    @command
+    def explain(self, request_id: str) -> None:
+        """Show how one request was routed; send it with the header Knapweedhitch-Explain: 1."""
+        self._context.show(self._context.get(f"/v1/explain/{segment(request_id)}"))
+
+    @command
+    def metrics(self) -> None:
+        """Show all counters and times in the Prometheus text format."""
+        print(self._context.get("/metrics"), end="")
+
+    @command
+    def key(self) -> None:
+        """Make an idempotency key for a booking, deposit or order."""
+        print(new_key(time.time_ns() // 1_000_000))
+
+    @command
+    def version(self) -> None:
+        """Print the version."""
+        print(__version__)
+
+
+def prepared(args: Sequence[str]) -> list[str]:
+    """Return arguments that fire leaves as they are: texts stay texts, switches take no value."""
+    result = []
+    for arg in args:
+        name, equals, value = arg.partition("=")
+        if arg in SWITCHES:
+            result.append(f"{arg}=True")
+        elif arg.startswith("--") and equals:
+            result.append(f"{name}={_literal(value)}")
+        else:
+            result.append(arg if arg.startswith("-") else _literal(arg))
+    return result
+
+
+def _literal(text: str) -> str:
+    # Fire reads 0123 or 1e5 as a number and None as no value; quoted, they stay texts.
+    return text if fire.parser.DefaultParseValue(text) == text else repr(text)
+
+
+def exit_code(exc: KnapweedhitchError) -> int:
+    """Return the exit code of an error."""
+    if isinstance(exc, OperatorRefused):
+        if exc.error == ChangeConflict.reason:
+            return EXIT_CONFLICT
+        if exc.error in (NoLeader.reason, ChangeUnconfirmed.reason):
+            return EXIT_UNREACHABLE
+        return EXIT_REFUSED
+    if isinstance(exc, (OperatorUnreachable, OperatorAnswerLost)):
+        return EXIT_UNREACHABLE
+    if isinstance(exc, (CommandError, SettingsError)):
+        return EXIT_USAGE
+    return EXIT_REFUSED
+
+
+def advice(exc: KnapweedhitchError) -> str:
+    """Return what to do about an error."""
+    if isinstance(exc, OperatorAnswerLost):
+        return f"; run the same command with --change-id {exc.change_id}"
+    if isinstance(exc, OperatorUnreachable):
+        return "; check that the daemon runs and that --address is its operator listener"
+    if isinstance(exc, OperatorRefused):
+        return cli_pages.ADVICE.get(exc.error, "")
+    if isinstance(exc, SettingsError):
+        return "; name the files with --settings, or with --address and --token-file"
+    if isinstance(exc, AnswersError):
+        return "; correct the answer and run the command again"
+    return ""
+
+
+def parse(args: Sequence[str]) -> Pending | None:
+    """Return the command of the arguments; None if only help was shown; raises CommandError."""
+    if list(args) in HELP:
+        args = ()
+    usage = io.StringIO()
+    fire.core.Display = lambda lines, out: print(*lines, sep="\n", file=out)
+    try:
+        with contextlib.redirect_stderr(usage):
+            found = fire.Fire(
+                Commands, command=prepared(args), name="knapweedhitch", serialize=_shown
+            )
+    except fire.core.FireExit as exc:
+        if exc.code != EXIT_OK:
+            problem = exc.trace.elements[-1].ErrorAsStr()
+            raise CommandError(f"{problem}; see knapweedhitch --help") from None
+        print(HELP_NOTE.sub("", usage.getvalue()), end="")
+        return None
+    return found if isinstance(found, Pending) else None
+
+
+def _shown(found: Any) -> Any:
+    # Without this, fire would print a help page for the command itself.
+    return None if isinstance(found, Pending) else found
+
+
+def run(args: Sequence[str]) -> int:
+    """Run one command and return its exit code."""
+    try:
+        pending = parse(args)
+        if pending is not None:
+            pending.execute()
+    except KnapweedhitchError as exc:
+        return _fail(f"{exc}{advice(exc)}", exit_code(exc))
+    except KeyboardInterrupt:
+        return _fail("stopped before the end", EXIT_REFUSED)
+    except BrokenPipeError:
+        # The reader of a pipe has gone; the interpreter must not report it once more at its end.
+        sys.stdout = open(os.devnull, "w", encoding="utf-8")  # noqa: SIM115
+    return EXIT_OK
+
+
+def _fail(problem: str, code: int) -> int:
+    print(f"knapweedhitch: {' '.join(problem.split())}", file=sys.stderr)
+    return code
+
+
+def main() -> None:
+    """Run the command of the process."""
+    sys.exit(run(sys.argv[1:]))
--- /dev/null
+++ b/knapweedhitch/cli_answers.py
@@ -0,0 +1,211 @@
+"""The commands about answers: template, check, interactive, generate, apply, export, diff."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol
+
+from knapweedhitch import changes_json, differences, generator, interview, plain, questionnaire
+from knapweedhitch.exceptions import AnswersError, CommandError
+from knapweedhitch.model import ServiceConfig
+from knapweedhitch.questionnaire import Answers
+
+
+class Context(Protocol):
+    """Be what these commands need of the command line."""
+
+    as_json: bool
+
+    def show(self, value: Any, page: Any = None) -> None: ...
+
+    def get(self, path: str) -> Any: ...
+
+    def change(self, path: str, body: dict[str, Any], change_id: str = "") -> dict[str, Any]: ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pending:
+    """Hold a command whose arguments have been read, and that has not run yet."""
+
+    _fn: Callable[[], None]
+
+    def execute(self) -> None:
+        """Run the command."""
+        self._fn()
+
+
+def command(fn: Callable[..., None]) -> Callable[..., Pending]:
+    """Make a method a command that runs only after the whole command line was understood."""
+
+    # fire calls a method before it sees that a later argument is one too many.
+    @functools.wraps(fn)
+    def read(*args: Any, **kwargs: Any) -> Pending:
+        return Pending(functools.partial(fn, *args, **kwargs))
+
+    return read
+
+
+def read_answers(path: str) -> Answers:
+    """Return the checked answers of a file or of a generated folder; raises CommandError."""
+    return questionnaire.parse_answers(_read(_answers_path(path)))
+
+
+def _answers_path(path: str) -> Path:
+    found = Path(path)
+    return found / generator.ANSWERS_FILE if found.is_dir() else found
+
+
+def _read(path: Path) -> str:
+    try:
+        if path.stat().st_size > questionnaire.MAX_ANSWERS_BYTES:
+            raise CommandError(f"{path}: is over {questionnaire.MAX_ANSWERS_BYTES} bytes")
+        return path.read_text(encoding="utf-8")
+    except OSError as exc:
+        raise CommandError(f"{path}: cannot be read: {exc.strerror}") from None
+    except UnicodeDecodeError as exc:
+        raise CommandError(f"{path}: is not UTF-8 at byte {exc.start}") from None
+
+
+def _write(path: Path, text: str, *, force: bool) -> None:
+    if path.exists() and not force:
+        raise CommandError(f"{path}: exists; add --force to replace it")
+    try:
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(text, encoding="utf-8")
+    except OSError as exc:
+        raise CommandError(f"{path}: cannot be written: {exc.strerror}") from None
+
+
+def _running(context: Context) -> tuple[int, tuple[ServiceConfig, ...]]:
+    page = context.get("/v1/config")
+    services = [changes_json.parse_service(one) for one in page["services"].values()]
+    return page["version"], tuple(services)
+
+
+@dataclasses.dataclass(frozen=True)
+class Difference:
+    """Hold how the services of answers differ from the version in force."""
+
+    version: int
+    services: tuple[ServiceConfig, ...]
+    lines: list[str]
+
+    def plain(self) -> dict[str, Any]:
+        """Return the difference as JSON types."""
+        return {"version": self.version, "difference": self.lines}
+
+    def text(self) -> str:
+        """Return the difference for people."""
+        return "\n".join(self.lines) or "no difference"
+
+
+def difference(context: Context, path: str) -> Difference:
+    """Return what the answers in a file would change."""
+    deployment = generator.generate(read_answers(path))
+    version, running = _running(context)
+    lines = differences.of_services(running, deployment.services)
+    return Difference(version, deployment.services, lines)
+
+
+class AnswerCommands:
+    """Answer the questionnaire and make settings and configuration from the answers."""
+
+    def __init__(self, context: Context) -> None:
+        self._context = context
+
+    @command
+    def template(self, *, output: str = "", force: bool = False) -> None:
+        """Print a commented file of example answers, or write it to --output."""
+        if output:
+            _write(Path(output), interview.template(), force=bool(force))
+        else:
+            print(interview.template(), end="")
+
+    @command
+    def check(self, file: str) -> None:
+        """Check answers; a wrong one is named with its question and what would be accepted."""
+        deployment = generator.generate(read_answers(file))
+        services = [svc.name for svc in deployment.services]
+        control = [one.name for one in deployment.control]
+        count = len(deployment.settings)
+        facts = {"instances": count, "services": services, "control_instances": control}
+        text = (
+            f"ok: {count} instances, services {', '.join(services)}, "
+            f"control instances {', '.join(control)}"
+        )
+        self._context.show(facts, lambda _: text)
+
+    @command
+    def interactive(self, file: str, *, force: bool = False) -> None:
+        """Ask every question and write the answers to a file."""
+        path = Path(file)
+        if path.exists() and not force:
+            raise CommandError(f"{path}: exists; add --force to replace it")
+        text, problem = interview.Interview(input, lambda line: print(line)).run()
+        _write(path, text, force=True)
+        print(f"written to {path}")
+        if problem is not None:
+            raise problem
+
+    @command
+    def generate(self, file: str, folder: str, *, force: bool = False) -> None:
+        """Write the settings of every instance and the services to a folder."""
+        files = generator.render(generator.generate(read_answers(file)))
+        target = Path(folder)
+        taken = [name for name in files if (target / name).exists()]
+        if taken and not force:
+            raise CommandError(f"{target / taken[0]}: exists; add --force to replace it")
+        for name, text in files.items():
+            _write(target / name, text, force=True)
+        self._context.show({"files": sorted(files)}, lambda _: f"{len(files)} files in {target}")
+
+    @command
+    def export(self, folder: str) -> None:
+        """Print the answers that a folder was generated from, after a check that it still is."""
+        text = _read(_answers_path(folder))
+        answers = questionnaire.parse_answers(text)
+        if Path(folder).is_dir():
+            for name, made in generator.render(generator.generate(answers)).items():
+                if name != generator.ANSWERS_FILE and _read(Path(folder) / name) != made:
+                    raise AnswersError(name, "edited by hand", "the file as it is generated")
+        print(questionnaire.export(answers), end="")
+
+    @command
+    def diff(self, old: str, new: str) -> None:
+        """Show how settings and services change from old answers to new ones."""
+        before = generator.generate(read_answers(old))
+        after = generator.generate(read_answers(new))
+        lines = differences.of_services(before.services, after.services)
+        old_files, new_files = generator.render(before), generator.render(after)
+        for files in (old_files, new_files):
+            del files[generator.ANSWERS_FILE], files[generator.SERVICES_FILE]
+        lines += differences.of_files(old_files, new_files)
+        text = "\n".join(lines) or "no difference"
+        self._context.show({"difference": lines}, lambda _: text)
+
+    @command
+    def apply(self, file: str, *, yes: bool = False, change_id: str = "") -> None:
+        """Show the difference, ask, and put the services of the answers into force."""
+        found = difference(self._context, file)
+        if not self._context.as_json:
+            print(found.text())
+        if not found.lines and not change_id:
+            self._context.show(found.plain(), lambda _: f"in force is version {found.version}")
+            return
+        if not yes and not self._confirmed():
+            raise CommandError("nothing was changed; add --yes to apply without the question")
+        op = {"kind": "apply_all", "services": plain.to_json(found.services)}
+        body = {"base_version": found.version, "op": op}
+        answer = self._context.change("/v1/changes", body, change_id)
+        result = {"difference": found.lines, **answer}
+        self._context.show(result, lambda _: f"in force since version {answer['version']}")
+
+    @staticmethod
+    def _confirmed() -> bool:
+        if not sys.stdin.isatty():
+            return False
+        return input("Apply this difference? (yes or no) ").strip().lower() in ("yes", "y")
--- /dev/null
+++ b/knapweedhitch/cli_pages.py
@@ -0,0 +1,105 @@
+"""The answers of the operator listener as pages for people."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Any
+
+# What to do about a refusal, added to its error line.
+ADVICE: Mapping[str, str] = {
+    "unauthorized": "; give the token file of that node with --token-file",
+    "version-conflict": "; look at `knapweedhitch config history` and run the command again",
+    "last-domain": "; bring another domain in first, or add --allow-last",
+    "unknown-domain": "; check the name, or add --allow-unknown if all its nodes are gone",
+    "unknown-node": "; check the name with `knapweedhitch members`",
+    "no-leader": "; check the control instances with `knapweedhitch status`",
+    "no-such-resource": "",
+}
+
+
+def table(header: Sequence[str], rows: Iterable[Sequence[Any]]) -> str:
+    """Return aligned columns."""
+    texts = [[_cell(value) for value in row] for row in [header, *rows]]
+    widths = [max(len(row[i]) for row in texts) for i in range(len(header))]
+    lines = [
+        "  ".join(f"{cell:{width}}" for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in texts
+    ]
+    return "\n".join(lines)
+
+
+def _cell(value: Any) -> str:
+    if value is None:
+        return "-"
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, float):
+        return f"{value:.0f}"
+    if isinstance(value, Mapping):
+        return " ".join(f"{key}={_cell(one)}" for key, one in value.items()) or "-"
+    if isinstance(value, (list, tuple)):
+        return ",".join(_cell(one) for one in value) or "-"
+    return str(value)
+
+
+def status(page: Mapping[str, Any]) -> str:
+    """Return the state of the node, then the nodes that lag, then all nodes."""
+    facts = [(key, page[key]) for key in page if key != "nodes"]
+    text = table(("fact", "value"), facts)
+    nodes = page["nodes"]
+    if nodes is None:
+        others = ", ".join(page["control_instances"])
+        return f"{text}\n\nThe versions of other nodes are known at: {others}"
+    lagging = [row["node"] for row in nodes if row["lags"]]
+    header = ("node", "domain", "state", "version", "age_ms", "lags")
+    rows = [[row[key] for key in header] for row in nodes]
+    return f"{text}\n\nlagging: {_cell(lagging)}\n\n{table(header, rows)}"
+
+
+def config(page: Mapping[str, Any]) -> str:
+    """Return the configuration in force."""
+    out = sorted(name for name, one in page["domains"].items() if one["out"])
+    facts = [
+        ("version", page["version"]),
+        ("domains out", out),
+        ("draining nodes", page["draining_nodes"]),
+    ]
+    rows = [
+        (name, svc["hosts"], svc["require_key"], svc["default_deadline_ms"], svc["max_deadline_ms"])
+        for name, svc in sorted(page["services"].items())
+    ]
+    header = ("service", "hosts", "require_key", "default_deadline_ms", "max_deadline_ms")
+    return f"{table(('fact', 'value'), facts)}\n\n{table(header, rows)}"
+
+
+def history(page: Mapping[str, Any]) -> str:
+    """Return one line for each change, oldest first."""
+    return "\n".join(json.dumps(change) for change in page["changes"]) or "no changes"
+
+
+def services(page: Mapping[str, Any]) -> str:
+    """Return one line for each service."""
+    rows = [
+        (
+            one["name"],
+            one["config"]["hosts"],
+            one["targets"],
+            one["usable"],
+            one["usable_by_domain"],
+        )
+        for one in page["services"]
+    ]
+    return table(("service", "hosts", "targets", "usable", "usable_by_domain"), rows)
+
+
+def upstreams(page: Mapping[str, Any]) -> str:
+    """Return one line for each upstream."""
+    header = ("service", "node", "domain", "address", "slots", "state", "suspect", "usable")
+    return table(header, [[one[key] for key in header] for one in page["upstreams"]])
+
+
+def members(page: Mapping[str, Any]) -> str:
+    """Return one line for each node."""
+    header = ("node", "address", "region", "domain", "state", "draining", "service")
+    return table(header, [[one[key] for key in header] for one in page["members"]])
--- /dev/null
+++ b/knapweedhitch/operator_client.py
@@ -0,0 +1,200 @@
+"""The client of the operator listener that the command line uses."""
+
+from __future__ import annotations
+
+import json
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import h11
+import trio
+
+from knapweedhitch.exceptions import (
+    ChangeConflict,
+    ChangeInvalid,
+    ChangeUnconfirmed,
+    NoLeader,
+    OperatorAnswerLost,
+    OperatorRefused,
+    OperatorUnreachable,
+)
+from knapweedhitch.model import Address
+
+CONNECT_TIMEOUT_MS = 2_000
+# Above the daemon's operator.propose_timeout_ms, so that its own answer arrives first.
+ANSWER_TIMEOUT_MS = 10_000
+ATTEMPTS = 3
+RETRY_DELAY_MS = 200
+READ_BYTES = 65_536
+MAX_HEADER_BYTES = 65_536
+# The status of 15,000 nodes takes about 2 MB.
+MAX_ANSWER_BYTES = 67_108_864
+MS_PER_S = 1_000.0
+# The leader looks for the change id first, so these mean that no earlier try is in force.
+DECIDED_BY_ID = frozenset({ChangeConflict.reason, ChangeInvalid.reason})
+
+OpenStream = Callable[[], Awaitable[trio.abc.Stream]]
+
+
+class _AnswerLost(Exception):
+    """Report a request that was sent, or may have been, and whose answer did not come."""
+
+
+def new_change_id() -> str:
+    """Return a change id that no other command has."""
+    return uuid.uuid4().hex
+
+
+class OperatorClient:
+    """Ask one operator listener, with a bound on every wait."""
+
+    def __init__(
+        self,
+        address: Address,
+        token: str,
+        *,
+        attempts: int = ATTEMPTS,
+        open_stream: OpenStream | None = None,
+    ) -> None:
+        self._address = address
+        self._token = token
+        self._attempts = attempts
+        self._open_stream = open_stream or self._connect
+
+    async def get(self, path: str) -> Any:
+        """Return the JSON or text of a page; raises OperatorRefused and OperatorUnreachable."""
+        problem = ""
+        for attempt in range(self._attempts):
+            await self._pause(attempt)
+            try:
+                return await self._exchange("GET", path, None)
+            except _AnswerLost as exc:
+                problem = str(exc)
+        raise OperatorUnreachable(f"{self._address} gives no answer: {problem}")
+
+    async def change(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Post a change; after a lost answer send it again under its change id.
+
+        Raises OperatorRefused, OperatorUnreachable (nothing was sent) and OperatorAnswerLost.
+        """
+        lost = ""
+        refused: OperatorRefused | None = None
+        for attempt in range(self._attempts):
+            await self._pause(attempt)
+            try:
+                answer: dict[str, Any] = await self._exchange("POST", path, body)
+                return answer
+            except _AnswerLost as exc:
+                lost = str(exc)
+            except OperatorUnreachable:
+                # After a lost answer the change may be in force, so this is not its end.
+                if not lost:
+                    raise
+            except OperatorRefused as exc:
+                if exc.error == ChangeUnconfirmed.reason:
+                    lost = str(exc)
+                elif exc.error == NoLeader.reason:
+                    refused = exc
+                elif lost and exc.error not in DECIDED_BY_ID:
+                    # The refusal tells nothing about the try whose answer was lost.
+                    raise OperatorAnswerLost(str(body["change_id"]), str(exc)) from None
+                else:
+                    raise
+        if lost or refused is None:
+            raise OperatorAnswerLost(str(body["change_id"]), lost)
+        raise refused
+
+    @staticmethod
+    async def _pause(attempt: int) -> None:
+        if attempt:
+            await trio.sleep(RETRY_DELAY_MS * attempt / MS_PER_S)
+
+    async def _connect(self) -> trio.abc.Stream:
+        return await trio.open_tcp_stream(self._address.host, self._address.port)
+
+    async def _exchange(self, method: str, path: str, body: dict[str, Any] | None) -> Any:
+        stream = await self._opened()
+        try:
+            with trio.fail_after(ANSWER_TIMEOUT_MS / MS_PER_S):
+                return await self._on_stream(stream, method, path, body)
+        except trio.TooSlowError:
+            raise _AnswerLost(f"no answer in {ANSWER_TIMEOUT_MS} ms") from None
+        except (trio.BrokenResourceError, trio.ClosedResourceError, h11.ProtocolError) as exc:
+            raise _AnswerLost(f"the connection failed: {exc}") from None
+        finally:
+            await trio.aclose_forcefully(stream)
+
+    async def _opened(self) -> trio.abc.Stream:
+        try:
+            with trio.fail_after(CONNECT_TIMEOUT_MS / MS_PER_S):
+                return await self._open_stream()
+        except (OSError, trio.TooSlowError, BaseExceptionGroup) as exc:
+            raise OperatorUnreachable(
+                f"no connection to {self._address}: {exc or 'timeout'}"
+            ) from None
+
+    async def _on_stream(
+        self, stream: trio.abc.Stream, method: str, path: str, body: dict[str, Any] | None
+    ) -> Any:
+        conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+        payload = json.dumps(body).encode("ascii") if body is not None else b""
+        headers = [
+            ("Host", str(self._address)),
+            ("Authorization", f"Bearer {self._token}"),
+            ("Content-Length", str(len(payload))),
+            ("Connection", "close"),
+        ]
+        data = conn.send(h11.Request(method=method, target=path, headers=headers)) or b""
+        data += (conn.send(h11.Data(payload)) or b"") if payload else b""
+        data += conn.send(h11.EndOfMessage()) or b""
+        try:
+            await stream.send_all(data)
+        except trio.BrokenResourceError:
+            # A listener that refuses early closes its side; its answer can still be read.
+            pass
+        return await self._receive(stream, conn)
+
+    async def _receive(self, stream: trio.abc.Stream, conn: h11.Connection) -> Any:
+        head: h11.Response | None = None
+        body = bytearray()
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                conn.receive_data(bytes(await stream.receive_some(READ_BYTES)))
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise _AnswerLost(f"the answer is over {MAX_ANSWER_BYTES} bytes")
+            elif isinstance(event, h11.EndOfMessage) and head is not None:
+                return _decoded(head, bytes(body))
+            elif not isinstance(event, h11.InformationalResponse):
+                raise _AnswerLost("the connection ended before an answer")
+
+
+def _decoded(head: h11.Response, body: bytes) -> Any:
+    kind = dict(head.headers).get(b"content-type", b"")
+    if not kind.startswith(b"application/json"):
+        if head.status_code == 200:
+            return body.decode("utf-8", errors="replace")
+        raise OperatorRefused(head.status_code, "not-an-operator-listener", "check the address", {})
+    try:
+        answer = json.loads(body)
+    except (ValueError, RecursionError):
+        raise _AnswerLost("the answer is not JSON") from None
+    if head.status_code < 300:
+        return answer
+    fields = answer if isinstance(answer, dict) else {}
+    raise OperatorRefused(
+        head.status_code, str(fields.get("error", "")), str(fields.get("detail", "")), fields
+    )
+
+
+def parse_address(text: str) -> Address:
+    """Return the address in HOST:PORT or [HOST]:PORT; raises ValueError."""
+    host, _, port = text.rpartition(":")
+    if not host or not port.isascii() or not port.isdecimal() or not 0 < int(port) < 65_536:
+        raise ValueError(f"{text!r} is not HOST:PORT")
+    return Address(host.removeprefix("[").removesuffix("]"), int(port))
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -10,10 +10,10 @@
 from typing import Annotated, Any
 
 import pydantic
-import yaml
 from pydantic import Field
 from pydantic.dataclasses import dataclass
 
+from knapweedhitch import yamltext
 from knapweedhitch.exceptions import SettingsError
 from knapweedhitch.model import Address
 
@@ -293,9 +293,9 @@
 def parse_settings(text: str, place: str = "settings") -> Settings:
     """Return the checked settings of a YAML text; raises SettingsError that names the place."""
     try:
-        raw = yaml.safe_load(text)
-    except (yaml.YAMLError, ValueError, RecursionError) as exc:
-        raise SettingsError(place, f"not valid YAML: {' '.join(str(exc).split())}") from None
+        raw = yamltext.load(text)
+    except ValueError as exc:
+        raise SettingsError(place, f"not valid YAML: {exc}") from None
     if not isinstance(raw, dict):
         raise SettingsError(place, "use a YAML mapping with at least node, secrets and control")
     return _validate(raw, place)
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -29,6 +29,7 @@
     Target,
     UpstreamRecord,
 )
+from knapweedhitch.operator_client import OperatorClient
 
 TOKEN = "0123456789abcdef0123"
 CFG = settings.parse_settings("""
@@ -216,6 +217,56 @@
         return split_answer(await self.raw(head.encode("latin-1") + payload))
 
 
+class _LostAnswer(trio.abc.Stream):
+    """Pass a request on and lose the answer, as a connection cut at that moment does."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+
+    async def send_all(self, data: Any) -> None:
+        await self._stream.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await self._stream.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        await self._stream.receive_some(max_bytes)
+        raise trio.BrokenResourceError("cut")
+
+    async def aclose(self) -> None:
+        await self._stream.aclose()
+
+
+class MemoryClient(OperatorClient):
+    """Reach the listener of a world by memory streams; faults name what fails on each try."""
+
+    def __init__(self, world: World, *faults: str, token: str = TOKEN) -> None:
+        super().__init__(Address("127.0.0.1", 1), token, open_stream=self._open)
+        self._world = world
+        self._faults = list(faults)
+        self._nursery: trio.Nursery
+
+    async def _open(self) -> trio.abc.Stream:
+        fault = self._faults.pop(0) if self._faults else ""
+        if fault == "refused":
+            raise OSError("connection refused")
+        client, server = trio.testing.memory_stream_pair()
+        if fault != "silent":
+            self._nursery.start_soon(self._world.api.serve_stream, server)
+        return _LostAnswer(client) if fault == "lost" else client
+
+    async def _exchange(self, *args: Any) -> Any:
+        error: Exception | None = None
+        async with trio.open_nursery() as self._nursery:
+            try:
+                result = await super()._exchange(*args)
+            except Exception as exc:
+                error = exc
+        if error is not None:
+            raise error
+        return result
+
+
 async def read_all(stream: trio.abc.Stream) -> bytes:
     """Return all bytes up to the end of the stream."""
     found = b""
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,219 @@
+"""Tests of the command-line tool."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import logging
+import tempfile
+import time
+import unittest
+import uuid
+from pathlib import Path
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweedhitch import cli
+from tests import operator_fakes
+from tests.operator_fakes import MemoryClient, World
+
+logging.disable(logging.CRITICAL)
+
+CHOIR = "examples/choir/answers.yaml"
+
+
+def call(world: World | None, *args: str, faults: tuple[str, ...] = ()) -> tuple[int, str, str]:
+    """Run a command against a world and return exit code, output and error output."""
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.ExitStack() as stack:
+        stack.enter_context(contextlib.redirect_stdout(out))
+        stack.enter_context(contextlib.redirect_stderr(err))
+        if world is not None:
+            stack.enter_context(
+                mock.patch.object(cli.Context, "client", lambda _: MemoryClient(world, *faults))
+            )
+            stack.enter_context(
+                mock.patch.object(cli.Context, "_run", staticmethod(operator_fakes.run))
+            )
+        code = cli.run(args)
+    return code, out.getvalue(), err.getvalue()
+
+
+class CommandTest(unittest.TestCase):
+    def test_pages_show_as_text_and_as_json(self) -> None:
+        """Guards against a command whose page does not fit the answer of the daemon."""
+        pages = ["status", "services", "upstreams", "members", "config show", "config history"]
+        for page in pages:
+            with self.subTest(page=page):
+                code, out, err = call(World(), *page.split())
+                self.assertEqual((code, err), (0, ""))
+                self.assertTrue(out.strip())
+                code, out, _ = call(World(), *page.split(), "--json")
+                self.assertIsInstance(json.loads(out), dict)
+        self.assertIn("lagging: n2,n3", call(World(), "status")[1])
+        self.assertIn("picked", call(World(), "explain", "req-1")[1])
+        self.assertEqual(call(World(), "metrics")[0], 0)
+
+    def test_exit_codes_tell_scripts_what_happened(self) -> None:
+        """Guards against a script that goes on after a refusal, a lost answer or a conflict."""
+        alone = World()
+        alone.membership.domains = {"n1": "east"}
+        cases = [
+            (World(), ["domain", "out", "east"], (), 0),
+            (World(), ["domain", "in", "south"], (), 0),
+            (World(), ["node", "drain", "n2"], ("lost",), 0),
+            (alone, ["domain", "out", "east"], (), 1),
+            (alone, ["domain", "out", "east", "--allow-last"], (), 0),
+            (World(), ["domain", "out", "eats"], (), 1),
+            (World(), ["explain", "nothing"], (), 1),
+            (World(), ["domain", "out"], (), 2),
+            (World(), ["domain", "out", "east", "west"], (), 2),
+            (World(), ["domain", "out", "east", "--alow-last"], (), 2),
+            (World(), ["status"], ("refused",), 3),
+            (World(), ["node", "drain", "n2"], ("lost",) * 3, 3),
+        ]
+        for world, args, faults, expected in cases:
+            with self.subTest(args=args, faults=faults):
+                code, _, err = call(world, *args, faults=faults)
+                self.assertEqual(code, expected, err)
+                self.assertEqual(len(err.splitlines()), 0 if code == 0 else 1)
+
+    def test_word_too_many_changes_nothing(self) -> None:
+        """Guards against `domain out a b` that takes out a and then reports a wrong use."""
+        world = World()
+        call(world, "domain", "out", "east", "west")
+        call(world, "node", "drain", "n2", "--yess")
+        self.assertEqual(world.control.changes, [])
+
+    def test_names_that_look_like_numbers_stay_names(self) -> None:
+        """Guards against a node 0123 that becomes the node 123."""
+        for name in ("0123", "1e5", "None", "True", "1,2", "[a]", "'x'"):
+            with self.subTest(name=name):
+                self.assertIn(name, call(World(), "domain", "out", name)[2])
+
+    def test_switch_before_a_word_does_not_take_it(self) -> None:
+        """Guards against `--json explain X` that reads X as the value of the switch."""
+        self.assertEqual(call(World(), "--json", "explain", "req-1")[0], 0)
+
+    @settings(derandomize=True, deadline=None, max_examples=100)
+    @given(
+        st.lists(
+            st.sampled_from(["domain", "out", "in", "answers", "check", "--json", "--help", "-"])
+            | st.text(max_size=6),
+            max_size=4,
+        )
+    )
+    def test_any_words_give_an_exit_code(self, words: list[str]) -> None:
+        """Guards against a traceback for a mistyped command."""
+        # Fire's own flags stand behind a lone -- and can start an interpreter.
+        code, _, err = call(World(), *[word for word in words if word != "--"])
+        self.assertIn(code, {0, 1, 2, 3, 4})
+        self.assertNotIn("Traceback", err)
+
+    def test_conflict_of_a_take_out_is_checked_again(self) -> None:
+        """Guards against a take-out that fails because another change came between."""
+        world = World()
+        calls = []
+        real = world.control.submit
+
+        async def racing(change: operator_fakes.Change) -> int:
+            calls.append(change.change_id)
+            if len(calls) == 1:
+                raise operator_fakes.VersionConflict(7, 8, "other")
+            return await real(change)
+
+        with mock.patch.object(world.control, "submit", racing):
+            self.assertEqual(call(world, "domain", "out", "east")[0], 0)
+        self.assertEqual(len(set(calls)), 2)
+
+    def test_key_carries_its_time(self) -> None:
+        """Guards against keys that the daemons refuse as too old or as without a time."""
+        key = uuid.UUID(call(None, "key")[1].strip())
+        self.assertEqual((key.version, key.variant), (7, uuid.RFC_4122))
+        self.assertAlmostEqual(key.int >> 80, time.time() * 1_000, delta=60_000)
+
+    def test_missing_and_open_files_are_named(self) -> None:
+        """Guards against an error that does not say which file is missing or too open."""
+        code, _, err = call(None, "status", "--settings", "/nowhere/s.yaml")
+        self.assertEqual(code, 2)
+        self.assertIn("/nowhere/s.yaml", err)
+        with tempfile.TemporaryDirectory() as folder:
+            token = operator_fakes.write_token(Path(folder))
+            token.chmod(0o644)
+            args = ("--address", "127.0.0.1:1", "--token-file", str(token))
+            code, _, err = call(None, "status", *args)
+            self.assertEqual(code, 2)
+            self.assertIn("chmod 600", err)
+            token.chmod(0o600)
+            self.assertEqual(call(None, "status", *args)[0], 3)
+
+
+class AnswerCommandTest(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def test_generated_folder_gives_the_answers_back(self) -> None:
+        """Guards against a team that cannot leave with its answers."""
+        made, again = str(self.folder / "a"), str(self.folder / "b")
+        self.assertEqual(call(None, "answers", "generate", CHOIR, made)[0], 0)
+        exported = call(None, "answers", "export", made)[1]
+        (self.folder / "again.yaml").write_text(exported)
+        call(None, "answers", "generate", str(self.folder / "again.yaml"), again)
+        self.assertEqual(call(None, "answers", "diff", made, again)[1], "no difference\n")
+        edited = self.folder / "a" / "services.json"
+        edited.write_text(edited.read_text() + " ")
+        code, _, err = call(None, "answers", "export", made)
+        self.assertEqual(code, 1)
+        self.assertIn("services.json", err)
+
+    def test_files_are_not_overwritten_unasked(self) -> None:
+        """Guards against answers lost to a template."""
+        file = str(self.folder / "answers.yaml")
+        self.assertEqual(call(None, "answers", "template", "--output", file)[0], 0)
+        self.assertEqual(call(None, "answers", "template", "--output", file)[0], 2)
+        self.assertEqual(call(None, "answers", "template", "--output", file, "--force")[0], 0)
+        self.assertEqual(call(None, "answers", "check", file)[0], 0)
+
+    def test_changed_answer_shows_as_settings_and_service(self) -> None:
+        """Guards against a change that is applied unseen."""
+        changed = self.folder / "changed.yaml"
+        text = Path(CHOIR).read_text()
+        changed.write_text(text.replace("wait_longer_than_ms: 5000", "wait_longer_than_ms: 20000"))
+        code, out, _ = call(None, "answers", "diff", CHOIR, str(changed))
+        self.assertEqual(code, 0)
+        self.assertIn("~ bookings.default_deadline_ms: 5000 -> 20000", out)
+        self.assertIn("+  first_byte_timeout_ms: 20000", out)
+
+    def test_apply_shows_then_asks_then_changes(self) -> None:
+        """Guards against services put into force without a look at the difference."""
+        world = World()
+        code, out, err = call(world, "answers", "apply", CHOIR)
+        self.assertEqual((code, world.control.changes), (2, []))
+        self.assertIn("+ service bookings", out)
+        self.assertIn("--yes", err)
+        code, out, _ = call(world, "answers", "apply", CHOIR, "--yes", "--json")
+        self.assertEqual((code, json.loads(out)["version"]), (0, 8))
+        applied = world.control.changes[0]
+        self.assertEqual((applied.base_version, len(applied.op.value)), (7, 3))  # type: ignore[arg-type]
+
+    def test_apply_of_an_old_difference_is_a_conflict(self) -> None:
+        """Guards against a change that undoes one which the operator has not seen."""
+        world = World()
+        world.control.errors = [operator_fakes.VersionConflict(7, 9, "other")]
+        code, _, err = call(world, "answers", "apply", CHOIR, "--yes")
+        self.assertEqual(code, 4)
+        self.assertIn("current version 9", err)
+
+    def test_unreadable_answers_are_named(self) -> None:
+        """Guards against a traceback for a file that is no text."""
+        bad = self.folder / "bad.yaml"
+        bad.write_bytes(b"\xff\xfe\x00")
+        for path in (str(bad), "/nowhere/a.yaml"):
+            code, _, err = call(None, "answers", "check", path)
+            self.assertEqual(code, 2)
+            self.assertIn(path, err)
