--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -10,10 +10,10 @@
 from typing import Annotated, Any
 
 import pydantic
-import yaml
 from pydantic import Field
 from pydantic.dataclasses import dataclass
 
+from knapweedhitch import yamltext
 from knapweedhitch.exceptions import SettingsError
 from knapweedhitch.model import Address
 
@@ -248,6 +248,20 @@
     split_vote_retries: Count = 3
 
 
+@dataclass(frozen=True, config=_STRICT)
+class OperatorSettings:
+    """Hold the limits of the operator listener."""
+
+    max_connections: Count = 64
+    max_header_bytes: Bytes = 16_384
+    max_body_bytes: Bytes = 1_048_576
+    request_timeout_ms: Ms = 5_000
+    idle_timeout_ms: Ms = 30_000
+    write_timeout_ms: Ms = 10_000
+    propose_timeout_ms: Ms = 5_000
+    max_history: Count = 1_000
+
+
 @dataclass(frozen=True, config=_STRICT)
 class StopSettings:
     """Hold the pace of a planned stop."""
@@ -280,6 +294,7 @@
     admission: AdmissionSettings = AdmissionSettings()
     routing: RoutingSettings = RoutingSettings()
     claims: ClaimSettings = ClaimSettings()
+    operator: OperatorSettings = OperatorSettings()
     stop: StopSettings = StopSettings()
     log: LogSettings = LogSettings()
 
@@ -302,9 +317,9 @@
 def parse_settings(text: str, place: str = "settings") -> Settings:
     """Return the checked settings of a YAML text; raises SettingsError that names the place."""
     try:
-        raw = yaml.safe_load(text)
-    except (yaml.YAMLError, ValueError, RecursionError) as exc:
-        raise SettingsError(place, f"not valid YAML: {' '.join(str(exc).split())}") from None
+        raw = yamltext.load(text)
+    except ValueError as exc:
+        raise SettingsError(place, f"not valid YAML: {exc}") from None
     if not isinstance(raw, dict):
         raise SettingsError(place, "use a YAML mapping with at least node, secrets and control")
     return _validate(raw, place)
