--- /dev/null
+++ b/knapweedhitch/dispatch.py
@@ -0,0 +1,280 @@
+"""The attempts of one call: pick, path, retry and hedge, until an answer may go out."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+import trio
+
+from knapweedhitch import explain, framing
+from knapweedhitch.attempt import Attempt
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import (
+    ColdLimit,
+    ConfigStale,
+    ConnectionLimit,
+    DeadlineExceeded,
+    DomainOut,
+    NodeDraining,
+    NoLease,
+    NoTarget,
+    Outcome,
+    PeerFailed,
+    QueueDelay,
+    QueueFull,
+    Refusal,
+    UpstreamDraining,
+    UpstreamFailed,
+)
+from knapweedhitch.exchange import CallSpec, Headers
+from knapweedhitch.framing import RequestHead
+from knapweedhitch.hedge import Hedge
+from knapweedhitch.http1 import ServerConnection
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.model import CallResult, ServiceConfig, Target, UpstreamState
+from knapweedhitch.payload import Replayable
+from knapweedhitch.pool import refused_result
+
+# Refusals about one target; another target, or the same one later, may take the call.
+PLACE_REFUSALS = (
+    ColdLimit,
+    ConfigStale,
+    ConnectionLimit,
+    DomainOut,
+    NodeDraining,
+    NoTarget,
+    PeerFailed,
+    QueueDelay,
+    QueueFull,
+    UpstreamDraining,
+    UpstreamFailed,
+)
+# Failures of one connection: when no other target is left, the same one is tried again.
+LINK_REFUSALS = (PeerFailed, UpstreamFailed)
+RETRY_STATUSES = frozenset({500, 502, 503, 504})
+HEDGE_METHODS = frozenset({"GET", "HEAD"})
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Call:
+    """Hold the state of one call through all of its attempts."""
+
+    conn: ServerConnection
+    head: RequestHead
+    svc: ServiceConfig
+    request_id: str
+    deadline: Deadline
+    retries_left: int
+    depth: int
+    config_version: int
+    idempotent: bool
+    keyed: bool
+    explained: bool
+    body: Replayable
+    attempts: int = 0
+    in_flight: int = 0
+    maybe_ran: bool = False
+    path: str = ""
+    result: CallResult | None = None
+    choices: list[explain.Choice] = dataclasses.field(default_factory=list)
+
+
+class Dispatcher:
+    """Run calls on targets that the picker chooses."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._node = kernel.cfg.node
+        self._routing = kernel.cfg.routing
+        self._config = kernel.get("config")
+        self._membership = kernel.get("membership")
+        self._picker = kernel.get("picker")
+        self._retry = kernel.get("retry")
+        self._counters = kernel.get("counters")
+        self._gate = kernel.get("gate")
+        self._forward = kernel.get("forward")
+        self._direct: Any = kernel.get("direct") if kernel.has("direct") else None
+
+    async def run(self, call: Call) -> Attempt:
+        """Return the attempt whose answer is whole or committed; raises Refusal, CallerGone."""
+        self._retry.call_started()
+        with trio.CancelScope(deadline=call.deadline.at_s):
+            return await self._attempts(call)
+        ran = call.maybe_ran or call.in_flight > 0
+        raise DeadlineExceeded(Outcome.UNKNOWN if ran else Outcome.NOT_RUN)
+
+    async def _attempts(self, call: Call) -> Attempt:
+        excluded: frozenset[str] = frozenset()
+        target = self._pick(call, excluded, "first")
+        if target is None:
+            raise NoTarget
+        while True:
+            failure: Refusal | None = None
+            try:
+                attempt, call.result = await self._try(call, target)
+                if call.result.status not in RETRY_STATUSES or not call.idempotent:
+                    return attempt
+            except Refusal as exc:
+                failure = exc
+                call.maybe_ran = call.maybe_ran or exc.outcome is Outcome.UNKNOWN
+            excluded |= {choice.picked for choice in call.choices}
+            following = self._following(call, failure, excluded)
+            if following is not None:
+                target = following
+            elif failure is None:
+                return attempt
+            else:
+                if call.maybe_ran:
+                    failure.outcome = Outcome.UNKNOWN
+                raise failure
+
+    def _following(
+        self, call: Call, failure: Refusal | None, excluded: frozenset[str]
+    ) -> Target | None:
+        """Return the target of a further attempt, None when there must be none."""
+        if call.conn.answer_started or call.retries_left <= 0:
+            return None
+        if failure is not None and not isinstance(failure, PLACE_REFUSALS):
+            return None
+        outcome = failure.outcome if failure is not None else Outcome.UNKNOWN
+        may_send_again = call.idempotent or outcome is Outcome.NOT_RUN
+        remaining_ms = call.deadline.remaining_ms() - self._routing.attempt_margin_ms
+        if not may_send_again or remaining_ms <= 0 or not call.body.rewind():
+            return None
+        reason = failure.reason if failure is not None else "server-error"
+        target = self._pick(call, excluded, reason)
+        if target is None and isinstance(failure, LINK_REFUSALS):
+            target = self._pick(call, frozenset(), reason)
+        if target is None:
+            return None
+        if not self._retry.may_retry(
+            reason, call.idempotent, outcome, remaining_ms, call.retries_left
+        ):
+            call.choices.pop()
+            return None
+        call.retries_left -= 1
+        self._counters.add("retries", reason)
+        return target
+
+    def _pick(self, call: Call, excluded: frozenset[str], cause: str) -> Target | None:
+        current = self._config.current
+        targets = tuple(
+            target
+            for target in self._membership.targets(call.svc.name)
+            if not target.draining
+            and target.upstream.state is UpstreamState.SERVING
+            and not current.is_domain_out(target.domain)
+            and target.node_id not in current.draining_nodes
+        )
+        picked = self._picker.pick(call.svc, targets, excluded, self._node.domain, self._node.id)
+        target: Target | None = picked.target
+        if target is not None:
+            path = "gate" if target.node_id == self._node.id else "remote"
+            call.choices.append(
+                explain.Choice(cause, target.upstream.instance_id, path, picked.considered)
+            )
+        return target
+
+    # One attempt
+
+    async def _try(self, call: Call, target: Target) -> tuple[Attempt, CallResult]:
+        attempt = self._attempt(call, target)
+        delay_ms = self._hedge_delay_ms(call)
+        if delay_ms is None:
+            return attempt, await self._execute(call, attempt)
+        hedge = Hedge(
+            self._kernel,
+            lambda tried: self._execute(call, tried),
+            lambda: self._second(call, target),
+        )
+        return await hedge.run(attempt, delay_ms)
+
+    def _hedge_delay_ms(self, call: Call) -> float | None:
+        head = call.head
+        if not call.svc.hedge or head.method not in HEDGE_METHODS or head.has_body:
+            return None
+        delay_ms: float | None = self._picker.hedge_delay_ms(call.svc.name)
+        return None if delay_ms is None else max(delay_ms, self._routing.hedge_min_ms)
+
+    def _second(self, call: Call, first: Target) -> Attempt | None:
+        """Return a second attempt on another target if the hedging budget allows it."""
+        excluded = {choice.picked for choice in call.choices} | {first.upstream.instance_id}
+        target = self._pick(call, frozenset(excluded), "hedge")
+        if target is None:
+            return None
+        if not self._retry.may_hedge():
+            call.choices.pop()
+            return None
+        self._counters.add("hedges", "started")
+        return self._attempt(call, target)
+
+    def _attempt(self, call: Call, target: Target) -> Attempt:
+        own: Headers = ((framing.REQUEST_ID, call.request_id.encode("ascii")),)
+        if call.explained:
+            own = (*own, (framing.EXPLAIN, explain.render(call.choices)))
+        svc = call.svc
+        record_bytes = svc.max_recorded_answer_bytes if call.keyed else None
+        return Attempt(call.conn, target, own, svc.hold_back_bytes, record_bytes)
+
+    async def _execute(self, call: Call, attempt: Attempt) -> CallResult:
+        instance_id = attempt.target.upstream.instance_id
+        self._picker.started(instance_id)
+        started_s = trio.current_time()
+        result: CallResult | None = None
+        call.attempts += 1
+        call.in_flight += 1
+        try:
+            result = await self._on_path(call, attempt)
+            call.in_flight -= 1
+            return result
+        except Refusal as exc:
+            call.in_flight -= 1
+            result = refused_result(exc, (trio.current_time() - started_s) * 1_000)
+            raise
+        finally:
+            # A cancelled attempt stays in flight for the call: its outcome is not known.
+            elapsed_ms = (trio.current_time() - started_s) * 1_000
+            ended = result or self._cancelled(call, elapsed_ms)
+            self._picker.finished(instance_id, ended)
+            if attempt.load is not None:
+                self._picker.observe(instance_id, attempt.load)
+
+    @staticmethod
+    def _cancelled(call: Call, elapsed_ms: float) -> CallResult:
+        late = call.deadline.expired()
+        return CallResult(ok=not late, service_ms=elapsed_ms, timed_out=late, cancelled=True)
+
+    async def _on_path(self, call: Call, attempt: Attempt) -> CallResult:
+        node_id = attempt.target.node_id
+        spec = self._spec(call, attempt.target)
+        result: CallResult
+        if node_id == self._node.id:
+            call.path = "gate"
+            result = await self._gate.execute(node_id, spec, call.body, attempt)
+            return result
+        if self._direct is not None:
+            try:
+                call.path = "direct"
+                result = await self._direct.execute(node_id, spec, call.body, attempt)
+                return result
+            except NoLease:
+                pass
+        call.path = "forward"
+        result = await self._forward.execute(node_id, spec, call.body, attempt)
+        return result
+
+    def _spec(self, call: Call, target: Target) -> CallSpec:
+        return CallSpec(
+            request_id=call.request_id,
+            service=call.svc.name,
+            instance_id=target.upstream.instance_id,
+            method=call.head.method,
+            target=call.head.target,
+            headers=call.head.headers,
+            has_body=call.head.has_body,
+            deadline=call.deadline.reduced(self._routing.attempt_margin_ms),
+            retries_left=call.retries_left,
+            depth=call.depth,
+            config_version=call.config_version,
+        )
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -186,6 +186,10 @@
     """Report a caller that closed its connection before its answer was complete."""
 
 
+class NoLease(KnapweedhitchError):
+    """Report that this node holds no slot lease of the target; nothing was sent."""
+
+
 class Refusal(KnapweedhitchError):
     """Be the base of every answer that the system makes in place of an upstream's."""
 
@@ -352,6 +356,19 @@
     status = 502
 
 
+class UpstreamUnreachable(UpstreamFailed):
+    """Refuse a request because its upstream accepted no connection."""
+
+    reason = "upstream-unreachable"
+
+
+class UpstreamTimedOut(UpstreamFailed):
+    """Report an upstream that made no progress within its limit."""
+
+    reason = "upstream-timeout"
+    status = 504
+
+
 class PeerFailed(Refusal):
     """Report a node on the way that failed before a whole answer arrived."""
 
@@ -415,6 +432,20 @@
     status = 422
 
 
+class KeyedBodyTooLarge(Refusal):
+    """Refuse a keyed request whose body is over the size that is held for its digest."""
+
+    reason = "keyed-body-too-large"
+    status = 413
+
+
+class SpoolFull(Refusal):
+    """Refuse a keyed request because the bodies held for digests use all their space."""
+
+    reason = "spool-full"
+    status = 503
+
+
 class ClaimQuorumLost(Refusal):
     """Refuse a keyed request because too few claim holders can vote."""
 
@@ -441,3 +472,24 @@
 
     reason = "unauthorized"
     status = 401
+
+
+class NotFound(Refusal):
+    """Refuse a request for a path that a listener of the system does not have."""
+
+    reason = "not-found"
+    status = 404
+
+
+class AnnouncementInvalid(Refusal):
+    """Refuse an announcement with a wrong field."""
+
+    reason = "announcement-invalid"
+    status = 400
+
+
+class AnnouncementStale(Refusal):
+    """Refuse an announcement of an earlier incarnation than the current one."""
+
+    reason = "announcement-stale"
+    status = 409
--- /dev/null
+++ b/knapweedhitch/framing.py
@@ -0,0 +1,180 @@
+"""Checks of raw HTTP/1.1 heads, and the headers that must not pass a hop."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from knapweedhitch.exceptions import AmbiguousFraming, BadRequest, HeaderTooLarge, UpgradeRefused
+from knapweedhitch.exchange import Headers
+from knapweedhitch.model import IDEMPOTENT_METHODS, SAFE_METHODS
+
+HEAD_END = b"\r\n\r\n"
+# More digits than any 64-bit length need not be parsed.
+MAX_LENGTH_DIGITS = 18
+
+DEADLINE = b"knapweedhitch-deadline-ms"
+RETRIES = b"knapweedhitch-retries"
+DEPTH = b"knapweedhitch-depth"
+EXPLAIN = b"knapweedhitch-explain"
+EXCHANGE = b"knapweedhitch-exchange"
+OWN_PREFIX = b"knapweedhitch-"
+KEY = b"idempotency-key"
+REQUEST_ID = b"x-request-id"
+
+HOP_BY_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+# Two values of one of these would let two readers act on different ones.
+SINGLE = frozenset({b"host", b"content-length", KEY, REQUEST_ID, DEADLINE, RETRIES, DEPTH, EXPLAIN})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestHead:
+    """Hold one parsed request; headers carry neither hop-by-hop fields nor our own ones."""
+
+    method: str
+    target: bytes
+    host: str
+    headers: Headers
+    control: Mapping[bytes, bytes]
+    content_length: int | None
+    has_body: bool
+
+
+def is_idempotent(method: str, headers: Headers) -> bool:
+    """Tell whether a request may be sent twice; a key asks for at most one run."""
+    if method in SAFE_METHODS:
+        return True
+    return method in IDEMPOTENT_METHODS and all(name != KEY for name, _ in headers)
+
+
+def head_problem(block: bytes) -> str:
+    """Return why the framing of a raw head without its blank line is ambiguous, or ''."""
+    breaks = block.count(b"\r\n")
+    if block.count(b"\n") != breaks or block.count(b"\r") != breaks:
+        return "bare CR or LF"
+    lengths: list[bytes] = []
+    codings: list[bytes] = []
+    hosts = 0
+    for line in block.split(b"\r\n")[1:]:
+        if line[:1] in (b" ", b"\t"):
+            return "folded header line"
+        name, _, value = line.partition(b":")
+        name = name.lower()
+        if name == b"content-length":
+            lengths.append(value.strip(b" \t"))
+        elif name == b"transfer-encoding":
+            codings.append(value.strip(b" \t").lower())
+        elif name == b"host":
+            hosts += 1
+    return _fields_problem(lengths, codings, hosts)
+
+
+def _fields_problem(lengths: list[bytes], codings: list[bytes], hosts: int) -> str:
+    if hosts > 1:
+        return "several Host headers"
+    if len(lengths) > 1:
+        return "repeated Content-Length"
+    if lengths and codings:
+        return "Content-Length with Transfer-Encoding"
+    if lengths and not (lengths[0].isdigit() and len(lengths[0]) <= MAX_LENGTH_DIGITS):
+        return "odd Content-Length"
+    if codings and codings != [b"chunked"]:
+        return "Transfer-Encoding other than chunked"
+    return ""
+
+
+def _connection_tokens(headers: Iterable[tuple[bytes, bytes]]) -> frozenset[bytes]:
+    tokens: set[bytes] = set()
+    for name, value in headers:
+        if name == b"connection":
+            tokens.update(token.strip().lower() for token in value.split(b","))
+    return frozenset(tokens)
+
+
+def parse_request(
+    method: bytes, target: bytes, version: bytes, headers: list[tuple[bytes, bytes]], limit: int
+) -> RequestHead:
+    """Return the head with lower-case header names; raises a Refusal with status 4xx or 501."""
+    if len(headers) > limit:
+        raise HeaderTooLarge(detail=f"more than {limit} headers")
+    named = _connection_tokens(headers)
+    if named & SINGLE or any(token.startswith(OWN_PREFIX) for token in named):
+        raise AmbiguousFraming(detail="Connection names a header that must be kept")
+    control: dict[bytes, bytes] = {}
+    passed: list[tuple[bytes, bytes]] = []
+    length: int | None = None
+    chunked = False
+    for name, value in headers:
+        if name in SINGLE:
+            if name in control:
+                raise BadRequest(detail=f"repeated {name.decode('ascii')}")
+            control[name] = value
+            if name == b"content-length":
+                length = int(value)
+        elif name == b"transfer-encoding":
+            chunked = True
+        elif name == b"upgrade":
+            raise UpgradeRefused
+        if name in HOP_BY_HOP or name in named or name == b"expect" or name == REQUEST_ID:
+            continue
+        if not name.startswith(OWN_PREFIX):
+            passed.append((name, value))
+    if method == b"CONNECT":
+        raise UpgradeRefused
+    if chunked and version < b"1.1":
+        raise AmbiguousFraming(detail="Transfer-Encoding in HTTP/1.0")
+    host = control.get(b"host", b"").decode("latin-1")
+    return RequestHead(
+        method=method.decode("ascii"),
+        target=_origin_form(target, host),
+        host=host,
+        headers=tuple(passed),
+        control=control,
+        content_length=length,
+        has_body=chunked or bool(length),
+    )
+
+
+def _origin_form(target: bytes, host: str) -> bytes:
+    if target[:1] == b"/" or target == b"*":
+        return target
+    scheme, separator, rest = target.partition(b"://")
+    authority, slash, path = rest.partition(b"/")
+    if not separator or scheme.lower() not in (b"http", b"https"):
+        raise BadRequest(detail="request target is neither a path nor an http URI")
+    if authority.decode("latin-1").lower() != host.lower():
+        raise AmbiguousFraming(detail="request target and Host name different hosts")
+    return slash + path or b"/"
+
+
+def answer_headers(headers: list[tuple[bytes, bytes]]) -> Headers:
+    """Return the headers of an upstream's answer that pass on, without our own ones."""
+    named = _connection_tokens(headers) - {b"content-length"}
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name not in HOP_BY_HOP
+        and name not in named
+        and name != REQUEST_ID
+        and not name.startswith(OWN_PREFIX)
+    )
+
+
+def content_length(headers: Headers) -> int | None:
+    """Return the Content-Length of checked headers in bytes."""
+    for name, value in headers:
+        if name == b"content-length":
+            return int(value)
+    return None
--- /dev/null
+++ b/knapweedhitch/gate.py
@@ -0,0 +1,103 @@
+"""Admission in front of the node's own upstream."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import trio
+
+from knapweedhitch.exceptions import (
+    ConfigStale,
+    DomainOut,
+    NodeDraining,
+    NoTarget,
+    Refusal,
+    UpstreamDraining,
+)
+from knapweedhitch.exchange import BodySource, CallSpec, ResponseSink
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.model import CallResult, UpstreamRecord, UpstreamState
+from knapweedhitch.pool import refused_result
+
+# Refusals of the gate itself, which say nothing about the upstream.
+CHECKS = (ConfigStale, DomainOut, NodeDraining, NoTarget, UpstreamDraining)
+# A slot that was given back without a call says nothing about the upstream.
+UNUSED = CallResult(ok=True, service_ms=0.0, cancelled=True)
+
+
+@service("gate")
+class Gate:
+    """Run calls on the own upstream: check, queue for a slot, check again, call."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._node = kernel.cfg.node
+        self.in_progress = 0
+
+    async def start(self) -> None:
+        """Find the services that the gate uses."""
+        get = self._kernel.get
+        self._config = get("config")
+        self._announce = get("announce")
+        self._admission = get("admission")
+        self._pool = get("pool")
+        self._counters = get("counters")
+
+    async def stop(self) -> None:
+        """Do nothing; calls end with their tasks."""
+
+    async def execute(
+        self, node_id: str, spec: CallSpec, body: BodySource, sink: ResponseSink
+    ) -> CallResult:
+        """Run the call; raises Refusal, NOT_RUN only if no byte reached the upstream."""
+        self._check(spec)
+        self.in_progress += 1
+        try:
+            return await self._admitted(spec, body, sink)
+        finally:
+            self.in_progress -= 1
+
+    async def _admitted(self, spec: CallSpec, body: BodySource, sink: ResponseSink) -> CallResult:
+        queued_s = trio.current_time()
+        slot: Any = await self._admission.admit(spec.deadline)
+        called_s = trio.current_time()
+        self._counters.record("queue", (called_s - queued_s) * 1_000)
+        result = UNUSED
+        try:
+            record = self._check(spec)
+            result = await self._pool.exchange(
+                record.address, spec, body, sink, self._admission.load
+            )
+            return result
+        except Refusal as exc:
+            if not isinstance(exc, CHECKS):
+                result = refused_result(exc, (trio.current_time() - called_s) * 1_000)
+            raise
+        except trio.Cancelled:
+            # The elapsed time is a lower bound of the latency.
+            elapsed_ms = (trio.current_time() - called_s) * 1_000
+            result = CallResult(ok=True, service_ms=elapsed_ms, cancelled=True)
+            raise
+        finally:
+            self._admission.release(slot, result)
+
+    def _check(self, spec: CallSpec) -> UpstreamRecord:
+        """Return the upstream of the call; raises Refusal with NOT_RUN."""
+        if not self._config.is_fresh():
+            raise ConfigStale
+        current = self._config.current
+        if current.is_domain_out(self._node.domain):
+            raise DomainOut
+        if self._node.id in current.draining_nodes or self._is_draining():
+            raise NodeDraining
+        record: UpstreamRecord | None = self._announce.current
+        if record is None or record.service != spec.service:
+            raise NoTarget(detail="no such upstream at this node")
+        if record.instance_id != spec.instance_id:
+            raise NoTarget(detail="the upstream was replaced")
+        if record.state is not UpstreamState.SERVING:
+            raise UpstreamDraining
+        return record
+
+    def _is_draining(self) -> bool:
+        return self._kernel.has("drain") and self._kernel.get("drain").refusing
--- /dev/null
+++ b/knapweedhitch/http1.py
@@ -0,0 +1,286 @@
+"""The server side of HTTP/1.1 over any stream, with limits."""
+
+from __future__ import annotations
+
+import math
+import struct
+from collections.abc import Iterable
+from socket import SO_LINGER, SOL_SOCKET
+
+import h11
+import trio
+
+from knapweedhitch import framing
+from knapweedhitch.exceptions import (
+    AmbiguousFraming,
+    BadRequest,
+    BodyTimeout,
+    BodyTooLarge,
+    CallerGone,
+    ExpectationFailed,
+    HeaderTimeout,
+    HeaderTooLarge,
+    Refusal,
+)
+from knapweedhitch.exchange import Headers
+from knapweedhitch.settings import CallerSettings
+
+READ_BYTES = 65_536
+# Bytes of an unread body that are discarded so that the caller gets to read its answer.
+MAX_LINGER_BYTES = 1_048_576
+WRITE_ERRORS = (
+    trio.BrokenResourceError,
+    trio.BusyResourceError,
+    trio.ClosedResourceError,
+    trio.TooSlowError,
+)
+CLOSE_HEADER = (b"connection", b"close")
+
+
+class ServerConnection:
+    """Read requests from one caller and write their answers, one after the other."""
+
+    def __init__(self, stream: trio.abc.Stream, cfg: CallerSettings) -> None:
+        self.stream = stream
+        self.cfg = cfg
+        self.close_after = False
+        self.answer_started = False
+        self.answer_ended = False
+        self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=cfg.max_header_bytes)
+        self._broken = False
+        self._body_limit: float = math.inf
+        self._body_bytes = 0
+        self._idle_scope: trio.CancelScope | None = None
+        self._stopping = False
+
+    # Reading
+
+    async def receive_head(self) -> framing.RequestHead | None:
+        """Return the next request, None when the caller is done; raises Refusal, CallerGone."""
+        raw = await self._receive_block()
+        if raw is None:
+            return None
+        if len(raw) > self.cfg.max_header_bytes:
+            raise HeaderTooLarge(detail=f"limit {self.cfg.max_header_bytes} bytes")
+        if problem := framing.head_problem(raw):
+            raise AmbiguousFraming(detail=problem)
+        try:
+            event = self._conn.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise BadRequest(detail=str(exc)) from None
+        if not isinstance(event, h11.Request):
+            raise BadRequest(detail="no request")
+        head = framing.parse_request(
+            event.method,
+            event.target,
+            event.http_version,
+            list(event.headers),
+            self.cfg.max_headers,
+        )
+        for name, value in event.headers:
+            if name == b"expect" and value.lower() != b"100-continue":
+                raise ExpectationFailed
+        return head
+
+    async def _receive_block(self) -> bytes | None:
+        raw = self._conn.trailing_data[0]
+        if not raw:
+            raw = await self._receive_first()
+            if not raw:
+                return None
+        give_up_s = trio.current_time() + self.cfg.header_timeout_ms / 1_000
+        while (end := raw.find(framing.HEAD_END)) < 0:
+            if len(raw) > self.cfg.max_header_bytes:
+                raise HeaderTooLarge(detail=f"limit {self.cfg.max_header_bytes} bytes")
+            if b"\n\n" in raw or b"\n\r\n" in raw:
+                raise AmbiguousFraming(detail="bare LF")
+            with trio.move_on_at(give_up_s) as scope:
+                data = await self._receive()
+            if scope.cancelled_caught:
+                raise HeaderTimeout(detail=f"limit {self.cfg.header_timeout_ms} ms")
+            if not data:
+                raise CallerGone("closed in the middle of a head")
+            self._conn.receive_data(data)
+            raw += data
+        return raw[:end]
+
+    async def _receive_first(self) -> bytes:
+        if self._stopping:
+            return b""
+        with trio.move_on_after(self.cfg.idle_timeout_ms / 1_000) as self._idle_scope:
+            data = await self._receive()
+        interrupted = self._idle_scope.cancelled_caught
+        self._idle_scope = None
+        if interrupted or not data:
+            return b""
+        self._conn.receive_data(data)
+        return data
+
+    async def _receive(self) -> bytes:
+        try:
+            return bytes(await self.stream.receive_some(READ_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self._broken = True
+            raise CallerGone(str(exc)) from None
+
+    def stop_waiting(self) -> None:
+        """End the wait for a further request; a request in progress is not touched."""
+        self._stopping = True
+        if self._idle_scope is not None:
+            self._idle_scope.cancel()
+
+    def limit_body(self, head: framing.RequestHead, max_bytes: int) -> None:
+        """Set the limit of the body in bytes; raises BodyTooLarge when it is announced larger."""
+        self._body_limit = max_bytes
+        if head.content_length is not None and head.content_length > max_bytes:
+            raise BodyTooLarge(detail=f"limit {max_bytes} bytes")
+
+    async def receive(self) -> bytes | None:
+        """Return the next part of the body, None at its end; raises Refusal or CallerGone."""
+        while True:
+            event = self._next_body_event()
+            if isinstance(event, h11.Data):
+                self._body_bytes += len(event.data)
+                if self._body_bytes > self._body_limit:
+                    raise BodyTooLarge(detail=f"limit {self._body_limit} bytes")
+                return bytes(event.data)
+            if event is not h11.NEED_DATA:
+                return None
+            if self._conn.they_are_waiting_for_100_continue and not self.answer_started:
+                await self._write(self._conn.send(_informational(100, ())))
+            with trio.move_on_after(self.cfg.body_timeout_ms / 1_000) as scope:
+                data = await self._receive()
+            if scope.cancelled_caught:
+                raise BodyTimeout(detail=f"limit {self.cfg.body_timeout_ms} ms")
+            if not data:
+                self._broken = True
+                raise CallerGone("closed in the middle of a body")
+            self._conn.receive_data(data)
+
+    def _next_body_event(self) -> object:
+        if self._conn.their_state is not h11.SEND_BODY:
+            return h11.PAUSED
+        try:
+            return self._conn.next_event()
+        except h11.RemoteProtocolError as exc:
+            raise AmbiguousFraming(detail=str(exc)) from None
+
+    # Writing
+
+    async def inform(self, status: int, headers: Headers) -> None:
+        """Pass a 1xx answer on; raises CallerGone."""
+        if not self.answer_started and (self._conn.their_http_version or b"1.0") >= b"1.1":
+            await self._write(self._conn.send(_informational(status, headers)))
+
+    async def send_whole(self, status: int, headers: Headers, parts: Iterable[bytes]) -> None:
+        """Write a whole answer at once; raises CallerGone."""
+        wire = [self._start(status, headers)]
+        wire += [self._conn.send(h11.Data(data=part)) or b"" for part in parts if part]
+        wire.append(self._conn.send(h11.EndOfMessage()) or b"")
+        await self._write(b"".join(wire))
+        self.answer_ended = True
+
+    async def send_head(self, status: int, headers: Headers, parts: Iterable[bytes] = ()) -> None:
+        """Write the head of an answer and the first parts of its body; raises CallerGone."""
+        wire = [self._start(status, headers)]
+        wire += [self._conn.send(h11.Data(data=part)) or b"" for part in parts if part]
+        await self._write(b"".join(wire))
+
+    async def send_data(self, data: bytes) -> None:
+        """Write a part of the body and wait until the caller takes it; raises CallerGone."""
+        if data:
+            await self._write(self._conn.send(h11.Data(data=data)))
+
+    async def send_end(self) -> None:
+        """Write the whole end of the answer; raises CallerGone."""
+        await self._write(self._conn.send(h11.EndOfMessage()))
+        self.answer_ended = True
+
+    def _start(self, status: int, headers: Headers) -> bytes:
+        self._skip_buffered_body()
+        fields = list(headers)
+        if self.close_after or self._stopping or self._conn.their_state is not h11.DONE:
+            fields.append(CLOSE_HEADER)
+        self.answer_started = True
+        return self._conn.send(h11.Response(status_code=status, headers=fields)) or b""
+
+    def _skip_buffered_body(self) -> None:
+        # A body that has arrived already need not cost the caller its connection.
+        try:
+            while self._conn.their_state is h11.SEND_BODY:
+                if self._conn.next_event() is h11.NEED_DATA:
+                    break
+        except h11.RemoteProtocolError:
+            self.close_after = True
+
+    async def _write(self, data: bytes | None) -> None:
+        if self._broken:
+            raise CallerGone("the connection is broken")
+        if not data:
+            return
+        try:
+            with trio.fail_after(self.cfg.write_timeout_ms / 1_000):
+                await self.stream.send_all(data)
+        except trio.Cancelled:
+            self._broken = True
+            raise
+        except WRITE_ERRORS as exc:
+            self._broken = True
+            raise CallerGone(f"cannot write: {type(exc).__name__}") from None
+
+    # Ending
+
+    def next_request(self) -> bool:
+        """Prepare for the next request; return False when the connection must be closed."""
+        if self._broken or not self.answer_ended or self.close_after or self._stopping:
+            return False
+        if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
+            return False
+        self._conn.start_next_cycle()
+        self.answer_started = self.answer_ended = False
+        self._body_limit, self._body_bytes = math.inf, 0
+        return True
+
+    async def close(self) -> None:
+        """Close; after a whole answer to an unread body wait a bounded time for the caller."""
+        if self.answer_ended and not self._broken and self._conn.their_state is not h11.DONE:
+            await self._linger()
+        elif self.answer_started and not self.answer_ended:
+            self._reset()
+        await trio.aclose_forcefully(self.stream)
+
+    async def _linger(self) -> None:
+        # Closing with unread bytes resets the connection, and the caller may lose the answer.
+        with trio.move_on_after(self.cfg.linger_ms / 1_000):
+            try:
+                if isinstance(self.stream, trio.abc.HalfCloseableStream):
+                    await self.stream.send_eof()
+                left = MAX_LINGER_BYTES
+                while left > 0 and (data := await self.stream.receive_some(READ_BYTES)):
+                    left -= len(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+
+    def _reset(self) -> None:
+        # A plain close would look like the whole end of an answer that is delimited by it.
+        sock = getattr(self.stream, "socket", None)
+        if sock is not None:
+            try:
+                sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
+            except OSError:
+                pass
+
+
+def _informational(status: int, headers: Headers) -> h11.InformationalResponse:
+    return h11.InformationalResponse(status_code=status, headers=list(headers))
+
+
+def refusal_headers(refusal: Refusal, request_id: str, body: bytes) -> Headers:
+    """Return the headers of the answer to a refused request."""
+    return (
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode("ascii")),
+        (b"knapweedhitch-reason", refusal.reason.encode("ascii")),
+        (b"knapweedhitch-outcome", refusal.outcome.value.encode("ascii")),
+        (framing.REQUEST_ID, request_id.encode("ascii")),
+    )
--- /dev/null
+++ b/knapweedhitch/http1_client.py
@@ -0,0 +1,275 @@
+"""The client side of HTTP/1.1 over any stream: one exchange at a time with an upstream."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Callable
+
+import h11
+import trio
+
+from knapweedhitch import framing
+from knapweedhitch.exceptions import (
+    UpstreamClosed,
+    UpstreamProtocolError,
+    UpstreamTimeout,
+)
+from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
+from knapweedhitch.model import LoadSample
+from knapweedhitch.settings import UpstreamSettings
+
+READ_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ExchangeTimes:
+    """Hold the status and the times of one exchange in milliseconds."""
+
+    status: int
+    first_byte_ms: float
+    total_ms: float
+
+
+class ClientConnection:
+    """Run exchanges on one connection to an upstream and tell whether it may be used again."""
+
+    def __init__(self, stream: trio.abc.Stream, cfg: UpstreamSettings) -> None:
+        self.stream = stream
+        self.idle_since_s = trio.current_time()
+        self.used = False
+        self.handed = False
+        self.reusable = False
+        self.cfg = cfg
+        self._conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=cfg.max_response_header_bytes
+        )
+        self._sent_s = math.inf
+        self._first_byte_s = math.inf
+        self._writer_error: Exception | None = None
+
+    def is_quiet(self) -> bool:
+        """Tell whether neither EOF nor any byte has arrived on the idle connection."""
+        sock = getattr(self.stream, "socket", None)
+        return sock is None or not sock.is_readable()
+
+    async def exchange(
+        self,
+        spec: CallSpec,
+        exchange_id: bytes,
+        headers: Headers,
+        body: BodySource,
+        sink: ResponseSink,
+        load: Callable[[], LoadSample | None],
+        first_byte_ms: float,
+    ) -> ExchangeTimes:
+        """Run one exchange; raises UpstreamError, or Refusal and CallerGone of body and sink."""
+        self.reusable = self.handed = False
+        self._sent_s = self._first_byte_s = math.inf
+        request = h11.Request(method=spec.method, target=spec.target, headers=list(headers))
+        wire = self._conn.send(request) or b""
+        reader = _AnswerReader(self, spec, exchange_id, sink, load, first_byte_ms)
+        started_s = trio.current_time()
+        if await self._send_request(wire, spec, body):
+            status = await reader.read()
+        else:
+            status = await self._stream_body(body, reader)
+        self.used = True
+        self._finish()
+        now = trio.current_time()
+        return ExchangeTimes(
+            status, (self._first_byte_s - started_s) * 1_000, (now - started_s) * 1_000
+        )
+
+    async def _send_request(self, wire: bytes, spec: CallSpec, body: BodySource) -> bool:
+        """Send the head with the first part of the body; return whether that was all."""
+        whole = not spec.has_body
+        if spec.has_body:
+            first = await body.receive()
+            if first is not None:
+                wire += self._conn.send(h11.Data(data=first)) or b""
+                if len(first) == framing.content_length(spec.headers):
+                    whole = await body.receive() is None
+            else:
+                whole = True
+        if whole:
+            wire += self._conn.send(h11.EndOfMessage()) or b""
+        await self._send(wire)
+        if whole:
+            self._sent_s = trio.current_time()
+        return whole
+
+    async def _stream_body(self, body: BodySource, reader: _AnswerReader) -> int:
+        """Send the rest of the body while the answer is read: it may come before the end."""
+        self._writer_error = None
+        status = 0
+        failure: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send_body, body, nursery.cancel_scope)
+            try:
+                status = await reader.read()
+            except Exception as exc:  # Raised below, outside of the nursery that would wrap it.
+                failure = exc
+            nursery.cancel_scope.cancel()
+        if self._writer_error is not None:
+            raise self._writer_error
+        if failure is not None:
+            raise failure
+        return status
+
+    async def _send_body(self, body: BodySource, scope: trio.CancelScope) -> None:
+        try:
+            while (part := await body.receive()) is not None:
+                await self._send(self._conn.send(h11.Data(data=part)) or b"")
+            await self._send(self._conn.send(h11.EndOfMessage()) or b"")
+            self._sent_s = trio.current_time()
+        except UpstreamClosed:
+            # An upstream may answer early and close; its answer is still to be read.
+            self._sent_s = trio.current_time()
+        except Exception as exc:
+            self._writer_error = exc
+            scope.cancel()
+
+    async def _send(self, data: bytes) -> None:
+        if not data:
+            return
+        self.handed = True
+        try:
+            with trio.fail_after(self.cfg.progress_timeout_ms / 1_000):
+                await self.stream.send_all(data)
+        except trio.TooSlowError:
+            raise UpstreamTimeout("the request is not taken", bytes_sent=True) from None
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise UpstreamClosed(f"cannot write: {exc}", bytes_sent=True) from None
+
+    async def receive_more(self, first_byte_ms: float) -> None:
+        """Feed the next bytes to the parser; raises UpstreamTimeout, UpstreamClosed."""
+        while True:
+            started = self._first_byte_s < math.inf
+            limit_ms = self.cfg.progress_timeout_ms if started else first_byte_ms
+            waited_from = trio.current_time() if started else self._sent_s
+            if waited_from == math.inf:
+                waited_from = trio.current_time()
+            with trio.move_on_at(waited_from + limit_ms / 1_000) as scope:
+                data = await self._receive()
+            if not scope.cancelled_caught:
+                break
+            if not started and self._sent_s == math.inf:
+                continue  # The request is still being sent, so the upstream need not answer yet.
+            if not started and trio.current_time() < self._sent_s + limit_ms / 1_000:
+                continue
+            problem = "no progress" if started else "no first byte"
+            raise UpstreamTimeout(f"{problem} within {limit_ms:.0f} ms", bytes_sent=True)
+        if not started:
+            self._first_byte_s = trio.current_time()
+        self._conn.receive_data(data)
+
+    async def _receive(self) -> bytes:
+        try:
+            return bytes(await self.stream.receive_some(READ_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise UpstreamClosed(f"cannot read: {exc}", bytes_sent=True) from None
+
+    def next_event(self) -> object:
+        """Return the next h11 event; raises UpstreamProtocolError, UpstreamClosed."""
+        try:
+            return self._conn.next_event()
+        except h11.RemoteProtocolError as exc:
+            if self._conn.trailing_data[1]:
+                raise UpstreamClosed(f"cut answer: {exc}", bytes_sent=True) from None
+            raise UpstreamProtocolError(str(exc), bytes_sent=True) from None
+
+    def unparsed(self) -> tuple[bytes, bool]:
+        """Return the bytes that wait for the parser, and whether EOF has followed them."""
+        return self._conn.trailing_data
+
+    def _finish(self) -> None:
+        # Bytes after the end of an answer belong to no request of this connection.
+        if self._conn.trailing_data[0] or self._conn.trailing_data[1]:
+            return
+        if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
+            self._conn.start_next_cycle()
+            self.reusable = True
+            self.idle_since_s = trio.current_time()
+
+    async def close(self) -> None:
+        """Close the connection at once."""
+        self.reusable = False
+        await trio.aclose_forcefully(self.stream)
+
+
+class _AnswerReader:
+    """Read one answer and pass it to the sink."""
+
+    def __init__(
+        self,
+        conn: ClientConnection,
+        spec: CallSpec,
+        exchange_id: bytes,
+        sink: ResponseSink,
+        load: Callable[[], LoadSample | None],
+        first_byte_ms: float,
+    ) -> None:
+        self._conn = conn
+        self._spec = spec
+        self._exchange_id = exchange_id
+        self._sink = sink
+        self._load = load
+        self._first_byte_ms = first_byte_ms
+        self._max_head_bytes = conn.cfg.max_response_header_bytes
+
+    async def read(self) -> int:
+        """Return the status after the whole answer; raises UpstreamError."""
+        while True:
+            await self._receive_block()
+            event = self._conn.next_event()
+            if isinstance(event, h11.Response):
+                break
+            if not isinstance(event, h11.InformationalResponse) or event.status_code == 101:
+                raise UpstreamProtocolError("no final answer", bytes_sent=True)
+            if event.status_code != 100:
+                headers = framing.answer_headers(list(event.headers))
+                await self._sink.informational(event.status_code, headers)
+        self._check(event)
+        headers = framing.answer_headers(list(event.headers))
+        await self._sink.head(event.status_code, headers, self._load())
+        while True:
+            part = self._conn.next_event()
+            if part is h11.NEED_DATA:
+                await self._conn.receive_more(self._first_byte_ms)
+            elif isinstance(part, h11.Data):
+                await self._sink.data(bytes(part.data))
+            else:
+                await self._sink.end()
+                return event.status_code
+
+    async def _receive_block(self) -> None:
+        while True:
+            raw, closed = self._conn.unparsed()
+            end = raw.find(framing.HEAD_END)
+            if end >= 0:
+                break
+            if closed:
+                raise UpstreamClosed("closed before its answer", bytes_sent=True)
+            if b"\n\n" in raw or b"\n\r\n" in raw:
+                raise UpstreamProtocolError("bare LF", bytes_sent=True)
+            if len(raw) > self._max_head_bytes:
+                raise UpstreamProtocolError("head over the limit", bytes_sent=True)
+            await self._conn.receive_more(self._first_byte_ms)
+        if problem := framing.head_problem(raw[:end]):
+            raise UpstreamProtocolError(problem, bytes_sent=True)
+
+    def _check(self, event: h11.Response) -> None:
+        sized = closes = False
+        for name, value in event.headers:
+            if name in (b"content-length", b"transfer-encoding"):
+                sized = True
+            elif name == b"connection":
+                closes = b"close" in value.lower()
+            elif name == framing.EXCHANGE and value != self._exchange_id:
+                raise UpstreamProtocolError("answer of another exchange", bytes_sent=True)
+            elif name == framing.REQUEST_ID and value != self._spec.request_id.encode("ascii"):
+                raise UpstreamProtocolError("answer of another request", bytes_sent=True)
+        bodyless = self._spec.method == "HEAD" or event.status_code in (204, 304)
+        if not sized and not bodyless and not closes and event.http_version >= b"1.1":
+            raise UpstreamProtocolError("answer without length or close", bytes_sent=True)
--- /dev/null
+++ b/knapweedhitch/ingress.py
@@ -0,0 +1,73 @@
+"""The listener for callers: one task for each connection."""
+
+from __future__ import annotations
+
+import trio
+
+from knapweedhitch.exceptions import CallerGone, Refusal, TooManyConnections
+from knapweedhitch.http1 import ServerConnection
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.listener import StreamServer
+from knapweedhitch.model import Address
+
+
+@service("ingress")
+class Ingress:
+    """Read the requests of callers and hand them to the router in their order."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._cfg = kernel.cfg.callers
+        self._connections: set[ServerConnection] = set()
+        self._server = StreamServer(
+            kernel.cfg.listen.callers, self._cfg.max_connections, self.serve, self._refuse
+        )
+
+    @property
+    def address(self) -> Address:
+        """Return the address of the listener."""
+        return self._server.address
+
+    async def start(self) -> None:
+        """Open the listener; raises OSError."""
+        self._router = self._kernel.get("router")
+        self._counters = self._kernel.get("counters")
+        await self._server.start(self._kernel.nursery)
+
+    async def stop(self) -> None:
+        """Close the listener and the connections that wait for a request."""
+        self.close()
+
+    def close(self) -> None:
+        """Stop accepting and end waiting connections; requests in progress go on."""
+        self._server.close()
+        for conn in list(self._connections):
+            conn.stop_waiting()
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Answer the requests of one connection, in order, until it ends."""
+        conn = ServerConnection(stream, self._cfg)
+        self._connections.add(conn)
+        self._counters.add("caller_connections")
+        try:
+            while True:
+                head = await conn.receive_head()
+                if head is None:
+                    return
+                await self._router.handle(conn, head)
+                if not conn.next_request():
+                    return
+        except Refusal as exc:
+            await self._router.refuse_unparsed(conn, exc)
+        except CallerGone:
+            self._counters.add("caller_gone")
+        finally:
+            self._connections.discard(conn)
+            await conn.close()
+
+    async def _refuse(self, stream: trio.abc.Stream) -> None:
+        conn = ServerConnection(stream, self._cfg)
+        try:
+            await self._router.refuse_unparsed(conn, TooManyConnections())
+        finally:
+            await conn.close()
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -166,3 +166,4 @@
     connect_failed: bool = False
     timed_out: bool = False
     shed: bool = False
+    cancelled: bool = False
--- /dev/null
+++ b/knapweedhitch/pool.py
@@ -0,0 +1,238 @@
+"""Connections to upstreams, kept between exchanges while they are known to be sound."""
+
+from __future__ import annotations
+
+import itertools
+import os
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from knapweedhitch import framing
+from knapweedhitch.exceptions import (
+    DeadlineExceeded,
+    Outcome,
+    Refusal,
+    UpstreamConnectFailed,
+    UpstreamError,
+    UpstreamFailed,
+    UpstreamTimedOut,
+    UpstreamTimeout,
+    UpstreamUnreachable,
+)
+from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
+from knapweedhitch.http1_client import ClientConnection, ExchangeTimes
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.model import SAFE_METHODS, Address, CallResult, LoadSample
+
+SWEEP_INTERVAL_MS = 1_000
+SHED_STATUS = 503
+
+Connect = Callable[[Address], Awaitable[trio.abc.Stream]]
+
+
+async def connect_tcp(address: Address) -> trio.abc.Stream:
+    """Open a TCP connection without Nagle's algorithm; raises OSError."""
+    sock = trio.socket.socket(
+        trio.socket.AF_INET6 if ":" in address.host else trio.socket.AF_INET,
+        trio.socket.SOCK_STREAM,
+    )
+    try:
+        await sock.connect((address.host, address.port))
+    except BaseException:
+        sock.close()
+        raise
+    return trio.SocketStream(sock)
+
+
+def no_load() -> LoadSample | None:
+    """Return no load sample."""
+    return None
+
+
+def refused_result(refusal: Refusal, service_ms: float) -> CallResult:
+    """Return the result of a call that ended by a refusal after the given milliseconds."""
+    return CallResult(
+        ok=False,
+        service_ms=service_ms,
+        status=0,
+        connect_failed=isinstance(refusal, UpstreamUnreachable),
+        timed_out=isinstance(refusal, (UpstreamTimedOut, DeadlineExceeded)),
+        shed=refusal.outcome is Outcome.NOT_RUN and refusal.status == SHED_STATUS,
+    )
+
+
+@service("pool")
+class Pool:
+    """Run exchanges with any upstream address over kept or new connections."""
+
+    def __init__(self, kernel: Kernel, connect: Connect = connect_tcp) -> None:
+        self._kernel = kernel
+        self._cfg = kernel.cfg.upstream
+        self._connect = connect
+        self._idle: dict[Address, list[ClientConnection]] = {}
+        self._idle_count = 0
+        self._exchange_ids = itertools.count()
+        self._exchange_prefix = os.urandom(6).hex()
+        self._margin_ms = kernel.cfg.routing.attempt_margin_ms
+
+    async def start(self) -> None:
+        """Start to close connections that stay idle."""
+        self._counters = self._kernel.get("counters")
+        self._kernel.nursery.start_soon(self._sweep)
+
+    async def stop(self) -> None:
+        """Close every idle connection."""
+        for address in list(self._idle):
+            await self._forget(address)
+
+    async def exchange(
+        self,
+        address: Address,
+        spec: CallSpec,
+        body: BodySource,
+        sink: ResponseSink,
+        load: Callable[[], LoadSample | None] = no_load,
+    ) -> CallResult:
+        """Run one exchange; raises Refusal, NOT_RUN only if no byte was handed over; CallerGone."""
+        if spec.deadline.expired():
+            raise DeadlineExceeded(Outcome.NOT_RUN)
+        held: list[ClientConnection] = []
+        with trio.CancelScope(deadline=spec.deadline.at_s) as scope:
+            return await self._exchange(address, spec, body, sink, load, held)
+        assert scope.cancelled_caught
+        handed = any(conn.handed for conn in held)
+        raise DeadlineExceeded(Outcome.UNKNOWN if handed else Outcome.NOT_RUN)
+
+    async def _exchange(
+        self,
+        address: Address,
+        spec: CallSpec,
+        body: BodySource,
+        sink: ResponseSink,
+        load: Callable[[], LoadSample | None],
+        held: list[ClientConnection],
+    ) -> CallResult:
+        conn = await self._take(address, spec) or await self._open(address)
+        held.append(conn)
+        exchange_id = f"{self._exchange_prefix}-{next(self._exchange_ids)}".encode("ascii")
+        headers = self._headers(spec, exchange_id)
+        limit_ms = self._first_byte_ms(conn, spec)
+        try:
+            times = await conn.exchange(spec, exchange_id, headers, body, sink, load, limit_ms)
+        except UpstreamError as exc:
+            if isinstance(exc, UpstreamTimeout) and conn.used:
+                await self._distrust(address)
+            raise self._refusal(exc, conn) from None
+        except Refusal as exc:
+            # The body failed on its way in; the upstream may have acted on what it got.
+            if conn.handed:
+                exc.outcome = Outcome.UNKNOWN
+            raise
+        finally:
+            await self._put(address, conn)
+        return self._result(times)
+
+    def _result(self, times: ExchangeTimes) -> CallResult:
+        self._counters.record("first_byte", times.first_byte_ms)
+        return CallResult(
+            ok=times.status < 500,
+            service_ms=times.total_ms,
+            status=times.status,
+            shed=times.status == SHED_STATUS,
+        )
+
+    def _refusal(self, exc: UpstreamError, conn: ClientConnection) -> Refusal:
+        self._counters.add("upstream_errors", type(exc).__name__)
+        outcome = Outcome.UNKNOWN if conn.handed else Outcome.NOT_RUN
+        if isinstance(exc, UpstreamTimeout):
+            return UpstreamTimedOut(outcome, str(exc))
+        return UpstreamFailed(outcome, str(exc))
+
+    def _headers(self, spec: CallSpec, exchange_id: bytes) -> Headers:
+        remaining_ms = max(1, int(spec.deadline.remaining_ms()) - self._margin_ms)
+        own = [
+            (framing.REQUEST_ID, spec.request_id.encode("ascii")),
+            (framing.EXCHANGE, exchange_id),
+            (framing.DEADLINE, b"%d" % remaining_ms),
+            (framing.RETRIES, b"%d" % spec.retries_left),
+            (framing.DEPTH, b"%d" % spec.depth),
+        ]
+        if spec.has_body and framing.content_length(spec.headers) is None:
+            own.append((b"transfer-encoding", b"chunked"))
+        return (*spec.headers, *own)
+
+    def _first_byte_ms(self, conn: ClientConnection, spec: CallSpec) -> float:
+        limit_ms = float(self._cfg.first_byte_timeout_ms)
+        if conn.used and spec.retries_left and framing.is_idempotent(spec.method, spec.headers):
+            # A kept connection may be silent; leave time for a try on a new one.
+            return min(limit_ms, spec.deadline.remaining_ms() * self._cfg.silent_ratio)
+        return limit_ms
+
+    async def _open(self, address: Address) -> ClientConnection:
+        started_s = trio.current_time()
+        try:
+            with trio.fail_after(self._cfg.connect_timeout_ms / 1_000):
+                stream = await self._connect(address)
+        except (OSError, trio.TooSlowError) as exc:
+            self._counters.add("upstream_errors", UpstreamConnectFailed.__name__)
+            raise UpstreamUnreachable(Outcome.NOT_RUN, f"{address} {exc}".rstrip()) from None
+        self._counters.record("connect", (trio.current_time() - started_s) * 1_000)
+        return ClientConnection(stream, self._cfg)
+
+    # Idle connections
+
+    async def _take(self, address: Address, spec: CallSpec) -> ClientConnection | None:
+        """Return the last used sound connection; an unsafe request gets only a recent one."""
+        kept = self._idle.get(address)
+        unsafe = spec.method not in SAFE_METHODS
+        max_idle_ms = self._cfg.unsafe_reuse_ms if unsafe else self._cfg.idle_timeout_ms
+        while kept:
+            conn = kept[-1]
+            idle_ms = (trio.current_time() - conn.idle_since_s) * 1_000
+            if unsafe and idle_ms > max_idle_ms:
+                return None
+            kept.pop()
+            self._idle_count -= 1
+            if idle_ms <= max_idle_ms and conn.is_quiet():
+                return conn
+            self._counters.add("idle_connections_dropped", "aged" if conn.is_quiet() else "bytes")
+            await conn.close()
+        return None
+
+    async def _put(self, address: Address, conn: ClientConnection) -> None:
+        if not conn.reusable or self._idle_count >= self._cfg.max_idle_connections:
+            await conn.close()
+            return
+        self._idle.setdefault(address, []).append(conn)
+        self._idle_count += 1
+
+    async def _distrust(self, address: Address) -> None:
+        # When one kept connection went silent, the others to the same address may be as well.
+        self._counters.add("silent_connections")
+        await self._forget(address)
+
+    async def _forget(self, address: Address) -> None:
+        kept = self._idle.pop(address, [])
+        dropped = kept[:]
+        kept.clear()  # A task that waits in `_take` holds this list.
+        self._idle_count -= len(dropped)
+        for conn in dropped:
+            await conn.close()
+
+    async def _sweep(self) -> None:
+        while True:
+            await trio.sleep(SWEEP_INTERVAL_MS / 1_000)
+            for address in list(self._idle):
+                await self._sweep_address(address)
+
+    async def _sweep_address(self, address: Address) -> None:
+        oldest_s = trio.current_time() - self._cfg.idle_timeout_ms / 1_000
+        kept = self._idle[address]
+        stale = [c for c in kept if c.idle_since_s < oldest_s or not c.is_quiet()]
+        kept[:] = [c for c in kept if c not in stale]
+        if not kept:
+            del self._idle[address]
+        self._idle_count -= len(stale)
+        for conn in stale:
+            await conn.close()
--- /dev/null
+++ b/knapweedhitch/router.py
@@ -0,0 +1,340 @@
+"""One request from its head to its answer."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+import os
+import re
+from collections.abc import Awaitable
+from typing import Any, Protocol, runtime_checkable
+
+import trio
+
+from knapweedhitch import explain, framing, logs
+from knapweedhitch.attempt import Attempt
+from knapweedhitch.budget import TokenBucket
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.dispatch import Call, Dispatcher
+from knapweedhitch.exceptions import (
+    BadRequest,
+    CallerGone,
+    ChainTooDeep,
+    ConfigStale,
+    DeadlineExceeded,
+    InternalError,
+    KeyRequired,
+    KnapweedhitchError,
+    NodeDraining,
+    NoSuchService,
+    NotFound,
+    Outcome,
+    Refusal,
+)
+from knapweedhitch.exchange import Headers
+from knapweedhitch.framing import RequestHead
+from knapweedhitch.http1 import ServerConnection, refusal_headers
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.model import IDEMPOTENT_METHODS, SAFE_METHODS, ServiceConfig
+from knapweedhitch.payload import NoBody, ReplayBody, Spool, WholeBody, digest
+
+LOCAL_PREFIX = b"/.knapweedhitch/"
+REQUEST_ID = re.compile(rb"[!-~]{1,128}\Z")
+NUMBER = re.compile(rb"[0-9]{1,9}\Z")
+REPLAYED = (b"knapweedhitch-replayed", b"1")
+
+
+@runtime_checkable
+class RecordedAnswer(Protocol):
+    """Hold the answer of an earlier run of the same key."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Trace:
+    """Hold what is logged of one request."""
+
+    request_id: str
+    started_s: float
+    method: str = ""
+    status: int = 0
+    reason: str = ""
+    outcome: str = ""
+    call: Call | None = None
+
+
+def new_key(wall_ms: int) -> str:
+    """Return a UUIDv7 for the wall clock in milliseconds."""
+    random = int.from_bytes(os.urandom(10), "big")
+    value = (wall_ms & (1 << 48) - 1) << 80 | 7 << 76 | (random >> 68) << 64
+    value |= 2 << 62 | random & (1 << 62) - 1
+    text = f"{value:032x}"
+    return f"{text[:8]}-{text[8:12]}-{text[12:16]}-{text[16:20]}-{text[20:]}"
+
+
+@service("router")
+class Router:
+    """Answer parsed requests, by an upstream or by a refusal."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._cfg = kernel.cfg
+        self.active: dict[Trace, None] = {}
+        self.explanations = explain.Explanations(
+            self._cfg.callers.explain_sample_ratio, self._cfg.callers.max_explanations
+        )
+        self._spool = Spool(
+            self._cfg.callers.max_keyed_body_bytes, self._cfg.callers.max_spooled_bytes
+        )
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of requests that have no whole answer yet."""
+        return len(self.active)
+
+    async def start(self) -> None:
+        """Find the services that the router uses."""
+        get = self._kernel.get
+        self._config = get("config")
+        self._claims = get("claims")
+        self._counters = get("counters")
+        self._timers = get("timers")
+        self._dispatcher = Dispatcher(self._kernel)
+        lines = self._cfg.log.max_lines_per_s
+        self._log_budget = TokenBucket(lines, lines, self._timers.now_ms)
+
+    async def stop(self) -> None:
+        """Do nothing; requests end with their connections."""
+
+    async def handle(self, conn: ServerConnection, head: RequestHead) -> None:
+        """Answer one request; the connection tells afterwards whether it can go on."""
+        trace = Trace(_request_id(head), trio.current_time(), head.method)
+        self.active[trace] = None
+        try:
+            if head.target.startswith(LOCAL_PREFIX):
+                await self._local(trace, conn, head)
+            else:
+                await self._serve(trace, conn, head)
+        except Refusal as exc:
+            await self._refuse(trace, conn, exc)
+        except CallerGone:
+            trace.reason = "caller-gone"
+            self._counters.add("caller_gone")
+        except Exception as exc:
+            logs.warning(
+                "internal-error", id=trace.request_id, error=type(exc).__name__, detail=exc
+            )
+            ran = trace.call is not None
+            fault = InternalError(Outcome.UNKNOWN if ran else Outcome.NOT_RUN, type(exc).__name__)
+            await self._refuse(trace, conn, fault)
+        finally:
+            del self.active[trace]
+            self._finish(trace)
+
+    async def refuse_unparsed(self, conn: ServerConnection, refusal: Refusal) -> None:
+        """Answer a connection whose next request could not be read, and close it."""
+        trace = Trace(_new_request_id(), trio.current_time())
+        conn.close_after = True
+        await self._refuse(trace, conn, refusal)
+        self._finish(trace)
+
+    async def _refuse(self, trace: Trace, conn: ServerConnection, refusal: Refusal) -> None:
+        trace.status, trace.reason = refusal.status, refusal.reason
+        trace.outcome = refusal.outcome.value
+        self._counters.add("refused", refusal.reason)
+        if conn.answer_started:
+            # The answer is cut; closing the connection is all that can tell the caller.
+            self._counters.add("answers_cut", refusal.reason)
+            return
+        body = json.dumps(
+            {
+                "reason": refusal.reason,
+                "outcome": refusal.outcome.value,
+                "request_id": trace.request_id,
+                "detail": refusal.detail,
+            }
+        ).encode("utf-8")
+        headers = refusal_headers(refusal, trace.request_id, body)
+        if trace.call is not None and trace.call.explained and trace.call.choices:
+            headers = (*headers, (framing.EXPLAIN, explain.render(trace.call.choices)))
+        try:
+            await conn.send_whole(refusal.status, headers, [body])
+        except CallerGone:
+            self._counters.add("caller_gone")
+
+    def _finish(self, trace: Trace) -> None:
+        total_ms = (trio.current_time() - trace.started_s) * 1_000
+        self._counters.record("total", total_ms)
+        call = trace.call
+        fields: dict[str, object] = {
+            "id": trace.request_id,
+            "method": trace.method,
+            "status": trace.status,
+        }
+        if trace.reason:
+            fields |= {"reason": trace.reason, "outcome": trace.outcome}
+        if call is not None:
+            fields |= {"service": call.svc.name, "attempts": call.attempts, "path": call.path}
+            if call.choices:
+                fields["instance"] = call.choices[-1].picked
+            if call.result is not None:
+                self._counters.record("added", max(0.0, total_ms - call.result.service_ms))
+                fields["service_ms"] = f"{call.result.service_ms:.2f}"
+            if call.explained or self.explanations.is_sampled():
+                self.explanations.keep(
+                    explain.Explanation(trace.request_id, call.svc.name, tuple(call.choices))
+                )
+        fields["total_ms"] = f"{total_ms:.2f}"
+        if self._log_budget.take():
+            logs.event("request", **fields)
+        else:
+            self._counters.add("log_lines_dropped")
+
+    # The node's own paths
+
+    async def _local(self, trace: Trace, conn: ServerConnection, head: RequestHead) -> None:
+        if (head.method, head.target) == ("POST", LOCAL_PREFIX + b"key"):
+            status, body = 200, new_key(self._timers.wall_ms()).encode("ascii")
+        elif (head.method, head.target) == ("GET", LOCAL_PREFIX + b"ready"):
+            status, body = (200, b"ready\n") if self._is_ready() else (503, b"not ready\n")
+        else:
+            raise NotFound
+        trace.status = status
+        headers = (
+            (b"content-type", b"text/plain"),
+            (b"content-length", b"%d" % len(body)),
+            (framing.REQUEST_ID, trace.request_id.encode("ascii")),
+        )
+        await conn.send_whole(status, headers, [body])
+
+    def _is_ready(self) -> bool:
+        out = self._config.current.is_domain_out(self._cfg.node.domain)
+        drain = self._drain()
+        return self._config.is_fresh() and not out and not (drain and drain.active)
+
+    def _drain(self) -> Any:
+        return self._kernel.get("drain") if self._kernel.has("drain") else None
+
+    # Calls
+
+    async def _serve(self, trace: Trace, conn: ServerConnection, head: RequestHead) -> None:
+        call = trace.call = self._prepare(trace, conn, head)
+        if call.keyed:
+            await self._serve_keyed(trace, call)
+            return
+        attempt = await self._dispatcher.run(call)
+        trace.status = attempt.status
+        await attempt.deliver()
+
+    def _prepare(self, trace: Trace, conn: ServerConnection, head: RequestHead) -> Call:
+        """Return the call of a request; raises Refusal, all of them NOT_RUN."""
+        if (drain := self._drain()) is not None and drain.active:
+            conn.close_after = True
+            if drain.refusing:
+                raise NodeDraining
+        current = self._config.current
+        svc: ServiceConfig | None = current.service_for_host(head.host)
+        if svc is None:
+            raise NoSuchService(detail=head.host[:200])
+        if not self._config.is_fresh():
+            raise ConfigStale
+        conn.limit_body(head, svc.max_body_bytes)
+        depth = _number(head, framing.DEPTH, 0)
+        if depth > self._cfg.callers.max_depth:
+            raise ChainTooDeep(detail=f"limit {self._cfg.callers.max_depth}")
+        keyed = framing.KEY in head.control and head.method not in SAFE_METHODS
+        if svc.require_key and head.method not in IDEMPOTENT_METHODS and not keyed:
+            raise KeyRequired
+        deadline_ms = _number(head, framing.DEADLINE, svc.default_deadline_ms)
+        if deadline_ms == 0:
+            raise DeadlineExceeded
+        max_replay_bytes = self._cfg.callers.max_replay_bytes
+        return Call(
+            conn=conn,
+            head=head,
+            svc=svc,
+            request_id=trace.request_id,
+            deadline=Deadline.after_ms(min(deadline_ms, svc.max_deadline_ms)),
+            retries_left=min(svc.retries, _number(head, framing.RETRIES, svc.retries)),
+            depth=depth + 1,
+            config_version=current.version,
+            idempotent=framing.is_idempotent(head.method, head.headers),
+            keyed=keyed,
+            explained=head.control.get(framing.EXPLAIN) == b"1",
+            body=ReplayBody(conn, max_replay_bytes) if head.has_body else NoBody(),
+        )
+
+    async def _serve_keyed(self, trace: Trace, call: Call) -> None:
+        held: list[int] = []
+        try:
+            with trio.move_on_at(call.deadline.at_s) as scope:
+                parts = await self._spool.read(call.conn, call.head.content_length, held)
+            if scope.cancelled_caught:
+                raise DeadlineExceeded(Outcome.NOT_RUN, "while the body arrived")
+            call.body = WholeBody(parts)
+            await self._claim_and_run(trace, call, parts)
+        finally:
+            self._spool.free(held)
+
+    async def _claim_and_run(self, trace: Trace, call: Call, parts: list[bytes]) -> None:
+        head = call.head
+        key = head.control[framing.KEY].decode("latin-1")
+        sum_ = digest(call.svc.name, head.method, head.target, head.headers, parts)
+        claim = await self._claims.claim(call.svc, key, sum_, call.deadline)
+        if isinstance(claim, RecordedAnswer):
+            self._counters.add("replayed")
+            trace.status = claim.status
+            own = (REPLAYED, (framing.REQUEST_ID, trace.request_id.encode("ascii")))
+            await call.conn.send_whole(claim.status, (*claim.headers, *own), [claim.body])
+            return
+        try:
+            attempt = await self._dispatcher.run(call)
+        except Refusal as exc:
+            if exc.outcome is Outcome.NOT_RUN:
+                await self._settle("release", self._claims.release(claim))
+            raise
+        trace.status = attempt.status
+        await self._deliver_and_record(attempt, claim)
+
+    async def _deliver_and_record(self, attempt: Attempt, claim: Any) -> None:
+        try:
+            await attempt.deliver()
+        finally:
+            body = attempt.recorded_body()
+            await self._settle(
+                "complete", self._claims.complete(claim, attempt.status, attempt.headers, body)
+            )
+
+    async def _settle(self, action: str, settling: Awaitable[None]) -> None:
+        """Finish a claim even when the request was cancelled; a failure leaves it unknown."""
+        try:
+            with trio.move_on_after(2 * self._cfg.claims.call_timeout_ms / 1_000, shield=True):
+                await settling
+                return
+            self._counters.add("claims_unsettled", action)
+        except KnapweedhitchError as exc:
+            self._counters.add("claims_unsettled", action)
+            logs.warning("claim-unsettled", action=action, error=type(exc).__name__, detail=exc)
+
+
+def _number(head: RequestHead, name: bytes, default: int) -> int:
+    value = head.control.get(name)
+    if value is None:
+        return default
+    if not NUMBER.match(value):
+        raise BadRequest(detail=f"{name.decode('ascii')}: use a whole number")
+    return int(value)
+
+
+def _new_request_id() -> str:
+    return os.urandom(12).hex()
+
+
+def _request_id(head: RequestHead) -> str:
+    given = head.control.get(framing.REQUEST_ID)
+    if given is not None and REQUEST_ID.match(given):
+        return given.decode("ascii")
+    return _new_request_id()
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -158,6 +158,10 @@
     max_depth: Count = 32
     explain_sample_ratio: Ratio = 0.01
     max_explanations: Count = 1_000
+    linger_ms: Ms = 500
+    max_replay_bytes: Bytes = 65_536
+    max_keyed_body_bytes: Bytes = 1_048_576
+    max_spooled_bytes: Bytes = 67_108_864
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -171,6 +175,10 @@
     max_idle_connections: Count = 64
     max_response_header_bytes: Bytes = 65_536
     announcement_ttl_ms: Ms = 3_000
+    max_announcement_bytes: Bytes = 4_096
+    max_announcers: Count = 16
+    unsafe_reuse_ms: Ms = 1_000
+    silent_ratio: Ratio = 0.5
 
 
 @dataclass(frozen=True, config=_STRICT)
--- /dev/null
+++ b/tests/request_world.py
@@ -0,0 +1,422 @@
+"""One node's request path with fakes around it and stand-in upstreams on memory streams."""
+
+from __future__ import annotations
+
+import collections
+import contextlib
+import dataclasses
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import h11
+import trio
+import trio.testing
+
+import knapweedhitch.announce
+import knapweedhitch.counters
+import knapweedhitch.drain
+import knapweedhitch.gate
+import knapweedhitch.ingress
+import knapweedhitch.router
+import knapweedhitch.timers  # noqa: F401
+from knapweedhitch import settings
+from knapweedhitch.exceptions import Outcome, UpstreamDraining
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.model import (
+    Address,
+    Configuration,
+    LoadSample,
+    ServiceConfig,
+    Target,
+    UpstreamRecord,
+    Warmth,
+)
+from knapweedhitch.pool import Pool
+from tests.stand_in import StandIn
+
+HOST = b"shop.test"
+SERVICE = ServiceConfig("shop", ("shop.test",), hedge=False)
+SERVICES = ("announce", "gate", "router", "ingress", "drain")
+LOAD = LoadSample(1, 0, 9, 2.0, Warmth.WARM)
+
+
+class FakeSocket:
+    """Tell whether a memory stream has bytes or EOF waiting, as a socket does."""
+
+    def __init__(self, stream: MemoryStream) -> None:
+        self._stream = stream
+
+    def is_readable(self) -> bool:
+        return self._stream.peer_sent > self._stream.received or self._stream.peer_closed
+
+    def setsockopt(self, *args: object) -> None:
+        self._stream.reset = True
+
+
+class MemoryStream(trio.abc.Stream):
+    """Be one end of a memory pipe that counts what waits to be read."""
+
+    def __init__(self, inner: trio.StapledStream) -> None:
+        self.inner = inner
+        self.socket = FakeSocket(self)
+        self.peer: MemoryStream | None = None
+        self.sent = self.received = self.peer_sent = 0
+        self.peer_closed = self.reset = False
+
+    async def send_all(self, data: Any) -> None:
+        self.sent += len(data)
+        if self.peer is not None:
+            self.peer.peer_sent += len(data)
+        await self.inner.send_all(data)
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await self.inner.wait_send_all_might_not_block()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        data = bytes(await self.inner.receive_some(max_bytes))
+        self.received += len(data)
+        return data
+
+    async def aclose(self) -> None:
+        if self.peer is not None:
+            self.peer.peer_closed = True
+        await self.inner.aclose()
+
+
+def stream_pair(*, lockstep: bool = False) -> tuple[MemoryStream, MemoryStream]:
+    """Return two connected ends; a lockstep pair holds a writer until its bytes are read."""
+    make = trio.testing.lockstep_stream_pair if lockstep else trio.testing.memory_stream_pair
+    left, right = (MemoryStream(end) for end in make())
+    left.peer, right.peer = right, left
+    return left, right
+
+
+class Fake:
+    """Be a service that needs neither start nor stop."""
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+
+class FakeConfig(Fake):
+    def __init__(self, svc: ServiceConfig) -> None:
+        self.current = Configuration(version=1, services={svc.name: svc})
+        self.fresh = True
+
+    def is_fresh(self) -> bool:
+        return self.fresh
+
+    def subscribe(self, fn: Callable[[Configuration], None]) -> None: ...
+
+
+class FakeMembership(Fake):
+    def __init__(self) -> None:
+        self.by_service: dict[str, tuple[Target, ...]] = {}
+        self.announced: list[UpstreamRecord | None] = []
+        self.draining = False
+
+    def targets(self, service: str) -> tuple[Target, ...]:
+        return self.by_service.get(service, ())
+
+    def announce_local(self, record: UpstreamRecord | None) -> None:
+        self.announced.append(record)
+
+    def set_draining(self, draining: bool) -> None:
+        self.draining = draining
+
+
+@dataclasses.dataclass(frozen=True)
+class FakeConsidered:
+    instance_id: str
+    score: float = 1.0
+    note: str = "fake"
+
+
+@dataclasses.dataclass(frozen=True)
+class FakePick:
+    target: Target | None
+    considered: tuple[FakeConsidered, ...]
+
+
+class FakePicker(Fake):
+    """Pick the first target that is not excluded."""
+
+    def __init__(self) -> None:
+        self.finished_with: list[tuple[str, Any]] = []
+        self.in_flight: collections.Counter[str] = collections.Counter()
+        self.observed: list[tuple[str, LoadSample]] = []
+        self.hedge_ms: float | None = None
+
+    def pick(
+        self, svc: Any, targets: Any, excluded: Any, own_domain: str, own_node: str
+    ) -> FakePick:
+        fit = [t for t in targets if t.upstream.instance_id not in excluded]
+        shown = tuple(FakeConsidered(t.upstream.instance_id) for t in targets)
+        return FakePick(fit[0] if fit else None, shown)
+
+    def started(self, instance_id: str) -> None:
+        self.in_flight[instance_id] += 1
+
+    def finished(self, instance_id: str, result: Any) -> None:
+        self.in_flight[instance_id] -= 1
+        self.finished_with.append((instance_id, result))
+
+    def observe(self, instance_id: str, load: LoadSample) -> None:
+        self.observed.append((instance_id, load))
+
+    def hedge_delay_ms(self, service: str) -> float | None:
+        return self.hedge_ms
+
+
+class FakeRetry(Fake):
+    """Allow everything, so that only the request path itself holds a call back."""
+
+    def __init__(self) -> None:
+        self.asked: list[tuple[Any, ...]] = []
+        self.allowed = True
+
+    def may_retry(self, *args: Any) -> bool:
+        self.asked.append(args)
+        return self.allowed
+
+    def call_started(self) -> None: ...
+
+    def may_hedge(self) -> bool:
+        return self.allowed
+
+
+class FakeAdmission(Fake):
+    def __init__(self) -> None:
+        self.slots = trio.Semaphore(9)
+        self.admitted = 0
+        self.results: list[Any] = []
+        self.upstream: UpstreamRecord | None = None
+        self.draining = False
+
+    async def admit(self, deadline: Any) -> object:
+        await self.slots.acquire()
+        self.admitted += 1
+        return object()
+
+    def release(self, slot: object, result: Any) -> None:
+        self.slots.release()
+        self.results.append(result)
+
+    def load(self) -> LoadSample:
+        return LOAD
+
+    def set_upstream(self, record: UpstreamRecord | None) -> None:
+        self.upstream = record
+
+    def set_draining(self, draining: bool) -> None:
+        self.draining = draining
+
+
+@dataclasses.dataclass(frozen=True)
+class FakeRecorded:
+    status: int
+    headers: Any
+    body: bytes
+
+
+class FakeClaims(Fake):
+    def __init__(self) -> None:
+        self.claimed: list[tuple[str, bytes]] = []
+        self.completed: list[tuple[int, Any, bytes | None]] = []
+        self.released = 0
+        self.recorded: FakeRecorded | None = None
+
+    async def claim(self, svc: Any, key: str, digest: bytes, deadline: Any) -> object:
+        self.claimed.append((key, digest))
+        return self.recorded or object()
+
+    async def complete(self, claimed: Any, status: int, headers: Any, body: bytes | None) -> None:
+        self.completed.append((status, headers, body))
+
+    async def release(self, claimed: Any) -> None:
+        self.released += 1
+
+
+class FakeForward(Fake):
+    """Reach the stand-in of another node as the pool would, or do what a test says."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+        self.act: Callable[..., Awaitable[Any]] | None = None
+        self.calls = 0
+
+    async def execute(self, node_id: str, spec: Any, body: Any, sink: Any) -> Any:
+        self.calls += 1
+        if self.act is not None:
+            return await self.act(node_id, spec, body, sink)
+        for target in self._world.membership.targets(spec.service):
+            if target.upstream.instance_id == spec.instance_id:
+                return await self._world.pool.exchange(target.upstream.address, spec, body, sink)
+        raise UpstreamDraining(Outcome.NOT_RUN)
+
+
+class World:
+    """Hold the node under test, its fakes and its stand-ins by port."""
+
+    def __init__(self, svc: ServiceConfig, cfg: settings.Settings) -> None:
+        self.kernel = Kernel(cfg)
+        self.config = FakeConfig(svc)
+        self.membership = FakeMembership()
+        self.picker = FakePicker()
+        self.retry = FakeRetry()
+        self.admission = FakeAdmission()
+        self.claims = FakeClaims()
+        self.forward = FakeForward(self)
+        self.stand_ins: dict[int, StandIn] = {}
+        self.upstream_streams: list[MemoryStream] = []
+        self.pool = Pool(self.kernel, self.connect)
+        self.lockstep = False
+
+    def build(self) -> None:
+        add = self.kernel.add
+        self.kernel.build(["timers", "counters"])
+        add("config", self.config)
+        add("membership", self.membership)
+        add("picker", self.picker)
+        add("retry", self.retry)
+        add("admission", self.admission)
+        add("claims", self.claims)
+        add("forward", self.forward)
+        add("pool", self.pool)
+        self.kernel.build(SERVICES)
+        self.counters = self.kernel.get("counters")
+
+    async def connect(self, address: Address) -> trio.abc.Stream:
+        if address.port not in self.stand_ins:
+            raise OSError("refused")
+        ours, theirs = stream_pair(lockstep=self.lockstep)
+        self.upstream_streams.append(ours)
+        self.kernel.nursery.start_soon(self.stand_ins[address.port].serve, theirs)
+        return ours
+
+    def add_upstream(self, name: str, *, local: bool = False, **how: Any) -> StandIn:
+        """Add a target of the service with its stand-in; the local one is announced."""
+        port = 9_000 + len(self.membership.targets("shop"))
+        record = UpstreamRecord("shop", Address("127.0.0.1", port), 9, 220, name, 1)
+        node = self.kernel.cfg.node
+        place = (node.id, node.domain) if local else (f"node-{name}", "other")
+        self.membership.by_service["shop"] = (
+            *self.membership.targets("shop"),
+            Target(place[0], place[1], record),
+        )
+        self.stand_ins[port] = StandIn()
+        self.stand_ins[port].behaviour.__dict__.update(how)
+        if local:
+            self.kernel.get("announce").put(record)
+        return self.stand_ins[port]
+
+    def caller(self, *, lockstep: bool = False) -> Caller:
+        """Open a caller connection."""
+        ours, theirs = stream_pair(lockstep=lockstep)
+        self.kernel.nursery.start_soon(self.kernel.get("ingress").serve, theirs)
+        return Caller(ours, theirs)
+
+
+@dataclasses.dataclass
+class Reply:
+    """Hold what a caller read; `whole` is false for an answer that was cut."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+    hints: int = 0
+
+
+class Caller:
+    """Send raw bytes and read answers with h11."""
+
+    def __init__(self, stream: MemoryStream, served: MemoryStream) -> None:
+        self.stream = stream
+        self.served = served
+        self._conn = h11.Connection(h11.CLIENT)
+        self._keep = 1 << 20
+
+    async def send(self, data: bytes) -> None:
+        await self.stream.send_all(data)
+
+    async def reply(self, method: str = "GET") -> Reply:
+        """Read one answer; raises EOFError when the connection ends before its head."""
+        if self._conn.our_state is h11.DONE:
+            self._conn.start_next_cycle()
+        self._conn.send(h11.Request(method=method, target="/", headers=[("host", "x")]))
+        self._conn.send(h11.EndOfMessage())
+        reply = Reply(0, {}, b"", False)
+        while True:
+            try:
+                event = self._conn.next_event()
+            except h11.RemoteProtocolError:
+                if not reply.status:
+                    raise EOFError from None
+                return reply
+            if event is h11.NEED_DATA:
+                self._conn.receive_data(await self._receive())
+            elif isinstance(event, h11.InformationalResponse):
+                reply.hints += event.status_code == 103
+            elif isinstance(event, h11.Response):
+                reply.status = event.status_code
+                reply.headers = {k.decode(): v.decode("latin-1") for k, v in event.headers}
+            elif isinstance(event, h11.Data):
+                reply.body += bytes(event.data) if len(reply.body) < self._keep else b""
+            elif isinstance(event, h11.EndOfMessage):
+                reply.whole = True
+                return reply
+            else:
+                raise EOFError
+
+    async def _receive(self) -> bytes:
+        try:
+            return await self.stream.receive_some(65_536)
+        except trio.BrokenResourceError:
+            return b""
+
+    async def call(
+        self,
+        method: str = "GET",
+        target: str = "/",
+        *,
+        how: str = "",
+        body: bytes = b"",
+        headers: str = "",
+    ) -> Reply:
+        """Send one request and read its answer."""
+        lines = f"{method} {target} HTTP/1.1\r\nHost: shop.test\r\n{headers}"
+        if how:
+            lines += f"x-stand-in: {how}\r\n"
+        if body:
+            lines += f"Content-Length: {len(body)}\r\n"
+        await self.send(lines.encode() + b"\r\n" + body)
+        return await self.reply(method)
+
+
+def settings_for_tests(**sections: Any) -> settings.Settings:
+    """Return the settings of the node under test."""
+    cfg = settings.Settings(
+        node=settings.NodeSettings("node-1", "east"),
+        secrets=settings.SecretSettings("none", "none"),
+        control=settings.ControlSettings((settings.ControlMember("control-1", "127.0.0.1", 1),)),
+    )
+    return settings.replace(cfg, **sections)
+
+
+@contextlib.asynccontextmanager
+async def node(svc: ServiceConfig = SERVICE, **sections: Any) -> AsyncIterator[World]:
+    """Run a node; the virtual time of a test is limited to an hour."""
+    world = World(svc, settings_for_tests(**sections))
+    world.build()
+    with trio.fail_after(3_600):
+        async with trio.open_nursery() as nursery:
+            await world.kernel.start(nursery)
+            yield world
+            nursery.cancel_scope.cancel()
+
+
+def run(fn: Callable[[], Awaitable[None]]) -> None:
+    """Run a test on a clock that jumps ahead whenever every task waits."""
+    trio.run(fn, clock=trio.testing.MockClock(autojump_threshold=0))
