--- /dev/null
+++ b/tests/features/steps/caller_http_steps.py
@@ -0,0 +1,55 @@
+"""Steps that send raw bytes to the caller listener."""
+
+from __future__ import annotations
+
+from behave import then, when
+
+from knapweedhitch import settings
+from tests.request_world import node, run
+
+
+def decode(text: str) -> bytes:
+    return text.replace("\\n", "\r\n").replace("^", "\n").encode("latin-1")
+
+
+@when('caller sends "{data}"')
+def send(context, data):
+    async def main():
+        # A body may stop for less than the default deadline of a call.
+        limits = settings.CallerSettings(body_timeout_ms=2_000)
+        async with node(callers=limits) as world:
+            up = world.add_upstream("up-1", local=True)
+            caller = world.caller()
+            raw = decode(data)
+            await caller.send(raw)
+            context.reply = await caller.reply()
+            if raw.count(b"HTTP/1.1") > 1:
+                await caller.reply()
+            context.runs = sum(up.runs.values())
+            reason = context.reply.headers.get("knapweedhitch-reason", "")
+            context.counted = world.counters.get("refused", reason)
+
+    run(main)
+
+
+@then('caller gets status {status:d} with reason "{reason}" and {runs:d} runs upstream')
+def check(context, status, reason, runs):
+    reply = context.reply
+    got = (reply.status, reply.headers.get("knapweedhitch-reason", ""), context.runs)
+    assert got == (status, reason, runs), (got, reply)
+    assert reply.whole and "x-request-id" in reply.headers, reply
+    if reason:
+        assert reply.headers["knapweedhitch-outcome"] == "not-run", reply
+        assert context.counted == 1, "the refusal is not counted"
+
+
+@then('caller gets status {status:d} with reason "" and {runs:d} runs upstream')
+def check_answer(context, status, runs):
+    check(context, status, "", runs)
+
+
+@then('caller gets status {status:d} with reason "{reason}" and outcome unknown')
+def check_unknown(context, status, reason):
+    reply = context.reply
+    assert (reply.status, reply.headers["knapweedhitch-reason"]) == (status, reason), reply
+    assert reply.headers["knapweedhitch-outcome"] == "unknown", reply
--- /dev/null
+++ b/tests/features/steps/upstream_http_steps.py
@@ -0,0 +1,91 @@
+"""Steps that call a misbehaving stand-in through the whole node."""
+
+from __future__ import annotations
+
+import trio
+from behave import given, then, when
+
+from tests.request_world import node, run
+
+
+def play(context, act):
+    async def main():
+        async with node() as world:
+            up = world.add_upstream("up-1", local=True)
+            world.up = up
+            up.behaviour = up.behaviour.changed(context.how)
+            await act(world)
+            context.sent = len(up.seen)
+            context.kept = "kept" if world.pool._idle_count else "closed"
+
+    run(main)
+
+
+@given('upstream behaves as "{how}"')
+def behave_as(context, how):
+    context.how = how
+
+
+@when("upstream gets one {method}")
+def one(context, method):
+    async def act(world):
+        body = b"x" * 200_000 if "early" in context.how else b"x" if method == "POST" else b""
+        context.reply = await world.caller().call(method, body=body)
+
+    play(context, act)
+
+
+@when("upstream goes silent on its open connections")
+def silent(context):
+    async def act(world):
+        await world.caller().call()
+        world.up.go_silent()
+        context.reply = await world.caller().call()
+
+    play(context, act)
+
+
+@when("upstream gets two POST at once")
+def two(context):
+    context.replies = {}
+
+    async def one_call(world, name):
+        headers = f"X-Request-Id: {name}\r\n"
+        context.replies[name] = await world.caller().call("POST", "/" + name, headers=headers)
+
+    async def act(world):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(one_call, world, "first")
+            nursery.start_soon(one_call, world, "second")
+
+    play(context, act)
+
+
+@then(
+    'upstream answer is {status:d} "{reason}" {end}, sent {sent:d} times, connection {kept}',
+)
+def check(context, status, reason, end, sent, kept):
+    reply = context.reply
+    got = (
+        reply.status,
+        reply.headers.get("knapweedhitch-reason", ""),
+        "whole" if reply.whole else "cut",
+        context.sent,
+        context.kept,
+    )
+    assert got == (status, reason, end, sent, kept), (got, reply.headers)
+    assert reply.hints == ("hints" in context.how), "a 1xx answer was lost"
+    if reason:
+        assert reply.headers["knapweedhitch-outcome"] == "unknown", reply
+
+
+@then('upstream answer is {status:d} "" {end}, sent {sent:d} times, connection {kept}')
+def check_answer(context, status, end, sent, kept):
+    check(context, status, "", end, sent, kept)
+
+
+@then("upstream gives no caller the answer of the other")
+def check_crossed(context):
+    for reply in context.replies.values():
+        assert reply.status == 502, reply
+        assert reply.headers["knapweedhitch-outcome"] == "unknown", reply
--- /dev/null
+++ b/tests/features/upstream_http.feature
@@ -0,0 +1,46 @@
+Feature: What a caller gets when its upstream misbehaves
+  Every row is one call through the gate; the stand-in behaves as told. The answer reaches the
+  caller whole, or as a refusal, or visibly cut; "sent" counts how often the request was sent.
+
+  Scenario Outline: upstream <case>
+    Given upstream behaves as "<how>"
+    When upstream gets one <method>
+    Then upstream answer is <status> "<reason>" <end>, sent <sent> times, connection <kept>
+
+    Examples: whole answers
+      | case                       | method | how                           | status | reason | end   | sent | kept   |
+      | answers sized              | GET    | size=10                       | 200    |        | whole | 1    | kept   |
+      | answers empty              | GET    | size=0                        | 200    |        | whole | 1    | kept   |
+      | answers chunked            | GET    | size=10,framing=chunked       | 200    |        | whole | 1    | kept   |
+      | answers long and sized     | GET    | size=500000                   | 200    |        | whole | 1    | kept   |
+      | answers long and chunked   | GET    | size=500000,framing=chunked   | 200    |        | whole | 1    | kept   |
+      | answers HEAD               | HEAD   | size=500000                   | 200    |        | whole | 1    | kept   |
+      | answers no content         | GET    | status=204,size=0,framing=none | 204   |        | whole | 1    | kept   |
+      | sends hints first          | GET    | hints=1                       | 200    |        | whole | 1    | kept   |
+      | closes after its answer    | GET    | close=1                       | 200    |        | whole | 1    | closed |
+      | ends by close              | GET    | size=10,framing=close         | 200    |        | whole | 1    | closed |
+      | answers before the body    | POST   | early=1                       | 200    |        | whole | 1    | closed |
+      | sends more than it should  | GET    | extra=1                       | 200    |        | whole | 1    | closed |
+      | sheds an unsafe call       | POST   | status=503                    | 503    |        | whole | 1    | kept   |
+      | fails an unsafe call       | POST   | status=500                    | 500    |        | whole | 1    | kept   |
+      | refuses a safe call        | GET    | status=404                    | 404    |        | whole | 1    | kept   |
+
+    Examples: cut answers
+      | case                       | method | how                                        | status | reason          | end   | sent | kept   |
+      | cuts a short sized one     | GET    | size=10,cut_after=5                        | 502    | upstream-failed | whole | 3    | closed |
+      | cuts a short chunked one   | GET    | size=10,cut_after=5,framing=chunked        | 502    | upstream-failed | whole | 3    | closed |
+      | cuts a short unsafe one    | POST   | size=10,cut_after=5                        | 502    | upstream-failed | whole | 1    | closed |
+      | cuts a long sized one      | GET    | size=500000,cut_after=400000               | 200    |                 | cut   | 1    | closed |
+      | cuts a long chunked one    | GET    | size=500000,cut_after=400000,framing=chunked | 200  |                 | cut   | 1    | closed |
+      | never answers              | POST   | silent=1                                   | 504    | deadline-exceeded | whole | 1  | closed |
+      | answers too late           | POST   | late_ms=6000                               | 504    | deadline-exceeded | whole | 1  | closed |
+
+  Scenario: upstream keeps a silent connection while new ones work
+    Given upstream behaves as "size=10"
+    When upstream goes silent on its open connections
+    Then upstream answer is 200 "" whole, sent 3 times, connection kept
+
+  Scenario: upstream swaps the answers of two calls
+    Given upstream behaves as "crossed=1"
+    When upstream gets two POST at once
+    Then upstream gives no caller the answer of the other
