Test the request path against its failures

Cause: Only the contract tables covered the path. Change: Add tests of ingress, router, gate, pool and drain, each named for a failure.

--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -5,6 +5,7 @@
 import collections
 import contextlib
 import dataclasses
+import functools
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
@@ -420,3 +421,20 @@
 def run(fn: Callable[[], Awaitable[None]]) -> None:
     """Run a test on a clock that jumps ahead whenever every task waits."""
     trio.run(fn, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+def in_node(svc: ServiceConfig = SERVICE, **sections: Any) -> Callable[..., Callable[..., None]]:
+    """Run an async test method in a node; it gets the world."""
+
+    def decorate(test: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+        @functools.wraps(test)
+        def method(self: Any) -> None:
+            async def main() -> None:
+                async with node(svc, **sections) as world:
+                    await test(self, world)
+
+            run(main)
+
+        return method
+
+    return decorate
--- /dev/null
+++ b/tests/test_drain.py
@@ -0,0 +1,50 @@
+"""Tests of the planned stop and of the hard one."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from tests.request_world import World, in_node
+
+SLOW = b"POST / HTTP/1.1\r\nHost: shop.test\r\nx-stand-in: delay_ms=3000\r\n\r\n"
+
+
+class DrainTest(unittest.TestCase):
+    @in_node()
+    async def test_a_planned_stop_finishes_everything(self, world: World) -> None:
+        """Guards against a stop that cuts work or refuses it before peers know."""
+        world.add_upstream("up-1", local=True)
+        drain, busy, other = world.kernel.get("drain"), world.caller(), world.caller()
+        await other.call()
+        await busy.send(SLOW)
+        await trio.sleep(0.1)
+        drain.request()
+        await trio.sleep(0.5)
+        self.assertTrue(world.membership.draining)
+        reply = await other.call()
+        self.assertEqual((reply.status, reply.headers["connection"]), (200, "close"))
+        ready = await world.caller().call("GET", "/.knapweedhitch/ready")
+        self.assertEqual(ready.status, 503)
+        await trio.sleep(1)
+        refused = await world.caller().call()
+        self.assertEqual(refused.headers["knapweedhitch-reason"], "node-draining")
+        self.assertFalse(drain.done.is_set())
+        self.assertEqual((await busy.reply()).status, 200)
+        await drain.wait()
+        self.assertEqual((drain.cut, world.admission.draining), (0, True))
+        self.assertEqual(await world.caller().stream.receive_some(), b"", "still open")
+
+    @in_node()
+    async def test_a_second_signal_stops_at_once_and_reports_the_cut(self, world: World) -> None:
+        """Guards against a stop that cannot be forced or that hides what it cut."""
+        world.add_upstream("up-1", local=True)
+        drain, busy = world.kernel.get("drain"), world.caller()
+        await busy.send(SLOW)
+        await trio.sleep(0.1)
+        drain.request()
+        drain.request()
+        with trio.fail_after(0.01):
+            await drain.wait()
+        self.assertEqual((drain.cut, world.counters.get("requests_cut", "second-signal")), (1, 1))
--- /dev/null
+++ b/tests/test_gate.py
@@ -0,0 +1,80 @@
+"""Tests of the gate: what is refused before and after the queue."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+import trio
+
+from knapweedhitch.model import DomainStatus, UpstreamState
+from tests.request_world import World, in_node
+
+OUT = {"east": DomainStatus(True, 2)}
+
+
+def stale(world: World) -> None:
+    world.config.fresh = False
+
+
+def out(world: World) -> None:
+    world.config.current = dataclasses.replace(world.config.current, domains=OUT)
+
+
+def drain(world: World) -> None:
+    world.kernel.get("drain").refusing = True
+
+
+def leave(world: World) -> None:
+    announce = world.kernel.get("announce")
+    announce.put(dataclasses.replace(announce.current, state=UpstreamState.LEAVING))
+
+
+def replace(world: World) -> None:
+    announce = world.kernel.get("announce")
+    announce.put(dataclasses.replace(announce.current, instance_id="other"))
+
+
+class GateTest(unittest.TestCase):
+    @in_node()
+    async def test_checks_are_made_again_after_the_queue(self, world: World) -> None:
+        """Guards against a queued call that reaches an upstream which must get no new work."""
+        up = world.add_upstream("up-1", local=True)
+        record = world.kernel.get("announce").current
+        config = world.config.current
+        cases = [(stale, "config-stale"), (out, "domain-out"), (drain, "node-draining")]
+        cases += [(replace, "no-target"), (leave, "upstream-draining")]
+        for change, expected in cases:
+            with self.subTest(expected=expected):
+                world.admission.slots = trio.Semaphore(0)
+                caller = world.caller()
+                await caller.send(b"POST / HTTP/1.1\r\nHost: shop.test\r\n\r\n")
+                await trio.testing.wait_all_tasks_blocked()
+                change(world)
+                world.admission.slots.release()
+                reply = await caller.reply()
+                shown = {k: v for k, v in reply.headers.items() if k.startswith("knapweed")}
+                self.assertEqual(
+                    shown,
+                    {"knapweedhitch-reason": expected, "knapweedhitch-outcome": "not-run"},
+                )
+                self.assertEqual(world.admission.slots.value, 1, "the slot was not given back")
+                world.config.current, world.config.fresh = config, True
+                world.kernel.get("drain").refusing = False
+                world.kernel.get("announce")._set(record, "restored")
+        self.assertEqual(up.seen, [])
+
+    @in_node()
+    async def test_a_slot_is_given_back_with_the_result(self, world: World) -> None:
+        """Guards against slots that leak on failures and against load that is not reported."""
+        world.add_upstream("up-1", local=True)
+        for how in ("size=1", "cut_after=0,size=1", "status=503", "delay_ms=9000"):
+            await world.caller().call("POST", how=how)
+        results = [(r.ok, r.status, r.timed_out, r.shed) for r in world.admission.results]
+        expected = [(True, 200, False, False), (False, 0, False, False)]
+        expected += [(False, 503, False, True), (False, 0, True, False)]
+        self.assertEqual(results, expected)
+        self.assertEqual(world.admission.slots.value, 9)
+        self.assertEqual({name for name, _ in world.picker.observed}, {"up-1"})
+        for name in ("total", "queue", "connect", "first_byte", "added"):
+            self.assertIn(name, world.counters.snapshot().histograms)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -1,24 +1,131 @@
-"""Tests of the path from the caller's connection to the own upstream and back."""
+"""Tests of caller connections: order, hops, limits and backpressure."""
 
 from __future__ import annotations
 
+import subprocess
+import sys
+import tracemalloc
 import unittest
 
-from tests.request_world import node, run
+import trio
+
+from knapweedhitch import settings
+from knapweedhitch.model import Address
+from knapweedhitch.pool import connect_tcp
+from tests.request_world import Caller, World, in_node, stream_pair
+
+MEGABYTE = 1_000_000
+HEAD = b"GET /%d HTTP/1.1\r\nHost: shop.test\r\nx-stand-in: size=%d,delay_ms=%d\r\n\r\n"
 
 
 class IngressTest(unittest.TestCase):
-    def test_a_request_reaches_the_own_upstream_and_its_answer_the_caller(self) -> None:
-        """Guards against a path that loses a request or its answer."""
-
-        async def main() -> None:
-            async with node() as world:
-                up = world.add_upstream("up-1", local=True)
-                caller = world.caller()
-                reply = await caller.call("POST", "/robes", how="size=5", body=b"abc")
-                self.assertEqual((reply.status, len(reply.body), reply.whole), (200, 5, True))
-                self.assertEqual(up.seen[0].body_bytes, 3)
-                self.assertEqual((await caller.call()).status, 200)
-                self.assertEqual(up.connections, 1)
-
-        run(main)
+    @in_node()
+    async def test_pipelined_requests_are_answered_in_order(self, world: World) -> None:
+        """Guards against a fast answer that overtakes a slow one on the same connection."""
+        up = world.add_upstream("up-1", local=True)
+        caller = world.caller()
+        await caller.send(HEAD % (1, 5, 300) + HEAD % (2, 7, 0))
+        sizes = [len((await caller.reply()).body) for _ in range(2)]
+        self.assertEqual((sizes, [seen.target for seen in up.seen]), ([5, 7], ["/1", "/2"]))
+
+    @in_node()
+    async def test_the_body_is_asked_for_only_when_it_is_wanted(self, world: World) -> None:
+        """Guards against a 100 Continue before a refusal, and against a body never asked for."""
+        world.add_upstream("up-1", local=True)
+        for host, expected in ((b"shop.test", b"HTTP/1.1 100 "), (b"x.test", b"HTTP/1.1 404 ")):
+            caller = world.caller()
+            await caller.send(
+                b"POST / HTTP/1.1\r\nHost: %s\r\nContent-Length: 1\r\n"
+                b"Expect: 100-continue\r\n\r\n" % host
+            )
+            self.assertEqual((await caller.stream.receive_some())[:13], expected)
+        caller = world.caller()
+        reply = await caller.call("POST", body=b"x", headers="Expect: 100-continue\r\n")
+        self.assertEqual(reply.status, 200)
+
+    @in_node()
+    async def test_hop_by_hop_headers_end_at_the_node(self, world: World) -> None:
+        """Guards against headers of one connection, or ours, that leak onto the next."""
+        up = world.add_upstream("up-1", local=True)
+        await world.caller().call(
+            headers="Connection: keep-alive, X-Hop\r\nX-Hop: 1\r\nTE: trailers\r\n"
+            "Keep-Alive: 5\r\nProxy-Authorization: p\r\nKnapweedhitch-Outcome: x\r\nX-End: 1\r\n"
+        )
+        names = set(up.seen[0].headers)
+        own = {"request-id", "exchange", "deadline-ms", "retries", "depth"}
+        expected = {"host", "x-end", "x-request-id"}
+        expected |= {"knapweedhitch-" + name for name in own - {"request-id"}}
+        self.assertEqual(names, expected)
+
+    @in_node(callers=settings.CallerSettings(idle_timeout_ms=100, write_timeout_ms=500))
+    async def test_idle_callers_and_slow_readers_are_closed(self, world: World) -> None:
+        """Guards against callers that hold a connection for ever."""
+        up = world.add_upstream("up-1", local=True)
+        idle = world.caller()
+        self.assertEqual(await idle.stream.receive_some(), b"")
+        slow = world.caller(lockstep=True)
+        with trio.move_on_after(2):
+            await slow.send(HEAD % (1, 50 * MEGABYTE, 0))
+            await trio.sleep_forever()
+        self.assertTrue(slow.served.reset, "a cut answer must end by a reset")
+        self.assertEqual(world.counters.get("caller_gone"), 1)
+        self.assertEqual((up.in_flight, world.pool._idle_count), (0, 0))
+
+    @in_node(callers=settings.CallerSettings(max_connections=1))
+    async def test_a_connection_over_the_limit_is_refused(self, world: World) -> None:
+        """Guards against unbounded connections."""
+        server = world.kernel.get("ingress")._server
+        server.active = 1
+        ours, theirs = stream_pair()
+        world.kernel.nursery.start_soon(server.handle, theirs)
+        reply = await Caller(ours, theirs).reply()
+        self.assertEqual(reply.headers["knapweedhitch-reason"], "too-many-connections")
+
+    @in_node()
+    async def test_long_bodies_pass_with_flat_memory(self, world: World) -> None:
+        """Guards against bodies that are held as a whole: 200 MB pass in each direction."""
+        up = world.add_upstream("up-1", local=True)
+        world.lockstep = True
+        caller = world.caller(lockstep=True)
+        size, part = 200 * MEGABYTE, bytes(MEGABYTE)
+        tracemalloc.start()
+
+        async def send() -> None:
+            await caller.send(
+                b"POST / HTTP/1.1\r\nHost: shop.test\r\nx-stand-in: size=%d\r\n"
+                b"Content-Length: %d\r\n\r\n" % (size, size)
+            )
+            for _ in range(size // MEGABYTE):
+                await caller.send(part)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            reply = await caller.reply()
+        peak = tracemalloc.get_traced_memory()[1]
+        tracemalloc.stop()
+        self.assertEqual((reply.status, reply.whole, up.seen[0].whole), (200, True, True))
+        self.assertEqual((up.seen[0].body_bytes, caller.served.sent > size), (size, True))
+        self.assertLess(peak, 16 * MEGABYTE)
+
+
+class StandInTest(unittest.TestCase):
+    def test_a_stand_in_process_answers_over_a_socket_without_delay(self) -> None:
+        """Guards against sockets with Nagle's algorithm and a stand-in that cannot run alone."""
+        args = [sys.executable, "-m", "tests.stand_in", "--service", "shop"]
+        with subprocess.Popen(args, stdout=subprocess.PIPE, text=True) as process:
+            try:
+                assert process.stdout is not None
+                address = process.stdout.readline().split("address=")[1].strip()
+                trio.run(self._ask, address)
+            finally:
+                process.terminate()
+
+    async def _ask(self, address: str) -> None:
+        host, _, port = address.rpartition(":")
+        with trio.fail_after(20):
+            async with await connect_tcp(Address(host, int(port))) as stream:
+                assert isinstance(stream, trio.SocketStream)
+                option = (trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY)
+                self.assertTrue(stream.getsockopt(*option))
+                await stream.send_all(HEAD % (1, 3, 0))
+                self.assertEqual((await stream.receive_some())[:12], b"HTTP/1.1 200")
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,65 @@
+"""Tests of the connections that are kept between exchanges."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+
+from tests.request_world import World, in_node
+
+
+class PoolTest(unittest.TestCase):
+    @in_node()
+    async def test_unsound_idle_connections_are_not_used(self, world: World) -> None:
+        """Guards against EOF and answers of nobody on a kept connection: both would be taken."""
+        up = world.add_upstream("up-1", local=True)
+        for stray in (b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother", b""):
+            await world.caller().call()
+            stream = world.upstream_streams[-1].peer
+            assert stream is not None
+            await (stream.send_all(stray) if stray else stream.aclose())
+            before = up.connections
+            reply = await world.caller().call("POST")
+            self.assertEqual((reply.status, reply.body, up.connections), (200, b"\0\0", before + 1))
+
+    @in_node()
+    async def test_unsafe_calls_avoid_connections_that_were_idle(self, world: World) -> None:
+        """Guards against unsafe calls lost on a connection that the upstream just gave up."""
+        up = world.add_upstream("up-1", local=True)
+        for method, idle_s, connections in (("GET", 0, 1), ("POST", 0.5, 1), ("POST", 1.5, 2)):
+            await trio.sleep(idle_s)
+            self.assertEqual((await world.caller().call(method)).status, 200)
+            self.assertEqual(up.connections, connections, method)
+        await trio.sleep(20)
+        self.assertEqual(world.pool._idle_count, 0)
+
+    @in_node()
+    async def test_the_connection_of_an_abandoned_call_is_never_used_again(
+        self, world: World
+    ) -> None:
+        """Guards against a late answer that goes to the next caller."""
+        up = world.add_upstream("up-1", local=True)
+        late = await world.caller().call(
+            how="late_ms=500,size=9", headers="Knapweedhitch-Deadline-Ms: 100\r\n"
+        )
+        self.assertEqual(late.status, 504)
+        self.assertEqual(len((await world.caller().call(how="delay_ms=900")).body), 2)
+        self.assertEqual((up.connections, world.pool._idle_count), (2, 1))
+        self.assertTrue(world.upstream_streams[1].peer_sent)
+        self.assertEqual(world.upstream_streams[0].received, 0)
+
+    @in_node()
+    async def test_a_silent_connection_costs_a_part_of_the_deadline(self, world: World) -> None:
+        """Guards against a call that waits on a silent connection while new ones work."""
+        up = world.add_upstream("up-1", local=True)
+        first, second = world.caller(), world.caller()
+        async with trio.open_nursery() as nursery:
+            for caller in (first, second):
+                nursery.start_soon(lambda c: c.call(how="delay_ms=5"), caller)
+        up.go_silent()
+        began = trio.current_time()
+        self.assertEqual((await first.call()).status, 200)
+        self.assertLess(trio.current_time() - began, 3)
+        self.assertEqual((up.connections, world.pool._idle_count), (3, 1))
+        self.assertEqual(world.counters.get("silent_connections"), 1)
--- /dev/null
+++ b/tests/test_router.py
@@ -0,0 +1,210 @@
+"""Tests of calls: at most once, outcomes, claims, deadlines, retries and hedges."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+import uuid
+from typing import Any
+
+import trio
+
+from knapweedhitch import settings
+from knapweedhitch.exceptions import Outcome, QueueFull, Refusal, UpstreamFailed
+from tests.request_world import SERVICE, FakeRecorded, Reply, World, in_node
+
+KEY = "Idempotency-Key: k-1\r\n"
+HEDGED = dataclasses.replace(SERVICE, hedge=True)
+STRICT = dataclasses.replace(SERVICE, require_key=True, max_recorded_answer_bytes=100)
+SMALL = settings.CallerSettings(max_keyed_body_bytes=1_000, max_spooled_bytes=1_500)
+
+
+def reason(reply: Reply) -> tuple[str, str]:
+    """Return reason and outcome of a refusal."""
+    return reply.headers["knapweedhitch-reason"], reply.headers["knapweedhitch-outcome"]
+
+
+def two(world: World, **first: Any) -> list[Any]:
+    """Add a first upstream that misbehaves and a second one that does not."""
+    return [world.add_upstream("bad", **first), world.add_upstream("good")]
+
+
+class AtMostOnceTest(unittest.TestCase):
+    @in_node()
+    async def test_unsafe_calls_are_sent_again_only_if_proved_not_run(self, world: World) -> None:
+        """Guards against a second run: a cut answer may belong to a run, a refused connect not."""
+        bad, good = two(world, cut_after=1)
+        caller = world.caller()
+        self.assertEqual(reason(await caller.call("POST")), ("upstream-failed", "unknown"))
+        self.assertEqual((sum(bad.runs.values()), sum(good.runs.values())), (1, 0))
+        del world.stand_ins[9_000]
+        self.assertEqual((await world.caller().call("POST", body=b"abc")).status, 200)
+        self.assertEqual((len(bad.seen), good.seen[0].body_bytes), (1, 3))
+
+    @in_node()
+    async def test_a_cut_short_answer_is_retried_unseen_and_a_long_one_is_cut(
+        self, world: World
+    ) -> None:
+        """Guards against cut answers that look whole, and against two halves joined."""
+        _, good = two(world, size=50, cut_after=40)
+        reply = await world.caller().call(body=b"b" * 70_000)
+        self.assertEqual((reply.status, reason(reply)[1]), (502, "unknown"), "body was not kept")
+        reply = await world.caller().call(body=b"b" * 10)
+        self.assertEqual((reply.status, len(reply.body), good.seen[0].body_bytes), (200, 2, 10))
+
+    @in_node()
+    async def test_an_unknown_attempt_keeps_the_whole_call_unknown(self, world: World) -> None:
+        """Guards against a not-run verdict after an earlier attempt may have run."""
+        two(world)
+        refusals: list[Refusal] = [UpstreamFailed(Outcome.UNKNOWN), QueueFull()]
+
+        async def act(*args: Any) -> Any:
+            raise refusals.pop(0)
+
+        world.forward.act = act
+        self.assertEqual(reason(await world.caller().call("PUT")), ("queue-full", "unknown"))
+
+    @in_node()
+    async def test_a_deadline_is_not_run_only_while_nothing_was_handed_over(
+        self, world: World
+    ) -> None:
+        """Guards against a not-run verdict from a remote queue that confirmed no cancel."""
+        world.add_upstream("far")
+
+        async def act(*args: Any) -> Any:
+            await trio.sleep_forever()
+
+        world.forward.act = act
+        remote = await world.caller().call("POST")
+        self.assertEqual(reason(remote), ("deadline-exceeded", "unknown"))
+        world.forward.act = None
+        near = world.add_upstream("near", local=True, delay_ms=9_000)
+        world.membership.by_service["shop"] = world.membership.targets("shop")[1:]
+        self.assertEqual(reason(await world.caller().call("POST"))[1], "unknown")
+        self.assertEqual(len(near.seen), 1)
+
+
+class KeyTest(unittest.TestCase):
+    @in_node(STRICT, callers=SMALL)
+    async def test_a_claim_is_settled_by_what_is_proved(self, world: World) -> None:
+        """Guards against a release after a possible run and a record of a part of an answer."""
+        up = world.add_upstream("up-1", local=True)
+        cases = [
+            ("size=5", (1, 0), 5),
+            ("size=101", (1, 0), None),
+            ("size=70000", (1, 0), None),
+            ("size=50,cut_after=9", (0, 0), None),
+            ("size=50,framing=chunked,cut_after=9", (0, 0), None),
+        ]
+        for how, expected, kept in cases:
+            claims = world.claims
+            before = len(claims.completed), claims.released
+            with self.subTest(how=how):
+                await world.caller().call("POST", how=how, headers=KEY)
+                done = len(claims.completed) - before[0], claims.released - before[1]
+                self.assertEqual(done, expected)
+                if done[0]:
+                    body = claims.completed[-1][2]
+                    self.assertEqual(None if body is None else len(body), kept)
+        self.assertEqual(sum(up.runs.values()), len(cases))
+        world.stand_ins.clear()
+        await world.pool.stop()
+        await world.caller().call("POST", headers=KEY)
+        self.assertEqual(world.claims.released, 1)
+
+    @in_node(STRICT, callers=SMALL)
+    async def test_keyed_bodies_are_bounded_and_digested(self, world: World) -> None:
+        """Guards against unbounded spools and one key for two different payloads."""
+        up = world.add_upstream("up-1", local=True)
+        caller = world.caller()
+        self.assertEqual(reason(await caller.call("POST")), ("key-required", "not-run"))
+        reply = await world.caller().call("POST", headers=KEY, body=b"x" * 1_001)
+        self.assertEqual(reason(reply), ("keyed-body-too-large", "not-run"))
+        self.assertIn(b"limit 1000 bytes", reply.body)
+        for target, body in (("/a", b"1"), ("/a", b"1"), ("/a", b"2"), ("/b", b"1")):
+            await caller.call("POST", target, headers=KEY, body=body)
+        digests = [digest for _, digest in world.claims.claimed]
+        self.assertEqual((len(digests), len(set(digests))), (4, 3))
+        self.assertEqual((up.runs["k-1"], world.kernel.get("router")._spool.used_bytes), (4, 0))
+
+    @in_node()
+    async def test_a_recorded_answer_is_replayed_without_a_run(self, world: World) -> None:
+        """Guards against a second run of a key that has an answer."""
+        up = world.add_upstream("up-1", local=True)
+        world.claims.recorded = FakeRecorded(201, ((b"content-length", b"3"),), b"old")
+        reply = await world.caller().call("POST", headers=KEY)
+        self.assertEqual((reply.status, reply.body, len(up.seen)), (201, b"old", 0))
+
+    @in_node()
+    async def test_the_answer_is_recorded_though_the_caller_left(self, world: World) -> None:
+        """Guards against a run whose answer is lost with the caller's connection."""
+        world.add_upstream("up-1", local=True)
+        caller = world.caller()
+        await caller.send(
+            b"POST / HTTP/1.1\r\nHost: shop.test\r\nIdempotency-Key: k\r\n"
+            b"x-stand-in: delay_ms=50,size=7\r\n\r\n"
+        )
+        await caller.stream.aclose()
+        await trio.sleep(1)
+        self.assertEqual([len(body or b"") for _, _, body in world.claims.completed], [7])
+
+    @in_node()
+    async def test_the_own_paths_answer(self, world: World) -> None:
+        """Guards against keys without time and a readiness that ignores a stale configuration."""
+        caller = world.caller()
+        key = uuid.UUID((await caller.call("POST", "/.knapweedhitch/key")).body.decode())
+        self.assertEqual((key.version, key.variant), (7, uuid.RFC_4122))
+        self.assertEqual((await caller.call("GET", "/.knapweedhitch/ready")).status, 200)
+        world.config.fresh = False
+        self.assertEqual((await caller.call("GET", "/.knapweedhitch/ready")).status, 503)
+        self.assertEqual(reason(await caller.call()), ("config-stale", "not-run"))
+
+
+class RetryTest(unittest.TestCase):
+    @in_node()
+    async def test_deadline_retries_and_depth_travel_with_the_call(self, world: World) -> None:
+        """Guards against chains of calls that outlive their caller or multiply retries."""
+        two(world, status=503)
+        reply = await world.caller().call(
+            headers="Knapweedhitch-Deadline-Ms: 400\r\nKnapweedhitch-Retries: 1\r\n"
+            "Knapweedhitch-Depth: 3\r\nKnapweedhitch-Explain: 1\r\n"
+        )
+        seen = [up.seen[0].headers for up in world.stand_ins.values()]
+        sent = [(h["knapweedhitch-retries"], h["knapweedhitch-depth"]) for h in seen]
+        self.assertEqual((reply.status, sent), (200, [("1", "4"), ("0", "4")]))
+        self.assertTrue(all(int(h["knapweedhitch-deadline-ms"]) <= 390 for h in seen))
+        shown = reply.headers["knapweedhitch-explain"]
+        self.assertIn("cause=first picked=bad", shown)
+        self.assertIn("cause=server-error picked=good", shown)
+        kept = world.kernel.get("router").explanations.get(reply.headers["x-request-id"])
+        self.assertEqual([choice.picked for choice in kept.choices], ["bad", "good"])
+
+    @in_node()
+    async def test_no_retry_without_allowance_budget_or_time(self, world: World) -> None:
+        """Guards against retry storms: the answer of the upstream passes instead."""
+        _, good = two(world, status=503)
+        for headers in ("Knapweedhitch-Retries: 0\r\n", "Knapweedhitch-Deadline-Ms: 5\r\n", ""):
+            world.retry.allowed = bool(headers)
+            reply = await world.caller().call(headers=headers)
+            self.assertIn(reply.status, (503, 504))
+        self.assertEqual(good.seen, [])
+        self.assertEqual(set(world.picker.in_flight.values()), {0})
+
+    @in_node(HEDGED)
+    async def test_the_first_good_answer_of_a_hedge_wins(self, world: World) -> None:
+        """Guards against mixed answers and against reuse of the connection that lost."""
+        slow, fast = two(world, delay_ms=900)
+        world.picker.hedge_ms = 20
+        began = trio.current_time()
+        self.assertEqual((await world.caller().call()).status, 200)
+        self.assertLess(trio.current_time() - began, 0.5)
+        await trio.sleep(2)
+        self.assertEqual((len(slow.seen), len(fast.seen), world.pool._idle_count), (1, 1, 1))
+        slow.behaviour.delay_ms, fast.behaviour.delay_ms = 30, 900
+        self.assertEqual((await world.caller().call(how="size=200000")).body[:1], b"\0")
+        fast.behaviour.status, slow.behaviour.delay_ms = 500, 90
+        self.assertEqual((await world.caller().call()).status, 200)
+        await world.caller().call("POST")
+        self.assertEqual((len(slow.seen), len(fast.seen)), (4, 3))
+        await trio.sleep(2)
+        self.assertEqual(set(world.picker.in_flight.values()), {0})
