--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -431,6 +431,19 @@
     status = 502
 
 
+class UpstreamUnreachable(UpstreamFailed):
+    """Refuse a request because its upstream accepted no connection."""
+
+    reason = "upstream-unreachable"
+
+
+class UpstreamTimedOut(UpstreamFailed):
+    """Report an upstream that made no progress within its limit."""
+
+    reason = "upstream-timeout"
+    status = 504
+
+
 class PeerFailed(Refusal):
     """Report a node on the way that failed before a whole answer arrived."""
 
@@ -494,6 +507,20 @@
     status = 422
 
 
+class KeyedBodyTooLarge(Refusal):
+    """Refuse a keyed request whose body is over the size that is held for its digest."""
+
+    reason = "keyed-body-too-large"
+    status = 413
+
+
+class SpoolFull(Refusal):
+    """Refuse a keyed request because the bodies held for digests use all their space."""
+
+    reason = "spool-full"
+    status = 503
+
+
 class ClaimQuorumLost(Refusal):
     """Refuse a keyed request because too few claim holders can vote."""
 
@@ -590,3 +617,24 @@
 
     reason = "proposal-unknown"
     status = 503
+
+
+class NotFound(Refusal):
+    """Refuse a request for a path that a listener of the system does not have."""
+
+    reason = "not-found"
+    status = 404
+
+
+class AnnouncementInvalid(Refusal):
+    """Refuse an announcement with a wrong field."""
+
+    reason = "announcement-invalid"
+    status = 400
+
+
+class AnnouncementStale(Refusal):
+    """Refuse an announcement of an earlier incarnation than the current one."""
+
+    reason = "announcement-stale"
+    status = 409
