--- /dev/null
+++ b/knapweedhitch/claimstore.py
@@ -0,0 +1,199 @@
+"""The idempotency claims that this node holds in memory for others."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import heapq
+from collections.abc import Callable, Mapping
+
+from knapweedhitch.idempotency import key_time_ms
+from knapweedhitch.messages import ClaimComplete, ClaimRelease, ClaimReply, ClaimRequest, Headers
+from knapweedhitch.model import ClaimGroup, ClaimVerdict
+from knapweedhitch.settings import ClaimSettings
+
+MS_PER_S = 1_000
+MAX_TOMBSTONES = 8
+
+Key = tuple[str, str]
+
+
+def group_for(groups: tuple[ClaimGroup, ...], key_ms: int) -> ClaimGroup | None:
+    """Return the group in force at the creation time of a key in wall milliseconds."""
+    started = [group for group in groups if group.from_wall_ms <= key_ms]
+    return max(started, key=lambda group: group.from_wall_ms, default=None)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Answer:
+    kept: bool
+    status: int
+    headers: Headers
+    body: bytes
+
+    @property
+    def n_bytes(self) -> int:
+        return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Entry:
+    claim_id: str
+    digest: bytes
+    deadline_ms: float
+    answer: _Answer | None = None
+
+
+class ClaimStore:
+    """Vote on claims; a vote is never given where an earlier vote may have been forgotten."""
+
+    def __init__(
+        self,
+        cfg: ClaimSettings,
+        node_id: str,
+        now_ms: Callable[[], float],
+        wall_ms: Callable[[], int],
+        groups: Callable[[], Mapping[str, tuple[ClaimGroup, ...]] | None],
+    ) -> None:
+        self._cfg = cfg
+        self._node_id = node_id
+        self._now_ms = now_ms
+        # `groups` returns None while the configuration is not fresh.
+        self._groups = groups
+        self._since_ms = wall_ms()
+        self._since_now_ms = now_ms()
+        self._entries: dict[Key, _Entry] = {}
+        self._expiry: list[tuple[float, Key]] = []
+        self._forgotten_ms: dict[str, int] = {}
+        self._released: dict[Key, collections.deque[str]] = {}
+        self._released_at: collections.deque[tuple[float, Key]] = collections.deque()
+        self._recorded_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    @property
+    def recorded_bytes(self) -> int:
+        """Return the bytes of all recorded answers."""
+        return self._recorded_bytes
+
+    @property
+    def votes_from_ms(self) -> int:
+        """Return the earliest key time in wall milliseconds that this holder votes for."""
+        # A vote of an earlier process was for a key time of at most its clock plus the skew, and
+        # the wall clock may have been set back by up to the skew since then.
+        return self._since_ms + 2 * self._cfg.max_clock_skew_ms
+
+    def claim(self, msg: ClaimRequest) -> ClaimReply:
+        """Answer a claim request; raises KeyInvalid."""
+        self.expire()
+        key = (msg.service, msg.key)
+        entry = self._entries.get(key)
+        if entry is not None:
+            return self._known(entry, msg)
+        key_ms = key_time_ms(msg.key)
+        verdict = self._verdict(msg, key_ms)
+        if verdict is ClaimVerdict.GRANTED:
+            deadline_ms = self._now_ms() + msg.deadline_ms
+            self._entries[key] = _Entry(msg.claim_id, msg.digest, deadline_ms)
+            heapq.heappush(self._expiry, (key_ms + msg.retention_s * MS_PER_S, key))
+        return _reply(verdict, msg.claim_id)
+
+    def complete(self, msg: ClaimComplete) -> bool:
+        """Record the answer of a run; return False if the claim is not held here."""
+        key = (msg.service, msg.key)
+        entry = self._entries.get(key)
+        if entry is None or entry.claim_id != msg.claim_id or entry.answer is not None:
+            return False
+        answer = _Answer(msg.kept, msg.status, msg.headers, msg.body)
+        if not msg.kept or self._recorded_bytes + answer.n_bytes > self._cfg.max_recorded_bytes:
+            answer = _Answer(False, msg.status, (), b"")
+        self._recorded_bytes += answer.n_bytes
+        self._entries[key] = dataclasses.replace(entry, answer=answer)
+        return True
+
+    def release(self, msg: ClaimRelease) -> bool:
+        """Give a claim up; return False if it is not held here. A later request for it fails."""
+        key = (msg.service, msg.key)
+        self._bury(key, msg.claim_id)
+        entry = self._entries.get(key)
+        if entry is None or entry.claim_id != msg.claim_id or entry.answer is not None:
+            return False
+        # The pushed expiry stays; it finds either nothing or the next claim of the same key.
+        del self._entries[key]
+        return True
+
+    def expire(self) -> None:
+        """Drop the entries whose keys can never be voted for again, and old tombstones."""
+        wall_ms = self._wall_ms()
+        while self._expiry and self._expiry[0][0] <= wall_ms:
+            _, key = heapq.heappop(self._expiry)
+            entry = self._entries.pop(key, None)
+            if entry is not None:
+                self._recorded_bytes -= entry.answer.n_bytes if entry.answer else 0
+                # Without this mark a longer retention, set later, would allow a second run.
+                mark_ms = max(self._forgotten_ms.get(key[0], -1), key_time_ms(key[1]))
+                self._forgotten_ms[key[0]] = mark_ms
+        oldest_ms = self._now_ms() - self._cfg.tombstone_ms
+        while self._released_at and self._released_at[0][0] <= oldest_ms:
+            self._released.pop(self._released_at.popleft()[1], None)
+
+    def _wall_ms(self) -> float:
+        # The wall clock may be set back while the process runs; this one never goes back.
+        return self._since_ms + self._now_ms() - self._since_now_ms
+
+    def _known(self, entry: _Entry, msg: ClaimRequest) -> ClaimReply:
+        if entry.digest != msg.digest:
+            return _reply(ClaimVerdict.MISMATCH, entry.claim_id)
+        if entry.answer is not None:
+            if not entry.answer.kept:
+                return _reply(ClaimVerdict.NOT_KEPT, entry.claim_id)
+            answer = entry.answer
+            verdict = ClaimVerdict.RECORDED
+            return ClaimReply(verdict, entry.claim_id, answer.status, answer.headers, answer.body)
+        if entry.claim_id == msg.claim_id:
+            return _reply(ClaimVerdict.GRANTED, msg.claim_id)
+        late = self._now_ms() >= entry.deadline_ms
+        verdict = ClaimVerdict.OUTCOME_UNKNOWN if late else ClaimVerdict.IN_PROGRESS
+        return _reply(verdict, entry.claim_id)
+
+    def _verdict(self, msg: ClaimRequest, key_ms: int) -> ClaimVerdict:
+        groups = self._groups()
+        if groups is None:
+            return ClaimVerdict.ABSTAIN
+        group = group_for(groups.get(msg.service, ()), key_ms)
+        if group is None or group.epoch != msg.epoch or self._node_id not in group.holders:
+            return ClaimVerdict.NOT_HOLDER
+        if key_ms < self.votes_from_ms:
+            return ClaimVerdict.ABSTAIN
+        wall_ms = self._wall_ms()
+        forgotten = key_ms <= self._forgotten_ms.get(msg.service, -1)
+        if forgotten or key_ms + msg.retention_s * MS_PER_S <= wall_ms:
+            return ClaimVerdict.EXPIRED
+        if msg.claim_id in self._released.get((msg.service, msg.key), ()):
+            return ClaimVerdict.RELEASED
+        if key_ms > wall_ms + self._cfg.max_clock_skew_ms:
+            return ClaimVerdict.FUTURE
+        if len(self._entries) >= self._cfg.max_claims or len(self._expiry) > self._max_expiry:
+            return ClaimVerdict.FULL
+        return ClaimVerdict.GRANTED
+
+    @property
+    def _max_expiry(self) -> int:
+        # Released claims leave their expiry behind; this bounds what repeated releases add.
+        return 2 * self._cfg.max_claims
+
+    def _bury(self, key: Key, claim_id: str) -> None:
+        buried = self._released.get(key)
+        if buried is None:
+            if len(self._released) >= self._cfg.max_claims:
+                # Without its tombstone a late request holds the key, which is safe.
+                return
+            buried = self._released[key] = collections.deque(maxlen=MAX_TOMBSTONES)
+            self._released_at.append((self._now_ms(), key))
+        if claim_id not in buried:
+            buried.append(claim_id)
+
+
+def _reply(verdict: ClaimVerdict, claim_id: str) -> ClaimReply:
+    return ClaimReply(verdict, claim_id, 0, (), b"")
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -6,7 +6,7 @@
 
 from knapweedhitch.codec import Message, message
 from knapweedhitch.exceptions import Outcome
-from knapweedhitch.model import LoadSample, Member
+from knapweedhitch.model import ClaimVerdict, LoadSample, Member
 
 PROTOCOL_VERSION = 1
 
@@ -242,7 +242,7 @@
 class ClaimReply(Message):
     """Answer a claim request; the answer fields are set when a recorded answer exists."""
 
-    verdict: str
+    verdict: ClaimVerdict
     claim_id: str
     recorded_status: int
     recorded_headers: Headers
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -44,6 +44,23 @@
     WARM = "warm"
 
 
+class ClaimVerdict(enum.Enum):
+    """State how a claim holder answers a claim request."""
+
+    GRANTED = "granted"
+    RECORDED = "recorded"
+    NOT_KEPT = "not-kept"
+    IN_PROGRESS = "in-progress"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    MISMATCH = "mismatch"
+    RELEASED = "released"
+    ABSTAIN = "abstain"
+    NOT_HOLDER = "not-holder"
+    EXPIRED = "expired"
+    FUTURE = "future"
+    FULL = "full"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamRecord:
     """Hold the announcement of one upstream."""
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -224,6 +224,10 @@
     max_clock_skew_ms: Ms = 2_000
     call_timeout_ms: Ms = 300
     split_vote_retries: Count = 3
+    split_vote_delay_ms: Ms = 20
+    tombstone_ms: Ms = 60_000
+    max_background_sends: Count = 1_000
+    background_retries: Count = 6
 
 
 @dataclass(frozen=True, config=_STRICT)
