--- /dev/null
+++ b/tests/test_admission_machine.py
@@ -0,0 +1,236 @@
+"""State machine of admission, slot leases and cold turns against a simple oracle."""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+import unittest
+from typing import Any
+
+import trio
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from knapweedhitch.admission import Admission
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import Outcome, Refusal
+from knapweedhitch.model import CallResult, UpstreamRecord, Warmth
+from knapweedhitch.slotlease import SlotLeases
+from tests.decision_fakes import kernel, record, run
+
+PEERS = ("n2", "n3", "n4")
+NOTICE_MS = 45.0
+
+
+class Oracle:
+    """Drive one gate with forwarded and direct calls and check it at every step."""
+
+    def __init__(self, seed: int, slots: int) -> None:
+        self.rng = random.Random(seed)
+        self.record: UpstreamRecord = record(slots=slots)
+        self.adm = Admission(kernel())
+        self.leases = {peer: SlotLeases(kernel()) for peer in PEERS}
+        self.adm.on_revoke(self._revoked)
+        self.closed = False
+        self.direct = 0
+        self.dead: set[str] = set()
+        self.adm.set_upstream(self.record)
+        self._wrap(self.adm, "_take")
+        self._wrap(self.adm._ledger, "grant")
+
+    def _wrap(self, owner: Any, name: str) -> None:
+        inner = getattr(owner, name)
+
+        def checked(*args: Any) -> Any:
+            before = self.adm.in_flight + self.adm.leased
+            made = inner(*args)
+            after = self.adm.in_flight + self.adm.leased
+            # Work above the limit can only be left over from before the limit fell.
+            assert after <= max(self.adm.limit, before), (before, after, self.adm.limit)
+            assert after == before or not self.closed, "new work while closed"
+            return made
+
+        setattr(owner, name, checked)
+
+    def check(self) -> None:
+        adm = self.adm
+        assert adm.limit <= self.record.slots, (adm.limit, self.record.slots)
+        if self.closed:
+            assert adm.load().queued == 0, "a queue while closed"
+        assert self.direct + adm.in_flight <= self.record.slots, "more work than slots"
+        now_s = trio.current_time()
+        assert all(waiter.deadline.at_s >= now_s for waiter in adm._queue), "late queue entry"
+
+    def result(self) -> CallResult:
+        kind = self.rng.random()
+        service_ms = self.rng.choice((5.0, 10.0, 20.0, 90.0))
+        ok = kind > 0.08
+        return CallResult(ok, service_ms, 200 if ok else 503, connect_failed=kind < 0.02)
+
+    async def forwarded(self, deadline_ms: float, patience_ms: float) -> None:
+        with trio.move_on_after(patience_ms / 1_000.0):
+            deadline = Deadline.after_ms(deadline_ms)
+            try:
+                slot = await self.adm.admit(deadline)
+            except Refusal as exc:
+                assert exc.outcome is Outcome.NOT_RUN
+                self.check()
+                return
+            assert not deadline.expired()
+            self.check()
+            result = self.result()
+            try:
+                await trio.sleep(result.service_ms / 1_000.0)
+            finally:
+                self.adm.release(slot, result)
+                self.check()
+
+    async def ask(self, peer: str, wanted: int) -> None:
+        sent_ms = self.leases[peer].requested("i1")
+        await self.delay()
+        granted = self.adm.lease(peer, wanted)
+        self.check()
+        await self.delay()
+        lifetime_ms = float(self.adm._cfg.lease_lifetime_ms)
+        self.leases[peer].granted("i1", granted, lifetime_ms, sent_ms)
+
+    async def leased(self, peer: str, dies: bool) -> None:
+        lease_id = self.leases[peer].take("i1")
+        if lease_id is None or peer in self.dead:
+            return
+        self.direct += 1
+        self.check()
+        result = self.result()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.notice, lease_id)
+            await trio.sleep(result.service_ms / 1_000.0)
+            self.direct -= 1
+        self.leases[peer].give_back("i1", lease_id, used=True)
+        if not dies:
+            await self.delay()
+            self.adm.lease_returned(lease_id, True, result)
+            self.check()
+
+    async def notice(self, lease_id: int) -> None:
+        await self.delay()
+        self.adm.lease_used(lease_id)
+
+    async def delay(self) -> None:
+        await trio.sleep(self.rng.uniform(0.0, NOTICE_MS) / 1_000.0)
+
+    def _revoked(self, peers: tuple[str, ...]) -> None:
+        for peer in peers:
+            for lease_id in self.leases[peer].revoke("i1"):
+                self.adm.lease_returned(lease_id, False, None)
+
+    def apply(self, name: str, value: Any) -> None:
+        if name == "domain_out":
+            self.closed = value
+            self.adm.set_domain_out(value)
+        elif name == "restart":
+            incarnation = self.record.incarnation + 1
+            self.record = dataclasses.replace(self.record, incarnation=incarnation)
+            self.adm.set_upstream(self.record)
+            assert self.adm.load().warmth is Warmth.COLD
+        elif name == "expire":
+            self.adm.expire_leases()
+        self.check()
+
+    async def settle(self) -> None:
+        """Let all calls and leases end; every slot must be free again."""
+        self.apply("domain_out", False)
+        await trio.sleep(1.0)
+        self.adm.expire_leases()
+        await trio.sleep(self.adm._cfg.max_lease_use_ms / 1_000.0)
+        self.adm.expire_leases()
+        load = self.adm.load()
+        assert (self.adm.in_flight, self.adm.leased, load.queued) == (0, 0, 0)
+        slots = [await self.adm.admit(Deadline.after_ms(10.0)) for _ in range(self.adm.limit)]
+        assert len(slots) == self.adm.limit >= 1
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Plan calls, leases and faults, then run the plan against the oracle."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.plan: list[tuple[Any, ...]] = []
+        self.start: tuple[int, int] | None = None
+
+    @initialize(seed=st.integers(0, 1 << 20), slots=st.integers(1, 9))
+    def setup(self, seed: int, slots: int) -> None:
+        self.start = (seed, slots)
+
+    @rule(n=st.integers(1, 12), deadline_ms=st.sampled_from((3.0, 30.0, 400.0)))
+    def forward(self, n: int, deadline_ms: float) -> None:
+        self.plan.append(("forward", n, deadline_ms))
+
+    @rule(n=st.integers(1, 4), patience_ms=st.sampled_from((0.0, 5.0, 20.0)))
+    def forward_cancelled(self, n: int, patience_ms: float) -> None:
+        self.plan.append(("cancelled", n, patience_ms))
+
+    @rule(n=st.integers(10, 120))
+    def warm(self, n: int) -> None:
+        self.plan.append(("warm", n))
+
+    @rule(peer=st.sampled_from(PEERS), wanted=st.integers(1, 4))
+    def ask(self, peer: str, wanted: int) -> None:
+        self.plan.append(("ask", peer, wanted))
+
+    @rule(peer=st.sampled_from(PEERS), dies=st.booleans())
+    def direct(self, peer: str, dies: bool) -> None:
+        self.plan.append(("direct", peer, dies))
+
+    @rule(ms=st.sampled_from((0.0, 1.0, 10.0, 60.0, 240.0)))
+    def wait(self, ms: float) -> None:
+        self.plan.append(("wait", ms))
+
+    @rule(change=st.sampled_from((("domain_out", True), ("domain_out", False), ("restart", 0))))
+    def change(self, change: tuple[str, Any]) -> None:
+        self.plan.append(("change", *change))
+
+    @rule()
+    def expire(self) -> None:
+        self.plan.append(("change", "expire", 0))
+
+    def teardown(self) -> None:
+        if self.start is not None:
+            run(self.play)
+
+    async def play(self) -> None:
+        assert self.start is not None
+        oracle = Oracle(*self.start)
+        async with trio.open_nursery() as nursery:
+            for name, *args in self.plan:
+                await self.step(oracle, nursery, name, args)
+                oracle.check()
+        await oracle.settle()
+
+    async def step(self, oracle: Oracle, nursery: trio.Nursery, name: str, args: list[Any]) -> None:
+        if name == "forward":
+            for _ in range(args[0]):
+                nursery.start_soon(oracle.forwarded, args[1], 10_000.0)
+        elif name == "cancelled":
+            for _ in range(args[0]):
+                nursery.start_soon(oracle.forwarded, 400.0, args[1])
+        elif name == "warm":
+            for _ in range(args[0]):
+                await oracle.forwarded(400.0, 10_000.0)
+        elif name == "ask":
+            nursery.start_soon(oracle.ask, *args)
+        elif name == "direct":
+            nursery.start_soon(oracle.leased, *args)
+        elif name == "wait":
+            await trio.sleep(args[0] / 1_000.0)
+        else:
+            oracle.apply(*args)
+
+
+AdmissionMachineTest = AdmissionMachine.TestCase
+AdmissionMachineTest.settings = hypothesis_settings(
+    derandomize=True, deadline=None, max_examples=100, stateful_step_count=30
+)
+
+if __name__ == "__main__":
+    unittest.main()
