Add the policy measurement

Cause: the choice of the default policy needs figures. Change: add scripts/measure_policy.py, which runs the real picker, admission and retry code over simulated upstreams on a virtual clock.

--- /dev/null
+++ b/scripts/measure_policy.py
@@ -0,0 +1,419 @@
+"""Compare the pick policies on simulated upstreams with the real decision code."""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import dataclasses
+import json
+import math
+import random
+import sys
+import time
+from typing import Any
+
+import trio
+import trio.testing
+
+from knapweedhitch.admission import Admission
+from knapweedhitch.counters import Counters
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import Outcome, Refusal
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.model import (
+    Address,
+    CallResult,
+    Configuration,
+    DomainStatus,
+    LoadSample,
+    ServiceConfig,
+    Target,
+    UpstreamRecord,
+)
+from knapweedhitch.pick import Picker, policies
+from knapweedhitch.retry import RetryPolicy
+from knapweedhitch.settings import parse_settings
+
+SETTINGS = """
+node: {id: n1, domain: d1}
+secrets: {peer_secret_file: a, operator_token_file: b}
+control: {members: [{id: c1, host: 127.0.0.1, port: 1}]}
+"""
+CASES = ("steady", "straggler", "fail-fast", "cold", "domain")
+# The mean service time of a warm upstream without neighbours, in milliseconds.
+SERVICE_MS = 20.0
+SPREAD = 0.5
+LOAD = 0.55
+DEADLINE_MS = 1_000.0
+WARM_UP_S = 1.0
+FAULT_S = 1.5
+RETURN_S = 3.0
+# Load and slowness of a shared machine shift this often.
+SHIFT_MS = 5.0
+STRAGGLER_FACTOR = 8.0
+COLD_FACTOR = 3.0
+SUCCESSES_PER_STEP = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """Hold the sizes of one deployment of the design page; times are in milliseconds."""
+
+    name: str
+    n_targets: int
+    slots: int
+    connections: int
+    between_ms: float
+
+
+DEPLOYMENTS = (Deployment("choir", 4, 9, 220, 1.5), Deployment("co-operative", 5, 6, 260, 1.0))
+DOMAINS = ("d1", "d2", "d3")
+
+
+class Timers:
+    """Give the virtual clock."""
+
+    def now_ms(self) -> float:
+        return trio.current_time() * 1_000.0
+
+    def every(self, *_args: Any, **_kwargs: Any) -> None:
+        """Ignore the subscription; the simulation grants no leases."""
+
+
+class ConfigView:
+    """Give the configuration as one node knows it."""
+
+    def __init__(self) -> None:
+        self.current = Configuration()
+
+    def is_fresh(self) -> bool:
+        return True
+
+
+def make_kernel() -> Kernel:
+    """Return a kernel with the services that the decision modules read."""
+    kernel = Kernel(parse_settings(SETTINGS, "measure"))
+    for name, made in (
+        ("counters", Counters()),
+        ("timers", Timers()),
+        ("config", ConfigView()),
+    ):
+        kernel.add(name, made)
+    return kernel
+
+
+class Upstream:
+    """Simulate one upstream on a shared machine."""
+
+    def __init__(self, sim: Simulation, n: int) -> None:
+        self.sim = sim
+        self.rng = random.Random(f"{sim.seed}/upstream/{n}")
+        self.domain = DOMAINS[n % len(DOMAINS)]
+        dep = sim.dep
+        self.record = UpstreamRecord(
+            "svc", Address("127.0.0.1", n), dep.slots, dep.connections, f"i{n}", 1
+        )
+        self.gate = Admission(make_kernel())
+        self.factor = 1.0
+        self.neighbour = 1.0
+        self.fails = False
+        # None when warm; else the calls that the cold upstream can handle at the same time.
+        self.bears: int | None = 1
+        self.successes = 0
+        self.running = 0
+        self.overloads = 0
+        self.gate.set_upstream(self.record)
+
+    @property
+    def target(self) -> Target:
+        return Target(f"n{self.record.instance_id}", self.domain, self.record)
+
+    def turn_cold(self) -> None:
+        """Make the upstream cold without telling its gate."""
+        self.bears, self.successes = 1, 0
+
+    def restart(self) -> None:
+        """Start a new incarnation, which is cold."""
+        incarnation = self.record.incarnation + 1
+        self.record = dataclasses.replace(self.record, incarnation=incarnation)
+        self.turn_cold()
+        self.gate.set_upstream(self.record)
+
+    def shift(self) -> None:
+        """Change what the neighbours on the machine take."""
+        if self.neighbour > 1.0:
+            if self.rng.random() < 0.25:
+                self.neighbour = 1.0
+        elif self.rng.random() < 0.02:
+            self.neighbour = 3.0
+
+    async def serve(self) -> CallResult:
+        """Run one call."""
+        if self.fails:
+            await trio.sleep(0.001)
+            return CallResult(False, 1.0, 500)
+        self.running += 1
+        cold = self.bears is not None
+        over = self.bears is not None and self.running > self.bears
+        self.overloads += over
+        base_ms = SERVICE_MS * math.exp(self.rng.gauss(-(SPREAD**2) / 2.0, SPREAD))
+        service_ms = base_ms * self.factor * self.neighbour * (COLD_FACTOR if cold else 1.0)
+        try:
+            await trio.sleep(service_ms / 1_000.0)
+        finally:
+            self.running -= 1
+        if not over:
+            self._warm_up()
+        return CallResult(not over, service_ms, 503 if over else 200)
+
+    def _warm_up(self) -> None:
+        if self.bears is None:
+            return
+        self.successes += 1
+        if self.successes >= self.bears * SUCCESSES_PER_STEP:
+            self.successes = 0
+            self.bears = self.bears + 1 if self.bears < self.record.slots else None
+
+
+class Entry:
+    """Run the calls of one entry node with the real picker and retry code."""
+
+    def __init__(self, sim: Simulation, domain: str) -> None:
+        self.sim, self.domain = sim, domain
+        self.kernel = make_kernel()
+        self.picker = Picker(self.kernel, random.Random(f"{sim.seed}/picker/{domain}"))
+        self.retry = RetryPolicy(self.kernel)
+        self.rng = random.Random(f"{sim.seed}/entry/{domain}")
+
+    async def call(self, measured: bool) -> None:
+        """Make one call of a caller and note its latency and success."""
+        started = trio.current_time()
+        self.retry.call_started()
+        idempotent = self.rng.random() < 0.8
+        ok = await self._attempts(idempotent, Deadline.after_ms(DEADLINE_MS))
+        if measured:
+            self.sim.note(ok, (trio.current_time() - started) * 1_000.0)
+
+    async def _attempts(self, idempotent: bool, deadline: Deadline) -> bool:
+        excluded: frozenset[str] = frozenset()
+        left = 2
+        while True:
+            got = self.picker.pick(
+                self.sim.svc, self.sim.targets(), excluded, self.domain, f"e-{self.domain}"
+            )
+            if got.target is None:
+                self.sim.reasons["no-target"] = self.sim.reasons.get("no-target", 0) + 1
+                return False
+            result, reason, outcome = await self._attempt(got.target, deadline)
+            if result.ok:
+                return True
+            self.sim.reasons[reason] = self.sim.reasons.get(reason, 0) + 1
+            if not self.retry.may_retry(reason, idempotent, outcome, deadline.remaining_ms(), left):
+                return False
+            left -= 1
+            excluded |= {got.target.upstream.instance_id}
+
+    async def _attempt(self, target: Target, deadline: Deadline) -> tuple[CallResult, str, Outcome]:
+        instance_id = target.upstream.instance_id
+        upstream = self.sim.by_id[instance_id]
+        started = trio.current_time()
+        self.picker.started(instance_id)
+        await self.sim.travel(self.domain, upstream.domain)
+        reason, outcome, shed = "upstream-failed", Outcome.UNKNOWN, False
+        try:
+            slot = await upstream.gate.admit(deadline)
+        except Refusal as exc:
+            result, shed = CallResult(False, 0.0, exc.status), True
+            reason, outcome = exc.reason, exc.outcome
+        else:
+            result = await upstream.serve()
+            upstream.gate.release(slot, result)
+        load = upstream.gate.load()
+        await self.sim.travel(self.domain, upstream.domain)
+        took_ms = (trio.current_time() - started) * 1_000.0
+        result = dataclasses.replace(result, service_ms=took_ms, shed=shed)
+        self.picker.finished(instance_id, result)
+        self.picker.observe(instance_id, load)
+        return result, reason, outcome
+
+
+class Simulation:
+    """Run one case of one deployment under one policy and seed."""
+
+    def __init__(self, dep: Deployment, case: str, policy: str, seed: int, run_s: float) -> None:
+        self.dep, self.case, self.seed, self.run_s = dep, case, seed, run_s
+        self.svc = ServiceConfig("svc", ("svc",), policy=policy)
+        self.latencies: list[float] = []
+        self.calls = 0
+        self.reasons: dict[str, int] = {}
+        self.rng = random.Random(f"{seed}/arrivals")
+
+    def targets(self) -> tuple[Target, ...]:
+        return self._targets
+
+    def note(self, ok: bool, latency_ms: float) -> None:
+        """Note one call that started in the measured time."""
+        self.calls += 1
+        if ok:
+            self.latencies.append(latency_ms)
+
+    async def travel(self, source: str, destination: str) -> None:
+        """Wait for the one-way latency between two nodes."""
+        await trio.sleep((0.2 if source == destination else self.dep.between_ms) / 1_000.0)
+
+    async def main(self) -> None:
+        """Run the case on the virtual clock."""
+        self.upstreams = [Upstream(self, n) for n in range(self.dep.n_targets)]
+        self.by_id = {u.record.instance_id: u for u in self.upstreams}
+        self._targets = tuple(u.target for u in self.upstreams)
+        self.entries = [Entry(self, domain) for domain in DOMAINS]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._shifts)
+            nursery.start_soon(self._reports, nursery)
+            nursery.start_soon(self._faults)
+            async with trio.open_nursery() as calls:
+                await self._arrivals(calls)
+            nursery.cancel_scope.cancel()
+
+    async def _arrivals(self, calls: trio.Nursery) -> None:
+        per_s = self.dep.n_targets * self.dep.slots / SERVICE_MS * 1_000.0 * LOAD
+        level, next_shift = 1.0, 0.0
+        while (now := trio.current_time()) < WARM_UP_S + self.run_s:
+            if now >= next_shift:
+                level, next_shift = self.rng.choice((0.5, 1.0, 1.5)), now + SHIFT_MS / 1_000.0
+            # The ramp lets the upstreams, which all start cold, warm up.
+            share = min(1.0, 0.05 + now / WARM_UP_S * 1.5)
+            await trio.sleep(self.rng.expovariate(per_s * level * share))
+            calls.start_soon(self.rng.choice(self.entries).call, now >= WARM_UP_S)
+
+    async def _shifts(self) -> None:
+        while True:
+            await trio.sleep(SHIFT_MS / 1_000.0)
+            for upstream in self.upstreams:
+                upstream.shift()
+
+    async def _reports(self, nursery: trio.Nursery) -> None:
+        sent: dict[str, LoadSample] = {}
+        while True:
+            await trio.sleep(0.1)
+            for upstream in self.upstreams:
+                load = upstream.gate.load()
+                if sent.get(upstream.record.instance_id) != load:
+                    sent[upstream.record.instance_id] = load
+                    for entry in self.entries:
+                        nursery.start_soon(self._report, upstream, entry, load)
+
+    async def _report(self, upstream: Upstream, entry: Entry, load: LoadSample) -> None:
+        await self.travel(upstream.domain, entry.domain)
+        entry.picker.observe(upstream.record.instance_id, load)
+
+    async def _faults(self) -> None:
+        await trio.sleep(FAULT_S)
+        bad = self.upstreams[1]
+        if self.case == "straggler":
+            bad.factor = STRAGGLER_FACTOR
+        elif self.case == "fail-fast":
+            bad.fails = True
+        elif self.case == "cold":
+            bad.restart()
+            self._targets = tuple(u.target for u in self.upstreams)
+        elif self.case == "domain":
+            await self._set_domain(bad.domain, True)
+            await trio.sleep(RETURN_S - FAULT_S)
+            await self._set_domain(bad.domain, False)
+
+    async def _set_domain(self, domain: str, out: bool) -> None:
+        for upstream in self.upstreams:
+            if upstream.domain == domain:
+                if not out:
+                    upstream.turn_cold()
+                upstream.gate.set_domain_out(out)
+        config = Configuration(domains={domain: DomainStatus(out, 1)})
+        for entry in self.entries:
+            # Every entry node learns the change at its own next poll.
+            await trio.sleep(0.05)
+            entry.kernel.get("config").current = config
+
+
+def run_one(job: tuple[Deployment, str, str, int, float]) -> dict[str, Any]:
+    """Return the raw figures of one simulation."""
+    sim = Simulation(*job)
+    trio.run(sim.main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return {
+        "key": (job[0].name, job[1], job[2]),
+        "calls": sim.calls,
+        "latencies": sim.latencies,
+        "overloads": sum(upstream.overloads for upstream in sim.upstreams),
+        "reasons": sim.reasons,
+    }
+
+
+def percentile(ordered: list[float], share: float) -> float:
+    """Return a percentile of sorted values in milliseconds."""
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))] if ordered else math.nan
+
+
+def summarize(parts: list[dict[str, Any]]) -> dict[str, Any]:
+    """Return one row from the simulations of all seeds."""
+    ordered = sorted(ms for part in parts for ms in part["latencies"])
+    calls = sum(part["calls"] for part in parts)
+    reasons: dict[str, int] = {}
+    for part in parts:
+        for reason, n in part["reasons"].items():
+            reasons[reason] = reasons.get(reason, 0) + n
+    deployment, case, name = parts[0]["key"]
+    return {
+        "deployment": deployment,
+        "case": case,
+        "policy": name,
+        "calls": calls,
+        "p50_ms": round(percentile(ordered, 0.5), 1),
+        "p99_ms": round(percentile(ordered, 0.99), 1),
+        "p999_ms": round(percentile(ordered, 0.999), 1),
+        "success": round(len(ordered) / calls, 5),
+        "cold_overloads": sum(part["overloads"] for part in parts),
+        "reasons": reasons,
+    }
+
+
+def parse_args() -> argparse.Namespace:
+    """Return the command-line options."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--json", metavar="FILE", help="write all figures to FILE")
+    parser.add_argument("--seeds", type=int, default=3, help="number of seeds, from 1 on")
+    parser.add_argument("--seconds", type=float, default=4.0, help="measured virtual seconds")
+    parser.add_argument("--policy", action="append", help="measure only this policy")
+    parser.add_argument("--case", action="append", choices=CASES, help="measure only this case")
+    parser.add_argument("--jobs", type=int, default=4, help="processes at the same time")
+    return parser.parse_args()
+
+
+def main() -> int:
+    """Run all simulations and print a Markdown table."""
+    args = parse_args()
+    started = time.monotonic()
+    jobs = [
+        (dep, case, name, seed, args.seconds)
+        for dep in DEPLOYMENTS
+        for case in args.case or CASES
+        for name in args.policy or policies()
+        for seed in range(1, args.seeds + 1)
+    ]
+    with concurrent.futures.ProcessPoolExecutor(args.jobs) as pool:
+        parts = list(pool.map(run_one, jobs))
+    keys = list(dict.fromkeys(part["key"] for part in parts))
+    rows = [summarize([part for part in parts if part["key"] == key]) for key in keys]
+    print("| deployment | case | policy | calls | p50 | p99 | p99.9 | success | cold overloads |")
+    print("|---|---|---|---|---|---|---|---|---|")
+    for row in rows:
+        cells = [str(value) for name, value in row.items() if name != "reasons"]
+        print("| " + " | ".join(cells) + " |")
+    print(f"\n{len(jobs)} simulations in {time.monotonic() - started:.0f} s")
+    if args.json:
+        with open(args.json, "w", encoding="utf-8") as file:
+            json.dump({"options": vars(args), "rows": rows}, file, indent=1)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
