--- a/tests/state_cluster.py
+++ b/tests/state_cluster.py
@@ -302,8 +302,9 @@
     def heal(self) -> None:
         self.network.cut.clear()
         self.network.loss = self.network.duplication = 0.0
+        self.network.latency_ms = (0.5, 3.0)
         for node in self.nodes.values():
-            node.disk.latency_ms = 0.0
+            node.disk.latency_ms, node.disk.failing_syncs = 0.0, 0
 
     def check(self) -> None:
         """Check the oracle: one order everywhere, one leader a term, freshness never too early."""
