--- a/knapweedhitch/wal.py
+++ b/knapweedhitch/wal.py
@@ -20,7 +20,8 @@
 _CRC = struct.Struct(">I")
 HEADER_BYTES = _FIELDS.size + _CRC.size
 # Unwritten blocks read as zeros after a crash. A last byte that is never zero tells an unfinished
-# write of the last frame from a damaged frame that had been synced.
+# write of the last frame from a damaged frame that had been synced: of an unfinished write the
+# end is zero, while damage of a synced frame leaves something else than zeros behind it.
 END_MARK = b"\xa5"
 MAX_FRAME_BYTES = 1 << 28
 
@@ -60,7 +61,7 @@
         return None
     head = data[offset : offset + _FIELDS.size]
     if _CRC.unpack_from(data, offset + _FIELDS.size)[0] != zlib.crc32(head):
-        if _is_unwritten_tail(data, offset, body):
+        if not any(memoryview(data)[body:]):
             return None
         raise CorruptFile(path, offset, "the frame header does not match its checksum")
     magic, found, length, crc = _FIELDS.unpack(head)
@@ -70,17 +71,12 @@
     if end > len(data):
         return None
     if zlib.crc32(memoryview(data)[body:end]) != crc:
-        if end == len(data) and data[end - 1] == 0:
+        if not any(memoryview(data)[end - 1 :]):
             return None
         raise CorruptFile(path, offset, "the frame does not match its checksum")
     return end
 
 
-def _is_unwritten_tail(data: bytes, offset: int, body: int) -> bool:
-    # The header write stopped in its middle: its last byte and everything behind it are zeros.
-    return not any(memoryview(data)[body - _CRC.size :])
-
-
 def _payload(path: str, data: bytes, offset: int, end: int) -> Any:
     try:
         return load_plain(data[offset + HEADER_BYTES : end - len(END_MARK)])
