Test links, streams and forwarded calls

Cause: the outcome of a forwarded call must never say not-run wrongly. Change: unit tests over the in-memory network; a failing sink now cancels its stream, and on_stop fires late subscribers.

--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -80,26 +80,22 @@
     ) -> CallResult:
         """Run the call on the node; raises Refusal with the outcome that the node confirmed."""
         stream: PeerStream | None = None
-        deadline_s = spec.deadline.at_s
-        with trio.move_on_at(deadline_s) as scope:
-            try:
+        try:
+            with trio.move_on_at(spec.deadline.at_s):
                 stream = await self._open(node_id, spec)
                 return await self._exchange(stream, spec, body, sink)
-            except trio.Cancelled:
-                if stream is not None and not scope.cancel_called:
-                    self._counters.add("forward_cancels", (await stream.cancel()).value)
-                raise
-            except PeerDisconnected as exc:
-                raise PeerFailed(Outcome.UNKNOWN, str(exc)) from None
-            except PeerProtocolError as exc:
-                assert stream is not None
-                await stream.cancel()
-                raise PeerFailed(Outcome.UNKNOWN, str(exc)) from None
-        if stream is None:
-            raise DeadlineExceeded(Outcome.NOT_RUN, f"no link to node={node_id} in time")
-        outcome = await stream.cancel()
-        self._counters.add("forward_deadlines", outcome.value)
-        raise DeadlineExceeded(outcome, f"at node={node_id}")
+            if stream is None:
+                raise DeadlineExceeded(Outcome.NOT_RUN, f"no link to node={node_id} in time")
+            outcome = await stream.cancel()
+            self._counters.add("forward_deadlines", outcome.value)
+            raise DeadlineExceeded(outcome, f"at node={node_id}")
+        except (PeerDisconnected, PeerProtocolError) as exc:
+            raise PeerFailed(Outcome.UNKNOWN, str(exc)) from None
+        finally:
+            # A cancelled caller, a sink that failed and an answer that makes no sense leave the
+            # stream open.
+            if stream is not None and not stream.finished:
+                self._counters.add("forward_cancels", (await stream.cancel()).value)
 
     async def _open(self, node_id: str, spec: CallSpec) -> PeerStream:
         opening = OpenStream(
@@ -198,9 +194,7 @@
             self._kernel.get("loadreports").interested(node_id)
         sink = RemoteSink(stream, self._load)
         scope = trio.CancelScope()
-        stream.on_stop = scope.cancel
-        if stream.stop_requested:
-            scope.cancel()
+        stream.on_stop(scope.cancel)
         result: CallResult | None = None
         failure: Refusal | None = None
         with scope:
--- a/knapweedhitch/streams.py
+++ b/knapweedhitch/streams.py
@@ -49,13 +49,13 @@
         "_informational",
         "_link",
         "_lost",
+        "_on_stop",
         "_room",
         "_unacknowledged",
         "_wakeup",
         "_window",
         "body_ended",
         "finished",
-        "on_stop",
         "opener",
         "stop_requested",
         "stream_id",
@@ -68,8 +68,7 @@
         self.finished = False
         self.body_ended = False
         self.stop_requested = False
-        # Called once when the opener cancels or the link is lost.
-        self.on_stop: Callable[[], None] | None = None
+        self._on_stop: Callable[[], None] | None = None
         self._window = window_bytes
         self._credit = window_bytes
         self._room = window_bytes
@@ -91,6 +90,12 @@
         """Tell whether a frame waits to be received."""
         return bool(self._inbox)
 
+    def on_stop(self, fn: Callable[[], None]) -> None:
+        """Call fn when the opener cancels or the link is lost, at once if that has happened."""
+        self._on_stop = fn
+        if self.stop_requested:
+            fn()
+
     def deliver(self, msg: Message) -> None:
         """Take a frame from the link; raises PeerProtocolError."""
         if isinstance(msg, StreamCredit):
@@ -237,8 +242,8 @@
 
     def _stop(self) -> None:
         self.stop_requested = True
-        if self.on_stop is not None:
-            self.on_stop()
+        if self._on_stop is not None:
+            self._on_stop()
 
     def _wake(self) -> None:
         if self._wakeup is not None:
--- /dev/null
+++ b/tests/test_forward.py
@@ -0,0 +1,381 @@
+"""Tests of calls through another node."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import (
+    BodyTimeout,
+    CallerGone,
+    DeadlineExceeded,
+    Outcome,
+    PeerFailed,
+    QueueFull,
+    Refusal,
+    UpstreamFailed,
+)
+from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
+from knapweedhitch.forward import Forward
+from knapweedhitch.model import CallResult, LoadSample, Warmth
+from tests.fake_net import MemoryNet, Node, running
+from tests.test_peers import clocked, link_of
+
+LOAD = LoadSample(1, 2, 3, 4.0, Warmth.WARM)
+Run = Callable[[CallSpec, BodySource, Any], Awaitable[CallResult]]
+RESULT = CallResult(True, 1.5, 200)
+
+
+class FakeGate:
+    """Run a function in place of a gate; counts what it handed to the upstream."""
+
+    marks_dispatch = True
+
+    def __init__(self, fn: Run) -> None:
+        self.fn = fn
+        self.handed = 0
+
+    async def execute(
+        self, node_id: str, spec: CallSpec, body: BodySource, sink: ResponseSink
+    ) -> CallResult:
+        """Run the call."""
+        return await self.fn(spec, body, sink)
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+
+class Services:
+    """Stand for admission and picker."""
+
+    def __init__(self) -> None:
+        self.observed: list[tuple[str, LoadSample]] = []
+
+    def load(self) -> LoadSample:
+        """Return a fixed sample."""
+        return LOAD
+
+    def observe(self, instance_id: str, sample: LoadSample) -> None:
+        """Note a sample."""
+        self.observed.append((instance_id, sample))
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def stop(self) -> None:
+        """Do nothing."""
+
+
+class Body:
+    """A request body of given parts; an exception among them is raised."""
+
+    def __init__(self, *parts: bytes | Exception) -> None:
+        self.parts = list(parts)
+
+    async def receive(self) -> bytes | None:
+        """Return the next part."""
+        await trio.lowlevel.checkpoint()
+        if not self.parts:
+            return None
+        part = self.parts.pop(0)
+        if isinstance(part, Exception):
+            await trio.sleep(0.01)
+            raise part
+        return part
+
+
+class Sink:
+    """Note an answer."""
+
+    def __init__(self) -> None:
+        self.events: list[Any] = []
+        self.body = b""
+
+    async def informational(self, status: int, headers: Headers) -> None:
+        """Note a 1xx answer."""
+        self.events.append(status)
+
+    async def head(self, status: int, headers: Headers, load: LoadSample | None) -> None:
+        """Note the head."""
+        self.events.append((status, headers, load))
+
+    async def data(self, data: bytes) -> None:
+        """Note a part."""
+        self.body += data
+
+    async def end(self) -> None:
+        """Note the end."""
+        self.events.append("end")
+
+
+def spec(has_body: bool = False, deadline_ms: float = 1_000) -> CallSpec:
+    """Return a call with a deadline in milliseconds."""
+    return CallSpec(
+        "r", "s", "i", "POST", b"/", (), has_body, Deadline.after_ms(deadline_ms), 1, 1, 1
+    )
+
+
+async def dispatch(sink: Any) -> None:
+    """Do what a gate does right before it hands a call to the upstream."""
+    sink.dispatched()
+    await trio.lowlevel.checkpoint()
+
+
+async def answer(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+    """Answer with the request body."""
+    await dispatch(sink)
+    await sink.informational(103, ((b"link", b"x"),))
+    parts = []
+    if call.has_body:
+        while (part := await body.receive()) is not None:
+            parts.append(part)
+    await sink.head(200, ((b"a", b"b"),), None)
+    for part in parts:
+        await sink.data(part)
+    await sink.end()
+    return RESULT
+
+
+def install(fn: Run, services: Services | None = None) -> Callable[[Node], None]:
+    """Return a function that adds gate and forward to a node."""
+
+    def prepare(node: Node) -> None:
+        shared = services or Services()
+        node.add("admission", shared)
+        node.add("picker", shared)
+        node.add("gate", FakeGate(fn))
+        node.add("forward", Forward(node.kernel))
+
+    return prepare
+
+
+async def execute(node: Node, call: CallSpec, body: Any = None, sink: Any = None) -> Any:
+    """Run a call on n1 and return its result or refusal."""
+    try:
+        return await node.kernel.get("forward").execute("n1", call, body or Body(), sink or Sink())
+    except (Refusal, CallerGone) as exc:
+        return exc
+
+
+class ForwardTest(unittest.TestCase):
+    def assert_refused(self, got: Any, cls: type[Refusal], outcome: Outcome) -> None:
+        """Check type and outcome of a refusal."""
+        self.assertIsInstance(got, cls)
+        self.assertIs(got.outcome, outcome)
+
+    @clocked
+    async def test_whole_exchange(self) -> None:
+        """Guards against parts of a request or an answer that change on the way."""
+        services = Services()
+        async with running(2, prepare=install(answer, services)) as (a, _):
+            sink = Sink()
+            parts = [bytes([i]) * 70_000 for i in range(12)]
+            self.assertEqual(await execute(a, spec(True), Body(*parts), sink), RESULT)
+            self.assertEqual(sink.body, b"".join(parts))
+            self.assertEqual(sink.events, [103, (200, ((b"a", b"b"),), LOAD), "end"])
+            self.assertEqual(services.observed, [("i", LOAD)] * 2)
+            self.assertGreater(a.counters.get("peer_bytes_out", "payload"), 840_000)
+
+    @clocked
+    async def test_refusals_keep_reason_and_outcome(self) -> None:
+        """Guards against a refusal of the target that changes its type or outcome on the way."""
+        cases: list[Refusal] = [
+            QueueFull(Outcome.NOT_RUN, "x"),
+            UpstreamFailed(Outcome.UNKNOWN),
+        ]
+        for refusal in cases:
+
+            async def refuse(
+                call: CallSpec, body: BodySource, sink: Any, refusal: Refusal = refusal
+            ) -> CallResult:
+                raise refusal
+
+            async with running(2, prepare=install(refuse)) as (a, _):
+                got = await execute(a, spec())
+                self.assert_refused(got, type(refusal), refusal.outcome)
+                self.assertEqual(got.detail, refusal.detail)
+
+    @clocked
+    async def test_failure_after_the_head_is_unknown(self) -> None:
+        """Guards against a not-run claim for an answer that has begun."""
+
+        async def fail(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await sink.head(200, (), None)
+            raise UpstreamFailed(Outcome.NOT_RUN)
+
+        async with running(2, prepare=install(fail)) as (a, _):
+            self.assert_refused(await execute(a, spec()), UpstreamFailed, Outcome.UNKNOWN)
+
+    @clocked
+    async def test_fault_of_the_gate_is_unknown(self) -> None:
+        """Guards against a fault at the target that ends its process or looks like not-run."""
+
+        async def fault(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            raise ZeroDivisionError
+
+        async with running(2, prepare=install(fault)) as (a, _):
+            for _ in range(2):
+                self.assert_refused(await execute(a, spec()), Refusal, Outcome.UNKNOWN)
+
+    @clocked
+    async def test_no_link_is_not_run(self) -> None:
+        """Guards against a call that is not retried although nothing was sent."""
+        async with running(1, prepare=install(answer)) as (a,):
+            self.assert_refused(await execute(a, spec()), PeerFailed, Outcome.NOT_RUN)
+
+    @clocked
+    async def test_peer_lost_after_open_is_unknown(self) -> None:
+        """Guards against a paid call that runs twice because its first node was lost."""
+
+        async def hang(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            await trio.sleep_forever()
+            raise AssertionError
+
+        net = MemoryNet()
+        async with running(2, net, install(hang)) as (a, b), trio.open_nursery() as nursery:
+
+            async def cut() -> None:
+                await trio.sleep(0.05)
+                link_of(b, "n0").close("test")
+
+            nursery.start_soon(cut)
+            self.assert_refused(await execute(a, spec()), PeerFailed, Outcome.UNKNOWN)
+
+    @clocked
+    async def test_deadline_in_the_remote_queue(self) -> None:
+        """Guards against an unknown outcome for a call that the target never dispatched."""
+
+        async def queue(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await trio.sleep(10)
+            raise AssertionError
+
+        async with running(2, prepare=install(queue)) as (a, b):
+            got = await execute(a, spec(deadline_ms=50))
+            self.assert_refused(got, DeadlineExceeded, Outcome.NOT_RUN)
+            gate = b.kernel.get("gate")
+            gate.marks_dispatch = False
+            got = await execute(a, spec(deadline_ms=50))
+            self.assert_refused(got, DeadlineExceeded, Outcome.UNKNOWN)
+
+    @clocked
+    async def test_silent_target_at_the_deadline_is_unknown(self) -> None:
+        """Guards against a cancel without an answer that is taken as not run."""
+
+        async def stubborn(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            with trio.CancelScope(shield=True):
+                await trio.sleep(10)
+            raise AssertionError
+
+        async with running(2, prepare=install(stubborn)) as (a, _):
+            started = trio.current_time()
+            got = await execute(a, spec(deadline_ms=50))
+            self.assert_refused(got, DeadlineExceeded, Outcome.UNKNOWN)
+            self.assertLess(trio.current_time() - started, 0.4)
+
+    @clocked
+    async def test_cancel_racing_dispatch(self) -> None:
+        """Guards against not-run for a call that was handed over in the moment of its cancel."""
+        for delay_ms in (49.0, 49.9, 50.0, 50.1, 51.0, 60.0):
+            for steps in range(4):
+                handed: list[str] = []
+
+                async def race(
+                    call: CallSpec,
+                    body: BodySource,
+                    sink: Any,
+                    delay_ms: float = delay_ms,
+                    steps: int = steps,
+                    handed: list[str] = handed,
+                ) -> CallResult:
+                    await trio.sleep(delay_ms / 1_000)
+                    for _ in range(steps):
+                        await trio.lowlevel.checkpoint()
+                    sink.dispatched()
+                    handed.append("upstream")
+                    await trio.sleep(10)
+                    raise AssertionError
+
+                async with running(2, prepare=install(race)) as (a, _):
+                    got = await execute(a, spec(deadline_ms=50))
+                    await trio.sleep(1)
+                    if got.outcome is Outcome.NOT_RUN:
+                        self.assertEqual(handed, [])
+                    if not handed:
+                        self.assert_refused(got, DeadlineExceeded, Outcome.NOT_RUN)
+
+    @clocked
+    async def test_cancelled_caller_stops_the_target(self) -> None:
+        """Guards against work that goes on at the target after its caller has gone."""
+        stopped = trio.Event()
+
+        async def hang(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            try:
+                await trio.sleep_forever()
+            finally:
+                stopped.set()
+            raise AssertionError
+
+        async with running(2, prepare=install(hang)) as (a, b):
+            with trio.move_on_after(0.1) as scope:
+                await execute(a, spec())
+            self.assertTrue(scope.cancelled_caught)
+            self.assertTrue(stopped.is_set())
+            self.assertEqual(b.counters.get("forward_cancelled", "not-run"), 1)
+            self.assertEqual(len(link_of(a, "n1")._streams), 0)
+
+    @clocked
+    async def test_failed_request_body_takes_the_outcome_of_the_target(self) -> None:
+        """Guards against a cut request body that reaches the upstream as a whole one."""
+        ends: list[object] = []
+
+        async def read(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            while (part := await body.receive()) is not None:
+                ends.append(part)
+            ends.append("whole")
+            return RESULT
+
+        async with running(2, prepare=install(read)) as (a, _):
+            got = await execute(a, spec(True), Body(b"x", BodyTimeout()))
+            self.assert_refused(got, BodyTimeout, Outcome.UNKNOWN)
+            got = await execute(a, spec(True), Body(b"y", CallerGone("gone")))
+            self.assertIsInstance(got, CallerGone)
+            await trio.sleep(0.1)
+            self.assertEqual(ends, [b"x", b"y"])
+
+    @clocked
+    async def test_answer_before_the_whole_body(self) -> None:
+        """Guards against an early answer that waits for a body that nobody reads."""
+
+        async def early(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            await sink.head(413, (), None)
+            await sink.end()
+            return CallResult(True, 1.0, 413)
+
+        async with running(2, prepare=install(early)) as (a, _):
+            got = await execute(a, spec(True), Body(*[b"x" * 60_000] * 20))
+            self.assertEqual(got.status, 413)
+
+    @clocked
+    async def test_failing_sink_cancels_the_stream(self) -> None:
+        """Guards against a stream that stays open after its caller stopped reading."""
+
+        class Broken(Sink):
+            async def data(self, data: bytes) -> None:
+                raise CallerGone("gone")
+
+        async with running(2, prepare=install(answer)) as (a, b):
+            got = await execute(a, spec(True), Body(*[b"x" * 60_000] * 20), Broken())
+            self.assertIsInstance(got, CallerGone)
+            await trio.sleep(0.5)
+            self.assertEqual(len(link_of(a, "n1")._streams), 0)
+            self.assertEqual(len(link_of(b, "n0")._streams), 0)
--- /dev/null
+++ b/tests/test_handshake.py
@@ -0,0 +1,143 @@
+"""Tests of the mutual challenge."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweedhitch import codec, handshake
+from knapweedhitch.exceptions import PeerDisconnected, PeerRejected, RejectReason
+from knapweedhitch.handshake import Identity, Role, proof
+from knapweedhitch.messages import Hello, Proof, Rejected
+from tests.fake_net import SECRET, MemoryNet, MemoryWire, listen
+
+A = Identity("c", "a", SECRET)
+B = Identity("c", "b", SECRET)
+
+Side = Callable[[MemoryWire], Awaitable[object]]
+
+
+def wire_pair() -> tuple[MemoryWire, MemoryWire]:
+    """Return both ends of a link."""
+    net = MemoryNet()
+    near, far = (MemoryWire(net, listen(i), listen(1 - i)) for i in (0, 1))  # type: ignore[arg-type]
+    near.peer, far.peer = far, near
+    return near, far
+
+
+def play(near_side: Side, far_side: Side) -> list[object]:
+    """Run both sides and return what each returned or raised."""
+    results: list[object] = [None, None]
+
+    async def run(i: int, side: Side, wire: MemoryWire) -> None:
+        try:
+            results[i] = await side(wire)
+        except (PeerRejected, PeerDisconnected) as exc:
+            results[i] = exc
+        await wire.abort()
+
+    async def main() -> None:
+        near, far = wire_pair()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(run, 0, near_side, near)
+            nursery.start_soon(run, 1, far_side, far)
+
+    trio.run(main)
+    return results
+
+
+def reason(result: object) -> RejectReason | None:
+    """Return why a side refused."""
+    return result.reason if isinstance(result, PeerRejected) else None
+
+
+class HandshakeTest(unittest.TestCase):
+    def test_both_sides_learn_the_other_id(self) -> None:
+        """Guards against a link that is attributed to the wrong node."""
+        results = play(lambda w: handshake.dial(w, A, "b"), lambda w: handshake.accept(w, B))
+        self.assertEqual(results, ["b", "a"])
+
+    def test_wrong_peers_are_refused_with_a_reason(self) -> None:
+        """Guards against links across clusters, versions and secrets, or to the own node."""
+        cases = [
+            ({"cluster": "other"}, RejectReason.WRONG_CLUSTER),
+            ({"version": 2}, RejectReason.WRONG_VERSION),
+            ({"secret": b"f" * 16}, RejectReason.WRONG_SECRET),
+            ({"node_id": "b"}, RejectReason.OWN_NODE_ID),
+        ]
+        for change, expected in cases:
+            with self.subTest(expected=expected):
+                dialler = dataclasses.replace(A, **change)
+                results = play(
+                    lambda w, d=dialler: handshake.dial(w, d, "b"),  # type: ignore[misc]
+                    lambda w: handshake.accept(w, B),
+                )
+                self.assertEqual([reason(r) for r in results], [expected, expected])
+
+    def test_another_node_at_the_address_is_refused(self) -> None:
+        """Guards against calls that reach a node that took over an address."""
+        results = play(lambda w: handshake.dial(w, A, "x"), lambda w: handshake.accept(w, B))
+        self.assertEqual(reason(results[0]), RejectReason.UNEXPECTED_NODE)
+
+    def test_a_replayed_proof_is_refused(self) -> None:
+        """Guards against a stranger that repeats what it saw on an earlier link."""
+        old = A.hello()
+        seen = proof(SECRET, Role.DIALLER, old, B.hello())
+
+        async def replay(wire: MemoryWire) -> object:
+            await wire.send([codec.encode(old)])
+            await wire.receive()
+            await wire.send([codec.encode(seen)])
+            return codec.decode(await wire.receive())
+
+        results = play(replay, lambda w: handshake.accept(w, B))
+        self.assertEqual(results[0], Rejected("wrong-secret"))
+        self.assertEqual(reason(results[1]), RejectReason.WRONG_SECRET)
+
+    def test_a_reflected_proof_is_refused(self) -> None:
+        """Guards against an acceptor that sends the dialler's own proof back."""
+
+        async def reflect(wire: MemoryWire) -> object:
+            codec.decode(await wire.receive())
+            await wire.send([codec.encode(B.hello())])
+            await wire.send([await wire.receive()])
+            return None
+
+        results = play(lambda w: handshake.dial(w, A, "b"), reflect)
+        self.assertEqual(reason(results[0]), RejectReason.WRONG_SECRET)
+
+    def test_the_acceptor_proves_nothing_to_a_stranger(self) -> None:
+        """Guards against a node that computes proofs for whoever asks."""
+
+        async def stranger(wire: MemoryWire) -> object:
+            await wire.send([codec.encode(A.hello())])
+            got = [codec.decode(await wire.receive())]
+            await wire.send([codec.encode(Proof(b""))])
+            got.append(codec.decode(await wire.receive()))
+            return got
+
+        results = play(stranger, lambda w: handshake.accept(w, B))
+        assert isinstance(results[0], list)
+        self.assertIsInstance(results[0][0], Hello)
+        self.assertIsInstance(results[0][1], Rejected)
+
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(st.lists(st.binary(max_size=80), min_size=1, max_size=3))
+    def test_arbitrary_bytes_are_refused(self, frames: list[bytes]) -> None:
+        """Guards against a stranger that stops the listener or gets a link by chance."""
+
+        async def stranger(wire: MemoryWire) -> object:
+            await wire.send(frames)
+            return None
+
+        for side in (
+            lambda w: handshake.accept(w, B),
+            lambda w: handshake.dial(w, A, "b"),
+        ):
+            result = play(stranger, side)[1]
+            self.assertIsInstance(result, (PeerRejected, PeerDisconnected))
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,313 @@
+"""Tests of links, calls and one-way messages."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import cbor2
+import trio
+import trio.testing
+
+from knapweedhitch import codec
+from knapweedhitch.codec import Message
+from knapweedhitch.exceptions import (
+    PeerBusy,
+    PeerCallFailed,
+    PeerDisconnected,
+    PeerQueueFull,
+    PeerTimeout,
+    PeerUnreachable,
+    StorageError,
+)
+from knapweedhitch.link import Link
+from knapweedhitch.messages import Ack, FeedPoll, LeaseRevoke, Ping, ReplyMessage, StreamEnd
+from knapweedhitch.settings import PeerSettings
+from tests.fake_net import MemoryNet, Node, running
+
+POLL = FeedPoll(1, False)
+
+
+def clocked(fn: Callable[..., Awaitable[None]]) -> Callable[..., None]:
+    """Run an async test on a clock that jumps over waits."""
+
+    def run(self: Any) -> None:
+        trio.run(fn, self, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    run.__doc__ = fn.__doc__
+    return run
+
+
+async def echo(node_id: str, msg: Message) -> Message:
+    """Reply to any call."""
+    return Ack()
+
+
+async def never(node_id: str, msg: Message) -> Message:
+    """Never reply."""
+    await trio.sleep_forever()
+    raise AssertionError
+
+
+def link_of(node: Node, peer_id: str) -> Link:
+    """Return the preferred link of a node to a peer."""
+    link = node.peers._peers[peer_id].preferred
+    assert link is not None
+    return link
+
+
+class CallTest(unittest.TestCase):
+    @clocked
+    async def test_call_replies_and_errors(self) -> None:
+        """Guards against callers that cannot tell a reply, a failed handler and a missing one."""
+
+        async def fail(node_id: str, msg: Message) -> Message:
+            raise StorageError("no space")
+
+        async with running(2) as (a, b):
+            b.peers.handle(FeedPoll, echo)
+            b.peers.handle(LeaseRevoke, fail)
+            self.assertEqual(await a.peers.call("n1", POLL, 100), Ack())
+            for msg in (LeaseRevoke("x"), Ack()):
+                with self.assertRaises(PeerCallFailed):
+                    await a.peers.call("n1", msg, 100)
+            self.assertTrue(link_of(a, "n1").is_usable)
+
+    @clocked
+    async def test_call_to_the_own_node(self) -> None:
+        """Guards against a holder that cannot ask itself."""
+        async with running(1) as (a,):
+            a.peers.handle(FeedPoll, echo)
+            self.assertEqual(await a.peers.call("n0", POLL, 100), Ack())
+
+    @clocked
+    async def test_unreachable_peer_was_not_sent_anything(self) -> None:
+        """Guards against a retry that is refused because a message might have been processed."""
+        async with running(1) as (a,):
+            for node_id in ("n3", "nobody"):
+                with self.assertRaises(PeerUnreachable):
+                    await a.peers.call(node_id, POLL, 1_000)
+
+    @clocked
+    async def test_timeout_and_disconnect_may_have_been_processed(self) -> None:
+        """Guards against a lost reply that looks like a message that was never sent."""
+        net = MemoryNet()
+        async with running(2, net) as (a, b):
+            b.peers.handle(FeedPoll, never)
+            with self.assertRaises(PeerTimeout):
+                await a.peers.call("n1", POLL, 100)
+
+            async def cut() -> None:
+                await trio.sleep(0.1)
+                link_of(b, "n0").close("test")
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(cut)
+                with self.assertRaises(PeerDisconnected):
+                    await a.peers.call("n1", POLL, 5_000)
+
+    @clocked
+    async def test_late_reply_is_dropped_and_counted(self) -> None:
+        """Guards against a late reply that answers another call."""
+        async with running(2) as (a, b):
+            b.peers.handle(FeedPoll, echo)
+            await a.peers.call("n1", POLL, 100)
+            link_of(b, "n0").put_frame(ReplyMessage(999, codec.encode(Ack()), ""), "control")
+            await trio.sleep(0.1)
+            self.assertEqual(a.counters.get("peer_late_frames", "reply"), 1)
+            self.assertEqual(await a.peers.call("n1", POLL, 100), Ack())
+
+    @clocked
+    async def test_handlers_are_bounded(self) -> None:
+        """Guards against a peer that starts tasks without limit."""
+        cfg = PeerSettings(max_handlers=2, max_queued_messages=3)
+        async with running(2, peers=cfg) as (a, b):
+            b.peers.handle(FeedPoll, never)
+            for _ in range(5):
+                a.peers.send("n1", POLL)
+                await trio.sleep(0.01)
+            with self.assertRaises(PeerBusy):
+                await a.peers.call("n1", POLL, 500)
+            self.assertTrue(link_of(a, "n1").is_usable)
+
+    @clocked
+    async def test_full_queue_refuses_and_recovers(self) -> None:
+        """Guards against a send queue that grows while a peer does not read."""
+        async with running(2, peers=PeerSettings(max_queued_messages=4)) as (a, b):
+            b.peers.handle(FeedPoll, echo)
+            b.peers.handle(LeaseRevoke, echo)
+            await a.peers.call("n1", POLL, 100)
+            for _ in range(10):
+                a.peers.send("n1", LeaseRevoke("x"))
+            with self.assertRaises(PeerQueueFull):
+                await link_of(a, "n1").call(POLL)
+            self.assertEqual(a.counters.get("peer_sends_dropped", "PeerQueueFull"), 6)
+            await trio.sleep(0.1)
+            self.assertEqual(await a.peers.call("n1", POLL, 100), Ack())
+
+    @clocked
+    async def test_send_dials_and_drops_when_nobody_answers(self) -> None:
+        """Guards against one-way messages that pile up for a node that is gone."""
+        got: list[str] = []
+
+        async def note(node_id: str, msg: Message) -> None:
+            got.append(node_id)
+
+        async with running(2, peers=PeerSettings(max_pending_sends=2)) as (a, b):
+            b.peers.handle(LeaseRevoke, note)
+            a.peers.send("n1", LeaseRevoke("x"))
+            for _ in range(5):
+                a.peers.send("n5", LeaseRevoke("x"))
+            await trio.sleep(1)
+            self.assertEqual(got, ["n0"])
+            self.assertEqual(a.counters.get("peer_sends_dropped", "PeerQueueFull"), 3)
+            self.assertEqual(a.counters.get("peer_sends_dropped", "PeerUnreachable"), 2)
+            self.assertNotIn("n5", a.peers._peers)
+
+
+class LinkTest(unittest.TestCase):
+    @clocked
+    async def test_simultaneous_dials_leave_one_link(self) -> None:
+        """Guards against two links for a pair of nodes that dial each other at once."""
+        async with running(2, MemoryNet(connect_s=0.01)) as nodes:
+            for node in nodes:
+                node.peers.handle(FeedPoll, echo)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(nodes[0].peers.call, "n1", POLL, 1_000)
+                nursery.start_soon(nodes[1].peers.call, "n0", POLL, 1_000)
+            self.assertEqual(nodes[0].counters.get("peer_links_opened"), 2)
+            await trio.sleep(1)
+            for node, peer_id in zip(nodes, ("n1", "n0"), strict=True):
+                self.assertEqual(len(node.peers._peers[peer_id].links), 1)
+                self.assertEqual(link_of(node, peer_id).dialled, node.node_id == "n0")
+
+    @clocked
+    async def test_silent_link_is_replaced_within_three_seconds(self) -> None:
+        """Guards against a link that stays silent for ever while new ones work."""
+        for phase_ms in (0, 10, 240, 510, 990):
+            net = MemoryNet()
+            async with running(2, net) as (a, b):
+                b.peers.handle(FeedPoll, echo)
+                await a.peers.call("n1", POLL, 100)
+                await trio.sleep(3 + phase_ms / 1_000)
+                for wire in net.wires:
+                    wire.silent = True
+                started = trio.current_time()
+                while True:
+                    try:
+                        await a.peers.call("n1", POLL, 50)
+                        break
+                    except PeerTimeout:
+                        pass
+                    except PeerDisconnected:
+                        pass
+                self.assertLessEqual(trio.current_time() - started, 3.0)
+                self.assertEqual(a.counters.get("peer_link_closed", "silent"), 1)
+
+    @clocked
+    async def test_quiet_link_lives_and_idle_link_closes(self) -> None:
+        """Guards against heartbeats that close a good link, and links that are never closed."""
+        async with running(2, peers=PeerSettings(idle_close_ms=20_000)) as (a, b):
+            b.peers.handle(FeedPoll, echo)
+            await a.peers.call("n1", POLL, 100)
+            await trio.sleep(19)
+            self.assertEqual(a.counters.get("peer_links_opened"), 1)
+            self.assertEqual(a.peers.linked(), ["n1"])
+            await trio.sleep(3)
+            self.assertEqual((a.peers.linked(), b.peers.linked()), ([], []))
+            self.assertEqual(await a.peers.call("n1", POLL, 100), Ack())
+
+    @clocked
+    async def test_retired_link_finishes_its_calls(self) -> None:
+        """Guards against a link that is closed under a call that still runs."""
+
+        async def slow(node_id: str, msg: Message) -> Message:
+            await trio.sleep(2)
+            return Ack()
+
+        async with running(2) as (a, b):
+            b.peers.handle(FeedPoll, slow)
+            replies: list[Message] = []
+
+            async def call() -> None:
+                replies.append(await a.peers.call("n1", POLL, 5_000))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await trio.sleep(0.5)
+                b.peers.release("n0")
+                await trio.sleep(0.5)
+                nursery.start_soon(call)
+            self.assertEqual(replies, [Ack(), Ack()])
+            self.assertEqual(a.counters.get("peer_links_opened"), 2)
+            await trio.sleep(0.5)
+            self.assertEqual(len(a.peers._links), 1)
+
+    @clocked
+    async def test_damaged_frames_close_the_link_only(self) -> None:
+        """Guards against cut, padded or misplaced frames that are half understood."""
+        frames = [
+            codec.encode(ReplyMessage(1, b"abc", ""))[:-1],
+            codec.encode(Ping(7)) + b"\x00",
+            b"\xff" * 40,
+            codec.encode(StreamEnd(5)),
+            codec.encode(StreamEnd(-1)),
+        ]
+        for frame in frames:
+            with self.subTest(frame=frame[:10]):
+                async with running(2) as (a, b):
+                    b.peers.handle(FeedPoll, echo)
+                    await a.peers.call("n1", POLL, 100)
+                    link_of(a, "n1")._enqueue(frame, "control")
+                    await trio.sleep(0.1)
+                    self.assertEqual(b.peers.linked(), [])
+                    self.assertEqual(await a.peers.call("n1", POLL, 100), Ack())
+
+    @clocked
+    async def test_unknown_message_types_keep_the_link(self) -> None:
+        """Guards against a rolling upgrade that cuts links over a message of the new version."""
+        async with running(2) as (a, b):
+            b.peers.handle(FeedPoll, echo)
+            await a.peers.call("n1", POLL, 100)
+            link = link_of(a, "n1")
+            link._enqueue(cbor2.dumps([9_999, 1]), "control")
+            self.assertEqual(await a.peers.call("n1", POLL, 100), Ack())
+            self.assertIs(link_of(a, "n1"), link)
+
+    @clocked
+    async def test_links_are_bounded(self) -> None:
+        """Guards against nodes that open links until a process has no sockets left."""
+        async with running(4, peers=PeerSettings(max_links=2)) as nodes:
+            nodes[3].peers.handle(FeedPoll, echo)
+            for node in nodes[:2]:
+                self.assertEqual(await node.peers.call("n3", POLL, 100), Ack())
+            with self.assertRaises((PeerUnreachable, PeerDisconnected)):
+                await nodes[2].peers.call("n3", POLL, 500)
+            self.assertEqual(nodes[3].counters.get("peer_rejected", "too-many-links"), 1)
+
+    @clocked
+    async def test_wrong_secret_is_counted_and_unreachable(self) -> None:
+        """Guards against a node of another cluster secret that gets a link."""
+        net = MemoryNet()
+        async with running(1, net) as (a,), trio.open_nursery() as nursery:
+            stranger = Node(net, 1, secret=b"another-secret-1")
+            await nursery.start(stranger.run)
+            with self.assertRaises(PeerUnreachable):
+                await a.peers.call("n1", POLL, 500)
+            await trio.sleep(0.1)
+            self.assertEqual(a.counters.get("peer_rejected", "wrong-secret"), 1)
+            self.assertEqual(stranger.counters.get("peer_rejected", "wrong-secret"), 1)
+            nursery.cancel_scope.cancel()
+
+    @clocked
+    async def test_bytes_are_counted_per_kind(self) -> None:
+        """Guards against control traffic that nobody sees."""
+        async with running(2) as (a, b):
+            b.peers.handle(FeedPoll, echo)
+            await a.peers.call("n1", POLL, 100)
+            await trio.sleep(10.1)
+            out = a.counters.get("peer_bytes_out", "control")
+            self.assertGreater(out, 0)
+            self.assertEqual(out, b.counters.get("peer_bytes_in", "control"))
+            self.assertEqual(a.counters.get("peer_bytes_out", "payload"), 0)
