--- a/knapweedhitch/yamltext.py
+++ b/knapweedhitch/yamltext.py
@@ -30,6 +30,13 @@
         return mapping
 
 
+class _Dumper(yaml.SafeDumper):
+    """Write a repeated object out each time."""
+
+    def ignore_aliases(self, data: Any) -> bool:
+        return True
+
+
 def load(text: str) -> Any:
     """Return the value of a YAML text; raises ValueError with one line on any damage."""
     try:
@@ -49,4 +56,5 @@
 
 def dump(value: Any) -> str:
     """Return the value as YAML in the order of its keys."""
-    return yaml.safe_dump(value, sort_keys=False, allow_unicode=True, width=100)
+    text: str = yaml.dump(value, Dumper=_Dumper, sort_keys=False, allow_unicode=True, width=100)
+    return text
--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -20,7 +20,7 @@
 from types import TracebackType
 from typing import Any
 
-import yaml
+from knapweedhitch import yamltext
 
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
@@ -182,7 +182,7 @@
     def start_daemon(self, node_id: str, settings: Mapping[str, Any]) -> Daemon:
         """Start a daemon with the settings; it may not be ready yet."""
         path = self.folder / f"{node_id}.yaml"
-        path.write_text(yaml.safe_dump(dict(settings), sort_keys=False), encoding="utf-8")
+        path.write_text(yamltext.dump(dict(settings)), encoding="utf-8")
         data_dir = settings.get("control", {}).get("data_dir")
         if data_dir:
             Path(data_dir).mkdir(parents=True, exist_ok=True)
--- /dev/null
+++ b/tests/test_generator.py
@@ -0,0 +1,142 @@
+"""Tests of the generator: settings and services from the answers alone."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweedhitch import changes_json, differences, generator, yamltext
+from knapweedhitch.model import ServiceConfig
+from knapweedhitch.questionnaire import Answers, parse_answers
+from knapweedhitch.settings import Settings, parse_settings
+from tests.answers_strategy import ANSWERS, choir, example
+
+BOUNDED = settings(derandomize=True, deadline=None, max_examples=100)
+
+
+def answers_of(raw: dict[str, Any]) -> Answers:
+    """Return checked answers."""
+    return parse_answers(yamltext.dump(raw))
+
+
+def settings_of(files: dict[str, str]) -> dict[str, Settings]:
+    """Return the parsed settings of all generated instances."""
+    found = {}
+    for name, text in files.items():
+        if name.startswith("instances/"):
+            found[name] = parse_settings(text, name)
+    return found
+
+
+class GeneratorTest(unittest.TestCase):
+    @BOUNDED
+    @given(ANSWERS)
+    def test_generated_files_are_valid_for_any_answers(self, raw: dict[str, Any]) -> None:
+        """Guards against accepted answers whose daemons refuse to start."""
+        answers = answers_of(raw)
+        files = generator.render(generator.generate(answers))
+        parsed = settings_of(files)
+        self.assertEqual(len(parsed), len(answers.instances))
+        lease_s = answers.promises.domains_out_within_s
+        for cfg in parsed.values():
+            self.assertLess(cfg.feed.config_lease_ms, lease_s * 1_000)
+            self.assertEqual(cfg.listen.operator.host, "127.0.0.1")
+            self.assertEqual(cfg.is_control, cfg.control.data_dir is not None)
+        for svc in json.loads(files["services.json"]):
+            changes_json.parse_service(svc)
+
+    @BOUNDED
+    @given(ANSWERS)
+    def test_control_instances_have_disks_in_different_domains(self, raw: dict[str, Any]) -> None:
+        """Guards against a majority that one failure domain takes away."""
+        answers = answers_of(raw)
+        control = generator.choose_control(answers)
+        self.assertTrue(all(one.disk for one in control))
+        self.assertEqual(len({one.domain for one in control}), len(control))
+        domains = len(answers.failure_domains)
+        self.assertEqual(len(control), 5 if domains >= 5 else 3 if domains >= 3 else 1)
+
+    @BOUNDED
+    @given(ANSWERS, st.randoms(use_true_random=False))
+    def test_order_of_keys_does_not_matter(self, raw: dict[str, Any], rng: Any) -> None:
+        """Guards against files that differ between two runs on the same answers."""
+
+        def shuffled(value: Any) -> Any:
+            if isinstance(value, dict):
+                keys = list(value)
+                rng.shuffle(keys)
+                return {key: shuffled(value[key]) for key in keys}
+            return [shuffled(one) for one in value] if isinstance(value, list) else value
+
+        first = generator.render(generator.generate(answers_of(raw)))
+        second = generator.render(generator.generate(answers_of(shuffled(raw))))
+        self.assertEqual(first, second)
+
+    def test_what_must_never_happen_reaches_the_services(self) -> None:
+        """Guards against an answer that has no effect."""
+        services = {s.name: s for s in generator.generate(answers_of(choir())).services}
+        self.assertEqual(
+            {name: svc.require_key for name, svc in services.items()},
+            {"robes": False, "bookings": True, "wardrobe": False},
+        )
+        self.assertEqual(services["robes"].max_deadline_ms, 2_000)
+        self.assertEqual(services["wardrobe"].default_deadline_ms, 3_000)
+        self.assertEqual(services["wardrobe"].max_deadline_ms, 300_000)
+        self.assertEqual(services["wardrobe"].max_body_bytes, 40 * 1_048_576)
+        raw = choir()
+        raw["services"][0]["never"]["copy_lookups"] = True
+        raw["services"][0]["never"]["run_without_proof"] = True
+        robes = generator.generate(answers_of(raw)).services[0]
+        self.assertEqual((robes.hedge, robes.require_key), (False, True))
+
+    def test_planned_stop_waits_for_the_longest_call(self) -> None:
+        """Guards against a graceful stop that cuts an upload at its own time limit."""
+        deployment = generator.generate(answers_of(choir()))
+        longest = max(svc.max_deadline_ms for svc in deployment.services)
+        for cfg in settings_of(generator.render(deployment)).values():
+            self.assertGreaterEqual(cfg.stop.drain_timeout_ms, longest)
+            self.assertGreaterEqual(cfg.upstream.first_byte_timeout_ms, 5_000)
+
+    def test_claim_holders_have_space_for_the_promise(self) -> None:
+        """Guards against holders that refuse paid calls because they keep too few answers."""
+        deployment = generator.generate(answers_of(choir()))
+        for cfg in settings_of(generator.render(deployment)).values():
+            self.assertGreaterEqual(cfg.claims.max_claims, 60 * 300)
+
+    def test_new_instance_does_not_move_the_control_instances(self) -> None:
+        """Guards against a log that loses its members because the team grew."""
+        raw = choir()
+        before = generator.choose_control(answers_of(raw))
+        raw["instances"].append(
+            {"name": "a-first", "address": "10.20.9.9", "domain": "dalby", "disk": True}
+            | {"service": "robes"}
+        )
+        self.assertEqual(generator.choose_control(answers_of(raw)), before)
+
+    def test_examples_match_the_design_page(self) -> None:
+        """Guards against examples that drift from the two deployments they show."""
+        sizes = {"choir": (range(3, 5), 9, 220), "co-operative": (range(3, 6), 6, 260)}
+        for name, (targets, slots, connections) in sizes.items():
+            answers = answers_of(example(name))
+            self.assertEqual((len(answers.failure_domains), len(answers.services)), (3, 3))
+            for svc in answers.services:
+                beside = [one for one in answers.instances if one.service == svc.name]
+                self.assertIn(len(beside), targets)
+                self.assertEqual({one.domain for one in beside}, set(answers.failure_domains))
+                for one in beside:
+                    self.assertEqual((one.slots, one.connections), (slots, connections))
+
+
+class DifferenceTest(unittest.TestCase):
+    def test_every_changed_field_is_shown(self) -> None:
+        """Guards against a change that is applied without being shown."""
+        old = [ServiceConfig("a", ("a.example",)), ServiceConfig("b", ("b.example",))]
+        new = [ServiceConfig("a", ("a.example",), retries=1), ServiceConfig("c", ("c.example",))]
+        lines = differences.of_services(old, new)
+        self.assertEqual(lines[:3], ["- service b", "~ a.retries: 2 -> 1", "+ service c"])
+        self.assertIn("+ c.hosts: ['c.example']", lines)
+        self.assertEqual(differences.of_services(old, list(reversed(old))), [])
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,167 @@
+"""Tests of the settings and of the YAML reader below them."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweedhitch import yamltext
+from knapweedhitch.exceptions import SettingsError
+from knapweedhitch.settings import MAX_SETTINGS_BYTES, load_secret, load_settings, parse_settings
+
+BOUNDED = settings(derandomize=True, deadline=None, max_examples=300)
+MEMBERS = [{"id": name, "host": "10.0.0.1", "port": 7_001} for name in ("a", "b", "c", "d", "e")]
+YAML_PARTS = st.one_of(
+    st.sampled_from(["a", ": ", "- ", "\n", "  ", "[", "]", "{", "}", "&x ", "*x", '"', "? ", "|"]),
+    st.sampled_from(["!!int ", "!!float ", "!!bool ", "!!timestamp ", "!!binary ", "<<: ", "%"]),
+    st.sampled_from(["!!python/object:os.system ", "\\ud800", "_", "0x", "2001-99-99", "1:"]),
+    st.sampled_from(["node", "control", "secrets", "\x00", "\ufeff", "é"]),
+)
+
+
+def base(**sections: Any) -> dict[str, Any]:
+    """Return valid settings with sections replaced."""
+    return {
+        "node": {"id": "a", "domain": "east"},
+        "secrets": {"peer_secret_file": "/p", "operator_token_file": "/t"},
+        "control": {"members": MEMBERS[:3], "data_dir": "/d"},
+        **sections,
+    }
+
+
+class SettingsTest(unittest.TestCase):
+    def test_defaults_fit_each_other(self) -> None:
+        """Guards against defaults that the checks between sections refuse."""
+        self.assertTrue(parse_settings(yamltext.dump(base())).is_control)
+
+    def test_bad_settings_name_their_place(self) -> None:
+        """Guards against a start with settings that contradict each other or are misspelt."""
+        control = base()["control"]
+        cases: list[tuple[dict[str, Any], str]] = [
+            (base(node={"id": "a"}), "node.domain"),
+            (base(node={"id": "A b", "domain": "x"}), "node.id"),
+            (base(nodes={}), "nodes"),
+            (base(node={"id": "a", "domain": "x", "zone": "y"}), "node.zone"),
+            (base(listen={"callers": {"host": "localhost"}}), "listen.callers.host"),
+            (base(listen={"callers": {"port": 70_000}}), "listen.callers.port"),
+            (base(secrets={"peer_secret_file": "/p"}), "secrets.operator_token_file"),
+            (base(control={"members": []}), "control.members"),
+            (base(control={**control, "members": MEMBERS[:2]}), "control.members"),
+            (base(control={**control, "members": MEMBERS[:1] * 3}), "control.members"),
+            (base(control={"members": MEMBERS[:3]}), "control.data_dir"),
+            (base(control={**control, "activation_delay_ms": 6_000}), "activation_delay_ms"),
+            (base(control={**control, "election_timeout_ms": 299}), "election_timeout_ms"),
+            (base(feed={"poll_interval_ms": 1_001}), "feed.poll_interval_ms"),
+            (base(feed={"config_lease_ms": 0}), "feed.config_lease_ms"),
+            (base(routing={"hedge_ratio": 1.1}), "routing.hedge_ratio"),
+            (base(log={"level": "LOUD"}), "log.level"),
+            (base(operator={"max_body_bytes": -1}), "operator.max_body_bytes"),
+        ]
+        for raw, place in cases:
+            with self.subTest(place=place), self.assertRaises(SettingsError) as caught:
+                parse_settings(yamltext.dump(raw), "s.yaml")
+            self.assertIn(place, str(caught.exception))
+            self.assertTrue(str(caught.exception).startswith("s.yaml"))
+            self.assertNotIn("\n", str(caught.exception))
+
+    def test_bounds_of_relations_are_exact(self) -> None:
+        """Guards against a claim group that starts while leases of the group before it run."""
+        control = base()["control"]
+        parse_settings(yamltext.dump(base(control={**control, "activation_delay_ms": 6_001})))
+        parse_settings(yamltext.dump(base(control={**control, "election_timeout_ms": 300})))
+        parse_settings(yamltext.dump(base(feed={"poll_interval_ms": 1_000})))
+
+    @BOUNDED
+    @given(st.lists(YAML_PARTS, max_size=14).map("".join) | st.text(max_size=60))
+    def test_any_text_gives_settings_or_a_settings_error(self, text: str) -> None:
+        """Guards against a traceback, or a start, for a damaged file."""
+        with self.assertRaises(SettingsError):
+            parse_settings(text)
+
+    @BOUNDED
+    @given(st.binary(max_size=80))
+    def test_any_file_gives_settings_or_a_settings_error(self, data: bytes) -> None:
+        """Guards against a traceback for a file that is not text."""
+        with tempfile.NamedTemporaryFile() as file:
+            file.write(data)
+            file.flush()
+            with self.assertRaises(SettingsError):
+                load_settings(file.name)
+
+    @BOUNDED
+    @given(
+        st.sampled_from(["node", "control", "feed", "listen", "claims", "log", "secrets"]),
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5),
+            lambda inner: st.lists(inner, max_size=3)
+            | st.dictionaries(
+                st.sampled_from(["id", "members", "config_lease_ms", "callers", "port", 1, None]),
+                inner,
+                max_size=3,
+            ),
+            max_leaves=8,
+        ),
+    )
+    def test_any_section_gives_settings_or_a_settings_error(self, name: str, raw: Any) -> None:
+        """Guards against a value of another type that passes the checks or breaks them."""
+        try:
+            parse_settings(yamltext.dump(base(**{name: raw})))
+        except SettingsError:
+            pass
+
+    def test_oversized_file_is_refused(self) -> None:
+        """Guards against a file that fills the memory of the process."""
+        with tempfile.NamedTemporaryFile() as file:
+            file.truncate(MAX_SETTINGS_BYTES + 1)
+            with self.assertRaisesRegex(SettingsError, "over"):
+                load_settings(file.name)
+
+    def test_secret_that_others_can_read_is_refused(self) -> None:
+        """Guards against a peer secret or token that every user of the machine can read."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "secret"
+            for mode, text, accepted in (
+                (0o600, "x" * 16, True),
+                (0o400, " " + "x" * 16 + "\n", True),
+                (0o640, "x" * 16, False),
+                (0o604, "x" * 16, False),
+                (0o600, "x" * 15, False),
+                (0o600, "x" * 4_097, False),
+            ):
+                path.unlink(missing_ok=True)
+                path.write_text(text)
+                path.chmod(mode)
+                with self.subTest(mode=oct(mode), length=len(text)):
+                    if accepted:
+                        self.assertEqual(load_secret(str(path)), b"x" * 16)
+                    else:
+                        with self.assertRaises(SettingsError):
+                            load_secret(str(path))
+            with self.assertRaises(SettingsError):
+                load_secret(folder)
+
+
+class YamlTest(unittest.TestCase):
+    def test_short_text_does_not_grow(self) -> None:
+        """Guards against aliases that make a few lines fill the memory."""
+        rows = ["a: &a [x, x]"] + [
+            f"{b}: &{b} [*{a}, *{a}]" for a, b in zip("abcd", "bcde", strict=True)
+        ]
+        with self.assertRaisesRegex(ValueError, "aliases are not accepted"):
+            yamltext.load("\n".join(rows))
+
+    def test_repeated_key_is_refused(self) -> None:
+        """Guards against the second of two settings that silently wins."""
+        for text in ("a: 1\na: 2", "x: {b: 1, b: 1}", "- {c: 1, c: 2}"):
+            with self.subTest(text=text), self.assertRaisesRegex(ValueError, "occurs twice"):
+                yamltext.load(text)
+
+    def test_deep_nesting_is_a_value_error(self) -> None:
+        """Guards against a stack overflow by brackets."""
+        with self.assertRaises(ValueError):
+            yamltext.load("[" * 20_000)
