--- /dev/null
+++ b/tests/features/operator.feature
@@ -0,0 +1,70 @@
+Feature: What the operator listener answers
+
+  Scenario Outline: Each request gets its status and, when refused, its reason
+    Given operator listener of a <role> instance
+    When operator sends <method> <path> with <body>
+    Then operator gets <status> <reason>
+
+    Examples: pages
+      | role    | method | path                       | body | status | reason                 |
+      | control | GET    | /ready                     | -    | 200    | -                      |
+      | control | GET    | /metrics                   | -    | 200    | -                      |
+      | control | GET    | /v1/status                 | -    | 200    | -                      |
+      | other   | GET    | /v1/status                 | -    | 200    | -                      |
+      | control | GET    | /v1/config                 | -    | 200    | -                      |
+      | control | GET    | /v1/config/history         | -    | 200    | -                      |
+      | control | GET    | /v1/config/history?limit=1 | -    | 200    | -                      |
+      | control | GET    | /v1/config/history?limit=0 | -    | 400    | bad-request            |
+      | control | GET    | /v1/config/history?limit=x | -    | 400    | bad-request            |
+      | other   | GET    | /v1/config/history         | -    | 404    | not-a-control-instance |
+      | control | GET    | /v1/services               | -    | 200    | -                      |
+      | control | GET    | /v1/upstreams              | -    | 200    | -                      |
+      | control | GET    | /v1/members                | -    | 200    | -                      |
+      | control | GET    | /v1/explain/req-1          | -    | 200    | -                      |
+      | control | GET    | /v1/explain/req-2          | -    | 404    | no-such-resource       |
+      | control | GET    | /v1/explain/               | -    | 404    | no-such-resource       |
+      | control | GET    | /v2/status                 | -    | 404    | no-such-resource       |
+      | control | PUT    | /v1/status                 | -    | 405    | method-not-allowed     |
+      | control | GET    | /v1/changes                | -    | 405    | method-not-allowed     |
+
+    Examples: changes
+      | role    | method | path                  | body                                                     | status | reason             |
+      | control | POST   | /v1/domains/east/out  | {"change_id": "c", "operator": "ann"}                    | 200    | -                  |
+      | control | POST   | /v1/domains/south/in  | {"change_id": "c", "operator": "ann"}                    | 200    | -                  |
+      | control | POST   | /v1/nodes/n2/drain    | {"change_id": "c", "operator": "ann"}                    | 200    | -                  |
+      | control | POST   | /v1/nodes/n2/undrain  | {"change_id": "c", "operator": "ann"}                    | 200    | -                  |
+      | control | POST   | /v1/domains/eats/out  | {"change_id": "c", "operator": "ann"}                    | 404    | unknown-domain     |
+      | control | POST   | /v1/nodes/n9/drain    | {"change_id": "c", "operator": "ann"}                    | 404    | unknown-node       |
+      | control | POST   | /v1/domains/east/out  | {"change_id": "c"}                                       | 422    | invalid-change     |
+      | control | POST   | /v1/domains/east/out  | {"change_id": "c d", "operator": "ann"}                  | 422    | invalid-change     |
+      | control | POST   | /v1/domains/east/out  | {"change_id": "c", "operator": "ann", "allow_last": 1}   | 400    | bad-request        |
+      | control | POST   | /v1/domains/east/out  | {"change_id": "c", "operator": "ann", "allow_first": 1}  | 400    | bad-request        |
+      | control | POST   | /v1/changes           | []                                                       | 400    | bad-request        |
+      | control | POST   | /v1/changes           | -                                                        | 400    | bad-request        |
+      | control | POST   | /v1/changes           | {"change_id": "c", "operator": "a", "op": {"kind": "x"}} | 422    | invalid-change     |
+      | control | POST   | /v1/changes           | {"change_id": "c", "operator": "a", "base_version": 1, "op": {"kind": "domain_in", "domain": "east"}} | 409 | version-conflict |
+      | control | POST   | /v1/changes           | {"change_id": "c", "operator": "a", "base_version": 7, "op": {"kind": "remove_service", "name": "robes"}} | 200 | - |
+      | control | POST   | /v1/changes           | {"change_id": "c", "operator": "a", "base_version": true, "op": {"kind": "remove_service", "name": "robes"}} | 422 | invalid-change |
+      | control | POST   | /v1/changes           | {"change_id": "c", "operator": "a", "op": {"kind": "put_service", "service": {"name": "x", "hosts": ["x.example"]}}} | 200 | - |
+      | control | POST   | /v1/changes           | {"change_id": "c", "operator": "a", "op": {"kind": "put_service", "service": {"name": "x", "hosts": []}}} | 422 | invalid-change |
+      | control | POST   | /v1/changes           | {"change_id": "c", "operator": "a", "op": {"kind": "apply_all", "services": []}} | 200 | - |
+      | other   | POST   | /v1/domains/east/out  | {"change_id": "c", "operator": "ann"}                    | 503    | no-leader          |
+
+  Scenario Outline: Each command ends with the exit code that scripts rely on
+    Given operator listener of a control instance
+    When operator runs "<command>" and the tries end "<faults>"
+    Then operator sees exit code <code>
+
+    Examples:
+      | command                       | faults               | code |
+      | status                        |                      | 0    |
+      | domain out east               |                      | 0    |
+      | domain out east               | lost                 | 0    |
+      | domain out eats               |                      | 1    |
+      | domain out                    |                      | 2    |
+      | domain off east               |                      | 2    |
+      | status                        | refused              | 3    |
+      | node drain n2                 | lost,lost,lost       | 3    |
+      | node drain n2                 | lost,refused,refused | 3    |
+      | answers check /nowhere.yaml   |                      | 2    |
+      | answers apply examples/choir/answers.yaml --yes |    | 0    |
