--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -219,6 +219,13 @@
         child.signal(signal.SIGTERM)
         return child.wait(timeout_s)
 
+    def stop_all(self, children: Sequence[Child], timeout_s: float = 30.0) -> dict[str, int]:
+        """Ask all for the planned stop at once; return exit codes by name; raises HarnessError."""
+        for child in children:
+            child.signal(signal.SIGTERM)
+        deadline = time.monotonic() + timeout_s
+        return {child.name: child.wait(max(0.0, deadline - time.monotonic())) for child in children}
+
     def kill(self, child: Child) -> None:
         """End a process at once, as a crash would."""
         child.signal(signal.SIGKILL)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import io
 import json
 import logging
@@ -11,8 +12,10 @@
 import unittest
 import uuid
 from pathlib import Path
+from typing import Any
 from unittest import mock
 
+import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -135,6 +138,28 @@
         self.assertEqual((key.version, key.variant), (7, uuid.RFC_4122))
         self.assertAlmostEqual(key.int >> 80, time.time() * 1_000, delta=60_000)
 
+    def test_command_reaches_a_listener_over_tcp(self) -> None:
+        """Guards against a client and a listener that only work on memory streams."""
+
+        async def scenario(folder: Path) -> tuple[tuple[int, str, str], list[Any]]:
+            world = World()
+            token = operator_fakes.write_token(folder)
+            secrets = dataclasses.replace(world.kernel.cfg.secrets, operator_token_file=str(token))
+            world.kernel.cfg = dataclasses.replace(world.kernel.cfg, secrets=secrets)
+            async with trio.open_nursery() as nursery:
+                world.kernel._nursery = nursery
+                await world.api.start()
+                place = ("--address", f"127.0.0.1:{world.api.port}", "--token-file", str(token))
+                command = ("domain", "out", "east", *place)
+                result = await trio.to_thread.run_sync(lambda: call(None, *command))
+                await world.api.stop()
+            return result, world.control.changes
+
+        with tempfile.TemporaryDirectory() as folder, operator_fakes.patched_configuration():
+            result, changes = trio.run(scenario, Path(folder))
+        self.assertEqual(result, (0, "east is out since version 8\n", ""))
+        self.assertEqual(len(changes), 1)
+
     def test_missing_and_open_files_are_named(self) -> None:
         """Guards against an error that does not say which file is missing or too open."""
         code, _, err = call(None, "status", "--settings", "/nowhere/s.yaml")
--- /dev/null
+++ b/tests/test_demo.py
@@ -0,0 +1,117 @@
+"""Tests of the demo's callers and of its verdict."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import itertools
+import random
+import re
+import unittest
+from collections.abc import Callable
+
+import trio
+
+from scripts import demo, traffic
+from scripts.harness import Endpoint
+from scripts.traffic import INSTANCE_HEADER, RUNS_HEADER, Call, Sample
+
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-Stand-In-Instance: i1\r\n\r\nok"
+BOOKING = Call("booking", "b", "POST", "/", "k1", b"x")
+LOOKUP = Call("lookup", "r")
+
+
+def drive(answer: Callable[[int], bytes], seconds: float = 0.2) -> list[Sample]:
+    """Drive lookups into a listener that answers the nth request with the given bytes."""
+    numbers = itertools.count()
+
+    async def serve(stream: trio.SocketStream) -> None:
+        with contextlib.suppress(trio.BrokenResourceError):
+            while await stream.receive_some(10_000):
+                data = answer(next(numbers))
+                await stream.send_all(data)
+                if not data.startswith(b"HTTP/1.1 200"):
+                    return
+
+    async def scenario() -> list[Sample]:
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            entry = Endpoint("127.0.0.1", listeners[0].socket.getsockname()[1])
+            with trio.fail_after(30):
+                samples = await traffic.drive(
+                    [entry],
+                    itertools.repeat(LOOKUP),
+                    "p",
+                    seconds=seconds,
+                    rate_per_s=100,
+                    rng=random.Random(1),
+                )
+            nursery.cancel_scope.cancel()
+        return samples
+
+    return trio.run(scenario)
+
+
+def sample(started_s: float, instance: str, runs: int = 1, call: Call = BOOKING) -> Sample:
+    """Return a successful sample."""
+    headers = {INSTANCE_HEADER: instance, RUNS_HEADER: str(runs)}
+    return Sample(call, "p", started_s, 5.0, 200, headers, b"ok")
+
+
+def verdict(samples: list[Sample], repeated: list[Sample]) -> tuple[int, str]:
+    """Return exit code and output of the report; the domain is out from 10 s to 20 s."""
+    domain_of = {"i1": "dalby", "i2": demo.OUT_DOMAIN}
+    out = io.StringIO()
+    with contextlib.redirect_stdout(out):
+        code = demo.report(demo.Result(samples, repeated, domain_of, 10.0, 20.0))
+    return code, out.getvalue()
+
+
+class TrafficTest(unittest.TestCase):
+    def test_every_call_gives_one_sample(self) -> None:
+        """Guards against calls that fail and are left out of the success share."""
+        samples = drive(lambda n: ANSWER if n % 4 else b"")
+        self.assertEqual(len(samples), 20)
+        self.assertEqual(sum(s.ok for s in samples), 15)
+        self.assertEqual({s.headers.get(INSTANCE_HEADER) for s in samples if s.ok}, {"i1"})
+
+    def test_damaged_answers_count_as_no_answer(self) -> None:
+        """Guards against half an answer that counts as a success."""
+        for damaged in (ANSWER[:-1] + b"", b"SSH-2.0\r\n\r\n", ANSWER[:20]):
+            closing = damaged.replace(b"1.1 200", b"1.0 200")
+            with self.subTest(data=damaged):
+                self.assertEqual({s.status for s in drive(lambda _, d=closing: d, 0.05)}, {0})
+
+    def test_percentiles_are_values_that_occurred(self) -> None:
+        """Guards against a p99 that hides the slowest of a hundred calls."""
+        values = [float(n) for n in range(1, 101)]
+        self.assertEqual(traffic.percentile(values, 0.5), 50.0)
+        self.assertEqual(traffic.percentile(values, 0.99), 99.0)
+        self.assertEqual(traffic.percentile(values[:10], 0.99), 10.0)
+        self.assertEqual(traffic.percentile([3.0], 0.5), 3.0)
+
+
+class VerdictTest(unittest.TestCase):
+    def test_broken_promises_fail_the_demo(self) -> None:
+        """Guards against a demo that ends well whatever happened."""
+        good = [sample(1.0, "i2"), sample(12.9, "i2"), sample(21.0, "i2")]
+        self.assertEqual(verdict(good, [sample(30.0, "i1")])[0], 0)
+        late = [*good, sample(13.1, "i2")]
+        twice = [sample(30.0, "i1", runs=2)]
+        other = Sample(BOOKING, "p", 30.0, 5.0, 200, {RUNS_HEADER: "1"}, b"another booking")
+        for samples, repeated in ((late, []), (good, twice), (good, [sample(30.0, "i1"), other])):
+            self.assertEqual(verdict(samples, repeated)[0], 1)
+
+    def test_missing_reports_are_no_proof(self) -> None:
+        """Guards against a success that rests on upstreams that reported nothing."""
+        silent = Sample(BOOKING, "p", 1.0, 5.0, 200, {}, b"ok")
+        code, text = verdict([silent], [silent])
+        self.assertEqual(code, 1)
+        self.assertIn("not shown", text)
+
+    def test_refusals_are_named_in_the_table(self) -> None:
+        """Guards against a success share without the reasons of the rest."""
+        refused = Sample(LOOKUP, "p", 1.0, 5.0, 503, {"knapweedhitch-reason": "no-target"})
+        _, text = verdict([sample(1.0, "i1"), refused], [])
+        self.assertRegex(text, re.compile(r"all +2 +50.00% .*no-target=1"))
