--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -18,6 +18,26 @@
       | instances/0/domain                 | roma               | instances.toowoomba-robes       | toowoomba              |
       | instances/2/disk                   | no                 | instances.disk                  | 3 failure domains      |
       | promises/domains_out_within_s      | 60                 | promises.domains_out_within_s   | 2 to 10                |
+      | promises/domains_out_within_s      | 1                  | promises.domains_out_within_s   | 2 to 10                |
+      | promises/paid_calls_per_min        | 20000              | promises.keep_paid_answers_min  | at most 50             |
+      | organisation/name                  | null               | organisation.name               | a name                 |
+      | organisation/first_port            | 80                 | organisation.first_port         | 1024 to 65532          |
+      | organisation/colour                | red                | organisation                    | a mapping of name      |
+      | failure_domains                    | []                 | failure_domains                 | a list of 1 to 20      |
+      | failure_domains                    | [toowoomba, warwick, dalby, roma] | failure_domains  | that have an instance  |
+      | services                           | {}                 | services                        | a list of 1 to 2200    |
+      | services/0/name                    | 7                  | services[0].name                | a name                 |
+      | services/0/hosts                   | robes.example      | services.robes.hosts            | a list                 |
+      | services/0/hosts                   | [Robes.example]    | services.robes.hosts            | small letters          |
+      | services/1/hosts                   | [robes.choir.example] | services.hosts               | only once              |
+      | services/0/actions/0/kind          | read               | services.robes.actions[0].kind  | lookup                 |
+      | services/0/never/wait_longer_than_ms | 2 s              | services.robes.never.wait       | 100 to 600000          |
+      | instances/0/address                | 0.0.0.0            | instances.toowoomba-robes       | an IP address          |
+      | instances/0/slots                  | true               | instances.toowoomba-robes.slots | 1 to 10000             |
+      | instances/0/service                | robe               | instances.toowoomba-robes       | robes, bookings        |
+      | instances/0/connections            | 8                  | instances.toowoomba-robes       | at least the 9         |
+      | instances/1/name                   | toowoomba-robes    | instances.name                  | only once              |
+      | instances/1/address                | 10.20.1.11         | instances.address               | only once              |
 
   Scenario Outline: What must never happen becomes configuration
     Given answers of the "<example>" example
@@ -26,6 +46,8 @@
 
     Examples:
       | example      | path                                   | value | service   | field               | result |
+      | choir        | services/0/never/run_without_proof     | no    | bookings  | require_key         | true   |
+      | choir        | services/0/never/run_without_proof     | no    | wardrobe  | require_key         | false  |
       | choir        | services/0/never/run_twice             | yes   | robes     | require_key         | true   |
       | choir        | services/0/never/run_twice             | no    | robes     | require_key         | false  |
       | choir        | services/0/never/run_without_proof     | yes   | robes     | require_key         | true   |
@@ -50,3 +72,5 @@
       | promises/domains_out_within_s | 10    | control | activation_delay_ms  | 14000  |
       | promises/paid_calls_per_min   | 1000  | claims  | max_claims           | 480000 |
       | services/2/upload_takes_up_to_s | 1200 | stop   | drain_timeout_ms     | 1200000 |
+      | services/2/upload_takes_up_to_s | 1    | stop   | drain_timeout_ms     | 60000  |
+      | services/0/never/wait_longer_than_ms | 30000 | upstream | first_byte_timeout_ms | 30000 |
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -21,6 +21,13 @@
       | claims/max_claims             | 0               | claims.max_claims             |
       | routing/max_retries           | 3               | routing.max_retries           |
       | log/level                     | LOUD            | log.level                     |
+      | zones/a                       | 1               | zones                         |
+      | secrets/peer_secret_file      | null            | secrets.peer_secret_file      |
+      | control/members               | [{id: a, host: 10.0.0.1, port: 1}, {id: b, host: 10.0.0.1, port: 1}] | control.members |
+      | control/members               | [{id: a, host: 10.0.0.1, port: 1}, {id: a, host: 10.0.0.1, port: 1}, {id: a, host: 10.0.0.1, port: 1}] | control.members |
+      | feed/config_lease_ms          | 0               | feed.config_lease_ms          |
+      | routing/hedge_ratio           | 1.1             | routing.hedge_ratio           |
+      | operator/max_body_bytes       | -1              | operator.max_body_bytes       |
       | admission/max_leases_per_peer | -1              | admission.max_leases_per_peer |
 
   Scenario Outline: Settings at the edge of what can work are accepted
@@ -34,4 +41,5 @@
       | control/election_timeout_ms   | 300           |
       | feed/poll_interval_ms         | 1000          |
       | listen/peers                  | {host: "::1"} |
+      | log/level                     | DEBUG         |
       | admission/max_leases_per_peer | 0             |
--- a/tests/features/steps/answers_steps.py
+++ b/tests/features/steps/answers_steps.py
@@ -40,6 +40,7 @@
     except AnswersError as exc:
         assert exc.question.startswith(question), exc.question
         assert accepted in exc.accepted, exc.accepted
+        assert "\n" not in str(exc), str(exc)
     else:
         raise AssertionError("the answers are accepted")
 
--- a/tests/features/steps/settings_steps.py
+++ b/tests/features/steps/settings_steps.py
@@ -33,6 +33,7 @@
         parse_settings(yamltext.dump(context.settings_raw), "s.yaml")
     except SettingsError as exc:
         assert exc.place == f"s.yaml: {place}", exc.place
+        assert "\n" not in str(exc), str(exc)
     else:
         raise AssertionError("the settings are accepted")
 
