Build large operator pages in steps

Change: rows are made and encoded 50 at a time with checkpoints between them. The listener warns when it is not on loopback. The harness takes ports below the range of outgoing ones.

--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hmac
-from collections.abc import Awaitable, Callable
+import ipaddress
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import trio
@@ -61,6 +63,10 @@
     return Reply(plain.dump(value), status)
 
 
+async def _page(page: Mapping[str, Any]) -> Reply:
+    return Reply(await plain.dump_page(page))
+
+
 @service("operator_api")
 class OperatorApi:
     """Serve the operator listener."""
@@ -81,6 +87,9 @@
         place = self.kernel.cfg.listen.operator
         listeners = await trio.open_tcp_listeners(place.port, host=place.host)
         self.port = listeners[0].socket.getsockname()[1]
+        if not ipaddress.ip_address(place.host).is_loopback:
+            # The token and every answer can be read on the network between here and the operator.
+            logs.warning("operator_listener_open", host=place.host, port=self.port)
         self.kernel.nursery.start_soon(self._listen, listeners)
 
     async def stop(self) -> None:
@@ -210,12 +219,13 @@
 
 @route("GET", "/v1/status")
 async def _status(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
-    return _json(operator_views.status(api.kernel, api.phase))
+    return await _page(operator_views.status(api.kernel, api.phase))
 
 
 @route("GET", "/v1/config")
 async def _config(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
-    return _json(api.kernel.get("config").current)
+    current = api.kernel.get("config").current
+    return await _page({f.name: getattr(current, f.name) for f in dataclasses.fields(current)})
 
 
 @route("GET", "/v1/config/history")
@@ -224,22 +234,22 @@
     # isdecimal alone also accepts digits of other scripts, and int() is slow on long ones.
     if not (text.isascii() and text.isdecimal() and len(text) <= 9 and int(text) > 0):
         raise BadRequest(detail="limit: use a whole number from 1")
-    return _json(operator_views.history(api.kernel, min(int(text), api.cfg.max_history)))
+    return await _page(operator_views.history(api.kernel, min(int(text), api.cfg.max_history)))
 
 
 @route("GET", "/v1/services")
 async def _services(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
-    return _json(operator_views.services(api.kernel))
+    return await _page(operator_views.services(api.kernel))
 
 
 @route("GET", "/v1/upstreams")
 async def _upstreams(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
-    return _json(operator_views.upstreams(api.kernel))
+    return await _page(operator_views.upstreams(api.kernel))
 
 
 @route("GET", "/v1/members")
 async def _members(api: OperatorApi, request: OperatorRequest, _: str) -> Reply:
-    return _json(operator_views.members(api.kernel))
+    return await _page(operator_views.members(api.kernel))
 
 
 @route("GET", "/v1/explain/*")
--- a/knapweedhitch/operator_views.py
+++ b/knapweedhitch/operator_views.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 from knapweedhitch.exceptions import LastDomain, NotControlInstance, UnknownDomain, UnknownNode
 from knapweedhitch.kernel import Kernel
-from knapweedhitch.model import Configuration, Target, UpstreamState
+from knapweedhitch.model import Configuration, Member, Target, UpstreamState
 
 
 def _control_ids(kernel: Kernel) -> list[str]:
@@ -33,24 +33,21 @@
     }
 
 
-def _node_versions(kernel: Kernel, current: Configuration) -> list[dict[str, Any]]:
-    reports = kernel.get("control").versions()
-    members = kernel.get("membership").members()
-    rows = []
+def _node_versions(kernel: Kernel, current: Configuration) -> Iterator[dict[str, Any]]:
+    # Copies, because rows are made while other tasks run.
+    reports = dict(kernel.get("control").versions())
+    members = dict(kernel.get("membership").members())
     for node_id in sorted({*reports, *members}):
         report = reports.get(node_id)
         member = members.get(node_id)
-        rows.append(
-            {
-                "node": node_id,
-                "domain": member.domain if member else None,
-                "state": member.state if member else "unknown",
-                "version": report.version if report else None,
-                "age_ms": report.age_ms if report else None,
-                "lags": report is None or report.version < current.version,
-            }
-        )
-    return rows
+        yield {
+            "node": node_id,
+            "domain": member.domain if member else None,
+            "state": member.state if member else "unknown",
+            "version": report.version if report else None,
+            "age_ms": report.age_ms if report else None,
+            "lags": report is None or report.version < current.version,
+        }
 
 
 def history(kernel: Kernel, limit: int) -> dict[str, Any]:
@@ -63,20 +60,20 @@
 def services(kernel: Kernel) -> dict[str, Any]:
     """Return each service with its configuration and its targets by failure domain."""
     current: Configuration = kernel.get("config").current
-    rows = []
+    return {"version": current.version, "services": _service_rows(kernel, current)}
+
+
+def _service_rows(kernel: Kernel, current: Configuration) -> Iterator[dict[str, Any]]:
     for name in sorted(current.services):
         targets = kernel.get("membership").targets(name)
         usable = [target for target in targets if _usable(target, current)]
-        rows.append(
-            {
-                "name": name,
-                "config": current.services[name],
-                "targets": len(targets),
-                "usable": len(usable),
-                "usable_by_domain": _count(target.domain for target in usable),
-            }
-        )
-    return {"version": current.version, "services": rows}
+        yield {
+            "name": name,
+            "config": current.services[name],
+            "targets": len(targets),
+            "usable": len(usable),
+            "usable_by_domain": _count(target.domain for target in usable),
+        }
 
 
 def _count(names: Iterable[str]) -> dict[str, int]:
@@ -98,42 +95,43 @@
 def upstreams(kernel: Kernel) -> dict[str, Any]:
     """Return every announced upstream with its node, place and state."""
     current: Configuration = kernel.get("config").current
-    rows = []
+    return {"version": current.version, "upstreams": _upstream_rows(kernel, current)}
+
+
+def _upstream_rows(kernel: Kernel, current: Configuration) -> Iterator[dict[str, Any]]:
     for name in sorted(current.services):
         for target in sorted(kernel.get("membership").targets(name), key=lambda t: t.node_id):
-            rows.append(
-                {
-                    "service": name,
-                    "node": target.node_id,
-                    "domain": target.domain,
-                    "address": str(target.upstream.address),
-                    "slots": target.upstream.slots,
-                    "connections": target.upstream.connections,
-                    "instance_id": target.upstream.instance_id,
-                    "state": target.upstream.state,
-                    "suspect": target.suspect,
-                    "usable": _usable(target, current),
-                }
-            )
-    return {"version": current.version, "upstreams": rows}
+            yield {
+                "service": name,
+                "node": target.node_id,
+                "domain": target.domain,
+                "address": str(target.upstream.address),
+                "slots": target.upstream.slots,
+                "connections": target.upstream.connections,
+                "instance_id": target.upstream.instance_id,
+                "state": target.upstream.state,
+                "suspect": target.suspect,
+                "usable": _usable(target, current),
+            }
 
 
 def members(kernel: Kernel) -> dict[str, Any]:
     """Return what the membership protocol knows of every node."""
-    known = kernel.get("membership").members()
-    rows = [
-        {
+    return {"members": _member_rows(dict(kernel.get("membership").members()))}
+
+
+def _member_rows(known: Mapping[str, Member]) -> Iterator[dict[str, Any]]:
+    for node_id in sorted(known):
+        member = known[node_id]
+        yield {
             "node": node_id,
-            "address": str(known[node_id].address),
-            "region": known[node_id].region,
-            "domain": known[node_id].domain,
-            "state": known[node_id].state,
-            "draining": known[node_id].draining,
-            "service": known[node_id].upstream.service if known[node_id].upstream else None,
+            "address": str(member.address),
+            "region": member.region,
+            "domain": member.domain,
+            "state": member.state,
+            "draining": member.draining,
+            "service": member.upstream.service if member.upstream else None,
         }
-        for node_id in sorted(known)
-    ]
-    return {"members": rows}
 
 
 def check_known_domain(kernel: Kernel, domain: str) -> None:
--- a/knapweedhitch/plain.py
+++ b/knapweedhitch/plain.py
@@ -6,12 +6,16 @@
 import enum
 import json
 import math
-from collections.abc import Mapping, Set
+from collections.abc import Iterator, Mapping, Set
 from typing import Any
 
+import trio
+
 from knapweedhitch.exceptions import BadRequest
 
 MAX_JSON_BYTES = 16_777_216
+# Rows that are encoded between two checkpoints; calls of the node wait about a millisecond.
+ROWS_PER_STEP = 50
 
 
 def to_json(value: Any) -> Any:
@@ -54,4 +58,49 @@
 
 def dump(value: Any) -> bytes:
     """Return the value as one line of JSON."""
-    return json.dumps(to_json(value), allow_nan=False).encode("ascii") + b"\n"
+    return _text(value).encode("ascii") + b"\n"
+
+
+async def dump_page(page: Mapping[str, Any]) -> bytes:
+    """Return the page as JSON; its rows and entries are encoded in steps with checkpoints."""
+    parts = []
+    for rows, part in enumerate(_parts(page)):
+        parts.append(part)
+        if rows % ROWS_PER_STEP == ROWS_PER_STEP - 1:
+            await trio.lowlevel.checkpoint()
+    return "".join(parts).encode("ascii") + b"\n"
+
+
+def _parts(page: Mapping[str, Any]) -> Iterator[str]:
+    opening = "{"
+    for key, value in page.items():
+        yield f"{opening}{json.dumps(key)}: "
+        opening = ", "
+        if isinstance(value, Mapping):
+            yield from _entries(value)
+        elif isinstance(value, (list, tuple, Iterator)):
+            yield from _rows(iter(value))
+        else:
+            yield _text(value)
+    yield "}" if opening == ", " else "{}"
+
+
+def _entries(value: Mapping[str, Any]) -> Iterator[str]:
+    opening = "{"
+    # A copy, because the original may change at a checkpoint.
+    for key, item in list(value.items()):
+        yield f"{opening}{json.dumps(str(key))}: {_text(item)}"
+        opening = ", "
+    yield "}" if opening == ", " else "{}"
+
+
+def _rows(rows: Iterator[Any]) -> Iterator[str]:
+    opening = "["
+    for row in rows:
+        yield f"{opening}{_text(row)}"
+        opening = ", "
+    yield "]" if opening == ", " else "[]"
+
+
+def _text(value: Any) -> str:
+    return json.dumps(to_json(value), allow_nan=False)
--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -6,6 +6,7 @@
 import copy
 import dataclasses
 import os
+import random
 import re
 import secrets
 import shutil
@@ -28,6 +29,7 @@
 READY = re.compile(r"event=ready\b(.*)$", re.MULTILINE)
 FIELD = re.compile(r"(\w+)=(\S+)")
 POLL_S = 0.02
+PORT_RANGE = range(10_000, 32_000)
 TAIL_LINES = 15
 
 
@@ -106,17 +108,21 @@
 
 def free_ports(n: int) -> list[int]:
     """Return port numbers that are free for TCP and UDP on loopback at this moment."""
+    # Outgoing connections of processes that already run take their ports above this range.
+    candidates = random.SystemRandom().sample(PORT_RANGE, len(PORT_RANGE))
     ports: list[int] = []
-    with contextlib.ExitStack() as stack:
-        while len(ports) < n:
-            tcp = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
-            udp = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
-            tcp.bind((LOOPBACK, 0))
-            port = tcp.getsockname()[1]
-            with contextlib.suppress(OSError):
-                udp.bind((LOOPBACK, port))
-                ports.append(port)
-    return ports
+    for port in candidates:
+        if len(ports) == n:
+            return ports
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+            contextlib.suppress(OSError),
+        ):
+            tcp.bind((LOOPBACK, port))
+            udp.bind((LOOPBACK, port))
+            ports.append(port)
+    raise HarnessError(f"fewer than {n} free ports between {PORT_RANGE[0]} and {PORT_RANGE[-1]}")
 
 
 def on_loopback(settings: Mapping[str, dict[str, Any]], folder: Path) -> dict[str, dict[str, Any]]:
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -12,7 +12,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from knapweedhitch import changes_json, metrics, operator_views
+from knapweedhitch import changes_json, metrics, plain
 from knapweedhitch.counters import Counters, MetricsSnapshot
 from knapweedhitch.exceptions import (
     InvalidChange,
@@ -251,11 +251,35 @@
         self.assertIsNone(run(world.ask, "GET", "/v1/status")[1]["config_age_ms"])
         self.assertEqual(run(world.ask, "GET", "/ready")[0], 503)
 
+    def test_large_pages_let_other_tasks_run(self) -> None:
+        """Guards against calls that all wait while an operator looks at 15,000 nodes."""
+        world = World()
+        world.membership.domains = {f"n{i}": "east" for i in range(2_000)}
+
+        async def scenario(path: str) -> int:
+            turns = 0
+            async with trio.open_nursery() as nursery:
+
+                async def count() -> None:
+                    nonlocal turns
+                    while True:
+                        await trio.lowlevel.checkpoint()
+                        turns += 1
+
+                nursery.start_soon(count)
+                status, answer = await world.ask("GET", path)
+                nursery.cancel_scope.cancel()
+            self.assertEqual((status, len(list(answer.values())[-1])), (200, 2_000))
+            return turns
+
+        for path in ("/v1/status", "/v1/members", "/v1/upstreams"):
+            self.assertGreaterEqual(run(scenario, path), 2_000 / plain.ROWS_PER_STEP)
+
     def test_usable_targets_leave_out_what_gets_no_work(self) -> None:
         """Guards against a service shown as well served by targets that are out."""
         world = World()
         world.membership.domains["n3"] = "south"
-        row = operator_views.services(world.kernel)["services"][0]
+        row = run(world.ask, "GET", "/v1/services")[1]["services"][0]
         self.assertEqual((row["targets"], row["usable_by_domain"]), (3, {"east": 1, "west": 1}))
 
     @BOUNDED
