--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -6,6 +6,7 @@
 import copy
 import dataclasses
 import os
+import random
 import re
 import secrets
 import shutil
@@ -20,7 +21,7 @@
 from types import TracebackType
 from typing import Any
 
-import yaml
+from knapweedhitch import yamltext
 
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
@@ -28,6 +29,7 @@
 READY = re.compile(r"event=ready\b(.*)$", re.MULTILINE)
 FIELD = re.compile(r"(\w+)=(\S+)")
 POLL_S = 0.02
+PORT_RANGE = range(10_000, 32_000)
 TAIL_LINES = 15
 
 
@@ -106,17 +108,21 @@
 
 def free_ports(n: int) -> list[int]:
     """Return port numbers that are free for TCP and UDP on loopback at this moment."""
+    # Outgoing connections of processes that already run take their ports above this range.
+    candidates = random.SystemRandom().sample(PORT_RANGE, len(PORT_RANGE))
     ports: list[int] = []
-    with contextlib.ExitStack() as stack:
-        while len(ports) < n:
-            tcp = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_STREAM))
-            udp = stack.enter_context(socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
-            tcp.bind((LOOPBACK, 0))
-            port = tcp.getsockname()[1]
-            with contextlib.suppress(OSError):
-                udp.bind((LOOPBACK, port))
-                ports.append(port)
-    return ports
+    for port in candidates:
+        if len(ports) == n:
+            return ports
+        with (
+            socket.socket(socket.AF_INET, socket.SOCK_STREAM) as tcp,
+            socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp,
+            contextlib.suppress(OSError),
+        ):
+            tcp.bind((LOOPBACK, port))
+            udp.bind((LOOPBACK, port))
+            ports.append(port)
+    raise HarnessError(f"fewer than {n} free ports between {PORT_RANGE[0]} and {PORT_RANGE[-1]}")
 
 
 def on_loopback(settings: Mapping[str, dict[str, Any]], folder: Path) -> dict[str, dict[str, Any]]:
@@ -182,7 +188,7 @@
     def start_daemon(self, node_id: str, settings: Mapping[str, Any]) -> Daemon:
         """Start a daemon with the settings; it may not be ready yet."""
         path = self.folder / f"{node_id}.yaml"
-        path.write_text(yaml.safe_dump(dict(settings), sort_keys=False), encoding="utf-8")
+        path.write_text(yamltext.dump(dict(settings)), encoding="utf-8")
         data_dir = settings.get("control", {}).get("data_dir")
         if data_dir:
             Path(data_dir).mkdir(parents=True, exist_ok=True)
@@ -219,6 +225,13 @@
         child.signal(signal.SIGTERM)
         return child.wait(timeout_s)
 
+    def stop_all(self, children: Sequence[Child], timeout_s: float = 30.0) -> dict[str, int]:
+        """Ask all for the planned stop at once; return exit codes by name; raises HarnessError."""
+        for child in children:
+            child.signal(signal.SIGTERM)
+        deadline = time.monotonic() + timeout_s
+        return {child.name: child.wait(max(0.0, deadline - time.monotonic())) for child in children}
+
     def kill(self, child: Child) -> None:
         """End a process at once, as a crash would."""
         child.signal(signal.SIGKILL)
