--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -30,6 +30,7 @@
     VersionConflict,
 )
 from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.model import Address
 from knapweedhitch.operator_http import (
     OperatorConnection,
     OperatorRequest,
@@ -74,7 +75,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.cfg = kernel.cfg.operator
-        self.port: int | None = None
+        self.address = Address(kernel.cfg.listen.operator.host, kernel.cfg.listen.operator.port)
         self.phase = "starting"
         self.proposer = Proposer(kernel)
         self._token = b""
@@ -86,10 +87,10 @@
         self._token = load_secret(self.kernel.cfg.secrets.operator_token_file)
         place = self.kernel.cfg.listen.operator
         listeners = await trio.open_tcp_listeners(place.port, host=place.host)
-        self.port = listeners[0].socket.getsockname()[1]
+        self.address = Address(*listeners[0].socket.getsockname()[:2])
         if not ipaddress.ip_address(place.host).is_loopback:
             # The token and every answer can be read on the network between here and the operator.
-            logs.warning("operator_listener_open", host=place.host, port=self.port)
+            logs.warning("operator_listener_open", address=self.address)
         self.kernel.nursery.start_soon(self._listen, listeners)
 
     async def stop(self) -> None:
