--- a/knapweedhitch/cli.py
+++ b/knapweedhitch/cli.py
@@ -18,7 +18,7 @@
 import trio
 
 from knapweedhitch import __version__, cli_answers, cli_pages
-from knapweedhitch.cli_answers import Pending, command
+from knapweedhitch.cli_answers import Pending, command, expected_form
 from knapweedhitch.exceptions import (
     AnswersError,
     ChangeConflict,
@@ -30,6 +30,7 @@
     OperatorRefused,
     OperatorUnreachable,
     SettingsError,
+    VersionLags,
 )
 from knapweedhitch.operator_client import OperatorClient, new_change_id, parse_address
 from knapweedhitch.settings import load_secret, load_settings
@@ -47,6 +48,7 @@
 HELP = (["--help"], ["-h"], ["help"])
 HELP_NOTE = re.compile(r"^INFO: Showing help.*\n\n?", re.MULTILINE)
 CONFLICT_TRIES = 3
+MS_PER_S = 1_000
 KEY_RANDOM_BITS = 74
 
 
@@ -71,12 +73,8 @@
         if self.as_json or page is None:
             print(json.dumps(value, indent=2))
             return
-        try:
+        with expected_form():
             text = page(value)
-        except (LookupError, TypeError, AttributeError, ValueError):
-            raise CommandError(
-                "the daemon answers in the form of another version; add --json to see it"
-            ) from None
         print(text.rstrip("\n"))
 
     def client(self) -> OperatorClient:
@@ -107,6 +105,11 @@
         answer: dict[str, Any] = self._run(self.client().change, path, fields)
         return answer
 
+    def wait(self, version: int, timeout_ms: float) -> None:
+        """Wait until a version is in force at every node; raises VersionLags."""
+        with expected_form():
+            self._run(self.client().wait_everywhere, version, timeout_ms)
+
     @staticmethod
     def _run(fn: Callable[..., Awaitable[Any]], *args: Any) -> Any:
         return trio.run(fn, *args)
@@ -255,6 +258,14 @@
         """Show every node that this node knows."""
         self._context.show(self._context.get("/v1/members"), cli_pages.members)
 
+    @command
+    def wait(self, version: str, *, seconds: str = "10") -> None:
+        """Wait until a version is in force at every node; ask a control instance."""
+        if not all(text.isdecimal() and len(text) < 10 for text in (version, seconds)):
+            raise CommandError("wait: use whole numbers for the version and --seconds")
+        self._context.wait(int(version), int(seconds) * MS_PER_S)
+        self._context.show({"version": int(version)}, lambda _: f"{version} is in force everywhere")
+
     @command
     def explain(self, request_id: str) -> None:
         """Show how one request was routed; send it with the header Knapweedhitch-Explain: 1."""
@@ -303,7 +314,7 @@
         if exc.error in (NoLeader.reason, ChangeUnconfirmed.reason):
             return EXIT_UNREACHABLE
         return EXIT_REFUSED
-    if isinstance(exc, (OperatorUnreachable, OperatorAnswerLost)):
+    if isinstance(exc, (OperatorUnreachable, OperatorAnswerLost, VersionLags)):
         return EXIT_UNREACHABLE
     if isinstance(exc, (CommandError, SettingsError)):
         return EXIT_USAGE
--- a/knapweedhitch/cli_answers.py
+++ b/knapweedhitch/cli_answers.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import functools
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 from typing import Any, Protocol
 
@@ -49,6 +50,17 @@
     return read
 
 
+@contextlib.contextmanager
+def expected_form() -> Iterator[None]:
+    """Raise CommandError if an answer of the daemon has not the form of this version."""
+    try:
+        yield
+    except (LookupError, TypeError, AttributeError, ValueError):
+        raise CommandError(
+            "the daemon answers in the form of another version; add --json to see it"
+        ) from None
+
+
 def read_answers(path: str) -> Answers:
     """Return the checked answers of a file or of a generated folder; raises CommandError."""
     return questionnaire.parse_answers(_read(_answers_path(path)))
@@ -82,8 +94,9 @@
 
 def _running(context: Context) -> tuple[int, tuple[ServiceConfig, ...]]:
     page = context.get("/v1/config")
-    services = [changes_json.parse_service(one) for one in page["services"].values()]
-    return page["version"], tuple(services)
+    with expected_form():
+        services = [changes_json.parse_service(one) for one in page["services"].values()]
+        return int(page["version"]), tuple(services)
 
 
 @dataclasses.dataclass(frozen=True)
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -185,6 +185,15 @@
         super().__init__(f"{error}: {detail}" if detail else error)
 
 
+class VersionLags(OperatorError):
+    """Report nodes at which a version was not in force in time."""
+
+    def __init__(self, version: int, lagging: list[str]) -> None:
+        self.version = version
+        self.lagging = lagging
+        super().__init__(f"version {version} is not yet in force at {', '.join(lagging)}")
+
+
 class CommandError(KnapweedhitchError):
     """Report a command line that cannot be carried out as written."""
 
--- a/knapweedhitch/operator_client.py
+++ b/knapweedhitch/operator_client.py
@@ -15,9 +15,11 @@
     ChangeInvalid,
     ChangeUnconfirmed,
     NoLeader,
+    NotControlInstance,
     OperatorAnswerLost,
     OperatorRefused,
     OperatorUnreachable,
+    VersionLags,
 )
 from knapweedhitch.model import Address
 
@@ -105,6 +107,28 @@
             raise OperatorAnswerLost(str(body["change_id"]), lost)
         raise refused
 
+    async def wait_everywhere(self, version: int, timeout_ms: float) -> None:
+        """Wait until a version is in force at every node that a control instance knows.
+
+        Raises VersionLags with the nodes that lag, OperatorRefused at other instances.
+        """
+        lagging: list[str] = []
+        with trio.move_on_after(timeout_ms / MS_PER_S):
+            while True:
+                page = await self.get("/v1/status")
+                if page["nodes"] is None:
+                    known = ", ".join(page["control_instances"])
+                    raise OperatorRefused(404, NotControlInstance.reason, f"ask one of {known}", {})
+                lagging = [
+                    str(row["node"])
+                    for row in page["nodes"]
+                    if row["version"] is None or row["version"] < version
+                ]
+                if not lagging:
+                    return
+                await trio.sleep(RETRY_DELAY_MS / MS_PER_S)
+        raise VersionLags(version, lagging or ["any node that was asked"])
+
     @staticmethod
     async def _pause(attempt: int) -> None:
         if attempt:
