Close the gaps that mutations of the modules showed

Two lines had no effect, one could replace a control instance when a team adds a machine, and an integer of over 4300 digits written as 0x... made the error line of settings and answers fail with ValueError. Change: control instances are the first with a disk of their domain; error lines show any value; tests for the connection limit, election time, leader hint and tries of the interview. Conclusion: the generator keeps the log members of a team that adds instances at the end.

--- a/knapweedhitch/generator.py
+++ b/knapweedhitch/generator.py
@@ -42,12 +42,11 @@
 
 
 def choose_control(answers: Answers) -> tuple[Instance, ...]:
-    """Return 1, 3 or 5 instances with a disk, each in another failure domain."""
-    chosen = []
+    """Return 1, 3 or 5 instances with a disk, each the first one of its failure domain."""
+    # The first one and not the best one, so that a later instance never replaces a log member.
+    chosen: list[Instance] = []
     for domain in answers.failure_domains:
         candidates = [one for one in answers.instances if one.domain == domain and one.disk]
-        # An instance without a service has no upstream that competes for its time.
-        candidates.sort(key=lambda one: one.service != NO_SERVICE)
         chosen.extend(candidates[:1])
     count = max(n for n in (1, 3, 5) if n <= len(chosen))
     return tuple(chosen[:count])
--- a/knapweedhitch/operator_views.py
+++ b/knapweedhitch/operator_views.py
@@ -154,8 +154,6 @@
 def check_last_domain(kernel: Kernel, domain: str) -> None:
     """Refuse to leave a service without any domain; raises LastDomain that names the services."""
     current: Configuration = kernel.get("config").current
-    if current.is_domain_out(domain):
-        return
     stranded = []
     for name in sorted(current.services):
         targets = kernel.get("membership").targets(name)
--- a/knapweedhitch/proposals.py
+++ b/knapweedhitch/proposals.py
@@ -29,7 +29,10 @@
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
-        self._members = [member.id for member in kernel.cfg.control.members]
+        own_id = kernel.cfg.node.id
+        members = (member.id for member in kernel.cfg.control.members)
+        # A try at this node itself costs no message.
+        self._members = sorted(members, key=lambda node_id: node_id != own_id)
 
     async def submit(self, change: Any) -> int:
         """Return the version of the accepted change.
@@ -48,7 +51,7 @@
     async def _until_accepted(self, change: Any, state: _Attempt) -> int:
         data = changes_json.encode_change(change)
         while True:
-            for node_id in self._order(state.leader_id):
+            for node_id in self._members:
                 before = state.maybe_taken
                 # Set first, because a try that the time limit cancels may have been taken.
                 state.maybe_taken = True
@@ -63,10 +66,6 @@
                     pass
             await trio.sleep(RETRY_DELAY_MS / MS_PER_S)
 
-    def _order(self, leader_id: str | None) -> list[str]:
-        own_id = self._kernel.cfg.node.id
-        return sorted(self._members, key=lambda m: (m != leader_id, m != own_id))
-
     async def _try_at(self, node_id: str, change: Any, data: bytes) -> int:
         if node_id == self._kernel.cfg.node.id and self._kernel.has("control"):
             version: int = await self._kernel.get("control").submit(change)
--- a/knapweedhitch/questionnaire.py
+++ b/knapweedhitch/questionnaire.py
@@ -14,7 +14,6 @@
 MAX_INSTANCES = 15_000
 MAX_SERVICES = 2_200
 MAX_ACTIONS = 100
-SHOWN_CHARS = 80
 # The upper bound of claims.max_claims.
 MAX_CLAIMS = 1_000_000
 MS_PER_S = 1_000
@@ -107,13 +106,14 @@
 
 
 def _shown(answer: Any) -> Any:
-    """Return the answer, cut to a length that fits an error line."""
+    """Return a simple answer as it is, and any other one as text that fits an error line."""
     if isinstance(answer, (bool, float)) or answer is None:
         return answer
-    if isinstance(answer, int):
-        return answer if abs(answer) < 1 << 64 else "a very large number"
-    text = answer if isinstance(answer, str) else repr(answer)
-    return text if len(text) <= SHOWN_CHARS else text[:SHOWN_CHARS] + "..."
+    if isinstance(answer, int) and abs(answer) < 1 << 64:
+        return answer
+    if isinstance(answer, str) and len(answer) <= yamltext.SHOWN_CHARS:
+        return answer
+    return yamltext.shown(answer)
 
 
 def parse_value(question: Question, raw: Any, place: str) -> Any:
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -313,8 +313,7 @@
 
 
 def _problem(error: Any) -> str:
-    shown = repr(error.get("input"))[:80]
-    return f"{error['msg']}; got {shown}"
+    return f"{error['msg']}; got {yamltext.shown(error.get('input'))}"
 
 
 def _check_relations(cfg: Settings, place: str) -> None:
--- a/knapweedhitch/yamltext.py
+++ b/knapweedhitch/yamltext.py
@@ -7,6 +7,8 @@
 
 import yaml
 
+SHOWN_CHARS = 80
+
 
 class _Loader(yaml.SafeLoader):
     """Refuse aliases and repeated keys."""
@@ -37,6 +39,16 @@
         return True
 
 
+def shown(value: Any) -> str:
+    """Return a value for an error line, cut to a bounded length."""
+    try:
+        text = repr(value)
+    except ValueError:
+        # Python refuses to write integers of over 4300 digits; YAML can hold them as 0x...
+        return "a very large number"
+    return text if len(text) <= SHOWN_CHARS else text[:SHOWN_CHARS] + "..."
+
+
 def load(text: str) -> Any:
     """Return the value of a YAML text; raises ValueError with one line on any damage."""
     try:
--- a/tests/features/answers.feature
+++ b/tests/features/answers.feature
@@ -69,6 +69,7 @@
       | path                          | value | section | key                  | result |
       | promises/domains_out_within_s | 2     | feed    | config_lease_ms      | 1000   |
       | promises/domains_out_within_s | 3     | feed    | config_lease_ms      | 2000   |
+      | promises/domains_out_within_s | 2     | control | election_timeout_ms  | 500    |
       | promises/domains_out_within_s | 10    | control | activation_delay_ms  | 14000  |
       | promises/paid_calls_per_min   | 1000  | claims  | max_claims           | 480000 |
       | services/2/upload_takes_up_to_s | 1200 | stop   | drain_timeout_ms     | 1200000 |
--- a/tests/features/settings.feature
+++ b/tests/features/settings.feature
@@ -27,6 +27,7 @@
       | control/members               | [{id: a, host: 10.0.0.1, port: 1}, {id: a, host: 10.0.0.1, port: 1}, {id: a, host: 10.0.0.1, port: 1}] | control.members |
       | feed/config_lease_ms          | 0               | feed.config_lease_ms          |
       | routing/hedge_ratio           | 1.1             | routing.hedge_ratio           |
+      | node/domain                   | 1               | node.domain                   |
       | operator/max_body_bytes       | -1              | operator.max_body_bytes       |
       | admission/max_leases_per_peer | -1              | admission.max_leases_per_peer |
 
--- a/tests/test_generator.py
+++ b/tests/test_generator.py
@@ -72,10 +72,8 @@
         """Guards against a log that loses its members because the team grew."""
         raw = choir()
         before = generator.choose_control(answers_of(raw))
-        raw["instances"].append(
-            {"name": "a-first", "address": "10.20.9.9", "domain": "dalby", "disk": True}
-            | {"service": "robes"}
-        )
+        new = {"name": "a-first", "address": "10.20.9.9", "domain": "dalby", "disk": True}
+        raw["instances"].append(new)
         self.assertEqual(generator.choose_control(answers_of(raw)), before)
 
     def test_examples_match_the_design_page(self) -> None:
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import logging
 import re
 import unittest
@@ -115,14 +116,18 @@
         self.assertAlmostEqual(run(scenario), 10.0, delta=0.1)
 
     def test_connection_over_the_limit_is_told(self) -> None:
-        """Guards against operators locked out without a reason."""
+        """Guards against operators locked out without a reason, or after others have left."""
 
-        async def scenario() -> bytes:
+        async def scenario() -> tuple[Any, Any]:
             world = World()
-            world.api._connections = world.api.cfg.max_connections
-            return await world.raw(b"")
+            async with contextlib.AsyncExitStack() as stack:
+                for _ in range(world.api.cfg.max_connections):
+                    await stack.enter_async_context(world.connected())
+                await trio.testing.wait_all_tasks_blocked()
+                refused = await world.raw(b"")
+            return split_answer(refused)[1]["error"], (await world.ask("GET", "/ready"))[0]
 
-        self.assertEqual(split_answer(run(scenario))[1]["error"], "too-many-connections")
+        self.assertEqual(run(scenario), ("too-many-connections", 200))
 
     def test_requests_follow_each_other_on_one_connection(self) -> None:
         """Guards against a second request that is lost or answered by the first one's answer."""
@@ -207,10 +212,11 @@
         """Guards against "refused" for a change in force, or "unknown" for one never sent."""
         down = {node: [PeerUnreachable("down")] for node in ("n1", "n2", "n3")}
         late = {**down, "n2": [PeerTimeout("late"), PeerUnreachable("down")]}
-        refusing = [NotLeader(None)] * 1_000
+        refusing = [NotLeader("n9")] * 1_000
         self.assertEqual(self.post(down)[:2], (503, "no-leader"))
         self.assertEqual(self.post(late)[:2], (503, "proposal-unknown"))
-        self.assertEqual(self.post(down, *refusing)[:2], (503, "no-leader"))
+        status, error, answer = self.post(down, *refusing)
+        self.assertEqual((status, error, answer["leader_id"]), (503, "no-leader", "n9"))
         answer = self.post(down, ProposalUnknown("lost"), *refusing)
         self.assertEqual(answer[:2], (503, "proposal-unknown"))
 
--- a/tests/test_questionnaire.py
+++ b/tests/test_questionnaire.py
@@ -52,9 +52,11 @@
 
     def test_long_answers_are_cut_in_the_error(self) -> None:
         """Guards against an error line that fills the screen."""
-        for value in ("x" * 10_000, ["x"] * 10_000, 10**4_000):
+        huge = changed("organisation/first_port", 4_242).replace("4242", "0x" + "f" * 5_000)
+        long = [changed("organisation/first_port", one) for one in ("x" * 10_000, ["x"] * 10_000)]
+        for text in (huge, *long):
             with self.assertRaises(AnswersError) as caught:
-                parse_answers(changed("organisation/first_port", value))
+                parse_answers(text)
             self.assertLess(len(str(caught.exception)), 300)
 
     @BOUNDED
@@ -152,8 +154,8 @@
 
     def test_interview_ends(self) -> None:
         """Guards against an interview that asks a closed input or a script for ever."""
-        for lines in ([], ["Choir Robes"] * 100):
-            with self.assertRaises(CommandError):
+        for lines, problem in (([], "input ended"), (["Choir Robes"] * 100, "5 tries")):
+            with self.assertRaisesRegex(CommandError, problem):
                 self.run_with(lines)
 
     def test_template_is_valid_and_asks_everything(self) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -63,6 +63,12 @@
         with contextlib.suppress(SettingsError):
             parse_settings(yamltext.dump(base(**{name: raw})))
 
+    def test_huge_number_is_a_settings_error(self) -> None:
+        """Guards against an integer that Python refuses to write into the error line."""
+        text = yamltext.dump(base(log={"max_lines_per_s": 4_242}))
+        with self.assertRaisesRegex(SettingsError, "a very large number"):
+            parse_settings(text.replace("4242", "0x" + "f" * 5_000))
+
     def test_oversized_file_is_refused(self) -> None:
         """Guards against a file that fills the memory of the process."""
         with tempfile.NamedTemporaryFile() as file:
