--- a/knapweedhitch/gossip.py
+++ b/knapweedhitch/gossip.py
@@ -60,6 +60,11 @@
         level = URGENT_LEVEL if urgent else NORMAL_LEVEL
         self._place(level, update, size)
 
+    def holds_record(self, node_id: str) -> bool:
+        """Tell whether the whole record of a node still has to spread."""
+        level = self._level_of.get(node_id)
+        return level is not None and isinstance(self._levels[level][node_id][0], Member)
+
     def _place(self, level: int, update: Update, size: int) -> None:
         while len(self._levels) <= level:
             self._levels.append({})
--- a/knapweedhitch/membership.py
+++ b/knapweedhitch/membership.py
@@ -259,9 +259,10 @@
             # A rack that is lost or restarted at once spreads over several syncs instead.
             self.counters.add("member_events_limited")
             return
-        urgent = member.state is MemberState.LEFT or (
-            known is not None and _stops_work(member) and not _stops_work(known)
-        )
+        if self.spread.holds_record(member.node_id) and member.state in LIVE:
+            # A suspicion must not take the place of a record that others still lack.
+            spread = member
+        urgent = known is not None and _stops_work(known, member)
         self.spread.add(spread, urgent=urgent)
         if urgent:
             self._gossip_soon()
@@ -376,7 +377,11 @@
             self.prober.on_indirect(msg, address)
 
 
-def _stops_work(member: Member) -> bool:
-    """Tell whether the node must get no new work."""
-    leaving = member.upstream is not None and member.upstream.state is UpstreamState.LEAVING
-    return member.draining or leaving or member.state not in LIVE
+def _stops_work(old: Member, new: Member) -> bool:
+    """Tell whether a change says that the node must get no new work."""
+    if new.state not in LIVE:
+        # Every node finds a death by its own timer; only a leave is news.
+        return new.state is MemberState.LEFT
+    if new.upstream is None:
+        return old.upstream is not None
+    return new.draining or new.upstream.state is UpstreamState.LEAVING
--- a/knapweedhitch/transport.py
+++ b/knapweedhitch/transport.py
@@ -246,6 +246,13 @@
             if self._udp is not None:
                 self._udp.close()
 
+    async def aclose(self) -> None:
+        """Close both sockets of a node that does not serve them."""
+        if self._udp is not None:
+            self._udp.close()
+        if self._listener is not None:
+            await self._listener.aclose()
+
     @contextlib.asynccontextmanager
     async def connect(self, address: Address) -> AsyncIterator[Wire]:
         """Open a link; raises PeerUnreachable."""
--- a/tests/fake_net.py
+++ b/tests/fake_net.py
@@ -79,6 +79,7 @@
     def __init__(self, net: MemoryNet, own: Address) -> None:
         self._net = net
         self._own = own
+        self.paused_until = 0.0
         self.out, self._in = trio.open_memory_channel[tuple[bytes, Address]](10_000)
 
     def send(self, data: bytes, address: Address) -> bool:
@@ -86,7 +87,10 @@
         return True
 
     async def receive(self) -> tuple[bytes, Address]:
-        return await self._in.receive()
+        got = await self._in.receive()
+        if trio.current_time() < self.paused_until:
+            await trio.sleep_until(self.paused_until)
+        return got
 
 
 class MemoryTransport:
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,204 @@
+"""Tests of the member table, of the updates that spread and of gossip datagrams."""
+
+from __future__ import annotations
+
+import unittest
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweedhitch.counters import Counters
+from knapweedhitch.gossip import GossipSocket, Spread, encoded_bytes
+from knapweedhitch.members import BUCKETS, MemberTable, bucket_of, precedence, verdict_of
+from knapweedhitch.messages import Gossip, Verdict
+from knapweedhitch.model import (
+    Address,
+    Member,
+    MemberEvent,
+    MemberState,
+    UpstreamRecord,
+    UpstreamState,
+)
+from tests.fake_net import SECRET, MemoryDatagrams, MemoryNet, listen
+
+PLACE = Address("127.0.0.1", 7000)
+STATES = list(MemberState)
+
+
+def member(
+    node_id: str = "a",
+    incarnation: int = 1,
+    state: MemberState = MemberState.ALIVE,
+    service: str | None = "s",
+    leaving: bool = False,
+    started: int = 1,
+    draining: bool = False,
+) -> Member:
+    """Return a record."""
+    up_state = UpstreamState.LEAVING if leaving else UpstreamState.SERVING
+    upstream = UpstreamRecord(service, PLACE, 9, 220, "i", 1, up_state) if service else None
+    return Member(
+        node_id, PLACE, "r", "d", incarnation, state, draining, upstream, started_wall_ms=started
+    )
+
+
+records = st.builds(
+    member,
+    st.sampled_from("abc"),
+    st.integers(1, 3),
+    st.sampled_from(STATES),
+    st.sampled_from(["s", "t", None]),
+    st.booleans(),
+    st.integers(1, 2),
+)
+
+
+class TableTest(unittest.TestCase):
+    def table(self) -> MemberTable:
+        """Return an empty table whose clock the test sets."""
+        self.now = 0.0
+        self.events: list[MemberEvent] = []
+        return MemberTable(lambda: self.now, self.events.append)
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.lists(records, max_size=12))
+    def test_index_and_hashes_equal_a_fresh_count(self, puts: list[Member]) -> None:
+        """Guards against an index of targets that differs from the records after many changes."""
+        table = self.table()
+        latest: dict[str, Member] = {}
+        for record in puts:
+            table.put(record)
+            latest[record.node_id] = record
+            table.targets("s")
+        live = {n: m for n, m in latest.items() if m.state.value in ("alive", "suspect")}
+        self.assertEqual(dict(table.live), live)
+        for service in ("s", "t"):
+            expected = {n for n, m in live.items() if m.upstream and m.upstream.service == service}
+            targets = table.targets(service)
+            self.assertEqual({t.node_id for t in targets}, expected)
+            for target in targets:
+                found = live[target.node_id]
+                self.assertEqual(target.upstream, found.upstream)
+                self.assertEqual(target.suspect, found.state is MemberState.SUSPECT)
+        fresh = self.table()
+        for record in live.values():
+            fresh.put(record)
+        self.assertEqual(table.digest(), fresh.digest())
+        self.assertEqual(table.differing(fresh.digest()), ())
+
+    def test_draining_targets_are_marked(self) -> None:
+        """Guards against new work for a node or upstream that leaves."""
+        table = self.table()
+        for change in ({"leaving": True}, {"draining": True}):
+            table.put(member(**change))  # type: ignore[arg-type]
+            self.assertTrue(table.targets("s")[0].draining)
+        table.put(member())
+        self.assertFalse(table.targets("s")[0].draining)
+
+    def test_newer_start_wins_over_any_state(self) -> None:
+        """Guards against a restarted node that is refused because of its former life."""
+        order = [
+            member(incarnation=9, state=MemberState.LEFT),
+            member(started=2),
+            member(started=2, state=MemberState.SUSPECT),
+            member(started=2, state=MemberState.DEAD),
+            member(started=2, incarnation=2),
+        ]
+        self.assertEqual(sorted(order, key=precedence), order)
+
+    def test_digest_names_the_bucket_that_differs(self) -> None:
+        """Guards against an anti-entropy that sends all members for one difference."""
+        table, other = self.table(), self.table()
+        for i in range(300):
+            table.put(member(f"n{i}"))
+            other.put(member(f"n{i}", 2 if i == 7 else 1))
+        self.assertEqual(table.differing(other.digest()), (bucket_of("n7"),))
+        self.assertEqual(len(table.differing(b"short")), BUCKETS)
+
+    def test_dead_records_expire_without_a_difference(self) -> None:
+        """Guards against dead records that come back from a node that expires them later."""
+        table, other = self.table(), self.table()
+        for each in (table, other):
+            each.put(member("a", state=MemberState.DEAD))
+            each.put(member("b"))
+        self.now = 1_000.0
+        table.expire(1_000)
+        self.assertIsNone(table.get("a"))
+        self.assertIsNotNone(table.get("b"))
+        self.assertEqual(table.differing(other.digest()), ())
+        self.assertTrue(other.drop_oldest_dead())
+        self.assertFalse(other.drop_oldest_dead())
+
+
+class SpreadTest(unittest.TestCase):
+    def spread(self, max_updates: int = 100) -> Spread:
+        """Return an empty spread."""
+        return Spread(max_updates, 1_000, Counters())
+
+    def test_an_update_is_sent_a_bounded_number_of_times(self) -> None:
+        """Guards against an update that circulates for ever."""
+        spread = self.spread()
+        spread.add(member())
+        sends = 0
+        while len(spread):
+            sends += len(spread.take(1_000, 100)[0])
+        self.assertEqual(sends, 8)
+
+    def test_least_sent_and_urgent_updates_go_first(self) -> None:
+        """Guards against a leave that waits behind the loss of a rack."""
+        spread = self.spread()
+        for i in range(20):
+            spread.add(Verdict(f"n{i}", 1, 1, MemberState.DEAD))
+        first = spread.take(100, 100)[1]
+        spread.add(member("leaver"), urgent=True)
+        members, second = spread.take(150, 100)
+        self.assertEqual(members[0].node_id, "leaver")
+        self.assertFalse({v.node_id for v in first} & {v.node_id for v in second})
+
+    def test_pending_updates_are_bounded(self) -> None:
+        """Guards against mass restarts that fill the memory with updates."""
+        spread = self.spread(10)
+        for i in range(50):
+            spread.add(member(f"n{i}"))
+        self.assertEqual(len(spread), 10)
+        spread.add(member("x" * 60, service="y" * 1_000))
+        self.assertEqual(len(spread), 10)
+
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(st.lists(records, max_size=30), st.integers(0, 600))
+    def test_taken_updates_fit(self, updates: list[Member], room: int) -> None:
+        """Guards against datagrams over the limit."""
+        spread = self.spread()
+        for i, update in enumerate(updates):
+            spread.add(update if i % 2 else verdict_of(update))
+        members, verdicts = spread.take(room, 10)
+        self.assertLessEqual(sum(map(encoded_bytes, (*members, *verdicts))), room)
+
+
+class DatagramTest(unittest.TestCase):
+    @settings(derandomize=True, max_examples=150, deadline=None)
+    @given(st.binary(max_size=100), st.integers(0, 200), st.integers(1, 255))
+    def test_changed_or_arbitrary_datagrams_are_dropped(
+        self, noise: bytes, place: int, flip: int
+    ) -> None:
+        """Guards against one changed bit, or a stranger's bytes, that reach the member table."""
+        net = MemoryNet()
+        counters = Counters()
+        own = Address("127.0.0.1", 1)
+        sender = GossipSocket(MemoryDatagrams(net, own), SECRET, "c", 1_200, counters)
+        sender.send(Gossip("a", (member(),), ()), listen(2))  # type: ignore[arg-type]
+        data = bytearray(net.datagrams[0][0])
+        data[place % len(data)] ^= flip
+        inbox = MemoryDatagrams(net, own)
+        got: list[object] = []
+
+        async def main() -> None:
+            socket = GossipSocket(inbox, SECRET, "c", 1_200, counters)
+            for bad in (bytes(data), noise, net.datagrams[0][0][:-1]):
+                inbox.out.send_nowait((bad, own))
+            with trio.move_on_after(0.001):
+                await socket.run(lambda msg, address: got.append(msg))
+
+        trio.run(main)
+        self.assertEqual(got, [])
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,334 @@
+"""Tests of the membership protocol on the in-memory network."""
+
+from __future__ import annotations
+
+import contextlib
+import random
+import unittest
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import trio
+
+from knapweedhitch.membership import Membership
+from knapweedhitch.messages import Gossip, Verdict
+from knapweedhitch.model import Address, MemberState, UpstreamRecord, UpstreamState
+from knapweedhitch.settings import MembershipSettings
+from knapweedhitch.timers import Timers
+from tests.fake_net import MemoryNet, Node, listen
+from tests.test_peers import clocked
+
+SEED = 20
+
+
+class NetTimers(Timers):
+    """Timers whose wall clock follows the mock clock, and that can stand still."""
+
+    wall_offset_ms = 0
+    _pause_s = 0.0
+
+    def wall_ms(self) -> int:  # type: ignore[override]
+        """Return the mock clock in whole milliseconds."""
+        return 1_000_000 + int(trio.current_time() * 1_000) + self.wall_offset_ms
+
+    def pause(self, seconds: float) -> None:
+        """Stand still like a stopped process; what was due then fires late."""
+        self._pause_s = seconds
+        self._scope.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            with trio.CancelScope() as self._scope:
+                await super()._run()
+            await trio.sleep(self._pause_s)
+
+
+def upstream(state: UpstreamState = UpstreamState.SERVING, instance: str = "i") -> UpstreamRecord:
+    """Return an announcement."""
+    return UpstreamRecord("svc", Address("127.0.0.1", 1), 9, 220, instance, 1, state)
+
+
+class Cluster:
+    """Nodes with a membership on one network."""
+
+    def __init__(self, net: MemoryNet, nursery: trio.Nursery, **cfg: Any) -> None:
+        self.net = net
+        self.nursery = nursery
+        self.cfg = MembershipSettings(seeds=(listen(7000),), **cfg)
+        self.nodes: dict[int, Node] = {}
+
+    async def start(self, index: int, wall_offset_ms: int = 0) -> Node:
+        """Start or restart node n<index>."""
+        node = Node(self.net, index, membership=self.cfg)
+        timers = NetTimers(node.kernel, random.Random(SEED + index))
+        timers.wall_offset_ms = wall_offset_ms
+        node.kernel._services["timers"] = node.peers._timers = timers
+        node.add("membership", Membership(node.kernel, random.Random(SEED + index)))
+        self.nodes[index] = node
+        await self.nursery.start(node.run)
+        return node
+
+    async def crash(self, index: int) -> None:
+        """End a node at once."""
+        await self.nodes.pop(index).crash(self.net)
+
+    def pause(self, index: int, seconds: float) -> None:
+        """Let the process of a node stand still, if it runs."""
+        node = self.nodes[index]
+        if node.transport.datagrams.paused_until > trio.current_time():
+            return
+        node.kernel.get("timers").pause(seconds)
+        node.transport.datagrams.paused_until = trio.current_time() + seconds
+
+    def view(self, index: int) -> Membership:
+        """Return the membership of a node."""
+        found: Membership = self.nodes[index].kernel.get("membership")
+        return found
+
+    def agreed(self) -> bool:
+        """Tell whether every live node knows exactly the live nodes."""
+        ids = {node.node_id for node in self.nodes.values()}
+        return all(set(self.view(i).members()) == ids for i in self.nodes)
+
+    async def until(self, fn: Callable[[], bool], limit_s: float) -> float:
+        """Wait until fn holds and return the seconds that it took; fails after the limit."""
+        started = trio.current_time()
+        while not fn():
+            if trio.current_time() - started > limit_s:
+                raise AssertionError(f"not within {limit_s} s")
+            await trio.sleep(0.02)
+        return trio.current_time() - started
+
+
+@contextlib.asynccontextmanager
+async def cluster(count: int, net: MemoryNet | None = None, **cfg: Any) -> AsyncIterator[Cluster]:
+    """Run a cluster that has joined."""
+    net = net or MemoryNet(max_delay_s=0.005)
+    async with trio.open_nursery() as nursery:
+        net.nursery = nursery
+        made = Cluster(net, nursery, **cfg)
+        for index in range(count):
+            await made.start(index)
+        await made.until(made.agreed, 10)
+        yield made
+        nursery.cancel_scope.cancel()
+
+
+class MembershipTest(unittest.TestCase):
+    @clocked
+    async def test_crash_is_found_and_restart_wins(self) -> None:
+        """Guards against a dead node that stays a member, and a restarted one that stays dead."""
+        async with cluster(8) as c:
+            await c.crash(3)
+            await c.until(c.agreed, 12)
+            await c.start(3)
+            await c.until(c.agreed, 3)
+
+    @clocked
+    async def test_restart_before_detection_and_with_an_older_clock(self) -> None:
+        """Guards against a restarted node whose records lose against its former life."""
+        for offset_ms in (0, -500_000):
+            async with cluster(5) as c:
+                c.view(2).announce_local(upstream(instance="old"))
+                await trio.sleep(3)
+                await c.crash(2)
+                await c.start(2, offset_ms)
+                c.view(2).announce_local(upstream(instance="new"))
+
+                def seen(c: Cluster = c) -> bool:
+                    found = [c.view(i).targets("svc") for i in c.nodes]
+                    return all([t.upstream.instance_id for t in ts] == ["new"] for ts in found)
+
+                await c.until(seen, 15)
+                await c.until(c.agreed, 5)
+
+    @clocked
+    async def test_leaving_is_known_everywhere_within_two_seconds(self) -> None:
+        """Guards against new work for an upstream that leaves, also when datagrams are lost."""
+        net = MemoryNet(max_delay_s=0.05, loss=0.2)
+        async with cluster(25, net) as c:
+            c.view(4).announce_local(upstream())
+            await c.until(lambda: all(c.view(i).targets("svc") for i in c.nodes), 5)
+            changes: list[Callable[[], None]] = [
+                lambda: c.view(4).announce_local(upstream(UpstreamState.LEAVING)),
+                lambda: c.view(4).announce_local(upstream()),
+                lambda: c.view(4).set_draining(True),
+            ]
+            for i, change in enumerate(changes):
+                change()
+                expected = i != 1
+                await c.until(
+                    lambda e=expected: all(  # type: ignore[misc]
+                        c.view(i).targets("svc")[0].draining is e for i in c.nodes
+                    ),
+                    2.0,
+                )
+            c.view(4).announce_local(None)
+            await c.until(lambda: not any(c.view(i).targets("svc") for i in c.nodes), 2.0)
+
+    @clocked
+    async def test_leave_is_not_a_death(self) -> None:
+        """Guards against a planned stop that is found only by failed probes."""
+        async with cluster(6) as c:
+            leaver = c.nodes.pop(2)
+            await leaver.kernel.get("membership").leave()
+            await c.until(c.agreed, 2)
+            states = {c.view(i).table.get("n2") for i in c.nodes}
+            self.assertEqual({m.state for m in states if m}, {MemberState.LEFT})
+            self.assertIsNone(c.view(0).address_of("n2"))
+
+    @clocked
+    async def test_linked_peers_hear_of_a_change_without_gossip(self) -> None:
+        """Guards against a leave that waits for datagrams although a link is open."""
+        net = MemoryNet(max_delay_s=0.005)
+        async with cluster(3, net) as c:
+            await c.nodes[1].peers._link("n0")
+            net.loss = 1.0
+            c.view(1).announce_local(upstream(UpstreamState.LEAVING))
+            await c.until(lambda: bool(c.view(0).targets("svc")), 0.1)
+
+    @clocked
+    async def test_false_suspicion_is_refuted(self) -> None:
+        """Guards against a live node that rumours declare dead."""
+        async with cluster(6) as c:
+            own = c.view(5).own
+            for state in (MemberState.SUSPECT, MemberState.DEAD):
+                verdict = Verdict("n5", own.started_wall_ms, own.incarnation, state)
+                c.view(0).merge((), (verdict,))
+                await trio.sleep(8)
+                self.assertTrue(c.agreed())
+                own = c.view(5).own
+            self.assertGreaterEqual(own.incarnation, 3)
+            self.assertEqual({m.state for m in c.view(1).members().values()}, {MemberState.ALIVE})
+
+    @clocked
+    async def test_lossy_network_kills_nobody(self) -> None:
+        """Guards against deaths that a few lost, doubled or reordered datagrams cause."""
+        net = MemoryNet(loss=0.15, duplication=0.2, max_delay_s=0.1)
+        async with cluster(10, net) as c:
+            for _ in range(60):
+                await trio.sleep(1)
+                self.assertTrue(c.agreed())
+
+    @clocked
+    async def test_partition_heals(self) -> None:
+        """Guards against two sides that stay apart after they declared each other dead."""
+        net = MemoryNet(max_delay_s=0.005)
+        async with cluster(9, net) as c:
+            for i in range(5, 9):
+                net.groups[c.nodes[i].transport.address] = 1
+            await c.until(lambda: len(c.view(0).members()) == 5, 20)
+            await c.until(lambda: len(c.view(7).members()) == 4, 20)
+            net.groups.clear()
+            await c.until(c.agreed, 30)
+            await trio.sleep(15)
+            self.assertTrue(c.agreed())
+
+    @clocked
+    async def test_partition_longer_than_the_retention_heals_through_seeds(self) -> None:
+        """Guards against sides that forgot each other and have no address left to try."""
+        net = MemoryNet(max_delay_s=0.005)
+        async with cluster(6, net, dead_retention_ms=20_000) as c:
+            for i in range(3, 6):
+                net.groups[c.nodes[i].transport.address] = 1
+            await trio.sleep(90)
+            self.assertIsNone(c.view(0).table.get("n4"))
+            net.groups.clear()
+            await c.until(c.agreed, 40)
+
+    @clocked
+    async def test_paused_process_accuses_nobody(self) -> None:
+        """Guards against a process that stood still and then declares others dead."""
+        async with cluster(5) as c:
+            c.pause(1, 20.0)
+            before = c.nodes[1].counters.get("member_changes", "dead")
+            await trio.sleep(40)
+            self.assertEqual(c.nodes[1].counters.get("member_changes", "dead"), before)
+            self.assertTrue(c.agreed())
+
+    @clocked
+    async def test_replayed_datagrams_change_nothing(self) -> None:
+        """Guards against a stranger that sends recorded datagrams again."""
+        net = MemoryNet(max_delay_s=0.005)
+        async with cluster(4, net) as c:
+            c.view(3).announce_local(upstream())
+            await trio.sleep(2)
+            recorded = list(net.datagrams)
+            c.view(3).announce_local(upstream(UpstreamState.LEAVING))
+            await trio.sleep(2)
+            for data, source, address in recorded:
+                net._deliver(data, source, address)
+            await trio.sleep(5)
+            for i in c.nodes:
+                self.assertTrue(c.view(i).targets("svc")[0].draining)
+            self.assertTrue(c.agreed())
+
+    @clocked
+    async def test_lost_rack_and_mass_restart_keep_the_byte_budget(self) -> None:
+        """Guards against a storm of gossip when many nodes are lost or restarted at once."""
+        async with cluster(40) as c:
+            lost = list(range(28, 40))
+            for i in lost:
+                await c.crash(i)
+            await self.assert_budget(c, 20)
+            await c.until(c.agreed, 10)
+            for i in lost:
+                await c.start(i)
+            await self.assert_budget(c, 10)
+            await c.until(c.agreed, 10)
+
+    async def assert_budget(self, c: Cluster, seconds: float) -> None:
+        """Check the gossip bytes of every node against rate and burst of the settings."""
+        before = {i: c.nodes[i].counters.get("gossip_bytes_out", "Gossip") for i in c.nodes}
+        await trio.sleep(seconds)
+        for i, sent in before.items():
+            used = c.nodes[i].counters.get("gossip_bytes_out", "Gossip") - sent
+            limit = c.cfg.gossip_burst_bytes + seconds * c.cfg.gossip_bytes_per_s
+            self.assertLessEqual(used, limit + c.cfg.max_datagram_bytes)
+
+    @clocked
+    async def test_events_are_limited_and_repaired_by_syncs(self) -> None:
+        """Guards against updates that are dropped by the limit and never arrive."""
+        net = MemoryNet(max_delay_s=0.005)
+        async with cluster(12, net, max_events_per_s=1, sync_interval_ms=2_000) as c:
+            for i in c.nodes:
+                c.view(i).announce_local(upstream(instance=str(i)))
+            await c.until(lambda: all(len(c.view(i).targets("svc")) == 12 for i in c.nodes), 30)
+            limited = sum(n.counters.get("member_events_limited") for n in c.nodes.values())
+            self.assertGreater(limited, 0)
+
+    @clocked
+    async def test_flapping_announcements_are_limited(self) -> None:
+        """Guards against an upstream that flaps and costs the cluster a message each time."""
+        async with cluster(3) as c:
+            first = c.view(1).own.incarnation
+            for i in range(200):
+                c.view(1).announce_local(upstream(instance=str(i)))
+                await trio.sleep(0.01)
+            self.assertLess(c.view(1).own.incarnation - first, 25)
+            await trio.sleep(1)
+            (target,) = c.view(0).targets("svc")
+            self.assertEqual(target.upstream.instance_id, "199")
+
+    @clocked
+    async def test_table_is_bounded(self) -> None:
+        """Guards against forged or forgotten members that fill the memory."""
+        async with cluster(3, max_members=4) as c:
+            own = c.view(0).own
+            for i in range(10):
+                news = Gossip("x", (own.__class__(f"x{i}", own.address, "r", "d", 1),), ())
+                await c.view(0)._on_pushed("x", news)
+            self.assertEqual(len(c.view(0).table), 4)
+            self.assertGreater(c.nodes[0].counters.get("member_table_full"), 0)
+
+    @clocked
+    async def test_failing_subscriber_stops_nothing(self) -> None:
+        """Guards against a fault in a subscriber that ends the membership."""
+
+        def fail(event: object) -> None:
+            raise ZeroDivisionError
+
+        async with cluster(3) as c:
+            c.view(0).subscribe(fail)
+            await c.start(3)
+            await c.until(c.agreed, 5)
--- /dev/null
+++ b/tests/test_transport.py
@@ -0,0 +1,217 @@
+"""Tests of the real sockets, on loopback with ports that the system chooses."""
+
+from __future__ import annotations
+
+import contextlib
+import socket
+import unittest
+from collections.abc import AsyncIterator
+
+import trio
+
+from knapweedhitch.codec import Message
+from knapweedhitch.exceptions import PeerDisconnected, PeerUnreachable
+from knapweedhitch.gossip import GossipSocket
+from knapweedhitch.messages import Ack, ClaimComplete, FeedPoll, Gossip
+from knapweedhitch.model import Address
+from knapweedhitch.peers import Peers
+from knapweedhitch.settings import ListenSettings, PeerSettings
+from knapweedhitch.transport import NetTransport, WebsocketWire
+from tests.fake_net import SECRET, MemoryNet, Node, StaticMembership, listen
+
+POLL = FeedPoll(1, False)
+
+
+async def echo(node_id: str, msg: Message) -> Message:
+    """Reply to any call."""
+    return Ack()
+
+
+@contextlib.asynccontextmanager
+async def real_nodes(cfg: PeerSettings | None = None) -> AsyncIterator[list[Node]]:
+    """Run two nodes on real sockets."""
+    nodes = []
+    known = StaticMembership(0)
+    async with trio.open_nursery() as nursery:
+        for i in range(2):
+            node = Node(
+                MemoryNet(),
+                i,
+                listen=ListenSettings(peers=listen(0)),
+                peers=cfg or PeerSettings(),
+            )
+            node.peers = Peers(node.kernel, NetTransport(node.kernel.cfg.peers), SECRET)
+            node.kernel._services["peers"] = node.peers
+            node.add("membership", known)
+            for msg_type in (FeedPoll, ClaimComplete):
+                node.peers.handle(msg_type, echo)
+            await nursery.start(node.run)
+            known.addresses[node.node_id] = node.peers.address
+            nodes.append(node)
+        yield nodes
+        nursery.cancel_scope.cancel()
+
+
+class RealLinkTest(unittest.TestCase):
+    def test_link_options(self) -> None:
+        """Guards against a link that delays small frames or spends time on compression."""
+
+        async def main() -> None:
+            async with real_nodes() as (a, b):
+                self.assertEqual(await a.peers.call("n1", POLL, 2_000), Ack())
+                for node in (a, b):
+                    (link,) = node.peers._links
+                    wire = link._wire
+                    assert isinstance(wire, WebsocketWire)
+                    stream = wire._conn.stream
+                    assert isinstance(stream, trio.SocketStream)
+                    self.assertTrue(stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+                    self.assertEqual(wire._conn.protocol.extensions, [])
+                    self.assertIsNone(wire._conn.ping_interval)
+
+        trio.run(main)
+
+    def test_oversize_messages_are_not_sent(self) -> None:
+        """Guards against a message over the limit, which would cost the link of all others."""
+
+        async def main() -> None:
+            async with real_nodes(PeerSettings(max_message_bytes=10_000)) as (a, _):
+                big = ClaimComplete("s", "k", "c", True, 200, (), b"x" * 10_000)
+                await a.peers.call("n1", POLL, 2_000)
+                with self.assertRaises(Exception) as caught:
+                    await a.peers.call("n1", big, 2_000)
+                self.assertEqual(type(caught.exception).__name__, "PeerQueueFull")
+                self.assertEqual(await a.peers.call("n1", POLL, 2_000), Ack())
+
+        trio.run(main)
+
+    def test_arbitrary_bytes_to_the_listener(self) -> None:
+        """Guards against a stranger that ends the listener with bytes that are no handshake."""
+        chunks = [
+            b"",
+            b"\x00" * 5_000,
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"\x16\x03\x01\x02\x00" + b"a" * 300,
+        ]
+
+        async def main() -> None:
+            async with real_nodes() as (a, b):
+                address = b.peers.address
+                for chunk in chunks:
+                    stream = await trio.open_tcp_stream(address.host, address.port)
+                    with contextlib.suppress(trio.BrokenResourceError):
+                        await stream.send_all(chunk)
+                    await stream.aclose()
+                self.assertEqual(await a.peers.call("n1", POLL, 2_000), Ack())
+
+        trio.run(main)
+
+    def test_closed_port_and_mute_listener_are_unreachable(self) -> None:
+        """Guards against a dial that waits for ever or raises an untyped error."""
+
+        async def main() -> None:
+            cfg = PeerSettings(connect_timeout_ms=100)
+            transport = NetTransport(cfg)
+            mute = socket.socket()
+            with mute:
+                mute.bind(("127.0.0.1", 0))
+                port = mute.getsockname()[1]
+                for listening in (False, True):
+                    if listening:
+                        mute.listen(1)
+                    with self.assertRaises(PeerUnreachable), trio.fail_after(5):
+                        async with transport.connect(Address("127.0.0.1", port)):
+                            pass
+
+        trio.run(main)
+
+    def test_cut_connection_ends_the_call(self) -> None:
+        """Guards against a caller that waits for a reply on a connection that is gone."""
+
+        async def main() -> None:
+            async with real_nodes() as (a, b):
+                await a.peers.call("n1", POLL, 2_000)
+                (link,) = b.peers._links
+
+                async def never(node_id: str, msg: Message) -> Message:
+                    await link._wire.abort()
+                    await trio.sleep_forever()
+                    raise AssertionError
+
+                b.peers.handle(Ack, never)
+                with self.assertRaises(PeerDisconnected):
+                    await a.peers.call("n1", Ack(), 5_000)
+
+        trio.run(main)
+
+    def test_strangers_cannot_take_all_connections(self) -> None:
+        """Guards against mute connections that are accepted without limit."""
+
+        async def main() -> None:
+            cfg = PeerSettings(max_links=2, handshake_timeout_ms=200)
+            async with real_nodes(cfg) as (a, b):
+                address = b.peers.address
+                streams = [await trio.open_tcp_stream(address.host, address.port) for _ in range(3)]
+                with trio.fail_after(5):
+                    self.assertEqual(await streams[2].receive_some(), b"")
+                    for stream in streams[:2]:
+                        with contextlib.suppress(trio.BrokenResourceError):
+                            while await stream.receive_some():
+                                pass
+                for stream in streams:
+                    await stream.aclose()
+                self.assertEqual(await a.peers.call("n1", POLL, 2_000), Ack())
+
+        trio.run(main)
+
+
+class RealDatagramTest(unittest.TestCase):
+    def test_datagrams_and_arbitrary_bytes(self) -> None:
+        """Guards against a datagram of a stranger that ends the gossip or is believed."""
+
+        async def main() -> None:
+            got: list[Message] = []
+            arrived = trio.Event()
+
+            def note(msg: Message, address: Address) -> None:
+                got.append(msg)
+                arrived.set()
+
+            transports = [NetTransport(PeerSettings()) for _ in range(2)]
+            places = [await t.bind("127.0.0.1", 0) for t in transports]
+            counters = Node(MemoryNet(), 0).counters
+            sockets = [
+                GossipSocket(t.datagrams, secret, "c", 1_200, counters)
+                for t, secret in zip(transports, (SECRET, SECRET), strict=True)
+            ]
+            stranger = GossipSocket(transports[1].datagrams, b"s" * 16, "c", 1_200, counters)
+            other = GossipSocket(transports[1].datagrams, SECRET, "other", 1_200, counters)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(sockets[0].run, note)
+                for data in (b"", b"x", b"y" * 1_300, b"z" * 60_000):
+                    transports[1].datagrams.send(data, places[0])
+                for sender in (stranger, other, sockets[1]):
+                    sender.send(Gossip("n1", (), ()), places[0])
+                with trio.move_on_after(2):
+                    await arrived.wait()
+                nursery.cancel_scope.cancel()
+            for transport in transports:
+                await transport.aclose()
+            self.assertEqual(got, [Gossip("n1", (), ())])
+            self.assertEqual(counters.get("gossip_rejected", "mac"), 2)
+            self.assertEqual(counters.get("gossip_rejected", "size"), 4)
+
+        trio.run(main)
+
+    def test_one_port_for_tcp_and_udp(self) -> None:
+        """Guards against a node whose members know one port and need another."""
+
+        async def main() -> None:
+            transport = NetTransport(PeerSettings())
+            place = await transport.bind("127.0.0.1", 0)
+            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            with udp, self.assertRaises(OSError):
+                udp.bind((place.host, place.port))
+            await transport.aclose()
+
+        trio.run(main)
