Cancel an attempt that enters a race after it was won

Cause: Such an attempt would have waited for ever for its own cancellation. Change: Cancel it on entry; test races, answers recorded without a caller, and swapped answers under equal request ids.

--- a/knapweedhitch/attempt.py
+++ b/knapweedhitch/attempt.py
@@ -24,9 +24,11 @@
         self._attempts: list[Attempt] = []
 
     def enter(self, attempt: Attempt) -> None:
-        """Add an attempt."""
+        """Add an attempt; one that enters after the race was won is cancelled."""
         attempt.race = self
         self._attempts.append(attempt)
+        if self.winner is not None:
+            attempt.scope.cancel()
 
     def claim(self, attempt: Attempt) -> bool:
         """Return whether the attempt may answer; the first claim cancels the others."""
--- a/tests/features/steps/upstream_http_steps.py
+++ b/tests/features/steps/upstream_http_steps.py
@@ -49,12 +49,12 @@
     play(context, act)
 
 
-@when("upstream gets two POST at once")
-def two(context):
+@when("upstream gets two POST at once with {ids} request ids")
+def two(context, ids):
     context.replies = {}
 
     async def one_call(world, name):
-        headers = f"X-Request-Id: {name}\r\n"
+        headers = f"X-Request-Id: {name if ids == 'different' else 'same'}\r\n"
         context.replies[name] = await world.caller().call("POST", "/" + name, headers=headers)
 
     async def act(world):
--- a/tests/features/upstream_http.feature
+++ b/tests/features/upstream_http.feature
@@ -40,7 +40,12 @@
     When upstream goes silent on its open connections
     Then upstream answer is 200 "" whole, sent 3 times, connection kept
 
-  Scenario: upstream swaps the answers of two calls
+  Scenario Outline: upstream swaps the answers of two calls with <ids> request ids
     Given upstream behaves as "crossed=1"
-    When upstream gets two POST at once
+    When upstream gets two POST at once with <ids> request ids
     Then upstream gives no caller the answer of the other
+
+    Examples:
+      | ids       |
+      | different |
+      | equal     |
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -299,10 +299,15 @@
         self.kernel.nursery.start_soon(self.stand_ins[address.port].serve, theirs)
         return ours
 
+    def record(self, name: str) -> UpstreamRecord:
+        """Return the announcement of the next upstream."""
+        port = 9_000 + len(self.membership.targets("shop"))
+        return UpstreamRecord("shop", Address("127.0.0.1", port), 9, 220, name, 1)
+
     def add_upstream(self, name: str, *, local: bool = False, **how: Any) -> StandIn:
         """Add a target of the service with its stand-in; the local one is announced."""
-        port = 9_000 + len(self.membership.targets("shop"))
-        record = UpstreamRecord("shop", Address("127.0.0.1", port), 9, 220, name, 1)
+        record = self.record(name)
+        port = record.address.port
         node = self.kernel.cfg.node
         place = (node.id, node.domain) if local else (f"node-{name}", "other")
         self.membership.by_service["shop"] = (
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -14,9 +14,11 @@
 import trio
 
 from knapweedhitch import settings
+from knapweedhitch.attempt import Attempt, Race
 from knapweedhitch.exceptions import NoLease, Outcome, QueueFull, Refusal, UpstreamFailed
-from knapweedhitch.model import DomainStatus, UpstreamState
-from tests.request_world import SERVICE, FakeRecorded, Reply, World, in_node
+from knapweedhitch.http1 import ServerConnection
+from knapweedhitch.model import DomainStatus, Target, UpstreamState
+from tests.request_world import SERVICE, FakeRecorded, Reply, World, in_node, stream_pair
 
 KEY = "Idempotency-Key: k-1\r\n"
 HEDGED = dataclasses.replace(SERVICE, hedge=True)
@@ -147,14 +149,16 @@
     async def test_the_answer_is_recorded_though_the_caller_left(self, world: World) -> None:
         """Guards against a run whose answer is lost with the caller's connection."""
         world.add_upstream("up-1", local=True)
-        caller = world.caller()
-        await caller.send(
-            b"POST / HTTP/1.1\r\nHost: shop.test\r\nIdempotency-Key: k\r\n"
-            b"x-stand-in: delay_ms=50,size=7\r\n\r\n"
-        )
-        await caller.stream.aclose()
-        await trio.sleep(1)
-        self.assertEqual([len(body or b"") for _, _, body in world.claims.completed], [7])
+        for size in (7, 200_000):
+            caller = world.caller()
+            await caller.send(
+                b"POST / HTTP/1.1\r\nHost: shop.test\r\nIdempotency-Key: k\r\n"
+                b"x-stand-in: delay_ms=50,size=%d\r\n\r\n" % size
+            )
+            await caller.stream.aclose()
+            await trio.sleep(1)
+        kept = [None if body is None else len(body) for _, _, body in world.claims.completed]
+        self.assertEqual((kept, world.pool._idle_count), ([7, None], 1))
 
     @in_node()
     async def test_the_own_paths_answer(self, world: World) -> None:
@@ -258,6 +262,19 @@
         await trio.sleep(2)
         self.assertEqual(set(world.picker.in_flight.values()), {0})
 
+    @in_node()
+    async def test_only_one_attempt_of_a_race_writes(self, world: World) -> None:
+        """Guards against two long answers that are written into each other."""
+        target = Target("node-2", "other", world.record("up-1"))
+        conn = ServerConnection(stream_pair()[0], settings.CallerSettings())
+        race, attempts = Race(), [Attempt(conn, target, (), 10, None) for _ in range(2)]
+        for attempt in attempts:
+            race.enter(attempt)
+            with trio.move_on_after(1):
+                await attempt.head(200, ((b"content-length", b"99"),), None)
+        self.assertEqual([attempt.committed for attempt in attempts], [True, False])
+        self.assertTrue(attempts[1].scope.cancel_called)
+
 
 class FaultMixTest(unittest.TestCase):
     """Mix faults on shared connections; every call has a size of answer that is its own."""
