Refuse an unannounced close-delimited answer in a test, and save two scopes a call

Cause: No test sent an HTTP/1.1 answer without length or close, and each write used a generator based timeout. Change: Add the table row; write timeouts use plain cancel scopes.

--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -32,7 +32,6 @@
     trio.BrokenResourceError,
     trio.BusyResourceError,
     trio.ClosedResourceError,
-    trio.TooSlowError,
 )
 CLOSE_HEADER = (b"connection", b"close")
 
@@ -219,7 +218,7 @@
         if not data:
             return
         try:
-            with trio.fail_after(self.cfg.write_timeout_ms / 1_000):
+            with trio.move_on_after(self.cfg.write_timeout_ms / 1_000) as scope:
                 await self.stream.send_all(data)
         except trio.Cancelled:
             self._broken = True
@@ -227,6 +226,9 @@
         except WRITE_ERRORS as exc:
             self._broken = True
             raise CallerGone(f"cannot write: {type(exc).__name__}") from None
+        if scope.cancelled_caught:
+            self._broken = True
+            raise CallerGone(f"does not read for {self.cfg.write_timeout_ms} ms")
 
     # Ending
 
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -135,12 +135,12 @@
             return
         self.handed = True
         try:
-            with trio.fail_after(self.cfg.progress_timeout_ms / 1_000):
+            with trio.move_on_after(self.cfg.progress_timeout_ms / 1_000) as scope:
                 await self.stream.send_all(data)
-        except trio.TooSlowError:
-            raise UpstreamTimeout("the request is not taken", bytes_sent=True) from None
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise UpstreamClosed(f"cannot write: {exc}", bytes_sent=True) from None
+        if scope.cancelled_caught:
+            raise UpstreamTimeout("the request is not taken", bytes_sent=True)
 
     async def receive_more(self, first_byte_ms: float) -> None:
         """Feed the next bytes to the parser; raises UpstreamTimeout, UpstreamClosed."""
--- a/tests/features/upstream_http.feature
+++ b/tests/features/upstream_http.feature
@@ -32,6 +32,7 @@
       | cuts a short unsafe one    | POST   | size=10,cut_after=5                        | 502    | upstream-failed | whole | 1    | closed |
       | cuts a long sized one      | GET    | size=500000,cut_after=400000               | 200    |                 | cut   | 1    | closed |
       | cuts a long chunked one    | GET    | size=500000,cut_after=400000,framing=chunked | 200  |                 | cut   | 1    | closed |
+      | ends by an unannounced close | POST | framing=open                               | 502    | upstream-failed | whole | 1    | closed |
       | never answers              | POST   | silent=1                                   | 504    | deadline-exceeded | whole | 1  | closed |
       | answers too late           | POST   | late_ms=6000                               | 504    | deadline-exceeded | whole | 1  | closed |
 
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -37,6 +37,7 @@
     # An open connection that is silent takes requests and never answers; new ones work.
     silent: bool = False
     crossed: bool = False
+    # sized, chunked, close (ends by a close that is announced), open (by one that is not).
     framing: str = "sized"
     early: bool = False
     close: bool = False
@@ -202,7 +203,7 @@
                 h11.InformationalResponse(status_code=103, headers=[("link", "</a.css>")])
             )
         data = self._conn.send(h11.Response(status_code=how.status, headers=headers)) or b""
-        if how.framing == "close":
+        if how.framing in ("close", "open"):
             data = data.replace(b"Transfer-Encoding: chunked\r\n", b"")
         out = await self._up.cross(self) if how.crossed else self
         await out.stream.send_all(data)
@@ -210,7 +211,7 @@
             return False
         if how.extra:
             await out.stream.send_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother")
-        return self._go_on() if how.framing != "close" else False
+        return self._go_on() if how.framing not in ("close", "open") else False
 
     async def _send_body(self, request: h11.Request, how: Behaviour, out: Exchange) -> bool:
         sent = 0
@@ -220,12 +221,12 @@
         while sent < goal:
             part = BODY_PART[: min(len(BODY_PART), goal - sent)]
             framed = self._conn.send(h11.Data(data=part)) or b""
-            await out.stream.send_all(part if how.framing == "close" else framed)
+            await out.stream.send_all(part if how.framing in ("close", "open") else framed)
             sent += len(part)
         if how.cut_after >= 0:
             return False
         framed = self._conn.send(h11.EndOfMessage()) or b""
-        if how.framing != "close" and framed:
+        if how.framing not in ("close", "open") and framed:
             await out.stream.send_all(framed)
         return True
 
