Convert operator changes to log operations and date a local proof before the question

Cause: operators' changes had no conversion to the operations of the log. Nodes without a disk got no configuration from a single control instance: its proof was dated to a moment after the question, so its age came out as -0.01 ms, which other nodes take for no proof. Ruled out: links, polls, codec. Change: changes_json builds the operations; the check for a last domain is made in the order of the log; ages are taken after, and proofs dated before, the moment of the question. The new test of test_control errors with the old dating and passes with the new one.

--- a/knapweedhitch/changes_json.py
+++ b/knapweedhitch/changes_json.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
-import importlib
 import json
 import re
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 import pydantic
 
+from knapweedhitch import changes
 from knapweedhitch.exceptions import InvalidChange
 from knapweedhitch.model import ServiceConfig
 
@@ -21,15 +21,15 @@
 MAX_VERSION = 1 << 53
 SHOWN_CHARS = 60
 
-# Each kind of change: its one field, and the class of knapweedhitch.configuration that it becomes.
-KINDS: Mapping[str, tuple[str, str]] = {
-    "put_service": ("service", "PutService"),
-    "remove_service": ("name", "RemoveService"),
-    "domain_out": ("domain", "DomainOut"),
-    "domain_in": ("domain", "DomainIn"),
-    "node_drain": ("node_id", "NodeDrain"),
-    "node_undrain": ("node_id", "NodeUndrain"),
-    "apply_all": ("services", "ApplyAll"),
+# Each kind of change: its one field, and the operation that it becomes.
+KINDS: Mapping[str, tuple[str, Callable[..., changes.Operation]]] = {
+    "put_service": ("service", changes.PutService),
+    "remove_service": ("name", changes.RemoveService),
+    "domain_out": ("domain", changes.DomainOut),
+    "domain_in": ("domain", changes.DomainIn),
+    "node_drain": ("node_id", changes.NodeDrain),
+    "node_undrain": ("node_id", changes.NodeUndrain),
+    "apply_all": ("services", changes.PutAllServices),
 }
 
 _SERVICE = pydantic.TypeAdapter(ServiceConfig)
@@ -55,6 +55,7 @@
     operator: str
     kind: str
     value: str | ServiceConfig | tuple[ServiceConfig, ...]
+    allow_last: bool = False
 
 
 def _shown(value: object) -> str:
@@ -137,23 +138,22 @@
     if not isinstance(kind, str) or kind not in KINDS:
         raise InvalidChange(f"op.kind: {_shown(kind)} is not accepted; use {', '.join(KINDS)}")
     field = KINDS[kind][0]
-    value = _known_keys(op, frozenset({"kind", field}), "op").get(field)
+    allowed = {"kind", field} | ({"allow_last"} if kind == "domain_out" else set())
+    op_fields = _known_keys(op, frozenset(allowed), "op")
+    value = op_fields.get(field)
+    allow_last = op_fields.get("allow_last", False)
+    if type(allow_last) is not bool:
+        raise InvalidChange(f"op.allow_last: {_shown(allow_last)} is not accepted; use a boolean")
     if kind == "put_service":
         return ChangeForm(change_id, base, operator, kind, parse_service(value, "op.service"))
     if kind == "apply_all":
         return ChangeForm(change_id, base, operator, kind, _parse_services(value))
-    return ChangeForm(change_id, base, operator, kind, _matched(value, NAME, f"op.{field}"))
+    name = _matched(value, NAME, f"op.{field}")
+    return ChangeForm(change_id, base, operator, kind, name, allow_last)
 
 
-def to_change(form: ChangeForm) -> Any:
-    """Return the Change of knapweedhitch.configuration for a checked form."""
-    configuration = importlib.import_module("knapweedhitch.configuration")
-    op = getattr(configuration, KINDS[form.kind][1])(form.value)
-    return configuration.Change(form.change_id, form.base_version, form.operator, op)
-
-
-def encode_change(change: Any) -> bytes:
-    """Return the bytes in which a change travels in messages.Propose."""
-    configuration = importlib.import_module("knapweedhitch.configuration")
-    data: bytes = configuration.encode_change(change)
-    return data
+def to_change(form: ChangeForm) -> changes.Change:
+    """Return the change of the log for a checked form."""
+    make = KINDS[form.kind][1]
+    op = make(form.value, allow_last=True) if form.allow_last else make(form.value)
+    return changes.Change(form.change_id, form.base_version, form.operator, op)
--- a/knapweedhitch/consensus.py
+++ b/knapweedhitch/consensus.py
@@ -185,7 +185,9 @@
         s = self._state
         if s is None or s.role is not Role.LEADER or s.applied_index < s.noop_index:
             return None
-        age_ms = now_ms() - s.quorum_acked_ms()
+        acked_ms = s.quorum_acked_ms()
+        # Read after the moment of the proof: a single member's proof is dated to this very call.
+        age_ms = now_ms() - acked_ms
         return age_ms if age_ms < float("inf") else None
 
     async def _write_loop(self) -> None:
--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -34,8 +34,6 @@
     ("pool", "pool"),
     ("gate", "gate"),
     ("forward", "forward"),
-    ("loadreports", "loadreports"),
-    ("direct", "direct"),
     ("claims", "claims"),
     ("announce", "announce"),
     ("router", "router"),
--- a/knapweedhitch/drain.py
+++ b/knapweedhitch/drain.py
@@ -70,7 +70,7 @@
     def _hard(self, cause: str) -> None:
         ids = [trace.request_id for trace in list(self._router.active)[:MAX_LOGGED_IDS]]
         self.cut_requests = self._router.in_progress
-        self._counters.add("requests_cut", cause, self.cut)
+        self._counters.add("requests_cut", cause, self.cut_requests)
         logs.warning(
             "stop-hard",
             cause=cause,
--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -97,10 +97,12 @@
         if ahead > 0:
             bodies = self._machine.bodies_since(self.current.version, ahead) or ()
             self._advance(self._machine.current, bodies)
+        asked_ms = now_ms()
         age_ms = replica.freshness_age_ms()
         if age_ms is None or ahead < 0:
             return False
-        self._prove(now_ms() - age_ms)
+        # Dated to the moment before the question, so that no time passes uncounted.
+        self._prove(asked_ms - age_ms)
         return True
 
     # Polling
--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -279,7 +279,7 @@
     return fields
 
 
-def _change(fields: dict[str, Any], op: dict[str, str], base: int | None) -> dict[str, Any]:
+def _change(fields: dict[str, Any], op: dict[str, Any], base: int | None) -> dict[str, Any]:
     return {
         "change_id": fields.get("change_id"),
         "operator": fields.get("operator"),
@@ -293,12 +293,12 @@
     fields = _command(request)
     if not fields.get("allow_unknown", False):
         operator_views.check_known_domain(api.kernel, domain)
-    base = None
-    if not fields.get("allow_last", False):
-        # Two operators who take out two domains at once must not both pass this check.
-        base = api.kernel.get("config").current.version
+    allow_last = fields.get("allow_last", False)
+    if not allow_last:
+        # This view only gives the better message; the rules of the log check it again in order.
         operator_views.check_last_domain(api.kernel, domain)
-    return await api.submit(_change(fields, {"kind": "domain_out", "domain": domain}, base))
+    op = {"kind": "domain_out", "domain": domain, "allow_last": allow_last}
+    return await api.submit(_change(fields, op, None))
 
 
 @route("POST", "/v1/domains/*/in")
--- a/knapweedhitch/proposals.py
+++ b/knapweedhitch/proposals.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from knapweedhitch import changes_json
+from knapweedhitch import changes
 from knapweedhitch.exceptions import (
     InvalidChange,
     NotLeader,
@@ -49,7 +49,7 @@
         raise NotLeader(state.leader_id)
 
     async def _until_accepted(self, change: Any, state: _Attempt) -> int:
-        data = changes_json.encode_change(change)
+        data = changes.encode_change(change)
         while True:
             for node_id in self._members:
                 before = state.maybe_taken
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -153,12 +153,17 @@
             async with trio.open_nursery() as nursery:
                 world.kernel._nursery = nursery
                 await world.api.start()
-                place = ("--address", f"127.0.0.1:{world.api.port}", "--token-file", str(token))
+                place = (
+                    "--address",
+                    f"127.0.0.1:{world.api.address.port}",
+                    "--token-file",
+                    str(token),
+                )
                 command = ("domain", "out", "east", *place)
                 result = await trio.to_thread.run_sync(lambda: call(None, *command))
                 await world.api.stop()
             with self.assertRaises(OSError):
-                await trio.open_tcp_stream("127.0.0.1", world.api.port or 0)
+                await trio.open_tcp_stream("127.0.0.1", world.api.address.port)
             return result, world.control.changes
 
         with tempfile.TemporaryDirectory() as folder, operator_fakes.patched_configuration():
@@ -230,7 +235,7 @@
         code, out, _ = call(world, "answers", "apply", CHOIR, "--yes", "--json")
         self.assertEqual((code, json.loads(out)["version"]), (0, 8))
         applied = world.control.changes[0]
-        self.assertEqual((applied.base_version, len(applied.op.value)), (7, 3))  # type: ignore[arg-type]
+        self.assertEqual((applied.base_version, len(applied.op.services)), (7, 3))  # type: ignore[arg-type]
 
     def test_apply_of_an_old_difference_is_a_conflict(self) -> None:
         """Guards against a change that undoes one which the operator has not seen."""
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -50,6 +50,45 @@
             with self.subTest(size=size):
                 run(check, size)
 
+    def test_proof_of_a_single_control_instance_is_never_in_the_future(self) -> None:
+        """Guards against a negative age, which other nodes take for no proof at all."""
+
+        async def main() -> None:
+            # The real clock advances between two reads; the virtual clock does not.
+            async with trio.open_nursery() as nursery:
+                world = World(nursery, 1)
+                await world.start("n1")
+                await until(world.hosts["n1"].feed.is_fresh)
+                replica = world.hosts["c1"].control.replica
+                for _ in range(1_000):
+                    self.assertGreaterEqual(replica.freshness_age_ms(), 0.0)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+    def test_two_domains_at_once_are_not_both_taken_out(self) -> None:
+        """Guards against two operators who each see the other domain as the one that remains."""
+
+        async def check(world: World) -> None:
+            await world.start("n1", "n2")
+            world.membership.add("t1", "d1", "a")
+            world.membership.add("t2", "d2", "a")
+            await world.submit("n1", PutService(service_config("a")), 0)
+            refused: list[str] = []
+
+            async def take_out(name: str, domain: str) -> None:
+                try:
+                    await world.submit(name, DomainOut(domain))
+                except InvalidChange:
+                    refused.append(domain)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(take_out, "n1", "d1")
+                nursery.start_soon(take_out, "n2", "d2")
+            self.assertEqual(len(refused), 1)
+
+        run(check)
+
     def test_resent_change_gives_the_first_result(self) -> None:
         """Guards against a second effect of a change whose answer was lost."""
 
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -155,11 +155,13 @@
         status, _ = run(world.ask, "POST", "/v1/domains/east/out", OUT | {"allow_last": True})
         self.assertEqual(status, 200)
 
-    def test_two_domains_at_once_are_not_both_taken_out(self) -> None:
-        """Guards against two operators who each see the other domain as the one that remains."""
+    def test_permission_for_the_last_domain_reaches_the_log(self) -> None:
+        """Guards against a check that only this node's view of the domains makes."""
         world = World()
         run(world.ask, "POST", "/v1/domains/east/out", OUT)
-        self.assertEqual(world.control.changes[0].base_version, 7)
+        again = OUT | {"allow_last": True, "change_id": "another"}
+        run(world.ask, "POST", "/v1/domains/east/out", again)
+        self.assertEqual([c.op.allow_last for c in world.control.changes], [False, True])
 
     def test_resent_change_is_applied_once(self) -> None:
         """Guards against a change that is applied twice after its answer was lost."""
