--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -7,6 +7,7 @@
 import dataclasses
 import functools
 from collections.abc import AsyncIterator, Awaitable, Callable
+from types import SimpleNamespace
 from typing import Any
 
 import h11
@@ -41,47 +42,37 @@
 LOAD = LoadSample(1, 0, 9, 2.0, Warmth.WARM)
 
 
-class FakeSocket:
-    """Tell whether a memory stream has bytes or EOF waiting, as a socket does."""
+class MemoryStream(trio.abc.Stream):
+    """Be one end of a memory pipe that tells, as a socket does, whether bytes or EOF wait."""
 
-    def __init__(self, stream: MemoryStream) -> None:
-        self._stream = stream
+    def __init__(self, inner: trio.abc.Stream) -> None:
+        self._inner = inner
+        self.socket = self
+        self.sent = self.received = 0
+        self.peer: Any = None
+        self.closed = self.reset = False
 
     def is_readable(self) -> bool:
-        return self._stream.peer_sent > self._stream.received or self._stream.peer_closed
+        return bool(self.peer.sent > self.received or self.peer.closed)
 
     def setsockopt(self, *args: object) -> None:
-        self._stream.reset = True
-
-
-class MemoryStream(trio.abc.Stream):
-    """Be one end of a memory pipe that counts what waits to be read."""
-
-    def __init__(self, inner: trio.StapledStream) -> None:
-        self.inner = inner
-        self.socket = FakeSocket(self)
-        self.peer: MemoryStream | None = None
-        self.sent = self.received = self.peer_sent = 0
-        self.peer_closed = self.reset = False
+        self.reset = True
 
     async def send_all(self, data: Any) -> None:
         self.sent += len(data)
-        if self.peer is not None:
-            self.peer.peer_sent += len(data)
-        await self.inner.send_all(data)
+        await self._inner.send_all(data)
 
     async def wait_send_all_might_not_block(self) -> None:
-        await self.inner.wait_send_all_might_not_block()
+        await self._inner.wait_send_all_might_not_block()
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
-        data = bytes(await self.inner.receive_some(max_bytes))
+        data = bytes(await self._inner.receive_some(max_bytes))
         self.received += len(data)
         return data
 
     async def aclose(self) -> None:
-        if self.peer is not None:
-            self.peer.peer_closed = True
-        await self.inner.aclose()
+        self.closed = True
+        await self._inner.aclose()
 
 
 def stream_pair(*, lockstep: bool = False) -> tuple[MemoryStream, MemoryStream]:
@@ -127,19 +118,6 @@
         self.draining = draining
 
 
-@dataclasses.dataclass(frozen=True)
-class FakeConsidered:
-    instance_id: str
-    score: float = 1.0
-    note: str = "fake"
-
-
-@dataclasses.dataclass(frozen=True)
-class FakePick:
-    target: Target | None
-    considered: tuple[FakeConsidered, ...]
-
-
 class FakePicker(Fake):
     """Pick the first target that is not excluded."""
 
@@ -151,10 +129,11 @@
 
     def pick(
         self, svc: Any, targets: Any, excluded: Any, own_domain: str, own_node: str
-    ) -> FakePick:
+    ) -> SimpleNamespace:
+        ids = [t.upstream.instance_id for t in targets]
+        shown = tuple(SimpleNamespace(instance_id=i, score=1.0, note="fake") for i in ids)
         fit = [t for t in targets if t.upstream.instance_id not in excluded]
-        shown = tuple(FakeConsidered(t.upstream.instance_id) for t in targets)
-        return FakePick(fit[0] if fit else None, shown)
+        return SimpleNamespace(target=fit[0] if fit else None, considered=shown)
 
     def started(self, instance_id: str) -> None:
         self.in_flight[instance_id] += 1
@@ -214,19 +193,12 @@
         self.draining = draining
 
 
-@dataclasses.dataclass(frozen=True)
-class FakeRecorded:
-    status: int
-    headers: Any
-    body: bytes
-
-
 class FakeClaims(Fake):
     def __init__(self) -> None:
         self.claimed: list[tuple[str, bytes]] = []
         self.completed: list[tuple[int, Any, bytes | None]] = []
         self.released = 0
-        self.recorded: FakeRecorded | None = None
+        self.recorded: SimpleNamespace | None = None
 
     async def claim(self, svc: Any, key: str, digest: bytes, deadline: Any) -> object:
         self.claimed.append((key, digest))
@@ -278,16 +250,10 @@
         self.lockstep = False
 
     def build(self) -> None:
-        add = self.kernel.add
         self.kernel.build(["timers", "counters"])
-        add("config", self.config)
-        add("membership", self.membership)
-        add("picker", self.picker)
-        add("retry", self.retry)
-        add("admission", self.admission)
-        add("claims", self.claims)
-        add("forward", self.forward)
-        add("pool", self.pool)
+        names = ("config", "membership", "picker", "retry", "admission", "claims", "forward")
+        for name in (*names, "pool"):
+            self.kernel.add(name, getattr(self, name))
         self.kernel.build(SERVICES)
         self.counters = self.kernel.get("counters")
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -17,7 +17,6 @@
         for stray in (b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nother", b""):
             await world.caller().call()
             stream = world.upstream_streams[-1].peer
-            assert stream is not None
             await (stream.send_all(stray) if stray else stream.aclose())
             before = up.connections
             reply = await world.caller().call("POST")
@@ -46,7 +45,7 @@
         self.assertEqual(late.status, 504)
         self.assertEqual(len((await world.caller().call(how="delay_ms=900")).body), 2)
         self.assertEqual((up.connections, world.pool._idle_count), (2, 1))
-        self.assertTrue(world.upstream_streams[1].peer_sent)
+        self.assertTrue(world.upstream_streams[1].peer.sent)
         self.assertEqual(world.upstream_streams[0].received, 0)
 
     @in_node()
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -18,7 +18,7 @@
 from knapweedhitch.exceptions import NoLease, Outcome, QueueFull, Refusal, UpstreamFailed
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.model import DomainStatus, Target, UpstreamState
-from tests.request_world import SERVICE, FakeRecorded, Reply, World, in_node, stream_pair
+from tests.request_world import SERVICE, Reply, World, in_node, stream_pair
 
 KEY = "Idempotency-Key: k-1\r\n"
 HEDGED = dataclasses.replace(SERVICE, hedge=True)
@@ -141,7 +141,9 @@
     async def test_a_recorded_answer_is_replayed_without_a_run(self, world: World) -> None:
         """Guards against a second run of a key that has an answer."""
         up = world.add_upstream("up-1", local=True)
-        world.claims.recorded = FakeRecorded(201, ((b"content-length", b"3"),), b"old")
+        world.claims.recorded = types.SimpleNamespace(
+            status=201, headers=((b"content-length", b"3"),), body=b"old"
+        )
         reply = await world.caller().call("POST", headers=KEY)
         self.assertEqual((reply.status, reply.body, len(up.seen)), (201, b"old", 0))
 
