Bound the refusals of connections and the lines of internal errors

Cause: Refused connections were each answered without a bound, and internal errors were logged without one. Change: Close connections over twice the limit unanswered; internal errors use the log budget.

--- a/knapweedhitch/listener.py
+++ b/knapweedhitch/listener.py
@@ -49,6 +49,10 @@
 
     async def handle(self, stream: trio.abc.Stream) -> None:
         """Serve one connection; a fault ends this connection alone."""
+        if self.active >= 2 * self._max_connections:
+            # Answering every refused connection would be unbounded work as well.
+            await trio.aclose_forcefully(stream)
+            return
         over = self.active >= self._max_connections
         self.active += 1
         try:
--- a/knapweedhitch/router.py
+++ b/knapweedhitch/router.py
@@ -126,9 +126,9 @@
             trace.reason = "caller-gone"
             self._counters.add("caller_gone")
         except Exception as exc:
-            logs.warning(
-                "internal-error", id=trace.request_id, error=type(exc).__name__, detail=exc
-            )
+            if self._log_budget.take():
+                error = type(exc).__name__
+                logs.warning("internal-error", id=trace.request_id, error=error, detail=exc)
             ran = trace.call is not None
             fault = InternalError(Outcome.UNKNOWN if ran else Outcome.NOT_RUN, type(exc).__name__)
             await self._refuse(trace, conn, fault)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -80,6 +80,10 @@
         world.kernel.nursery.start_soon(server.handle, theirs)
         reply = await Caller(ours, theirs).reply()
         self.assertEqual(reply.headers["knapweedhitch-reason"], "too-many-connections")
+        server.active = 2
+        ours, theirs = stream_pair()
+        await server.handle(theirs)
+        self.assertEqual(await ours.receive_some(), b"")
 
     @in_node()
     async def test_long_bodies_pass_with_flat_memory(self, world: World) -> None:
