--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -118,7 +118,7 @@
 
     name: str
     hosts: tuple[str, ...]
-    policy: str = "p2c-ewma"
+    policy: str = "least-used"
     require_key: bool = False
     default_deadline_ms: int = 5_000
     max_deadline_ms: int = 60_000
--- a/knapweedhitch/pick.py
+++ b/knapweedhitch/pick.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import random
+import statistics
 from collections.abc import Callable, Sequence
 from typing import Protocol, TypeVar
 
@@ -23,13 +24,15 @@
 )
 from knapweedhitch.settings import RoutingSettings
 
-DEFAULT_POLICY = "p2c-ewma"
+DEFAULT_POLICY = "least-used"
 # The number of recent service times that the hedge delay is taken from, and how many it needs.
 HEDGE_WINDOW = 256
 HEDGE_MIN_CALLS = 32
 HEDGE_REFRESH_CALLS = 16
 # An older report of draining may be outdated; membership and configuration decide by then.
 DRAINING_REPORT_MS = 2_000.0
+# A target is slow from this many times the typical mean time on.
+SLOW_TOLERANCE = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +69,8 @@
     service: str
     cfg: RoutingSettings
     rng: random.Random
+    # The median of the mean times of all targets of the service, in milliseconds.
+    typical_ms: float = 1.0
 
 
 class Policy(Protocol):
@@ -160,17 +165,18 @@
         return min(ctx.rng.sample(candidates, 2), key=lambda c: self.score(c, ctx))
 
 
-@policy("least-time")
-class LeastTimePolicy:
-    """Choose the candidate with the least expected time of a call, by latency and free slots."""
+@policy("least-used")
+class LeastUsedPolicy:
+    """Choose the candidate with the smallest used share of its limit; slow ones come last."""
 
     def score(self, candidate: Candidate, ctx: PickContext) -> float:
-        """Return the expected time in milliseconds, raised by the share of slots in use."""
+        """Return the used share, plus how many times over the tolerated latency it is."""
         load = candidate.load
-        slots = load.limit or candidate.target.upstream.slots
-        # Free slots work side by side, so calls in flight cost less than in a single queue.
-        used = (load.in_flight + 1.0) / max(1, slots)
-        return max(load.mean_ms, 1.0) * (0.5 + used)
+        limit = load.limit or candidate.target.upstream.slots
+        used = (load.in_flight + 1.0) / max(1, limit)
+        # Differences below the tolerance are mostly chance; following them makes the load uneven.
+        slow = load.mean_ms / max(1.0, ctx.typical_ms) - SLOW_TOLERANCE
+        return used + max(0.0, slow)
 
     def pick(self, candidates: Sequence[Candidate], ctx: PickContext) -> Candidate:
         """Return the best candidate; equal ones are chosen at random."""
@@ -238,7 +244,8 @@
         fit = [t for t in targets if notes_of[t] == ""]
         if not fit:
             fit = self._last_resort(svc, notes_of)
-        ctx = PickContext(svc.name, self._cfg, self._rng)
+        typical_ms = statistics.median(v.mean_ms for v in views.values()) if views else 1.0
+        ctx = PickContext(svc.name, self._cfg, self._rng, typical_ms)
         rule = self._policies.get(svc.policy) or self._policies[DEFAULT_POLICY]
         all_of = {t: self._candidate(t, views, own_domain, own_node) for t in targets}
         candidates = [all_of[t] for t in fit]
