--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from knapweedhitch.ejection import Ejector
@@ -48,3 +49,13 @@
                 result = BAD if name == "a" and n % 4 else GOOD
                 self.ejector.finished(name, result, PEERS, 0.5)
         self.assertTrue(self.ejector.is_ejected("a"))
+
+    def test_refusals_under_load_do_not_eject(self) -> None:
+        """Guards against a cascade: each busy target ejected moves its load to the next one."""
+        shed = dataclasses.replace(BAD, shed=True)
+        for _ in range(40):
+            self.ejector.finished("a", shed, PEERS, 0.5, loaded=True)
+        self.assertFalse(self.ejector.is_ejected("a"))
+        for _ in range(40):
+            self.ejector.finished("b", shed, PEERS, 0.5, loaded=False)
+        self.assertTrue(self.ejector.is_ejected("b"))
--- /dev/null
+++ b/tests/test_loadtable.py
@@ -0,0 +1,62 @@
+"""Tests of the load table."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from knapweedhitch.loadtable import LoadTable
+from tests.decision_fakes import BAD, GOOD, sample, settings
+
+
+class LoadTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.now_ms = 0.0
+        self.table = LoadTable(settings().routing, lambda: self.now_ms)
+
+    def test_reports_fade_to_the_average(self) -> None:
+        """Guards against following a report that is long out of date."""
+        self.table.observe("a", sample(8))
+        self.table.observe("b", sample(0))
+        others = []
+        for _ in range(4):
+            others.append(self.table.views(("a", "b"))["a"].others)
+            self.now_ms += 200.0
+        self.assertEqual(others, [8.0, 6.0, 5.0, 4.5])
+
+    def test_own_calls_are_counted_once(self) -> None:
+        """Guards against a node that avoids a target because of its own calls in its report."""
+        for _ in range(3):
+            self.table.started("a")
+        self.table.observe("a", sample(5))
+        view = self.table.views(("a",))["a"]
+        self.assertEqual((view.own, view.others, view.in_flight), (3, 2.0, 5.0))
+
+    def test_refusals_teach_no_latency_but_failures_do(self) -> None:
+        """Guards against fleeing a busy target, and against liking one that fails fast."""
+        self.table.finished("a", GOOD)
+        for result, expected in ((dataclasses.replace(BAD, shed=True), 10.0), (BAD, 208.0)):
+            self.table.started("a")
+            self.table.finished("a", GOOD)
+            self.table.started("a")
+            self.table.finished("a", result)
+            self.assertEqual(self.table.views(("a",))["a"].mean_ms, expected)
+
+    def test_overdue_call_shows_a_slow_target(self) -> None:
+        """Guards against sending more calls to a target that stopped answering."""
+        self.table.started("a")
+        self.table.finished("a", GOOD)
+        self.table.started("a")
+        self.now_ms = 500.0
+        self.assertEqual(self.table.views(("a",))["a"].mean_ms, 500.0)
+
+    def test_number_of_targets_is_bounded(self) -> None:
+        """Guards against memory without bound; calls under way are kept."""
+        cfg = dataclasses.replace(settings().routing, max_tracked_targets=2)
+        table = LoadTable(cfg, lambda: self.now_ms)
+        table.started("a")
+        for name in ("b", "c", "d"):
+            self.now_ms += 1.0
+            table.observe(name, sample())
+        self.assertEqual(len(table), 2)
+        self.assertEqual(table.views(("a",))["a"].own, 1)
