Print the spread over seeds in the policy measurement

Cause: differences of a few percent between policies need the spread to be judged. Change: add the lowest and highest p99 of the seeds to each row; 4 seeds by default.

--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -53,6 +53,19 @@
 STRAGGLER_FACTOR = 8.0
 COLD_FACTOR = 3.0
 SUCCESSES_PER_STEP = 1
+COLUMNS = (
+    "deployment",
+    "case",
+    "policy",
+    "calls",
+    "p50_ms",
+    "p99_ms",
+    "p99_low_ms",
+    "p99_high_ms",
+    "p999_ms",
+    "success",
+    "cold_overloads",
+)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -365,6 +378,8 @@
         for reason, n in part["reasons"].items():
             reasons[reason] = reasons.get(reason, 0) + n
     deployment, case, name = parts[0]["key"]
+    # The spread over the seeds tells which differences between policies are chance.
+    by_seed = sorted(percentile(sorted(part["latencies"]), 0.99) for part in parts)
     return {
         "deployment": deployment,
         "case": case,
@@ -372,6 +387,8 @@
         "calls": calls,
         "p50_ms": round(percentile(ordered, 0.5), 1),
         "p99_ms": round(percentile(ordered, 0.99), 1),
+        "p99_low_ms": round(by_seed[0], 1),
+        "p99_high_ms": round(by_seed[-1], 1),
         "p999_ms": round(percentile(ordered, 0.999), 1),
         "success": round(len(ordered) / calls, 5),
         "cold_overloads": sum(part["overloads"] for part in parts),
@@ -383,7 +400,7 @@
     """Return the command-line options."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--json", metavar="FILE", help="write all figures to FILE")
-    parser.add_argument("--seeds", type=int, default=3, help="number of seeds, from 1 on")
+    parser.add_argument("--seeds", type=int, default=4, help="number of seeds, from 1 on")
     parser.add_argument("--seconds", type=float, default=4.0, help="measured virtual seconds")
     parser.add_argument("--policy", action="append", help="measure only this policy")
     parser.add_argument("--case", action="append", choices=CASES, help="measure only this case")
@@ -406,11 +423,10 @@
         parts = list(pool.map(run_one, jobs))
     keys = list(dict.fromkeys(part["key"] for part in parts))
     rows = [summarize([part for part in parts if part["key"] == key]) for key in keys]
-    print("| deployment | case | policy | calls | p50 | p99 | p99.9 | success | cold overloads |")
-    print("|---|---|---|---|---|---|---|---|---|")
+    print("| " + " | ".join(COLUMNS) + " |")
+    print("|---" * len(COLUMNS) + "|")
     for row in rows:
-        cells = [str(value) for name, value in row.items() if name != "reasons"]
-        print("| " + " | ".join(cells) + " |")
+        print("| " + " | ".join(str(row[name]) for name in COLUMNS) + " |")
     print(f"\n{len(jobs)} simulations in {time.monotonic() - started:.0f} s")
     if args.json:
         with open(args.json, "w", encoding="utf-8") as file:
