--- /dev/null
+++ b/tests/features/peer_messages.feature
@@ -0,0 +1,46 @@
+Feature: Messages between nodes
+  A node believes and runs only what an authenticated peer sent whole, and says not-run only when it
+  knows.
+
+  Scenario Outline: peer handshakes are refused with a reason
+    Given peer "a" whose <field> is <value>
+    When peer "a" dials peer "b"
+    Then peer "b" refuses it as <reason>
+
+    Examples:
+      | field   | value            | reason        |
+      | cluster | other            | wrong-cluster |
+      | version | 2                | wrong-version |
+      | secret  | another-secret-1 | wrong-secret  |
+      | node_id | b                | own-node-id   |
+
+  Scenario Outline: peer frames that break the rules cost only their link
+    Given peer nodes with a link
+    When peer "n0" sends <frame>
+    Then peer "n1" has <links> links
+    And peer "n0" can call peer "n1"
+
+    Examples:
+      | frame                          | links |
+      | a reply that was cut           | 0     |
+      | a ping with a trailing byte    | 0     |
+      | arbitrary bytes                | 0     |
+      | data of a stream never opened  | 0     |
+      | an unknown message type        | 1     |
+      | a reply that nobody waits for  | 1     |
+
+  Scenario Outline: peer outcomes of a forwarded call
+    Given peer nodes whose target <behaviour>
+    When peer "n0" forwards a call with a deadline of <deadline_ms> ms
+    Then peer "n0" gets <result> with outcome <outcome>
+
+    Examples:
+      | behaviour                        | deadline_ms | result            | outcome |
+      | answers                          | 500         | an answer         | none    |
+      | refuses before dispatch          | 500         | queue-full        | not-run |
+      | fails after the head             | 500         | upstream-failed   | unknown |
+      | keeps the call in its queue      | 50          | deadline-exceeded | not-run |
+      | hangs after dispatch             | 50          | deadline-exceeded | unknown |
+      | does not confirm a cancel        | 50          | deadline-exceeded | unknown |
+      | loses the link after the opening | 500         | peer-failed       | unknown |
+      | has no address                   | 500         | peer-failed       | not-run |
