--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,214 @@
+"""Tests of the configuration rules, versions and change ids."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from knapweedhitch import changes, configuration
+from knapweedhitch.changes import Change, Operation, StampedChange
+from knapweedhitch.exceptions import CodecError, InvalidChange, VersionConflict
+from knapweedhitch.history import ChangeResult, ConfigurationMachine
+from knapweedhitch.model import ClaimGroup
+from tests.state_cluster import make_settings, service_config
+
+LIMITS = make_settings("c1", 1, max_change_ids=50, max_history_entries=20).control
+
+
+def apply(
+    machine: ConfigurationMachine,
+    op: Operation,
+    base: int | None = None,
+    change_id: str = "",
+    *,
+    wall_ms: int = 0,
+    serving: dict[str, frozenset[str]] | None = None,
+) -> ChangeResult:
+    change = Change(change_id or changes.new_change_id(), base, "op", op)
+    return machine.apply(changes.encode_stamped(StampedChange(change, wall_ms, serving or {})))
+
+
+class RulesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.machine = ConfigurationMachine(LIMITS)
+        apply(self.machine, changes.PutService(service_config("a")), 0)
+
+    def assert_refused(self, result: ChangeResult, text: str) -> None:
+        with self.assertRaisesRegex(InvalidChange, text):
+            result.unwrap()
+
+    def test_bad_services_are_refused_by_field(self) -> None:
+        """Guards against a service that no node can serve."""
+        good = service_config("b")
+        cases = [
+            ({"name": "B"}, "service name"),
+            ({"hosts": ()}, "hosts"),
+            ({"hosts": ("a.example",)}, "used by service a and b"),
+            ({"hosts": ("X.example",)}, "not a host name"),
+            ({"default_deadline_ms": 70_000}, "deadline"),
+            ({"max_body_bytes": 0}, "max_body_bytes"),
+            ({"max_ejected_ratio": 2.0}, "max_ejected_ratio"),
+        ]
+        for fields, text in cases:
+            with self.subTest(text=text):
+                op = changes.PutService(dataclasses.replace(good, **fields))
+                self.assert_refused(apply(self.machine, op, 1), text)
+        self.assertEqual(self.machine.current.version, 1)
+
+    def test_last_domain_needs_the_explicit_word(self) -> None:
+        """Guards against two operators who take out the last two domains of a service."""
+        serving = {"a": frozenset({"d1", "d2"})}
+        self.assertEqual(apply(self.machine, changes.DomainOut("d1"), serving=serving).unwrap(), 2)
+        refused = apply(self.machine, changes.DomainOut("d2"), serving=serving)
+        self.assert_refused(refused, "allow_last")
+        allowed = apply(self.machine, changes.DomainOut("d2", allow_last=True), serving=serving)
+        self.assertEqual(allowed.unwrap(), 3)
+
+    def test_claim_groups_never_reach_into_the_past(self) -> None:
+        """Guards against a key with two claim groups."""
+
+        def add(epoch: int, from_ms: int, wall_ms: int, service: str = "a") -> ChangeResult:
+            group = ClaimGroup(service, epoch, from_ms, ("x", "y", "z"))
+            return apply(self.machine, changes.AddClaimGroup(group), wall_ms=wall_ms)
+
+        add(1, 0, 100).unwrap()
+        self.assert_refused(add(1, 0, 100), "not the next")
+        self.assert_refused(add(2, 100, 100), "past")
+        self.assert_refused(add(1, 0, 100, "zz"), "no service")
+        add(2, 10_000, 100).unwrap()
+        apply(self.machine, changes.RemoveService("a"), self.machine.current.version).unwrap()
+        apply(
+            self.machine,
+            changes.PutAllServices((service_config("a"),)),
+            self.machine.current.version,
+        ).unwrap()
+        self.assert_refused(add(1, 0, 20_000), "not the next")
+        add(3, 30_000, 20_000).unwrap()
+        retention_ms = 3_600_000 + configuration.GROUP_MARGIN_MS
+        add(4, retention_ms + 50_000, retention_ms + 30_000).unwrap()
+        epochs = [g.epoch for g in self.machine.current.claim_groups["a"]]
+        self.assertEqual(epochs, [2, 3, 4])
+
+    def test_state_and_snapshot_keep_everything(self) -> None:
+        """Guards against a field that a transfer loses."""
+        group = ClaimGroup("a", 1, 0, ("x",))
+        for op in (
+            changes.AddClaimGroup(group),
+            changes.DomainOut("d1"),
+            changes.NodeDrain("n1"),
+            changes.DomainIn("d2"),
+        ):
+            apply(self.machine, op, change_id=op.kind).unwrap()
+        again = ConfigurationMachine(LIMITS)
+        again.restore(self.machine.snapshot())
+        self.assertEqual(again.current, self.machine.current)
+        self.assertEqual(again.history(), self.machine.history())
+        self.assertEqual(again.snapshot(), self.machine.snapshot())
+        self.assertEqual(again.result_of("domain_out"), self.machine.result_of("domain_out"))
+        state = configuration.to_state(self.machine.current)
+        self.assertEqual(configuration.from_state(state), self.machine.current)
+        for damaged in (b"", state[:-3], state + b"x", b"x" * 40):
+            with self.assertRaises(CodecError):
+                configuration.from_state(damaged)
+        with self.assertRaisesRegex(CodecError, "over 10 bytes"):
+            configuration.from_state(state, 10)
+
+    def test_undecodable_entry_is_refused_alike_everywhere(self) -> None:
+        """Guards against a log entry that stops every replica."""
+        for body in (b"", b"\xff", changes.encode_stamped(_stamped())[:-1]):
+            self.assertEqual(self.machine.apply(body).error, "InvalidChange")
+
+    def test_history_shows_the_difference(self) -> None:
+        """Guards against a change that nobody can explain later."""
+        apply(self.machine, changes.DomainOut("d1")).unwrap()
+        last = self.machine.history(1)[-1]
+        self.assertEqual((last.version, last.kind, last.operator), (2, "domain_out", "op"))
+        self.assertEqual(len(last.diff), 1)
+        self.assertTrue(last.diff[0].startswith("+ domains d1"))
+
+
+def _stamped() -> StampedChange:
+    return StampedChange(Change("x", None, "op", changes.DomainIn("d")), 0, {})
+
+
+class VersionsMachine(RuleBasedStateMachine):
+    """Compare versions, change ids and domains with a simple model."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.machine = ConfigurationMachine(LIMITS)
+        self.sent: dict[str, tuple[Operation, int | None, ChangeResult]] = {}
+        self.out: dict[str, bool] = {}
+        self.number = 0
+
+    def send(self, op: Operation, base: int | None) -> ChangeResult:
+        self.number += 1
+        change_id = f"change-{self.number}"
+        result = apply(self.machine, op, base, change_id)
+        self.sent[change_id] = (op, base, result)
+        return result
+
+    @rule(racers=st.integers(2, 4))
+    def race(self, racers: int) -> None:
+        base = self.machine.current.version
+        ops = [changes.PutService(service_config(f"s{n}")) for n in range(racers)]
+        results = [self.send(op, base) for op in ops]
+        assert [r.error for r in results] == ["", *["VersionConflict"] * (racers - 1)]
+        winner = f"change-{self.number - racers + 1}"
+        for number, result in enumerate(results[1:], start=self.number - racers + 2):
+            try:
+                result.unwrap()
+            except VersionConflict as exc:
+                assert winner in exc.winner and f"change-{number} " in exc.winner
+                assert (exc.base_version, exc.current_version) == (base, base + 1)
+
+    @rule(domain=st.sampled_from(["d1", "d2"]), out=st.booleans())
+    def move_domain(self, domain: str, out: bool) -> None:
+        op = changes.DomainOut(domain) if out else changes.DomainIn(domain)
+        assert self.send(op, None).error == ""
+        self.out[domain] = out
+
+    @rule(data=st.data())
+    def resend(self, data: st.DataObject) -> None:
+        if not self.sent:
+            return
+        change_id = data.draw(st.sampled_from(sorted(self.sent)[-LIMITS.max_change_ids :]))
+        op, base, first = self.sent[change_id]
+        if self.machine.result_of(change_id) is None:
+            return
+        before = self.machine.current
+        assert apply(self.machine, op, base, change_id) == first
+        assert self.machine.current is before
+
+    @rule(back=st.integers(1, 5))
+    def old_base(self, back: int) -> None:
+        base = self.machine.operator_version - back
+        if base >= 0:
+            result = self.send(changes.PutService(service_config("s1")), base)
+            assert result.error == "VersionConflict"
+            newer = self.send(changes.PutService(service_config("s1")), base + 1_000)
+            assert newer.error == "VersionConflict"
+
+    @rule()
+    def restart(self) -> None:
+        again = ConfigurationMachine(LIMITS)
+        again.restore(self.machine.snapshot())
+        self.machine = again
+
+    @invariant()
+    def versions_count_accepted_changes(self) -> None:
+        if hasattr(self, "machine"):
+            accepted = [r.version for _, _, r in self.sent.values() if not r.error]
+            assert accepted == list(range(1, self.machine.current.version + 1))
+            for domain, out in self.out.items():
+                assert self.machine.current.is_domain_out(domain) == out
+
+
+class VersionsUnderRaces(VersionsMachine.TestCase):  # type: ignore[misc, name-defined]
+    """Guards against two winners of a race, a second effect and a domain in the wrong state."""
+
+    settings = settings(derandomize=True, deadline=None, max_examples=100, stateful_step_count=30)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -10,8 +11,15 @@
 from trio.testing import MockClock
 
 from knapweedhitch.changes import DomainIn, DomainOut, PutService
+from knapweedhitch.counters import Counters
+from knapweedhitch.election import Elections
 from knapweedhitch.exceptions import CorruptFile, NotLeader, VersionConflict
-from tests.state_cluster import Cluster, service_config, stamped, until, with_cluster
+from knapweedhitch.history import ConfigurationMachine
+from knapweedhitch.messages import VoteRequest
+from knapweedhitch.raftstate import ReplicaState
+from knapweedhitch.store import Store
+from tests.faulty_disk import FaultyDisk
+from tests.state_cluster import Cluster, make_settings, service_config, stamped, until, with_cluster
 
 
 def run(
@@ -26,6 +34,31 @@
     trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
+class VoteTest(unittest.TestCase):
+    def test_vote_is_remembered_over_a_power_loss(self) -> None:
+        """Guards against two votes of one disk in one term."""
+
+        async def ask(disk: FaultyDisk, candidate: str, term: int = 5) -> bool:
+            cfg = make_settings("c1", 3)
+            store = await Store.open(disk, "k", "c1")
+            machine = ConfigurationMachine(cfg.control)
+            end: Any = None
+            state = ReplicaState(cfg, store, end, machine, Counters(), random.Random(1))
+            req = VoteRequest(term, candidate, 0, 0, False, "x", store.disk_id)
+            return (await Elections(state).on_vote(candidate, req)).granted
+
+        async def check() -> None:
+            disk = FaultyDisk()
+            self.assertTrue(await ask(disk, "c2"))
+            disk.lose_power(keep=0.0)
+            disk = disk.reopened()
+            self.assertFalse(await ask(disk, "c3"))
+            self.assertFalse(await ask(disk.reopened(), "c3", 4))
+            self.assertTrue(await ask(disk.reopened(), "c2"))
+
+        trio.run(check)
+
+
 class SingleMemberTest(unittest.TestCase):
     def test_one_member_keeps_its_changes_over_a_power_loss(self) -> None:
         """Guards against an answer before the sync."""
--- /dev/null
+++ b/tests/test_feed.py
@@ -0,0 +1,216 @@
+"""Tests of the feed: freshness, distribution and catch-up."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+from trio.testing import MockClock
+
+from knapweedhitch.changes import DomainIn, DomainOut
+from knapweedhitch.messages import FeedPoll, FeedPush, FeedReply
+from knapweedhitch.settings import FeedSettings
+from tests.state_cluster import stamped, until
+from tests.state_nodes import World
+
+LEASE_MS = FeedSettings().config_lease_ms
+
+
+def run(fn: Callable[[World], Awaitable[None]], size: int = 1) -> None:
+    """Run a test with a world on the virtual clock."""
+
+    async def main() -> None:
+        with trio.fail_after(900):
+            async with trio.open_nursery() as nursery:
+                await fn(World(nursery, size))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+class FreshnessTest(unittest.TestCase):
+    def test_isolated_node_is_stale_within_the_lease(self) -> None:
+        """Guards against work that is accepted under an old configuration."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            feed = world.hosts["n1"].feed
+            self.assertFalse(feed.is_fresh())
+            await until(feed.is_fresh)
+            world.isolate("n1")
+            await trio.sleep((LEASE_MS + 5) / 1_000)
+            self.assertFalse(feed.is_fresh())
+            world.network.cut.clear()
+            await until(feed.is_fresh, 3_000)
+
+        run(check)
+
+    def test_proof_counts_from_the_sending_of_the_poll(self) -> None:
+        """Guards against a delayed reply that makes a node look fresh."""
+
+        async def check(world: World) -> None:
+            world.network.latency_ms = (400.0, 450.0)
+            await world.start("n1")
+            await trio.sleep(10)
+            feed = world.hosts["n1"].feed
+            ages: list[float] = []
+            for _ in range(200):
+                await trio.sleep(0.01)
+                ages.append(feed.age_ms() or 0.0)
+            self.assertGreaterEqual(min(ages), 800.0)
+
+        run(check)
+
+    def test_restarted_node_has_no_proof_until_a_source_answers(self) -> None:
+        """Guards against a restarted node that works under an empty configuration."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            await world.submit("n1", DomainOut("d1"))
+            world.network.loss = 1.0
+            host = await world.add("n1")
+            await trio.sleep(5)
+            self.assertIsNone(host.feed.age_ms())
+            world.network.loss = 0.0
+            await until(host.feed.is_fresh)
+            self.assertTrue(host.feed.current.is_domain_out("d1"))
+
+        run(check)
+
+    def test_lost_majority_makes_every_node_stale(self) -> None:
+        """Guards against a minority that serves its state as current."""
+
+        async def check(world: World) -> None:
+            await world.start("n1", "n2")
+            feeds = [h.feed for h in world.hosts.values()]
+            await until(lambda: all(f.is_fresh() for f in feeds))
+            await world.remove("c1")
+            await world.remove("c2")
+            await trio.sleep((2 * LEASE_MS + 500) / 1_000)
+            left = [h.feed for n, h in world.hosts.items() if n not in ("c1", "c2")]
+            self.assertEqual([f.is_fresh() for f in left], [False] * 3)
+            await world.add("c1")
+            await until(lambda: all(f.is_fresh() for f in left))
+
+        run(check, size=3)
+
+    def test_leader_loss_is_bridged_by_the_lease(self) -> None:
+        """Guards against a stop of all work at each leader change; the bound is P9's 4 s."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            await world.submit("n1", DomainOut("d1"))
+            leader = next(h for h in world.hosts.values() if h.control.replica.is_leader)
+            await world.remove(leader.node_id)
+            lost_s = trio.current_time()
+            await world.submit("n1", DomainIn("d1"))
+            feeds = [h.feed for h in world.hosts.values() if h is not leader]
+            await until(lambda: all(f.is_fresh() and f.current.version == 2 for f in feeds))
+            self.assertLess(trio.current_time() - lost_s, 4.0)
+
+        run(check, size=3)
+
+
+class SourceTest(unittest.TestCase):
+    def test_any_fresh_node_is_a_source(self) -> None:
+        """Guards against nodes that depend on reaching a control instance."""
+
+        async def check(world: World) -> None:
+            await world.start("n1", "n2")
+            for node_id in ("n1", "n2"):
+                world.membership.add(node_id, "d1", "a")
+            world.network.cut |= {("n2", "c1"), ("c1", "n2")}
+            feed = world.hosts["n2"].feed
+            await world.submit("n1", DomainOut("d1"))
+            await until(lambda: feed.is_fresh() and feed.current.version == 1)
+            await trio.sleep(30)
+            self.assertTrue(feed.is_fresh())
+            await world.submit("n1", DomainIn("d1"))
+            await until(lambda: feed.current.version == 2, 1_500)
+
+        run(check)
+
+    def test_full_source_sends_nodes_elsewhere(self) -> None:
+        """Guards against an unbounded table of subscribers."""
+
+        async def check(world: World) -> None:
+            nodes = [f"n{number}" for number in range(6)]
+            for node_id in nodes:
+                world.membership.add(node_id, "d1", "a")
+            for node_id in ("c1", *nodes):
+                await world.add(node_id)
+                host = world.hosts[node_id]
+                host.feed._subscribers._cfg = FeedSettings(max_subscribers=2)
+            await until(lambda: all(h.feed.is_fresh() for h in world.hosts.values()))
+            await trio.sleep(20)
+            for host in world.hosts.values():
+                self.assertTrue(host.feed.is_fresh(), host.node_id)
+                self.assertLessEqual(len(host.feed._subscribers), 2)
+
+        run(check)
+
+    def test_catch_up_over_hundreds_of_changes(self) -> None:
+        """Guards against a node that stays behind after it missed more than the log keeps."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            feed = world.hosts["n1"].feed
+            await until(feed.is_fresh)
+            world.isolate("n1")
+            for number in range(500):
+                op = DomainIn("d1") if number % 2 else DomainOut("d1")
+                await world.submit("c1", op)
+            world.network.cut.clear()
+            await until(lambda: feed.is_fresh() and feed.current.version == 500, 3_000)
+            served = world.hosts["c1"].counters.get("feed_polls_served", "state")
+            self.assertEqual(served, 1)
+
+        run(check)
+
+
+class RevertTest(unittest.TestCase):
+    def test_older_and_foreign_states_are_never_applied(self) -> None:
+        """Guards against a configuration that goes back."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            feed = world.hosts["n1"].feed
+            for op in (DomainOut("d1"), DomainOut("d2")):
+                await world.submit("n1", op)
+            await until(lambda: feed.current.version == 2)
+            seen: list[int] = []
+            feed.subscribe(lambda cfg: seen.append(cfg.version))
+            group, body = feed.group_id, stamped(DomainIn("d1"))
+            await feed._on_push("c1", FeedPush(group, 0, (body,)))
+            await feed._on_push("c1", FeedPush(group, 9, (body,)))
+            await feed._on_push("c1", FeedPush("other", 2, (body,)))
+            for reply in (
+                FeedReply("other", 3, 0.0, (body,), b""),
+                FeedReply(group, 3, -1.0, (body,), b""),
+                FeedReply(group, 3, 0.0, (b"damaged",), b""),
+                FeedReply(group, 3, 0.0, (), b"damaged"),
+            ):
+                self.assertFalse(feed._take_reply(reply, 0.0))
+            self.assertEqual((seen, feed.current.version), ([], 2))
+            self.assertEqual(world.hosts["n1"].counters.get("feed_foreign_group"), 2)
+            with self.assertRaises(AssertionError):
+                feed._advance(feed.current, ())
+            await feed._on_push("c1", FeedPush(group, 1, (body, body)))
+            self.assertEqual(seen, [3])
+
+        run(check)
+
+    def test_source_without_proof_gives_no_state(self) -> None:
+        """Guards against an isolated control instance that serves old state."""
+
+        async def check(world: World) -> None:
+            await world.start()
+            await world.submit("c1", DomainOut("d1"))
+            alone = next(h for h in world.hosts.values() if not h.control.replica.is_leader)
+            world.isolate(alone.node_id)
+            await trio.sleep(3 * LEASE_MS / 1_000)
+            reply = await alone.feed._on_poll("n1", FeedPoll(0, True))
+            self.assertEqual((reply.age_ms, reply.changes, reply.state), (-1.0, (), b""))
+
+        run(check, size=3)
