--- a/knapweedhitch/election.py
+++ b/knapweedhitch/election.py
@@ -88,11 +88,13 @@
         s = self._s
         voters = dict(s.voters)
         granted = {s.node_id}
+        highest_term = s.store.term
         needed = len(voters) // 2 + 1
         if len(granted) >= needed:
             return True
 
         async def ask(node_id: str, disk_id: str) -> None:
+            nonlocal highest_term
             req = VoteRequest(
                 term,
                 s.node_id,
@@ -110,10 +112,7 @@
                 return
             if reply.granted and reply.disk_id == disk_id:
                 granted.add(node_id)
-            elif reply.term > s.store.term:
-                async with s.lock:
-                    if reply.term > s.store.term:
-                        await s.adopt_term(reply.term)
+            highest_term = max(highest_term, reply.term)
             if len(granted) >= needed:
                 nursery.cancel_scope.cancel()
 
@@ -121,6 +120,10 @@
             for node_id, disk_id in voters.items():
                 if node_id != s.node_id:
                     nursery.start_soon(ask, node_id, disk_id)
+        if len(granted) < needed and highest_term > s.store.term:
+            async with s.lock:
+                if highest_term > s.store.term:
+                    await s.adopt_term(highest_term)
         return len(granted) >= needed
 
     def _hears_leader(self) -> bool:
--- a/knapweedhitch/raftstate.py
+++ b/knapweedhitch/raftstate.py
@@ -289,8 +289,9 @@
         reached = int(reached_by_majority(self._match(n, d) for n, d in self.voters.items()))
         # Entries of earlier terms commit only together with one of the own term.
         if reached > self.commit_index and self.store.term_at(reached) == self.store.term:
+            # The followers learn it with the next entries or heartbeat; a message of its own would
+            # make the next proposal wait for a round trip.
             self.commit_to(reached)
-            self.wake_peers()
 
     def _match(self, node_id: str, disk_id: str) -> int:
         if node_id == self.node_id:
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -91,8 +91,8 @@
     members: tuple[ControlMember, ...]
     data_dir: str | None = None
     heartbeat_ms: Ms = 100
-    election_timeout_ms: Ms = 1_000
-    call_timeout_ms: Ms = 500
+    election_timeout_ms: Ms = 600
+    call_timeout_ms: Ms = 300
     max_batch_entries: Count = 256
     max_pending_proposals: Count = 1_024
     snapshot_after_entries: Count = 1_000
--- a/tests/features/replication.feature
+++ b/tests/features/replication.feature
@@ -35,4 +35,5 @@
       | 3       | crash of the leader          | crash of a follower          | accepts nothing     |
       | 3       | isolation of the leader      | crash of a follower          | accepts nothing     |
       | 3       | lost disk without repair     | crash of the leader          | accepts nothing     |
+      | 3       | crash of a follower          | lost disk without repair     | accepts nothing     |
       | 3       | crash of everyone            | nothing                      | accepts nothing     |
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -208,6 +208,7 @@
             await world.start()
             await world.submit("c1", DomainOut("d1"))
             alone = next(h for h in world.hosts.values() if not h.control.replica.is_leader)
+            await until(alone.feed.is_fresh)
             world.isolate(alone.node_id)
             await trio.sleep(3 * LEASE_MS / 1_000)
             reply = await alone.feed._on_poll("n1", FeedPoll(0, True))
