--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -29,6 +29,7 @@
 
 BOUNDED = settings(derandomize=True, deadline=None, max_examples=150)
 OUT = {"change_id": "c1", "operator": "ann"}
+LABEL = st.text('ab"\\\n é', max_size=8)
 JSON_VALUE = st.recursive(
     st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=20),
     lambda inner: st.lists(inner, max_size=4)
@@ -136,6 +137,24 @@
         answers = run(World().raw, one + two + one).split(b"HTTP/1.1 ")[1:]
         self.assertEqual([a[:3] for a in answers], [b"200", b"405", b"200"])
 
+    def test_upgrade_and_expectation_are_answered(self) -> None:
+        """Guards against a client that waits for "100 Continue", or speaks another protocol."""
+        head = f"POST /v1/changes HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {TOKEN}\r\n"
+        expecting = f"{head}Expect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+
+        async def scenario() -> bytes:
+            async with World().connected() as client:
+                await client.send_all(expecting.encode())
+                first = await client.receive_some(1_000)
+                await client.send_all(b"{}")
+                return first + b"|" + await client.receive_some(1_000)
+
+        statuses = [part.split()[1] for part in run(scenario).split(b"|")]
+        self.assertEqual(statuses, [b"100", b"422"])
+        upgrade = f"{head}Upgrade: h2c\r\nConnection: upgrade\r\nContent-Length: 0\r\n\r\n"
+        answer = split_answer(run(World().raw, upgrade.encode()))
+        self.assertEqual((answer[0], answer[1]["error"]), (501, "upgrade-refused"))
+
     def test_fault_in_a_handler_is_an_internal_error(self) -> None:
         """Guards against a fault in another service that ends the listener."""
         world = World()
@@ -287,8 +306,8 @@
 
     @BOUNDED
     @given(
-        st.dictionaries(st.tuples(st.text(max_size=8), st.text(max_size=8)), st.integers(0, 9)),
-        st.dictionaries(st.text(max_size=8), st.floats()),
+        st.dictionaries(st.tuples(LABEL, LABEL), st.integers(0, 9)),
+        st.dictionaries(LABEL, st.floats()),
     )
     def test_metrics_page_holds_whole_lines(
         self, counts: dict[tuple[str, str], int], gauges: dict[str, float]
