--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -43,7 +43,7 @@
     ("operator_api", "operator_api"),
     ("drain", "drain"),
 )
-# The service that owns each listener; its attribute `address` is the bound model.Address.
+# The service that owns each listener; its attribute `address` is the bound one.
 LISTENERS = (
     ("callers", "ingress"),
     ("peers", "peers"),
@@ -81,9 +81,8 @@
     """Return host:port of every listener that its service has bound."""
     found = {}
     for listener, owner in LISTENERS:
-        address = getattr(kernel.get(owner), "address", None) if kernel.has(owner) else None
-        if address is not None:
-            found[listener] = str(address)
+        if kernel.has(owner):
+            found[listener] = str(kernel.get(owner).address)
     return found
 
 
--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -75,7 +75,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self.kernel = kernel
         self.cfg = kernel.cfg.operator
-        self.address: Address | None = None
+        self.address = Address(kernel.cfg.listen.operator.host, kernel.cfg.listen.operator.port)
         self.phase = "starting"
         self.proposer = Proposer(kernel)
         self._token = b""
