--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -34,6 +34,8 @@
     ("pool", "pool"),
     ("gate", "gate"),
     ("forward", "forward"),
+    ("loadreports", "loadreports"),
+    ("direct", "direct"),
     ("claims", "claims"),
     ("announce", "announce"),
     ("router", "router"),
--- a/knapweedhitch/direct.py
+++ b/knapweedhitch/direct.py
@@ -53,7 +53,7 @@
         used, result = True, CallResult(False, 0.0)
         started_ms = self._timers.now_ms()
         try:
-            result = await self._kernel.get("pool").execute(address, spec, body, sink)
+            result = await self._kernel.get("pool").exchange(address, spec, body, sink)
             return result
         except Refusal as exc:
             used = exc.outcome is not Outcome.NOT_RUN
