Join gate, forward, direct and admission at their interfaces

Cause: the parts were written apart. A load sample taken while a call ran was observed after the call had ended, so a cold target with limit 1 looked full for good; admission was never told that its domain left or returned, so leases were not revoked and no ramp followed; calls under slot leases used other signatures than the lease tables; a hedge's loser counted as a failure or as a fast call. Change: observe before finished; the gate follows the configuration; direct calls use the lease tables, tell a use that outlasts half the lifetime and give revoked leases back; a call notes its dispatch right before the first byte, so that a cancel in a remote queue is confirmed as not run; the timer task wakes only for a new earliest timer; staleness is checked before the service is looked up.

--- a/knapweedhitch/admission.py
+++ b/knapweedhitch/admission.py
@@ -313,6 +313,8 @@
         self._note_empty()
 
     def _learn(self, result: CallResult, in_flight: int) -> None:
+        if result.cancelled and result.ok:
+            return
         if self._ramp.warmth is Warmth.WARM:
             self._gradient.on_result(result, in_flight)
         cause = self._ramp.on_result(result, at_limit=in_flight >= self.limit)
--- a/knapweedhitch/attempt.py
+++ b/knapweedhitch/attempt.py
@@ -69,6 +69,9 @@
         self._size = 0
         self.headers: Headers = ()
 
+    def dispatched(self) -> None:
+        """Do nothing; the outcome of a local call is known from its connection."""
+
     async def informational(self, status: int, headers: Headers) -> None:
         """Pass a 1xx answer on while no attempt has answered."""
         if self.race is None or self.race.winner in (None, self):
--- a/knapweedhitch/direct.py
+++ b/knapweedhitch/direct.py
@@ -8,12 +8,14 @@
 from knapweedhitch.exceptions import NoLease, Outcome, PeerError, Refusal
 from knapweedhitch.exchange import BodySource, CallSpec, ResponseSink
 from knapweedhitch.kernel import Kernel, service
-from knapweedhitch.messages import Ack, LeaseGrant, LeaseRequest, LeaseReturn, LeaseRevoke
+from knapweedhitch.messages import Ack, LeaseGrant, LeaseRequest, LeaseReturn, LeaseRevoke, LeaseUse
 from knapweedhitch.model import Address, CallResult
 from knapweedhitch.peers import Peers
 from knapweedhitch.timers import Timers
 
 REQUEST_TIMEOUT_MS = 200.0
+# A call that still runs after this share of the lifetime tells its target, which keeps the slot.
+USE_NOTICE_SHARE = 0.5
 MAX_REQUESTS = 1_024
 
 
@@ -32,7 +34,9 @@
         """Take lease messages."""
         self._peers.handle(LeaseRequest, self._on_request)
         self._peers.handle(LeaseReturn, self._on_return)
+        self._peers.handle(LeaseUse, self._on_use)
         self._peers.handle(LeaseRevoke, self._on_revoke)
+        self._kernel.get("admission").on_revoke(self.revoke)
 
     async def stop(self) -> None:
         """Do nothing; leases end by their lifetime."""
@@ -52,6 +56,10 @@
         # A failed or cancelled call has used its lease unless it was provably not run.
         used, result = True, CallResult(False, 0.0)
         started_ms = self._timers.now_ms()
+        notice = self._timers.after(
+            self._kernel.cfg.admission.lease_lifetime_ms * USE_NOTICE_SHARE,
+            lambda: self._notify_use(node_id, spec.instance_id, lease_id),
+        )
         try:
             result = await self._kernel.get("pool").exchange(address, spec, body, sink)
             return result
@@ -59,12 +67,16 @@
             used = exc.outcome is not Outcome.NOT_RUN
             raise
         finally:
+            notice.cancel()
             if not result.ok and not result.service_ms:
                 result = CallResult(False, self._timers.now_ms() - started_ms, result.status)
-            leases.give_back(spec.instance_id, lease_id)
-            self._return(node_id, spec.instance_id, lease_id, used, result)
+            if not leases.give_back(spec.instance_id, lease_id, used=used):
+                self._return(node_id, spec.instance_id, lease_id, used, result)
             self._request(node_id, spec.instance_id)
 
+    def _notify_use(self, node_id: str, instance_id: str, lease_id: int) -> None:
+        self._peers.send(node_id, LeaseUse(instance_id, lease_id))
+
     def _address(self, spec: CallSpec) -> Address | None:
         for target in self._kernel.get("membership").targets(spec.service):
             if target.upstream.instance_id == spec.instance_id and not target.draining:
@@ -87,7 +99,8 @@
         self._kernel.nursery.start_soon(self._run_request, node_id, instance_id, wanted)
 
     async def _run_request(self, node_id: str, instance_id: str, wanted: int) -> None:
-        requested_ms = self._timers.now_ms()
+        leases = self._kernel.get("slotlease")
+        requested_ms = leases.requested(instance_id)
         try:
             msg = LeaseRequest(instance_id, wanted)
             grant = await self._peers.call(node_id, msg, REQUEST_TIMEOUT_MS)
@@ -102,15 +115,13 @@
         self._counters.add("lease_requests", "granted" if grant.lease_ids else "refused")
         if grant.load is not None and self._kernel.has("picker"):
             self._kernel.get("picker").observe(instance_id, grant.load)
-        if grant.lease_ids:
-            # The lifetime counts from the request, so it ends here no later than at the target.
-            self._kernel.get("slotlease").granted(
-                instance_id, grant.lease_ids, grant.lifetime_ms, requested_ms
-            )
+        # The lifetime counts from the request, so it ends here no later than at the target.
+        leases.granted(instance_id, grant.lease_ids, grant.lifetime_ms, requested_ms)
 
     async def _on_revoke(self, node_id: str, msg: LeaseRevoke) -> Ack:
         self._counters.add("lease_revokes")
-        self._kernel.get("slotlease").revoke(msg.instance_id)
+        for lease_id in self._kernel.get("slotlease").revoke(msg.instance_id):
+            self._return(node_id, msg.instance_id, lease_id, False, CallResult(True, 0.0))
         return Ack()
 
     # Target side
@@ -137,7 +148,9 @@
 
     async def _on_return(self, node_id: str, msg: LeaseReturn) -> Ack:
         result = CallResult(msg.ok, max(0.0, msg.service_ms), msg.status)
-        self._kernel.get("admission").lease_returned(
-            node_id, msg.lease_id, result if msg.used else None
-        )
+        self._kernel.get("admission").lease_returned(msg.lease_id, msg.used, result)
+        return Ack()
+
+    async def _on_use(self, node_id: str, msg: LeaseUse) -> Ack:
+        self._kernel.get("admission").lease_used(msg.lease_id)
         return Ack()
--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -233,9 +233,10 @@
             if result is None:
                 call.maybe_ran = True
                 result = self._cancelled(call, (trio.current_time() - started_s) * 1_000)
-            self._picker.finished(instance_id, result)
+            # The sample was taken while this call ran, so it is observed before the call's end is.
             if attempt.load is not None:
                 self._picker.observe(instance_id, attempt.load)
+            self._picker.finished(instance_id, result)
 
     @staticmethod
     def _cancelled(call: Call, elapsed_ms: float) -> CallResult:
--- a/knapweedhitch/ejection.py
+++ b/knapweedhitch/ejection.py
@@ -59,6 +59,9 @@
     ) -> bool:
         """Learn from a result; return True when it ejects the target."""
         record = self._records.setdefault(instance_id, _Record())
+        if result.cancelled and result.ok:
+            record.probing = False
+            return False
         if result.shed and loaded:
             # Ejecting a target for being busy moves its load to the next one, and so on. A target
             # that sheds without load is faulty.
--- a/knapweedhitch/exchange.py
+++ b/knapweedhitch/exchange.py
@@ -37,7 +37,11 @@
 
 
 class ResponseSink(Protocol):
-    """Take the answer of an upstream part by part; each call waits for backpressure."""
+    """Take the answer of an upstream part by part; each async call waits for backpressure."""
+
+    def dispatched(self) -> None:
+        """Note that bytes of the call are handed to the upstream from now on."""
+        ...
 
     async def informational(self, status: int, headers: Headers) -> None:
         """Pass a 1xx answer on."""
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -244,7 +244,7 @@
             stream.put(fail_frame(stream.stream_id, failure, load))
         else:
             # The gate has returned, so nothing can be dispatched after this is decided.
-            outcome = sink.cancel_outcome(self._kernel.get("gate"))
+            outcome = sink.cancel_outcome()
             self._counters.add("forward_cancelled", outcome.value)
             stream.put(StreamCancelled(stream.stream_id, outcome))
 
@@ -304,8 +304,8 @@
 class RemoteSink:
     """Send the answer to the entry node.
 
-    The gate calls `dispatched` right before it hands the call to the upstream, and says so by its
-    attribute `marks_dispatch`; without the mark a cancelled call is never confirmed as not run.
+    `dispatched` is called right before the first byte goes to the upstream; a call that is
+    cancelled without it is confirmed as not run.
     """
 
     def __init__(self, stream: PeerStream, load: Any) -> None:
@@ -319,11 +319,9 @@
         """Note that the call is handed to the upstream now."""
         self.was_dispatched = True
 
-    def cancel_outcome(self, gate: Any) -> Outcome:
+    def cancel_outcome(self) -> Outcome:
         """Return what is known of a cancelled call once the gate has returned."""
-        if getattr(gate, "marks_dispatch", False) and not self.was_dispatched:
-            return Outcome.NOT_RUN
-        return Outcome.UNKNOWN
+        return Outcome.UNKNOWN if self.was_dispatched else Outcome.NOT_RUN
 
     async def informational(self, status: int, headers: Headers) -> None:
         """Pass a 1xx answer on, up to a number for each call."""
--- a/knapweedhitch/gate.py
+++ b/knapweedhitch/gate.py
@@ -16,7 +16,7 @@
 )
 from knapweedhitch.exchange import BodySource, CallSpec, ResponseSink
 from knapweedhitch.kernel import Kernel, service
-from knapweedhitch.model import CallResult, UpstreamRecord, UpstreamState
+from knapweedhitch.model import CallResult, Configuration, UpstreamRecord, UpstreamState
 from knapweedhitch.pool import refused_result
 
 # Refusals of the gate itself, which say nothing about the upstream.
@@ -33,6 +33,7 @@
         self._kernel = kernel
         self._node = kernel.cfg.node
         self.in_progress = 0
+        self._domain_out = False
 
     async def start(self) -> None:
         """Find the services that the gate uses."""
@@ -42,6 +43,14 @@
         self._admission = get("admission")
         self._pool = get("pool")
         self._counters = get("counters")
+        self._config.subscribe(self._on_config)
+        self._on_config(self._config.current)
+
+    def _on_config(self, current: Configuration) -> None:
+        out = current.is_domain_out(self._node.domain)
+        if out != self._domain_out:
+            self._domain_out = out
+            self._admission.set_domain_out(out)
 
     async def stop(self) -> None:
         """Do nothing; calls end with their tasks."""
--- a/knapweedhitch/loadtable.py
+++ b/knapweedhitch/loadtable.py
@@ -88,6 +88,9 @@
         if entry.starts_ms:
             began_ms = self._now_ms() - result.service_ms
             entry.starts_ms.remove(min(entry.starts_ms, key=lambda at: abs(at - began_ms)))
+        if result.cancelled and result.ok:
+            # A call that was given up, such as the loser of a hedge, has no time of its own.
+            return
         if result.shed:
             # A refusal for load says nothing about the time of a call; the sample that comes with
             # it tells the load. As a latency it would move all calls to the other targets.
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -241,6 +241,15 @@
     service_ms: float
 
 
+@message(25)
+@dataclass(frozen=True, slots=True)
+class LeaseUse(Message):
+    """Tell that a call under a slot lease takes longer than the lifetime of the lease."""
+
+    instance_id: str
+    lease_id: int
+
+
 @message(24)
 @dataclass(frozen=True, slots=True)
 class LeaseRevoke(Message):
--- a/knapweedhitch/pick.py
+++ b/knapweedhitch/pick.py
@@ -281,7 +281,7 @@
         )
         if ejected:
             self._counters.add("ejections", name or "")
-        if result.ok:
+        if result.ok and not result.cancelled:
             state.times_ms.append(result.service_ms)
             state.new_times += 1
 
--- a/knapweedhitch/router.py
+++ b/knapweedhitch/router.py
@@ -238,11 +238,11 @@
             if drain.refusing:
                 raise NodeDraining
         current = self._config.current
+        if not self._config.is_fresh():
+            raise ConfigStale
         svc = self._service_for_host(current, head.host)
         if svc is None:
             raise NoSuchService(detail=head.host[:200])
-        if not self._config.is_fresh():
-            raise ConfigStale
         conn.limit_body(head, svc.max_body_bytes)
         depth = _number(head, framing.DEPTH, 0)
         if depth > self._cfg.callers.max_depth:
--- a/knapweedhitch/timers.py
+++ b/knapweedhitch/timers.py
@@ -77,8 +77,10 @@
         return interval_ms * (1.0 + jitter * (2.0 * self._rng.random() - 1.0))
 
     def _push(self, delay_ms: float, sub: Subscription) -> None:
-        heapq.heappush(self._heap, (self.now_ms() + delay_ms, next(self._sequence), sub))
-        self._wakeup.set()
+        entry = (self.now_ms() + delay_ms, next(self._sequence), sub)
+        heapq.heappush(self._heap, entry)
+        if self._heap[0] is entry:
+            self._wakeup.set()
 
     async def _run(self) -> None:
         while True:
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -36,6 +36,14 @@
 
 
 class GateTest(unittest.TestCase):
+    @in_node()
+    async def test_admission_learns_that_its_domain_leaves_and_returns(self, world: World) -> None:
+        """Guards against leases that outlive a take-out and a return without a ramp."""
+        for domains, expected in ((OUT, [True]), ({}, [True, False])):
+            world.config.publish(dataclasses.replace(world.config.current, domains=domains))
+            world.config.publish(world.config.current)
+            self.assertEqual(world.admission.out_calls, expected)
+
     @in_node()
     async def test_checks_are_made_again_after_the_queue(self, world: World) -> None:
         """Guards against a queued call that reaches an upstream which must get no new work."""
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -6,6 +6,9 @@
 
 import trio
 
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exchange import CallSpec
+from knapweedhitch.model import Address
 from tests.request_world import World, in_node
 
 
@@ -22,6 +25,31 @@
             reply = await world.caller().call("POST")
             self.assertEqual((reply.status, reply.body, up.connections), (200, b"\0\0", before + 1))
 
+    @in_node()
+    async def test_dispatch_is_noted_before_the_first_byte(self, world: World) -> None:
+        """Guards against a cancel that is confirmed as not run after bytes went to the upstream."""
+        world.add_upstream("up-1", local=True)
+        noted: list[str] = []
+
+        class Sink:
+            def dispatched(self) -> None:
+                sent = world.upstream_streams[-1].peer.received if world.upstream_streams else -1
+                noted.append(f"dispatched after {sent} bytes")
+
+            async def head(self, *_: object) -> None:
+                noted.append("head")
+
+            async def data(self, _: bytes) -> None: ...
+
+            async def end(self) -> None: ...
+
+        call = CallSpec(
+            "r", "shop", "up-1", "GET", b"/", ((b"host", b"shop"),), False,
+            Deadline.after_ms(1_000), 0, 0, 1,
+        )  # fmt: skip
+        await world.pool.exchange(Address("127.0.0.1", 9_000), call, None, Sink())
+        self.assertEqual(noted, ["dispatched after 0 bytes", "head"])
+
     @in_node()
     async def test_unsafe_calls_avoid_connections_that_were_idle(self, world: World) -> None:
         """Guards against unsafe calls lost on a connection that the upstream just gave up."""
