Measure the time that each path adds on real processes

Cause: the 1.4 ms target was known from a prototype only. Change: scripts/measure_path.py pairs direct calls with calls through the entry; a counter for each path.

--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -248,20 +248,24 @@
         spec = self._spec(call, attempt.target)
         result: CallResult
         if node_id == self._node.id:
-            call.path = "gate"
+            self._take_path(call, "gate")
             result = await self._gate.execute(node_id, spec, call.body, attempt)
             return result
         if self._direct is not None:
             try:
-                call.path = "direct"
                 result = await self._direct.execute(node_id, spec, call.body, attempt)
+                self._take_path(call, "direct")
                 return result
             except NoLease:
                 pass
-        call.path = "forward"
+        self._take_path(call, "forward")
         result = await self._forward.execute(node_id, spec, call.body, attempt)
         return result
 
+    def _take_path(self, call: Call, path: str) -> None:
+        call.path = path
+        self._counters.add("calls", path)
+
     def _spec(self, call: Call, target: Target) -> CallSpec:
         return CallSpec(
             request_id=call.request_id,
--- /dev/null
+++ b/scripts/measure_path.py
@@ -0,0 +1,273 @@
+"""Measure the time that each path adds to a call, on real processes over loopback.
+
+One daemon with a stand-in is the entry; two others have a stand-in in their slot. Direct calls and
+calls through the entry are sent in turn, so that noise of the machine meets both alike.
+"""
+
+from __future__ import annotations
+
+import argparse
+import dataclasses
+import json
+import os
+import random
+import sys
+import time
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import trio
+
+from scripts.harness import Child, Daemon, Endpoint, Harness, on_loopback
+from scripts.load import Connection, percentile, poisson_pause
+
+SLOTS = 9
+ANSWER_BYTES = 512
+TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+CLUSTER = "measure"
+# Path name -> (service, slot leases allowed). "gate" is the entry's own upstream.
+PATHS = {"gate": ("near", True), "direct": ("far", True), "forward": ("queued", False)}
+MIN_WARM_S = 3.0
+READY_TIMEOUT_S = 20.0
+
+
+@dataclasses.dataclass(frozen=True)
+class PathResult:
+    """Hold the figures of one path; times in milliseconds, CPU in milliseconds a call."""
+
+    path: str
+    rate_per_s: float
+    calls: int
+    failed: int
+    direct_p50: float
+    direct_p99: float
+    via_p50: float
+    via_p99: float
+    via_p999: float
+    entry_cpu_ms: float
+    target_cpu_ms: float
+    paths_taken: dict[str, int]
+
+    @property
+    def added_p50(self) -> float:
+        """Return the added time at p50."""
+        return self.via_p50 - self.direct_p50
+
+    @property
+    def added_p99(self) -> float:
+        """Return the added time at p99."""
+        return self.via_p99 - self.direct_p99
+
+
+def node_settings(node_id: str, domain: str, leases: bool) -> dict[str, Any]:
+    """Return the settings of one node before addresses are filled in."""
+    cfg: dict[str, Any] = {
+        "node": {"id": node_id, "domain": domain, "region": "r1", "cluster": CLUSTER},
+        "secrets": {},
+        "control": {"members": [{"id": "entry"}]},
+    }
+    if not leases:
+        cfg["admission"] = {"max_leases_per_peer": 0}
+    return cfg
+
+
+def cpu_s(pid: int) -> float:
+    """Return the processor time in seconds of a process that this script started."""
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="utf-8").rsplit(") ", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_S
+
+
+class Bench:
+    """Hold the started processes and the operator's token."""
+
+    def __init__(self, harness: Harness) -> None:
+        self.harness = harness
+        settings = on_loopback(
+            {
+                "entry": node_settings("entry", "d1", True),
+                "direct": node_settings("direct", "d2", True),
+                "forward": node_settings("forward", "d3", False),
+            },
+            harness.folder,
+        )
+        self.daemons: dict[str, Daemon] = {
+            name: harness.start_daemon(name, cfg) for name, cfg in settings.items()
+        }
+        harness.wait_ready(list(self.daemons.values()))
+        # A path is named after the node of its target, but for the entry's own.
+        self.node_of = {"gate": "entry", "direct": "direct", "forward": "forward"}
+        self.stand_ins = {path: self._stand_in(path) for path in PATHS}
+        self.token = (harness.folder / "operator.token").read_text(encoding="utf-8").strip()
+
+    def _stand_in(self, path: str) -> Child:
+        daemon = self.daemons[self.node_of[path]]
+        return self.harness.start_stand_in(
+            path, PATHS[path][0], SLOTS, daemon.endpoints["announce"]
+        )
+
+    def upstream(self, path: str) -> Endpoint:
+        """Return the address of the stand-in of a path."""
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while "address=" not in (output := self.stand_ins[path].output()):
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"stand-in {path} does not listen")
+            time.sleep(0.05)
+        host, port = output.split("address=")[1].split()[0].rsplit(":", 1)
+        return Endpoint(host, int(port))
+
+    async def operator(self, method: str, path: str, body: object = None) -> bytes:
+        """Send one operator request to the entry and return the body of the answer."""
+        place = self.daemons["entry"].endpoints["operator"]
+        conn = Connection(place.host, place.port)
+        data = b"" if body is None else json.dumps(body).encode()
+        token = [("Authorization", f"Bearer {self.token}")]
+        sample = await conn.request("operator", path, method=method, headers=token, body=data)
+        await conn.close()
+        if sample.status != 200:
+            raise RuntimeError(f"{method} {path}: {sample.status} {sample.body!r}")
+        return sample.body
+
+    async def configure(self) -> None:
+        """Create one service a path and wait until each answers."""
+        services = [{"name": s, "hosts": [f"{s}.test"], "hedge": False} for s, _ in PATHS.values()]
+        op = {"kind": "apply_all", "services": services}
+        change = {"change_id": "measure-1", "base_version": 0, "operator": "measure", "op": op}
+        await self.operator("POST", "/v1/changes", change)
+        place = self.daemons["entry"].endpoints["callers"]
+        conn = Connection(place.host, place.port)
+        for service, _ in PATHS.values():
+            with trio.fail_after(READY_TIMEOUT_S):
+                for _ in range(int(READY_TIMEOUT_S * 10)):
+                    if (await conn.request(f"{service}.test", "/warm")).status == 200:
+                        break
+                    await trio.sleep(0.1)
+        await conn.close()
+
+    async def paths_taken(self) -> dict[str, int]:
+        """Return how many calls of the entry each path has taken."""
+        text = (await self.operator("GET", "/metrics")).decode()
+        taken = {}
+        for line in text.splitlines():
+            if line.startswith("knapweedhitch_calls_total{reason="):
+                name, value = line.split('"', 1)[1].split('"} ')
+                taken[name] = int(float(value))
+        return taken
+
+
+async def run_pairs(
+    bench: Bench, path: str, rate_per_s: float, calls: int, seed: int
+) -> tuple[list[float], list[float], int]:
+    """Send pairs of one direct call and one through the entry; return both times and failures."""
+    host = f"{PATHS[path][0]}.test"
+    entry, upstream = bench.daemons["entry"].endpoints["callers"], bench.upstream(path)
+    rng = random.Random(seed)
+    direct_ms: list[float] = []
+    via_ms: list[float] = []
+    failed = 0
+    idle = [(Connection(upstream.host, upstream.port), Connection(entry.host, entry.port))]
+
+    async def one_pair(via_first: bool) -> None:
+        nonlocal failed
+        pair = (
+            idle.pop()
+            if idle
+            else (
+                Connection(upstream.host, upstream.port),
+                Connection(entry.host, entry.port),
+            )
+        )
+        order = (1, 0) if via_first else (0, 1)
+        for which in order:
+            sample = await pair[which].request(
+                host, "/x", headers=[("X-Stand-In", f"size={ANSWER_BYTES}")]
+            )
+            if sample.status != 200:
+                failed += 1
+                continue
+            (direct_ms, via_ms)[which].append(sample.elapsed_ms)
+        idle.append(pair)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(calls):
+            nursery.start_soon(one_pair, rng.random() < 0.5)
+            await poisson_pause(rng, rate_per_s)
+    for conn in (conn for pair in idle for conn in pair):
+        await conn.close()
+    return direct_ms, via_ms, failed
+
+
+async def measure(bench: Bench, path: str, rate_per_s: float, calls: int, seed: int) -> PathResult:
+    """Measure one path at one rate."""
+    warm = max(50, int(MIN_WARM_S * min(rate_per_s, 50)))
+    await run_pairs(bench, path, min(rate_per_s, 50), warm, seed + 1)
+    target = bench.daemons[bench.node_of[path]].pid
+    entry = bench.daemons["entry"].pid
+    before, cpu = await bench.paths_taken(), (cpu_s(entry), cpu_s(target))
+    direct_ms, via_ms, failed = await run_pairs(bench, path, rate_per_s, calls, seed)
+    after, spent = await bench.paths_taken(), (cpu_s(entry) - cpu[0], cpu_s(target) - cpu[1])
+    return PathResult(
+        path=path,
+        rate_per_s=rate_per_s,
+        calls=calls,
+        failed=failed,
+        direct_p50=percentile(direct_ms, 50),
+        direct_p99=percentile(direct_ms, 99),
+        via_p50=percentile(via_ms, 50),
+        via_p99=percentile(via_ms, 99),
+        via_p999=percentile(via_ms, 99.9),
+        entry_cpu_ms=spent[0] * 1_000 / calls,
+        target_cpu_ms=0.0 if path == "gate" else spent[1] * 1_000 / calls,
+        paths_taken={k: v - before.get(k, 0) for k, v in after.items() if v > before.get(k, 0)},
+    )
+
+
+def table(results: Sequence[PathResult]) -> str:
+    """Return a Markdown table."""
+    lines = [
+        "| path | calls/s | calls | failed | direct p50/p99 ms | via p50/p99/p99.9 ms | "
+        "added p50 ms | added p99 ms | CPU entry ms/call | CPU target ms/call | paths taken |",
+        "|---|---|---|---|---|---|---|---|---|---|---|",
+    ]
+    for r in results:
+        taken = " ".join(f"{k}={v}" for k, v in sorted(r.paths_taken.items()))
+        lines.append(
+            f"| {r.path} | {r.rate_per_s:.0f} | {r.calls} | {r.failed} | "
+            f"{r.direct_p50:.2f}/{r.direct_p99:.2f} | "
+            f"{r.via_p50:.2f}/{r.via_p99:.2f}/{r.via_p999:.2f} | {r.added_p50:.2f} | "
+            f"{r.added_p99:.2f} | {r.entry_cpu_ms:.2f} | {r.target_cpu_ms:.2f} | {taken} |"
+        )
+    return "\n".join(lines)
+
+
+async def run(args: argparse.Namespace, harness: Harness) -> list[PathResult]:
+    """Measure every path at every rate."""
+    bench = Bench(harness)
+    await bench.configure()
+    results = []
+    for rate in args.rates:
+        for path in args.paths:
+            results.append(await measure(bench, path, rate, args.calls, args.seed))
+            print(table(results[-1:]).splitlines()[-1], file=sys.stderr)
+    return results
+
+
+def main() -> None:
+    """Parse the options, measure and print."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--rates", type=float, nargs="+", default=[100.0, 300.0])
+    parser.add_argument("--paths", nargs="+", default=list(PATHS), choices=list(PATHS))
+    parser.add_argument("--calls", type=int, default=3_000)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--json", default="")
+    args = parser.parse_args()
+    with Harness() as harness:
+        results = trio.run(run, args, harness)
+    print(table(results))
+    if args.json:
+        rows = [dataclasses.asdict(r) for r in results]
+        Path(args.json).write_text(json.dumps(rows, indent=1) + "\n", encoding="utf-8")
+
+
+if __name__ == "__main__":
+    main()
