--- a/knapweedhitch/cli_pages.py
+++ b/knapweedhitch/cli_pages.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import json
+import time
 from collections.abc import Iterable, Mapping, Sequence
 from typing import Any
 
@@ -74,8 +74,13 @@
 
 
 def history(page: Mapping[str, Any]) -> str:
-    """Return one line for each change, oldest first."""
-    return "\n".join(json.dumps(change) for change in page["changes"]) or "no changes"
+    """Return each change with its difference, oldest first."""
+    rows = []
+    for one in page["changes"]:
+        when = time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(one["wall_ms"] / 1_000))
+        rows.append((one["version"], when, one["operator"], one["change_id"], one["kind"]))
+        rows.extend(("", "", "", "", line) for line in one["diff"])
+    return table(("version", "time", "operator", "change_id", "change"), rows)
 
 
 def services(page: Mapping[str, Any]) -> str:
--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -255,7 +255,7 @@
 
 @route("GET", "/v1/explain/*")
 async def _explain(api: OperatorApi, request: OperatorRequest, request_id: str) -> Reply:
-    found = api.kernel.get("router").explain(request_id)
+    found = api.kernel.get("router").explanations.get(request_id)
     if found is None:
         raise NoSuchResource(
             detail="no explanation is kept for this request; send it with Knapweedhitch-Explain: 1"
--- a/knapweedhitch/operator_views.py
+++ b/knapweedhitch/operator_views.py
@@ -54,7 +54,10 @@
     """Return the last changes, oldest first; raises NotControlInstance."""
     if not kernel.cfg.is_control:
         raise NotControlInstance(detail=f"ask one of {', '.join(_control_ids(kernel))}")
-    return {"changes": list(kernel.get("control").history())[-limit:]}
+    records = kernel.get("control").machine.history()[-limit:]
+    # The body of a record is the change as the log has it; the difference says the same in words.
+    fields = ("version", "change_id", "operator", "kind", "wall_ms", "diff")
+    return {"changes": [{name: getattr(one, name) for name in fields} for one in records]}
 
 
 def services(kernel: Kernel) -> dict[str, Any]:
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -72,6 +72,18 @@
 )
 
 
+class Record(NamedTuple):
+    """Stand for knapweedhitch.history.HistoryRecord."""
+
+    version: int
+    change_id: str
+    operator: str = "ann"
+    kind: str = "domain_out"
+    wall_ms: int = 1_800_000_000_000
+    diff: tuple[str, ...] = ("domains.east.out: false -> true",)
+    body: bytes = b"\xff"
+
+
 class FakeConfig:
     """Hold a configuration that tests set; the domain south is out."""
 
@@ -112,8 +124,12 @@
     def versions(self) -> dict[str, VersionReport]:
         return {"n1": VersionReport("n1", 7, 3.0), "n2": VersionReport("n2", 6, 900.0)}
 
-    def history(self) -> list[Change]:
-        return self.changes
+    @property
+    def machine(self) -> FakeControl:
+        return self
+
+    def history(self) -> list[Record]:
+        return [Record(8 + i, *one[:1]) for i, one in enumerate(self.changes)]
 
 
 class FakePeers:
@@ -145,8 +161,13 @@
         return tuple(Target(node, domain, record) for node, domain in self.domains.items())
 
 
-# A request id without an entry is a fault of the program.
-EXPLANATIONS = {"req-1": {"picked": "n2"}, "req-2": None, "nothing": None}
+class Explanations:
+    """Explain one request; fail for another as a fault of the program would."""
+
+    def get(self, request_id: str) -> dict[str, str] | None:
+        if request_id == "fault":
+            raise KeyError(request_id)
+        return {"picked": "n2"} if request_id == "req-1" else None
 
 
 class World:
@@ -160,7 +181,7 @@
         self.membership = FakeMembership()
         parts: dict[str, object] = {"config": self.config, "peers": self.peers}
         parts |= {"membership": self.membership, "counters": Counters()}
-        parts["router"] = types.SimpleNamespace(explain=EXPLANATIONS.__getitem__)
+        parts["router"] = types.SimpleNamespace(explanations=Explanations())
         if control:
             parts["control"] = self.control
         for name, part in parts.items():
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -57,6 +57,11 @@
                 self.assertTrue(out.strip())
                 code, out, _ = call(World(), *page.split(), "--json")
                 self.assertIsInstance(json.loads(out), dict)
+        world = World()
+        call(world, "domain", "out", "east")
+        self.assertRegex(
+            call(world, "config", "history")[1], "2027-01-15.*ann .*domain_out\n.*-> true"
+        )
         self.assertIn("lagging: n2,n3", call(World(), "status")[1])
         self.assertIn("picked", call(World(), "explain", "req-1")[1])
         self.assertEqual(call(World(), "metrics")[0], 0)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -18,7 +18,7 @@
         """Guards against a reason that operators see and that no page explains."""
         for refusal in vars(exceptions).values():
             if isinstance(refusal, type) and issubclass(refusal, exceptions.Refusal):
-                self.assertIn(f"`{refusal.reason}`", OPERATORS)
+                self.assertTrue(f"`{refusal.reason}`" in OPERATORS, refusal.reason)
 
     def test_exit_codes_changes_and_paths_are_explained(self) -> None:
         """Guards against a script author who has to read the source."""
