--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -5,17 +5,16 @@
 import contextlib
 import dataclasses
 import json
-import sys
 import types
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator
 from pathlib import Path
 from typing import Any, NamedTuple
-from unittest import mock
 
 import trio
 import trio.testing
 
 from knapweedhitch import operator_api, settings
+from knapweedhitch.changes import Change
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import VersionConflict
 from knapweedhitch.kernel import Kernel
@@ -44,32 +43,18 @@
 """)
 OTHER_CFG = dataclasses.replace(CFG, node=settings.NodeSettings("n4", "east"))
 PLACE = Address("10.0.0.1", 7001)
-KINDS = "PutService RemoveService DomainOut DomainIn NodeDrain NodeUndrain PutAllServices"
 
 
-class Op(NamedTuple):
-    """Stand for any op of knapweedhitch.changes."""
-
-    value: Any
-    allow_last: bool = False
-
-
-class Change(NamedTuple):
-    """Stand for knapweedhitch.changes.Change."""
+class Record(NamedTuple):
+    """Stand for knapweedhitch.history.HistoryRecord."""
 
+    version: int
     change_id: str
-    base_version: int | None
-    operator: str
-    op: Op
-
-
-def _encode(change: Change) -> bytes:
-    return change.change_id.encode()
-
-
-CHANGES = types.SimpleNamespace(
-    Change=Change, encode_change=_encode, **dict.fromkeys(KINDS.split(), Op)
-)
+    operator: str = "ann"
+    kind: str = "domain_out"
+    wall_ms: int = 1_800_000_000_000
+    diff: tuple[str, ...] = ("domains.east.out: false -> true",)
+    body: bytes = b"\xff"
 
 
 class FakeConfig:
@@ -112,8 +97,12 @@
     def versions(self) -> dict[str, VersionReport]:
         return {"n1": VersionReport("n1", 7, 3.0), "n2": VersionReport("n2", 6, 900.0)}
 
-    def history(self) -> list[Change]:
-        return self.changes
+    @property
+    def machine(self) -> FakeControl:
+        return self
+
+    def history(self) -> list[Record]:
+        return [Record(8 + i, one.change_id) for i, one in enumerate(self.changes)]
 
 
 class FakePeers:
@@ -145,8 +134,13 @@
         return tuple(Target(node, domain, record) for node, domain in self.domains.items())
 
 
-# A request id without an entry is a fault of the program.
-EXPLANATIONS = {"req-1": {"picked": "n2"}, "req-2": None, "nothing": None}
+class Explanations:
+    """Explain one request; fail for another as a fault of the program would."""
+
+    def get(self, request_id: str) -> dict[str, str] | None:
+        if request_id == "fault":
+            raise KeyError(request_id)
+        return {"picked": "n2"} if request_id == "req-1" else None
 
 
 class World:
@@ -160,7 +154,7 @@
         self.membership = FakeMembership()
         parts: dict[str, object] = {"config": self.config, "peers": self.peers}
         parts |= {"membership": self.membership, "counters": Counters()}
-        parts["router"] = types.SimpleNamespace(explain=EXPLANATIONS.__getitem__)
+        parts["router"] = types.SimpleNamespace(explanations=Explanations())
         if control:
             parts["control"] = self.control
         for name, part in parts.items():
@@ -250,13 +244,6 @@
     return int(head.split()[1]), json.loads(body) if is_json and body else body.decode()
 
 
-@contextlib.contextmanager
-def patched_changes() -> Iterator[None]:
-    """Put the stand-in of knapweedhitch.changes in place."""
-    with mock.patch.dict(sys.modules, {"knapweedhitch.changes": CHANGES}):
-        yield
-
-
 def run(fn: Any, *args: Any) -> Any:
     """Run an async function on a mock clock that jumps while nothing else happens."""
 
@@ -264,8 +251,7 @@
         with trio.fail_after(300):
             return await fn(*args)
 
-    with patched_changes():
-        return trio.run(limited, clock=trio.testing.MockClock(autojump_threshold=0))
+    return trio.run(limited, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
 def write_token(folder: Path) -> Path:
