End freshness while a change cannot be committed

Cause: a claim group is dated when it is proposed. With both followers unable to sync for longer than the activation delay, the leader stayed fresh, nodes acted after the start of a group that none of them knew, and a key could have had two groups. Change: a leader whose oldest proposal waits for more than activation delay - lease - 2 * clock skew (4 s) claims no freshness; later groups are dated at the moment of their own proposal and checked by the leader. Conclusion: a late commit can no longer split the holders of a key.

--- a/knapweedhitch/consensus.py
+++ b/knapweedhitch/consensus.py
@@ -186,6 +186,8 @@
         s = self._state
         if s is None or s.role is not Role.LEADER or s.applied_index < s.noop_index:
             return None
+        if s.is_stuck():
+            return None
         age_ms = now_ms() - s.quorum_acked_ms()
         return age_ms if age_ms < float("inf") else None
 
--- a/knapweedhitch/control.py
+++ b/knapweedhitch/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from collections.abc import Mapping
 
@@ -28,6 +29,7 @@
 from knapweedhitch.history import ConfigurationMachine
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import Propose, ProposeReply, VersionReport
+from knapweedhitch.model import ClaimGroup
 from knapweedhitch.raftstate import now_ms
 
 CLAIM_GROUP_TICK_MS = 1_000
@@ -170,7 +172,12 @@
             raise NotLeader(self.leader_id)
         if self.replica.freshness_age_ms() is None:
             raise ReplicaBusy("the state of earlier terms is not known yet")
-        stamped = StampedChange(change, self._timers.wall_ms(), self._serving(change))
+        wall_ms = self._timers.wall_ms()
+        if isinstance(change.op, AddClaimGroup) and change.op.group.epoch > 1:
+            earliest_ms = wall_ms + self._cfg.activation_delay_ms
+            if change.op.group.from_wall_ms < earliest_ms:
+                raise InvalidChange(f"a claim group begins at {earliest_ms} or later")
+        stamped = StampedChange(change, wall_ms, self._serving(change))
         return await self.replica.propose(changes.encode_stamped(stamped))
 
     def _serving(self, change: Change) -> Mapping[str, frozenset[str]]:
@@ -191,6 +198,13 @@
         elif not self._keeper_runs and self.replica.freshness_age_ms() is not None:
             self._kernel.nursery.start_soon(self._maintain_groups)
 
+    def _dated(self, group: ClaimGroup) -> ClaimGroup:
+        """Return a later group dated to now, since proposals before it took time."""
+        if group.from_wall_ms == 0:
+            return group
+        from_ms = self._timers.wall_ms() + self._cfg.activation_delay_ms
+        return dataclasses.replace(group, from_wall_ms=from_ms)
+
     async def _maintain_groups(self) -> None:
         assert self.machine is not None, "only control instances maintain claim groups"
         members = self._kernel.get("membership").members()
@@ -198,7 +212,8 @@
         try:
             due = self._keeper.due(self.machine.current, members, now_ms(), self._timers.wall_ms())
             for _, group in zip(range(MAX_GROUPS_PER_TICK), due, strict=False):
-                change = Change(changes.new_change_id(), None, "control", AddClaimGroup(group))
+                op = AddClaimGroup(self._dated(group))
+                change = Change(changes.new_change_id(), None, "control", op)
                 version = await self._propose(change)
                 logs.event("claim_group", service=group.service, epoch=group.epoch, version=version)
         except (ChangeError, ConsensusError) as exc:
--- a/knapweedhitch/raftstate.py
+++ b/knapweedhitch/raftstate.py
@@ -92,6 +92,7 @@
 
     kind: str
     body: bytes
+    at_ms: float = dataclasses.field(default_factory=lambda: now_ms())
     done: trio.Event = dataclasses.field(default_factory=trio.Event)
     result: Result | None = None
     error: ConsensusError | None = None
@@ -156,6 +157,13 @@
     ) -> None:
         self.cfg = cfg.control
         self.node_id = cfg.node.id
+        # The time of a claim group is fixed when it is proposed. If it cannot be committed in time,
+        # no node may act as fresh once the group has begun, because none of them knows it.
+        self.stuck_after_ms = (
+            cfg.control.activation_delay_ms
+            - cfg.feed.config_lease_ms
+            - 2 * cfg.claims.max_clock_skew_ms
+        )
         self.store = store
         self.transport = transport
         self.machine = machine
@@ -317,6 +325,11 @@
         if self.applied_index - (snap.index if snap else 0) >= self.cfg.snapshot_after_entries:
             self.compact.set()
 
+    def is_stuck(self) -> bool:
+        """Tell whether a proposal has waited too long for its commit."""
+        first = next(iter(self.waiting.values()), None) or next(iter(self.pending), None)
+        return first is not None and now_ms() - first.at_ms > self.stuck_after_ms
+
     def quorum_acked_ms(self) -> float:
         """Return the latest send time that a majority acknowledged in the leader's term."""
         return reached_by_majority(self._acked(n, d) for n, d in self.voters.items())
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -170,6 +170,23 @@
 
         run(check)
 
+    def test_empty_disk_is_not_admitted_before_it_caught_up(self) -> None:
+        """Guards against a majority that needs a member without the log."""
+
+        async def check(cluster: Cluster) -> None:
+            for _ in range(5):
+                await cluster.change()
+            await cluster.crash("c3")
+            await cluster.change()
+            before = dict(cluster.voters())
+            await cluster.restart("c3", empty=True)
+            cluster.nodes["c3"].disk.latency_ms = 6_000.0
+            await trio.sleep(4.0)
+            self.assertEqual(cluster.voters(), before)
+            await cluster.check_nothing_lost()
+
+        run(check)
+
     def test_two_empty_disks_elect_no_leader(self) -> None:
         """Guards against a majority of empty disks that forgets accepted changes."""
 
@@ -259,3 +276,22 @@
             await cluster.check_nothing_lost()
 
         run(check)
+
+    def test_change_that_cannot_commit_ends_freshness(self) -> None:
+        """Guards against nodes that act under a claim group which none of them knows."""
+
+        async def check(cluster: Cluster) -> None:
+            leader = await cluster.wait_leader()
+            for name in cluster.names:
+                if name != leader.node_id:
+                    cluster.nodes[name].disk.latency_ms = 8_000.0
+            body = stamped(DomainOut("x"))
+            cluster.nursery.start_soon(cluster.propose, leader.node_id, body, 30_000.0)
+            await trio.sleep(3.0)
+            self.assertIsNotNone(leader.replica.freshness_age_ms())
+            # 10,000 of activation delay - 2,000 of lease - 2 * 2,000 of clock skew.
+            await trio.sleep(1.1)
+            self.assertIsNone(leader.replica.freshness_age_ms())
+            await cluster.check_nothing_lost()
+
+        run(check)
--- a/tests/test_wal.py
+++ b/tests/test_wal.py
@@ -74,6 +74,20 @@
             with self.subTest(order=order), self.assertRaises(CorruptFile):
                 wal.scan("log", b"".join(frames[n] for n in order))
 
+    def test_records_after_a_cut_tail_are_read_again(self) -> None:
+        """Guards against records that are appended behind the rest of a torn write."""
+
+        async def check() -> None:
+            disk = FaultyDisk()
+            await disk.append("log", self.data[:-3])
+            log = wal.WriteAheadLog(disk, "log")
+            self.assertEqual(await log.load(), (["first"],))
+            await log.append(["third"])
+            again = wal.WriteAheadLog(disk, "log")
+            self.assertEqual(await again.load(), (["first"], ["third"]))
+
+        run(check)
+
     def test_incomplete_snapshot_is_refused(self) -> None:
         """Guards against a state that is restored from a part of a snapshot."""
         data = snapshot.encode(snapshot.Snapshot(5, 1, {"c1": "x"}, "g", b"state"))
