--- a/knapweedhitch/consensus.py
+++ b/knapweedhitch/consensus.py
@@ -186,6 +186,8 @@
         s = self._state
         if s is None or s.role is not Role.LEADER or s.applied_index < s.noop_index:
             return None
+        if s.is_stuck():
+            return None
         acked_ms = s.quorum_acked_ms()
         # Read after the moment of the proof: a single member's proof is dated to this very call.
         age_ms = now_ms() - acked_ms
