--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -21,7 +21,10 @@
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
 from knapweedhitch.forward import Forward
+from knapweedhitch.handlers import fail_frame
+from knapweedhitch.messages import OpenStream, StreamHead
 from knapweedhitch.model import CallResult, LoadSample, Warmth
+from knapweedhitch.streams import PeerStream
 from tests.fake_net import MemoryNet, Node, running
 from tests.test_peers import clocked, link_of
 
@@ -213,6 +216,18 @@
         async with running(2, prepare=install(fail)) as (a, _):
             self.assert_refused(await execute(a, spec()), UpstreamFailed, Outcome.UNKNOWN)
 
+    @clocked
+    async def test_entry_does_not_believe_not_run_after_a_head(self) -> None:
+        """Guards against a target of another version that says not-run after its head."""
+
+        async def raw(node_id: str, opening: OpenStream, stream: PeerStream) -> None:
+            stream.put(StreamHead(stream.stream_id, 200, (), None))
+            stream.put(fail_frame(stream.stream_id, UpstreamFailed(Outcome.NOT_RUN)))
+
+        async with running(2, prepare=install(answer)) as (a, b):
+            b.peers._handlers._stream_handler = raw
+            self.assert_refused(await execute(a, spec()), UpstreamFailed, Outcome.UNKNOWN)
+
     @clocked
     async def test_fault_of_the_gate_is_unknown(self) -> None:
         """Guards against a fault at the target that ends its process or looks like not-run."""
