--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import itertools
 from collections import deque
 from typing import Protocol
@@ -111,6 +112,7 @@
         self._pinged_ms = 0.0
         self.lost: PeerDisconnected | None = None
         self.retired = False
+        self.has_carried_streams = False
         self._peer_retired = False
         self._wire = wire
         self._owner = owner
@@ -202,9 +204,10 @@
         if len(self._streams) >= self.cfg.max_streams:
             raise PeerQueueFull(f"peer={self.peer_id} streams={len(self._streams)}")
         self.used_ms = Timers.now_ms()
+        self.has_carried_streams = True
         stream = self._streams.open()
         try:
-            self.put(_with_id(opening, stream.stream_id))
+            self.put(dataclasses.replace(opening, stream_id=stream.stream_id))
         except (PeerQueueFull, PeerDisconnected):
             stream.lose(PeerDisconnected("the stream was not opened"))
             raise
@@ -332,6 +335,7 @@
                 self._counters.add("peer_late_frames", "stream")
         elif isinstance(msg, OpenStream):
             self.used_ms = self.heard_ms
+            self.has_carried_streams = True
             self._owner.on_stream(self, msg, self._streams.accept(msg))
         elif isinstance(msg, CallMessage):
             self.used_ms = self.heard_ms
@@ -380,20 +384,3 @@
         else:
             pending.reply = codec.decode(msg.body)
         pending.done.set()
-
-
-def _with_id(opening: OpenStream, stream_id: int) -> OpenStream:
-    return OpenStream(
-        stream_id,
-        opening.request_id,
-        opening.service,
-        opening.instance_id,
-        opening.method,
-        opening.target,
-        opening.headers,
-        opening.has_body,
-        opening.deadline_ms,
-        opening.retries_left,
-        opening.depth,
-        opening.config_version,
-    )
--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -166,10 +166,11 @@
         ]
 
     def release(self, node_id: str) -> None:
-        """Close the link to a peer once nothing runs on it."""
+        """Close the link to a peer once nothing runs on it, unless callers' requests use it."""
         peer = self._peers.get(node_id)
-        if peer is not None and peer.preferred is not None:
-            peer.preferred.retire()
+        link = peer.preferred if peer is not None else None
+        if link is not None and not link.has_carried_streams:
+            link.retire()
 
     # Dialling
 
--- a/tests/fake_net.py
+++ b/tests/fake_net.py
@@ -235,14 +235,11 @@
         self.addresses = {f"n{i}": Address("127.0.0.1", 7000 + i) for i in range(count)}
 
     def address_of(self, node_id: str) -> Address | None:
-        """Return the address of a node."""
         return self.addresses.get(node_id)
 
-    async def start(self) -> None:
-        """Do nothing."""
+    async def start(self) -> None: ...
 
-    async def stop(self) -> None:
-        """Do nothing."""
+    async def stop(self) -> None: ...
 
 
 @contextlib.asynccontextmanager
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -45,14 +45,11 @@
     async def execute(
         self, node_id: str, spec: CallSpec, body: BodySource, sink: ResponseSink
     ) -> CallResult:
-        """Run the call."""
         return await self.fn(spec, body, sink)
 
-    async def start(self) -> None:
-        """Do nothing."""
+    async def start(self) -> None: ...
 
-    async def stop(self) -> None:
-        """Do nothing."""
+    async def stop(self) -> None: ...
 
 
 class Services:
@@ -62,18 +59,14 @@
         self.observed: list[tuple[str, LoadSample]] = []
 
     def load(self) -> LoadSample:
-        """Return a fixed sample."""
         return LOAD
 
     def observe(self, instance_id: str, sample: LoadSample) -> None:
-        """Note a sample."""
         self.observed.append((instance_id, sample))
 
-    async def start(self) -> None:
-        """Do nothing."""
+    async def start(self) -> None: ...
 
-    async def stop(self) -> None:
-        """Do nothing."""
+    async def stop(self) -> None: ...
 
 
 class Body:
@@ -83,7 +76,6 @@
         self.parts = list(parts)
 
     async def receive(self) -> bytes | None:
-        """Return the next part."""
         await trio.lowlevel.checkpoint()
         if not self.parts:
             return None
@@ -102,19 +94,15 @@
         self.body = b""
 
     async def informational(self, status: int, headers: Headers) -> None:
-        """Note a 1xx answer."""
         self.events.append(status)
 
     async def head(self, status: int, headers: Headers, load: LoadSample | None) -> None:
-        """Note the head."""
         self.events.append((status, headers, load))
 
     async def data(self, data: bytes) -> None:
-        """Note a part."""
         self.body += data
 
     async def end(self) -> None:
-        """Note the end."""
         self.events.append("end")
 
 
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -32,41 +32,32 @@
         self.next_result: CallResult | Refusal = CallResult(True, 2.0, 200)
 
     def load(self) -> LoadSample:
-        """Return a sample of the current count."""
         return LoadSample(self.in_flight, 0, 9, 4.0, Warmth.WARM)
 
     def lease(self, peer_id: str, wanted: int) -> list[int]:
-        """Grant what is wanted."""
         ids = [len(self.granted_ids) + k + 1 for k in range(wanted)]
         self.granted_ids += [(peer_id, k) for k in ids]
         return ids
 
     def lease_returned(self, peer_id: str, lease_id: int, result: CallResult | None) -> None:
-        """Note a return."""
         self.returned.append((peer_id, lease_id, result))
 
     def take(self, instance_id: str) -> int | None:
-        """Use a lease."""
         return self.held.pop(0) if self.held else None
 
     def give_back(self, instance_id: str, lease_id: int) -> None:
-        """Note the end of a use."""
         self.given_back.append(lease_id)
 
     def granted(self, instance_id: str, ids: tuple[int, ...], life_ms: float, at: float) -> None:
-        """Hold leases."""
         self.held += ids
 
     def revoke(self, instance_id: str) -> None:
-        """Drop the leases."""
         self.held.clear()
 
     def wanted(self, instance_id: str) -> int:
-        """Want one lease."""
         return 0 if self.held else 1
 
     async def execute(self, address: Address, call: Any, body: Any, sink: Any) -> CallResult:
-        """Answer like a pool."""
         if isinstance(self.next_result, Refusal):
             raise self.next_result
         return self.next_result
@@ -78,7 +69,6 @@
     own = type("Own", (), {"upstream": UPSTREAM})
 
     def targets(self, service: str) -> tuple[Target, ...]:
-        """Return the one target."""
         return (Target("n1", "d", UPSTREAM),)
 
 
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -28,11 +28,9 @@
     _pause_s = 0.0
 
     def wall_ms(self) -> int:  # type: ignore[override]
-        """Return the mock clock in whole milliseconds."""
         return 1_000_000 + int(trio.current_time() * 1_000) + self.wall_offset_ms
 
     def pause(self, seconds: float) -> None:
-        """Stand still like a stopped process; what was due then fires late."""
         self._pause_s = seconds
         self._scope.cancel()
 
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -3,21 +3,25 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import socket
+import tempfile
 import unittest
 from collections.abc import AsyncIterator
 
 import trio
 
+from knapweedhitch import direct, forward, loadreports, membership, timers  # noqa: F401
 from knapweedhitch.codec import Message
 from knapweedhitch.exceptions import PeerDisconnected, PeerUnreachable
 from knapweedhitch.gossip import GossipSocket
+from knapweedhitch.kernel import Kernel
 from knapweedhitch.messages import Ack, ClaimComplete, FeedPoll, Gossip
 from knapweedhitch.model import Address
 from knapweedhitch.peers import Peers
-from knapweedhitch.settings import ListenSettings, PeerSettings
+from knapweedhitch.settings import ListenSettings, PeerSettings, replace
 from knapweedhitch.transport import NetTransport, WebsocketWire
-from tests.fake_net import SECRET, MemoryNet, Node, StaticMembership, listen
+from tests.fake_net import SECRET, MemoryNet, Node, StaticMembership, listen, make_settings
 
 POLL = FeedPoll(1, False)
 
@@ -161,6 +165,30 @@
         trio.run(main)
 
 
+class WiringTest(unittest.TestCase):
+    def test_services_start_by_name(self) -> None:
+        """Guards against services that cannot be built in the order of the daemon."""
+
+        async def main() -> None:
+            with tempfile.NamedTemporaryFile() as file:
+                file.write(SECRET)
+                file.flush()
+                cfg = make_settings("n0")
+                secrets = dataclasses.replace(cfg.secrets, peer_secret_file=file.name)
+                kernel = Kernel(
+                    replace(cfg, secrets=secrets, listen=ListenSettings(peers=listen(0)))
+                )
+                names = ["counters", "timers", "peers", "membership"]
+                names += ["forward", "loadreports", "direct"]
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(kernel.run, names)
+                    self.assertEqual(list(kernel.get("membership").members()), ["n0"])
+                    self.assertNotEqual(kernel.get("peers").address.port, 0)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
 class RealDatagramTest(unittest.TestCase):
     def test_datagrams_and_arbitrary_bytes(self) -> None:
         """Guards against a datagram of a stranger that ends the gossip or is believed."""
