--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -21,7 +21,10 @@
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
 from knapweedhitch.forward import Forward
+from knapweedhitch.handlers import fail_frame
+from knapweedhitch.messages import OpenStream, StreamHead
 from knapweedhitch.model import CallResult, LoadSample, Warmth
+from knapweedhitch.streams import PeerStream
 from tests.fake_net import MemoryNet, Node, running
 from tests.test_peers import clocked, link_of
 
@@ -40,14 +43,11 @@
     async def execute(
         self, node_id: str, spec: CallSpec, body: BodySource, sink: ResponseSink
     ) -> CallResult:
-        """Run the call."""
         return await self.fn(spec, body, sink)
 
-    async def start(self) -> None:
-        """Do nothing."""
+    async def start(self) -> None: ...
 
-    async def stop(self) -> None:
-        """Do nothing."""
+    async def stop(self) -> None: ...
 
 
 class Services:
@@ -57,18 +57,14 @@
         self.observed: list[tuple[str, LoadSample]] = []
 
     def load(self) -> LoadSample:
-        """Return a fixed sample."""
         return LOAD
 
     def observe(self, instance_id: str, sample: LoadSample) -> None:
-        """Note a sample."""
         self.observed.append((instance_id, sample))
 
-    async def start(self) -> None:
-        """Do nothing."""
+    async def start(self) -> None: ...
 
-    async def stop(self) -> None:
-        """Do nothing."""
+    async def stop(self) -> None: ...
 
 
 class Body:
@@ -78,7 +74,6 @@
         self.parts = list(parts)
 
     async def receive(self) -> bytes | None:
-        """Return the next part."""
         await trio.lowlevel.checkpoint()
         if not self.parts:
             return None
@@ -100,19 +95,15 @@
         """Do nothing."""
 
     async def informational(self, status: int, headers: Headers) -> None:
-        """Note a 1xx answer."""
         self.events.append(status)
 
     async def head(self, status: int, headers: Headers, load: LoadSample | None) -> None:
-        """Note the head."""
         self.events.append((status, headers, load))
 
     async def data(self, data: bytes) -> None:
-        """Note a part."""
         self.body += data
 
     async def end(self) -> None:
-        """Note the end."""
         self.events.append("end")
 
 
@@ -214,6 +205,18 @@
         async with running(2, prepare=install(fail)) as (a, _):
             self.assert_refused(await execute(a, spec()), UpstreamFailed, Outcome.UNKNOWN)
 
+    @clocked
+    async def test_entry_does_not_believe_not_run_after_a_head(self) -> None:
+        """Guards against a target of another version that says not-run after its head."""
+
+        async def raw(node_id: str, opening: OpenStream, stream: PeerStream) -> None:
+            stream.put(StreamHead(stream.stream_id, 200, (), None))
+            stream.put(fail_frame(stream.stream_id, UpstreamFailed(Outcome.NOT_RUN)))
+
+        async with running(2, prepare=install(answer)) as (a, b):
+            b.peers._handlers._stream_handler = raw
+            self.assert_refused(await execute(a, spec()), UpstreamFailed, Outcome.UNKNOWN)
+
     @clocked
     async def test_fault_of_the_gate_is_unknown(self) -> None:
         """Guards against a fault at the target that ends its process or looks like not-run."""
