--- a/knapweedhitch/admission.py
+++ b/knapweedhitch/admission.py
@@ -280,7 +280,8 @@
     def _allowance_ms(self, overloaded: bool) -> float:
         mean_ms = self._gradient.short_ms or 0.0
         if overloaded:
-            return max(float(self._cfg.queue_target_ms), mean_ms)
+            allowed_ms = self._cfg.overload_service_times * mean_ms
+            return max(float(self._cfg.queue_target_ms), allowed_ms)
         return max(float(self._cfg.queue_interval_ms), mean_ms)
 
     def _overloaded(self) -> bool:
@@ -290,7 +291,7 @@
     def _dispatch(self) -> None:
         while self._queue and self._has_room():
             overloaded = self._overloaded()
-            waiter = self._queue.pop() if overloaded else self._queue.popleft()
+            waiter = self._queue.popleft()
             waited_ms = self._timers.now_ms() - waiter.since_ms
             if waiter.deadline.expired():
                 waiter.refusal = DeadlineExceeded()
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -180,6 +180,7 @@
     max_queue: Count = 64
     queue_target_ms: Ms = 5
     queue_interval_ms: Ms = 100
+    overload_service_times: Annotated[float, Field(gt=0.0, le=100.0)] = 2.0
     cold_start_limit: Count = 1
     cold_success_factor: Annotated[float, Field(ge=1.0, le=100.0)] = 1.0
     cold_latency_factor: Annotated[float, Field(gt=1.0, le=100.0)] = 4.0
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -43,7 +43,6 @@
 # The mean service time of a warm upstream without neighbours, in milliseconds.
 SERVICE_MS = 20.0
 SPREAD = 0.5
-LOAD = 0.55
 DEADLINE_MS = 1_000.0
 WARM_UP_S = 1.0
 FAULT_S = 1.5
@@ -83,6 +82,18 @@
 DOMAINS = ("d1", "d2", "d3")
 
 
+@dataclasses.dataclass(frozen=True)
+class Options:
+    """Hold the measured virtual seconds, the load as a share of all slots, and the warming.
+
+    An upstream warms up by successes, as the ramp assumes, or by one call each `warm_step_ms`.
+    """
+
+    seconds: float = 4.0
+    load: float = 0.55
+    warm_step_ms: float | None = None
+
+
 class Timers:
     """Give the virtual clock."""
 
@@ -133,6 +144,7 @@
         # None when warm; else the calls that the cold upstream can handle at the same time.
         self.bears: int | None = 1
         self.successes = 0
+        self.cold_since_s = trio.current_time()
         self.running = 0
         self.overloads = 0
         self.gate.set_upstream(self.record)
@@ -144,6 +156,7 @@
     def turn_cold(self) -> None:
         """Make the upstream cold without telling its gate."""
         self.bears, self.successes = 1, 0
+        self.cold_since_s = trio.current_time()
 
     def restart(self) -> None:
         """Start a new incarnation, which is cold."""
@@ -166,6 +179,7 @@
             await trio.sleep(0.001)
             return CallResult(False, 1.0, 500)
         self.running += 1
+        self._warm_by_time()
         cold = self.bears is not None
         over = self.bears is not None and self.running > self.bears
         self.overloads += over
@@ -179,8 +193,14 @@
             self._warm_up()
         return CallResult(not over, service_ms, 503 if over else 200)
 
+    def _warm_by_time(self) -> None:
+        step_ms = self.sim.opts.warm_step_ms
+        if step_ms is not None and self.bears is not None:
+            steps = int((trio.current_time() - self.cold_since_s) * 1_000.0 / step_ms)
+            self.bears = 1 + steps if 1 + steps < self.record.slots else None
+
     def _warm_up(self) -> None:
-        if self.bears is None:
+        if self.bears is None or self.sim.opts.warm_step_ms is not None:
             return
         self.successes += 1
         if self.successes >= self.bears * SUCCESSES_PER_STEP:
@@ -253,8 +273,8 @@
 class Simulation:
     """Run one case of one deployment under one policy and seed."""
 
-    def __init__(self, dep: Deployment, case: str, policy: str, seed: int, run_s: float) -> None:
-        self.dep, self.case, self.seed, self.run_s = dep, case, seed, run_s
+    def __init__(self, dep: Deployment, case: str, policy: str, seed: int, opts: Options) -> None:
+        self.dep, self.case, self.seed, self.opts = dep, case, seed, opts
         self.svc = ServiceConfig("svc", ("svc",), policy=policy)
         self.latencies: list[float] = []
         self.calls = 0
@@ -289,9 +309,9 @@
             nursery.cancel_scope.cancel()
 
     async def _arrivals(self, calls: trio.Nursery) -> None:
-        per_s = self.dep.n_targets * self.dep.slots / SERVICE_MS * 1_000.0 * LOAD
+        per_s = self.dep.n_targets * self.dep.slots / SERVICE_MS * 1_000.0 * self.opts.load
         level, next_shift = 1.0, 0.0
-        while (now := trio.current_time()) < WARM_UP_S + self.run_s:
+        while (now := trio.current_time()) < WARM_UP_S + self.opts.seconds:
             if now >= next_shift:
                 level, next_shift = self.rng.choice((0.5, 1.0, 1.5)), now + SHIFT_MS / 1_000.0
             # The ramp lets the upstreams, which all start cold, warm up.
@@ -348,7 +368,7 @@
             entry.kernel.get("config").current = config
 
 
-def run_one(job: tuple[Deployment, str, str, int, float]) -> dict[str, Any]:
+def run_one(job: tuple[Deployment, str, str, int, Options]) -> dict[str, Any]:
     """Return the raw figures of one simulation."""
     sim = Simulation(*job)
     # trio runs ready tasks in random order; a fixed seed makes a simulation repeatable.
@@ -402,6 +422,8 @@
     parser.add_argument("--json", metavar="FILE", help="write all figures to FILE")
     parser.add_argument("--seeds", type=int, default=4, help="number of seeds, from 1 on")
     parser.add_argument("--seconds", type=float, default=4.0, help="measured virtual seconds")
+    parser.add_argument("--load", type=float, default=0.55, help="share of all slots in use")
+    parser.add_argument("--warm-step-ms", type=float, help="warm up by time, one call a step")
     parser.add_argument("--policy", action="append", help="measure only this policy")
     parser.add_argument("--case", action="append", choices=CASES, help="measure only this case")
     parser.add_argument("--jobs", type=int, default=4, help="processes at the same time")
@@ -412,8 +434,9 @@
     """Run all simulations and print a Markdown table."""
     args = parse_args()
     started = time.monotonic()
+    opts = Options(args.seconds, args.load, args.warm_step_ms)
     jobs = [
-        (dep, case, name, seed, args.seconds)
+        (dep, case, name, seed, opts)
         for dep in DEPLOYMENTS
         for case in args.case or CASES
         for name in args.policy or policies()
