--- a/knapweedhitch/direct.py
+++ b/knapweedhitch/direct.py
@@ -36,7 +36,8 @@
         self._peers.handle(LeaseReturn, self._on_return)
         self._peers.handle(LeaseUse, self._on_use)
         self._peers.handle(LeaseRevoke, self._on_revoke)
-        self._kernel.get("admission").on_revoke(self.revoke)
+        if self._kernel.has("admission"):
+            self._kernel.get("admission").on_revoke(self.revoke)
 
     async def stop(self) -> None:
         """Do nothing; leases end by their lifetime."""
--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -255,7 +255,7 @@
 
 @route("GET", "/v1/explain/*")
 async def _explain(api: OperatorApi, request: OperatorRequest, request_id: str) -> Reply:
-    found = api.kernel.get("router").explain(request_id)
+    found = api.kernel.get("router").explanations.get(request_id)
     if found is None:
         raise NoSuchResource(
             detail="no explanation is kept for this request; send it with Knapweedhitch-Explain: 1"
@@ -279,11 +279,11 @@
     return fields
 
 
-def _change(fields: dict[str, Any], op: dict[str, Any]) -> dict[str, Any]:
+def _change(fields: dict[str, Any], op: dict[str, Any], base: int | None) -> dict[str, Any]:
     return {
         "change_id": fields.get("change_id"),
         "operator": fields.get("operator"),
-        "base_version": None,
+        "base_version": base,
         "op": op,
     }
 
@@ -295,17 +295,17 @@
         operator_views.check_known_domain(api.kernel, domain)
     allow_last = fields.get("allow_last", False)
     if not allow_last:
-        # The leader checks this again, so that two operators cannot take out two domains at once.
+        # This view only gives the better message; the rules of the log check it again in order.
         operator_views.check_last_domain(api.kernel, domain)
     op = {"kind": "domain_out", "domain": domain, "allow_last": allow_last}
-    return await api.submit(_change(fields, op))
+    return await api.submit(_change(fields, op, None))
 
 
 @route("POST", "/v1/domains/*/in")
 async def _domain_in(api: OperatorApi, request: OperatorRequest, domain: str) -> Reply:
     fields = _command(request)
     operator_views.check_known_domain(api.kernel, domain)
-    return await api.submit(_change(fields, {"kind": "domain_in", "domain": domain}))
+    return await api.submit(_change(fields, {"kind": "domain_in", "domain": domain}, None))
 
 
 @route("POST", "/v1/nodes/*/drain")
@@ -313,11 +313,11 @@
     fields = _command(request)
     if not fields.get("allow_unknown", False):
         operator_views.check_known_node(api.kernel, node_id)
-    return await api.submit(_change(fields, {"kind": "node_drain", "node_id": node_id}))
+    return await api.submit(_change(fields, {"kind": "node_drain", "node_id": node_id}, None))
 
 
 @route("POST", "/v1/nodes/*/undrain")
 async def _node_undrain(api: OperatorApi, request: OperatorRequest, node_id: str) -> Reply:
     fields = _command(request)
     operator_views.check_known_node(api.kernel, node_id)
-    return await api.submit(_change(fields, {"kind": "node_undrain", "node_id": node_id}))
+    return await api.submit(_change(fields, {"kind": "node_undrain", "node_id": node_id}, None))
