--- a/knapweedhitch/admission.py
+++ b/knapweedhitch/admission.py
@@ -188,7 +188,7 @@
         allowed = self._cfg.max_leases_per_peer - self._ledger.held_by(peer_id)
         n = max(0, min(wanted, allowed, free))
         self._counters.add("leases_granted", n=n)
-        return self._ledger.grant(peer_id, n)
+        return self._ledger.grant(peer_id, n, self._generation)
 
     def lease_used(self, lease_id: int) -> None:
         """Note that a call runs under the lease, which ends its short lifetime."""
@@ -198,9 +198,10 @@
     def lease_returned(self, lease_id: int, used: bool, result: CallResult | None) -> None:
         """End a lease and learn from the call that used it."""
         in_flight = len(self._live) + len(self._ledger)
-        if not self._ledger.give_back(lease_id):
+        entry = self._ledger.give_back(lease_id)
+        if entry is None:
             self._counters.add("leases_unknown", "returned")
-        elif used and result is not None:
+        elif used and result is not None and entry.generation == self._generation:
             self._learn(result, in_flight)
         self._dispatch()
 
@@ -318,6 +319,8 @@
             self._gradient.on_result(result, in_flight)
         cause = self._ramp.on_result(result, at_limit=in_flight >= self.limit)
         if cause is not None:
+            # Work that began before the fall back proves nothing about the new ramp.
+            self._generation += 1
             self._counters.add("cold_starts", cause.value)
             self._gradient.reset(self._record.slots if self._record else 1)
             self._revoke()
--- a/knapweedhitch/pick.py
+++ b/knapweedhitch/pick.py
@@ -315,7 +315,13 @@
         if state is None:
             state = self._services[svc.name] = _ServiceState(svc.max_ejected_ratio)
         state.max_ejected_ratio = svc.max_ejected_ratio
-        state.peers = tuple(t.upstream.instance_id for t in targets)
+        peers = tuple(t.upstream.instance_id for t in targets)
+        for gone in set(state.peers).difference(peers):
+            # Instances are replaced every day; without this the maps would grow for ever.
+            self._service_of.pop(gone, None)
+            self._out.discard(gone)
+            self._ejector.forget(gone)
+        state.peers = peers
         for target in targets:
             instance_id = target.upstream.instance_id
             self._service_of[instance_id] = svc.name
--- a/knapweedhitch/slotlease.py
+++ b/knapweedhitch/slotlease.py
@@ -26,6 +26,7 @@
     lease_id: int
     peer_id: str
     expires_ms: float
+    generation: int
     used: bool = False
 
 
@@ -61,12 +62,12 @@
         """Return the peers that hold any lease."""
         return frozenset(entry.peer_id for entry in self._entries.values())
 
-    def grant(self, peer_id: str, n: int) -> tuple[int, ...]:
-        """Grant n leases to the peer."""
+    def grant(self, peer_id: str, n: int, generation: int) -> tuple[int, ...]:
+        """Grant n leases to the peer for one generation of the upstream."""
         expires_ms = self._now_ms() + LEDGER_LIFETIMES * self._cfg.lease_lifetime_ms
         granted = tuple(next(self._ids) for _ in range(n))
         for lease_id in granted:
-            self._entries[lease_id] = LeaseEntry(lease_id, peer_id, expires_ms)
+            self._entries[lease_id] = LeaseEntry(lease_id, peer_id, expires_ms, generation)
         return granted
 
     def mark_used(self, lease_id: int) -> bool:
@@ -78,9 +79,9 @@
         self._entries[lease_id] = dataclasses.replace(entry, expires_ms=expires_ms, used=True)
         return True
 
-    def give_back(self, lease_id: int) -> bool:
-        """End the lease; return False if it is not known."""
-        return self._entries.pop(lease_id, None) is not None
+    def give_back(self, lease_id: int) -> LeaseEntry | None:
+        """End the lease and return its entry, or None if it is not known."""
+        return self._entries.pop(lease_id, None)
 
     def expire(self) -> int:
         """End the leases whose time is over and return their number."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -133,9 +133,14 @@
         adm = warm()
         revoked: list[str] = []
         adm.on_revoke(revoked.extend)
-        self.assertTrue(adm.lease("n2", 1))
+        (lease_id,) = adm.lease("n2", 1)
+        slot = await take(adm)
         adm.set_upstream(record(incarnation=2))
         self.assertEqual((adm.limit, adm.lease("n3", 1), revoked), (1, (), ["n2"]))
+        # Calls that the earlier incarnation served do not warm the new one up.
+        adm.release(slot, GOOD)
+        adm.lease_returned(lease_id, True, GOOD)
+        self.assertEqual(adm.limit, 1)
 
     async def test_second_release_frees_nothing(self) -> None:
         """Guards against more work than slots after a slot is given back twice."""
