Let the setup of the leave test wait for a sync

Change: the setup waits up to 15 s, as the return to service in the same test does: a missed update that is no leave is repaired by the sync of 10 s. The 2 s bound of leaving is unchanged.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -146,7 +146,7 @@
         net = MemoryNet(max_delay_s=0.05, loss=0.2)
         async with cluster(25, net) as c:
             c.view(4).announce_local(upstream())
-            await c.until(lambda: all(c.view(i).targets("svc") for i in c.nodes), 5)
+            await c.until(lambda: all(c.view(i).targets("svc") for i in c.nodes), 15)
             changes: list[Callable[[], None]] = [
                 lambda: c.view(4).announce_local(upstream(UpstreamState.LEAVING)),
                 lambda: c.view(4).announce_local(upstream()),
