--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -15,8 +15,8 @@
 from knapweedhitch.election import Elections
 from knapweedhitch.exceptions import CorruptFile, NotLeader, VersionConflict
 from knapweedhitch.history import ConfigurationMachine
-from knapweedhitch.messages import VoteRequest
-from knapweedhitch.raftstate import ReplicaState
+from knapweedhitch.messages import LogEntry, VoteRequest
+from knapweedhitch.raftstate import ReplicaState, Role, encode_members
 from knapweedhitch.store import Store
 from tests.faulty_disk import FaultyDisk
 from tests.state_cluster import Cluster, make_settings, service_config, stamped, until, with_cluster
@@ -34,17 +34,44 @@
     trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
+async def make_state(disk: FaultyDisk) -> ReplicaState:
+    """Return the state of one of three replicas without its tasks."""
+    cfg = make_settings("c1", 3)
+    store = await Store.open(disk, "k", "c1")
+    end: Any = None
+    machine = ConfigurationMachine(cfg.control)
+    return ReplicaState(cfg, store, end, machine, Counters(), random.Random(1))
+
+
+class CommitTest(unittest.TestCase):
+    def test_entry_of_an_earlier_term_commits_only_with_one_of_the_own(self) -> None:
+        """Guards against a committed entry that a later leader may still replace."""
+
+        async def check() -> None:
+            s = await make_state(FaultyDisk())
+            voters = {"c1": s.store.disk_id, "c2": "x", "c3": "y"}
+            body = stamped(DomainOut("d"))
+            members = LogEntry(1, 1, "members", encode_members("g", voters))
+            s.store.stage([members, LogEntry(2, 2, "change", body), LogEntry(4, 3, "noop", b"")])
+            s.note_members(members)
+            await s.store.set_term(4, "c1")
+            s.role, s.durable_index = Role.LEADER, 3
+            s.progress["c2"].saw_disk("x")
+            for match, committed in ((2, 0), (3, 3)):
+                s.progress["c2"].match_index = match
+                s.advance_commit()
+                self.assertEqual(s.commit_index, committed)
+
+        trio.run(check)
+
+
 class VoteTest(unittest.TestCase):
     def test_vote_is_remembered_over_a_power_loss(self) -> None:
         """Guards against two votes of one disk in one term."""
 
         async def ask(disk: FaultyDisk, candidate: str, term: int = 5) -> bool:
-            cfg = make_settings("c1", 3)
-            store = await Store.open(disk, "k", "c1")
-            machine = ConfigurationMachine(cfg.control)
-            end: Any = None
-            state = ReplicaState(cfg, store, end, machine, Counters(), random.Random(1))
-            req = VoteRequest(term, candidate, 0, 0, False, "x", store.disk_id)
+            state = await make_state(disk)
+            req = VoteRequest(term, candidate, 0, 0, False, "x", state.store.disk_id)
             return (await Elections(state).on_vote(candidate, req)).granted
 
         async def check() -> None:
@@ -180,8 +207,11 @@
             await cluster.change()
             before = dict(cluster.voters())
             await cluster.restart("c3", empty=True)
-            cluster.nodes["c3"].disk.latency_ms = 6_000.0
-            await trio.sleep(4.0)
+            # Its term is durable after 3 s, so it answers heartbeats; its entries are not.
+            cluster.nodes["c3"].disk.latency_ms = 3_000.0
+            await trio.sleep(5.0)
+            progress = (await cluster.wait_leader()).replica.state.progress["c3"]
+            self.assertEqual(progress.disk_id, cluster.nodes["c3"].replica.state.store.disk_id)
             self.assertEqual(cluster.voters(), before)
             await cluster.check_nothing_lost()
 
