--- a/knapweedhitch/replication.py
+++ b/knapweedhitch/replication.py
@@ -269,15 +269,22 @@
             if size > s.cfg.max_snapshot_bytes:
                 self._transfer, size = None, 0
             elif msg.done and msg.offset + len(msg.data) == size:
-                await self._install(bytes(transfer.data))
+                if not await self._install(bytes(transfer.data)):
+                    size = 0
                 self._transfer = None
             return SnapshotReply(s.store.term, size, s.store.disk_id)
 
-    async def _install(self, data: bytes) -> None:
+    async def _install(self, data: bytes) -> bool:
+        """Install a received snapshot; return False if it is damaged and must be sent again."""
         s = self._s
-        snap = snapshot.decode(data, "received snapshot")
+        try:
+            snap = snapshot.decode(data, "received snapshot")
+        except CorruptFile as exc:
+            s.counters.add("consensus_snapshot_refused")
+            logs.warning("snapshot_refused", node=s.node_id, detail=exc)
+            return False
         if snap.index <= s.commit_index:
-            return
+            return True
         await s.store.install_snapshot(snap)
         s.restore(snap)
         s.counters.add("consensus_snapshots_installed")
@@ -285,6 +292,7 @@
             entry = s.store.entry(index)
             if entry is not None:
                 s.note_members(entry)
+        return True
 
     def _reply(self, ok: bool, match_index: int) -> AppendReply:
         return AppendReply(self._s.store.term, ok, match_index, self._s.store.disk_id)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -15,7 +15,7 @@
 from knapweedhitch.election import Elections
 from knapweedhitch.exceptions import CorruptFile, NotLeader, VersionConflict
 from knapweedhitch.history import ConfigurationMachine
-from knapweedhitch.messages import LogEntry, VoteRequest
+from knapweedhitch.messages import LogEntry, SnapshotChunk, VoteRequest
 from knapweedhitch.raftstate import ReplicaState, Role, encode_members
 from knapweedhitch.store import Store
 from tests.faulty_disk import FaultyDisk
@@ -254,6 +254,22 @@
 
         run(check, snapshot_after_entries=50, max_snapshot_chunk_bytes=1_000)
 
+    def test_damaged_transfer_is_sent_again(self) -> None:
+        """Guards against a replica that stops because of bytes damaged on the way."""
+
+        async def check(cluster: Cluster) -> None:
+            await cluster.change()
+            leader = await cluster.wait_leader()
+            follower = next(n for n in cluster.nodes.values() if n is not leader)
+            term = leader.replica.state.store.term
+            handler = cluster.network.ends[follower.node_id].handlers[SnapshotChunk]
+            part = SnapshotChunk(term, leader.node_id, 90, term, 0, b"damaged", True)
+            self.assertEqual((await handler(leader.node_id, part)).next_offset, 0)
+            self.assertFalse(follower.replica.is_stopped)
+            await cluster.check_nothing_lost()
+
+        run(check)
+
     def test_failed_sync_stops_the_replica_for_good(self) -> None:
         """Guards against an answer after a failed sync."""
 
