--- a/knapweedhitch/codec.py
+++ b/knapweedhitch/codec.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import functools
 import io
 import types
 import typing
@@ -54,6 +55,8 @@
     return tuple(_decoder(hints[field.name]) for field in dataclasses.fields(cls))
 
 
+# Resolving type hints anew for each value took most of the time of loading a state.
+@functools.cache
 def _decoder(hint: Any) -> Decoder:
     origin = typing.get_origin(hint)
     if origin in (typing.Union, types.UnionType):
