--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -168,6 +168,8 @@
         self._own_folder = folder is None
         self.folder = folder or Path(tempfile.mkdtemp(prefix="knapweedhitch-"))
         self.children: list[Child] = []
+        # A measurement may run daemons under a profiler instead.
+        self.daemon_module = "knapweedhitch.daemon"
 
     def __enter__(self) -> Harness:
         return self
@@ -198,7 +200,7 @@
         """Start a daemon with a settings file that exists; each start has a log of its own."""
         starts = sum(child.name == node_id for child in self.children)
         log_path = self.folder / f"{node_id}.{starts}.log"
-        process = self._spawn(["-m", "knapweedhitch.daemon", "run", str(path)], log_path)
+        process = self._spawn(["-m", self.daemon_module, "run", str(path)], log_path)
         return self._adopt(Daemon(node_id, process, log_path, path))
 
     def start_stand_in(self, name: str, service: str, slots: int, announce: Endpoint) -> Child:
--- a/scripts/measure_path.py
+++ b/scripts/measure_path.py
@@ -11,6 +11,7 @@
 import json
 import os
 import random
+import shutil
 import sys
 import time
 from collections.abc import Sequence
@@ -260,9 +261,16 @@
     parser.add_argument("--calls", type=int, default=3_000)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--json", default="")
+    parser.add_argument("--profile", default="", help="write cProfile statistics to this folder")
     args = parser.parse_args()
     with Harness() as harness:
+        if args.profile:
+            harness.daemon_module = "scripts.profile_daemon"
         results = trio.run(run, args, harness)
+        if args.profile:
+            harness.stop_all([c for c in harness.children if isinstance(c, Daemon)])
+            for file in harness.folder.glob("*.prof"):
+                shutil.copy(file, args.profile)
     print(table(results))
     if args.json:
         rows = [dataclasses.asdict(r) for r in results]
--- /dev/null
+++ b/scripts/profile_daemon.py
@@ -0,0 +1,23 @@
+"""Run one daemon under cProfile and write its statistics when it stops."""
+
+from __future__ import annotations
+
+import cProfile
+import sys
+
+from knapweedhitch.daemon import run_daemon
+
+
+def main() -> None:
+    """Run the daemon with the settings file; the statistics go beside it as SETTINGS.prof."""
+    path = sys.argv[-1]
+    profile = cProfile.Profile()
+    try:
+        code = profile.runcall(run_daemon, path)
+    finally:
+        profile.dump_stats(f"{path}.prof")
+    sys.exit(code)
+
+
+if __name__ == "__main__":
+    main()
