--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -23,6 +23,7 @@
     Refusal,
 )
 from knapweedhitch.exchange import Headers
+from knapweedhitch.sending import send_at_once
 from knapweedhitch.settings import CallerSettings
 
 READ_BYTES = 65_536
@@ -47,6 +48,8 @@
         self.answer_ended = False
         self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=cfg.max_header_bytes)
         self._broken = False
+        # Set while a write waits for the caller; after a failed one the connection is broken.
+        self._writing = False
         self._body_limit: float = math.inf
         self._body_bytes = 0
         self._idle_scope: trio.CancelScope | None = None
@@ -87,6 +90,9 @@
             raw = await self._receive_first()
             if not raw:
                 return None
+        else:
+            # Answers may go out without a pause, so a run of pipelined requests must make one.
+            await trio.lowlevel.cancel_shielded_checkpoint()
         give_up_s = trio.current_time() + self.cfg.header_timeout_ms / 1_000
         while (end := raw.find(framing.HEAD_END)) < 0:
             if len(raw) > self.cfg.max_header_bytes:
@@ -218,8 +224,14 @@
         if not data:
             return
         try:
+            if not self._writing:
+                data = await send_at_once(self.stream, data)
+                if not data:
+                    return
+            self._writing = True
             with trio.move_on_after(self.cfg.write_timeout_ms / 1_000) as scope:
                 await self.stream.send_all(data)
+            self._writing = False
         except trio.Cancelled:
             self._broken = True
             raise
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -17,6 +17,7 @@
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
 from knapweedhitch.model import LoadSample
+from knapweedhitch.sending import send_at_once
 from knapweedhitch.settings import UpstreamSettings
 
 READ_BYTES = 65_536
@@ -136,6 +137,9 @@
             return
         self.handed = True
         try:
+            data = await send_at_once(self.stream, data)
+            if not data:
+                return
             with trio.move_on_after(self.cfg.progress_timeout_ms / 1_000) as scope:
                 await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
--- a/knapweedhitch/transport.py
+++ b/knapweedhitch/transport.py
@@ -18,6 +18,7 @@
 
 from knapweedhitch.exceptions import PeerDisconnected, PeerUnreachable
 from knapweedhitch.model import Address
+from knapweedhitch.sending import send_at_once
 from knapweedhitch.settings import PeerSettings
 
 # The system picks the TCP port when it is 0; the same UDP port may be taken, then another is tried.
@@ -108,7 +109,9 @@
             for frame in frames:
                 conn.protocol.send_binary(frame)
             try:
-                await conn.stream.send_all(b"".join(conn.protocol.data_to_send()))
+                rest = await send_at_once(conn.stream, b"".join(conn.protocol.data_to_send()))
+                if rest:
+                    await conn.stream.send_all(rest)
             except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as exc:
                 raise PeerDisconnected(f"the link broke: {exc}") from None
 
