--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -170,6 +170,8 @@
         self.children: list[Child] = []
         # A measurement may run daemons under a profiler instead.
         self.daemon_module = "knapweedhitch.daemon"
+        # A measurement may start the daemons of another worktree instead.
+        self.root = ROOT
 
     def __enter__(self) -> Harness:
         return self
@@ -183,7 +185,7 @@
         self.close()
 
     def start(self, name: str, args: Sequence[str]) -> Child:
-        """Start a Python process in the repository root with its output in a file."""
+        """Start a Python process in the root of a worktree with its output in a file."""
         log_path = self.folder / f"{name}.log"
         return self._adopt(Child(name, self._spawn(args, log_path), log_path))
 
@@ -256,7 +258,7 @@
         with log_path.open("ab") as log:
             return subprocess.Popen(
                 [sys.executable, *args],
-                cwd=ROOT,
+                cwd=self.root,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
--- a/scripts/measure_path.py
+++ b/scripts/measure_path.py
@@ -273,12 +273,13 @@
                 f"failed={found.failed} calls_per_s={found.calls_per_s:.0f} p50_ms={found.p50:.2f} "
                 f"p99_ms={found.p99:.2f} entry_cpu_ms={found.entry_cpu_ms:.3f}"
             )
-    for busy in (False, True) if args.memory else ():
+    if args.memory:
+        # Freed memory stays with the process, so each run measures one kind on a new daemon.
         mem = await saturation.memory(
-            entry.endpoints["callers"], "near.test", entry.pid, args.memory, busy
+            entry.endpoints["callers"], "near.test", entry.pid, args.memory, args.busy
         )
         rss = " ".join(f"{n}={kib}" for n, kib in mem.rss_kib.items())
-        lines.append(f"memory busy={busy} rss_kib {rss} slope={mem.kib_per_connection:.1f}")
+        lines.append(f"memory busy={args.busy} rss_kib {rss} slope={mem.kib_per_connection:.1f}")
     return lines
 
 
@@ -293,6 +294,7 @@
     parser.add_argument("--saturate", type=int, nargs="*", default=[], help="connections")
     parser.add_argument("--seconds", type=float, default=5.0, help="length of a saturation run")
     parser.add_argument("--memory", type=int, nargs="*", default=[], help="steps of connections")
+    parser.add_argument("--busy", action="store_true", help="memory of connections in a call")
     parser.add_argument("--profile", default="", help="write cProfile statistics to this folder")
     args = parser.parse_args()
     with Harness() as harness:
