--- a/knapweedhitch/admission.py
+++ b/knapweedhitch/admission.py
@@ -205,6 +205,28 @@
             self._learn(result, in_flight)
         self._dispatch()
 
+    def renew_lease(self, peer_id: str, lease_id: int, result: CallResult) -> bool:
+        """Learn from a call under a lease; return whether its peer may go on using the lease.
+
+        A lease that is not renewed counts until it is returned or expires, as it may be in use.
+        """
+        entry = self._ledger.get(lease_id)
+        if entry is None or entry.peer_id != peer_id:
+            self._counters.add("leases_unknown", "renewed")
+            return False
+        if entry.generation == self._generation:
+            self._learn(result, len(self._live) + len(self._ledger))
+            self._dispatch()
+        # The same conditions as for a return that is followed by a new grant.
+        if entry.used or entry.generation != self._generation or self._queue or self._closed():
+            return False
+        if self._record is None or self._ramp.warmth is Warmth.COLD or not self._has_room():
+            return False
+        if not self._connections_allow(peer_id):
+            return False
+        self._ledger.renew(lease_id)
+        return True
+
     def expire_leases(self) -> None:
         """End the leases whose lifetime is over and admit what waits for their slots."""
         over = self._ledger.expire()
--- a/knapweedhitch/direct.py
+++ b/knapweedhitch/direct.py
@@ -8,7 +8,15 @@
 from knapweedhitch.exceptions import NoLease, Outcome, PeerError, Refusal
 from knapweedhitch.exchange import BodySource, CallSpec, ResponseSink
 from knapweedhitch.kernel import Kernel, service
-from knapweedhitch.messages import Ack, LeaseGrant, LeaseRequest, LeaseReturn, LeaseRevoke, LeaseUse
+from knapweedhitch.messages import (
+    Ack,
+    LeaseGrant,
+    LeaseRenew,
+    LeaseRequest,
+    LeaseReturn,
+    LeaseRevoke,
+    LeaseUse,
+)
 from knapweedhitch.model import Address, CallResult
 from knapweedhitch.peers import Peers
 from knapweedhitch.timers import Timers
@@ -29,10 +37,12 @@
         self._timers: Timers = kernel.get("timers")
         self._counters: Counters = kernel.get("counters")
         self._requested: set[str] = set()
+        self._renewing = 0
 
     async def start(self) -> None:
         """Take lease messages."""
         self._peers.handle(LeaseRequest, self._on_request)
+        self._peers.handle(LeaseRenew, self._on_renew)
         self._peers.handle(LeaseReturn, self._on_return)
         self._peers.handle(LeaseUse, self._on_use)
         self._peers.handle(LeaseRevoke, self._on_revoke)
@@ -69,12 +79,51 @@
             raise
         finally:
             notice.cancel()
+            elapsed_ms = self._timers.now_ms() - started_ms
             if not result.ok and not result.service_ms:
-                result = CallResult(False, self._timers.now_ms() - started_ms, result.status)
-            if not leases.give_back(spec.instance_id, lease_id, used=used):
+                result = CallResult(False, elapsed_ms, result.status)
+            if self._may_keep(elapsed_ms, result) and leases.keep(spec.instance_id, lease_id):
+                self._renewing += 1
+                self._kernel.nursery.start_soon(
+                    self._renew, node_id, spec.instance_id, lease_id, result
+                )
+            elif not leases.give_back(spec.instance_id, lease_id, used=used):
                 self._return(node_id, spec.instance_id, lease_id, used, result)
             self._request(node_id, spec.instance_id)
 
+    def _may_keep(self, elapsed_ms: float, result: CallResult) -> bool:
+        # The target counts a use that it was told of as one until the lease is returned.
+        notice_ms = self._kernel.cfg.admission.lease_lifetime_ms * USE_NOTICE_SHARE
+        return result.ok and elapsed_ms < notice_ms and self._renewing < MAX_REQUESTS
+
+    async def _renew(
+        self, node_id: str, instance_id: str, lease_id: int, result: CallResult
+    ) -> None:
+        """Report the call to the target, which answers whether the lease may be used on."""
+        leases = self._kernel.get("slotlease")
+        sent_ms = self._timers.now_ms()
+        try:
+            msg = LeaseRenew(instance_id, lease_id, result.ok, result.status, result.service_ms)
+            grant = await self._peers.call(node_id, msg, REQUEST_TIMEOUT_MS)
+        except PeerError as exc:
+            # The lease ends at its time, which is earlier here than at the target.
+            self._counters.add("lease_renewals", type(exc).__name__)
+            return
+        finally:
+            self._renewing -= 1
+        if not isinstance(grant, LeaseGrant) or grant.instance_id != instance_id:
+            return
+        self._counters.add("lease_renewals", "granted" if grant.lease_ids else "refused")
+        self._observe(instance_id, grant)
+        if lease_id in grant.lease_ids:
+            leases.renewed(instance_id, lease_id, grant.lifetime_ms, sent_ms)
+        elif leases.withdrawn(instance_id, lease_id):
+            self._return(node_id, instance_id, lease_id, False, CallResult(True, 0.0))
+
+    def _observe(self, instance_id: str, grant: LeaseGrant) -> None:
+        if grant.load is not None and self._kernel.has("picker"):
+            self._kernel.get("picker").observe(instance_id, grant.load)
+
     def _notify_use(self, node_id: str, instance_id: str, lease_id: int) -> None:
         self._peers.send(node_id, LeaseUse(instance_id, lease_id))
 
@@ -114,8 +163,7 @@
         if not isinstance(grant, LeaseGrant) or grant.instance_id != instance_id:
             return
         self._counters.add("lease_requests", "granted" if grant.lease_ids else "refused")
-        if grant.load is not None and self._kernel.has("picker"):
-            self._kernel.get("picker").observe(instance_id, grant.load)
+        self._observe(instance_id, grant)
         # The lifetime counts from the request, so it ends here no later than at the target.
         leases.granted(instance_id, grant.lease_ids, grant.lifetime_ms, requested_ms)
 
@@ -147,6 +195,16 @@
             self._kernel.get("loadreports").interested(node_id)
         return LeaseGrant(msg.instance_id, lease_ids, lifetime_ms, admission.load())
 
+    async def _on_renew(self, node_id: str, msg: LeaseRenew) -> LeaseGrant:
+        lifetime_ms = float(self._kernel.cfg.admission.lease_lifetime_ms)
+        admission: Any = self._kernel.get("admission")
+        result = CallResult(msg.ok, max(0.0, msg.service_ms), msg.status)
+        renewed = admission.renew_lease(node_id, msg.lease_id, result)
+        if self._kernel.has("loadreports"):
+            self._kernel.get("loadreports").interested(node_id)
+        lease_ids = (msg.lease_id,) if renewed else ()
+        return LeaseGrant(msg.instance_id, lease_ids, lifetime_ms, admission.load())
+
     async def _on_return(self, node_id: str, msg: LeaseReturn) -> Ack:
         result = CallResult(msg.ok, max(0.0, msg.service_ms), msg.status)
         self._kernel.get("admission").lease_returned(msg.lease_id, msg.used, result)
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -250,6 +250,18 @@
     lease_id: int
 
 
+@message(26)
+@dataclass(frozen=True, slots=True)
+class LeaseRenew(Message):
+    """Tell the result of a call under a slot lease and ask to keep the lease; gives LeaseGrant."""
+
+    instance_id: str
+    lease_id: int
+    ok: bool
+    status: int
+    service_ms: float
+
+
 @message(24)
 @dataclass(frozen=True, slots=True)
 class LeaseRevoke(Message):
--- a/knapweedhitch/slotlease.py
+++ b/knapweedhitch/slotlease.py
@@ -5,6 +5,7 @@
 import collections
 import dataclasses
 import itertools
+import math
 import random
 from collections.abc import Callable
 
@@ -16,6 +17,8 @@
 LEDGER_LIFETIMES = 2.0
 # A holder begins no call in the last share of a lifetime, for the same reason.
 LAST_SHARE = 0.2
+# The end of a lease that its node wants back while a call runs under it.
+WITHDRAWN_MS = -math.inf
 MAX_RECENT_TAKES = 64
 
 
@@ -79,6 +82,17 @@
         self._entries[lease_id] = dataclasses.replace(entry, expires_ms=expires_ms, used=True)
         return True
 
+    def get(self, lease_id: int) -> LeaseEntry | None:
+        """Return the entry of a lease, or None if it is not known."""
+        return self._entries.get(lease_id)
+
+    def renew(self, lease_id: int) -> None:
+        """Start the lifetime of a known lease again."""
+        expires_ms = self._now_ms() + LEDGER_LIFETIMES * self._cfg.lease_lifetime_ms
+        self._entries[lease_id] = dataclasses.replace(
+            self._entries[lease_id], expires_ms=expires_ms
+        )
+
     def give_back(self, lease_id: int) -> LeaseEntry | None:
         """End the lease and return its entry, or None if it is not known."""
         return self._entries.pop(lease_id, None)
@@ -161,6 +175,41 @@
         held.free.append(lease)
         return True
 
+    def keep(self, instance_id: str, lease_id: int) -> bool:
+        """Keep a used lease for the next call; return False if it is to be sent back."""
+        held = self._targets.get(instance_id)
+        lease = held.taken.get(lease_id) if held is not None else None
+        if held is None or lease is None or not self._usable(lease):
+            return False
+        del held.taken[lease_id]
+        held.free.append(lease)
+        self._counters.add("slot_leases", "kept")
+        return True
+
+    def renewed(self, instance_id: str, lease_id: int, lifetime_ms: float, sent_ms: float) -> None:
+        """Start the lifetime of a lease again, from the moment in which the renewal was sent."""
+        held = self._targets.get(instance_id)
+        if held is None:
+            return
+        lease = _Held(lease_id, sent_ms + lifetime_ms)
+        held.free = [lease if old.lease_id == lease_id else old for old in held.free]
+        old = held.taken.get(lease_id)
+        if old is not None and old.expires_ms != WITHDRAWN_MS:
+            held.taken[lease_id] = lease
+
+    def withdrawn(self, instance_id: str, lease_id: int) -> bool:
+        """Drop a lease that was not renewed; return True if it is to be sent back now."""
+        held = self._targets.get(instance_id)
+        if held is None:
+            return False
+        if lease_id in held.taken:
+            held.taken[lease_id] = _Held(lease_id, WITHDRAWN_MS)
+            return False
+        kept = [lease for lease in held.free if lease.lease_id != lease_id]
+        dropped = len(kept) < len(held.free)
+        held.free = kept
+        return dropped
+
     def wanted(self, instance_id: str) -> int:
         """Return how many leases to ask for now: what the last lifetime used, less what is held."""
         held = self._targets.get(instance_id)
@@ -172,7 +221,9 @@
         self._drop_expired(held)
         recent = sum(1 for at in held.wants if now - at <= self._cfg.lease_lifetime_ms)
         goal = min(recent, self._cfg.max_leases_per_peer)
-        return max(0, goal - sum(1 for lease in held.free if self._usable(lease)))
+        # The target counts the taken ones as well; asking beyond its limit would be refused, and a
+        # refusal ends all asking for one lifetime.
+        return max(0, goal - len(held.taken) - sum(1 for x in held.free if self._usable(x)))
 
     def requested(self, instance_id: str) -> float:
         """Note that a request for leases is sent; return the moment for `granted`."""
@@ -204,6 +255,9 @@
             return ()
         dropped = tuple(lease.lease_id for lease in held.free)
         held.free.clear()
+        # A lease with a call under way goes back after that call.
+        for lease_id in held.taken:
+            held.taken[lease_id] = _Held(lease_id, WITHDRAWN_MS)
         held.ask_again_ms = self._now_ms() + self._cfg.lease_lifetime_ms
         self._counters.add("slot_leases", "revoked", len(dropped))
         return dropped
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -128,6 +128,44 @@
         adm.lease_returned(leases[0], True, GOOD)
         self.assertEqual(adm.leased, 0)
 
+    async def test_lease_is_renewed_only_while_the_upstream_has_room(self) -> None:
+        """Guards against leases that live on while calls queue, in cold start or after a stop."""
+        adm = warm(3)
+        first, second = adm.lease("n2", 2)
+        self.assertTrue(adm.renew_lease("n2", first, GOOD))
+        self.assertFalse(adm.renew_lease("n3", first, GOOD))
+        self.assertFalse(adm.renew_lease("n2", 12_345, GOOD))
+        await trio.sleep(0.3)
+        self.assertTrue(adm.renew_lease("n2", first, GOOD))
+        await trio.sleep(0.3)
+        adm.expire_leases()
+        self.assertEqual(adm.leased, 1)
+        self.assertFalse(adm.renew_lease("n2", second, GOOD))
+        await take(adm)
+        await take(adm)
+        # Full: the lease stays counted, as a call may run under it, until it comes back.
+        self.assertFalse(adm.renew_lease("n2", first, GOOD))
+        self.assertEqual((adm.in_flight, adm.leased), (2, 1))
+        adm.lease_returned(first, False, None)
+        (third,) = adm.lease("n2", 1) or (0,)
+        self.assertEqual(third, 0)
+        other = warm()
+        (lease_id,) = other.lease("n2", 1)
+        other.lease_used(lease_id)
+        self.assertFalse(other.renew_lease("n2", lease_id, GOOD))
+        for stop in (
+            lambda adm: adm.set_draining(True),
+            lambda adm: adm.set_domain_out(True),
+            lambda adm: adm.set_upstream(record(state=UpstreamState.LEAVING)),
+            lambda adm: adm.set_upstream(record(incarnation=2)),
+            lambda adm: adm.set_upstream(None),
+        ):
+            adm = warm()
+            (lease_id,) = adm.lease("n2", 1)
+            stop(adm)
+            self.assertFalse(adm.renew_lease("n2", lease_id, GOOD))
+            self.assertEqual(adm.leased, 1)
+
     async def test_new_incarnation_is_cold_and_grants_no_lease(self) -> None:
         """Guards against full load on an upstream that restarted."""
         adm = warm()
--- a/tests/test_admission_machine.py
+++ b/tests/test_admission_machine.py
@@ -116,6 +116,37 @@
             self.adm.lease_returned(lease_id, True, result)
             self.check()
 
+    async def renewed(self, peer: str, dies: bool) -> None:
+        """Run a short call under a lease, and keep the lease while its node renews it."""
+        leases = self.leases[peer]
+        lease_id = leases.take("i1")
+        if lease_id is None:
+            return
+        self.direct += 1
+        self.check()
+        result = self.result()
+        await trio.sleep(result.service_ms / 1_000.0)
+        self.direct -= 1
+        if not result.ok or not leases.keep("i1", lease_id):
+            leases.give_back("i1", lease_id, used=True)
+            await self.delay()
+            self.successes += result.ok
+            self.adm.lease_returned(lease_id, True, result)
+            return
+        sent_ms = trio.current_time() * 1_000.0
+        await self.delay()
+        self.successes += result.ok
+        granted = self.adm.renew_lease(peer, lease_id, result)
+        self.check()
+        if dies:
+            return
+        await self.delay()
+        if granted:
+            leases.renewed("i1", lease_id, float(self.adm._cfg.lease_lifetime_ms), sent_ms)
+        elif leases.withdrawn("i1", lease_id):
+            self.adm.lease_returned(lease_id, False, None)
+        self.check()
+
     async def notice(self, lease_id: int) -> None:
         await self.delay()
         self.adm.lease_used(lease_id)
@@ -163,6 +194,7 @@
     st.tuples(st.just("warm"), st.integers(10, 120)),
     st.tuples(st.just("ask"), st.sampled_from(PEERS), st.integers(1, 4)),
     st.tuples(st.just("direct"), st.sampled_from(PEERS), st.booleans()),
+    st.tuples(st.just("renewed"), st.sampled_from(PEERS), st.booleans()),
     st.tuples(st.just("wait"), st.sampled_from((0.0, 1.0, 10.0, 60.0, 240.0))),
     st.tuples(st.just("change"), st.just("domain_out"), st.booleans()),
     st.tuples(st.just("change"), st.sampled_from(("restart", "expire")), st.just(0)),
@@ -207,6 +239,8 @@
             nursery.start_soon(oracle.ask, *args)
         elif name == "direct":
             nursery.start_soon(oracle.leased, *args)
+        elif name == "renewed":
+            nursery.start_soon(oracle.renewed, *args)
         elif name == "wait":
             await trio.sleep(args[0] / 1_000.0)
         else:
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -30,6 +30,9 @@
         self.returned: list[tuple[int, bool, CallResult]] = []
         self.long_uses: list[int] = []
         self.call_s = 0.0
+        self.keeps = self.renews = False
+        self.renewals: list[tuple[str, int, CallResult]] = []
+        self.withdrawals: list[int] = []
         self.given_back: list[int] = []
         self.next_result: CallResult | Refusal = CallResult(True, 2.0, 200)
 
@@ -63,6 +66,26 @@
         self.given_back.append(lease_id)
         return False
 
+    def keep(self, instance_id: str, lease_id: int) -> bool:
+        """Hold a used lease again if the test says so."""
+        if self.keeps:
+            self.held.append(lease_id)
+        return self.keeps
+
+    def renewed(self, instance_id: str, lease_id: int, life_ms: float, at: float) -> None:
+        """Hold a lease for longer; it is held already."""
+
+    def withdrawn(self, instance_id: str, lease_id: int) -> bool:
+        """Drop a lease."""
+        self.withdrawals.append(lease_id)
+        self.held.remove(lease_id)
+        return True
+
+    def renew_lease(self, peer_id: str, lease_id: int, result: CallResult) -> bool:
+        """Renew a lease if the test says so."""
+        self.renewals.append((peer_id, lease_id, result))
+        return self.renews
+
     def requested(self, instance_id: str) -> float:
         """Return the moment of a request."""
         return trio.current_time() * 1_000
@@ -196,6 +219,35 @@
             # The cancelled call counts as used, since its outcome is not known.
             self.assertEqual([(r[0], r[1]) for r in fake(b).returned], [(7, True)])
 
+    @clocked
+    async def test_lease_is_renewed_by_use_or_goes_back_unused(self) -> None:
+        """Guards against a result that is counted twice, and a refused lease that is kept."""
+        async with running(2, prepare=prepare) as (a, b):
+            fake(a).held, fake(a).keeps, fake(b).renews = [7], True, True
+            good = CallResult(True, 2.0, 200)
+            for _ in range(2):
+                self.assertEqual(await self.run_call(a), good)
+            self.assertEqual(fake(b).renewals, 2 * [("n0", 7, good)])
+            self.assertEqual((fake(b).returned, fake(a).held), ([], [7]))
+            fake(b).renews = False
+            await self.run_call(a)
+            self.assertEqual(fake(a).withdrawals, [7])
+            self.assertEqual([(r[0], r[1]) for r in fake(b).returned], [(7, False)])
+
+    @clocked
+    async def test_failed_or_long_use_is_not_renewed(self) -> None:
+        """Guards against a lease that counts as used at its node while it is used again."""
+        async with running(2, prepare=prepare) as (a, b):
+            fake(a).keeps = fake(b).renews = True
+            fake(a).held, fake(a).next_result = [7], CallResult(False, 2.0, 500)
+            await self.run_call(a)
+            fake(a).held, fake(a).next_result = [8], CallResult(True, 130.0, 200)
+            fake(a).call_s = 0.13
+            await self.run_call(a)
+            self.assertEqual(fake(b).renewals, [])
+            self.assertEqual([(r[0], r[1]) for r in fake(b).returned], [(7, True), (8, True)])
+            self.assertEqual(fake(b).long_uses, [8])
+
     @clocked
     async def test_return_tells_whether_the_slot_was_used(self) -> None:
         """Guards against a target that counts a failed call as unused, or the reverse."""
