Exempt what lives as long as the process from collections

Cause: a full collection stops all calls while it visits all modules and services. Change: gc.collect and gc.freeze once after the start. Ruled out: collections as a cause of p99. Over 2,300 calls at 100/s one entry ran 25 young collections (5 ms in all, longest 0.31 ms), 2 middle ones (0.66 ms) and no full one, so the thresholds stay as they are. Figures: a full collection took 62 ms in a started daemon at load average 9. Conclusion: kept for the rare full collection; no effect on p50 or p99 is claimed.

--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import importlib
 import signal
 import sys
@@ -95,6 +96,7 @@
             nursery.start_soon(_follow_signals, signals, kernel, nursery.cancel_scope)
             await nursery.start(kernel.run, names)
             _set_phase(kernel, "running")
+            _exempt_from_collection()
             logs.event(
                 "ready",
                 node=cfg.node.id,
@@ -107,6 +109,13 @@
             nursery.cancel_scope.cancel()
 
 
+def _exempt_from_collection() -> None:
+    # Modules and services live as long as the process; a full collection over them stops all calls
+    # for tens of milliseconds.
+    gc.collect()
+    gc.freeze()
+
+
 def _set_phase(kernel: Kernel, phase: str) -> None:
     if kernel.has("operator_api"):
         kernel.get("operator_api").phase = phase
