--- a/scripts/harness.py
+++ b/scripts/harness.py
@@ -168,6 +168,10 @@
         self._own_folder = folder is None
         self.folder = folder or Path(tempfile.mkdtemp(prefix="knapweedhitch-"))
         self.children: list[Child] = []
+        # A measurement may run daemons under a profiler instead.
+        self.daemon_module = "knapweedhitch.daemon"
+        # A measurement may start the daemons of another worktree instead.
+        self.root = ROOT
 
     def __enter__(self) -> Harness:
         return self
@@ -181,7 +185,7 @@
         self.close()
 
     def start(self, name: str, args: Sequence[str]) -> Child:
-        """Start a Python process in the repository root with its output in a file."""
+        """Start a Python process in the root of a worktree with its output in a file."""
         log_path = self.folder / f"{name}.log"
         return self._adopt(Child(name, self._spawn(args, log_path), log_path))
 
@@ -198,7 +202,7 @@
         """Start a daemon with a settings file that exists; each start has a log of its own."""
         starts = sum(child.name == node_id for child in self.children)
         log_path = self.folder / f"{node_id}.{starts}.log"
-        process = self._spawn(["-m", "knapweedhitch.daemon", "run", str(path)], log_path)
+        process = self._spawn(["-m", self.daemon_module, "run", str(path)], log_path)
         return self._adopt(Daemon(node_id, process, log_path, path))
 
     def start_stand_in(self, name: str, service: str, slots: int, announce: Endpoint) -> Child:
@@ -254,7 +258,7 @@
         with log_path.open("ab") as log:
             return subprocess.Popen(
                 [sys.executable, *args],
-                cwd=ROOT,
+                cwd=self.root,
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
