--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -8,6 +8,7 @@
 import json
 import random
 import sys
+import time
 import urllib.parse
 
 import h11
@@ -79,6 +80,8 @@
         self.connections = 0
         self.in_flight = 0
         self.overloads = 0
+        # On the monotonic clock of the machine, so that other processes can compare it.
+        self.last_run_s = 0.0
         self.last_body = b""
         self._silent_before = 0
         self._rng = random.Random(seed)
@@ -171,6 +174,7 @@
             failing = dataclasses.replace(how, status=how.fail_status)
             return await self._answer(request, seen, failing)
         up.runs[seen.headers.get("idempotency-key", seen.target)] += 1
+        up.last_run_s = time.monotonic()
         delay_ms = how.delay_ms + (how.straggle_ms if up.roll(how.straggle_ratio) else 0.0)
         up.in_flight += 1
         up.overloads += up.in_flight > (how.cold_slots or up.slots)
@@ -245,7 +249,13 @@
         elif name == "silence":
             up.go_silent()
         answer = json.dumps(
-            {"runs": up.runs, "requests": len(up.seen), "overloads": up.overloads}
+            {
+                "runs": up.runs,
+                "requests": len(up.seen),
+                "overloads": up.overloads,
+                "in_flight": up.in_flight,
+                "last_run_s": up.last_run_s,
+            }
         ).encode()
         await self._send(
             h11.Response(status_code=200, headers=[("content-length", str(len(answer)))])
