Give cold targets their share and keep load reports within their budget

Cause: under least-used a cold target at limit 1 always has the largest used share, so after a domain returned, or a node was frozen, its upstreams got no call while warm ones had a free slot; the load report bucket held two seconds of the budget on top of its refill. Change: LeastUsedPolicy tries cold targets in proportion to their limit; the bucket's refill and burst together stay within the budget over 5 s.

--- a/knapweedhitch/loadreports.py
+++ b/knapweedhitch/loadreports.py
@@ -19,7 +19,10 @@
 MAX_SOURCES = 40_000
 # TCP, IP and websocket headers of a report that travels alone.
 PACKET_OVERHEAD_BYTES = 58
-BURST_S = 2.0
+# A full bucket is spent on top of the refill; both together stay within the budget over any
+# window of BURST_WINDOW_S seconds.
+BURST_S = 0.5
+BURST_WINDOW_S = 5.0
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -58,7 +61,8 @@
     async def start(self) -> None:
         """Send and take reports."""
         rate = self._cfg.measure_budget_bytes_per_s
-        self._budget = TokenBucket(rate, BURST_S * rate, self._timers.now_ms)
+        refill = rate * (1.0 - BURST_S / BURST_WINDOW_S)
+        self._budget = TokenBucket(refill, BURST_S * rate, self._timers.now_ms)
         self._peers.handle(LoadReport, self._on_report)
         self._timers.every(self._cfg.report_interval_ms, self._report, jitter=0.1)
 
--- a/knapweedhitch/pick.py
+++ b/knapweedhitch/pick.py
@@ -172,17 +172,27 @@
     def score(self, candidate: Candidate, ctx: PickContext) -> float:
         """Return the used share, plus how many times over the tolerated latency it is."""
         load = candidate.load
-        limit = load.limit or candidate.target.upstream.slots
-        used = (load.in_flight + 1.0) / max(1, limit)
+        used = (load.in_flight + 1.0) / _limit(candidate)
         # Differences below the tolerance are mostly chance; following them makes the load uneven.
         slow = load.mean_ms / max(1.0, ctx.typical_ms) - SLOW_TOLERANCE
         return used + max(0.0, slow)
 
     def pick(self, candidates: Sequence[Candidate], ctx: PickContext) -> Candidate:
         """Return the best candidate; equal ones are chosen at random."""
+        # One call fills a cold target at limit 1, so its share is the largest while a warm target
+        # has a free slot. It gets calls in proportion to its limit instead, or it stays cold.
+        cold = [c for c in candidates if c.load.warmth is Warmth.COLD]
+        if 0 < len(cold) < len(candidates):
+            ratio = sum(map(_limit, cold)) / sum(map(_limit, candidates))
+            if ctx.rng.random() < ratio:
+                candidates = cold
         return min(candidates, key=lambda c: (self.score(c, ctx), ctx.rng.random()))
 
 
+def _limit(candidate: Candidate) -> int:
+    return max(1, candidate.load.limit or candidate.target.upstream.slots)
+
+
 def _instance_id(candidate: Candidate) -> str:
     return candidate.target.upstream.instance_id
 
--- a/tests/process_world.py
+++ b/tests/process_world.py
@@ -333,14 +333,15 @@
     async def settled(self, within_s: float = 30.0) -> None:
         """Wait until each node is fresh, knows all targets and answers a keyed call."""
         self.h.wait_ready(list(self.daemons.values()), within_s)
-        expected = len(self.with_upstream)
+        expected = set(self.with_upstream)
 
         async def one(name: str) -> None:
             async def knows() -> bool:
-                page = await self.client(name).get("/v1/services")
-                return any(
-                    svc["name"] == SERVICE and svc["usable"] == expected for svc in page["services"]
-                )
+                page = await self.client(name).get("/v1/upstreams")
+                usable = {row["node"] for row in page["upstreams"] if row["usable"]}
+                if missing := sorted(expected - usable):
+                    raise OSError(f"{name} lacks {missing}: {page['upstreams']}")
+                return True
 
             async def answers() -> bool:
                 return (await self.call(name, "POST", key=fresh_key(), body=b"x")).status == 200
--- a/tests/test_processes_calls.py
+++ b/tests/test_processes_calls.py
@@ -97,7 +97,8 @@
             await trio.sleep(ANNOUNCE_INTERVAL_S + LEAVING_BOUND_S + 1.5)
             traffic.stop()
         state = await world.tell("c2")
-        await world.tell("c2", "behaviour?leaving=false", "POST")
+        # An incarnation that is leaving stays so; the next one serves again.
+        world.h.kill(world.upstreams["c2"])
         self.figure(f"last call {state['last_run_s'] - told_s:.2f} s after the order to leave")
         # The stand-in announces at most one announcement interval after the order.
         bound_s = told_s + ANNOUNCE_INTERVAL_S + LEAVING_BOUND_S
