--- a/knapweedhitch/control.py
+++ b/knapweedhitch/control.py
@@ -26,7 +26,7 @@
     ReplicaBusy,
     VersionConflict,
 )
-from knapweedhitch.history import ConfigurationMachine
+from knapweedhitch.history import ConfigurationMachine, HistoryRecord
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import Propose, ProposeReply, VersionReport
 from knapweedhitch.model import ClaimGroup
@@ -87,6 +87,12 @@
         """Return the last report of each node that a control instance has heard of."""
         return dict(self._reports)
 
+    def history(self) -> tuple[HistoryRecord, ...]:
+        """Return the accepted changes that are kept, oldest first, without their logged bytes."""
+        if self.machine is None:
+            return ()
+        return tuple(dataclasses.replace(record, body=b"") for record in self.machine.history())
+
     def note_report(self, msg: VersionReport) -> None:
         """Keep the report of a node, up to a bounded number of nodes."""
         known = self._reports.pop(msg.node_id, None)
--- a/tests/test_processes_domains.py
+++ b/tests/test_processes_domains.py
@@ -102,6 +102,12 @@
         world, traffic = self.world, Traffic(self.world, self.world.daemons)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(traffic.run)
+            inside = await self.runs_inside()
+
+            async def busy() -> bool:
+                return await self.runs_inside() > inside + 20
+
+            await until("traffic in the domain", busy)
             start_s = time.monotonic()
             for at, way in (("a1", "out"), ("c2", "in"), ("edge", "out")):
                 accepted_s = await world.domain(OUT, way, at)
