Try lookups elsewhere when the link of a frozen node is quiet

Cause: a forwarded lookup waited for the link to close after three missed heartbeats (about 2.9 s), so deadlines below that failed; seen with SIGSTOP of a target's node. Ruled out: the silent ratio of the pool (it acts at the target's node, which stands still). Change: Forward gives up a retryable call without a frame once its link was quiet for 1.5 heartbeat intervals; counter forward_silent.

--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from knapweedhitch import logs
+from knapweedhitch import framing, logs
 from knapweedhitch.counters import Counters
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -27,6 +27,7 @@
 from knapweedhitch.handlers import fail_frame
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import (
+    Message,
     OpenStream,
     StreamCancelled,
     StreamData,
@@ -41,6 +42,10 @@
 from knapweedhitch.streams import PeerStream
 
 MAX_INFORMATIONAL = 8
+# A live node answers a ping after one interval of quiet; the link closes only after three, which
+# is longer than the deadline of many lookups.
+QUIET_HEARTBEATS = 1.5
+MIN_WAIT_MS = 10.0
 
 
 def _subclasses(cls: type[Refusal]) -> Iterator[type[Refusal]]:
@@ -148,8 +153,8 @@
 
     async def _answer(self, stream: PeerStream, spec: CallSpec, sink: ResponseSink) -> CallResult:
         has_head = False
+        msg = await self._first_frame(stream, spec)
         while True:
-            msg = await stream.receive()
             if isinstance(msg, StreamData):
                 await sink.data(msg.data)
             elif isinstance(msg, StreamHead):
@@ -169,6 +174,19 @@
                 raise refusal_of(msg, Outcome.UNKNOWN if has_head else msg.outcome)
             elif isinstance(msg, StreamCancelled):
                 raise PeerFailed(Outcome.UNKNOWN if has_head else msg.outcome, "cancelled there")
+            msg = await stream.receive()
+
+    async def _first_frame(self, stream: PeerStream, spec: CallSpec) -> Message:
+        """Return the first frame; raises PeerFailed early if a call may go elsewhere."""
+        idempotent = framing.is_idempotent(spec.method, spec.headers)
+        if spec.has_body or not spec.retries_left or not idempotent:
+            return await stream.receive()
+        limit_ms = QUIET_HEARTBEATS * self._kernel.cfg.peers.heartbeat_interval_ms
+        while (quiet_ms := stream.silent_ms) < limit_ms:
+            with trio.move_on_after(max(MIN_WAIT_MS, limit_ms - quiet_ms) / 1_000):
+                return await stream.receive()
+        self._counters.add("forward_silent")
+        raise PeerFailed(Outcome.UNKNOWN, f"silent node={stream.peer_id}")
 
     def _observe(self, spec: CallSpec, load: LoadSample | None) -> None:
         if load is not None and self._kernel.has("picker"):
--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -245,6 +245,11 @@
         self._room.set()
         self._scope.cancel()
 
+    @property
+    def silent_ms(self) -> float:
+        """Return the time since anything arrived, in milliseconds."""
+        return Timers.now_ms() - self.heard_ms
+
     def beat(self) -> None:
         """Ping a quiet peer, close a silent link and retire an unused one; run often."""
         if self.lost is not None:
--- a/knapweedhitch/streams.py
+++ b/knapweedhitch/streams.py
@@ -85,6 +85,11 @@
         """Return the node at the other end."""
         return self._link.peer_id
 
+    @property
+    def silent_ms(self) -> float:
+        """Return the time since the other end was last heard on the link, in milliseconds."""
+        return self._link.silent_ms
+
     @property
     def has_unread(self) -> bool:
         """Tell whether a frame waits to be received."""
--- a/tests/test_processes_calls.py
+++ b/tests/test_processes_calls.py
@@ -168,7 +168,7 @@
 
         async def one(name: str) -> None:
             for _ in range(10):
-                answers.append(await world.call(name, deadline_ms=3_000))
+                answers.append(await world.call(name, deadline_ms=2_000))
 
         frozen.signal(signal.SIGSTOP)
         try:
@@ -179,7 +179,7 @@
         finally:
             frozen.signal(signal.SIGCONT)
         self.figure(f"slowest of {len(answers)}: {sorted(answers, key=lambda a: -a.took_s)[:3]}")
-        self.assertEqual([a for a in answers if a.status != 200 or a.took_s > 3.0], [])
+        self.assertEqual([a for a in answers if a.status != 200 or a.took_s > 2.0], [])
 
     @process_test
     async def test_restarted_cold_upstream_is_not_overloaded(self) -> None:
@@ -219,6 +219,11 @@
                 return len(traffic.answers) > 400
 
             await until("traffic", busy)
+
+            async def loaded() -> bool:
+                return int((await world.tell("b2"))["in_flight"]) >= 4
+
+            await until("calls in flight at the upstream", loaded)
             before = await world.tell("b2", cold, "POST")
             # The ramp from 1 to 5 takes four rounds of 150 ms; until then it is cold throughout.
             await trio.sleep(0.6)
@@ -228,6 +233,7 @@
             await world.tell(name, "behaviour?delay_ms=0", "POST")
         over = after["overloads"] - before["overloads"]
         self.figure(f"{over} over the cold limit, {before['in_flight']} in flight at the turn")
+        self.assertGreater(sum(after["runs"].values()), sum(before["runs"].values()))
         self.assertLessEqual(over, before["in_flight"], (before["in_flight"], over))
 
     @process_test
