--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -8,6 +8,7 @@
 import json
 import random
 import sys
+import time
 import urllib.parse
 
 import h11
@@ -44,7 +45,9 @@
     extra: bool = False
     hints: bool = False
     leaving: bool = False
+    # Calls at once that a cold upstream handles; more are overload and fail if cold_fails is set.
     cold_slots: int = 0
+    cold_fails: bool = False
 
     def changed(self, text: str) -> Behaviour:
         """Return a copy with the values of `name=value,...`; raises ValueError, KeyError."""
@@ -79,6 +82,8 @@
         self.connections = 0
         self.in_flight = 0
         self.overloads = 0
+        # On the monotonic clock of the machine, so that other processes can compare it.
+        self.last_run_s = 0.0
         self.last_body = b""
         self._silent_before = 0
         self._rng = random.Random(seed)
@@ -171,9 +176,14 @@
             failing = dataclasses.replace(how, status=how.fail_status)
             return await self._answer(request, seen, failing)
         up.runs[seen.headers.get("idempotency-key", seen.target)] += 1
+        up.last_run_s = time.monotonic()
         delay_ms = how.delay_ms + (how.straggle_ms if up.roll(how.straggle_ratio) else 0.0)
         up.in_flight += 1
-        up.overloads += up.in_flight > (how.cold_slots or up.slots)
+        overload = up.in_flight > (how.cold_slots or up.slots)
+        up.overloads += overload
+        if overload and how.cold_fails:
+            up.in_flight -= 1
+            return await self._answer(request, seen, dataclasses.replace(how, status=500))
         try:
             async with up._limiter:
                 if delay_ms + how.late_ms > 0:
@@ -245,7 +255,13 @@
         elif name == "silence":
             up.go_silent()
         answer = json.dumps(
-            {"runs": up.runs, "requests": len(up.seen), "overloads": up.overloads}
+            {
+                "runs": up.runs,
+                "requests": len(up.seen),
+                "overloads": up.overloads,
+                "in_flight": up.in_flight,
+                "last_run_s": up.last_run_s,
+            }
         ).encode()
         await self._send(
             h11.Response(status_code=200, headers=[("content-length", str(len(answer)))])
