Sharpen the tests that let a mutation survive

Change: Tests of admission, picking, streams, links, gossip and the log now look at what the survivors change: revoked leases, the queue of a leaving upstream, a repeated release, a drained node, another open stream, dialled links, the age of a leader's proof and a disk that is no member.

--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -93,11 +93,15 @@
         adm = warm(1)
         adm.set_upstream(record(slots=4))
         warm_up(adm, 4)
-        slots = [await take(adm) for _ in range(4)]
+        revoked: list[str] = []
+        adm.on_revoke(revoked.extend)
+        self.assertEqual(len(adm.lease("n2", 1)), 1)
+        slots = [await take(adm) for _ in range(3)]
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.refused, adm, DomainOut)
             await trio.testing.wait_all_tasks_blocked()
             adm.set_domain_out(True)
+        self.assertEqual(revoked, ["n2"])
         await self.refused(adm, DomainOut)
         for slot in slots:
             adm.release(slot, GOOD)
@@ -110,7 +114,16 @@
         adm.set_draining(True)
         await self.refused(adm, NodeDraining)
         adm.set_draining(False)
-        adm.set_upstream(record(state=UpstreamState.LEAVING))
+        revoked: list[str] = []
+        adm.on_revoke(revoked.extend)
+        self.assertEqual(len(adm.lease("n2", 1)), 1)
+        for _ in range(adm.limit - 1):
+            await take(adm)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.refused, adm, UpstreamDraining)
+            await trio.testing.wait_all_tasks_blocked()
+            adm.set_upstream(record(state=UpstreamState.LEAVING))
+        self.assertEqual(revoked, ["n2"])
         await self.refused(adm, UpstreamDraining)
         self.assertEqual(adm.lease("n2", 1), ())
 
@@ -143,9 +156,11 @@
         self.assertEqual(adm.limit, 1)
 
     async def test_second_release_frees_nothing(self) -> None:
-        """Guards against more work than slots after a slot is given back twice."""
-        adm = warm(2)
-        first, _ = await take(adm), await take(adm)
-        adm.release(first, GOOD)
-        adm.release(first, GOOD)
-        self.assertEqual(adm.in_flight, 1)
+        """Guards against more work than the limit after a slot is given back twice."""
+        adm = warm(4)
+        adm.set_upstream(record(incarnation=2, slots=4))
+        first = await take(adm)
+        for _ in range(10):
+            adm.release(first, GOOD)
+        # One success at the cold limit of 1 raises it to 2; the repeated ones are no successes.
+        self.assertEqual((adm.in_flight, adm.limit), (0, 2))
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -56,8 +56,9 @@
             s.note_members(members)
             await s.store.set_term(4, "c1")
             s.role, s.durable_index = Role.LEADER, 3
-            s.progress["c2"].saw_disk("x")
-            for match, committed in ((2, 0), (3, 3)):
+            # A disk that is no member does not count, however much it holds.
+            for disk_id, match, committed in (("other", 3, 0), ("x", 2, 0), ("x", 3, 3)):
+                s.progress["c2"].saw_disk(disk_id)
                 s.progress["c2"].match_index = match
                 s.advance_commit()
                 self.assertEqual(s.commit_index, committed)
@@ -168,6 +169,9 @@
             for name in others:
                 cluster.network.cut |= {(old.node_id, name), (name, old.node_id)}
             cut_ms = trio.current_time()
+            # No message that was sent after the cut has been acknowledged.
+            await trio.sleep(0.5)
+            self.assertGreaterEqual(old.replica.freshness_age_ms() or 0.0, 499.0)
             body = stamped(DomainOut("x"))
             self.assertIsNone(await cluster.propose(old.node_id, body))
             await trio.sleep(3)
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -140,10 +140,8 @@
         """Guards against an update that circulates for ever."""
         spread = self.spread()
         spread.add(member())
-        sends = 0
-        while len(spread):
-            sends += len(spread.take(1_000, 100)[0])
-        self.assertEqual(sends, 8)
+        sends = sum(len(spread.take(1_000, 100)[0]) for _ in range(100))
+        self.assertEqual((sends, len(spread)), (8, 0))
 
     def test_least_sent_and_urgent_updates_go_first(self) -> None:
         """Guards against a leave that waits behind the loss of a rack."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -282,6 +282,8 @@
             with self.assertRaises((PeerUnreachable, PeerDisconnected)):
                 await nodes[2].peers.call("n3", POLL, 500)
             self.assertEqual(nodes[3].counters.get("peer_rejected", "too-many-links"), 1)
+            with self.assertRaises(PeerUnreachable):
+                await nodes[3].peers.call("n2", POLL, 500)
 
     @clocked
     async def test_wrong_secret_is_counted_and_unreachable(self) -> None:
--- a/tests/test_pick.py
+++ b/tests/test_pick.py
@@ -28,7 +28,10 @@
                 target(3, domain="d9"),
                 target(4),
                 target(5),
+                target(6),
             )
+            config = made.get("config")
+            config.current = dataclasses.replace(config.current, draining_nodes=frozenset({"n6"}))
             pick.observe("i4", sample(1, 1, warmth=Warmth.COLD))
             self.assertIsNone(pick.pick(svc, targets, frozenset({"i4", "i5"}), "d1", "n1").target)
             # Its gate knows whether the cold target is still full; this view is stale.
@@ -38,8 +41,8 @@
                 got = pick.pick(svc, targets, NONE, "d1", "n1")
                 self.assertEqual(got.target, targets[4])
             notes = {c.instance_id: c.note for c in got.considered}
-            expected = ["draining", "draining", "domain-out", "cold-full", ""]
-            self.assertEqual([notes[f"i{n}"] for n in range(1, 6)], expected)
+            expected = ["draining", "draining", "domain-out", "cold-full", "", "draining"]
+            self.assertEqual([notes[f"i{n}"] for n in range(1, 7)], expected)
 
     async def test_a_stale_configuration_stops_picking(self) -> None:
         """Guards against work in a domain that was taken out behind a partition."""
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -110,16 +110,28 @@
     async def test_late_frames_are_dropped_and_counted(self) -> None:
         """Guards against frames of a finished stream that reach another one."""
         async with running(2) as (a, b):
-            serve(b, answer)
+            others: list[PeerStream] = []
+
+            async def answer_first(msg: OpenStream, stream: PeerStream) -> None:
+                if msg.request_id == "r":
+                    await answer(msg, stream)
+                else:
+                    others.append(stream)
+                    await idle(msg, stream)
+
+            serve(b, answer_first)
             stream = await a.peers.open_stream("n1", opening())
             while not isinstance(await stream.receive(), StreamResult):
                 pass
+            others.append(await a.peers.open_stream("n1", opening("other")))
+            await others[0].receive()
             link = link_of(b, "n0")
             link.put_frame(StreamData(stream.stream_id, b"late"))
             link_of(a, "n1").put_frame(StreamData(stream.stream_id, b"late"))
             await trio.sleep(0.1)
             for node in (a, b):
                 self.assertEqual(node.counters.get("peer_late_frames", "stream"), 1)
+            self.assertEqual([other.has_unread for other in others], [False, False])
             self.assertEqual(a.peers.linked(), ["n1"])
 
     @clocked
