--- a/knapweedhitch/cli.py
+++ b/knapweedhitch/cli.py
@@ -9,7 +9,6 @@
 import re
 import sys
 import time
-import uuid
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
 from urllib.parse import quote
@@ -32,6 +31,7 @@
     SettingsError,
     VersionLags,
 )
+from knapweedhitch.idempotency import mint_uuid7
 from knapweedhitch.operator_client import OperatorClient, new_change_id, parse_address
 from knapweedhitch.settings import load_secret, load_settings
 
@@ -48,14 +48,6 @@
 HELP = (["--help"], ["-h"], ["help"])
 HELP_NOTE = re.compile(r"^INFO: Showing help.*\n\n?", re.MULTILINE)
 MS_PER_S = 1_000
-KEY_RANDOM_BITS = 74
-
-
-def new_key(now_ms: int) -> str:
-    """Return a UUIDv7 whose time is given in milliseconds since 1970."""
-    random = int.from_bytes(os.urandom(10), "big") >> (80 - KEY_RANDOM_BITS)
-    value = (now_ms & ((1 << 48) - 1)) << 80 | 7 << 76 | (random >> 62) << 64
-    return str(uuid.UUID(int=value | 2 << 62 | random & ((1 << 62) - 1)))
 
 
 class Context:
@@ -270,7 +262,7 @@
     @command
     def key(self) -> None:
         """Make an idempotency key for a booking, deposit or order."""
-        print(new_key(time.time_ns() // 1_000_000))
+        print(mint_uuid7(time.time_ns() // 1_000_000))
 
     @command
     def version(self) -> None:
--- a/knapweedhitch/router.py
+++ b/knapweedhitch/router.py
@@ -34,6 +34,7 @@
 from knapweedhitch.exchange import Headers
 from knapweedhitch.framing import RequestHead
 from knapweedhitch.http1 import ServerConnection, refusal_headers
+from knapweedhitch.idempotency import mint_uuid7
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import IDEMPOTENT_METHODS, SAFE_METHODS, Configuration, ServiceConfig
 from knapweedhitch.payload import NoBody, ReplayBody, Spool, WholeBody, digest
@@ -64,15 +65,8 @@
     reason: str = ""
     outcome: str = ""
     call: Call | None = None
-
-
-def new_key(wall_ms: int) -> str:
-    """Return a UUIDv7 for the wall clock in milliseconds."""
-    random = int.from_bytes(os.urandom(10), "big")
-    value = (wall_ms & (1 << 48) - 1) << 80 | 7 << 76 | (random >> 68) << 64
-    value |= 2 << 62 | random & (1 << 62) - 1
-    text = f"{value:032x}"
-    return f"{text[:8]}-{text[8:12]}-{text[12:16]}-{text[16:20]}-{text[20:]}"
+    # Set once the claim holders are asked; before that nothing is known of the request's key.
+    key_is_judged: bool = False
 
 
 @service("router")
@@ -121,6 +115,9 @@
             else:
                 await self._serve(trace, conn, head)
         except Refusal as exc:
+            if not trace.key_is_judged and _has_key(head):
+                # An earlier request under the key may have run, whatever became of this one.
+                exc.outcome = Outcome.UNKNOWN
             await self._refuse(trace, conn, exc)
         except CallerGone:
             trace.reason = "caller-gone"
@@ -129,7 +126,7 @@
             if self._log_budget.take():
                 error = type(exc).__name__
                 logs.warning("internal-error", id=trace.request_id, error=error, detail=exc)
-            ran = trace.call is not None
+            ran = trace.call is not None or _has_key(head)
             fault = InternalError(Outcome.UNKNOWN if ran else Outcome.NOT_RUN, type(exc).__name__)
             await self._refuse(trace, conn, fault)
         finally:
@@ -199,7 +196,7 @@
 
     async def _local(self, trace: Trace, conn: ServerConnection, head: RequestHead) -> None:
         if (head.method, head.target) == ("POST", LOCAL_PREFIX + b"key"):
-            status, body = 200, new_key(self._timers.wall_ms()).encode("ascii")
+            status, body = 200, mint_uuid7(self._timers.wall_ms()).encode("ascii")
         elif (head.method, head.target) == ("GET", LOCAL_PREFIX + b"ready"):
             status, body = (200, b"ready\n") if self._is_ready() else (503, b"not ready\n")
         else:
@@ -247,7 +244,7 @@
         depth = _number(head, framing.DEPTH, 0)
         if depth > self._cfg.callers.max_depth:
             raise ChainTooDeep(detail=f"limit {self._cfg.callers.max_depth}")
-        keyed = framing.KEY in head.control and head.method not in SAFE_METHODS
+        keyed = _has_key(head)
         if svc.require_key and head.method not in IDEMPOTENT_METHODS and not keyed:
             raise KeyRequired
         deadline_ms = _number(head, framing.DEADLINE, svc.default_deadline_ms)
@@ -295,6 +292,7 @@
         head = call.head
         key = head.control[framing.KEY].decode("latin-1")
         sum_ = digest(call.svc.name, head.method, head.target, head.headers, parts)
+        trace.key_is_judged = True
         claim = await self._claims.claim(call.svc, key, sum_, call.deadline)
         if isinstance(claim, RecordedAnswer):
             self._counters.add("replayed")
@@ -341,6 +339,10 @@
     return int(value)
 
 
+def _has_key(head: RequestHead) -> bool:
+    return framing.KEY in head.control and head.method not in SAFE_METHODS
+
+
 def _new_request_id() -> str:
     return os.urandom(12).hex()
 
