Refuse an answer without the exchange id that the upstream gave back before

Cause: a surplus answer that arrived after the next request was sent on the connection was passed to the caller of that request; the check before reuse cannot see it. Ruled out: the check of the id itself (it only looked at answers that carry one). Change: after an answer with the exchange id, every later one on the connection must carry it. Conclusion: mended for upstreams that give the id back; others have only the check before reuse.

--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -46,6 +46,7 @@
         )
         self._sent_s = math.inf
         self._first_byte_s = math.inf
+        self.echoes = False
         self._writer_error: Exception | None = None
 
     def is_quiet(self) -> bool:
@@ -261,7 +262,7 @@
             raise UpstreamProtocolError(problem, bytes_sent=True)
 
     def _check(self, event: h11.Response) -> None:
-        sized = closes = False
+        sized = closes = echoed = False
         for name, value in event.headers:
             if name in (b"content-length", b"transfer-encoding"):
                 sized = True
@@ -271,6 +272,12 @@
                 raise UpstreamProtocolError("answer of another exchange", bytes_sent=True)
             elif name == framing.REQUEST_ID and value != self._spec.request_id.encode("ascii"):
                 raise UpstreamProtocolError("answer of another request", bytes_sent=True)
+            echoed = echoed or name == framing.EXCHANGE
+        # A surplus answer can arrive after the next request was sent; it does not carry the id
+        # that this upstream has given back on the connection so far.
+        if self._conn.echoes and not echoed:
+            raise UpstreamProtocolError("answer without its exchange id", bytes_sent=True)
+        self._conn.echoes = echoed
         bodyless = self._spec.method == "HEAD" or event.status_code in (204, 304)
         if not sized and not bodyless and not closes and event.http_version >= b"1.1":
             raise UpstreamProtocolError("answer without length or close", bytes_sent=True)
