Count failures over late successes when an upstream turns cold without telling

Cause: successes of calls that began before a cold turn ended the run of failures that shows it, so up to 7 calls over the cold limit arrived with 6 in flight at the turn. Ruled out: the ramp itself. Change: a success ends the run only if its call began after the first failure of the run.

--- a/knapweedhitch/admission.py
+++ b/knapweedhitch/admission.py
@@ -341,7 +341,11 @@
             return
         if self._ramp.warmth is Warmth.WARM:
             self._gradient.on_result(result, in_flight)
-        cause = self._ramp.on_result(result, at_limit=in_flight >= self.limit)
+        cause = self._ramp.on_result(
+            result,
+            at_limit=in_flight >= self.limit,
+            began_ms=self._timers.now_ms() - result.service_ms,
+        )
         if cause is not None:
             # Work that began before the fall back proves nothing about the new ramp.
             self._generation += 1
--- a/knapweedhitch/coldstart.py
+++ b/knapweedhitch/coldstart.py
@@ -36,6 +36,7 @@
         self.limit = cfg.cold_start_limit
         self._successes = 0
         self._failures = 0
+        self._failing_since_ms = -math.inf
         self._slots = 1
         self._slow_run = 0
         self._baseline_ms = 0.0
@@ -50,9 +51,11 @@
         self.limit = min(self._cfg.cold_start_limit, self._slots)
         self._successes = self._failures = self._slow_run = self._calls = 0
 
-    def on_result(self, result: CallResult, *, at_limit: bool) -> ColdCause | None:
-        """Learn from a call; return the cause when the ramp falls back."""
-        cause = self._fallback(result)
+    def on_result(
+        self, result: CallResult, *, at_limit: bool, began_ms: float = math.inf
+    ) -> ColdCause | None:
+        """Learn from a call that began at a time in milliseconds; return the cause of a fall back."""
+        cause = self._fallback(result, began_ms)
         if cause is not None:
             self.reset(cause)
             return cause
@@ -62,12 +65,16 @@
                 self._grow(at_limit)
         return None
 
-    def _fallback(self, result: CallResult) -> ColdCause | None:
+    def _fallback(self, result: CallResult, began_ms: float) -> ColdCause | None:
         if result.ok:
-            self._failures = 0
+            # A success of a call that began before the failures says nothing about the time since.
+            if began_ms > self._failing_since_ms:
+                self._failures = 0
             return ColdCause.LATENCY_JUMP if self._jumped(result.service_ms) else None
         if result.connect_failed:
             return ColdCause.CONNECT_FAILED
+        if not self._failures:
+            self._failing_since_ms = began_ms if began_ms < math.inf else -math.inf
         self._failures += 1
         if self.warmth is Warmth.COLD:
             return ColdCause.COLD_FAILURE
