--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -23,8 +23,8 @@
     Refusal,
 )
 from knapweedhitch.exchange import Headers
-from knapweedhitch.sending import send_at_once
 from knapweedhitch.settings import CallerSettings
+from knapweedhitch.sockets import receive_when_ready, send_at_once
 
 READ_BYTES = 65_536
 # Bytes of an unread body that are discarded so that the caller gets to read its answer.
@@ -123,7 +123,7 @@
 
     async def _receive(self) -> bytes:
         try:
-            return bytes(await self.stream.receive_some(READ_BYTES))
+            return await receive_when_ready(self.stream, READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self._broken = True
             raise CallerGone(str(exc)) from None
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -17,8 +17,8 @@
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
 from knapweedhitch.model import LoadSample
-from knapweedhitch.sending import send_at_once
 from knapweedhitch.settings import UpstreamSettings
+from knapweedhitch.sockets import receive_when_ready, send_at_once
 
 READ_BYTES = 65_536
 
@@ -171,7 +171,7 @@
 
     async def _receive(self) -> bytes:
         try:
-            return bytes(await self.stream.receive_some(READ_BYTES))
+            return await receive_when_ready(self.stream, READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise UpstreamClosed(f"cannot read: {exc}", bytes_sent=True) from None
 
--- a/knapweedhitch/logs.py
+++ b/knapweedhitch/logs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import sys
 from typing import IO
 
@@ -12,9 +13,13 @@
 FORMAT = "time={record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name} {record.message}"
 
 
+# A search takes 2.7 us for the line of a request, a test of each character 5 us.
+_needs_quotes = re.compile(r'[ ="\n\r\t]|\A\Z').search
+
+
 def _quote(value: object) -> str:
     text = str(value)
-    if text and not any(ch in text for ch in ' ="\n\r\t'):
+    if _needs_quotes(text) is None:
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
     return '"' + escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t") + '"'
--- a/knapweedhitch/pick.py
+++ b/knapweedhitch/pick.py
@@ -235,11 +235,12 @@
         config = self._kernel.get("config")
         if not config.is_fresh():
             # A stale configuration may name a domain as in service that operators took out.
-            notes = (Considered(t.upstream.instance_id, 0.0, "config-stale") for t in targets)
-            return PickResult(None, tuple(notes))
+            stale = (Considered(t.upstream.instance_id, 0.0, "config-stale") for t in targets)
+            return PickResult(None, tuple(stale))
         self._remember(svc, targets, config.current)
         views = self._table.views(t.upstream.instance_id for t in targets)
-        # Lists in the order of the targets need no hashing; a pick among 5 takes 27 instead of 34 us.
+        # Lists in the order of the targets need no hashing; a pick among 5 takes
+        # 27 instead of 34 us.
         notes = [self._note(t, views, excluded, config.current) for t in targets]
         typical_ms = _median([v.mean_ms for v in views.values()]) if views else 1.0
         ctx = PickContext(svc.name, self._cfg, self._rng, typical_ms)
--- a/knapweedhitch/transport.py
+++ b/knapweedhitch/transport.py
@@ -18,8 +18,8 @@
 
 from knapweedhitch.exceptions import PeerDisconnected, PeerUnreachable
 from knapweedhitch.model import Address
-from knapweedhitch.sending import send_at_once
 from knapweedhitch.settings import PeerSettings
+from knapweedhitch.sockets import send_at_once
 
 # The system picks the TCP port when it is 0; the same UDP port may be taken, then another is tried.
 BIND_ATTEMPTS = 16
--- /dev/null
+++ b/tests/test_sockets.py
@@ -0,0 +1,108 @@
+"""Tests of the short reads and writes, over real sockets on loopback."""
+
+from __future__ import annotations
+
+import socket
+import unittest
+
+import trio
+import trio.testing
+
+from knapweedhitch.sockets import receive_when_ready, send_at_once
+
+
+def pair() -> tuple[trio.SocketStream, trio.SocketStream]:
+    """Return two connected streams."""
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(1)
+        one = socket.create_connection(listener.getsockname())
+        other, _ = listener.accept()
+    first = trio.SocketStream(trio.socket.from_stdlib_socket(one))
+    return first, trio.SocketStream(trio.socket.from_stdlib_socket(other))
+
+
+class SocketsTest(unittest.TestCase):
+    def test_rest_of_a_large_write_is_returned(self) -> None:
+        """Guards against bytes that are lost or sent twice when the peer does not read."""
+
+        async def main() -> None:
+            one, other = pair()
+            data = bytes(range(256)) * 65_536
+            rest, before = data, b""
+            # A full socket takes nothing more, and gives all of the data back.
+            while rest != before:
+                before, rest = rest, await send_at_once(one, rest)
+            self.assertGreater(len(rest), 0)
+            received = bytearray()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(one.send_all, rest)
+                while len(received) < len(data):
+                    received += await receive_when_ready(other, 65_536)
+            self.assertEqual(bytes(received), data)
+            await one.aclose()
+            self.assertEqual(await receive_when_ready(other, 10), b"")
+            await other.aclose()
+
+        trio.run(main)
+
+    def test_closed_and_broken_sockets_are_told_apart_from_data(self) -> None:
+        """Guards against an error of the system that no caller of a stream expects."""
+
+        async def main() -> None:
+            one, other = pair()
+            await other.aclose()
+            with self.assertRaises(trio.BrokenResourceError):
+                for _ in range(3):
+                    await send_at_once(one, b"x")
+            await one.aclose()
+            for attempt in (send_at_once(one, b"x"), receive_when_ready(one, 10)):
+                with self.assertRaises(trio.ClosedResourceError):
+                    await attempt
+
+        trio.run(main)
+
+    def test_cancelled_task_neither_reads_nor_writes(self) -> None:
+        """Guards against a request that goes out after its caller was told that it did not."""
+
+        async def main() -> None:
+            one, other = pair()
+            with trio.CancelScope() as scope:
+                scope.cancel()
+                await send_at_once(one, b"late")
+            self.assertTrue(scope.cancelled_caught)
+            with trio.move_on_after(0.01) as scope:
+                await receive_when_ready(other, 10)
+            self.assertTrue(scope.cancelled_caught)
+            await send_at_once(one, b"x")
+            with trio.CancelScope() as scope:
+                scope.cancel()
+                await receive_when_ready(other, 10)
+            self.assertEqual(await receive_when_ready(other, 10), b"x")
+            await one.aclose()
+            await other.aclose()
+
+        trio.run(main)
+
+    def test_close_wakes_a_reader(self) -> None:
+        """Guards against a task that waits for ever on a connection that was closed."""
+
+        async def main() -> None:
+            one, other = pair()
+
+            async def read() -> None:
+                with self.assertRaises(trio.ClosedResourceError):
+                    await receive_when_ready(one, 10)
+
+            with trio.fail_after(5):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(read)
+                    await trio.testing.wait_all_tasks_blocked()
+                    await trio.aclose_forcefully(one)
+            await other.aclose()
+
+        trio.run(main)
+
+
+if __name__ == "__main__":
+    unittest.main()
