Test that renewed leases stay counted and that pipelined requests take turns

Cause: AdmissionMachine does not notice a granting node that forgets renewed leases, as its plans seldom fill the gate after the first lifetime of a lease.

--- a/tests/test_admission_machine.py
+++ b/tests/test_admission_machine.py
@@ -16,7 +16,7 @@
 from knapweedhitch.exceptions import Outcome, Refusal
 from knapweedhitch.model import CallResult, UpstreamRecord, Warmth
 from knapweedhitch.slotlease import SlotLeases
-from tests.decision_fakes import kernel, record, run
+from tests.decision_fakes import TrioTestCase, kernel, record, run
 
 PEERS = ("n2", "n3", "n4")
 NOTICE_MS = 45.0
@@ -116,6 +116,11 @@
             self.adm.lease_returned(lease_id, True, result)
             self.check()
 
+    async def renewals(self, peer: str, dies: bool) -> None:
+        """Run calls one after the other for longer than an unrenewed lease is counted."""
+        for _ in range(20):
+            await self.renewed(peer, dies)
+
     async def renewed(self, peer: str, dies: bool) -> None:
         """Run a short call under a lease, and keep the lease while its node renews it."""
         leases = self.leases[peer]
@@ -240,13 +245,38 @@
         elif name == "direct":
             nursery.start_soon(oracle.leased, *args)
         elif name == "renewed":
-            nursery.start_soon(oracle.renewed, *args)
+            nursery.start_soon(oracle.renewals, *args)
         elif name == "wait":
             await trio.sleep(args[0] / 1_000.0)
         else:
             oracle.apply(*args)
 
 
+class RenewalTest(TrioTestCase):
+    async def test_renewed_leases_count_for_as_long_as_they_are_used(self) -> None:
+        """Guards against more work than slots once the first lifetime of a lease is over."""
+        for seed in range(5):
+            oracle = Oracle(seed, 4)
+            oracle.result = lambda: CallResult(True, 40.0, 200)  # type: ignore[method-assign]
+            for _ in range(60):
+                await oracle.forwarded(400.0, 10_000.0)
+            await oracle.ask(PEERS[0], 2)
+            async with trio.open_nursery() as nursery:
+                for _ in range(2):
+                    nursery.start_soon(oracle.renewals, PEERS[0], False)
+                # Longer than the granting node counts a lease that is not renewed.
+                await trio.sleep(0.65)
+                oracle.apply("expire", 0)
+                for _ in range(200):
+                    await trio.sleep(0.001)
+                    if oracle.direct:
+                        break
+                self.assertGreater(oracle.direct, 0)
+                for _ in range(8):
+                    nursery.start_soon(oracle.forwarded, 400.0, 10_000.0)
+            await oracle.settle()
+
+
 AdmissionMachineTest = AdmissionMachine.TestCase
 AdmissionMachineTest.settings = hypothesis_settings(
     derandomize=True, deadline=None, max_examples=100, stateful_step_count=30
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -8,8 +8,12 @@
 import trio
 import trio.testing
 
+from knapweedhitch.http1 import ServerConnection
+from knapweedhitch.settings import CallerSettings
 from knapweedhitch.sockets import receive_when_ready, send_at_once
 
+PIPELINED = 200
+
 
 def pair() -> tuple[trio.SocketStream, trio.SocketStream]:
     """Return two connected streams."""
@@ -103,6 +107,35 @@
 
         trio.run(main)
 
+    def test_pipelined_requests_leave_turns_to_other_tasks(self) -> None:
+        """Guards against one caller that holds all others up with a run of short requests."""
+
+        async def main() -> None:
+            one, other = pair()
+            conn = ServerConnection(other, CallerSettings())
+            turns = answered = 0
+
+            async def count_turns() -> None:
+                nonlocal turns
+                while True:
+                    await trio.lowlevel.checkpoint()
+                    turns += 1
+
+            await one.send_all(PIPELINED * b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+            await one.send_eof()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(count_turns)
+                while await conn.receive_head() is not None:
+                    await conn.send_whole(200, ((b"content-length", b"0"),), [])
+                    answered += conn.next_request()
+                nursery.cancel_scope.cancel()
+            self.assertEqual(answered, PIPELINED)
+            self.assertGreaterEqual(turns, PIPELINED)
+            await conn.close()
+            await one.aclose()
+
+        trio.run(main)
+
 
 if __name__ == "__main__":
     unittest.main()
