--- a/knapweedhitch/coldstart.py
+++ b/knapweedhitch/coldstart.py
@@ -54,7 +54,7 @@
     def on_result(
         self, result: CallResult, *, at_limit: bool, began_ms: float = math.inf
     ) -> ColdCause | None:
-        """Learn from a call that began at a time in milliseconds; return the cause of a fall back."""
+        """Learn from a call and when it began, in ms; return the cause when the ramp falls back."""
         cause = self._fallback(result, began_ms)
         if cause is not None:
             self.reset(cause)
