Test the check of used data folders against mutations

Cause: two mutations of readmission survived: a vote in a term that an older copy may have forgotten, and waiting for dead members although a leader exists. The refusal of a lower acknowledgement had no test.

Conclusion: each rule of the check that was mutated has a test that fails without it.

--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -11,12 +11,15 @@
 from trio.testing import MockClock
 
 from knapweedhitch.changes import DomainIn, DomainOut, PutService
+from knapweedhitch.codec import Message
 from knapweedhitch.counters import Counters
 from knapweedhitch.election import Elections
 from knapweedhitch.exceptions import CorruptFile, NotLeader, VersionConflict
 from knapweedhitch.history import ConfigurationMachine
-from knapweedhitch.messages import LogEntry, SnapshotChunk, VoteRequest
+from knapweedhitch.messages import AppendReply, IntroduceReply, LogEntry, SnapshotChunk, VoteRequest
 from knapweedhitch.raftstate import ReplicaState, Role, encode_members
+from knapweedhitch.readmission import Admission
+from knapweedhitch.replication import Replication
 from knapweedhitch.store import Store
 from tests.faulty_disk import FaultyDisk
 from tests.state_cluster import Cluster, make_settings, service_config, stamped, until, with_cluster
@@ -131,6 +134,50 @@
         self.assertIsNotNone(caught.exception.subgroup(CorruptFile))
 
 
+class UsedFolderTest(unittest.TestCase):
+    def test_leader_refuses_a_disk_that_holds_less_than_it_acknowledged(self) -> None:
+        """Guards against a commit that counts entries which a disk has lost."""
+
+        async def check() -> None:
+            s = await make_state(FaultyDisk())
+            s.role, peer, replication = Role.LEADER, s.progress["c2"], Replication(s)
+            for ok, match, counted in ((True, 5, 5), (False, 3, 0), (True, 5, 0)):
+                reply = AppendReply(s.store.term, ok, match, "x")
+                self.assertTrue(await replication._accepts(peer, s.store.term, 0.0, reply))
+                replication._note_match(peer, reply)
+                self.assertEqual(s._match("c2", "x"), counted)
+
+        trio.run(check)
+
+    def test_no_vote_in_the_highest_term_of_the_others(self) -> None:
+        """Guards against a second vote in a term that an older copy has forgotten."""
+
+        async def check(own_term: int) -> None:
+            s = await make_state(FaultyDisk())
+            await s.store.set_term(own_term, "")
+            s.is_confirmed, s.transport = False, Answers()
+            elections = Elections(s)
+
+            async def ask(term: int) -> bool:
+                req = VoteRequest(term, "c2", 1, 1, False, "other", s.store.disk_id)
+                return (await elections.on_vote("c2", req)).granted
+
+            self.assertFalse(await ask(8))
+            await Admission(s, lambda: None).run()
+            self.assertFalse(await ask(7))
+            self.assertTrue(await ask(8))
+
+        class Answers:
+            async def call(self, node_id: str, msg: Message, timeout_ms: float) -> Message:
+                return IntroduceReply("x", False, False, 7, 0, 0, -1, -1.0)
+
+            def handle(self, *args: Any) -> None:
+                pass
+
+        for own_term in (5, 7):
+            trio.run(check, own_term, clock=MockClock(autojump_threshold=0))
+
+
 class ThreeMembersTest(unittest.TestCase):
     def test_first_start_needs_every_member(self) -> None:
         """Guards against a second group formed by a part of the members."""
@@ -198,6 +245,21 @@
         """Guards against a vote of an older copy that nobody has confirmed."""
         self.older_copy("lost at once")
 
+    def test_restart_next_to_a_dead_member_is_confirmed_by_the_leader(self) -> None:
+        """Guards against restarted members that wait for a dead one although a leader exists."""
+
+        async def check(cluster: Cluster) -> None:
+            leader = (await cluster.wait_leader()).node_id
+            dead, restarted = [n for n in cluster.names if n != leader][:2]
+            await cluster.crash(dead)
+            await cluster.change()
+            await cluster.restart(restarted)
+            state = cluster.nodes[restarted].replica.state
+            await until(lambda: state.is_confirmed, 2_000)
+            await cluster.check_nothing_lost()
+
+        run(check, size=5)
+
     def test_isolated_leader_is_not_fresh_and_accepts_nothing(self) -> None:
         """Guards against freshness that is claimed without a majority."""
 
