--- a/knapweedhitch/counters.py
+++ b/knapweedhitch/counters.py
@@ -90,7 +90,7 @@
         return MetricsSnapshot(dict(self._counters), dict(self._gauges), histograms)
 
     async def snapshot_in_steps(self) -> MetricsSnapshot:
-        """Return a snapshot, one histogram at a time; all at once would hold calls up for 11 ms."""
+        """Return a snapshot, one histogram at a time; 20 at once hold calls up for 13 ms."""
         histograms = {}
         for name in self._names():
             histograms[name] = self._summary(name)
