--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -18,6 +18,7 @@
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
 from knapweedhitch.model import LoadSample
 from knapweedhitch.settings import UpstreamSettings
+from knapweedhitch.sockets import receive_when_ready, send_at_once
 
 READ_BYTES = 65_536
 
@@ -137,6 +138,9 @@
             return
         self.handed = True
         try:
+            data = await send_at_once(self.stream, data)
+            if not data:
+                return
             with trio.move_on_after(self.cfg.progress_timeout_ms / 1_000) as scope:
                 await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
@@ -168,7 +172,7 @@
 
     async def _receive(self) -> bytes:
         try:
-            return bytes(await self.stream.receive_some(READ_BYTES))
+            return await receive_when_ready(self.stream, READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise UpstreamClosed(f"cannot read: {exc}", bytes_sent=True) from None
 
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -52,6 +52,17 @@
                 self.assertEqual(causes[-1], cause)
                 self.assertEqual((ramp.limit, ramp.warmth), (1, Warmth.COLD))
 
+    def test_successes_from_before_the_failures_do_not_end_their_run(self) -> None:
+        """Guards against calls that began before a cold turn and hide it by their late success."""
+        for success_began_ms, expected in ((5.0, ColdCause.FAILURE_RUN), (11.5, None)):
+            with self.subTest(success_began_ms=success_began_ms):
+                ramp = warm_ramp()
+                causes = []
+                for failure_began_ms in (10.0, 11.0, 12.0):
+                    causes.append(ramp.on_result(BAD, at_limit=True, began_ms=failure_began_ms))
+                    ramp.on_result(GOOD, at_limit=True, began_ms=success_began_ms)
+                self.assertEqual(causes, [None, None, expected])
+
     def test_single_slow_calls_keep_it_warm(self) -> None:
         """Guards against capacity lost to the heavy tail of normal service times."""
         ramp = warm_ramp()
