--- a/tests/test_processes_domains.py
+++ b/tests/test_processes_domains.py
@@ -173,12 +173,10 @@
         self.assertLessEqual(last_s, accepted_s + OUT_BOUND_S)
         self.assertEqual(ran, 0)
         self.assertEqual(len(answers), len(callers))
-        # A refused lookup is told as not run; of a key the node knows nothing until it is judged.
-        refused = [a for a in answers if a.status != 200]
-        self.assertEqual([a for a in refused if a.outcome not in ("not-run", "unknown")], [])
-        self.assertTrue(
-            all(a.outcome == "not-run" for a in refused if a.path.startswith("GET")), refused
-        )
+        # A stale node cannot know what ran under a key; a lookup without one may be sent again.
+        for answer in answers:
+            expected = "unknown" if answer.path.startswith("POST") else "not-run"
+            self.assertTrue(answer.status == 200 or answer.outcome == expected, answer)
 
     @process_test
     async def test_frozen_target_node_starts_nothing_after_it_resumes(self) -> None:
