Give two tests the order that they may rely on

Cause: test_pipelined counted 199 turns for 200 requests: trio runs tasks of one batch in random order, so only the 199 gaps between requests are sure. The race test read the history of a follower that was one heartbeat behind the leader. Change: one turn for each gap; the history is read until it shows the change, for 2 s at most.

--- a/tests/test_processes_control.py
+++ b/tests/test_processes_control.py
@@ -225,8 +225,16 @@
         winner = 0 if f"{ids[0]}" in str(lost[0].fields.get("winner")).split(";")[0] else 1
         again = await world.client("c2").change("/v1/changes", body(winner))
         self.assertEqual(again["version"], won[0])
-        page = await world.client("a1").get("/v1/config/history")
-        self.assertEqual([c["change_id"] for c in page["changes"]].count(ids[winner]), 1)
+        counts: list[int] = []
+
+        async def shown() -> bool:
+            page = await world.client("a1").get("/v1/config/history")
+            counts.append([c["change_id"] for c in page["changes"]].count(ids[winner]))
+            return counts[-1] > 0
+
+        # The replica at a1 may be one heartbeat behind the leader that answered.
+        await until("the change in the history", shown, 2.0)
+        self.assertEqual(counts[-1], 1)
 
     @process_test
     async def test_changes_are_in_force_within_the_bound(self) -> None:
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -130,7 +130,9 @@
                     answered += conn.next_request()
                 nursery.cancel_scope.cancel()
             self.assertEqual(answered, PIPELINED)
-            self.assertGreaterEqual(turns, PIPELINED)
+            # One turn for each gap between two requests; trio runs a batch in random order, so
+            # the other task may come before or after the last one.
+            self.assertGreaterEqual(turns, PIPELINED - 1)
             await conn.close()
             await one.aclose()
 
