--- a/scripts/measure.py
+++ b/scripts/measure.py
@@ -45,13 +45,13 @@
     return done.stdout.strip(), time.monotonic() - started
 
 
-def page(tables: dict[str, tuple[str, float]], load: tuple[float, float, float]) -> str:
+def page(tables: dict[str, tuple[str, float]], measured: str, load: float) -> str:
     """Return the Markdown page of all tables."""
     lines = [
         "# Measured figures",
         "",
-        f"Made by `make measure` at commit {commit()} on {os.cpu_count()} cores, Python "
-        f"{platform.python_version()}, load average {load[0]:.1f} at the start. Each part names",
+        f"Made by `make measure` at commit {measured} on {os.cpu_count()} cores, Python "
+        f"{platform.python_version()}, load average {load:.1f} at the start. Each part names",
         "its command; the raw figures are the JSON files beside this page. Times are of this",
         "machine; compare only within one run.",
         "",
@@ -135,14 +135,14 @@
     parser.add_argument("--parts", nargs="+", choices=[part[0] for part in PARTS])
     args = parser.parse_args()
     OUT.mkdir(parents=True, exist_ok=True)
-    load = os.getloadavg()
+    measured, load = commit(), os.getloadavg()[0]
     tables = {}
     for name, module, options in PARTS:
         if args.parts is None or name in args.parts:
             print(f"measuring {name} ...", file=sys.stderr, flush=True)
             tables[name] = run_part(name, module, options)
     if args.parts is None:
-        (OUT / "README.md").write_text(page(tables, load), encoding="utf-8")
+        (OUT / "README.md").write_text(page(tables, measured, load), encoding="utf-8")
     else:
         print("\n\n".join(text for text, _ in tables.values()))
     plot()
