Use one percentile in the measuring scripts and plain words in a comment

Cause: two functions computed the same percentile from percent and from share. Change: scripts.traffic.percentile serves all callers; a comment says earlier process.

--- a/knapweedhitch/membership.py
+++ b/knapweedhitch/membership.py
@@ -189,7 +189,7 @@
         if self._left or precedence(verdict) <= precedence(self.own):
             return
         self.counters.add("member_refutations")
-        # After a clock that went back, the start time of the former life is taken over.
+        # After a clock that went back, the start time of the earlier process is taken over.
         self._change_own(
             started_wall_ms=verdict.started_wall_ms, incarnation=verdict.incarnation + 1
         )
--- a/scripts/load.py
+++ b/scripts/load.py
@@ -89,15 +89,6 @@
     return bytes(data)
 
 
-def percentile(values: Sequence[float], percent: float) -> float:
-    """Return the nearest-rank percentile of the values."""
-    ordered = sorted(values)
-    if not ordered:
-        return float("nan")
-    rank = max(0, min(len(ordered) - 1, round(percent / 100 * len(ordered) + 0.5) - 1))
-    return ordered[rank]
-
-
 async def poisson_pause(rng: random.Random, rate_per_s: float) -> None:
     """Wait for the next arrival of a Poisson process."""
     await trio.sleep(rng.expovariate(rate_per_s))
--- a/scripts/measure_path.py
+++ b/scripts/measure_path.py
@@ -22,7 +22,8 @@
 
 from scripts import saturation
 from scripts.harness import Child, Daemon, Endpoint, Harness, on_loopback
-from scripts.load import Connection, percentile, poisson_pause
+from scripts.load import Connection, poisson_pause
+from scripts.traffic import percentile
 
 SLOTS = 9
 ANSWER_BYTES = 512
@@ -213,11 +214,11 @@
         rate_per_s=rate_per_s,
         calls=calls,
         failed=failed,
-        direct_p50=percentile(direct_ms, 50),
-        direct_p99=percentile(direct_ms, 99),
-        via_p50=percentile(via_ms, 50),
-        via_p99=percentile(via_ms, 99),
-        via_p999=percentile(via_ms, 99.9),
+        direct_p50=percentile(direct_ms, 0.5),
+        direct_p99=percentile(direct_ms, 0.99),
+        via_p50=percentile(via_ms, 0.5),
+        via_p99=percentile(via_ms, 0.99),
+        via_p999=percentile(via_ms, 0.999),
         entry_cpu_ms=spent[0] * 1_000 / calls,
         target_cpu_ms=0.0 if path == "gate" else spent[1] * 1_000 / calls,
         paths_taken={k: v - before.get(k, 0) for k, v in after.items() if v > before.get(k, 0)},
--- a/scripts/saturation.py
+++ b/scripts/saturation.py
@@ -11,7 +11,8 @@
 import trio
 
 from scripts.harness import Endpoint
-from scripts.load import Connection, percentile
+from scripts.load import Connection
+from scripts.traffic import percentile
 
 IDLE_REQUEST = b"GET /.knapweedhitch/ready HTTP/1.1\r\nHost: HOST\r\n\r\n"
 BUSY_REQUEST = (
@@ -85,8 +86,8 @@
         len(times),
         failed,
         len(times) / elapsed,
-        percentile(times, 50),
-        percentile(times, 99),
+        percentile(times, 0.5),
+        percentile(times, 0.99),
         spent * 1_000 / max(1, len(times)),
     )
 
