Wait until the re-admission has committed before the next member is killed

Cause: the check read event=members, which is logged when the entry is proposed; with the leader killed before the entry had spread, the two left held a group of two whose other member was dead. Change: one more accepted change, which commits after the members entry; it is checked like the others.

--- a/tests/test_processes_control.py
+++ b/tests/test_processes_control.py
@@ -117,6 +117,9 @@
                 )
 
             rejoined_s = await until("the emptied member votes again", voter, 30.0)
+            # The event is logged when the members entry is proposed; a change that is accepted after
+            # it shows that the entry has committed.
+            await self.accepted("edge")
             other = next(name for name in world.control if name != leader)
             world.h.kill(world.daemons[other])
             version = await self.accepted("edge", 30.0)
@@ -126,7 +129,7 @@
                 page = await world.client(name, attempts=3).get("/v1/config")
                 prefix = "test-emptied-leader"
                 kept = [node for node in page["draining_nodes"] if node.startswith(prefix)]
-                self.assertGreaterEqual(len(kept), 11, name)
+                self.assertGreaterEqual(len(kept), 12, name)
         self.figure(f"the emptied member voted again after {rejoined_s:.2f} s")
 
     @process_test
