--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -46,10 +46,6 @@
     """Report a module of the daemon that cannot be imported."""
 
 
-class ServiceStartTimeout(KernelError):
-    """Report a service that did not finish its start in time."""
-
-
 class CodecError(KnapweedhitchError):
     """Report bytes that are not a valid message."""
 
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -173,14 +173,6 @@
         status = self.domains.get(domain)
         return status is not None and status.out
 
-    def service_for_host(self, host: str) -> ServiceConfig | None:
-        """Return the service that lists the host name, without its port."""
-        name = host.rsplit(":", 1)[0].lower() if not host.startswith("[") else host.lower()
-        for svc in self.services.values():
-            if name in svc.hosts:
-                return svc
-        return None
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallResult:
--- a/scripts/measure_peers.py
+++ b/scripts/measure_peers.py
@@ -194,8 +194,6 @@
 class EchoGate:
     """Answer at once, so that a forwarded call costs nothing but the way."""
 
-    marks_dispatch = True
-
     async def execute(
         self, node_id: str, spec: CallSpec, body: BodySource, sink: Any
     ) -> CallResult:
