--- a/tests/test_processes_control.py
+++ b/tests/test_processes_control.py
@@ -117,7 +117,7 @@
                 )
 
             rejoined_s = await until("the emptied member votes again", voter, 30.0)
-            # The event is logged when the members entry is proposed; a change that is accepted after
+            # The event is logged when the members entry is proposed; a change accepted after
             # it shows that the entry has committed.
             await self.accepted("edge")
             other = next(name for name in world.control if name != leader)
