Keep versioned items, let control instances join, reopen a failed data folder

Routes, backend services and limits are items of the replicated configuration: the highest version of a name wins, also for a removal, and a call is checked as a whole. Control instances beyond the configured ones join as learners and replace a silent voter. A replica that a failed write has stopped can open its folder again, a leader with a stalled disk can step down, and a node can serve under a stale configuration; all four are settings that are off by default.

--- a/knapweedhitch/changes.py
+++ b/knapweedhitch/changes.py
@@ -12,6 +12,7 @@
 
 from knapweedhitch.codec import from_plain, load_plain, to_plain
 from knapweedhitch.exceptions import CodecError, DuplicateRegistration, InvalidChange
+from knapweedhitch.items import ItemPatch
 from knapweedhitch.model import ClaimGroup, ServiceConfig
 
 MAX_ID_CHARS = 128
@@ -74,6 +75,14 @@
     services: tuple[ServiceConfig, ...]
 
 
+@operation("patch_items")
+@dataclasses.dataclass(frozen=True)
+class PatchItems(Operation):
+    """Set and remove items, each by its own version."""
+
+    patch: ItemPatch
+
+
 @operation("domain_out")
 @dataclasses.dataclass(frozen=True)
 class DomainOut(Operation):
--- a/knapweedhitch/configuration.py
+++ b/knapweedhitch/configuration.py
@@ -11,6 +11,7 @@
 import cbor2
 
 from knapweedhitch import changes
+from knapweedhitch import items as itemrules
 from knapweedhitch.changes import StampedChange
 from knapweedhitch.codec import from_plain, load_plain, to_plain
 from knapweedhitch.exceptions import CodecError, InvalidChange
@@ -110,6 +111,13 @@
     return dataclasses.replace(cfg, services=services)
 
 
+@_rule(changes.PatchItems)
+def _patch_items(
+    cfg: Configuration, op: changes.PatchItems, stamped: StampedChange, version: int
+) -> Configuration:
+    return dataclasses.replace(cfg, items=itemrules.merge(cfg.items, op.patch))
+
+
 @_rule(changes.DomainOut)
 def _domain_out(
     cfg: Configuration, op: changes.DomainOut, stamped: StampedChange, version: int
@@ -218,6 +226,7 @@
         [[name, d.out, d.version] for name, d in sorted(cfg.domains.items())],
         sorted(cfg.draining_nodes),
         [[to_plain(g) for g in groups] for _, groups in sorted(cfg.claim_groups.items())],
+        itemrules.to_state(cfg.items),
     ]
     return zlib.compress(cbor2.dumps(plain), 6)
 
@@ -229,7 +238,7 @@
         plain = unpacker.decompress(data, max_bytes)
         if not unpacker.eof or unpacker.unused_data:
             raise CodecError(f"a state is cut short, or over {max_bytes} bytes")
-        version, services, domains, draining, groups = load_plain(plain)
+        version, services, domains, draining, groups, items = load_plain(plain)
         svcs = [from_plain(ServiceConfig, raw) for raw in services]
         group_lists = [tuple(from_plain(ClaimGroup, g) for g in raw) for raw in groups]
         return Configuration(
@@ -238,6 +247,7 @@
             domains={str(n): DomainStatus(bool(out), _version(v)) for n, out, v in domains},
             draining_nodes=frozenset(str(node) for node in draining),
             claim_groups={gs[0].service: gs for gs in group_lists},
+            items=itemrules.from_state(items),
         )
     except (zlib.error, TypeError, ValueError, IndexError) as exc:
         raise CodecError(f"not a configuration: {exc}") from None
@@ -263,6 +273,12 @@
                 lines.append(f"- {part} {name}: {old[name]}")
             elif old[name] != new[name]:
                 lines.append(f"~ {part} {name}: {old[name]} -> {new[name]}")
+    for kind in ("routes", "backends"):
+        held, wanted = getattr(before.items, kind), getattr(after.items, kind)
+        if held is not wanted:
+            names = sorted(held.keys() | wanted.keys())
+            changed = [n for n in names if held.get(n) is not wanted.get(n)]
+            lines += [f"~ {kind} {n}" for n in changed[:max_lines]]
     lines += [f"+ draining {n}" for n in sorted(after.draining_nodes - before.draining_nodes)]
     lines += [f"- draining {n}" for n in sorted(before.draining_nodes - after.draining_nodes)]
     if len(lines) > max_lines:
--- a/knapweedhitch/consensus.py
+++ b/knapweedhitch/consensus.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
+import math
 import random
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from typing import Any, TypeVar
 
 import trio
@@ -61,7 +62,9 @@
         machine: Machine,
         counters: Counters,
         rng: random.Random | None = None,
+        known_members: Callable[[], Iterable[str]] = tuple,
     ) -> None:
+        self._known_members = known_members
         self._cfg = cfg
         self._disk = disk
         self._transport = transport
@@ -70,9 +73,20 @@
         self._rng = rng or random.Random()
         self._state: ReplicaState | None = None
         self._scope = trio.CancelScope()
+        self._is_stopping = False
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Open the data folder and start the tasks; raises CorruptFile, StorageError."""
+        await self._open()
+        self._answer(VoteRequest, lambda node_id, msg: self._elections.on_vote(node_id, msg))
+        self._answer(AppendRequest, lambda node_id, msg: self._replication.on_append(node_id, msg))
+        self._answer(
+            SnapshotChunk, lambda node_id, msg: self._replication.on_snapshot(node_id, msg)
+        )
+        self._answer(Introduce, lambda node_id, msg: self._admission.on_introduce(node_id, msg))
+        nursery.start_soon(self._run)
+
+    async def _open(self) -> None:
         store = await self._open_store()
         s = self._state = ReplicaState(
             self._cfg, store, self._transport, self._machine, self._counters, self._rng
@@ -80,11 +94,6 @@
         self._elections = Elections(s)
         self._replication = Replication(s)
         self._admission = Admission(s, self.freshness_age_ms)
-        self._answer(VoteRequest, self._elections.on_vote)
-        self._answer(AppendRequest, self._replication.on_append)
-        self._answer(SnapshotChunk, self._replication.on_snapshot)
-        self._answer(Introduce, self._admission.on_introduce)
-        nursery.start_soon(self._run)
 
     async def _open_store(self) -> Store:
         cluster, node_id = self._cfg.node.cluster, self._cfg.node.id
@@ -93,7 +102,7 @@
         except CorruptFile as exc:
             self._counters.add("consensus_corrupt", exc.path)
             logs.warning("corrupt_file", node=node_id, path=exc.path, offset=exc.offset, detail=exc)
-            if len(self._cfg.control.members) == 1:
+            if len(self._cfg.control.members) == 1 and not self._cfg.control.admits_members:
                 raise
             # The other replicas hold everything that was accepted. This one starts empty under a
             # new disk id and does not vote until the log has admitted it again.
@@ -101,6 +110,7 @@
 
     async def stop(self) -> None:
         """End the tasks and release the data folder."""
+        self._is_stopping = True
         self._scope.cancel()
         if self._state is not None:
             self._state.follow(None)
@@ -108,17 +118,57 @@
         await self._disk.close()
 
     async def _run(self) -> None:
+        reopen_ms = self._cfg.control.reopen_ms
+        while not self._is_stopping:
+            with trio.CancelScope() as self._scope:
+                await self._run_tasks()
+            if self._is_stopping or not reopen_ms:
+                return
+            # Writing the log anew when it is opened makes durable what was read back.
+            await trio.sleep(reopen_ms / MS_PER_S)
+            try:
+                await self._open()
+                logs.event("replica_reopened", node=self.state.node_id)
+            except StorageError as exc:
+                logs.warning("replica_not_reopened", error=type(exc).__name__, detail=exc)
+
+    async def _run_tasks(self) -> None:
+        s = self.state
+        if s.role is Role.STOPPED:
+            return
+        async with trio.open_nursery() as nursery:
+            for node_id in s.progress:
+                self._start_peer(nursery, node_id)
+            nursery.start_soon(self._guarded, self._write_loop)
+            nursery.start_soon(self._guarded, self._compact_loop)
+            nursery.start_soon(self._guarded, self._form_group)
+            nursery.start_soon(self._guarded, self._admission.run)
+            nursery.start_soon(self._guarded, self._elections.run)
+            if s.cfg.admits_members:
+                nursery.start_soon(self._follow_members, nursery)
+            await s.failed.wait()
+            if s.cfg.reopen_ms:
+                nursery.cancel_scope.cancel()
+
+    def _start_peer(self, nursery: trio.Nursery, node_id: str) -> None:
+        nursery.start_soon(self._guarded, self._replication.run_peer, node_id)
+        nursery.start_soon(self._guarded, self._replication.run_heartbeat, node_id)
+
+    async def _follow_members(self, nursery: trio.Nursery) -> None:
+        """Keep a task for each control instance that votes or that membership knows."""
         s = self.state
-        with self._scope:
-            async with trio.open_nursery() as nursery:
-                for node_id in s.progress:
-                    nursery.start_soon(self._guarded, self._replication.run_peer, node_id)
-                    nursery.start_soon(self._guarded, self._replication.run_heartbeat, node_id)
-                nursery.start_soon(self._guarded, self._write_loop)
-                nursery.start_soon(self._guarded, self._compact_loop)
-                nursery.start_soon(self._guarded, self._form_group)
-                nursery.start_soon(self._guarded, self._admission.run)
-                nursery.start_soon(self._guarded, self._elections.run)
+        while s.role is not Role.STOPPED:
+            wanted = {*s.voters, *self._known_members(), *s.configured} - {s.node_id}
+            for node_id in wanted - s.progress.keys():
+                s.add_peer(node_id)
+                self._start_peer(nursery, node_id)
+                logs.event("control_peer", node=s.node_id, peer=node_id, change="added")
+            for node_id in s.progress.keys() - wanted:
+                gone = s.progress.pop(node_id)
+                gone.wake.set()
+                gone.lead.set()
+                logs.event("control_peer", node=s.node_id, peer=node_id, change="removed")
+            await trio.sleep(s.cfg.heartbeat_ms / MS_PER_S)
 
     async def _guarded(self, fn: Callable[..., Awaitable[None]], *args: object) -> None:
         try:
@@ -220,12 +270,37 @@
         s.store.stage(batch)
         # The peers get the batch while the own disk syncs it; the own copy counts only after.
         s.wake_peers()
-        await s.store.flush(batch)
+        await self._flush(batch)
         s.counters.add("consensus_syncs")
         if s.role is Role.LEADER:
             s.durable_index = max(s.durable_index, batch[-1].index)
             s.advance_commit()
 
+    async def _flush(self, batch: list[LogEntry]) -> None:
+        """Make a batch durable; a leader whose disk stalls lets another member lead."""
+        s = self.state
+        failure: StorageError | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_disk, s.cfg.max_sync_ms)
+            try:
+                await s.store.flush(batch)
+            except StorageError as exc:
+                # An exception out of the nursery would arrive wrapped in a group.
+                failure = exc
+            nursery.cancel_scope.cancel()
+        s.is_disk_slow = False
+        if failure is not None:
+            raise failure
+
+    async def _watch_disk(self, limit_ms: float) -> None:
+        s = self.state
+        await trio.sleep(limit_ms / MS_PER_S if limit_ms else math.inf)
+        if len(s.voters) > 1:
+            s.counters.add("consensus_slow_disk")
+            logs.warning("disk_stalls", node=s.node_id, waited_ms=limit_ms)
+            s.is_disk_slow = True
+            s.follow(None)
+
     async def _compact_loop(self) -> None:
         s = self.state
         while s.role is not Role.STOPPED:
@@ -243,7 +318,8 @@
     async def _form_group(self) -> None:
         """Write the first members entry once every configured member is present and empty."""
         s = self.state
-        while s.store.is_empty and s.node_id == s.configured[0]:
+        may_form = s.cfg.may_form_group and s.node_id == s.configured[0]
+        while may_form and s.store.is_empty:
             disks = await self._introduce_all()
             if disks is not None:
                 async with s.lock:
@@ -262,6 +338,6 @@
         s = self.state
         disks = {s.node_id: s.store.disk_id}
         for node_id, reply in (await self._admission.ask_all()).items():
-            if reply.empty:
+            if reply.empty and node_id in s.configured:
                 disks[node_id] = reply.disk_id
         return disks if len(disks) == len(s.configured) else None
--- a/knapweedhitch/control.py
+++ b/knapweedhitch/control.py
@@ -74,10 +74,18 @@
             assert self._cfg.data_dir is not None, "the settings check it"
             disk = FolderDisk(self._cfg.data_dir)
         cfg = self._kernel.cfg
-        self.replica = Replica(cfg, disk, self._peers, self.machine, self._counters, self._rng)
+        self.replica = Replica(
+            cfg, disk, self._peers, self.machine, self._counters, self._rng, self._known_members
+        )
         await self.replica.start(self._kernel.nursery)
+        voters = [cfg.control_address(node_id) for node_id in self.replica.state.voters]
+        self._kernel.get("membership").add_seeds(a for a in voters if a is not None)
         self._timers.every(CLAIM_GROUP_TICK_MS, self._tick)
 
+    def _known_members(self) -> tuple[str, ...]:
+        members: tuple[str, ...] = self._kernel.get("membership").control_ids()
+        return members
+
     async def stop(self) -> None:
         """Stop the replica."""
         if self.replica is not None:
@@ -154,7 +162,7 @@
         own = self._kernel.cfg.node.id
         if leader is not None and leader != own:
             return leader
-        others = [m.id for m in self._cfg.members if m.id != own]
+        others = [node_id for node_id in self._known_members() if node_id != own]
         return self._rng.choice(others) if others else None
 
     def _unwrap(self, change: Change, reply: ProposeReply) -> int:
--- a/knapweedhitch/election.py
+++ b/knapweedhitch/election.py
@@ -28,7 +28,7 @@
                 continue
             if not (s.is_voter and len(s.voters) == 1):
                 await self._wait_for_silence()
-            may_stand = s.is_voter and not s.is_behind
+            may_stand = s.is_voter and not s.is_behind and not s.is_disk_slow
             if may_stand and s.role is Role.FOLLOWER and not self._hears_leader():
                 await self.stand()
             if s.role is Role.FOLLOWER:
@@ -47,13 +47,11 @@
     def _check_quorum(self) -> None:
         s = self._s
         if s.role is Role.LEADER:
-            silent_ms = now_ms() - max(s.quorum_acked_ms(), self._leader_since_ms)
+            silent_ms = now_ms() - max(s.quorum_acked_ms(), s.leader_since_ms)
             if silent_ms > s.cfg.election_timeout_ms:
                 s.counters.add("consensus_quorum_lost")
                 s.follow(None)
 
-    _leader_since_ms = -math.inf
-
     async def stand(self) -> None:
         """Ask for pre-votes, then for votes, and lead on a majority; raises StorageError."""
         s = self._s
@@ -76,7 +74,7 @@
         s.role, s.leader_id = Role.LEADER, s.node_id
         s.durable_index = s.store.last_index
         s.noop_index = math.inf
-        self._leader_since_ms = now_ms()
+        s.leader_since_ms = now_ms()
         for progress in s.progress.values():
             progress.reset(s.store.last_index + 1)
             progress.lead.set()
--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -84,6 +84,10 @@
         age_ms = self.age_ms()
         return age_ms is not None and age_ms <= self._cfg.config_lease_ms
 
+    def may_serve(self) -> bool:
+        """Tell whether new work may start under the current configuration."""
+        return self.is_fresh() or (self._cfg.serve_stale and self.current.version > 0)
+
     def subscribe(self, fn: Callable[[Configuration], None]) -> None:
         """Call fn with each new configuration."""
         self._subscriptions.append(fn)
@@ -144,7 +148,7 @@
         """Return the sources to ask, best first: the last good one, control instances, peers."""
         now = now_ms()
         self._avoid_until_ms = {n: t for n, t in self._avoid_until_ms.items() if t > now}
-        control = [m.id for m in self._kernel.cfg.control.members]
+        control = self._control_ids()
         self._rng.shuffle(control)
         leader = self._control.leader_id if self._control is not None else None
         order = [leader or "", self._preferred, *control, *self._some_peers()]
@@ -152,6 +156,11 @@
         good = [n for n in usable if n not in self._avoid_until_ms and n not in self._polling]
         return good or [n for n in usable if n not in self._polling]
 
+    def _control_ids(self) -> list[str]:
+        if self._kernel.has("membership"):
+            return list(self._kernel.get("membership").control_ids())
+        return [member.id for member in self._kernel.cfg.control.members]
+
     def _some_peers(self) -> list[str]:
         if not self._kernel.has("membership"):
             return []
@@ -186,7 +195,8 @@
         return False
 
     def _take_reply(self, reply: FeedReply, sent_ms: float) -> bool:
-        if reply.age_ms < 0.0 or not self._same_group(reply.group_id):
+        has_proof = reply.age_ms >= 0.0
+        if not (has_proof or self._cfg.serve_stale) or not self._same_group(reply.group_id):
             return False
         try:
             if reply.state:
@@ -203,6 +213,8 @@
         if self.current.version < reply.version:
             return False
         self.group_id = reply.group_id
+        if not has_proof:
+            return False
         # Dated to the moment of sending: neither a late reply nor another clock can make this
         # node look fresher than it is.
         self._prove(sent_ms - reply.age_ms)
@@ -271,8 +283,12 @@
     async def _on_poll(self, node_id: str, msg: FeedPoll) -> FeedReply:
         self._take_local()
         age_ms = self.age_ms()
-        if age_ms is None or not self.is_fresh() or not self.group_id:
+        if not self.group_id:
             return FeedReply(self.group_id, self.current.version, -1.0, (), b"")
+        if age_ms is None or not self.is_fresh():
+            # A restarted node that reaches no fresh one still learns the state that is known here.
+            known = self._since(msg.version) if self._cfg.serve_stale else ((), b"")
+            return FeedReply(self.group_id, self.current.version, -1.0, *known)
         lag = self.current.version - msg.version
         if not self._subscribers.admit(node_id, lag, subscribe=msg.subscribe):
             return FeedReply(self.group_id, self.current.version, -1.0, (), b"")
@@ -301,12 +317,12 @@
         self._report_is_due = False
         age_ms = self.age_ms()
         msg = VersionReport(self.node_id, self.current.version, -1.0 if age_ms is None else age_ms)
-        for member in self._kernel.cfg.control.members:
-            if member.id == self.node_id:
+        for node_id in self._control_ids():
+            if node_id == self.node_id:
                 if self._control is not None:
                     self._control.note_report(msg)
                 continue
             try:
-                self._peers.send(member.id, msg)
+                self._peers.send(node_id, msg)
             except PeerError as exc:
                 self._counters.add("feed_report_failed", type(exc).__name__)
--- a/knapweedhitch/gate.py
+++ b/knapweedhitch/gate.py
@@ -92,7 +92,7 @@
 
     def _check(self, spec: CallSpec) -> UpstreamRecord:
         """Return the upstream of the call; raises Refusal with NOT_RUN."""
-        if not self._config.is_fresh():
+        if not self._config.may_serve():
             raise ConfigStale
         current = self._config.current
         if current.is_domain_out(self._node.domain):
--- /dev/null
+++ b/knapweedhitch/items.py
@@ -0,0 +1,200 @@
+"""Configuration items: routes, backend services and limits, each with a version of its own."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from knapweedhitch.codec import from_plain, to_plain
+from knapweedhitch.exceptions import InvalidChange
+
+MAX_TIMEOUT_MS = 600_000
+MAX_ITEMS = 100_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutePart:
+    """Hold the share of a route's requests that one service gets."""
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteItem:
+    """Hold one route; `document` is the operator's own text of it, returned as it was sent."""
+
+    name: str
+    version: int
+    host: str
+    path_prefix: str
+    idempotent: bool
+    timeout_ms: float
+    target_latency_ms: float
+    priority: int
+    parts: tuple[RoutePart, ...]
+    max_attempts: int
+    document: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BackendItem:
+    """Hold what the upstreams of one service bear."""
+
+    name: str
+    version: int
+    max_connections: int
+    cold_start_ms: float
+    cold_calls_per_s: float
+    document: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LimitsItem:
+    """Hold what callers may send, and for how long they may stay idle."""
+
+    version: int
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+    document: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Removal:
+    """Hold the version at which a route or a service goes."""
+
+    name: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Items:
+    """Hold all items in force, and the versions of those that were removed."""
+
+    routes: Mapping[str, RouteItem] = dataclasses.field(default_factory=dict)
+    backends: Mapping[str, BackendItem] = dataclasses.field(default_factory=dict)
+    limits: LimitsItem | None = None
+    removed_routes: Mapping[str, int] = dataclasses.field(default_factory=dict)
+    removed_backends: Mapping[str, int] = dataclasses.field(default_factory=dict)
+
+    @property
+    def is_empty(self) -> bool:
+        """Tell whether no item was ever accepted."""
+        return not (self.routes or self.backends or self.removed_routes) and self.limits is None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ItemPatch:
+    """Hold the items of one call of an operator; each takes effect by its own version."""
+
+    routes: tuple[RouteItem, ...]
+    backends: tuple[BackendItem, ...]
+    limits: LimitsItem | None
+    removed_routes: tuple[Removal, ...]
+    removed_backends: tuple[Removal, ...]
+
+
+def merge(items: Items, patch: ItemPatch) -> Items:
+    """Return the items after a patch: the highest version of a name wins; raises InvalidChange.
+
+    An equal or lower version changes nothing, so a patch may be applied any number of times.
+    """
+    for route in patch.routes:
+        check_route(route)
+    for backend in patch.backends:
+        _check_backend(backend)
+    routes, removed_routes = _merge_kind(
+        items.routes, items.removed_routes, patch.routes, patch.removed_routes
+    )
+    backends, removed_backends = _merge_kind(
+        items.backends, items.removed_backends, patch.backends, patch.removed_backends
+    )
+    limits = items.limits
+    if patch.limits is not None and (limits is None or patch.limits.version > limits.version):
+        limits = patch.limits
+    after = Items(routes, backends, limits, removed_routes, removed_backends)
+    if after == items:
+        return items
+    _check_whole(after)
+    return after
+
+
+def _merge_kind(
+    held: Mapping[str, Any],
+    removed: Mapping[str, int],
+    upserts: Iterable[Any],
+    removals: Iterable[Removal],
+) -> tuple[dict[str, Any], dict[str, int]]:
+    live, gone = dict(held), dict(removed)
+    for item in upserts:
+        if item.version > _version_of(item.name, live, gone):
+            live[item.name] = item
+            gone.pop(item.name, None)
+    for removal in removals:
+        if removal.version > _version_of(removal.name, live, gone):
+            live.pop(removal.name, None)
+            gone[removal.name] = removal.version
+    return live, gone
+
+
+def _version_of(name: str, live: Mapping[str, Any], gone: Mapping[str, int]) -> int:
+    item = live.get(name)
+    return int(item.version) if item is not None else gone.get(name, -1)
+
+
+def check_route(route: RouteItem) -> None:
+    """Check one route by itself; raises InvalidChange that names the field."""
+    if not route.path_prefix.startswith("/"):
+        raise InvalidChange(f"route {route.name}: a path prefix begins with a slash")
+    if not 0 < route.timeout_ms <= MAX_TIMEOUT_MS:
+        raise InvalidChange(f"route {route.name}: use a timeout up to {MAX_TIMEOUT_MS} ms")
+    if route.max_attempts < 1:
+        raise InvalidChange(f"route {route.name}: use one attempt or more")
+    if not route.parts or any(part.weight < 0 for part in route.parts):
+        raise InvalidChange(f"route {route.name}: use weights from 0 for one service or more")
+    if sum(part.weight for part in route.parts) <= 0:
+        raise InvalidChange(f"route {route.name}: the weights add up to 0")
+
+
+def _check_backend(backend: BackendItem) -> None:
+    if backend.max_connections < 1:
+        raise InvalidChange(f"service {backend.name}: use one connection or more")
+
+
+def _check_whole(items: Items) -> None:
+    if len(items.routes) + len(items.backends) > MAX_ITEMS:
+        raise InvalidChange(f"over {MAX_ITEMS} items")
+    places: dict[tuple[str, str], str] = {}
+    for route in items.routes.values():
+        for part in route.parts:
+            if part.service not in items.backends:
+                raise InvalidChange(f"route {route.name}: no service {part.service[:80]!r}")
+        other = places.setdefault((route.host.lower(), route.path_prefix), route.name)
+        if other != route.name:
+            raise InvalidChange(f"routes {other} and {route.name} share host and path prefix")
+
+
+def to_state(items: Items) -> list[Any]:
+    """Return the items as CBOR arrays and scalars."""
+    return [
+        [to_plain(route) for _, route in sorted(items.routes.items())],
+        [to_plain(backend) for _, backend in sorted(items.backends.items())],
+        to_plain(items.limits),
+        sorted([name, version] for name, version in items.removed_routes.items()),
+        sorted([name, version] for name, version in items.removed_backends.items()),
+    ]
+
+
+def from_state(raw: Any) -> Items:
+    """Return the items in CBOR arrays; raises CodecError, TypeError, ValueError."""
+    routes, backends, limits, removed_routes, removed_backends = raw
+    return Items(
+        {route.name: route for route in (from_plain(RouteItem, one) for one in routes)},
+        {backend.name: backend for backend in (from_plain(BackendItem, one) for one in backends)},
+        None if limits is None else from_plain(LimitsItem, limits),
+        {str(name): int(version) for name, version in removed_routes},
+        {str(name): int(version) for name, version in removed_backends},
+    )
--- a/knapweedhitch/membership.py
+++ b/knapweedhitch/membership.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 import trio
 
@@ -39,6 +39,7 @@
 # A leave or a drain does not wait for the next gossip interval, but is not sent more often.
 EAGER_GAP_MS = 50.0
 LEAVE_ROUNDS = 4
+MAX_ADDED_SEEDS = 16
 
 
 @service("membership")
@@ -66,6 +67,7 @@
         self._gossiped_ms = 0.0
         self._announce_pending = False
         self._wanted: tuple[UpstreamRecord | None, bool] = (None, False)
+        self._seeds = [Address(s.host, s.port) for s in self._cfg.seeds]
 
     async def start(self) -> None:
         """Join the cluster through the seeds and keep the table; raises SettingsError."""
@@ -105,6 +107,7 @@
             node.domain,
             incarnation=1,
             started_wall_ms=self._timers.wall_ms(),
+            is_control=self._kernel.cfg.is_control,
         )
 
     # Interface
@@ -129,6 +132,15 @@
         member = self.table.get(node_id)
         return None if member is None or member.state is MemberState.LEFT else member.address
 
+    def control_ids(self) -> tuple[str, ...]:
+        """Return the control instances of the settings and those that have announced themselves."""
+        named = [member.id for member in self._kernel.cfg.control.members]
+        if not self._kernel.cfg.control.admits_members:
+            return tuple(named)
+        live = [m.node_id for m in self.table.live.values() if m.is_control]
+        # Seeds may be gone; while any control instance is known, only those count.
+        return tuple(dict.fromkeys(live or named))
+
     def subscribe(self, fn: Callable[[MemberEvent], None]) -> None:
         """Call fn after each change of a record."""
         self._subscribers.append(fn)
@@ -143,6 +155,12 @@
         self._wanted = (self._wanted[0], draining)
         self._announce()
 
+    def add_seeds(self, addresses: Iterable[Address]) -> None:
+        """Take further addresses at which the cluster can be joined."""
+        own = self._peers.address
+        known = {*self._seeds, own}
+        self._seeds += [address for address in addresses if address not in known][:MAX_ADDED_SEEDS]
+
     async def leave(self) -> None:
         """Tell that the node leaves, and wait until the news has been sent a few times."""
         self._left = True
@@ -329,8 +347,7 @@
     def _join(self) -> None:
         """Ask seeds: all of them while no other member is known, later one that is not a member."""
         addresses = {member.address for member in self.table.live.values()}
-        seeds = [Address(s.host, s.port) for s in self._cfg.seeds]
-        missing = [seed for seed in seeds if seed not in addresses]
+        missing = [seed for seed in self._seeds if seed not in addresses]
         if len(self.table.live) > 1:
             missing = self._rng.sample(missing, min(1, len(missing)))
         elif missing:
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -6,6 +6,8 @@
 import enum
 from collections.abc import Mapping
 
+from knapweedhitch.items import Items
+
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 
@@ -87,6 +89,7 @@
     draining: bool = False
     upstream: UpstreamRecord | None = None
     started_wall_ms: int = 0
+    is_control: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -167,6 +170,7 @@
     domains: Mapping[str, DomainStatus] = dataclasses.field(default_factory=dict)
     draining_nodes: frozenset[str] = frozenset()
     claim_groups: Mapping[str, tuple[ClaimGroup, ...]] = dataclasses.field(default_factory=dict)
+    items: Items = dataclasses.field(default_factory=Items)
 
     def is_domain_out(self, domain: str) -> bool:
         """Tell whether operators took the failure domain out."""
--- a/knapweedhitch/pick.py
+++ b/knapweedhitch/pick.py
@@ -243,7 +243,7 @@
     ) -> PickResult:
         """Return the target for one attempt, or None when no target is fit."""
         config = self._kernel.get("config")
-        if not config.is_fresh():
+        if not config.may_serve():
             # A stale configuration may name a domain as in service that operators took out.
             stale = (Considered(t.upstream.instance_id, 0.0, "config-stale") for t in targets)
             return PickResult(None, tuple(stale))
--- a/knapweedhitch/raftstate.py
+++ b/knapweedhitch/raftstate.py
@@ -181,9 +181,15 @@
         self.shown: dict[str, tuple[int, int]] = {}
         # A folder with content may be an older copy; it counts once the other members have said
         # that they had no more from it.
-        self.is_confirmed = store.is_empty or len(self.cfg.members) == 1
+        self.is_confirmed = (
+            store.is_empty or not self.cfg.confirm_restarts or len(self.cfg.members) == 1
+        )
         # The first index of the own term; entries of earlier terms commit with it.
         self.noop_index: float = math.inf
+        self.leader_since_ms = -math.inf
+        # Set while a write of the own disk takes so long that another member should lead.
+        self.is_disk_slow = False
+        self.failed = trio.Event()
         self.durable_index = 0
         self.pending: deque[Proposal] = deque()
         self.waiting: dict[int, Proposal] = {}
@@ -308,6 +314,12 @@
         self.role = Role.STOPPED
         self.counters.add("consensus_stopped", type(exc).__name__)
         logs.warning("replica_stopped", node=self.node_id, error=type(exc).__name__, detail=exc)
+        self.failed.set()
+
+    def add_peer(self, node_id: str) -> None:
+        """Start to follow another control instance, which votes once it is a member."""
+        progress = self.progress[node_id] = Progress(node_id)
+        progress.reset(self.store.last_index + 1)
 
     def wake_peers(self) -> None:
         """Wake the task of every peer."""
--- a/knapweedhitch/replication.py
+++ b/knapweedhitch/replication.py
@@ -41,7 +41,7 @@
     async def run_peer(self, node_id: str) -> None:
         """Keep one peer up to date while this replica leads."""
         s, peer = self._s, self._s.progress[node_id]
-        while s.role is not Role.STOPPED:
+        while s.role is not Role.STOPPED and s.progress.get(node_id) is peer:
             if s.role is not Role.LEADER:
                 await peer.wake.wait()
                 continue
@@ -56,7 +56,7 @@
     async def run_heartbeat(self, node_id: str) -> None:
         """Send heartbeats to one peer while this replica leads."""
         s, peer = self._s, self._s.progress[node_id]
-        while s.role is not Role.STOPPED:
+        while s.role is not Role.STOPPED and s.progress.get(node_id) is peer:
             if s.role is not Role.LEADER:
                 await peer.lead.wait()
                 continue
@@ -182,12 +182,32 @@
             voters = {n: d for n, d in s.voters.items() if n != peer.node_id}
             # A replaced disk leaves first and joins in a second entry: exchanging both at once
             # would allow majorities of the old and the new members that do not overlap.
-            return voters if known is not None else {**voters, peer.node_id: peer.disk_id}
+            if known is not None:
+                return voters
+            if not s.cfg.admits_members or len(voters) < s.cfg.max_voters:
+                return {**voters, peer.node_id: peer.disk_id}
+            silent = self._silent_voter()
+            if silent is not None:
+                return {n: d for n, d in voters.items() if n != silent}
+        if s.cfg.admits_members:
+            return None
         for node_id in s.voters:
             if node_id not in s.configured:
                 return {n: d for n, d in s.voters.items() if n != node_id}
         return None
 
+    def _silent_voter(self) -> str | None:
+        """Return a voter that a joining instance may replace."""
+        s = self._s
+        heard_from_ms = now_ms() - s.cfg.replace_silent_ms
+        for node_id in s.voters:
+            peer = s.progress.get(node_id)
+            if node_id == s.node_id or peer is None:
+                continue
+            if max(peer.acked_ms, s.leader_since_ms) < heard_from_ms:
+                return node_id
+        return None
+
     def _is_caught_up(self, peer: Progress) -> bool:
         s = self._s
         is_present = now_ms() - peer.acked_ms <= s.cfg.election_timeout_ms
--- a/knapweedhitch/router.py
+++ b/knapweedhitch/router.py
@@ -212,7 +212,7 @@
     def _is_ready(self) -> bool:
         out = self._config.current.is_domain_out(self._cfg.node.domain)
         drain = self._drain()
-        return self._config.is_fresh() and not out and not (drain and drain.active)
+        return self._config.may_serve() and not out and not (drain and drain.active)
 
     def _drain(self) -> Any:
         return self._kernel.get("drain") if self._kernel.has("drain") else None
@@ -235,7 +235,7 @@
             if drain.refusing:
                 raise NodeDraining
         current = self._config.current
-        if not self._config.is_fresh():
+        if not self._config.may_serve():
             raise ConfigStale
         svc = self._service_for_host(current, head.host)
         if svc is None:
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -27,6 +27,8 @@
 Bytes = Annotated[int, Field(ge=1, le=1 << 40)]
 Ratio = Annotated[float, Field(ge=0.0, le=1.0)]
 Name = Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")]
+FieldName = Annotated[str, Field(pattern=r"^[a-z0-9-]{1,64}$")]
+OptionalFieldName = Annotated[str, Field(pattern=r"^[a-z0-9-]{0,64}$")]
 
 _STRICT = pydantic.ConfigDict(extra="forbid")
 
@@ -55,6 +57,9 @@
     domain: Name
     region: Name = "region-1"
     cluster: Name = "knapweedhitch"
+    # The ids of all nodes are their IP addresses, with one peer port for all; a node can then be
+    # called before membership knows it.
+    id_is_address: bool = False
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -63,8 +68,25 @@
 
     callers: Listener = Listener()
     peers: Listener = Listener()
-    announce: Listener = Listener()
-    operator: Listener = Listener()
+    announce: Listener | None = Listener()
+    operator: Listener | None = Listener()
+
+
+@dataclass(frozen=True, config=_STRICT)
+class HeaderSettings:
+    """Name the header fields that callers, upstreams and this system use; empty ones are unused."""
+
+    request_id: FieldName = "x-request-id"
+    deadline: FieldName = "knapweedhitch-deadline-ms"
+    exchange: OptionalFieldName = "knapweedhitch-exchange"
+    retries: OptionalFieldName = "knapweedhitch-retries"
+    depth: OptionalFieldName = "knapweedhitch-depth"
+    # Sent to the upstream: the instance that the request is meant for, and the calling service.
+    expected_instance: OptionalFieldName = ""
+    caller_service: OptionalFieldName = ""
+    # Read from the upstream's answer: the request was not run, and the load of the upstream.
+    not_run: OptionalFieldName = ""
+    load: OptionalFieldName = ""
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -106,6 +128,23 @@
     submit_timeout_ms: Ms = 5_000
     claim_group_repair_ms: Ms = 5_000
     activation_delay_ms: Ms = 10_000
+    # Control instances beyond `members` may join, up to this many voters; 0 fixes the members.
+    max_voters: Annotated[int, Field(ge=0, le=9)] = 0
+    # A joining instance takes the place of a voter that has been silent for this long.
+    replace_silent_ms: Ms = 3_000
+    # Only a cluster that starts for the first time forms a group.
+    may_form_group: bool = True
+    # Off where a data folder can be lost but never replaced by an older copy of itself.
+    confirm_restarts: bool = True
+    # A replica that a failed write has stopped opens its data folder again after this.
+    reopen_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 0
+    # A leader whose own disk takes longer than this for a write lets another member lead; 0 is never.
+    max_sync_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 0
+
+    @property
+    def admits_members(self) -> bool:
+        """Tell whether control instances may join that the settings do not name."""
+        return self.max_voters > 0
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -122,6 +161,8 @@
     max_state_bytes: Bytes = 16_777_216
     report_interval_ms: Ms = 10_000
     report_delay_ms: Ms = 200
+    # Go on serving under the last known configuration when its proof is older than the lease.
+    serve_stale: bool = False
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -167,6 +208,8 @@
     idle_close_ms: Ms = 300_000
     redial_backoff_ms: Ms = 200
     cancel_wait_ms: Ms = 250
+    # Off where the deployment hands out no secret; any host that reaches the port is then a peer.
+    authenticate: bool = True
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -204,6 +247,8 @@
     max_announcers: Count = 16
     unsafe_reuse_ms: Ms = 1_000
     silent_ratio: Ratio = 0.5
+    # Accept an answer without length whose end is the orderly end of its connection.
+    accept_unframed: bool = False
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -302,6 +347,7 @@
     secrets: SecretSettings
     control: ControlSettings
     listen: ListenSettings = ListenSettings()
+    headers: HeaderSettings = HeaderSettings()
     feed: FeedSettings = FeedSettings()
     membership: MembershipSettings = MembershipSettings()
     peers: PeerSettings = PeerSettings()
@@ -317,6 +363,8 @@
     @property
     def is_control(self) -> bool:
         """Tell whether this node is a control instance."""
+        if self.control.admits_members:
+            return self.control.data_dir is not None
         return any(member.id == self.node.id for member in self.control.members)
 
     def control_address(self, node_id: str) -> Address | None:
@@ -324,7 +372,7 @@
         for member in self.control.members:
             if member.id == node_id:
                 return Address(member.host, member.port)
-        return None
+        return Address(node_id, self.listen.peers.port) if self.node.id_is_address else None
 
 
 _ADAPTER = pydantic.TypeAdapter(Settings)
@@ -359,7 +407,7 @@
 def _check_relations(cfg: Settings, place: str) -> None:
     if not cfg.control.members:
         raise SettingsError(f"{place}: control.members", "name 1, 3 or 5 control instances")
-    if len(cfg.control.members) not in (1, 3, 5):
+    if len(cfg.control.members) not in (1, 3, 5) and not cfg.control.admits_members:
         raise SettingsError(f"{place}: control.members", "use 1, 3 or 5 control instances")
     if len({m.id for m in cfg.control.members}) != len(cfg.control.members):
         raise SettingsError(f"{place}: control.members", "use each id once")
--- a/scripts/measure_capacity.py
+++ b/scripts/measure_capacity.py
@@ -247,6 +247,9 @@
 
     current = Configuration()
 
+    def may_serve(self) -> bool:
+        return self.is_fresh()
+
     def is_fresh(self) -> bool:
         """Return true."""
         return True
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -110,6 +110,9 @@
     def __init__(self) -> None:
         self.current = Configuration()
 
+    def may_serve(self) -> bool:
+        return self.is_fresh()
+
     def is_fresh(self) -> bool:
         return True
 
--- a/tests/decision_fakes.py
+++ b/tests/decision_fakes.py
@@ -46,6 +46,9 @@
         self.current = Configuration()
         self.fresh = True
 
+    def may_serve(self) -> bool:
+        return self.is_fresh()
+
     def is_fresh(self) -> bool:
         return self.fresh
 
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -65,6 +65,9 @@
         self.current = Configuration(7, {"robes": robes}, {"south": DomainStatus(True, 5)})
         self.fresh = True
 
+    def may_serve(self) -> bool:
+        return self.is_fresh()
+
     def is_fresh(self) -> bool:
         return self.fresh
 
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -103,6 +103,9 @@
         for fn in self.subscribers:
             fn(current)
 
+    def may_serve(self) -> bool:
+        return self.is_fresh()
+
     def is_fresh(self) -> bool:
         return self.fresh
 
--- a/tests/state_nodes.py
+++ b/tests/state_nodes.py
@@ -34,6 +34,7 @@
 
     def __init__(self) -> None:
         self.all: dict[str, Member] = {}
+        self.control: tuple[str, ...] = ()
 
     async def start(self) -> None:
         pass
@@ -49,6 +50,12 @@
     def members(self) -> dict[str, Member]:
         return dict(self.all)
 
+    def control_ids(self) -> tuple[str, ...]:
+        return self.control
+
+    def add_seeds(self, addresses: Any) -> None:
+        pass
+
     def targets(self, service: str) -> tuple[Target, ...]:
         return tuple(
             Target(m.node_id, m.domain, m.upstream)
@@ -102,6 +109,7 @@
         self.rng = random.Random(seed)
         self.network = Network(self.rng)
         self.membership = FakeMembership()
+        self.membership.control = tuple(NAMES[:size])
         self.hosts: dict[str, NodeHost] = {}
 
     async def start(self, *others: str, **sections: Any) -> None:
