--- a/knapweedhitch/admission.py
+++ b/knapweedhitch/admission.py
@@ -23,6 +23,7 @@
     Refusal,
     UpstreamDraining,
 )
+from knapweedhitch.exchange import CallSpec
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.limiter import GradientLimit
 from knapweedhitch.model import CallResult, LoadSample, UpstreamRecord, UpstreamState, Warmth
@@ -97,7 +98,7 @@
         """Return the number of leases that peers hold, used or not."""
         return len(self._ledger)
 
-    async def admit(self, deadline: Deadline) -> Slot:
+    async def admit(self, deadline: Deadline, spec: CallSpec | None = None) -> Slot:
         """Return a slot, after a bounded wait; raises Refusal, always with outcome not-run."""
         await trio.lowlevel.checkpoint_if_cancelled()
         self._refuse_if_closed()
--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -95,6 +95,10 @@
         self._cfg = kernel.cfg
         self._renewed_ms = 0.0
         self.current: UpstreamRecord | None = None
+        # Incarnation and sequence of the newest heartbeat, and whose it was.
+        self._heartbeat = (-1, -1)
+        self._heartbeat_of = ("", -1)
+        self._has_left = False
         self._server = StreamServer(
             kernel.cfg.listen.announce,
             kernel.cfg.upstream.max_announcers,
@@ -109,13 +113,15 @@
 
     async def start(self) -> None:
         """Open the listener; raises SettingsError when its address is not loopback, OSError."""
-        if not ipaddress.ip_address(self._cfg.listen.announce.host).is_loopback:
+        is_served = self._cfg.listen.announce.enabled
+        if is_served and not ipaddress.ip_address(self._cfg.listen.announce.host).is_loopback:
             raise SettingsError("listen.announce.host", "use a loopback address")
         self._timers = self._kernel.get("timers")
         self._counters = self._kernel.get("counters")
         self._membership = self._kernel.get("membership")
         self._admission = self._kernel.get("admission")
-        await self._server.start(self._kernel.nursery)
+        if is_served:
+            await self._server.start(self._kernel.nursery)
         self._timers.every(self._cfg.upstream.announcement_ttl_ms / 4, self._expire)
 
     async def stop(self) -> None:
@@ -184,6 +190,37 @@
         if record != current:
             self._set(record, "announced")
 
+    def observe(self, record: UpstreamRecord, sequence: int, cold_ms: float) -> bool:
+        """Take a heartbeat; return False for one that a later one has overtaken.
+
+        The upstream stays cold for `cold_ms` more milliseconds. A start is newer by its
+        incarnation, and a heartbeat of one start by its sequence.
+        """
+        order = (record.incarnation, sequence)
+        same_start = (record.instance_id, record.incarnation) == self._heartbeat_of
+        if order <= self._heartbeat and (same_start or record.incarnation < self._heartbeat[0]):
+            self._counters.add("heartbeats_late")
+            return False
+        if same_start and self._has_left and record.state is UpstreamState.SERVING:
+            self._counters.add("heartbeats_late")
+            return False
+        self._heartbeat = order
+        self._heartbeat_of = (record.instance_id, record.incarnation)
+        self._has_left = record.state is UpstreamState.LEAVING
+        self._renewed_ms = self._timers.now_ms()
+        self._set(record, "heartbeat")
+        self._admission.note_cold(cold_ms)
+        return True
+
+    def deregister(self, instance_id: str, incarnation: int | None) -> None:
+        """Drop an upstream that says it leaves; an incarnation of None is the current one."""
+        known_id, known_incarnation = self._heartbeat_of
+        if instance_id != known_id or incarnation not in (None, known_incarnation):
+            self._counters.add("heartbeats_late")
+            return
+        self._has_left = True
+        self._set(None, "deregistered")
+
     def withdraw(self, data: bytes) -> None:
         """Drop the announcement; raises AnnouncementStale if the body names another instance."""
         current = self.current
--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -6,7 +6,7 @@
 import importlib
 import signal
 import sys
-from collections.abc import AsyncIterator, Iterator, Sequence
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 
 import fire
 import trio
@@ -14,11 +14,13 @@
 from knapweedhitch import __version__, logs
 from knapweedhitch.exceptions import KnapweedhitchError, MissingModule, SettingsError
 from knapweedhitch.kernel import Kernel
+from knapweedhitch.model import Address
 from knapweedhitch.settings import Settings, load_secret, load_settings
 
 EXIT_OK = 0
 EXIT_FAULT = 1
 EXIT_SETTINGS = 2
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 # Each service of the daemon and the module that registers it, in the order of construction.
 SERVICES = (
@@ -54,7 +56,7 @@
 
 
 def load_services(cfg: Settings, services: Sequence[tuple[str, str]] = SERVICES) -> list[str]:
-    """Import the service modules and return the names to build; raises MissingModule."""
+    """Import the service modules and return the services to build; raises MissingModule."""
     names = []
     for name, module in services:
         if name == "control" and not cfg.is_control:
@@ -87,13 +89,13 @@
     return found
 
 
-async def serve(cfg: Settings, names: Sequence[str]) -> None:
+async def serve(cfg: Settings, names: Sequence[str], read: Callable[[], Settings]) -> None:
     """Run the named services until the planned stop or the hard stop has finished."""
     kernel = Kernel(cfg)
     # The receiver is open before the services start, so that no signal ends a half-started process.
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with trio.open_signal_receiver(*SIGNALS) as signals:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(_follow_signals, signals, kernel, nursery.cancel_scope)
+            nursery.start_soon(_follow_signals, signals, kernel, nursery.cancel_scope, read)
             await nursery.start(kernel.run, names)
             _set_phase(kernel, "running")
             _exempt_from_collection()
@@ -122,12 +124,18 @@
 
 
 async def _follow_signals(
-    signals: AsyncIterator[int], kernel: Kernel, scope: trio.CancelScope
+    signals: AsyncIterator[int],
+    kernel: Kernel,
+    scope: trio.CancelScope,
+    read: Callable[[], Settings],
 ) -> None:
     count = 0
     async for number in signals:
-        count += 1
         name = signal.Signals(number).name
+        if number == signal.SIGHUP:
+            reload(kernel, read)
+            continue
+        count += 1
         if not kernel.has("drain"):
             logs.event("stop_during_start", signal=name)
             scope.cancel()
@@ -141,6 +149,19 @@
             kernel.get("drain").cut()
 
 
+def reload(kernel: Kernel, read: Callable[[], Settings]) -> None:
+    """Take the seeds of changed settings; what else changes takes effect at the next start."""
+    try:
+        cfg = read()
+    except SettingsError as exc:
+        logs.warning("reload_refused", place=exc.place, problem=exc.problem)
+        return
+    if kernel.has("membership"):
+        seeds = [Address(seed.host, seed.port) for seed in cfg.membership.seeds]
+        kernel.get("membership").add_seeds(seeds)
+    logs.event("reload", node=cfg.node.id, seeds=len(cfg.membership.seeds))
+
+
 def _leaves(exc: BaseException) -> Iterator[BaseException]:
     if isinstance(exc, BaseExceptionGroup):
         for inner in exc.exceptions:
@@ -161,9 +182,16 @@
     except SettingsError as exc:
         return _refuse(str(exc), EXIT_SETTINGS)
     logs.setup(cfg.log.level)
+    return run_services(cfg, SERVICES, lambda: load_settings(path))
+
+
+def run_services(
+    cfg: Settings, services: Sequence[tuple[str, str]], read: Callable[[], Settings]
+) -> int:
+    """Run services until a stop and return the exit code; `read` reads the settings again."""
     try:
-        names = load_services(cfg)
-        trio.run(serve, cfg, names, strict_exception_groups=True)
+        names = load_services(cfg, services)
+        trio.run(serve, cfg, names, read, strict_exception_groups=True)
     except (KnapweedhitchError, OSError, trio.TooSlowError, BaseExceptionGroup) as exc:
         return _explain(exc)
     return EXIT_OK
--- a/knapweedhitch/drain.py
+++ b/knapweedhitch/drain.py
@@ -27,24 +27,31 @@
         """Find the services that take part in a stop."""
         get = self._kernel.get
         self._membership = get("membership")
-        self._admission = get("admission")
-        self._router = get("router")
-        self._gate = get("gate")
-        self._ingress = get("ingress")
         self._counters = get("counters")
+        # A control instance that takes no calls has none of the services of the request path.
+        self._serves_calls = self._kernel.has("ingress")
+        if self._serves_calls:
+            self._admission = get("admission")
+            self._router = get("router")
+            self._gate = get("gate")
+            self._ingress = get("ingress")
 
     async def stop(self) -> None:
         """Do nothing; the kernel stops the other services."""
 
     def begin(self) -> None:
         """Start a planned stop; `finished` is set when the node may end."""
-        if not self.active:
-            self.active = True
+        if self.active:
+            return
+        self.active = True
+        if not self._serves_calls:
+            self.finished.set()
+        else:
             self._kernel.nursery.start_soon(self._planned)
 
     def cut(self) -> None:
         """Stop at once and report what was cut."""
-        if not self.finished.is_set():
+        if self._serves_calls and not self.finished.is_set():
             self._hard("second-signal")
 
     async def _planned(self) -> None:
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -266,6 +266,10 @@
     """Report an upstream whose bytes are not valid HTTP/1.1."""
 
 
+class UpstreamNotRun(UpstreamError):
+    """Report an answer by which the upstream says that it did not run the request."""
+
+
 class CallerGone(HttpError):
     """Report a caller that closed its connection before its answer was complete."""
 
@@ -275,6 +279,8 @@
 
     reason: ClassVar[str] = "internal"
     status: ClassVar[int] = 500
+    # When the caller of a request that was not run may come again.
+    retry_after_ms: float = 100.0
 
     def __init__(self, outcome: Outcome = Outcome.NOT_RUN, detail: str = "") -> None:
         self.outcome = outcome
@@ -352,6 +358,27 @@
     status = 404
 
 
+class NoSuchRoute(Refusal):
+    """Refuse a request whose host and path match no route."""
+
+    reason = "no-such-route"
+    status = 404
+
+
+class ConfigUnknown(Refusal):
+    """Refuse a request at a node that has not learnt any configuration yet."""
+
+    reason = "config-unknown"
+    status = 503
+
+
+class NoRoom(Refusal):
+    """Refuse a request that cannot be served in the time that its caller has left."""
+
+    reason = "no-room"
+    status = 503
+
+
 class ChainTooDeep(Refusal):
     """Refuse a request whose chain of calls is over the depth limit."""
 
@@ -442,6 +469,13 @@
     reason = "upstream-unreachable"
 
 
+class UpstreamShed(UpstreamFailed):
+    """Report a request that its upstream refused without running it."""
+
+    reason = "upstream-shed"
+    status = 503
+
+
 class UpstreamTimedOut(UpstreamFailed):
     """Report an upstream that made no progress within its limit."""
 
--- a/knapweedhitch/exchange.py
+++ b/knapweedhitch/exchange.py
@@ -26,6 +26,14 @@
     retries_left: int
     depth: int
     config_version: int
+    # None leaves it to the method and the headers whether the call may be sent twice.
+    idempotent: bool | None = None
+    # The service on the instance where the call began; empty when nobody asks for it.
+    caller_service: str = ""
+    # The most urgent calls have priority 0.
+    priority: int = 0
+    # The answer should be there this long after the start of the call; 0 is unknown.
+    target_latency_ms: float = 0.0
 
 
 class BodySource(Protocol):
--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -6,6 +6,8 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 
+import trio
+
 from knapweedhitch import configuration, logs
 from knapweedhitch.changes import decode_stamped
 from knapweedhitch.exceptions import ChangeError, CodecError, PeerError
@@ -23,6 +25,7 @@
 PEERS_PER_POLL = 2
 MAX_BODY_BYTES = 262_144
 WHOLE_STATE = -1
+PROOF_POLL_MS = 10.0
 
 
 @service("config")
@@ -88,6 +91,15 @@
         """Tell whether new work may start under the current configuration."""
         return self.is_fresh() or (self._cfg.serve_stale and self.current.version > 0)
 
+    async def wait_proved(self, timeout_ms: float) -> bool:
+        """Wait until the state is proved to hold every change accepted before this call."""
+        asked_ms = now_ms()
+        while self._proof_ms is None or self._proof_ms < asked_ms:
+            if now_ms() - asked_ms >= timeout_ms:
+                return False
+            await trio.sleep(PROOF_POLL_MS / 1_000)
+        return True
+
     def subscribe(self, fn: Callable[[Configuration], None]) -> None:
         """Call fn with each new configuration."""
         self._subscriptions.append(fn)
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -116,6 +116,10 @@
             spec.retries_left,
             spec.depth,
             spec.config_version,
+            spec.idempotent,
+            spec.caller_service,
+            spec.priority,
+            spec.target_latency_ms,
         )
         try:
             return await self._peers.open_stream(node_id, opening)
@@ -178,7 +182,7 @@
 
     async def _first_frame(self, stream: PeerStream, spec: CallSpec) -> Message:
         """Return the first frame; raises PeerFailed early if a call may go elsewhere."""
-        idempotent = framing.is_idempotent(spec.method, spec.headers)
+        idempotent = framing.may_repeat(spec)
         if spec.has_body or not spec.retries_left or not idempotent:
             return await stream.receive()
         limit_ms = QUIET_HEARTBEATS * self._kernel.cfg.peers.heartbeat_interval_ms
@@ -207,6 +211,10 @@
             max(0, opening.retries_left),
             max(0, opening.depth),
             opening.config_version,
+            opening.idempotent,
+            opening.caller_service,
+            opening.priority,
+            opening.target_latency_ms,
         )
         self._interested(node_id, None)
         sink = RemoteSink(stream, self._load)
--- a/knapweedhitch/framing.py
+++ b/knapweedhitch/framing.py
@@ -6,8 +6,9 @@
 from collections.abc import Iterable, Mapping
 
 from knapweedhitch.exceptions import AmbiguousFraming, BadRequest, HeaderTooLarge, UpgradeRefused
-from knapweedhitch.exchange import Headers
+from knapweedhitch.exchange import CallSpec, Headers
 from knapweedhitch.model import IDEMPOTENT_METHODS, SAFE_METHODS
+from knapweedhitch.settings import HeaderSettings
 
 HEAD_END = b"\r\n\r\n"
 # More digits than any 64-bit length need not be parsed.
@@ -35,8 +36,38 @@
         b"upgrade",
     }
 )
-# Two values of one of these would let two readers act on different ones.
-SINGLE = frozenset({b"host", b"content-length", KEY, REQUEST_ID, DEADLINE, RETRIES, DEPTH, EXPLAIN})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeaderNames:
+    """Hold the configured header names in lower case; an empty name is not used."""
+
+    request_id: bytes
+    deadline: bytes
+    exchange: bytes
+    retries: bytes
+    depth: bytes
+    expected_instance: bytes
+    caller_service: bytes
+    not_run: bytes
+    load: bytes
+    # Two values of one of these would let two readers act on different ones.
+    single: frozenset[bytes]
+    # Set by this system on requests to upstreams, whatever a caller has sent.
+    own: frozenset[bytes]
+
+
+def header_names(cfg: HeaderSettings) -> HeaderNames:
+    """Return the names of the settings as they are compared on the wire."""
+    fields = {f.name: getattr(cfg, f.name).encode("ascii") for f in dataclasses.fields(cfg)}
+    single = {b"host", b"content-length", KEY, EXPLAIN}
+    single |= {fields[n] for n in ("request_id", "deadline", "retries", "depth")}
+    own = {fields[n] for n in ("request_id", "expected_instance", "caller_service", "exchange")}
+    own |= {fields[n] for n in ("deadline", "retries", "depth")}
+    return HeaderNames(**fields, single=frozenset(single - {b""}), own=frozenset(own - {b""}))
+
+
+DEFAULT_NAMES = header_names(HeaderSettings())
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +90,13 @@
     return method in IDEMPOTENT_METHODS and all(name != KEY for name, _ in headers)
 
 
+def may_repeat(spec: CallSpec) -> bool:
+    """Tell whether a call may be sent twice, as its route says or else as its method says."""
+    if spec.idempotent is not None:
+        return spec.idempotent
+    return is_idempotent(spec.method, spec.headers)
+
+
 def head_problem(block: bytes) -> str:
     """Return why the framing of a raw head without its blank line is ambiguous, or ''."""
     breaks = block.count(b"\r\n")
@@ -104,20 +142,25 @@
 
 
 def parse_request(
-    method: bytes, target: bytes, version: bytes, headers: list[tuple[bytes, bytes]], limit: int
+    method: bytes,
+    target: bytes,
+    version: bytes,
+    headers: list[tuple[bytes, bytes]],
+    limit: int,
+    names: HeaderNames = DEFAULT_NAMES,
 ) -> RequestHead:
     """Return the head with lower-case header names; raises a Refusal with status 4xx or 501."""
     if len(headers) > limit:
         raise HeaderTooLarge(detail=f"more than {limit} headers")
     named = _connection_tokens(headers)
-    if named & SINGLE or any(token.startswith(OWN_PREFIX) for token in named):
+    if named & names.single or any(token.startswith(OWN_PREFIX) for token in named):
         raise AmbiguousFraming(detail="Connection names a header that must be kept")
     control: dict[bytes, bytes] = {}
     passed: list[tuple[bytes, bytes]] = []
     length: int | None = None
     chunked = False
     for name, value in headers:
-        if name in SINGLE:
+        if name in names.single:
             if name in control:
                 raise BadRequest(detail=f"repeated {name.decode('ascii')}")
             control[name] = value
@@ -127,7 +170,7 @@
             chunked = True
         elif name == b"upgrade":
             raise UpgradeRefused
-        if name in HOP_BY_HOP or name in named or name == b"expect" or name == REQUEST_ID:
+        if name in HOP_BY_HOP or name in named or name == b"expect" or name in names.own:
             continue
         if not name.startswith(OWN_PREFIX):
             passed.append((name, value))
@@ -159,7 +202,9 @@
     return slash + path or b"/"
 
 
-def answer_headers(headers: list[tuple[bytes, bytes]]) -> Headers:
+def answer_headers(
+    headers: list[tuple[bytes, bytes]], names: HeaderNames = DEFAULT_NAMES
+) -> Headers:
     """Return the headers of an upstream's answer that pass on, without our own ones."""
     named = _connection_tokens(headers) - {b"content-length"}
     return tuple(
@@ -167,7 +212,7 @@
         for name, value in headers
         if name not in HOP_BY_HOP
         and name not in named
-        and name != REQUEST_ID
+        and name != names.request_id
         and not name.startswith(OWN_PREFIX)
     )
 
--- a/knapweedhitch/gate.py
+++ b/knapweedhitch/gate.py
@@ -68,7 +68,7 @@
 
     async def _admitted(self, spec: CallSpec, body: BodySource, sink: ResponseSink) -> CallResult:
         queued_s = trio.current_time()
-        slot: Any = await self._admission.admit(spec.deadline)
+        slot: Any = await self._admission.admit(spec.deadline, spec)
         called_s = trio.current_time()
         self._counters.record("queue", (called_s - queued_s) * 1_000)
         result = UNUSED
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -27,6 +27,8 @@
 from knapweedhitch.sockets import receive_when_ready, send_at_once
 
 READ_BYTES = 65_536
+# More pipelined bytes wait in the socket; a caller that closes behind them is noticed later.
+MAX_PIPELINED_BYTES = 65_536
 # Bytes of an unread body that are discarded so that the caller gets to read its answer.
 MAX_LINGER_BYTES = 1_048_576
 WRITE_ERRORS = (
@@ -40,8 +42,14 @@
 class ServerConnection:
     """Read requests from one caller and write their answers, one after the other."""
 
-    def __init__(self, stream: trio.abc.Stream, cfg: CallerSettings) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        cfg: CallerSettings,
+        names: framing.HeaderNames = framing.DEFAULT_NAMES,
+    ) -> None:
         self.stream = stream
+        self.names = names
         self.cfg = cfg
         self.close_after = False
         self.answer_started = False
@@ -52,6 +60,7 @@
         self._writing = False
         self._body_limit: float = math.inf
         self._body_bytes = 0
+        self._body_read = trio.Event()
         self._idle_scope: trio.CancelScope | None = None
         self._stopping = False
 
@@ -78,6 +87,7 @@
             event.http_version,
             list(event.headers),
             self.cfg.max_headers,
+            self.names,
         )
         for name, value in event.headers:
             if name == b"expect" and value.lower() != b"100-continue":
@@ -128,6 +138,23 @@
             self._broken = True
             raise CallerGone(str(exc)) from None
 
+    async def wait_gone(self) -> None:
+        """Return when the caller closes while its answer is made; its next requests are kept."""
+        if self._conn.their_state is h11.SEND_BODY:
+            # Until then the task that reads the body notices the end itself.
+            await self._body_read.wait()
+        while True:
+            if len(self._conn.trailing_data[0]) > MAX_PIPELINED_BYTES:
+                await trio.sleep_forever()
+            try:
+                data = await self._receive()
+            except CallerGone:
+                return
+            if not data:
+                self._broken = True
+                return
+            self._conn.receive_data(data)
+
     def stop_waiting(self) -> None:
         """End the wait for a further request; a request in progress is not touched."""
         self._stopping = True
@@ -150,6 +177,7 @@
                     raise BodyTooLarge(detail=f"limit {self._body_limit} bytes")
                 return bytes(event.data)
             if event is not h11.NEED_DATA:
+                self._body_read.set()
                 return None
             if self._conn.they_are_waiting_for_100_continue and not self.answer_started:
                 await self._write(self._conn.send(_informational(100, ())))
@@ -253,6 +281,7 @@
         self._conn.start_next_cycle()
         self.answer_started = self.answer_ended = False
         self._body_limit, self._body_bytes = math.inf, 0
+        self._body_read = trio.Event()
         return True
 
     async def close(self) -> None:
@@ -289,12 +318,17 @@
     return h11.InformationalResponse(status_code=status, headers=list(headers))
 
 
-def refusal_headers(refusal: Refusal, request_id: str, body: bytes) -> Headers:
+def refusal_headers(
+    refusal: Refusal,
+    request_id: str,
+    body: bytes,
+    names: framing.HeaderNames = framing.DEFAULT_NAMES,
+) -> Headers:
     """Return the headers of the answer to a refused request."""
     return (
         (b"content-type", b"application/json"),
         (b"content-length", str(len(body)).encode("ascii")),
         (b"knapweedhitch-reason", refusal.reason.encode("ascii")),
         (b"knapweedhitch-outcome", refusal.outcome.value.encode("ascii")),
-        (framing.REQUEST_ID, request_id.encode("ascii")),
+        (names.request_id, request_id.encode("ascii")),
     )
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -12,6 +12,7 @@
 from knapweedhitch import framing
 from knapweedhitch.exceptions import (
     UpstreamClosed,
+    UpstreamNotRun,
     UpstreamProtocolError,
     UpstreamTimeout,
 )
@@ -21,6 +22,8 @@
 from knapweedhitch.sockets import receive_when_ready, send_at_once
 
 READ_BYTES = 65_536
+MISDIRECTED = 421
+MAX_SKIPPED_BYTES = 65_536
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,8 +38,14 @@
 class ClientConnection:
     """Run exchanges on one connection to an upstream and tell whether it may be used again."""
 
-    def __init__(self, stream: trio.abc.Stream, cfg: UpstreamSettings) -> None:
+    def __init__(
+        self,
+        stream: trio.abc.Stream,
+        cfg: UpstreamSettings,
+        names: framing.HeaderNames = framing.DEFAULT_NAMES,
+    ) -> None:
         self.stream = stream
+        self.names = names
         self.idle_since_s = trio.current_time()
         self.used = False
         self.handed = False
@@ -78,7 +87,7 @@
         else:
             status = await self._stream_body(body, reader)
         self.used = True
-        self._finish()
+        self.finish()
         now = trio.current_time()
         return ExchangeTimes(
             status, (self._first_byte_s - started_s) * 1_000, (now - started_s) * 1_000
@@ -189,7 +198,8 @@
         """Return the bytes that wait for the parser, and whether EOF has followed them."""
         return self._conn.trailing_data
 
-    def _finish(self) -> None:
+    def finish(self) -> None:
+        """Keep the connection for another exchange if nothing is left on it."""
         # Bytes after the end of an answer belong to no request of this connection.
         if self._conn.trailing_data[0] or self._conn.trailing_data[1]:
             return
@@ -234,10 +244,13 @@
             if not isinstance(event, h11.InformationalResponse) or event.status_code == 101:
                 raise UpstreamProtocolError("no final answer", bytes_sent=True)
             if event.status_code != 100:
-                headers = framing.answer_headers(list(event.headers))
+                headers = framing.answer_headers(list(event.headers), self._conn.names)
                 await self._sink.informational(event.status_code, headers)
         self._check(event)
-        headers = framing.answer_headers(list(event.headers))
+        if self._was_not_run(event):
+            await self._skip_body()
+            raise UpstreamNotRun(f"status {event.status_code}", bytes_sent=True)
+        headers = framing.answer_headers(list(event.headers), self._conn.names)
         await self._sink.head(event.status_code, headers, self._load())
         while True:
             part = self._conn.next_event()
@@ -249,6 +262,30 @@
                 await self._sink.end()
                 return event.status_code
 
+    def _was_not_run(self, event: h11.Response) -> bool:
+        names = self._conn.names
+        if not names.not_run:
+            return False
+        # Another instance answers 421 to a request that names the expected one.
+        if names.expected_instance and event.status_code == MISDIRECTED:
+            return True
+        return any(name == names.not_run for name, _ in event.headers)
+
+    async def _skip_body(self) -> None:
+        """Read the rest of an answer, so that its connection can be used again."""
+        size = 0
+        while True:
+            part = self._conn.next_event()
+            if part is h11.NEED_DATA:
+                await self._conn.receive_more(self._first_byte_ms)
+            elif isinstance(part, h11.Data):
+                size += len(part.data)
+                if size > MAX_SKIPPED_BYTES:
+                    return
+            else:
+                self._conn.finish()
+                return
+
     async def _receive_block(self) -> None:
         while True:
             raw, closed = self._conn.unparsed()
@@ -272,16 +309,19 @@
                 sized = True
             elif name == b"connection":
                 closes = b"close" in value.lower()
-            elif name == framing.EXCHANGE and value != self._exchange_id:
+            elif name == self._conn.names.exchange and value != self._exchange_id:
                 raise UpstreamProtocolError("answer of another exchange", bytes_sent=True)
-            elif name == framing.REQUEST_ID and value != self._spec.request_id.encode("ascii"):
+            elif name == self._conn.names.request_id and value != self._spec.request_id.encode(
+                "ascii"
+            ):
                 raise UpstreamProtocolError("answer of another request", bytes_sent=True)
-            echoed = echoed or name == framing.EXCHANGE
+            echoed = echoed or name == self._conn.names.exchange
         # A surplus answer can arrive after the next request was sent; it does not carry the id
         # that this upstream has given back on the connection so far.
         if self._conn.echoes and not echoed:
             raise UpstreamProtocolError("answer without its exchange id", bytes_sent=True)
         self._conn.echoes = echoed
         bodyless = self._spec.method == "HEAD" or event.status_code in (204, 304)
+        closes = closes or self._conn.cfg.accept_unframed
         if not sized and not bodyless and not closes and event.http_version >= b"1.1":
             raise UpstreamProtocolError("answer without length or close", bytes_sent=True)
--- /dev/null
+++ b/knapweedhitch/http_api.py
@@ -0,0 +1,88 @@
+"""A small HTTP listener that answers whole requests, for heartbeats, metrics and operators."""
+
+from __future__ import annotations
+
+import trio
+
+from knapweedhitch import logs, metrics
+from knapweedhitch.counters import Counters
+from knapweedhitch.exceptions import InternalError, NotFound, Refusal, TooManyConnections
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.listener import StreamServer
+from knapweedhitch.operator_http import (
+    Handler,
+    OperatorConnection,
+    OperatorRequest,
+    Reply,
+    refusal_reply,
+)
+from knapweedhitch.settings import Listener, OperatorSettings
+
+
+class ApiServer:
+    """Serve one address; no fault of a request ends the process."""
+
+    def __init__(
+        self, place: Listener, cfg: OperatorSettings, counters: Counters, handler: Handler
+    ) -> None:
+        self._cfg = cfg
+        self._counters = counters
+        self._handler = handler
+        self._server = StreamServer(place, cfg.max_connections, self._serve, self._refuse)
+
+    async def start(self, nursery: trio.Nursery) -> None:
+        """Open the listener; raises OSError."""
+        await self._server.start(nursery)
+
+    def close(self) -> None:
+        """Stop accepting connections."""
+        self._server.close()
+
+    async def _serve(self, stream: trio.abc.Stream) -> None:
+        await self._connection(stream).serve()
+
+    async def _refuse(self, stream: trio.abc.Stream) -> None:
+        await self._connection(stream).refuse(TooManyConnections())
+
+    def _connection(self, stream: trio.abc.Stream) -> OperatorConnection:
+        return OperatorConnection(stream, self._cfg, _allow_all, self._answer)
+
+    async def _answer(self, req: OperatorRequest) -> Reply:
+        try:
+            return await self._handler(req)
+        except Refusal as exc:
+            self._counters.add("api_refused", exc.reason)
+            return refusal_reply(exc)
+        except Exception as exc:
+            logs.warning("api-fault", path="/".join(req.segments), error=type(exc).__name__)
+            return refusal_reply(InternalError(detail=type(exc).__name__))
+
+
+def _allow_all(req: OperatorRequest) -> None:
+    """Accept a request without credentials; the deployment closes the address to strangers."""
+
+
+@service("metrics_page")
+class MetricsPage:
+    """Serve counters and histograms on an address of their own."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._counters: Counters = kernel.get("counters")
+        self._place = kernel.cfg.listen.metrics
+        self._server = ApiServer(self._place, kernel.cfg.operator, self._counters, self._answer)
+
+    async def start(self) -> None:
+        """Open the listener if the settings name one; raises OSError."""
+        if self._place.enabled:
+            await self._server.start(self._kernel.nursery)
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        self._server.close()
+
+    async def _answer(self, req: OperatorRequest) -> Reply:
+        if req.segments != ("metrics",):
+            raise NotFound(detail="use /metrics")
+        page = metrics.render(await self._counters.snapshot_in_steps())
+        return Reply(page.encode("utf-8"), content_type=metrics.CONTENT_TYPE)
--- a/knapweedhitch/ingress.py
+++ b/knapweedhitch/ingress.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from knapweedhitch import framing
 from knapweedhitch.exceptions import CallerGone, Refusal, TooManyConnections
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.kernel import Kernel, service
@@ -18,6 +19,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._cfg = kernel.cfg.callers
+        self._names = framing.header_names(kernel.cfg.headers)
         self._connections: set[ServerConnection] = set()
         self._server = StreamServer(
             kernel.cfg.listen.callers, self._cfg.max_connections, self.serve, self._refuse
@@ -46,7 +48,7 @@
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Answer the requests of one connection, in order, until it ends."""
-        conn = ServerConnection(stream, self._cfg)
+        conn = ServerConnection(stream, self._cfg, self._names)
         self._connections.add(conn)
         self._counters.add("caller_connections")
         try:
@@ -66,7 +68,7 @@
             await conn.close()
 
     async def _refuse(self, stream: trio.abc.Stream) -> None:
-        conn = ServerConnection(stream, self._cfg)
+        conn = ServerConnection(stream, self._cfg, self._names)
         try:
             await self._router.refuse_unparsed(conn, TooManyConnections())
         finally:
--- a/knapweedhitch/kernel.py
+++ b/knapweedhitch/kernel.py
@@ -82,11 +82,16 @@
         return name in self._services
 
     def build(self, names: Sequence[str]) -> None:
-        """Construct the named services in order; raises UnknownService."""
-        for name in names:
-            if name not in _factories:
-                raise UnknownService(f"no service factory {name}")
-            self.add(name, _factories[name](self))
+        """Construct the named services in order; raises UnknownService.
+
+        `name=factory` builds the service under another name than that of its factory.
+        """
+        for entry in names:
+            name, _, factory = entry.partition("=")
+            factory = factory or name
+            if factory not in _factories:
+                raise UnknownService(f"no service factory {factory}")
+            self.add(name, _factories[factory](self))
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start every service in the order of its construction."""
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -103,6 +103,10 @@
     retries_left: int
     depth: int
     config_version: int
+    idempotent: bool | None = None
+    caller_service: str = ""
+    priority: int = 0
+    target_latency_ms: float = 0.0
 
 
 @message(11)
--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -29,6 +29,8 @@
 from knapweedhitch.transport import NetTransport, Transport, Wire
 
 BEATS_PER_HEARTBEAT = 4
+# Proves nothing; it only keeps one message format with and without authentication.
+OPEN_CLUSTER_SECRET = b"knapweedhitch without a secret"
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -76,6 +78,9 @@
     @property
     def secret(self) -> bytes:
         """Return the peer secret; raises SettingsError."""
+        if self._secret is None and not self._cfg.authenticate:
+            logs.warning("peers_not_authenticated", node=self._node_id)
+            self._secret = OPEN_CLUSTER_SECRET
         if self._secret is None:
             self._secret = load_secret(self._kernel.cfg.secrets.peer_secret_file)
         return self._secret
--- /dev/null
+++ b/knapweedhitch/platform/apis.py
@@ -0,0 +1,175 @@
+"""The platform's calls: readiness and heartbeats beside a target, configuration on control."""
+
+from __future__ import annotations
+
+import os
+
+import pydantic
+
+from knapweedhitch import changes, logs
+from knapweedhitch.changes import Change, DomainIn, DomainOut, Operation, PatchItems
+from knapweedhitch.exceptions import (
+    AnnouncementInvalid,
+    ChangeError,
+    ConsensusError,
+    InvalidChange,
+    NotFound,
+    PeerError,
+)
+from knapweedhitch.http_api import ApiServer
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.operator_http import OperatorRequest, Reply
+from knapweedhitch.platform import heartbeats, items
+from knapweedhitch.platform.settings import BOOT_VARIABLE, Boot, parse_listener, read_boot
+
+PREFIX = "knapweedhitch"
+OK = Reply(b"{}")
+NOT_READY = Reply(b"{}", 503)
+INVALID = 400
+UNAVAILABLE = 503
+READ_TIMEOUT_MS = 900.0
+DEFAULT_CONNECTIONS = 64
+
+
+def _boot() -> Boot:
+    return read_boot(os.environ[BOOT_VARIABLE])
+
+
+def _problem(status: int, exc: Exception) -> Reply:
+    logs.warning("api_refused", status=status, error=type(exc).__name__, detail=exc)
+    return Reply(b"{}", status)
+
+
+@service("platform_readiness")
+class Readiness:
+    """Answer whether clients may send work to this machine."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        place = parse_listener(_boot().listen.ready, "listen.ready")
+        counters = kernel.get("counters")
+        self._server = ApiServer(place, kernel.cfg.operator, counters, self._answer)
+
+    async def start(self) -> None:
+        """Open the listener; raises OSError."""
+        await self._server.start(self._kernel.nursery)
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        self._server.close()
+
+    async def _answer(self, req: OperatorRequest) -> Reply:
+        if req.segments != (PREFIX, "readiness"):
+            raise NotFound
+        return OK if self._kernel.get("router").is_ready else NOT_READY
+
+
+@service("platform_heartbeats")
+class Heartbeats:
+    """Take what the target on this machine says of itself."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        place = parse_listener(_boot().listen.control, "listen.control")
+        self._counters = kernel.get("counters")
+        self._server = ApiServer(place, kernel.cfg.operator, self._counters, self._answer)
+
+    async def start(self) -> None:
+        """Open the listener; raises OSError."""
+        self._announce = self._kernel.get("announce")
+        self._admission = self._kernel.get("admission")
+        self._config = self._kernel.get("config")
+        await self._server.start(self._kernel.nursery)
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        self._server.close()
+
+    async def _answer(self, req: OperatorRequest) -> Reply:
+        match req.method, *req.segments:
+            case "POST", "knapweedhitch", "instances", instance_id, "heartbeat":
+                return self._heartbeat(instance_id, req.body)
+            case "POST", "knapweedhitch", "instances", instance_id, "deregister":
+                return self._deregister(instance_id, req.body)
+        raise NotFound
+
+    def _heartbeat(self, instance_id: str, body: bytes) -> Reply:
+        try:
+            beat = heartbeats.decode_heartbeat(body)
+            known = self._config.current.items.backends
+            backend = known.get(beat.info.service)
+            if known and backend is None:
+                raise AnnouncementInvalid(detail=f"no service {beat.info.service[:80]!r}")
+            connections = backend.max_connections if backend is not None else DEFAULT_CONNECTIONS
+            record = beat.record(instance_id, connections)
+        except (pydantic.ValidationError, AnnouncementInvalid) as exc:
+            self._counters.add("heartbeats_invalid")
+            return _problem(INVALID, exc)
+        self._announce.observe(record, beat.status.seq, beat.cold_ms)
+        return OK
+
+    def _deregister(self, instance_id: str, body: bytes) -> Reply:
+        try:
+            leaving = heartbeats.decode_deregistration(body)
+        except (pydantic.ValidationError, AnnouncementInvalid) as exc:
+            self._counters.add("heartbeats_invalid")
+            return _problem(INVALID, exc)
+        self._announce.deregister(instance_id, leaving.born)
+        return OK
+
+
+@service("platform_operators")
+class Operators:
+    """Take the calls of operators."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        place = parse_listener(_boot().listen.control, "listen.control")
+        counters = kernel.get("counters")
+        self._server = ApiServer(place, kernel.cfg.operator, counters, self._answer)
+
+    async def start(self) -> None:
+        """Open the listener; raises OSError."""
+        self._control = self._kernel.get("control")
+        self._config = self._kernel.get("config")
+        await self._server.start(self._kernel.nursery)
+
+    async def stop(self) -> None:
+        """Close the listener."""
+        self._server.close()
+
+    async def _answer(self, req: OperatorRequest) -> Reply:
+        match req.method, *req.segments:
+            case "POST", "knapweedhitch", "config", "patch":
+                return await self._patch(req.body)
+            case "GET", "knapweedhitch", "config", "get":
+                return await self._read()
+            case "POST", "knapweedhitch", "evacuations", zone, "start":
+                return await self._submit(DomainOut(zone, allow_last=True))
+            case "POST", "knapweedhitch", "evacuations", zone, "finish":
+                return await self._submit(DomainIn(zone))
+        raise NotFound
+
+    async def _patch(self, body: bytes) -> Reply:
+        try:
+            patch = items.decode_patch(body)
+        except InvalidChange as exc:
+            return _problem(INVALID, exc)
+        return await self._submit(PatchItems(patch))
+
+    async def _submit(self, op: Operation) -> Reply:
+        change = Change(changes.new_change_id(), None, "operator", op)
+        try:
+            version = await self._control.submit(change)
+        except ChangeError as exc:
+            return _problem(INVALID, exc)
+        except (ConsensusError, PeerError) as exc:
+            return _problem(UNAVAILABLE, exc)
+        logs.event("change_accepted", change=change.change_id, kind=op.kind, version=version)
+        return OK
+
+    async def _read(self) -> Reply:
+        if not await self._config.wait_proved(READ_TIMEOUT_MS):
+            logs.warning("read_without_proof", version=self._config.current.version)
+            return Reply(b"{}", UNAVAILABLE)
+        return Reply(items.encode_items(self._config.current.items))
--- /dev/null
+++ b/knapweedhitch/platform/items.py
@@ -0,0 +1,178 @@
+"""Translate the operator's configuration calls into items, and items into their documents."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pydantic
+
+from knapweedhitch.exceptions import InvalidChange
+from knapweedhitch.items import BackendItem, ItemPatch, Items, LimitsItem, Removal, RouteItem
+from knapweedhitch.items import RoutePart as Part
+
+MS_PER_S = 1_000.0
+# Requests of this kind may run more than once; those of any other kind may not.
+REPEATABLE_KIND = "safe"
+
+Version = pydantic.StrictInt
+Number = pydantic.StrictInt | pydantic.StrictFloat
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(frozen=True, extra="ignore", allow_inf_nan=False)
+
+
+class WeightedService(_Model):
+    """Hold the weight of one service of a route."""
+
+    service: pydantic.StrictStr
+    weight: Number
+
+
+class Route(_Model):
+    """Hold one route as the operator sends it."""
+
+    name: pydantic.StrictStr
+    host: pydantic.StrictStr
+    path_prefix: pydantic.StrictStr = pydantic.Field(alias="pathPrefix")
+    kind: pydantic.StrictStr
+    timeout_s: Number = pydantic.Field(alias="timeoutS")
+    target_latency_s: Number = pydantic.Field(alias="targetLatencyS", default=0)
+    priority: pydantic.StrictInt = 0
+    service: pydantic.StrictStr | None = None
+    weighted_services: tuple[WeightedService, ...] = pydantic.Field(
+        alias="weightedServices", default=()
+    )
+    max_attempts: pydantic.StrictInt = pydantic.Field(alias="maxAttempts", default=1)
+    version: Version
+
+
+class Service(_Model):
+    """Hold one service as the operator sends it."""
+
+    name: pydantic.StrictStr
+    max_connections: pydantic.StrictInt = pydantic.Field(alias="maxConnections")
+    cold_start_s: Number = pydantic.Field(alias="coldStartS", default=0)
+    cold_per_s: Number = pydantic.Field(alias="coldPerS", default=1e6)
+    version: Version
+
+
+class Limits(_Model):
+    """Hold the limits of callers as the operator sends them."""
+
+    max_header_bytes: pydantic.StrictInt = pydantic.Field(alias="maxHeaderBytes")
+    max_body_bytes: pydantic.StrictInt = pydantic.Field(alias="maxBodyBytes")
+    header_timeout_s: Number = pydantic.Field(alias="headerTimeoutS")
+    idle_timeout_s: Number = pydantic.Field(alias="idleTimeoutS")
+    version: Version
+
+
+class Dropped(_Model):
+    """Hold the name of an item and the version at which it goes."""
+
+    name: pydantic.StrictStr
+    version: Version
+
+
+class Upsert(_Model):
+    """Hold the items that a call sets, whole."""
+
+    routes: tuple[dict[str, Any], ...] = ()
+    services: tuple[dict[str, Any], ...] = ()
+    limits: dict[str, Any] | None = None
+
+
+class Remove(_Model):
+    """Hold the items that a call drops."""
+
+    routes: tuple[Dropped, ...] = ()
+    services: tuple[Dropped, ...] = ()
+
+
+class Patch(_Model):
+    """Hold the body of one configuration call."""
+
+    upsert: Upsert = Upsert()
+    remove: Remove = Remove()
+
+
+def decode_patch(body: bytes) -> ItemPatch:
+    """Return the items of a configuration call; raises InvalidChange that names the field."""
+    try:
+        patch = Patch.model_validate(json.loads(body))
+        limits = patch.upsert.limits
+        return ItemPatch(
+            tuple(_route(raw) for raw in patch.upsert.routes),
+            tuple(_service(raw) for raw in patch.upsert.services),
+            None if limits is None else _limits(limits),
+            tuple(Removal(item.name, item.version) for item in patch.remove.routes),
+            tuple(Removal(item.name, item.version) for item in patch.remove.services),
+        )
+    except pydantic.ValidationError as exc:
+        first: Any = exc.errors()[0]
+        path = ".".join(str(part) for part in first["loc"])
+        raise InvalidChange(f"{path or 'body'}: {first['msg']}") from None
+    except (ValueError, RecursionError) as exc:
+        raise InvalidChange(f"the body is not JSON: {exc}") from None
+
+
+def _document(raw: dict[str, Any]) -> str:
+    return json.dumps(raw, separators=(",", ":"), ensure_ascii=False)
+
+
+def _route(raw: dict[str, Any]) -> RouteItem:
+    route = Route.model_validate(raw)
+    parts = tuple(Part(part.service, float(part.weight)) for part in route.weighted_services)
+    if route.service is not None:
+        if parts:
+            raise InvalidChange(f"route {route.name}: use service or weightedServices")
+        parts = (Part(route.service, 1.0),)
+    return RouteItem(
+        route.name,
+        route.version,
+        route.host,
+        route.path_prefix,
+        route.kind == REPEATABLE_KIND,
+        route.timeout_s * MS_PER_S,
+        route.target_latency_s * MS_PER_S,
+        route.priority,
+        parts,
+        route.max_attempts,
+        _document(raw),
+    )
+
+
+def _service(raw: dict[str, Any]) -> BackendItem:
+    item = Service.model_validate(raw)
+    return BackendItem(
+        item.name,
+        item.version,
+        item.max_connections,
+        item.cold_start_s * MS_PER_S,
+        float(item.cold_per_s),
+        _document(raw),
+    )
+
+
+def _limits(raw: dict[str, Any]) -> LimitsItem:
+    item = Limits.model_validate(raw)
+    return LimitsItem(
+        item.version,
+        item.max_header_bytes,
+        item.max_body_bytes,
+        item.header_timeout_s * MS_PER_S,
+        item.idle_timeout_s * MS_PER_S,
+        _document(raw),
+    )
+
+
+def encode_items(items: Items) -> bytes:
+    """Return all items in force, laid out as a call sets them."""
+    parts = [
+        f'"routes":[{",".join(route.document for route in items.routes.values())}]',
+        f'"services":[{",".join(item.document for item in items.backends.values())}]',
+    ]
+    if items.limits is not None:
+        parts.append(f'"limits":{items.limits.document}')
+    return ("{" + ",".join(parts) + "}").encode("utf-8")
--- /dev/null
+++ b/knapweedhitch/platform/settings.py
@@ -0,0 +1,201 @@
+"""Translate the settings file of the platform into the settings of the daemon."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import pydantic
+
+from knapweedhitch import yamltext
+from knapweedhitch.exceptions import SettingsError
+from knapweedhitch.settings import (
+    AdmissionSettings,
+    CallerSettings,
+    ControlMember,
+    ControlSettings,
+    FeedSettings,
+    HeaderSettings,
+    Listener,
+    ListenSettings,
+    LogSettings,
+    MembershipSettings,
+    NodeSettings,
+    OperatorSettings,
+    PeerSettings,
+    RoutingSettings,
+    SecretSettings,
+    Settings,
+    StopSettings,
+    UpstreamSettings,
+)
+
+BOOT_VARIABLE = "KNAPWEEDHITCH_BOOT"
+# Ports of the range that the platform leaves to us, counted from its first one.
+PEER_PORT = 0
+METRICS_PORT = 1
+
+HEADERS = HeaderSettings(
+    request_id="attempt-id",
+    deadline="deadline-ms",
+    exchange="",
+    retries="",
+    depth="",
+    expected_instance="expect-instance",
+    caller_service="caller-service",
+    not_run="not-executed",
+    load="server-load",
+)
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(frozen=True, extra="ignore")
+
+
+class Listen(_Model):
+    """Hold the addresses of a role, each as host:port."""
+
+    outbound: str | None = None
+    ready: str | None = None
+    control: str | None = None
+
+
+class Tolerance(_Model):
+    """Hold how many control instances may be lost at once."""
+
+    machines: int = pydantic.Field(ge=0, le=4)
+
+
+class Bounds(_Model):
+    """Hold the bounds that the settings of a deployment give."""
+
+    grace_s: float = pydantic.Field(alias="graceS", gt=0)
+
+
+class Limits(_Model):
+    """Hold the limits of the process."""
+
+    max_fds: int = pydantic.Field(alias="maxFds", ge=256)
+
+
+class Boot(_Model):
+    """Hold the settings file of the platform, as far as it concerns us."""
+
+    node: str
+    ip: str
+    zone: str
+    region: str
+    listen: Listen
+    port_range: tuple[int, int] = pydantic.Field(alias="portRange")
+    # Control addresses of three machines that served control when the file was written.
+    seeds: tuple[str, ...]
+    # True only when the whole system starts for the first time.
+    bootstrap: bool
+    limits: Limits
+    data_dir: str | None = pydantic.Field(alias="dataDir", default=None)
+    fault_tolerance: Tolerance = pydantic.Field(alias="faultTolerance")
+    bounds: Bounds
+    # The service of the target on this machine; control machines have none.
+    service: str | None = None
+
+
+def parse_boot(text: str, place: str) -> Boot:
+    """Return the checked settings file; raises SettingsError that names the field."""
+    try:
+        raw = yamltext.load(text)
+    except ValueError as exc:
+        raise SettingsError(place, f"not valid YAML: {exc}") from None
+    try:
+        return Boot.model_validate(raw)
+    except pydantic.ValidationError as exc:
+        first: Any = exc.errors()[0]
+        path = ".".join(str(part) for part in first["loc"]) or "top level"
+        raise SettingsError(f"{place}: {path}", first["msg"]) from None
+
+
+def read_boot(path: str) -> Boot:
+    """Return the checked settings file at the path; raises SettingsError."""
+    try:
+        text = Path(path).read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(path, f"cannot be read: {exc}") from None
+    return parse_boot(text, path)
+
+
+def read_settings(path: str) -> Settings:
+    """Return the settings of the daemon from the file at the path; raises SettingsError."""
+    return translate(read_boot(path), path)
+
+
+def parse_listener(text: str | None, place: str) -> Listener:
+    """Return the listener of an address; one that the role does not serve is disabled."""
+    if text is None:
+        return Listener(enabled=False)
+    host, _, port = text.rpartition(":")
+    try:
+        return Listener(host, int(port))
+    except (ValueError, pydantic.ValidationError):
+        raise SettingsError(place, f"use host:port, got {text!r}") from None
+
+
+def translate(boot: Boot, place: str) -> Settings:
+    """Return the settings of the daemon; raises SettingsError."""
+    peer_port = boot.port_range[0] + PEER_PORT
+    seeds = [parse_listener(seed, f"{place}: seeds").host for seed in boot.seeds]
+    # The grace time ends with SIGKILL; half a second is left to close what is open.
+    drain_ms = int(boot.bounds.grace_s * 1_000) - 500
+    announce_ms = min(3_000, drain_ms // 2)
+    return Settings(
+        node=NodeSettings(
+            id=boot.ip,
+            domain=boot.zone,
+            region=boot.region,
+            id_is_address=True,
+            service=boot.service or "",
+        ),
+        secrets=SecretSettings("", ""),
+        control=ControlSettings(
+            members=tuple(ControlMember(ip, ip, peer_port) for ip in sorted(seeds)),
+            data_dir=boot.data_dir,
+            heartbeat_ms=100,
+            election_timeout_ms=500,
+            max_voters=2 * boot.fault_tolerance.machines + 1,
+            may_form_group=boot.bootstrap,
+            confirm_restarts=False,
+            reopen_ms=500,
+            max_sync_ms=400,
+            max_change_bytes=16_777_216,
+            submit_timeout_ms=900,
+        ),
+        listen=ListenSettings(
+            callers=parse_listener(boot.listen.outbound, f"{place}: listen.outbound"),
+            peers=Listener(boot.ip, peer_port),
+            announce=Listener(enabled=False),
+            operator=Listener(enabled=False),
+            metrics=Listener(boot.ip, boot.port_range[0] + METRICS_PORT),
+        ),
+        headers=HEADERS,
+        feed=FeedSettings(serve_stale=True),
+        membership=MembershipSettings(
+            seeds=tuple(Listener(ip, peer_port) for ip in seeds),
+            probe_interval_ms=500,
+            suspicion_timeout_ms=1_500,
+            sync_interval_ms=3_000,
+        ),
+        peers=PeerSettings(
+            authenticate=False,
+            heartbeat_interval_ms=250,
+            rest_after_ms=3_600_000,
+            cancel_wait_ms=120,
+            max_message_bytes=16_777_216,
+        ),
+        callers=CallerSettings(max_connections=(boot.limits.max_fds - 400) // 2),
+        upstream=UpstreamSettings(
+            announcement_ttl_ms=6_000, accept_unframed=True, idle_timeout_ms=5_000
+        ),
+        admission=AdmissionSettings(slots_share=1.0),
+        routing=RoutingSettings(retry_ratio=0.1, retry_floor_per_s=0.0, retry_burst=3),
+        operator=OperatorSettings(max_body_bytes=16_777_216),
+        stop=StopSettings(announce_ms=announce_ms, drain_timeout_ms=drain_ms - announce_ms),
+        log=LogSettings(max_lines_per_s=200),
+    )
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -16,6 +16,8 @@
     UpstreamConnectFailed,
     UpstreamError,
     UpstreamFailed,
+    UpstreamNotRun,
+    UpstreamShed,
     UpstreamTimedOut,
     UpstreamTimeout,
     UpstreamUnreachable,
@@ -69,6 +71,7 @@
     def __init__(self, kernel: Kernel, connect: Connect = connect_tcp) -> None:
         self._kernel = kernel
         self._cfg = kernel.cfg.upstream
+        self._names = framing.header_names(kernel.cfg.headers)
         self._connect = connect
         self._idle: dict[Address, list[ClientConnection]] = {}
         self._idle_count = 0
@@ -144,6 +147,8 @@
 
     def _refusal(self, exc: UpstreamError, conn: ClientConnection) -> Refusal:
         self._counters.add("upstream_errors", type(exc).__name__)
+        if isinstance(exc, UpstreamNotRun):
+            return UpstreamShed(Outcome.NOT_RUN, str(exc))
         outcome = Outcome.UNKNOWN if conn.handed else Outcome.NOT_RUN
         if isinstance(exc, UpstreamTimeout):
             return UpstreamTimedOut(outcome, str(exc))
@@ -151,20 +156,24 @@
 
     def _headers(self, spec: CallSpec, exchange_id: bytes) -> Headers:
         remaining_ms = max(1, int(spec.deadline.remaining_ms()) - self._margin_ms)
-        own = [
-            (framing.REQUEST_ID, spec.request_id.encode("ascii")),
-            (framing.EXCHANGE, exchange_id),
-            (framing.DEADLINE, b"%d" % remaining_ms),
-            (framing.RETRIES, b"%d" % spec.retries_left),
-            (framing.DEPTH, b"%d" % spec.depth),
-        ]
+        names = self._names
+        fields = (
+            (names.request_id, spec.request_id.encode("ascii")),
+            (names.exchange, exchange_id),
+            (names.deadline, b"%d" % remaining_ms),
+            (names.retries, b"%d" % spec.retries_left),
+            (names.depth, b"%d" % spec.depth),
+            (names.expected_instance, spec.instance_id.encode("ascii")),
+            (names.caller_service, spec.caller_service.encode("ascii")),
+        )
+        own = [(name, value) for name, value in fields if name and value]
         if spec.has_body and framing.content_length(spec.headers) is None:
             own.append((b"transfer-encoding", b"chunked"))
         return (*spec.headers, *own)
 
     def _first_byte_ms(self, conn: ClientConnection, spec: CallSpec) -> float:
         limit_ms = float(self._cfg.first_byte_timeout_ms)
-        if conn.used and spec.retries_left and framing.is_idempotent(spec.method, spec.headers):
+        if conn.used and spec.retries_left and framing.may_repeat(spec):
             # A kept connection may be silent; leave time for a try on a new one.
             return min(limit_ms, spec.deadline.remaining_ms() * self._cfg.silent_ratio)
         return limit_ms
@@ -178,7 +187,7 @@
             self._counters.add("upstream_errors", UpstreamConnectFailed.__name__)
             raise UpstreamUnreachable(Outcome.NOT_RUN, f"{address} {exc}".rstrip()) from None
         self._counters.record("connect", (trio.current_time() - started_s) * 1_000)
-        return ClientConnection(stream, self._cfg)
+        return ClientConnection(stream, self._cfg, self._names)
 
     # Idle connections
 
--- /dev/null
+++ b/knapweedhitch/queueadmission.py
@@ -0,0 +1,245 @@
+"""Admission in front of the own upstream by urgency and by the time that callers have left."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+import math
+from collections.abc import Callable
+
+import trio
+
+from knapweedhitch.admission import Slot
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import (
+    DeadlineExceeded,
+    DomainOut,
+    NodeDraining,
+    NoRoom,
+    NoTarget,
+    Refusal,
+    UpstreamDraining,
+)
+from knapweedhitch.exchange import CallSpec
+from knapweedhitch.items import BackendItem, Items
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.model import CallResult, LoadSample, UpstreamRecord, UpstreamState, Warmth
+from knapweedhitch.workqueue import Work, WorkQueue
+
+MS_PER_S = 1_000.0
+# Calls in flight at the moment of a turn to cold still count at the upstream.
+COLD_SHARE = 0.8
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Waiter:
+    work: Work
+    event: trio.Event = dataclasses.field(default_factory=trio.Event)
+    slot: Slot | None = None
+    refusal: Refusal | None = None
+
+
+@service("queue_admission")
+class QueueAdmission:
+    """Admit calls to the own upstream, at most as many at once as it runs well."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
+        self._cfg = kernel.cfg.admission
+        self._timers = kernel.get("timers")
+        self._counters = kernel.get("counters")
+        self._record: UpstreamRecord | None = None
+        self._draining = False
+        self._domain_out = False
+        self._ids = itertools.count(1)
+        self._live: set[int] = set()
+        self._waiters: dict[int, _Waiter] = {}
+        self._timer_is_set = False
+        self.queue = WorkQueue(self._cfg)
+
+    async def start(self) -> None:
+        """Do nothing; calls and announcements drive the queue."""
+
+    async def stop(self) -> None:
+        """Refuse what is still queued as not run."""
+        self._refuse_queue(NodeDraining)
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of calls that hold a slot."""
+        return len(self._live)
+
+    async def admit(self, deadline: Deadline, spec: CallSpec) -> Slot:
+        """Return a slot, after a bounded wait; raises Refusal, always with outcome not-run."""
+        await trio.lowlevel.checkpoint_if_cancelled()
+        self._refuse_if_closed()
+        now = self._timers.now_ms()
+        work = _work(deadline, spec, now)
+        if work.deadline_ms <= now + self._cfg.min_service_ms:
+            raise self._counted(DeadlineExceeded())
+        if not self.queue.waiting and self.queue.has_room(now):
+            return self._take(0.0)
+        if not self.queue.may_wait(work, now):
+            raise self._counted(self._no_room(work, now))
+        return await self._wait(work)
+
+    def _no_room(self, work: Work, now: float) -> Refusal:
+        refusal = NoRoom()
+        refusal.retry_after_ms = max(1.0, self.queue.expected_wait_ms(work.priority, now))
+        return refusal
+
+    async def _wait(self, work: Work) -> Slot:
+        waiter = self._waiters[id(work)] = _Waiter(work)
+        self.queue.waiting.append(work)
+        self._set_timer()
+        try:
+            with trio.move_on_at((work.deadline_ms - self._cfg.min_service_ms) / MS_PER_S):
+                await waiter.event.wait()
+            await trio.lowlevel.checkpoint_if_cancelled()
+            if waiter.slot is not None:
+                slot, waiter.slot = waiter.slot, None
+                return slot
+            raise self._counted(waiter.refusal or DeadlineExceeded())
+        finally:
+            self._forget(waiter)
+
+    def _forget(self, waiter: _Waiter) -> None:
+        self._waiters.pop(id(waiter.work), None)
+        if waiter.work in self.queue.waiting:
+            self.queue.waiting.remove(waiter.work)
+        if waiter.slot is not None:
+            # The slot was granted in the same moment in which the wait was cancelled.
+            self._give_back(waiter.slot, None)
+            self._dispatch()
+
+    def _take(self, queued_ms: float) -> Slot:
+        slot = Slot(next(self._ids), 0, queued_ms)
+        self._live.add(slot.slot_id)
+        self.queue.start(self._timers.now_ms())
+        self._counters.record("queue_ms", queued_ms)
+        return slot
+
+    def _give_back(self, slot: Slot, service_ms: float | None) -> None:
+        self._live.discard(slot.slot_id)
+        self.queue.finish(service_ms)
+
+    def release(self, slot: Slot, result: CallResult) -> None:
+        """Give a slot back with the result of its call; a second release is only counted."""
+        if slot.slot_id not in self._live:
+            self._counters.add("admission_double_release")
+            return
+        is_measured = result.ok and not result.cancelled
+        self._give_back(slot, result.service_ms if is_measured else None)
+        if result.connect_failed and self._record is not None:
+            self.note_cold(self._cold_start_ms())
+        self._dispatch()
+
+    def load(self) -> LoadSample:
+        """Return the load of the upstream as this gate counts it."""
+        cold = self.queue.is_cold(self._timers.now_ms())
+        return LoadSample(
+            in_flight=self.queue.running,
+            queued=len(self.queue.waiting),
+            limit=self.queue.limit,
+            latency_ms=self.queue.mean_ms,
+            warmth=Warmth.COLD if cold else Warmth.WARM,
+            draining=self._draining or self._domain_out or self._is_leaving(),
+        )
+
+    def set_upstream(self, record: UpstreamRecord | None) -> None:
+        """Take the announcement of the upstream."""
+        self._record = record
+        if record is None:
+            self._refuse_queue(NoTarget)
+            return
+        share = max(1, int(record.slots * self._cfg.slots_share))
+        self.queue.limit = min(share, record.connections)
+        if self._is_leaving():
+            self._refuse_queue(UpstreamDraining)
+        self._dispatch()
+
+    def note_cold(self, cold_ms: float) -> None:
+        """Take what the upstream says of the time until it is warm; zero is warm."""
+        record = self._record
+        if record is None or (cold_ms <= 0 and not self.queue.is_cold(self._timers.now_ms())):
+            return
+        per_s = self._cold_per_s() * COLD_SHARE
+        self.queue.set_cold(self._timers.now_ms() + cold_ms, per_s)
+        self._dispatch()
+
+    def _cold_per_s(self) -> float:
+        backend = self._backend()
+        return backend.cold_calls_per_s if backend is not None else math.inf
+
+    def _cold_start_ms(self) -> float:
+        backend = self._backend()
+        return backend.cold_start_ms if backend is not None else 0.0
+
+    def _backend(self) -> BackendItem | None:
+        items: Items = self._kernel.get("config").current.items
+        return items.backends.get(self._record.service) if self._record is not None else None
+
+    def set_draining(self, draining: bool) -> None:
+        """Refuse new work while the node stops; what is queued is still served."""
+        self._draining = draining
+
+    def set_domain_out(self, out: bool) -> None:
+        """Refuse all work while the domain is out; after it the upstream may be cold."""
+        returned = self._domain_out and not out
+        self._domain_out = out
+        if out:
+            self._refuse_queue(DomainOut)
+        elif returned:
+            self.note_cold(self._cold_start_ms())
+
+    def _is_leaving(self) -> bool:
+        return self._record is not None and self._record.state is UpstreamState.LEAVING
+
+    def _refuse_if_closed(self) -> None:
+        if self._domain_out:
+            raise self._counted(DomainOut())
+        if self._draining:
+            raise self._counted(NodeDraining())
+        if self._record is None:
+            raise self._counted(NoTarget(detail="no upstream is announced"))
+        if self._is_leaving():
+            raise self._counted(UpstreamDraining())
+
+    def _refuse_queue(self, make: Callable[[], Refusal]) -> None:
+        for waiter in list(self._waiters.values()):
+            if waiter.slot is None:
+                waiter.refusal = make()
+                waiter.event.set()
+        self.queue.waiting.clear()
+
+    def _dispatch(self) -> None:
+        now = self._timers.now_ms()
+        for late in self.queue.hopeless(now):
+            self._waiters[id(late)].refusal = DeadlineExceeded()
+            self._waiters[id(late)].event.set()
+        while (work := self.queue.next(now)) is not None:
+            waiter = self._waiters[id(work)]
+            waiter.slot = self._take(now - work.arrived_ms)
+            waiter.event.set()
+        self._set_timer()
+
+    def _set_timer(self) -> None:
+        """Dispatch again when the limit of a cold upstream allows the next start."""
+        wait_ms = self.queue.start_wait_ms(self._timers.now_ms())
+        if self.queue.waiting and wait_ms > 0 and not self._timer_is_set:
+            self._timer_is_set = True
+            self._timers.after(wait_ms, self._on_timer)
+
+    def _on_timer(self) -> None:
+        self._timer_is_set = False
+        self._dispatch()
+
+    def _counted(self, refusal: Refusal) -> Refusal:
+        self._counters.add("admission_refused", refusal.reason)
+        return refusal
+
+
+def _work(deadline: Deadline, spec: CallSpec, now_ms: float) -> Work:
+    deadline_ms = deadline.at_s * MS_PER_S
+    goal_ms = deadline_ms
+    return Work(spec.priority, now_ms, deadline_ms, goal_ms)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -47,6 +47,7 @@
 
     host: Ip = "127.0.0.1"
     port: Port = 0
+    enabled: bool = True
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -60,6 +61,8 @@
     # The ids of all nodes are their IP addresses, with one peer port for all; a node can then be
     # called before membership knows it.
     id_is_address: bool = False
+    # The service of the upstream beside this node, where the deployment says so.
+    service: str = ""
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -68,8 +71,9 @@
 
     callers: Listener = Listener()
     peers: Listener = Listener()
-    announce: Listener | None = Listener()
-    operator: Listener | None = Listener()
+    announce: Listener = Listener()
+    operator: Listener = Listener()
+    metrics: Listener = Listener(enabled=False)
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -138,7 +142,7 @@
     confirm_restarts: bool = True
     # A replica that a failed write has stopped opens its data folder again after this.
     reopen_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 0
-    # A leader whose own disk takes longer than this for a write lets another member lead; 0 is never.
+    # A leader whose own disk takes longer for a write lets another member lead; 0 is never.
     max_sync_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 0
 
     @property
@@ -267,6 +271,10 @@
     lease_lifetime_ms: Ms = 250
     max_leases_per_peer: Annotated[int, Field(ge=0, le=1_000)] = 2
     max_lease_use_ms: Ms = 60_000
+    # Upstreams slow down when nearly all of their slots are taken.
+    slots_share: Annotated[float, Field(gt=0.0, le=1.0)] = 1.0
+    # A call with less time than this left is not started.
+    min_service_ms: Annotated[int, Field(ge=0, le=60_000)] = 5
 
 
 @dataclass(frozen=True, config=_STRICT)
