--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -4,7 +4,7 @@
 
 import math
 import struct
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from socket import SO_LINGER, SOL_SOCKET
 
 import h11
@@ -47,9 +47,13 @@
         stream: trio.abc.Stream,
         cfg: CallerSettings,
         names: framing.HeaderNames = framing.DEFAULT_NAMES,
+        may_close: Callable[[], bool] = lambda: True,
     ) -> None:
         self.stream = stream
         self.names = names
+        # False while later requests of the caller are in progress.
+        self._may_close = may_close
+        self._closes = False
         self.cfg = cfg
         self.close_after = False
         self.answer_started = False
@@ -232,7 +236,9 @@
     def _start(self, status: int, headers: Headers) -> bytes:
         self._skip_buffered_body()
         fields = list(headers)
-        if self.close_after or self._stopping or self._conn.their_state is not h11.DONE:
+        asked = (self.close_after or self._stopping) and self._may_close()
+        self._closes = asked or self._conn.their_state is not h11.DONE
+        if self._closes:
             fields.append(CLOSE_HEADER)
         self.answer_started = True
         return self._conn.send(h11.Response(status_code=status, headers=fields)) or b""
@@ -274,7 +280,7 @@
 
     def next_request(self) -> bool:
         """Prepare for the next request; return False when the connection must be closed."""
-        if self._broken or not self.answer_ended or self.close_after or self._stopping:
+        if self._broken or not self.answer_ended or self._closes:
             return False
         if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
             return False
@@ -289,7 +295,7 @@
         if self.answer_ended and not self._broken and self._conn.their_state is not h11.DONE:
             await self._linger()
         elif self.answer_started and not self.answer_ended:
-            self._reset()
+            self.reset(self.stream)
         await trio.aclose_forcefully(self.stream)
 
     async def _linger(self) -> None:
@@ -304,9 +310,17 @@
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 pass
 
-    def _reset(self) -> None:
-        # A plain close would look like the whole end of an answer that is delimited by it.
-        sock = getattr(self.stream, "socket", None)
+    def unread(self) -> bytes:
+        """Return the bytes that the caller has sent behind the present request."""
+        return bytes(self._conn.trailing_data[0])
+
+    @staticmethod
+    def reset(stream: trio.abc.Stream) -> None:
+        """Make the close of a stream a reset.
+
+        A plain close would look like the whole end of an answer that is delimited by it.
+        """
+        sock = getattr(stream, "socket", None)
         if sock is not None:
             try:
                 sock.setsockopt(SOL_SOCKET, SO_LINGER, struct.pack("ii", 1, 0))
--- a/knapweedhitch/ingress.py
+++ b/knapweedhitch/ingress.py
@@ -5,7 +5,8 @@
 import trio
 
 from knapweedhitch import framing
-from knapweedhitch.exceptions import CallerGone, Refusal, TooManyConnections
+from knapweedhitch.callerconn import CallerConnection
+from knapweedhitch.exceptions import TooManyConnections
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.listener import StreamServer
@@ -20,7 +21,7 @@
         self._kernel = kernel
         self._cfg = kernel.cfg.callers
         self._names = framing.header_names(kernel.cfg.headers)
-        self._connections: set[ServerConnection] = set()
+        self._connections: set[CallerConnection] = set()
         self._server = StreamServer(
             kernel.cfg.listen.callers, self._cfg.max_connections, self.serve, self._refuse
         )
@@ -48,24 +49,14 @@
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Answer the requests of one connection, in order, until it ends."""
-        conn = ServerConnection(stream, self._cfg, self._names)
+        conn = CallerConnection(stream, self._cfg, self._names, self._router, self._counters)
         self._connections.add(conn)
         self._counters.add("caller_connections")
         try:
-            while True:
-                head = await conn.receive_head()
-                if head is None:
-                    return
-                await self._router.handle(conn, head)
-                if not conn.next_request():
-                    return
-        except Refusal as exc:
-            await self._router.refuse_unparsed(conn, exc)
-        except CallerGone:
-            self._counters.add("caller_gone")
+            await conn.serve()
         finally:
             self._connections.discard(conn)
-            await conn.close()
+            await trio.aclose_forcefully(stream)
 
     async def _refuse(self, stream: trio.abc.Stream) -> None:
         conn = ServerConnection(stream, self._cfg, self._names)
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -126,6 +126,16 @@
     async def stop(self) -> None:
         """Do nothing; requests end with their connections."""
 
+    def may_run_ahead(self, head: RequestHead) -> bool:
+        """Tell whether a request may run before earlier ones of its connection are answered."""
+        items = self._config.current.items
+        if items.is_empty:
+            return False
+        try:
+            return self._route(items, head).idempotent
+        except NoSuchRoute:
+            return False
+
     async def handle(self, conn: ServerConnection, head: RequestHead) -> None:
         """Answer one request; the connection tells afterwards whether it can go on."""
         trace = Trace(self._request_id(head), trio.current_time(), head.method)
--- a/knapweedhitch/router.py
+++ b/knapweedhitch/router.py
@@ -105,6 +105,10 @@
     async def stop(self) -> None:
         """Do nothing; requests end with their connections."""
 
+    def may_run_ahead(self, head: RequestHead) -> bool:
+        """Tell whether a request may run before earlier ones of its connection are answered."""
+        return head.method in SAFE_METHODS and not head.target.startswith(LOCAL_PREFIX)
+
     async def handle(self, conn: ServerConnection, head: RequestHead) -> None:
         """Answer one request; the connection tells afterwards whether it can go on."""
         trace = Trace(_request_id(head), trio.current_time(), head.method)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -231,6 +231,8 @@
     explain_sample_ratio: Ratio = 0.01
     max_explanations: Count = 1_000
     linger_ms: Ms = 500
+    # Requests of one connection that run at once when a caller sends them ahead.
+    max_pipelined: Count = 16
     max_replay_bytes: Bytes = 65_536
     max_keyed_body_bytes: Bytes = 1_048_576
     max_spooled_bytes: Bytes = 67_108_864
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -186,7 +186,7 @@
         self.draining = False
         self.out_calls: list[bool] = []
 
-    async def admit(self, deadline: Any) -> object:
+    async def admit(self, deadline: Any, spec: Any = None) -> object:
         await self.slots.acquire()
         self.admitted += 1
         return object()
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -61,7 +61,8 @@
         async def scenario() -> None:
             with trio.move_on_after(60):
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(daemon.serve, parse_settings(yaml.dump(BASE)), ["drain"])
+                    cfg = parse_settings(yaml.dump(BASE))
+                    nursery.start_soon(daemon.serve, cfg, ["drain"], lambda: cfg)
                     await trio.testing.wait_all_tasks_blocked()
                     for number in signals:
                         signal.raise_signal(number)
