--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -157,8 +157,8 @@
         control=ControlSettings(
             members=tuple(ControlMember(ip, ip, peer_port) for ip in sorted(seeds)),
             data_dir=boot.data_dir,
-            heartbeat_ms=100,
-            election_timeout_ms=500,
+            heartbeat_ms=200,
+            election_timeout_ms=700,
             max_voters=2 * boot.fault_tolerance.machines + 1,
             may_form_group=boot.bootstrap,
             confirm_restarts=False,
@@ -191,7 +191,10 @@
         ),
         callers=CallerSettings(max_connections=(boot.limits.max_fds - 400) // 2),
         upstream=UpstreamSettings(
-            announcement_ttl_ms=6_000, accept_unframed=True, idle_timeout_ms=5_000
+            announcement_ttl_ms=6_000,
+            accept_unframed=True,
+            idle_timeout_ms=5_000,
+            silent_ratio=1.0,
         ),
         admission=AdmissionSettings(slots_share=1.0),
         routing=RoutingSettings(retry_ratio=0.1, retry_floor_per_s=0.0, retry_burst=3),
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -4,6 +4,7 @@
 
 import itertools
 import os
+import socket
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -28,6 +29,14 @@
 from knapweedhitch.model import SAFE_METHODS, Address, CallResult, LoadSample
 
 SWEEP_INTERVAL_MS = 1_000
+# An established connection can go silent for good. A request that is not acknowledged, and a
+# connection that does not answer probes while an answer is awaited, fail within about two seconds.
+SILENCE_OPTIONS = (
+    (socket.TCP_USER_TIMEOUT, 1_000),
+    (socket.TCP_KEEPIDLE, 1),
+    (socket.TCP_KEEPINTVL, 1),
+    (socket.TCP_KEEPCNT, 1),
+)
 SHED_STATUS = 503
 
 Connect = Callable[[Address], Awaitable[trio.abc.Stream]]
@@ -40,6 +49,9 @@
         trio.socket.SOCK_STREAM,
     )
     try:
+        for option, value in SILENCE_OPTIONS:
+            sock.setsockopt(socket.IPPROTO_TCP, option, value)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
         await sock.connect((address.host, address.port))
     except BaseException:
         sock.close()
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -7,6 +7,7 @@
 import os
 import random
 import re
+import traceback
 
 import trio
 
@@ -150,7 +151,10 @@
         except Exception as exc:
             if self._log_budget.take():
                 error = type(exc).__name__
-                logs.warning("internal-error", id=trace.request_id, error=error, detail=exc)
+                place = _place_of(exc)
+                logs.warning(
+                    "internal-error", id=trace.request_id, error=error, place=place, detail=exc
+                )
             outcome = Outcome.UNKNOWN if trace.call is not None else Outcome.NOT_RUN
             await self._refuse(trace, conn, InternalError(outcome, type(exc).__name__))
         finally:
@@ -429,3 +433,9 @@
     if refusal.outcome is Outcome.NOT_RUN:
         return refusal.status if refusal.status < 500 else 503
     return 502 if refusal.status in NOT_RUN_STATUSES else refusal.status
+
+
+def _place_of(exc: BaseException) -> str:
+    """Return the file and line that raised an exception."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    return f"{os.path.basename(frames[-1].filename)}:{frames[-1].lineno}" if frames else ""
