Choose targets by the slowdown that they report, and probe for it between answers

The gate reads the load header of each answer and of a probe every 80 ms without one, and reports a change to the nodes that call.

--- a/knapweedhitch/framing.py
+++ b/knapweedhitch/framing.py
@@ -51,6 +51,7 @@
     caller_service: bytes
     not_run: bytes
     load: bytes
+    cold: bytes
     # Two values of one of these would let two readers act on different ones.
     single: frozenset[bytes]
     # Set by this system on requests to upstreams, whatever a caller has sent.
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -58,6 +58,7 @@
         self._first_byte_s = math.inf
         self.echoes = False
         self._writer_error: Exception | None = None
+        self.on_load: Callable[[bytes], None] = lambda value: None
 
     def is_quiet(self) -> bool:
         """Tell whether neither EOF nor any byte has arrived on the idle connection."""
@@ -247,6 +248,7 @@
                 headers = framing.answer_headers(list(event.headers), self._conn.names)
                 await self._sink.informational(event.status_code, headers)
         self._check(event)
+        self._note_load(event)
         if self._was_not_run(event):
             await self._skip_body()
             raise UpstreamNotRun(f"status {event.status_code}", bytes_sent=True)
@@ -262,6 +264,11 @@
                 await self._sink.end()
                 return event.status_code
 
+    def _note_load(self, event: h11.Response) -> None:
+        for name, value in event.headers:
+            if name == self._conn.names.load:
+                self._conn.on_load(value)
+
     def _was_not_run(self, event: h11.Response) -> bool:
         names = self._conn.names
         if not names.not_run:
--- a/knapweedhitch/items.py
+++ b/knapweedhitch/items.py
@@ -47,6 +47,7 @@
     max_connections: int
     cold_start_ms: float
     cold_calls_per_s: float
+    health_path: str
     document: str
 
 
--- a/knapweedhitch/loadreports.py
+++ b/knapweedhitch/loadreports.py
@@ -36,6 +36,8 @@
     """Tell whether a pick would be much different with the new sample."""
     if old is None:
         return True
+    if abs(new.slowdown - old.slowdown) > RELEVANT_SHARE * old.slowdown:
+        return True
     if (old.warmth, old.draining, old.limit) != (new.warmth, new.draining, new.limit):
         return True
     before, after = old.in_flight + old.queued, new.in_flight + new.queued
--- a/knapweedhitch/loadtable.py
+++ b/knapweedhitch/loadtable.py
@@ -22,6 +22,8 @@
     warmth: Warmth | None
     draining: bool
     age_ms: float
+    slowdown: float = 1.0
+    wait_ms: float = 0.0
 
     @property
     def in_flight(self) -> float:
@@ -60,6 +62,8 @@
 LOADED_SHARE = 0.5
 # A call that runs this many times the mean shows a slow target before it ends.
 OVERDUE_FACTOR = 3.0
+# What is assumed of a shared machine without a young report; above 1, as some are always busy.
+USUAL_SLOWDOWN = 1.3
 
 
 class LoadTable:
@@ -158,7 +162,15 @@
         sample = entry.sample
         if sample is None:
             return LoadView(
-                entry.own, mean.others, latency_ms, mean_ms, None, None, False, math.inf
+                entry.own,
+                mean.others,
+                latency_ms,
+                mean_ms,
+                None,
+                None,
+                False,
+                math.inf,
+                USUAL_SLOWDOWN,
             )
         age_ms = now - entry.sample_at_ms
         weight = 0.5 ** (age_ms / self._cfg.sample_half_life_ms)
@@ -171,6 +183,8 @@
             sample.warmth,
             sample.draining,
             age_ms,
+            sample.slowdown * weight + USUAL_SLOWDOWN * (1.0 - weight),
+            sample.wait_ms * weight,
         )
 
     def _mean_ms(self, entry: _Entry, now: float, peers_ms: float) -> float:
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -122,6 +122,10 @@
     latency_ms: float
     warmth: Warmth
     draining: bool = False
+    # How many times longer than usual work takes at the upstream now, by its own word.
+    slowdown: float = 1.0
+    # How long another call would wait for a slot.
+    wait_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/knapweedhitch/pick.py
+++ b/knapweedhitch/pick.py
@@ -59,6 +59,7 @@
     load: LoadView
     local: bool
     leased: bool
+    own_node: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +71,8 @@
     rng: random.Random
     # The median of the mean times of all targets of the service, in milliseconds.
     typical_ms: float = 1.0
+    # The size of the request body, as far as it is known before it is read.
+    body_bytes: int = 0
 
 
 class Policy(Protocol):
@@ -240,6 +243,7 @@
         excluded: frozenset[str],
         own_domain: str,
         own_node: str,
+        body_bytes: int = 0,
     ) -> PickResult:
         """Return the target for one attempt, or None when no target is fit."""
         config = self._kernel.get("config")
@@ -253,7 +257,7 @@
         # 27 instead of 34 us.
         notes = [self._note(t, views, excluded, config.current) for t in targets]
         typical_ms = _median([v.mean_ms for v in views.values()]) if views else 1.0
-        ctx = PickContext(svc.name, self._cfg, self._rng, typical_ms)
+        ctx = PickContext(svc.name, self._cfg, self._rng, typical_ms, body_bytes)
         rule = self._policies.get(svc.policy) or self._policies[DEFAULT_POLICY]
         leases = self._kernel.get("slotlease") if self._kernel.has("slotlease") else None
         every = [_candidate(t, views, own_domain, own_node, leases) for t in targets]
@@ -391,7 +395,7 @@
     instance_id = target.upstream.instance_id
     own = target.node_id == own_node
     leased = own or (leases is not None and leases.held(instance_id) > 0)
-    return Candidate(target, views[instance_id], target.domain == own_domain, leased)
+    return Candidate(target, views[instance_id], target.domain == own_domain, leased, own)
 
 
 def _median(values: list[float]) -> float:
--- a/knapweedhitch/platform/__main__.py
+++ b/knapweedhitch/platform/__main__.py
@@ -31,6 +31,7 @@
         ("retry", "retry"),
         ("pool", "pool"),
         ("gate", "gate"),
+        ("loadprobe", "loadprobe"),
         ("forward", "forward"),
         ("loadreports", "loadreports"),
         ("announce", "announce"),
--- a/knapweedhitch/platform/items.py
+++ b/knapweedhitch/platform/items.py
@@ -55,6 +55,7 @@
     max_connections: pydantic.StrictInt = pydantic.Field(alias="maxConnections")
     cold_start_s: Number = pydantic.Field(alias="coldStartS", default=0)
     cold_per_s: Number = pydantic.Field(alias="coldPerS", default=1e6)
+    health_path: pydantic.StrictStr = pydantic.Field(alias="healthPath", default="/health")
     version: Version
 
 
@@ -151,6 +152,7 @@
         item.max_connections,
         item.cold_start_s * MS_PER_S,
         float(item.cold_per_s),
+        item.health_path,
         _document(raw),
     )
 
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -45,6 +45,7 @@
     caller_service="caller-service",
     not_run="not-executed",
     load="server-load",
+    cold="cold-ms",
 )
 
 
@@ -195,9 +196,16 @@
             accept_unframed=True,
             idle_timeout_ms=5_000,
             silent_ratio=1.0,
+            probe_interval_ms=80,
+        ),
+        admission=AdmissionSettings(slots_share=0.8),
+        routing=RoutingSettings(
+            retry_ratio=0.1,
+            retry_floor_per_s=0.0,
+            retry_burst=3,
+            report_interval_ms=50,
+            measure_budget_bytes_per_s=20_000,
         ),
-        admission=AdmissionSettings(slots_share=1.0),
-        routing=RoutingSettings(retry_ratio=0.1, retry_floor_per_s=0.0, retry_burst=3),
         operator=OperatorSettings(max_body_bytes=16_777_216),
         stop=StopSettings(announce_ms=announce_ms, drain_timeout_ms=drain_ms - announce_ms),
         log=LogSettings(max_lines_per_s=200),
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -85,6 +85,7 @@
         self._cfg = kernel.cfg.upstream
         self._names = framing.header_names(kernel.cfg.headers)
         self._connect = connect
+        self._on_load: Callable[[bytes], None] = lambda value: None
         self._idle: dict[Address, list[ClientConnection]] = {}
         self._idle_count = 0
         self._exchange_ids = itertools.count()
@@ -199,7 +200,13 @@
             self._counters.add("upstream_errors", UpstreamConnectFailed.__name__)
             raise UpstreamUnreachable(Outcome.NOT_RUN, f"{address} {exc}".rstrip()) from None
         self._counters.record("connect", (trio.current_time() - started_s) * 1_000)
-        return ClientConnection(stream, self._cfg, self._names)
+        conn = ClientConnection(stream, self._cfg, self._names)
+        conn.on_load = self._on_load
+        return conn
+
+    def subscribe_load(self, fn: Callable[[bytes], None]) -> None:
+        """Call fn with each load header of an answer."""
+        self._on_load = fn
 
     # Idle connections
 
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -5,10 +5,11 @@
 import dataclasses
 import itertools
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import trio
 
+from knapweedhitch import framing
 from knapweedhitch.admission import Slot
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -24,6 +25,7 @@
 from knapweedhitch.items import BackendItem, Items
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import CallResult, LoadSample, UpstreamRecord, UpstreamState, Warmth
+from knapweedhitch.upstreamload import parse_load
 from knapweedhitch.workqueue import Work, WorkQueue
 
 MS_PER_S = 1_000.0
@@ -55,10 +57,13 @@
         self._live: set[int] = set()
         self._waiters: dict[int, _Waiter] = {}
         self._timer_is_set = False
+        self._names = framing.header_names(kernel.cfg.headers)
+        self._load_at_ms = self._asked_ms = -math.inf
         self.queue = WorkQueue(self._cfg)
 
     async def start(self) -> None:
-        """Do nothing; calls and announcements drive the queue."""
+        """Follow the load that the upstream tells in its answers."""
+        self._kernel.get("pool").subscribe_load(self._note_load)
 
     async def stop(self) -> None:
         """Refuse what is still queued as not run."""
@@ -73,7 +78,7 @@
         """Return a slot, after a bounded wait; raises Refusal, always with outcome not-run."""
         await trio.lowlevel.checkpoint_if_cancelled()
         self._refuse_if_closed()
-        now = self._timers.now_ms()
+        now = self._asked_ms = self._timers.now_ms()
         work = _work(deadline, spec, now)
         if work.deadline_ms <= now + self._cfg.min_service_ms:
             raise self._counted(DeadlineExceeded())
@@ -134,9 +139,37 @@
             self.note_cold(self._cold_start_ms())
         self._dispatch()
 
+    @property
+    def load_age_ms(self) -> float:
+        """Return the time since the upstream told its load."""
+        return self._timers.now_ms() - self._load_at_ms
+
+    @property
+    def idle_ms(self) -> float:
+        """Return the time since the last call asked for a slot."""
+        return self._timers.now_ms() - self._asked_ms
+
+    def _note_load(self, value: bytes) -> None:
+        told = parse_load(value)
+        if told is None:
+            self._counters.add("load_unreadable")
+            return
+        self._load_at_ms = self._timers.now_ms()
+        self.queue.slowdown = told.slowdown
+
+    def note_probe(self, record: UpstreamRecord, headers: Mapping[bytes, bytes]) -> None:
+        """Take load and warmth from the answer of a probe, if the same upstream still serves."""
+        if record != self._record:
+            return
+        self._note_load(headers.get(self._names.load, b""))
+        cold = headers.get(self._names.cold)
+        if cold is not None and cold.isdigit():
+            self.note_cold(float(cold))
+
     def load(self) -> LoadSample:
         """Return the load of the upstream as this gate counts it."""
-        cold = self.queue.is_cold(self._timers.now_ms())
+        now = self._timers.now_ms()
+        cold = self.queue.is_cold(now)
         return LoadSample(
             in_flight=self.queue.running,
             queued=len(self.queue.waiting),
@@ -144,6 +177,8 @@
             latency_ms=self.queue.mean_ms,
             warmth=Warmth.COLD if cold else Warmth.WARM,
             draining=self._draining or self._domain_out or self._is_leaving(),
+            slowdown=round(self.queue.slowdown, 2),
+            wait_ms=round(self.queue.expected_wait_ms(0, now), 1),
         )
 
     def set_upstream(self, record: UpstreamRecord | None) -> None:
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -11,6 +11,7 @@
 
 import trio
 
+import knapweedhitch.expectedtime  # noqa: F401  (registers the policy)
 from knapweedhitch import framing, logs
 from knapweedhitch.attempt import Attempt
 from knapweedhitch.budget import TokenBucket
@@ -46,6 +47,7 @@
 FAILURE_STATUSES = frozenset({500, 502, 503})
 # Statuses that tell a caller that its request was not run and never will be.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+POLICY = "expected-time"
 # Less time than this for another attempt is not worth its arrival at a second upstream.
 MIN_ATTEMPT_MS = 20.0
 
@@ -197,7 +199,7 @@
             conn=conn,
             head=head,
             route=route,
-            svc=ServiceConfig(self._split.choose(route), ()),
+            svc=ServiceConfig(self._split.choose(route), (), policy=POLICY),
             request_id=trace.request_id,
             deadline=Deadline.after_ms(timeout_ms),
             body=ReplayBody(conn, max_replay_bytes) if head.has_body else NoBody(),
@@ -254,26 +256,29 @@
         """Try one target after the other until one has answered; raises Refusal."""
         self._retry.call_started()
         failure: Refusal | None = None
+        answered: Attempt | None = None
         cause = "first"
         while True:
             target = self._pick(call, cause)
             if target is None:
-                raise failure or NoTarget()
+                break
             attempt: Attempt | None = None
             try:
                 attempt, call.result = await self._try(call, target)
                 if call.result.status not in FAILURE_STATUSES:
                     return attempt
-                cause = "server-error"
+                answered, cause = attempt, "server-error"
             except Refusal as exc:
                 failure, cause = exc, exc.reason
             if not self._may_try_again(call, failure if attempt is None else None, cause):
-                if attempt is not None:
-                    return attempt
-                assert failure is not None
-                if call.maybe_ran:
-                    failure.outcome = Outcome.UNKNOWN
-                raise failure
+                break
+        # The failure that an upstream has answered says more than the refusal of a later target.
+        if answered is not None and not call.conn.answer_started:
+            return answered
+        failure = failure or NoTarget()
+        if call.maybe_ran:
+            failure.outcome = Outcome.UNKNOWN
+        raise failure
 
     def _may_try_again(self, call: RelayCall, failure: Refusal | None, cause: str) -> bool:
         """Tell whether another target may get the call after a failure, None for a bad answer."""
@@ -302,7 +307,8 @@
         )
         node = self._cfg.node
         excluded = frozenset(call.instances)
-        picked = self._picker.pick(call.svc, targets, excluded, node.domain, node.id)
+        body_bytes = call.head.content_length or 0
+        picked = self._picker.pick(call.svc, targets, excluded, node.domain, node.id, body_bytes)
         target: Target | None = picked.target
         if target is not None and target.upstream.instance_id in excluded:
             return None
@@ -411,6 +417,7 @@
                 "instances": ",".join(call.instances),
                 "causes": ",".join(call.causes),
                 "sent": call.sent,
+                "priority": call.route.priority,
             }
             if call.result is not None:
                 self._counters.record("added", max(0.0, total_ms - call.result.service_ms))
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -91,6 +91,8 @@
     # Read from the upstream's answer: the request was not run, and the load of the upstream.
     not_run: OptionalFieldName = ""
     load: OptionalFieldName = ""
+    # Read from the answer of a probe: the milliseconds until the upstream is warm.
+    cold: OptionalFieldName = ""
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -253,6 +255,9 @@
     max_announcers: Count = 16
     unsafe_reuse_ms: Ms = 1_000
     silent_ratio: Ratio = 0.5
+    # Ask the upstream for its load when no answer has told it for this long; 0 is never.
+    probe_interval_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 0
+    probe_timeout_ms: Ms = 200
     # Accept an answer without length whose end is the orderly end of its connection.
     accept_unframed: bool = False
 
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -44,6 +44,8 @@
     def wait_ms(self, now_ms: float, per_s: float) -> float:
         """Return the time until another start keeps the limit, zero if it may be now."""
         self._trim(now_ms)
+        if per_s == math.inf:
+            return 0.0
         allowed = max(1, int(per_s))
         if len(self._starts_ms) < allowed:
             return 0.0
@@ -63,6 +65,8 @@
         self.running = 0
         self.mean_ms = INITIAL_MEAN_MS
         self.waiting: list[Work] = []
+        # How many times longer than usual work takes now, as the upstream says.
+        self.slowdown = 1.0
         self._starts = RateWindow()
         self._cold_until_ms = -math.inf
         self._cold_per_s = math.inf
