--- a/knapweedhitch/consensus.py
+++ b/knapweedhitch/consensus.py
@@ -94,6 +94,15 @@
         self._elections = Elections(s)
         self._replication = Replication(s)
         self._admission = Admission(s, self.freshness_age_ms)
+        logs.event(
+            "replica_opened",
+            node=s.node_id,
+            disk=store.disk_id[:8],
+            term=store.term,
+            last_index=store.last_index,
+            voters=",".join(sorted(s.voters)),
+            group=s.group_id[:8],
+        )
 
     async def _open_store(self) -> Store:
         cluster, node_id = self._cfg.node.cluster, self._cfg.node.id
--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -9,6 +9,7 @@
 import trio
 
 from knapweedhitch import configuration, logs
+from knapweedhitch.budget import TokenBucket
 from knapweedhitch.changes import decode_stamped
 from knapweedhitch.exceptions import ChangeError, CodecError, PeerError
 from knapweedhitch.feedsource import Subscribers
@@ -48,6 +49,8 @@
         self._polls = 0
         self._report_is_due = False
         self._needs_state = False
+        lines = kernel.cfg.log.max_lines_per_s
+        self._log_budget = TokenBucket(lines, lines, now_ms)
 
     async def start(self) -> None:
         """Start polling and serving."""
@@ -268,6 +271,9 @@
         before, self.current = self.current.version, cfg
         self._counters.add("feed_advances")
         self._counters.gauge("config_version", cfg.version)
+        if self._log_budget.take():
+            routes = len(cfg.items.routes)
+            logs.event("config", node=self.node_id, before=before, version=cfg.version, routes=routes)
         if len(bodies) == cfg.version - before:
             self._bodies.extend(bodies)
             self._subscribers.push(FeedPush(self.group_id, before, tuple(bodies)))
