--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -13,6 +13,8 @@
 from knapweedhitch.sockets import receive_when_ready, send_at_once
 
 MAX_LINGER_BYTES = 1_048_576
+# More bytes sent ahead wait in the socket; a caller that closes behind them is noticed later.
+MAX_AHEAD_BYTES = 65_536
 
 
 class Slot(trio.abc.Stream):
@@ -26,6 +28,7 @@
         self._owner = owner
         self.turn = trio.Event()
         self.is_detached = False
+        self.has_request = False
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Return the next bytes of the connection, b"" once the caller has gone."""
@@ -80,7 +83,7 @@
 
     async def read(self) -> bytes:
         """Return the next bytes; raises BrokenResourceError and ClosedResourceError."""
-        if self._buffer:
+        if self._buffer or self.gone.is_set():
             data, self._buffer = self._buffer, b""
             return data
         try:
@@ -106,7 +109,7 @@
     async def _next(self, nursery: trio.Nursery) -> bool:
         """Take one request; return False when the connection takes no further one."""
         slot = Slot(self)
-        conn = ServerConnection(slot, self._cfg, self._names, lambda: slot is self._slots[-1])
+        conn = ServerConnection(slot, self._cfg, self._names, lambda: self._is_last(slot))
         if self._is_stopping:
             conn.stop_waiting()
         self._add(slot, conn)
@@ -125,16 +128,46 @@
         if head is None:
             self._end(slot, conn)
             return False
+        slot.has_request = True
         if head.has_body or not self._router.may_run_ahead(head):
-            await slot.turn.wait()
+            await self._watch_until(slot.turn)
+            if self.gone.is_set() and not slot.turn.is_set():
+                self._end(slot, conn)
+                return False
             return await self._run(slot, conn, head)
         self._buffer = conn.unread()
         slot.is_detached = True
         nursery.start_soon(self._run_ahead, slot, conn, head, nursery.cancel_scope)
-        while len(self._slots) >= self._cfg.max_pipelined:
-            await self._wait_slot_end()
+        while len(self._slots) >= self._cfg.max_pipelined and not self.gone.is_set():
+            self._slot_ended = trio.Event()
+            await self._watch_until(self._slot_ended)
         return True
 
+    def _is_last(self, slot: Slot) -> bool:
+        """Tell whether no request that was read waits for an answer behind the one of the slot."""
+        later = self._slots[self._slots.index(slot) + 1 :]
+        return not any(other.has_request for other in later)
+
+    async def _watch_until(self, event: trio.Event) -> None:
+        """Wait for an event or until the caller has gone; what it sends meanwhile is kept."""
+
+        async def watch() -> None:
+            while len(self._buffer) < MAX_AHEAD_BYTES:
+                try:
+                    data = await receive_when_ready(self.stream, READ_BYTES)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    data = b""
+                if not data:
+                    self.gone.set()
+                    nursery.cancel_scope.cancel()
+                    return
+                self._buffer += data
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            await event.wait()
+            nursery.cancel_scope.cancel()
+
     async def _run(self, slot: Slot, conn: ServerConnection, head: RequestHead) -> bool:
         """Have a request answered; return whether another one may follow."""
         try:
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -96,6 +96,9 @@
         for name, value in event.headers:
             if name == b"expect" and value.lower() != b"100-continue":
                 raise ExpectationFailed
+        if not head.has_body:
+            # Only then does the parser know that the request is whole.
+            self._next_body_event()
         return head
 
     async def _receive_block(self) -> bytes | None:
--- /dev/null
+++ b/tests/test_callerconn.py
@@ -0,0 +1,154 @@
+"""Tests of one caller's connection: requests sent ahead, their order, and a caller that leaves."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+from trio.testing import MockClock, open_stream_to_socket_listener
+
+from knapweedhitch.callerconn import CallerConnection
+from knapweedhitch.counters import Counters
+from knapweedhitch.exceptions import Refusal
+from knapweedhitch.framing import DEFAULT_NAMES, RequestHead
+from knapweedhitch.http1 import ServerConnection
+from knapweedhitch.settings import CallerSettings
+
+GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
+POST = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+
+
+class FakeRouter:
+    """Answer a path of digits after that many milliseconds, unless the caller leaves."""
+
+    def __init__(self) -> None:
+        self.started: list[bytes] = []
+        self.left: list[bytes] = []
+        self.closing: set[bytes] = set()
+
+    def may_run_ahead(self, head: RequestHead) -> bool:
+        return head.method == "GET"
+
+    async def handle(self, conn: ServerConnection, head: RequestHead) -> None:
+        self.started.append(head.target)
+        while head.has_body and await conn.receive() is not None:
+            pass
+        async with trio.open_nursery() as nursery:
+
+            async def watch() -> None:
+                await conn.wait_gone()
+                self.left.append(head.target)
+                nursery.cancel_scope.cancel()
+
+            nursery.start_soon(watch)
+            await trio.sleep(int(head.target[1:]) / 1_000)
+            nursery.cancel_scope.cancel()
+        if head.target in self.left:
+            return
+        conn.close_after = head.target in self.closing
+        body = head.target[1:]
+        await conn.send_whole(200, ((b"content-length", b"%d" % len(body)),), [body])
+
+    async def refuse_unparsed(self, conn: ServerConnection, refusal: Refusal) -> None:
+        conn.close_after = True
+        await conn.send_whole(refusal.status, ((b"content-length", b"0"),), [])
+
+
+Scenario = Callable[[trio.SocketStream, FakeRouter], Awaitable[None]]
+
+
+def play(scenario: Scenario) -> FakeRouter:
+    """Run a scenario against one connection on loopback."""
+    router = FakeRouter()
+
+    async def serve(stream: trio.SocketStream) -> None:
+        conn = CallerConnection(stream, CallerSettings(), DEFAULT_NAMES, router, Counters())
+        await conn.serve()
+        await trio.aclose_forcefully(stream)
+
+    async def main() -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trio.serve_listeners, serve, listeners)
+            caller = await open_stream_to_socket_listener(listeners[0])
+            with trio.fail_after(20):
+                await scenario(caller, router)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0.05))
+    return router
+
+
+async def read_until(stream: trio.SocketStream, n_answers: int) -> bytes:
+    data = b""
+    while data.count(b"HTTP/1.1 ") < n_answers or not data.endswith(b"00"):
+        part = await stream.receive_some()
+        if not part:
+            break
+        data += part
+    return data
+
+
+class PipelineTest(unittest.TestCase):
+    def test_requests_sent_ahead_run_together_and_answers_keep_order(self) -> None:
+        """Guards against a lookup that waits for the answer of the one sent before it."""
+
+        async def scenario(caller: trio.SocketStream, router: FakeRouter) -> None:
+            began_s = trio.current_time()
+            await caller.send_all(GET % 900 + GET % 100 + GET % 500)
+            data = await read_until(caller, 3)
+            self.assertLess(trio.current_time() - began_s, 1.3)
+            places = [data.index(b"\r\n\r\n" + body) for body in (b"900", b"100", b"500")]
+            self.assertEqual(places, sorted(places))
+
+        play(scenario)
+
+    def test_caller_that_leaves_ends_all_of_its_requests(self) -> None:
+        """Guards against work for requests whose caller closed while they ran or waited."""
+
+        async def scenario(caller: trio.SocketStream, router: FakeRouter) -> None:
+            await caller.send_all(GET % 5000 + GET % 6000 + GET % 7000)
+            await trio.sleep(0.2)
+            await caller.aclose()
+            await trio.sleep(0.3)
+            self.assertEqual(sorted(router.left), [b"/5000", b"/6000", b"/7000"])
+
+        play(scenario)
+
+    def test_caller_that_leaves_behind_a_request_that_waits_its_turn(self) -> None:
+        """Guards against a close that goes unnoticed while a request with a body waits."""
+
+        async def scenario(caller: trio.SocketStream, router: FakeRouter) -> None:
+            await caller.send_all(GET % 5000 + POST % 100)
+            await trio.sleep(0.2)
+            await caller.aclose()
+            await trio.sleep(0.3)
+            self.assertEqual(router.left, [b"/5000"])
+            self.assertEqual(router.started, [b"/5000"])
+
+        play(scenario)
+
+    def test_request_that_may_run_once_waits_for_its_turn(self) -> None:
+        """Guards against a booking that runs before an answer which may close the connection."""
+
+        async def scenario(caller: trio.SocketStream, router: FakeRouter) -> None:
+            await caller.send_all(GET % 300 + POST % 100)
+            await trio.sleep(0.2)
+            self.assertEqual(router.started, [b"/300"])
+            await read_until(caller, 2)
+            self.assertEqual(router.started, [b"/300", b"/100"])
+
+        play(scenario)
+
+    def test_connection_is_not_closed_under_a_later_request(self) -> None:
+        """Guards against a planned stop that cuts a request sent ahead."""
+
+        async def scenario(caller: trio.SocketStream, router: FakeRouter) -> None:
+            router.closing |= {b"/100", b"/400"}
+            await caller.send_all(GET % 100 + GET % 400)
+            data = await read_until(caller, 2)
+            self.assertEqual(data.lower().count(b"connection: close"), 1)
+            self.assertIn(b"\r\n\r\n400", data)
+
+        play(scenario)
