--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -188,6 +188,10 @@
     """Report a change that the rules of the configuration refuse."""
 
 
+class ItemConflict(InvalidChange):
+    """Report an item whose version is held with other content."""
+
+
 class AnswersError(KnapweedhitchError):
     """Report an answer of the questionnaire, with the question and what would be accepted."""
 
--- a/knapweedhitch/items.py
+++ b/knapweedhitch/items.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from knapweedhitch.codec import from_plain, to_plain
-from knapweedhitch.exceptions import InvalidChange
+from knapweedhitch.exceptions import InvalidChange, ItemConflict
 
 MAX_TIMEOUT_MS = 600_000
 MAX_ITEMS = 100_000
@@ -101,7 +101,9 @@
 def merge(items: Items, patch: ItemPatch) -> Items:
     """Return the items after a patch: the highest version of a name wins; raises InvalidChange.
 
-    An equal or lower version changes nothing, so a patch may be applied any number of times.
+    A lower version changes nothing, and neither does an equal one with the same content, so a patch
+    may be applied any number of times. An equal version with other content is refused: its sender
+    must not believe that it is in force.
     """
     for route in patch.routes:
         check_route(route)
@@ -116,6 +118,8 @@
     limits = items.limits
     if patch.limits is not None and (limits is None or patch.limits.version > limits.version):
         limits = patch.limits
+    elif patch.limits is not None and limits is not None:
+        _check_same("limits", limits, patch.limits)
     after = Items(routes, backends, limits, removed_routes, removed_backends)
     if after == items:
         return items
@@ -134,13 +138,24 @@
         if item.version > _version_of(item.name, live, gone):
             live[item.name] = item
             gone.pop(item.name, None)
+        else:
+            _check_same(item.name, live.get(item.name), item, gone.get(item.name))
     for removal in removals:
         if removal.version > _version_of(removal.name, live, gone):
             live.pop(removal.name, None)
             gone[removal.name] = removal.version
+        elif removal.name in live and live[removal.name].version == removal.version:
+            raise ItemConflict(f"{removal.name}: version {removal.version} sets the item")
     return live, gone
 
 
+def _check_same(name: str, held: Any, sent: Any, removed_at: int | None = None) -> None:
+    """Raise ItemConflict if the version held has other content than the one that was sent."""
+    other = held is not None and held.version == sent.version and held != sent
+    if other or removed_at == sent.version:
+        raise ItemConflict(f"{name}: version {sent.version} is held with other content")
+
+
 def _version_of(name: str, live: Mapping[str, Any], gone: Mapping[str, int]) -> int:
     item = live.get(name)
     return int(item.version) if item is not None else gone.get(name, -1)
--- a/knapweedhitch/platform/items.py
+++ b/knapweedhitch/platform/items.py
@@ -119,7 +119,7 @@
 
 
 def _document(raw: dict[str, Any]) -> str:
-    return json.dumps(raw, separators=(",", ":"), ensure_ascii=False)
+    return json.dumps(raw, separators=(",", ":"), ensure_ascii=False, sort_keys=True)
 
 
 def _route(raw: dict[str, Any]) -> RouteItem:
