--- a/tests/test_workqueue.py
+++ b/tests/test_workqueue.py
@@ -100,6 +100,9 @@
     def _order(self, work: Work, now_ms: float) -> tuple[bool, int, float]:
         return False, 0, work.arrived_ms
 
+    def _is_late(self, work: Work, now_ms: float) -> bool:
+        return False
+
 
 class OverloadTest(unittest.TestCase):
     def test_burst_over_capacity_keeps_answers_timely(self) -> None:
