--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -217,8 +217,8 @@
     def hopeless(self, now_ms: float) -> list[Work]:
         """Drop and return the calls that will not be answered: they are told at once.
 
-        These are the calls without time left, and in a lasting overload those that are late already:
-        timely ones go before them for as long as it lasts.
+        These are the calls without time left. In a lasting overload they are also those that are
+        late already, as timely ones go before them for as long as it lasts.
         """
         limit_ms = now_ms + self._cfg.min_service_ms
         is_lasting = self._queued_for_ms(now_ms) >= RATE_WINDOW_MS
