--- a/tests/state_cluster.py
+++ b/tests/state_cluster.py
@@ -36,7 +36,7 @@
 from tests.faulty_disk import Content, FaultyDisk
 
 Handler = Callable[[str, Any], Awaitable[Message | None]]
-NAMES = ("c1", "c2", "c3", "c4", "c5")
+NAMES = ("c1", "c2", "c3", "c4", "c5", "c6")
 
 
 def make_settings(node_id: str, size: int = 3, domain: str = "d1", **control: Any) -> Settings:
@@ -202,6 +202,7 @@
                     self.machine,
                     self.counters,
                     random.Random(cluster.rng.random()),
+                    cluster.known_members,
                 )
                 await self.replica.start(nursery)
                 task_status.started()
@@ -228,6 +229,10 @@
     def cfg(self, node_id: str) -> Settings:
         return make_settings(node_id, len(self.names), **self.control)
 
+    def known_members(self) -> tuple[str, ...]:
+        """Return the control instances that membership knows, all of those that are up."""
+        return tuple(self.network.ends)
+
     async def start(self, *names: str) -> None:
         for name in names or self.names:
             self.nodes[name] = Node(self, name, FaultyDisk(self.rng))
--- /dev/null
+++ b/tests/test_joining.py
@@ -0,0 +1,161 @@
+"""Tests of control instances that join, replace a lost one, and come back from a failed disk."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import trio
+from trio.testing import MockClock
+
+from knapweedhitch.settings import Settings
+from tests.state_cluster import NAMES, Cluster, make_settings, until
+
+SEEDS = 3
+CONTROL = {
+    "max_voters": 5,
+    "confirm_restarts": False,
+    "replace_silent_ms": 2_000,
+    "reopen_ms": 500,
+    "max_sync_ms": 400,
+}
+
+
+class JoiningCluster(Cluster):
+    """Know three instances by the settings; the others are found by membership."""
+
+    def cfg(self, node_id: str) -> Settings:
+        return make_settings(node_id, SEEDS, **self.control)
+
+
+def run(fn: Callable[[JoiningCluster], Awaitable[None]], size: int = 5, **control: Any) -> None:
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            cluster = JoiningCluster(nursery, size, 1, {**CONTROL, **control})
+            await cluster.start()
+            nursery.start_soon(cluster.watch)
+            await fn(cluster)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+async def wait_voters(cluster: Cluster, *names: str) -> None:
+    await until(lambda: set(cluster.voters()) == set(names), 20_000.0)
+
+
+class JoinTest(unittest.TestCase):
+    def test_instances_beyond_the_seeds_become_voters(self) -> None:
+        """Guards against five instances of which only three keep what was accepted."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_voters(cluster, *NAMES[:5])
+            await cluster.change()
+
+        run(check)
+
+    def test_lost_instance_is_replaced_by_one_at_another_address(self) -> None:
+        """Guards against a group that shrinks with each machine that is replaced."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_voters(cluster, *NAMES[:5])
+            await cluster.change()
+            await cluster.crash(NAMES[1], power=True)
+            await cluster.start(NAMES[5])
+            expected = [NAMES[0], *NAMES[2:6]]
+            await wait_voters(cluster, *expected)
+            await cluster.change()
+            # Two disks of the new group are lost at once.
+            for name in expected[1:3]:
+                await cluster.restart(name, empty=True)
+            await cluster.change()
+            await wait_voters(cluster, *expected)
+            cluster.names = expected
+            del cluster.nodes[NAMES[1]]
+            await cluster.check_nothing_lost()
+
+        run(check)
+
+    def test_instance_that_comes_before_the_old_one_goes_waits(self) -> None:
+        """Guards against six voters, of which three lost ones stop the group."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_voters(cluster, *NAMES[:5])
+            await cluster.start(NAMES[5])
+            await trio.sleep(5.0)
+            self.assertEqual(set(cluster.voters()), set(NAMES[:5]))
+            await cluster.crash(NAMES[4])
+            await wait_voters(cluster, *NAMES[:4], NAMES[5])
+
+        run(check)
+
+    def test_short_silence_replaces_nobody(self) -> None:
+        """Guards against a change of members for an instance that only restarts."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_voters(cluster, *NAMES[:5])
+            await cluster.start(NAMES[5])
+            await trio.sleep(1.0)
+            await cluster.crash(NAMES[4])
+            await trio.sleep(1.0)
+            await cluster.restart(NAMES[4])
+            await trio.sleep(5.0)
+            self.assertEqual(set(cluster.voters()), set(NAMES[:5]))
+
+        run(check)
+
+    def test_instances_that_restart_beside_a_lost_one_count_at_once(self) -> None:
+        """Guards against a group that waits for an instance that never comes back."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_voters(cluster, *NAMES[:5])
+            await cluster.change()
+            await cluster.crash(NAMES[0], power=True)
+            for name in NAMES[1:5]:
+                await cluster.crash(name)
+            for name in NAMES[1:5]:
+                await cluster.restart(name)
+            await cluster.change(timeout_ms=5_000.0)
+
+        run(check)
+
+    def test_empty_instances_form_no_second_group(self) -> None:
+        """Guards against lost disks that start a new history of versions."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await trio.sleep(10.0)
+            self.assertIsNone(cluster.leader())
+
+        run(check, may_form_group=False)
+
+
+class DiskTest(unittest.TestCase):
+    def test_replica_goes_on_when_its_disk_takes_writes_again(self) -> None:
+        """Guards against a disk that was full for seconds and takes its member out for good."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_voters(cluster, *NAMES[:5])
+            follower = next(n for n in cluster.nodes.values() if not n.replica.is_leader)
+            follower.disk.failing_syncs = 3
+            await cluster.change()
+            await until(lambda: follower.replica.is_stopped)
+            version = await cluster.change()
+            await until(lambda: not follower.replica.is_stopped)
+            await until(lambda: follower.machine.current.version >= version)
+
+        run(check)
+
+    def test_leader_whose_disk_stalls_lets_another_lead(self) -> None:
+        """Guards against changes that wait for as long as one disk hangs."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_voters(cluster, *NAMES[:5])
+            leader = await cluster.wait_leader()
+            leader.disk.latency_ms = 60_000.0
+            # The others sync the first change; the second one waits for the leader's own disk.
+            await cluster.change(timeout_ms=4_000.0)
+            await cluster.change(timeout_ms=4_000.0)
+            self.assertNotEqual((await cluster.wait_leader()).node_id, leader.node_id)
+
+        run(check)
