--- /dev/null
+++ b/tests/test_announce.py
@@ -0,0 +1,100 @@
+"""Tests of heartbeats: which of them says what the own upstream is now."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+from types import SimpleNamespace
+
+import trio
+from trio.testing import MockClock
+
+from knapweedhitch.announce import Announce
+from knapweedhitch.counters import Counters
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.model import Address, UpstreamRecord, UpstreamState
+from knapweedhitch.settings import (
+    ControlMember,
+    ControlSettings,
+    Listener,
+    ListenSettings,
+    NodeSettings,
+    SecretSettings,
+    Settings,
+    UpstreamSettings,
+)
+from knapweedhitch.timers import Timers
+
+OLD = UpstreamRecord("robes", Address("10.0.0.1", 80), 6, 100, "i-1", 1_000)
+NEW = dataclasses.replace(OLD, instance_id="i-2", incarnation=2_000)
+LEAVING = dataclasses.replace(OLD, state=UpstreamState.LEAVING)
+
+
+class HeartbeatTest(unittest.TestCase):
+    def make(self) -> Announce:
+        cfg = Settings(
+            node=NodeSettings(id="n1", domain="d1"),
+            secrets=SecretSettings("", ""),
+            control=ControlSettings(members=(ControlMember("c1", "127.0.0.1", 1),)),
+            listen=ListenSettings(announce=Listener(enabled=False)),
+            upstream=UpstreamSettings(announcement_ttl_ms=3_000),
+        )
+        kernel = Kernel(cfg)
+        self.kernel = kernel
+        self.counters = Counters()
+        self.told: list[UpstreamRecord | None] = []
+        self.cold_ms: list[float] = []
+        kernel.add("counters", self.counters)
+        kernel.add("timers", Timers(kernel))
+        kernel.add("membership", SimpleNamespace(announce_local=self.told.append))
+        admission = SimpleNamespace(set_upstream=lambda record: None, note_cold=self.cold_ms.append)
+        kernel.add("admission", admission)
+        return Announce(kernel)
+
+    def run_with(self, *steps: tuple[UpstreamRecord | str, int]) -> Announce:
+        announce = self.make()
+
+        async def main() -> None:
+            await announce.start()
+            for record, sequence in steps:
+                if isinstance(record, str):
+                    announce.deregister(record, sequence or None)
+                else:
+                    announce.observe(record, sequence, 0.0)
+
+        async def hosted() -> None:
+            async with trio.open_nursery() as nursery:
+                self.kernel._nursery = nursery
+                await main()
+                nursery.cancel_scope.cancel()
+
+        trio.run(hosted, clock=MockClock(autojump_threshold=0))
+        return announce
+
+    def test_late_heartbeat_of_an_earlier_start_changes_nothing(self) -> None:
+        """Guards against a dead incarnation that comes back with a delayed heartbeat."""
+        self.assertEqual(self.run_with((OLD, 5), (NEW, 1), (OLD, 9)).current, NEW)
+
+    def test_order_of_one_start_is_its_sequence(self) -> None:
+        """Guards against a delayed `ready` that undoes the notice to leave."""
+        self.assertEqual(self.run_with((OLD, 4), (LEAVING, 6), (OLD, 5)).current, LEAVING)
+
+    def test_leaving_lasts_for_the_whole_start(self) -> None:
+        """Guards against new work for an upstream that has said that it leaves."""
+        self.assertEqual(self.run_with((LEAVING, 6), (OLD, 7)).current, LEAVING)
+
+    def test_same_id_started_again_is_new(self) -> None:
+        """Guards against a restarted upstream whose first heartbeats are taken for late ones."""
+        again = dataclasses.replace(OLD, incarnation=3_000)
+        self.assertEqual(self.run_with((LEAVING, 60), (again, 1)).current, again)
+
+    def test_deregistered_start_stays_gone(self) -> None:
+        """Guards against a heartbeat that was on its way when the upstream said goodbye."""
+        self.assertIsNone(self.run_with((OLD, 5), ("i-1", 1_000), (OLD, 6)).current)
+        self.assertIsNone(self.run_with((OLD, 5), ("i-1", 0)).current)
+
+    def test_late_deregistration_of_an_earlier_start_is_ignored(self) -> None:
+        """Guards against a running upstream that is dropped for one that has gone."""
+        self.assertEqual(self.run_with((OLD, 5), (NEW, 1), ("i-1", 1_000)).current, NEW)
+        again = dataclasses.replace(OLD, incarnation=3_000)
+        self.assertEqual(self.run_with((OLD, 5), (again, 1), ("i-1", 1_000)).current, again)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -1,4 +1,4 @@
-"""Tests of the platform's roles as real processes on loopback, through the platform's calls alone."""
+"""Tests of the platform's roles as real processes on loopback, through its calls alone."""
 
 from __future__ import annotations
 
@@ -47,7 +47,8 @@
         found = {"Attempt-Id": headers["attempt-id"], "Server-Signature": "sig"}
         self._answer(200, b"done", {**found, "Server-Load": "1,0,6,100"})
 
-    do_POST = do_GET
+    def do_POST(self) -> None:
+        self.do_GET()
 
     def _answer(self, status: int, body: bytes, headers: dict[str, str]) -> None:
         self.send_response(status)
