--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -24,6 +24,8 @@
 READ_BYTES = 65_536
 MISDIRECTED = 421
 MAX_SKIPPED_BYTES = 65_536
+# Late second answers that are passed over before the connection is given up.
+MAX_FOREIGN_ANSWERS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -199,6 +201,25 @@
         """Return the bytes that wait for the parser, and whether EOF has followed them."""
         return self._conn.trailing_data
 
+    @property
+    def is_request_sent(self) -> bool:
+        """Tell whether the whole request was handed over."""
+        return self._conn.our_state is h11.DONE
+
+    def expect_another_answer(self, method: str) -> None:
+        """Parse the bytes that follow a whole answer as the next one; raises UpstreamClosed."""
+        data, closed = self._conn.trailing_data
+        if closed or self._conn.their_state is not h11.DONE:
+            raise UpstreamClosed("closed after another answer", bytes_sent=True)
+        # The parser allows one answer for each request; only the method of a request matters to it.
+        self._conn = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=self.cfg.max_response_header_bytes
+        )
+        self._conn.send(h11.Request(method=method, target=b"/", headers=[(b"host", b"-")]))
+        self._conn.send(h11.EndOfMessage())
+        if data:
+            self._conn.receive_data(data)
+
     def finish(self) -> None:
         """Keep the connection for another exchange if nothing is left on it."""
         # Bytes after the end of an answer belong to no request of this connection.
@@ -234,6 +255,7 @@
         self._load = load
         self._first_byte_ms = first_byte_ms
         self._max_head_bytes = conn.cfg.max_response_header_bytes
+        self._passed_over = 0
 
     async def read(self) -> int:
         """Return the status after the whole answer; raises UpstreamError."""
@@ -241,7 +263,10 @@
             await self._receive_block()
             event = self._conn.next_event()
             if isinstance(event, h11.Response):
-                break
+                if not self._is_foreign(event):
+                    break
+                await self._pass_over()
+                continue
             if not isinstance(event, h11.InformationalResponse) or event.status_code == 101:
                 raise UpstreamProtocolError("no final answer", bytes_sent=True)
             if event.status_code != 100:
@@ -264,6 +289,20 @@
                 await self._sink.end()
                 return event.status_code
 
+    def _is_foreign(self, event: h11.Response) -> bool:
+        """Tell whether an answer names another request, so that the own one may follow it."""
+        own = self._spec.request_id.encode("ascii")
+        name = self._conn.names.request_id
+        return any(found == name and value != own for found, value in event.headers)
+
+    async def _pass_over(self) -> None:
+        """Read a late second answer to an earlier request; raises UpstreamProtocolError."""
+        self._passed_over += 1
+        if self._passed_over > MAX_FOREIGN_ANSWERS or not self._conn.is_request_sent:
+            raise UpstreamProtocolError("answer of another request", bytes_sent=True)
+        await self._skip_body(finish=False)
+        self._conn.expect_another_answer(self._spec.method)
+
     def _note_load(self, event: h11.Response) -> None:
         for name, value in event.headers:
             if name == self._conn.names.load:
@@ -278,7 +317,7 @@
             return True
         return any(name == names.not_run for name, _ in event.headers)
 
-    async def _skip_body(self) -> None:
+    async def _skip_body(self, *, finish: bool = True) -> None:
         """Read the rest of an answer, so that its connection can be used again."""
         size = 0
         while True:
@@ -290,7 +329,8 @@
                 if size > MAX_SKIPPED_BYTES:
                     return
             else:
-                self._conn.finish()
+                if finish:
+                    self._conn.finish()
                 return
 
     async def _receive_block(self) -> None:
--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from knapweedhitch import framing
+from knapweedhitch import framing, logs
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import CallerGone, Refusal, UpstreamError
 from knapweedhitch.exchange import CallSpec, Headers
@@ -95,6 +95,12 @@
             self._counters.add("probe_failed", type(exc).__name__)
             await self._drop()
             return
+        except Exception as exc:
+            # Whatever an upstream sends, the node goes on without the probe.
+            self._counters.add("probe_failed", type(exc).__name__)
+            logs.warning("probe_fault", error=type(exc).__name__, detail=exc)
+            await self._drop()
+            return
         self._counters.add("probes")
         self._admission.note_probe(record, dict(answer.headers))
 
