--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -29,6 +29,7 @@
 NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?\Z")
 INSTANCE = re.compile(r"[!-~]{1,128}\Z")
 MAX_COUNT = 1_000_000
+MAX_GONE = 1_000
 MAX_INCARNATION = (1 << 63) - 1
 FIELDS = ("service", "address", "slots", "connections", "instance_id", "incarnation", "state")
 
@@ -98,7 +99,8 @@
         # Incarnation and sequence of the newest heartbeat, and whose it was.
         self._heartbeat = (-1, -1)
         self._heartbeat_of = ("", -1)
-        self._has_left = False
+        # The last start of each upstream that has said that it leaves, oldest first.
+        self._gone: dict[str, int] = {}
         self._server = StreamServer(
             kernel.cfg.listen.announce,
             kernel.cfg.upstream.max_announcers,
@@ -201,12 +203,13 @@
         if order <= self._heartbeat and (same_start or record.incarnation < self._heartbeat[0]):
             self._counters.add("heartbeats_late")
             return False
-        if same_start and self._has_left and record.state is UpstreamState.SERVING:
+        if self._has_gone(record) and record.state is UpstreamState.SERVING:
             self._counters.add("heartbeats_late")
             return False
         self._heartbeat = order
         self._heartbeat_of = (record.instance_id, record.incarnation)
-        self._has_left = record.state is UpstreamState.LEAVING
+        if record.state is UpstreamState.LEAVING:
+            self._note_gone(record.instance_id, record.incarnation)
         self._renewed_ms = self._timers.now_ms()
         self._set(record, "heartbeat")
         self._admission.note_cold(cold_ms)
@@ -215,12 +218,25 @@
     def deregister(self, instance_id: str, incarnation: int | None) -> None:
         """Drop an upstream that says it leaves; an incarnation of None is the current one."""
         known_id, known_incarnation = self._heartbeat_of
-        if instance_id != known_id or incarnation not in (None, known_incarnation):
+        if incarnation is None:
+            same = instance_id == known_id
+            incarnation = known_incarnation if same else self._timers.wall_ms()
+        # Kept for an upstream that is not known as well: after a restart of this node its last
+        # heartbeat may arrive behind its goodbye.
+        self._note_gone(instance_id, incarnation)
+        if (instance_id, incarnation) != self._heartbeat_of:
             self._counters.add("heartbeats_late")
             return
-        self._has_left = True
         self._set(None, "deregistered")
 
+    def _has_gone(self, record: UpstreamRecord) -> bool:
+        return record.incarnation <= self._gone.get(record.instance_id, -1)
+
+    def _note_gone(self, instance_id: str, incarnation: int) -> None:
+        self._gone[instance_id] = max(incarnation, self._gone.pop(instance_id, -1))
+        if len(self._gone) > MAX_GONE:
+            del self._gone[next(iter(self._gone))]
+
     def withdraw(self, data: bytes) -> None:
         """Drop the announcement; raises AnnouncementStale if the body names another instance."""
         current = self.current
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -93,6 +93,14 @@
         self.assertIsNone(self.run_with((OLD, 5), ("i-1", 1_000), (OLD, 6)).current)
         self.assertIsNone(self.run_with((OLD, 5), ("i-1", 0)).current)
 
+    def test_goodbye_that_comes_before_any_heartbeat_holds(self) -> None:
+        """Guards against a restarted node that takes a late heartbeat for a new one."""
+        self.assertIsNone(self.run_with(("i-1", 1_000), (OLD, 5)).current)
+        self.assertIsNone(self.run_with(("i-1", 0), (OLD, 5)).current)
+        self.assertEqual(self.run_with(("i-1", 1_000), (NEW, 1)).current, NEW)
+        again = dataclasses.replace(OLD, incarnation=3_000)
+        self.assertEqual(self.run_with(("i-1", 1_000), (again, 1)).current, again)
+
     def test_late_deregistration_of_an_earlier_start_is_ignored(self) -> None:
         """Guards against a running upstream that is dropped for one that has gone."""
         self.assertEqual(self.run_with((OLD, 5), (NEW, 1), ("i-1", 1_000)).current, NEW)
