Decline a call at an upstream that has just slowed down

The entry node knows a slowdown of 300 ms about 100 ms late. The gate knows it now and declines the first attempt if the second best target was expected to answer sooner; the load travels back with it. Also: a late second answer is passed over only for an earlier request of the same connection.

--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -8,7 +8,6 @@
 import sys
 from collections.abc import AsyncIterator, Callable, Iterator, Sequence
 
-import fire
 import trio
 
 from knapweedhitch import __version__, logs
@@ -235,6 +234,9 @@
     """Run one command of `knapweedhitchd`."""
     args = sys.argv[1:] if argv is None else argv
     args = [arg.replace("-", "_") if arg == "check-settings" else arg for arg in args]
+    # Only the command line needs it, and it takes 3 MB that a running daemon would keep.
+    import fire
+
     fire.Fire(Commands, command=args, name="knapweedhitchd")
 
 
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -383,6 +383,13 @@
     status = 503
 
 
+class UpstreamSlow(Refusal):
+    """Decline a call at an upstream that has slowed down, as another one may answer sooner."""
+
+    reason = "upstream-slow"
+    status = 503
+
+
 class ChainTooDeep(Refusal):
     """Refuse a request whose chain of calls is over the depth limit."""
 
--- a/knapweedhitch/exchange.py
+++ b/knapweedhitch/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from typing import Protocol
 
 from knapweedhitch.deadline import Deadline
@@ -35,6 +36,8 @@
     # The answer should be there this long after the start of the call; 0 is unknown.
     target_latency_ms: float = 0.0
     route: str = ""
+    # Another target is expected to be better if work takes more times longer than usual than this.
+    decline_above: float = math.inf
 
 
 class BodySource(Protocol):
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -121,6 +121,7 @@
             spec.priority,
             spec.target_latency_ms,
             spec.route,
+            spec.decline_above,
         )
         try:
             return await self._peers.open_stream(node_id, opening)
@@ -217,6 +218,7 @@
             opening.priority,
             opening.target_latency_ms,
             opening.route,
+            opening.decline_above,
         )
         self._interested(node_id, None)
         sink = RemoteSink(stream, self._load)
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import math
 from collections.abc import Callable
@@ -26,6 +27,7 @@
 MAX_SKIPPED_BYTES = 65_536
 # Late second answers that are passed over before the connection is given up.
 MAX_FOREIGN_ANSWERS = 2
+MAX_EARLIER_IDS = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +63,8 @@
         self.echoes = False
         self._writer_error: Exception | None = None
         self.on_load: Callable[[bytes], None] = lambda value: None
+        # The requests that this connection has carried, the last ones only.
+        self.earlier_ids: collections.deque[bytes] = collections.deque(maxlen=MAX_EARLIER_IDS)
 
     def is_quiet(self) -> bool:
         """Tell whether neither EOF nor any byte has arrived on the idle connection."""
@@ -90,6 +94,7 @@
         else:
             status = await self._stream_body(body, reader)
         self.used = True
+        self.earlier_ids.append(spec.request_id.encode("ascii"))
         self.finish()
         now = trio.current_time()
         return ExchangeTimes(
@@ -290,10 +295,11 @@
                 return event.status_code
 
     def _is_foreign(self, event: h11.Response) -> bool:
-        """Tell whether an answer names another request, so that the own one may follow it."""
-        own = self._spec.request_id.encode("ascii")
+        """Tell whether an answer names an earlier request, so that the own one may follow it."""
         name = self._conn.names.request_id
-        return any(found == name and value != own for found, value in event.headers)
+        return any(
+            found == name and value in self._conn.earlier_ids for found, value in event.headers
+        )
 
     async def _pass_over(self) -> None:
         """Read a late second answer to an earlier request; raises UpstreamProtocolError."""
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from knapweedhitch.codec import Message, message
@@ -108,6 +109,7 @@
     priority: int = 0
     target_latency_ms: float = 0.0
     route: str = ""
+    decline_above: float = math.inf
 
 
 @message(11)
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -20,6 +20,7 @@
     NoTarget,
     Refusal,
     UpstreamDraining,
+    UpstreamSlow,
 )
 from knapweedhitch.exchange import CallSpec
 from knapweedhitch.items import BackendItem, Items
@@ -29,6 +30,8 @@
 from knapweedhitch.workqueue import Work, WorkQueue
 
 MS_PER_S = 1_000.0
+# An older slowdown of a shared machine is probably over.
+MAX_LOAD_AGE_MS = 150.0
 # Calls in flight at the moment of a turn to cold still count at the upstream.
 COLD_SHARE = 0.8
 
@@ -82,6 +85,8 @@
         work = _work(deadline, spec, now)
         if work.deadline_ms <= now + self._cfg.min_service_ms:
             raise self._counted(DeadlineExceeded())
+        if self.queue.slowdown > spec.decline_above and self.load_age_ms < MAX_LOAD_AGE_MS:
+            raise self._counted(UpstreamSlow())
         if not self.queue.waiting and self.queue.has_room(now):
             return self._take(0.0, work)
         if not self.queue.may_wait(work, now):
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import json
+import math
 import os
 import random
 import re
@@ -28,6 +29,7 @@
     Outcome,
     Refusal,
     UpstreamShed,
+    UpstreamSlow,
 )
 from knapweedhitch.exchange import CallSpec
 from knapweedhitch.framing import RequestHead
@@ -36,6 +38,7 @@
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import CallResult, ServiceConfig, Target, UpstreamState
 from knapweedhitch.payload import NoBody, Replayable, ReplayBody
+from knapweedhitch.pick import PickResult
 from knapweedhitch.pool import refused_result
 from knapweedhitch.routetable import RouteTable, WeightedSplit
 
@@ -48,6 +51,8 @@
 # Statuses that tell a caller that its request was not run and never will be.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 POLICY = "expected-time"
+# In typical service times; below this the way to another target costs more than it gains.
+DECLINE_MARGIN = 0.5
 # Less time than this for another attempt is not worth its arrival at a second upstream.
 MIN_ATTEMPT_MS = 20.0
 
@@ -72,6 +77,8 @@
     instances: list[str] = dataclasses.field(default_factory=list)
     causes: list[str] = dataclasses.field(default_factory=list)
     maybe_ran: bool = False
+    decline_above: float = math.inf
+    declined: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -121,6 +128,7 @@
         self._retry = get("retry")
         self._counters = get("counters")
         self._announce = get("announce")
+        self._admission = get("admission")
         self._gate = get("gate")
         self._forward = get("forward")
         lines = self._cfg.log.max_lines_per_s
@@ -309,7 +317,8 @@
             and not current.is_domain_out(target.domain)
         )
         node = self._cfg.node
-        excluded = frozenset(call.instances)
+        # The load that came with a declined call tells whether its target is still the best one.
+        excluded = frozenset(call.instances) - call.declined
         body_bytes = call.head.content_length or 0
         picked = self._picker.pick(call.svc, targets, excluded, node.domain, node.id, body_bytes)
         target: Target | None = picked.target
@@ -318,6 +327,7 @@
         if target is not None:
             call.instances.append(target.upstream.instance_id)
             call.causes.append(cause)
+            call.decline_above = _decline_above(picked, first=not call.places)
         return target
 
     # One attempt
@@ -336,6 +346,10 @@
             call.maybe_ran = True
             return attempt, result
         except Refusal as exc:
+            if isinstance(exc, UpstreamSlow):
+                call.declined |= {instance_id}
+                if target.node_id == self._cfg.node.id:
+                    self._picker.observe(instance_id, self._admission.load())
             if exc.outcome is Outcome.UNKNOWN or isinstance(exc, UpstreamShed):
                 call.sent += 1
             call.maybe_ran = call.maybe_ran or exc.outcome is Outcome.UNKNOWN
@@ -371,6 +385,7 @@
             priority=call.route.priority,
             target_latency_ms=self._latency_left_ms(call),
             route=call.route.name,
+            decline_above=call.decline_above,
         )
         result: CallResult = await path.execute(target.node_id, spec, call.body, attempt)
         return result
@@ -444,6 +459,22 @@
         return os.urandom(12).hex()
 
 
+def _decline_above(picked: PickResult, *, first: bool) -> float:
+    """Return the slowdown from which on the second best target is expected to answer sooner.
+
+    Only the first target may decline, so that a call does not wander while all of them are slow.
+    """
+    target = picked.target
+    if not first or target is None:
+        return math.inf
+    others = [
+        one.score
+        for one in picked.considered
+        if not one.note and one.instance_id != target.upstream.instance_id
+    ]
+    return min(others, default=math.inf) + DECLINE_MARGIN
+
+
 def _status_of(refusal: Refusal) -> int:
     """Return a status that promises `not run` exactly when that is known."""
     if refusal.outcome is Outcome.NOT_RUN:
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -63,6 +63,7 @@
         cfg = UpstreamSettings(accept_unframed=True)
         self.conn = ClientConnection(mine, cfg, NAMES)
         self.conn.on_load = self.loads.append
+        self.conn.earlier_ids.append(b"r0")
         spec = CallSpec("r1", "s", "i1", method, b"/", (), False, Deadline.after_ms(1_000), 0, 0, 1)
         headers = ((b"host", b"h"), (b"x-id", b"r1"))
         async with trio.open_nursery() as nursery:
@@ -97,7 +98,8 @@
 
     def test_foreign_answers_never_reach_the_caller(self) -> None:
         """Guards against the answer of another request."""
-        for parts in ((LATE, b""), (LATE, LATE, LATE, OWN), (LATE[:-2], b"")):
+        swapped = LATE.replace(b"r0", b"r7")
+        for parts in ((LATE, b""), (LATE, LATE, LATE, OWN), (LATE[:-2], b""), (swapped, OWN)):
             play = Play(*parts)
             with self.subTest(parts):
                 self.assertIsNotNone(play.error)
--- /dev/null
+++ b/tests/test_queueadmission.py
@@ -0,0 +1,178 @@
+"""Tests of admission by urgency: who is refused at once, who waits, and what ends a wait."""
+
+from __future__ import annotations
+
+import functools
+import unittest
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any
+
+import trio
+from trio.testing import MockClock
+
+from knapweedhitch.counters import Counters
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import (
+    DomainOut,
+    NodeDraining,
+    NoRoom,
+    NoTarget,
+    Refusal,
+    UpstreamDraining,
+    UpstreamSlow,
+)
+from knapweedhitch.exchange import CallSpec
+from knapweedhitch.items import Items
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.model import Address, CallResult, UpstreamRecord, UpstreamState
+from knapweedhitch.queueadmission import QueueAdmission
+from knapweedhitch.settings import (
+    ControlMember,
+    ControlSettings,
+    HeaderSettings,
+    NodeSettings,
+    SecretSettings,
+    Settings,
+)
+from knapweedhitch.timers import Timers
+from tests.test_items import backend
+
+RECORD = UpstreamRecord("s1", Address("10.0.0.1", 80), 2, 100, "i1", 1)
+LEAVING = UpstreamRecord("s1", Address("10.0.0.1", 80), 2, 100, "i1", 1, UpstreamState.LEAVING)
+DONE = CallResult(ok=True, service_ms=100.0)
+
+
+def spec(deadline_ms: float = 1_000.0, goal_ms: float = 400.0, **fields: Any) -> CallSpec:
+    deadline = Deadline.after_ms(deadline_ms)
+    return CallSpec(
+        "r", "s1", "i1", "GET", b"/", (), False, deadline, 0, 0, 1,
+        target_latency_ms=goal_ms, **fields,
+    )  # fmt: skip
+
+
+def played(fn: Callable[[Any, QueueAdmission], Awaitable[None]]) -> Callable[[Any], None]:
+    @functools.wraps(fn)
+    def run(self: Any) -> None:
+        async def main() -> None:
+            cfg = Settings(
+                node=NodeSettings(id="n1", domain="d1"),
+                secrets=SecretSettings("", ""),
+                control=ControlSettings(members=(ControlMember("c1", "127.0.0.1", 1),)),
+                headers=HeaderSettings(load="x-load", cold="x-cold"),
+            )
+            kernel = Kernel(cfg)
+            kernel.add("counters", Counters())
+            timers = Timers(kernel)
+            kernel.add("timers", timers)
+            kernel.add("pool", SimpleNamespace(subscribe_load=lambda fn: None))
+            items = Items(backends={"s1": backend()})
+            kernel.add("config", SimpleNamespace(current=SimpleNamespace(items=items)))
+            admission = QueueAdmission(kernel)
+            async with trio.open_nursery() as nursery:
+                kernel._nursery = nursery
+                await timers.start()
+                await admission.start()
+                admission.set_upstream(RECORD)
+                await fn(self, admission)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    return run
+
+
+async def admitted(admission: QueueAdmission, one: CallSpec) -> Any:
+    return await admission.admit(one.deadline, one)
+
+
+class AdmissionTest(unittest.TestCase):
+    async def refused(self, admission: QueueAdmission, one: CallSpec) -> Refusal:
+        with self.assertRaises(Refusal) as caught:
+            await admitted(admission, one)
+        return caught.exception
+
+    @played
+    async def test_waiting_call_gets_the_slot_that_is_given_back(self, a: QueueAdmission) -> None:
+        """Guards against a slot that nobody uses while calls wait."""
+        slots = [await admitted(a, spec()) for _ in range(2)]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(admitted, a, spec())
+            await trio.sleep(0.05)
+            self.assertEqual(a.load().queued, 1)
+            a.release(slots[0], DONE)
+        self.assertEqual((a.in_flight, a.load().queued), (2, 0))
+
+    @played
+    async def test_refusal_tells_when_to_come_back(self, a: QueueAdmission) -> None:
+        """Guards against callers who come back at once, or wait for their deadline to pass."""
+        for _ in range(2):
+            await admitted(a, spec())
+        a.queue.mean_ms = 500.0
+        began_s = trio.current_time()
+        refusal = await self.refused(a, spec())
+        self.assertIsInstance(refusal, NoRoom)
+        self.assertEqual(trio.current_time(), began_s)
+        self.assertGreater(refusal.retry_after_ms, 100.0)
+
+    @played
+    async def test_cancelled_wait_leaves_no_slot_taken(self, a: QueueAdmission) -> None:
+        """Guards against slots that are lost when callers leave while they wait."""
+        slots = [await admitted(a, spec()) for _ in range(2)]
+        with trio.move_on_after(0.05):
+            await admitted(a, spec())
+        for slot in slots:
+            a.release(slot, DONE)
+        self.assertEqual((a.in_flight, a.queue.running, a.load().queued), (0, 0, 0))
+
+    @played
+    async def test_what_must_not_take_work_refuses_it(self, a: QueueAdmission) -> None:
+        """Guards against work for an upstream that leaves, and in a domain or node that is out."""
+        a.set_upstream(LEAVING)
+        self.assertIsInstance(await self.refused(a, spec()), UpstreamDraining)
+        a.set_upstream(None)
+        self.assertIsInstance(await self.refused(a, spec()), NoTarget)
+        a.set_upstream(RECORD)
+        a.set_domain_out(True)
+        self.assertIsInstance(await self.refused(a, spec()), DomainOut)
+        a.set_domain_out(False)
+        a.set_draining(True)
+        self.assertIsInstance(await self.refused(a, spec()), NodeDraining)
+
+    @played
+    async def test_notice_to_leave_empties_the_queue(self, a: QueueAdmission) -> None:
+        """Guards against queued work that starts at an upstream after its notice."""
+        for _ in range(2):
+            await admitted(a, spec())
+        found: list[Refusal] = []
+
+        async def wait() -> None:
+            found.append(await self.refused(a, spec()))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(wait)
+            await trio.sleep(0.05)
+            a.set_upstream(LEAVING)
+        self.assertIsInstance(found[0], UpstreamDraining)
+
+    @played
+    async def test_domain_that_returns_counts_as_cold(self, a: QueueAdmission) -> None:
+        """Guards against full load for upstreams that were restarted while they were out."""
+        a.set_domain_out(True)
+        a.set_domain_out(False)
+        started = 0
+        with trio.move_on_after(0.9):
+            while True:
+                a.release(await admitted(a, spec()), DONE)
+                started += 1
+        # The backend bears 16 calls a second while it is cold.
+        self.assertLessEqual(started, 16)
+
+    @played
+    async def test_slow_upstream_declines_if_another_is_better(self, a: QueueAdmission) -> None:
+        """Guards against a call that runs four times as long since its entry node knew too late."""
+        a.note_probe(RECORD, {b"x-load": b"0,0,2,400"})
+        self.assertIsInstance(await self.refused(a, spec(decline_above=2.0)), UpstreamSlow)
+        await admitted(a, spec())
+        await trio.sleep(1.0)
+        await admitted(a, spec(decline_above=2.0))
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,6 +20,7 @@
     Refusal,
     UpstreamFailed,
     UpstreamShed,
+    UpstreamSlow,
 )
 from knapweedhitch.exchange import BodySource, CallSpec, ResponseSink
 from knapweedhitch.framing import header_names
@@ -98,6 +99,7 @@
         kernel.add("picker", Picker(kernel))
         kernel.add("retry", RetryPolicy(kernel))
         kernel.add("announce", SimpleNamespace(current=None))
+        kernel.add("admission", SimpleNamespace(load=lambda: None))
         kernel.add("gate", self)
         kernel.add("forward", self)
         self.relay = Relay(kernel)
@@ -191,6 +193,15 @@
             await world.ask("/safe/x")
         self.assertLessEqual(len(world.seen), 44)
 
+    @played
+    async def test_only_the_first_target_may_decline_for_its_slowdown(self) -> None:
+        """Guards against a call that wanders between upstreams that are all slow."""
+        world = await started([failing(UpstreamSlow()), failing(NoRoom()), failing(NoRoom())])
+        self.assertTrue((await world.ask("/safe/x")).startswith(b"HTTP/1.1 200"))
+        limits = [spec.decline_above for spec in world.seen]
+        self.assertLess(limits[0], 10.0)
+        self.assertEqual(limits[1:], [float("inf")] * 3)
+
     @played
     async def test_answered_failure_is_passed_on_when_no_other_target_has_room(self) -> None:
         """Guards against our own failure in place of the answer that an upstream gave."""
