--- a/tests/test_queueadmission.py
+++ b/tests/test_queueadmission.py
@@ -163,8 +163,11 @@
         started = 0
         with trio.move_on_after(0.9):
             while True:
-                a.release(await admitted(a, spec()), DONE)
-                started += 1
+                try:
+                    a.release(await admitted(a, spec()), DONE)
+                    started += 1
+                except NoRoom:
+                    await trio.sleep(0.01)
         # The backend bears 16 calls a second while it is cold.
         self.assertLessEqual(started, 16)
 
