--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -7,12 +7,11 @@
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import CallerGone, Refusal
 from knapweedhitch.framing import HeaderNames, RequestHead
-from knapweedhitch.http1 import READ_BYTES, ServerConnection
+from knapweedhitch.http1 import READ_BYTES, ServerConnection, linger
 from knapweedhitch.ingressapi import RequestHandler
 from knapweedhitch.settings import CallerSettings
 from knapweedhitch.sockets import receive_when_ready, send_at_once
 
-MAX_LINGER_BYTES = 1_048_576
 # More bytes sent ahead wait in the socket; a caller that closes behind them is noticed later.
 MAX_AHEAD_BYTES = 65_536
 
@@ -104,7 +103,7 @@
                 await self._wait_slot_end()
             nursery.cancel_scope.cancel()
         if self._must_linger:
-            await self._linger()
+            await linger(self.stream, self._cfg.linger_ms)
 
     async def _next(self, nursery: trio.Nursery) -> bool:
         """Take one request; return False when the connection takes no further one."""
@@ -205,15 +204,3 @@
     async def _wait_slot_end(self) -> None:
         self._slot_ended = trio.Event()
         await self._slot_ended.wait()
-
-    async def _linger(self) -> None:
-        # Closing with unread bytes resets the connection, and the caller may lose the answer.
-        with trio.move_on_after(self._cfg.linger_ms / 1_000):
-            try:
-                if isinstance(self.stream, trio.abc.HalfCloseableStream):
-                    await self.stream.send_eof()
-                left = MAX_LINGER_BYTES
-                while left > 0 and (data := await self.stream.receive_some(READ_BYTES)):
-                    left -= len(data)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                pass
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -296,23 +296,11 @@
     async def close(self) -> None:
         """Close; after a whole answer to an unread body wait a bounded time for the caller."""
         if self.answer_ended and not self._broken and self._conn.their_state is not h11.DONE:
-            await self._linger()
+            await linger(self.stream, self.cfg.linger_ms)
         elif self.answer_started and not self.answer_ended:
             self.reset(self.stream)
         await trio.aclose_forcefully(self.stream)
 
-    async def _linger(self) -> None:
-        # Closing with unread bytes resets the connection, and the caller may lose the answer.
-        with trio.move_on_after(self.cfg.linger_ms / 1_000):
-            try:
-                if isinstance(self.stream, trio.abc.HalfCloseableStream):
-                    await self.stream.send_eof()
-                left = MAX_LINGER_BYTES
-                while left > 0 and (data := await self.stream.receive_some(READ_BYTES)):
-                    left -= len(data)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                pass
-
     def unread(self) -> bytes:
         """Return the bytes that the caller has sent behind the present request."""
         return bytes(self._conn.trailing_data[0])
@@ -331,6 +319,22 @@
                 pass
 
 
+async def linger(stream: trio.abc.Stream, linger_ms: float) -> None:
+    """Read what a caller still sends, for a bounded time, before its connection is closed.
+
+    Closing with unread bytes resets the connection, and the caller may lose the answer.
+    """
+    with trio.move_on_after(linger_ms / 1_000):
+        try:
+            if isinstance(stream, trio.abc.HalfCloseableStream):
+                await stream.send_eof()
+            left = MAX_LINGER_BYTES
+            while left > 0 and (data := await stream.receive_some(READ_BYTES)):
+                left -= len(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+
 def _informational(status: int, headers: Headers) -> h11.InformationalResponse:
     return h11.InformationalResponse(status_code=status, headers=list(headers))
 
--- a/knapweedhitch/platform/apis.py
+++ b/knapweedhitch/platform/apis.py
@@ -8,6 +8,7 @@
 
 from knapweedhitch import changes, logs
 from knapweedhitch.changes import Change, DomainIn, DomainOut, Operation, PatchItems
+from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import (
     AnnouncementInvalid,
     ChangeError,
@@ -40,15 +41,14 @@
     return Reply(b"{}", status)
 
 
-@service("platform_readiness")
-class Readiness:
-    """Answer whether clients may send work to this machine."""
+class Api:
+    """Serve one address of the platform; subclasses answer its requests."""
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, address: str | None, place: str) -> None:
         self._kernel = kernel
-        place = parse_listener(_boot().listen.ready, "listen.ready")
-        counters = kernel.get("counters")
-        self._server = ApiServer(place, kernel.cfg.operator, counters, self._answer)
+        self._counters: Counters = kernel.get("counters")
+        listener = parse_listener(address, place)
+        self._server = ApiServer(listener, kernel.cfg.operator, self._counters, self._answer)
 
     async def start(self) -> None:
         """Open the listener; raises OSError."""
@@ -58,6 +58,17 @@
         """Close the listener."""
         self._server.close()
 
+    async def _answer(self, req: OperatorRequest) -> Reply:
+        raise NotFound
+
+
+@service("platform_readiness")
+class Readiness(Api):
+    """Answer whether clients may send work to this machine."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        super().__init__(kernel, _boot().listen.ready, "listen.ready")
+
     async def _answer(self, req: OperatorRequest) -> Reply:
         if req.segments != (PREFIX, "readiness"):
             raise NotFound
@@ -65,25 +76,18 @@
 
 
 @service("platform_heartbeats")
-class Heartbeats:
+class Heartbeats(Api):
     """Take what the target on this machine says of itself."""
 
     def __init__(self, kernel: Kernel) -> None:
-        self._kernel = kernel
-        place = parse_listener(_boot().listen.control, "listen.control")
-        self._counters = kernel.get("counters")
-        self._server = ApiServer(place, kernel.cfg.operator, self._counters, self._answer)
+        super().__init__(kernel, _boot().listen.control, "listen.control")
 
     async def start(self) -> None:
         """Open the listener; raises OSError."""
         self._announce = self._kernel.get("announce")
         self._admission = self._kernel.get("admission")
         self._config = self._kernel.get("config")
-        await self._server.start(self._kernel.nursery)
-
-    async def stop(self) -> None:
-        """Close the listener."""
-        self._server.close()
+        await super().start()
 
     async def _answer(self, req: OperatorRequest) -> Reply:
         match req.method, *req.segments:
@@ -119,24 +123,17 @@
 
 
 @service("platform_operators")
-class Operators:
+class Operators(Api):
     """Take the calls of operators."""
 
     def __init__(self, kernel: Kernel) -> None:
-        self._kernel = kernel
-        place = parse_listener(_boot().listen.control, "listen.control")
-        counters = kernel.get("counters")
-        self._server = ApiServer(place, kernel.cfg.operator, counters, self._answer)
+        super().__init__(kernel, _boot().listen.control, "listen.control")
 
     async def start(self) -> None:
         """Open the listener; raises OSError."""
         self._control = self._kernel.get("control")
         self._config = self._kernel.get("config")
-        await self._server.start(self._kernel.nursery)
-
-    async def stop(self) -> None:
-        """Close the listener."""
-        self._server.close()
+        await super().start()
 
     async def _answer(self, req: OperatorRequest) -> Reply:
         match req.method, *req.segments:
