Serve sooner after all processes have restarted

The first election waits 0.15 to 0.3 s, a node without any state polls each 100 ms, and a node that has heard nothing asks the target at its configured address who it is.

--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -30,6 +30,7 @@
 INSTANCE = re.compile(r"[!-~]{1,128}\Z")
 MAX_COUNT = 1_000_000
 MAX_GONE = 1_000
+NOTHING_HEARD = (-1, -1)
 MAX_INCARNATION = (1 << 63) - 1
 FIELDS = ("service", "address", "slots", "connections", "instance_id", "incarnation", "state")
 
@@ -97,7 +98,7 @@
         self._renewed_ms = 0.0
         self.current: UpstreamRecord | None = None
         # Incarnation and sequence of the newest heartbeat, and whose it was.
-        self._heartbeat = (-1, -1)
+        self._heartbeat = NOTHING_HEARD
         self._heartbeat_of = ("", -1)
         # The last start of each upstream that has said that it leaves, oldest first.
         self._gone: dict[str, int] = {}
@@ -215,6 +216,17 @@
         self._admission.note_cold(cold_ms)
         return True
 
+    @property
+    def has_heard(self) -> bool:
+        """Tell whether the upstream has said anything since this node started."""
+        return self._heartbeat != NOTHING_HEARD or bool(self._gone)
+
+    def assume(self, record: UpstreamRecord) -> None:
+        """Take what a probe has found, until the upstream speaks for itself."""
+        if not self.has_heard and self.current is None:
+            self._renewed_ms = self._timers.now_ms()
+            self._set(record, "probed")
+
     def deregister(self, instance_id: str, incarnation: int | None) -> None:
         """Drop an upstream that says it leaves; an incarnation of None is the current one."""
         known_id, known_incarnation = self._heartbeat_of
--- a/knapweedhitch/election.py
+++ b/knapweedhitch/election.py
@@ -36,7 +36,9 @@
 
     async def _wait_for_silence(self) -> None:
         s = self._s
-        timeout_ms = s.cfg.election_timeout_ms * (1.0 + s.rng.random())
+        has_heard = s.heard_ms > -math.inf
+        base_ms = s.cfg.election_timeout_ms if has_heard else s.cfg.first_election_timeout_ms
+        timeout_ms = base_ms * (1.0 + s.rng.random())
         silent_at_ms = now_ms() + timeout_ms
         while s.role is Role.FOLLOWER:
             await trio.sleep_until(silent_at_ms / MS_PER_S)
--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -139,8 +139,14 @@
             self._poll_soon()
 
     def _hurry(self) -> None:
-        """Poll more often around the end of the lease, as a new leader may just have a proof."""
+        """Poll more often around the end of the lease, as a new leader may just have a proof.
+
+        A node that may serve without proof polls as often until it has learnt any state.
+        """
         age_ms, lease_ms = self.age_ms(), self._cfg.config_lease_ms
+        if self._cfg.serve_stale and not self.current.version:
+            self._poll_soon()
+            return
         # Bounded in time, so that a majority lost for long does not raise the load of polls.
         if age_ms is not None and 0.75 * lease_ms < age_ms < 1.25 * lease_ms:
             self._poll_soon()
--- a/knapweedhitch/framing.py
+++ b/knapweedhitch/framing.py
@@ -52,6 +52,7 @@
     not_run: bytes
     load: bytes
     cold: bytes
+    instance: bytes
     # Two values of one of these would let two readers act on different ones.
     single: frozenset[bytes]
     # Set by this system on requests to upstreams, whatever a caller has sent.
--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import trio
 
 from knapweedhitch import framing, logs
@@ -14,11 +16,13 @@
 from knapweedhitch.exchange import CallSpec, Headers
 from knapweedhitch.http1_client import ClientConnection
 from knapweedhitch.kernel import Kernel, service
-from knapweedhitch.model import LoadSample, UpstreamRecord, UpstreamState
+from knapweedhitch.model import Address, LoadSample, UpstreamRecord, UpstreamState
 from knapweedhitch.payload import NoBody
 from knapweedhitch.pool import connect_tcp
+from knapweedhitch.upstreamload import parse_load
 
 MS_PER_S = 1_000.0
+FOUND = 200
 
 
 class _ProbeAnswer:
@@ -75,6 +79,9 @@
         while True:
             await trio.sleep(interval_ms / MS_PER_S)
             record: UpstreamRecord | None = self._announce.current
+            if record is None and self._cfg.address.port and not self._announce.has_heard:
+                await self._find()
+                continue
             if record is None or record.state is not UpstreamState.SERVING:
                 continue
             if self._admission.load_age_ms < interval_ms or not self._is_in_use():
@@ -86,7 +93,27 @@
         idle_ms: float = self._admission.idle_ms
         return idle_ms < self._kernel.cfg.routing.interest_ms
 
-    async def _probe(self, record: UpstreamRecord) -> None:
+    async def _find(self) -> None:
+        """Announce the upstream that answers at its configured address."""
+        name = self._kernel.cfg.node.service
+        backend = self._config.current.items.backends.get(name)
+        if backend is None:
+            return
+        address = Address(self._cfg.address.host, self._cfg.address.port)
+        unknown = UpstreamRecord(name, address, 1, backend.max_connections, "", 0)
+        answer = await self._probe(unknown)
+        if answer is None or answer.status != FOUND:
+            return
+        headers = dict(answer.headers)
+        load = parse_load(headers.get(self._names.load, b""))
+        instance_id = headers.get(self._names.instance, b"").decode("latin-1")
+        if load is not None and load.slots and instance_id:
+            found = dataclasses.replace(unknown, slots=load.slots, instance_id=instance_id)
+            self._announce.assume(found)
+            self._admission.note_probe(found, headers)
+
+    async def _probe(self, record: UpstreamRecord) -> _ProbeAnswer | None:
+        """Return the answer of an upstream, None if there was none in time."""
         answer = _ProbeAnswer()
         try:
             with trio.fail_after(self._cfg.probe_timeout_ms / MS_PER_S):
@@ -94,15 +121,16 @@
         except (OSError, trio.TooSlowError, UpstreamError, Refusal, CallerGone) as exc:
             self._counters.add("probe_failed", type(exc).__name__)
             await self._drop()
-            return
+            return None
         except Exception as exc:
             # Whatever an upstream sends, the node goes on without the probe.
             self._counters.add("probe_failed", type(exc).__name__)
             logs.warning("probe_fault", error=type(exc).__name__, detail=exc)
             await self._drop()
-            return
+            return None
         self._counters.add("probes")
         self._admission.note_probe(record, dict(answer.headers))
+        return answer
 
     async def _ask(self, record: UpstreamRecord, answer: _ProbeAnswer) -> None:
         conn = self._conn
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -46,6 +46,7 @@
     not_run="not-executed",
     load="server-load",
     cold="cold-ms",
+    instance="instance-id",
 )
 
 
@@ -98,6 +99,7 @@
     bounds: Bounds
     # The service of the target on this machine; control machines have none.
     service: str | None = None
+    app_address: str | None = pydantic.Field(alias="appAddr", default=None)
 
 
 def parse_boot(text: str, place: str) -> Boot:
@@ -160,6 +162,7 @@
             data_dir=boot.data_dir,
             heartbeat_ms=200,
             election_timeout_ms=700,
+            first_election_timeout_ms=150,
             max_voters=2 * boot.fault_tolerance.machines + 1,
             may_form_group=boot.bootstrap,
             confirm_restarts=False,
@@ -197,6 +200,7 @@
             idle_timeout_ms=5_000,
             silent_ratio=1.0,
             probe_interval_ms=80,
+            address=parse_listener(boot.app_address, f"{place}: appAddr"),
         ),
         admission=AdmissionSettings(slots_share=0.84),
         routing=RoutingSettings(
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -91,8 +91,9 @@
     # Read from the upstream's answer: the request was not run, and the load of the upstream.
     not_run: OptionalFieldName = ""
     load: OptionalFieldName = ""
-    # Read from the answer of a probe: the milliseconds until the upstream is warm.
+    # Read from the answer of a probe: the milliseconds until the upstream is warm, and its id.
     cold: OptionalFieldName = ""
+    instance: OptionalFieldName = ""
 
 
 @dataclass(frozen=True, config=_STRICT)
@@ -120,6 +121,8 @@
     data_dir: str | None = None
     heartbeat_ms: Ms = 100
     election_timeout_ms: Ms = 600
+    # The same after a start, until a leader was heard: most often all have started together.
+    first_election_timeout_ms: Ms = 600
     call_timeout_ms: Ms = 300
     max_batch_entries: Count = 256
     max_pending_proposals: Count = 1_024
@@ -258,6 +261,9 @@
     # Ask the upstream for its load when no answer has told it for this long; 0 is never.
     probe_interval_ms: Annotated[int, Field(ge=0, le=3_600_000)] = 0
     probe_timeout_ms: Ms = 200
+    # Where the own upstream listens, if the deployment says so; port 0 is unknown. A node that has
+    # started asks it who it is and need not wait for its next announcement.
+    address: Listener = Listener()
     # Accept an answer without length whose end is the orderly end of its connection.
     accept_unframed: bool = False
 
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -27,6 +27,7 @@
 
 OLD = UpstreamRecord("robes", Address("10.0.0.1", 80), 6, 100, "i-1", 1_000)
 NEW = dataclasses.replace(OLD, instance_id="i-2", incarnation=2_000)
+PROBED = -1
 LEAVING = dataclasses.replace(OLD, state=UpstreamState.LEAVING)
 
 
@@ -59,6 +60,8 @@
             for record, sequence in steps:
                 if isinstance(record, str):
                     announce.deregister(record, sequence or None)
+                elif sequence == PROBED:
+                    announce.assume(record)
                 else:
                     announce.observe(record, sequence, 0.0)
 
@@ -101,6 +104,19 @@
         again = dataclasses.replace(OLD, incarnation=3_000)
         self.assertEqual(self.run_with(("i-1", 1_000), (again, 1)).current, again)
 
+    def test_probed_upstream_holds_until_a_heartbeat(self) -> None:
+        """Guards against a restarted node that sends nothing to its upstream for a heartbeat."""
+        probed = dataclasses.replace(OLD, incarnation=0)
+        for steps, expected in (
+            ((), probed),
+            (((OLD, 5),), OLD),
+            (((LEAVING, 5),), LEAVING),
+            ((("i-1", 1_000),), None),
+        ):
+            announce = self.run_with(*steps, (probed, PROBED))
+            self.assertEqual(announce.current, expected)
+        self.assertEqual(self.run_with((probed, PROBED), (OLD, 1)).current, OLD)
+
     def test_late_deregistration_of_an_earlier_start_is_ignored(self) -> None:
         """Guards against a running upstream that is dropped for one that has gone."""
         self.assertEqual(self.run_with((OLD, 5), (NEW, 1), ("i-1", 1_000)).current, NEW)
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -130,6 +130,35 @@
         run(check, may_form_group=False)
 
 
+class StartTest(unittest.TestCase):
+    def test_group_that_restarts_whole_leads_again_at_once(self) -> None:
+        """Guards against nodes without a configuration for the time of a normal election."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_voters(cluster, *NAMES[:5])
+            await cluster.change()
+            for name in NAMES[:5]:
+                await cluster.crash(name)
+            for name in NAMES[:5]:
+                await cluster.restart(name)
+            await cluster.wait_leader(timeout_ms=600.0)
+
+        run(check, first_election_timeout_ms=150, election_timeout_ms=2_000)
+
+    def test_one_that_restarts_does_not_disturb_the_leader(self) -> None:
+        """Guards against an election for each instance that comes back early."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_voters(cluster, *NAMES[:5])
+            leader = await cluster.wait_leader()
+            other = next(name for name in NAMES[:5] if name != leader.node_id)
+            await cluster.restart(other)
+            await trio.sleep(3.0)
+            self.assertIs(cluster.leader(), leader)
+
+        run(check, first_election_timeout_ms=30)
+
+
 class DiskTest(unittest.TestCase):
     def test_replica_goes_on_when_its_disk_takes_writes_again(self) -> None:
         """Guards against a disk that was full for seconds and takes its member out for good."""
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -115,6 +115,7 @@
             "faultTolerance": {"machines": 1},
             "bounds": {"graceS": 6},
             "service": None if is_core else "robes",
+            "appAddr": f"{ip}:{self.base + 9}",
         }
         path = Path(self.folder.name) / f"{ip}.yaml"
         path.write_text(yaml.dump(raw))
@@ -212,8 +213,8 @@
         self.kill(*self.processes)
         self.start(*CORES, *APPS)
         self.until("read after a restart of all", self.read, self.patch["upsert"])
+        self.until("answer before any heartbeat", lambda: self.ask(APPS[1]), 200)
         self.until("heartbeat after it", lambda: self.heartbeat(seq=2), 200)
-        self.until("answer after it", lambda: self.ask(APPS[1]), 200)
 
         self.assertEqual(self.heartbeat("draining", seq=3), 200)
         ran = len(StandInTarget.seen)
