Tell calls apart that are alike in all fields

A second call of the same moment could leave the queue in place of the first one, whose waiter was then missing at its turn. Found by reading; the test failed before.

--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -23,9 +23,12 @@
 INITIAL_MEAN_MS = 50.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(frozen=True, slots=True, eq=False)
 class Work:
-    """Hold what decides about one call; times are on the monotonic clock in milliseconds."""
+    """Hold what decides about one call; times are on the monotonic clock in milliseconds.
+
+    Two calls may be alike in all fields, so only the same object is equal.
+    """
 
     priority: int
     arrived_ms: float
--- a/tests/test_workqueue.py
+++ b/tests/test_workqueue.py
@@ -147,6 +147,19 @@
         self.assertEqual(replay.share("lookup", "timely"), 1.0)
 
 
+class IdentityTest(unittest.TestCase):
+    def test_calls_that_are_alike_are_kept_apart(self) -> None:
+        """Guards against two calls of one moment, of which the wrong one leaves the queue."""
+        made = queue(limit=1)
+        made.start(0.0)
+        first, second = (Work(1, 0.0, 900.0, 500.0, "lookup") for _ in range(2))
+        made.enqueue(first)
+        made.enqueue(second)
+        made.drop(second)
+        made.finish(100.0, "lookup")
+        self.assertIs(made.next(10.0), first)
+
+
 class ColdTest(unittest.TestCase):
     def test_no_sliding_second_holds_more_starts_than_a_cold_upstream_bears(self) -> None:
         """Guards against a cold upstream that falls over, at any phase of the second."""
