Use one sliding window in the queue and one rule for targets that may take work

The queue had two classes that differed in the length of the window; the relay filtered targets by a copy of the dispatcher's rule.

--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -32,8 +32,9 @@
 from knapweedhitch.hedge import Hedge
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.kernel import Kernel
-from knapweedhitch.model import CallResult, ServiceConfig, Target, UpstreamState
+from knapweedhitch.model import CallResult, ServiceConfig, Target
 from knapweedhitch.payload import Replayable
+from knapweedhitch.pick import serving_targets
 from knapweedhitch.pool import refused_result
 
 # Refusals about one target; another target, or the same one later, may take the call.
@@ -156,14 +157,7 @@
 
     def _pick(self, call: Call, excluded: frozenset[str], cause: str) -> Target | None:
         current = self._config.current
-        targets = tuple(
-            target
-            for target in self._membership.targets(call.svc.name)
-            if not target.draining
-            and target.upstream.state is UpstreamState.SERVING
-            and not current.is_domain_out(target.domain)
-            and target.node_id not in current.draining_nodes
-        )
+        targets = serving_targets(self._membership.targets(call.svc.name), current)
         picked = self._picker.pick(call.svc, targets, excluded, self._node.domain, self._node.id)
         target: Target | None = picked.target
         if target is not None:
--- a/knapweedhitch/pick.py
+++ b/knapweedhitch/pick.py
@@ -389,6 +389,18 @@
         return []
 
 
+def serving_targets(targets: Sequence[Target], current: Configuration) -> tuple[Target, ...]:
+    """Return the targets that have not announced to leave and that operators have not taken out."""
+    return tuple(
+        target
+        for target in targets
+        if not target.draining
+        and target.upstream.state is UpstreamState.SERVING
+        and not current.is_domain_out(target.domain)
+        and target.node_id not in current.draining_nodes
+    )
+
+
 def _candidate(
     target: Target, views: dict[str, LoadView], own_domain: str, own_node: str, leases: Any
 ) -> Candidate:
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -24,9 +24,9 @@
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.items import RouteItem
 from knapweedhitch.kernel import Kernel
-from knapweedhitch.model import CallResult, ServiceConfig, Target, UpstreamState
+from knapweedhitch.model import CallResult, ServiceConfig, Target
 from knapweedhitch.payload import Replayable
-from knapweedhitch.pick import PickResult
+from knapweedhitch.pick import PickResult, serving_targets
 from knapweedhitch.pool import refused_result
 
 POLICY = "expected-time"
@@ -135,13 +135,7 @@
 
     def _pick(self, call: RelayCall, cause: str) -> Target | None:
         current = self._config.current
-        targets = tuple(
-            target
-            for target in self._membership.targets(call.svc.name)
-            if not target.draining
-            and target.upstream.state is UpstreamState.SERVING
-            and not current.is_domain_out(target.domain)
-        )
+        targets = serving_targets(self._membership.targets(call.svc.name), current)
         node = self._cfg.node
         # The load that came with a declined call tells whether its target is still the best one.
         excluded = frozenset(call.instances) - call.declined
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -40,9 +40,10 @@
 
 
 class RateWindow:
-    """Count the starts of the last second, so that no sliding second holds more than a limit."""
+    """Count the starts of a sliding window."""
 
-    def __init__(self) -> None:
+    def __init__(self, window_ms: float) -> None:
+        self._window_ms = window_ms
         self._starts_ms: collections.deque[float] = collections.deque()
 
     def note(self, now_ms: float) -> None:
@@ -50,39 +51,23 @@
         self._starts_ms.append(now_ms)
         self._trim(now_ms)
 
-    def wait_ms(self, now_ms: float, per_s: float) -> float:
-        """Return the time until another start keeps the limit, zero if it may be now."""
+    def per_ms(self, now_ms: float) -> float:
+        """Return the starts for each millisecond of the window, at least one in the window."""
         self._trim(now_ms)
-        if per_s == math.inf:
+        return max(1, len(self._starts_ms)) / self._window_ms
+
+    def wait_ms(self, now_ms: float, allowed: float) -> float:
+        """Return the time until another start keeps the window within a number of starts."""
+        self._trim(now_ms)
+        if allowed == math.inf:
             return 0.0
-        allowed = max(1, int(per_s))
+        allowed = max(1, int(allowed))
         if len(self._starts_ms) < allowed:
             return 0.0
-        return self._starts_ms[-allowed] + MS_PER_S - now_ms
-
-    def _trim(self, now_ms: float) -> None:
-        while self._starts_ms and self._starts_ms[0] <= now_ms - MS_PER_S:
-            self._starts_ms.popleft()
-
-
-class StartRate:
-    """Tell how fast the calls of one priority leave the queue while it is never empty."""
-
-    def __init__(self) -> None:
-        self._starts_ms: collections.deque[float] = collections.deque()
-
-    def note(self, now_ms: float) -> None:
-        """Count a start."""
-        self._starts_ms.append(now_ms)
-        self._trim(now_ms)
-
-    def per_ms(self, now_ms: float) -> float:
-        """Return the starts for each millisecond of the window, at least one in the window."""
-        self._trim(now_ms)
-        return max(1, len(self._starts_ms)) / RATE_WINDOW_MS
+        return self._starts_ms[-allowed] + self._window_ms - now_ms
 
     def _trim(self, now_ms: float) -> None:
-        while self._starts_ms and self._starts_ms[0] <= now_ms - RATE_WINDOW_MS:
+        while self._starts_ms and self._starts_ms[0] <= now_ms - self._window_ms:
             self._starts_ms.popleft()
 
 
@@ -95,12 +80,12 @@
         self.running = 0
         self.mean_ms = INITIAL_MEAN_MS
         self.waiting: list[Work] = []
-        self._rates: dict[int, StartRate] = {}
+        self._rates: dict[int, RateWindow] = {}
         self._means_ms: dict[str, float] = {}
         self._queued_since_ms: float | None = None
         # How many times longer than usual work takes now, as the upstream says.
         self.slowdown = 1.0
-        self._starts = RateWindow()
+        self._starts = RateWindow(MS_PER_S)
         self._cold_until_ms = -math.inf
         self._cold_per_s = math.inf
 
@@ -181,7 +166,7 @@
         self.running += 1
         self._starts.note(now_ms)
         if priority not in self._rates and len(self._rates) < MAX_PRIORITIES:
-            self._rates[priority] = StartRate()
+            self._rates[priority] = RateWindow(RATE_WINDOW_MS)
         if priority in self._rates:
             self._rates[priority].note(now_ms)
 
--- a/tests/test_workqueue.py
+++ b/tests/test_workqueue.py
@@ -187,6 +187,6 @@
 
     def test_unlimited_rate(self) -> None:
         """Guards against an unknown cold rate, which is infinite, that cannot be counted with."""
-        window = RateWindow()
+        window = RateWindow(1_000.0)
         window.note(0.0)
         self.assertEqual(window.wait_ms(0.0, float("inf")), 0.0)
