Report the rate limit that an upstream names: event and counters

The headers of a response are now parsed into one typed report; queue admission logs a change of the limit and counts the calls that start above it. Nothing acts on the limit yet.

A response 421 comes from another instance, so its load no longer counts for the expected one.

--- a/knapweedhitch/framing.py
+++ b/knapweedhitch/framing.py
@@ -55,6 +55,8 @@
     caller_service: bytes
     not_run: bytes
     load: bytes
+    limit: bytes
+    leaving: bytes
     cold: bytes
     instance: bytes
     # Must not be repeated, since two parsers could each use a different value.
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -11,6 +11,7 @@
 import trio
 
 from knapweedhitch import framing
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.exceptions import (
     UpstreamClosed,
     UpstreamNotRun,
@@ -21,6 +22,7 @@
 from knapweedhitch.model import LoadSample
 from knapweedhitch.settings import UpstreamSettings
 from knapweedhitch.sockets import receive_when_ready, send_at_once
+from knapweedhitch.upstreamload import UpstreamReport, parse_report
 
 READ_BYTES = 65_536
 MISDIRECTED_STATUS = 421
@@ -62,11 +64,12 @@
         self._conn = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=cfg.max_response_header_bytes
         )
+        self.started_s = math.inf
         self._request_sent_s = math.inf
         self._first_byte_s = math.inf
         self.echoes_exchange_id = False
         self._writer_error: Exception | None = None
-        self.on_load: Callable[[bytes], None] = lambda value: None
+        self.on_report: Callable[[UpstreamReport], None] = lambda report: None
         # The ids of the last requests on this connection.
         self.recent_request_ids: collections.deque[bytes] = collections.deque(
             maxlen=MAX_RECENT_REQUEST_IDS
@@ -94,7 +97,7 @@
         wire = self._conn.send(request) or b""
         sink.mark_dispatched()
         reader = _ResponseReader(self, spec, exchange_id, sink, load, first_byte_timeout_ms)
-        started_s = trio.current_time()
+        self.started_s = started_s = trio.current_time()
         if await self._send_request(wire, spec, body):
             status = await reader.read()
         else:
@@ -289,7 +292,7 @@
                 headers = framing.response_headers(list(event.headers), self._conn.names)
                 await self._sink.informational(event.status_code, headers)
         self._validate(event)
-        self._report_load(event)
+        self._pass_report(event)
         if self._was_not_run(event):
             await self._skip_body()
             raise UpstreamNotRun(f"status {event.status_code}", bytes_sent=True)
@@ -321,10 +324,14 @@
         await self._skip_body(finish=False)
         self._conn.expect_another_response(self._spec.method)
 
-    def _report_load(self, event: h11.Response) -> None:
-        for name, value in event.headers:
-            if name == self._conn.names.load:
-                self._conn.on_load(value)
+    def _pass_report(self, event: h11.Response) -> None:
+        if event.status_code == MISDIRECTED_STATUS:
+            # Another instance has responded, so its report does not describe the expected one.
+            return
+        names, instance_id = self._conn.names, self._spec.instance_id
+        self._conn.on_report(
+            parse_report(event.headers, names, instance_id, self._conn.started_s * MS_PER_S)
+        )
 
     def _was_not_run(self, event: h11.Response) -> bool:
         names = self._conn.names
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -47,6 +47,8 @@
     caller_service="caller-service",
     not_run="not-executed",
     load="server-load",
+    limit="server-limit",
+    leaving="server-leaving",
     cold="cold-ms",
     instance="instance-id",
 )
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -28,6 +28,7 @@
 from knapweedhitch.http1_client import ClientConnection, ExchangeTimes
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import SAFE_METHODS, Address, CallResult, LoadSample
+from knapweedhitch.upstreamload import UpstreamReport
 
 SWEEP_INTERVAL_MS = 1_000
 # An established connection can go silent without being closed. With these options a request that
@@ -93,7 +94,7 @@
         self._cfg = kernel.cfg.upstream
         self._names = framing.header_names(kernel.cfg.headers)
         self._connect = connect
-        self._on_load: Callable[[bytes], None] = lambda value: None
+        self._on_report: Callable[[UpstreamReport], None] = lambda report: None
         self._idle: dict[Address, list[ClientConnection]] = {}
         self._idle_count = 0
         self._exchange_ids = itertools.count()
@@ -209,12 +210,12 @@
             raise UpstreamUnreachable(Outcome.NOT_RUN, f"{address} {exc}".rstrip()) from None
         self._counters.record("connect", (trio.current_time() - started_s) * 1_000)
         conn = ClientConnection(stream, self._cfg, self._names)
-        conn.on_load = self._on_load
+        conn.on_report = self._on_report
         return conn
 
-    def subscribe_load(self, fn: Callable[[bytes], None]) -> None:
-        """Register the callback that receives the value of each load header of a response."""
-        self._on_load = fn
+    def subscribe_reports(self, fn: Callable[[UpstreamReport], None]) -> None:
+        """Register the callback that receives what an upstream reports in each response."""
+        self._on_report = fn
 
     # Idle connections
 
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -9,7 +9,8 @@
 
 import trio
 
-from knapweedhitch import framing
+from knapweedhitch import framing, logs
+from knapweedhitch.budget import TokenBucket
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
     DeadlineExceeded,
@@ -26,7 +27,8 @@
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import CallResult, LoadSample, UpstreamRecord, UpstreamState, Warmth
 from knapweedhitch.slots import Slot, closed_refusal
-from knapweedhitch.upstreamload import parse_load
+from knapweedhitch.startrate import StartTimes, rate_window
+from knapweedhitch.upstreamload import UpstreamReport, parse_report
 from knapweedhitch.workqueue import MAX_LOAD_AGE_MS, Work, WorkQueue
 
 MS_PER_S = 1_000.0
@@ -37,6 +39,8 @@
 # EWMA weight of the newest gap between calls, and the longest gap that counts.
 GAP_WEIGHT = 0.2
 MAX_GAP_MS = 500.0
+LIMIT_LOG_LINES_PER_S = 1.0
+LIMIT_LOG_BURST = 5.0
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -68,10 +72,18 @@
         # Mean time between calls, which tells how often other nodes need the load.
         self.call_gap_ms = MAX_GAP_MS
         self.queue = WorkQueue(self._cfg)
+        # When the current incarnation of the upstream was announced.
+        self._upstream_since_ms = math.inf
+        # The limit that the upstream has named last, by the kind of response.
+        self._limit_per_s: dict[str, float | None] = {}
+        self._starts = StartTimes()
+        self._limit_log_budget = TokenBucket(
+            LIMIT_LOG_LINES_PER_S, LIMIT_LOG_BURST, self._timers.now_ms
+        )
 
     async def start(self) -> None:
-        """Subscribe to the load that the upstream reports in its responses."""
-        self._kernel.get("pool").subscribe_load(self._record_load)
+        """Subscribe to what the upstream reports in its responses."""
+        self._kernel.get("pool").subscribe_reports(self._on_report)
 
     async def stop(self) -> None:
         """Refuse the queued calls with outcome not-run."""
@@ -147,10 +159,18 @@
     def _start_call(self, queued_ms: float, work: Work) -> Slot:
         slot = Slot(next(self._ids), 0, queued_ms)
         self._routes_by_slot[slot.slot_id] = work.route
-        self.queue.start(self._timers.now_ms(), work.priority)
+        now = self._timers.now_ms()
+        self._count_start(now)
+        self.queue.start(now, work.priority)
         self._counters.record("queue_ms", queued_ms)
         return slot
 
+    def _count_start(self, now: float) -> None:
+        per_s = self._limit_per_s.get("response")
+        if per_s is not None and self._starts.wait_ms(now, *rate_window(per_s)):
+            self._counters.add("starts_over_limit")
+        self._starts.record(now)
+
     def _end_call(self, slot: Slot, service_ms: float | None) -> None:
         self.queue.finish(service_ms, self._routes_by_slot.pop(slot.slot_id))
 
@@ -175,21 +195,49 @@
         """Return the time since the last call requested a slot."""
         return self._timers.now_ms() - self._last_request_ms
 
-    def _record_load(self, value: bytes) -> None:
-        load = parse_load(value)
-        if load is None:
-            self._counters.add("load_unreadable")
+    def _on_report(self, report: UpstreamReport) -> None:
+        """Record the report of a response, unless the upstream has been replaced since."""
+        record = self._record
+        if record is None or report.instance_id != record.instance_id:
+            return
+        if report.requested_ms >= self._upstream_since_ms:
+            self._record_report(report, "response")
+
+    def _record_report(self, report: UpstreamReport, source: str) -> None:
+        for name in report.malformed:
+            self._counters.add("reports_unreadable", name)
+        if "limit" not in report.malformed:
+            self._observe_limit(report.limit_per_s, source)
+        if report.load is None:
             return
         self._load_reported_ms = self._timers.now_ms()
-        self.queue.set_slowdown(load.slowdown, self._load_reported_ms)
+        self.queue.set_slowdown(report.load.slowdown, self._load_reported_ms)
         if self.queue.waiting:
             self._dispatch()
 
+    def _observe_limit(self, per_s: float | None, source: str) -> None:
+        """Log a change of the limit that the upstream names."""
+        before, self._limit_per_s[source] = self._limit_per_s.get(source), per_s
+        if per_s == before:
+            return
+        self._counters.add("upstream_limit_changes", source)
+        if self._limit_log_budget.take():
+            now = self._timers.now_ms()
+            logs.event(
+                "upstream-limit",
+                instance=self._record.instance_id if self._record is not None else "",
+                source=source,
+                per_s=per_s,
+                before=before,
+                started_per_s=self._starts.count_since(now - MS_PER_S),
+            )
+
     def record_probe(self, record: UpstreamRecord, headers: Mapping[bytes, bytes]) -> None:
-        """Record load and warmth from a probe response, unless the upstream has changed since."""
+        """Record what a probe response reports, unless the upstream has changed since."""
         if record != self._record:
             return
-        self._record_load(headers.get(self._names.load, b""))
+        report = parse_report(headers.items(), self._names, record.instance_id, 0.0)
+        self._record_report(report, "probe")
         cold = headers.get(self._names.cold)
         if cold is not None and cold.isdigit():
             self.set_cold_time(float(cold))
@@ -211,10 +259,13 @@
 
     def set_upstream(self, record: UpstreamRecord | None) -> None:
         """Set the announced upstream, or None if there is none."""
-        self._record = record
+        old, self._record = self._record, record
         if record is None:
             self._refuse_queue(NoTarget)
             return
+        if old is None or _identity(old) != _identity(record):
+            self._upstream_since_ms = self._timers.now_ms()
+            self._limit_per_s.clear()
         share = max(1, int(record.slots * self._cfg.slots_share))
         self.queue.limit = min(share, record.connections)
         if self._is_leaving():
@@ -302,6 +353,10 @@
         return refusal
 
 
+def _identity(record: UpstreamRecord) -> tuple[str, int]:
+    return record.instance_id, record.incarnation
+
+
 def _make_work(deadline: Deadline, spec: CallSpec, now_ms: float) -> Work:
     deadline_ms = deadline.at_s * MS_PER_S
     objective_ms = min(deadline_ms, now_ms + spec.target_latency_ms)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -90,6 +90,9 @@
     # Read from responses of the upstream: whether the request was not run, and the load.
     not_run: OptionalFieldName = ""
     load: OptionalFieldName = ""
+    # The requests per second that the upstream takes from all nodes, and whether it is leaving.
+    limit: OptionalFieldName = ""
+    leaving: OptionalFieldName = ""
     # Read from probe responses: the milliseconds until the upstream is warm, and its instance id.
     cold: OptionalFieldName = ""
     instance: OptionalFieldName = ""
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -20,6 +20,7 @@
 from knapweedhitch.model import LoadSample
 from knapweedhitch.payload import NoBody
 from knapweedhitch.settings import HeaderSettings, UpstreamSettings
+from knapweedhitch.upstreamload import UpstreamLoad, UpstreamReport
 
 NAMES = header_names(
     HeaderSettings(
@@ -63,14 +64,14 @@
         self.endless_bytes = 0
         self.elapsed_ms = 0.0
         self.error: UpstreamError | None = None
-        self.loads: list[bytes] = []
+        self.reports: list[UpstreamReport] = []
         trio.run(self._run, parts, method, clock=trio.testing.MockClock(autojump_threshold=0))
 
     async def _run(self, parts: tuple[bytes, ...], method: str) -> None:
         client, server = trio.testing.memory_stream_pair()
         cfg = UpstreamSettings(accept_unframed=True)
         self.conn = ClientConnection(client, cfg, NAMES)
-        self.conn.on_load = self.loads.append
+        self.conn.on_report = self.reports.append
         self.conn.recent_request_ids.append(b"r0")
         spec = CallSpec("r1", "s", "i1", method, b"/", (), False, Deadline.after_ms(1_000), 0, 0, 1)
         headers = ((b"host", b"h"), (b"x-id", b"r1"))
@@ -155,7 +156,7 @@
         exchange = ScriptedExchange(
             b"HTTP/1.1 503 x\r\nX-Not-Run: 1\r\nX-Load: 6,3,6\r\nContent-Length: 0\r\n\r\n"
         )
-        self.assertEqual(exchange.loads, [b"6,3,6"])
+        self.assertEqual([r.load for r in exchange.reports], [UpstreamLoad(6, 3, 6)])
 
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/test_queueadmission.py
+++ b/tests/test_queueadmission.py
@@ -68,7 +68,7 @@
             kernel.add("counters", Counters())
             timers = Timers(kernel)
             kernel.add("timers", timers)
-            kernel.add("pool", SimpleNamespace(subscribe_load=lambda fn: None))
+            kernel.add("pool", SimpleNamespace(subscribe_reports=lambda fn: None))
             items = Items(backends={"s1": backend()})
             kernel.add("config", SimpleNamespace(current=SimpleNamespace(items=items)))
             admission = QueueAdmission(kernel)
