--- /dev/null
+++ b/tests/test_upstreamlimit.py
@@ -0,0 +1,145 @@
+"""Tests of an upstream that names the rate of requests that it takes from all nodes together."""
+
+from __future__ import annotations
+
+import functools
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
+from typing import Any
+
+import trio
+from trio.testing import MockClock
+
+from knapweedhitch.counters import Counters
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import Refusal
+from knapweedhitch.exchange import CallSpec
+from knapweedhitch.items import Items
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.model import Address, CallResult, UpstreamRecord
+from knapweedhitch.queueadmission import QueueAdmission
+from knapweedhitch.settings import (
+    ControlMember,
+    ControlSettings,
+    HeaderSettings,
+    NodeSettings,
+    SecretSettings,
+    Settings,
+)
+from knapweedhitch.timers import Timers
+from knapweedhitch.upstreamload import UpstreamReport
+from tests.test_items import backend
+
+RECORD = UpstreamRecord("s1", Address("10.0.0.1", 80), 6, 100, "i1", 1)
+SERVICE_MS = 160.0
+# The stated bound: in any window, so many times the limit and so many requests beyond it, from
+# CONTACT_S after the limit was first named.
+WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+CONTACT_S = 3.0
+
+
+class LimitedUpstream:
+    """Run calls of many entry nodes through the admission of one upstream."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        self.admission = QueueAdmission(kernel)
+        self.counters: Counters = kernel.get("counters")
+        self.limit_per_s: float | None = None
+        self.instance_id = RECORD.instance_id
+        self.starts_s: list[float] = []
+        self.refusals: list[Refusal] = []
+        self.pass_report: Callable[[UpstreamReport], None] = lambda report: None
+        self._rng = random.Random(22)
+
+    async def call(self, deadline_ms: float = 3_000.0, objective_ms: float = 500.0) -> None:
+        """Run one call and report the limit in its response."""
+        deadline = Deadline.after_ms(deadline_ms)
+        spec = CallSpec(
+            "r", "s1", "i1", "GET", b"/", (), False, deadline, 0, 0, 1,
+            target_latency_ms=objective_ms,
+        )  # fmt: skip
+        try:
+            slot = await self.admission.admit(deadline, spec)
+        except Refusal as exc:
+            self.refusals.append(exc)
+            return
+        started_s = trio.current_time()
+        self.starts_s.append(started_s)
+        await trio.sleep(SERVICE_MS / 1_000)
+        self.respond(started_s)
+        self.admission.release(slot, CallResult(ok=True, service_ms=SERVICE_MS))
+
+    def respond(self, requested_s: float) -> None:
+        """Report what the upstream says in a response to a request."""
+        report = UpstreamReport(self.instance_id, requested_s * 1_000, None, self.limit_per_s)
+        self.pass_report(report)
+
+    async def run_traffic(self, per_s: float, for_s: float) -> None:
+        """Start calls at random times with a mean rate."""
+        end_s = trio.current_time() + for_s
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end_s:
+                nursery.start_soon(self.call)
+                await trio.sleep(self._rng.expovariate(per_s))
+
+    def most_in_window(self, from_s: float) -> int:
+        """Return the most starts in a window that begins at or after a point in time."""
+        starts_s = [at_s for at_s in self.starts_s if at_s >= from_s]
+        return max(
+            (sum(1 for other in starts_s if 0 <= other - at_s < WINDOW_S) for at_s in starts_s),
+            default=0,
+        )
+
+
+def with_upstream(fn: Callable[[Any, LimitedUpstream], Awaitable[None]]) -> Callable[[Any], None]:
+    """Run a test on a mock clock with the admission of one upstream."""
+
+    @functools.wraps(fn)
+    def run(self: Any) -> None:
+        async def main() -> None:
+            kernel = Kernel(
+                Settings(
+                    node=NodeSettings(id="n1", domain="d1"),
+                    secrets=SecretSettings("", ""),
+                    control=ControlSettings(members=(ControlMember("c1", "127.0.0.1", 1),)),
+                    headers=HeaderSettings(limit="x-limit", leaving="x-leaving"),
+                )
+            )
+            kernel.add("counters", Counters())
+            timers = Timers(kernel)
+            kernel.add("timers", timers)
+            pool = SimpleNamespace()
+            pool.subscribe_reports = lambda callback: setattr(pool, "pass_report", callback)
+            kernel.add("pool", pool)
+            items = Items(backends={"s1": backend()})
+            kernel.add("config", SimpleNamespace(current=SimpleNamespace(items=items)))
+            upstream = LimitedUpstream(kernel)
+            async with trio.open_nursery() as nursery:
+                kernel._nursery = nursery
+                await timers.start()
+                await upstream.admission.start()
+                upstream.pass_report = pool.pass_report
+                upstream.admission.set_upstream(RECORD)
+                await fn(self, upstream)
+                nursery.cancel_scope.cancel()
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    return run
+
+
+class LimitTest(unittest.TestCase):
+    @with_upstream
+    async def test_upstream_gets_no_more_than_the_limit_it_named(self, u: LimitedUpstream) -> None:
+        """Guards against an upstream in need that gets far more requests than it says it takes."""
+        for limit_per_s in (4.4, 0.4, 12.0):
+            await u.run_traffic(per_s=25.0, for_s=2.0)
+            u.limit_per_s, named_s = limit_per_s, trio.current_time()
+            await u.run_traffic(per_s=25.0, for_s=20.0)
+            with self.subTest(limit_per_s):
+                allowed = LIMIT_FACTOR * limit_per_s * WINDOW_S + LIMIT_SLACK
+                self.assertLessEqual(u.most_in_window(named_s + CONTACT_S), allowed)
