Pace the calls to an upstream at the limit that it names

Ruled out: a limit that each entry node keeps for itself, and one that a restart forgets; no node kept any, and the first violations came before the planned stop.

The node beside an upstream sees each call to it from all nodes, so the limit is kept there, exactly: starts are paced evenly, at most 250 ms before their turn. A call that would wait longer than another target takes is declined, as for a slow machine; one that cannot be in time is refused at once with the wait as Retry-After. A limit ends with the first response to a request sent after the last one that named it, or with the incarnation. A newly announced upstream is probed at once, so that a restarted node knows the limit before its first calls. Entry nodes get the wait in load reports.

--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -35,7 +35,8 @@
 class _ProbeResponse:
     """Receive the response to a probe."""
 
-    def __init__(self) -> None:
+    def __init__(self, requested_ms: float) -> None:
+        self.requested_ms = requested_ms
         self.status = 0
         self.headers: Headers = ()
 
@@ -123,9 +124,13 @@
             await self._discover()
         elif record is None or record.state is not UpstreamState.SERVING:
             return
-        elif self._admission.load_age_ms >= max_age_ms and self._is_in_use():
+        elif self._admission.load_age_ms >= max_age_ms and self._is_of_interest():
             await self._probe(record)
 
+    def _is_of_interest(self) -> bool:
+        """Return whether the upstream is in use or has yet to respond for the first time."""
+        return self._is_in_use() or not self._admission.has_report
+
     def _is_in_use(self) -> bool:
         """Return whether the upstream had a recent call; otherwise no node needs its load."""
         idle_ms: float = self._admission.idle_ms
@@ -148,11 +153,11 @@
         if load is not None and load.slots and instance_id:
             record = structs.replace(candidate, slots=load.slots, instance_id=instance_id)
             self._announce.accept_probe_result(record)
-            self._admission.record_probe(record, headers)
+            self._admission.record_probe(record, headers, response.requested_ms)
 
     async def _probe(self, record: UpstreamRecord) -> _ProbeResponse | None:
         """Return the response of an upstream, or None if there was none in time."""
-        response = _ProbeResponse()
+        response = _ProbeResponse(self._timers.now_ms())
         try:
             with trio.fail_after(self._cfg.probe_timeout_ms / MS_PER_S):
                 await self._exchange(record, response)
@@ -167,7 +172,7 @@
             await self._close_connection()
             return None
         self._counters.add("probes")
-        self._admission.record_probe(record, dict(response.headers))
+        self._admission.record_probe(record, dict(response.headers), response.requested_ms)
         return response
 
     async def _exchange(self, record: UpstreamRecord, response: _ProbeResponse) -> None:
--- a/knapweedhitch/loadreports.py
+++ b/knapweedhitch/loadreports.py
@@ -43,6 +43,8 @@
     before, after = old.in_flight + old.queued, new.in_flight + new.queued
     if abs(after - before) > MIN_RELEVANT_CHANGE * max(before, new.limit, 1):
         return True
+    if abs(new.wait_ms - old.wait_ms) > MIN_RELEVANT_CHANGE * max(old.wait_ms, new.latency_ms, 1.0):
+        return True
     return abs(new.latency_ms - old.latency_ms) > MIN_RELEVANT_CHANGE * max(old.latency_ms, 1.0)
 
 
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -27,7 +27,6 @@
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import CallResult, LoadSample, UpstreamRecord, UpstreamState, Warmth
 from knapweedhitch.slots import Slot, closed_refusal
-from knapweedhitch.startrate import StartTimes, rate_window
 from knapweedhitch.upstreamload import UpstreamReport, parse_report
 from knapweedhitch.workqueue import MAX_LOAD_AGE_MS, Work, WorkQueue
 
@@ -72,11 +71,13 @@
         # Mean time between calls, which tells how often other nodes need the load.
         self.call_gap_ms = MAX_GAP_MS
         self.queue = WorkQueue(self._cfg)
-        # When the current incarnation of the upstream was announced.
+        # When the current incarnation of the upstream was announced, and whether it has responded
+        # since.
         self._upstream_since_ms = math.inf
-        # The limit that the upstream has named last, by the kind of response.
-        self._limit_per_s: dict[str, float | None] = {}
-        self._starts = StartTimes()
+        self.has_report = False
+        # The rate limit that the upstream names, and when a response named it last.
+        self._limit_per_s: float | None = None
+        self._limit_named_ms = -math.inf
         self._limit_log_budget = TokenBucket(
             LIMIT_LOG_LINES_PER_S, LIMIT_LOG_BURST, self._timers.now_ms
         )
@@ -105,8 +106,7 @@
         work = _make_work(deadline, spec, now)
         if work.deadline_ms <= now + self._cfg.min_service_ms:
             raise self._count_refusal(DeadlineExceeded())
-        slowdown = self.queue.expected_slowdown(work, now)
-        if slowdown > spec.decline_above and self.load_age_ms < MAX_LOAD_AGE_MS:
+        if self._expected_delay(work, now) > spec.decline_above:
             raise self._count_refusal(UpstreamSlow())
         pause_ms = self.queue.pause_ms(work, now)
         if not self.queue.waiting and self.queue.has_room(now) and not pause_ms:
@@ -115,6 +115,12 @@
             raise self._count_refusal(self._no_room(work, now))
         return await self._wait(work)
 
+    def _expected_delay(self, work: Work, now: float) -> float:
+        """Return the expected time of a call relative to its usual service time."""
+        is_known = self.load_age_ms < MAX_LOAD_AGE_MS
+        slowdown = self.queue.expected_slowdown(work, now) if is_known else 1.0
+        return slowdown + self.queue.expected_rate_delay(work, now)
+
     def _record_request(self) -> None:
         now = self._timers.now_ms()
         if self._last_request_ms > -math.inf:
@@ -160,17 +166,12 @@
         slot = Slot(next(self._ids), 0, queued_ms)
         self._routes_by_slot[slot.slot_id] = work.route
         now = self._timers.now_ms()
-        self._count_start(now)
+        if self.queue.start_wait_ms(now) > 0:
+            self._counters.add("starts_over_limit")
         self.queue.start(now, work.priority)
         self._counters.record("queue_ms", queued_ms)
         return slot
 
-    def _count_start(self, now: float) -> None:
-        per_s = self._limit_per_s.get("response")
-        if per_s is not None and self._starts.wait_ms(now, *rate_window(per_s)):
-            self._counters.add("starts_over_limit")
-        self._starts.record(now)
-
     def _end_call(self, slot: Slot, service_ms: float | None) -> None:
         self.queue.finish(service_ms, self._routes_by_slot.pop(slot.slot_id))
 
@@ -204,10 +205,11 @@
             self._record_report(report, "response")
 
     def _record_report(self, report: UpstreamReport, source: str) -> None:
+        self.has_report = True
         for name in report.malformed:
             self._counters.add("reports_unreadable", name)
         if "limit" not in report.malformed:
-            self._observe_limit(report.limit_per_s, source)
+            self._update_limit(report, source)
         if report.load is None:
             return
         self._load_reported_ms = self._timers.now_ms()
@@ -215,28 +217,43 @@
         if self.queue.waiting:
             self._dispatch()
 
-    def _observe_limit(self, per_s: float | None, source: str) -> None:
-        """Log a change of the limit that the upstream names."""
-        before, self._limit_per_s[source] = self._limit_per_s.get(source), per_s
-        if per_s == before:
+    def _update_limit(self, report: UpstreamReport, source: str) -> None:
+        """Adopt the limit in a response; without one, the last limit has ended."""
+        now, before = self._timers.now_ms(), self._limit_per_s
+        if report.limit_per_s is not None:
+            self._limit_named_ms = now
+        elif report.requested_ms < self._limit_named_ms:
+            # This response may be older than the one that named the limit.
             return
+        self._limit_per_s = report.limit_per_s
+        if self._limit_per_s == before:
+            return
+        self.queue.set_rate_limit(self._limit_per_s, now)
         self._counters.add("upstream_limit_changes", source)
         if self._limit_log_budget.take():
-            now = self._timers.now_ms()
             logs.event(
                 "upstream-limit",
                 instance=self._record.instance_id if self._record is not None else "",
                 source=source,
-                per_s=per_s,
+                per_s=self._limit_per_s,
                 before=before,
-                started_per_s=self._starts.count_since(now - MS_PER_S),
+                started_per_s=round(self.queue.starts_per_s(now)),
             )
+        if self.queue.waiting:
+            self._dispatch()
 
-    def record_probe(self, record: UpstreamRecord, headers: Mapping[bytes, bytes]) -> None:
+    def record_probe(
+        self, record: UpstreamRecord, headers: Mapping[bytes, bytes], requested_ms: float
+    ) -> None:
         """Record what a probe response reports, unless the upstream has changed since."""
         if record != self._record:
             return
-        report = parse_report(headers.items(), self._names, record.instance_id, 0.0)
+        if headers.get(self._names.instance, record.instance_id.encode()) != (
+            record.instance_id.encode()
+        ):
+            self._counters.add("probes_misdirected")
+            return
+        report = parse_report(headers.items(), self._names, record.instance_id, requested_ms)
         self._record_report(report, "probe")
         cold = headers.get(self._names.cold)
         if cold is not None and cold.isdigit():
@@ -265,7 +282,12 @@
             return
         if old is None or _identity(old) != _identity(record):
             self._upstream_since_ms = self._timers.now_ms()
-            self._limit_per_s.clear()
+            self.has_report = False
+            self._limit_per_s, self._limit_named_ms = None, -math.inf
+            self.queue.set_rate_limit(None, self._upstream_since_ms)
+            if self._kernel.has("loadprobe"):
+                # A node that has just started knows nothing of a limit named before.
+                self._kernel.get("loadprobe").request_probe()
         share = max(1, int(record.slots * self._cfg.slots_share))
         self.queue.limit = min(share, record.connections)
         if self._is_leaving():
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -10,6 +10,7 @@
 import dataclasses
 import math
 
+from knapweedhitch.pacing import StartPacer
 from knapweedhitch.settings import AdmissionSettings
 
 MS_PER_S = 1_000.0
@@ -106,6 +107,16 @@
         self._starts = RateWindow(MS_PER_S)
         self._cold_until_ms = -math.inf
         self._cold_per_s = math.inf
+        # Follows the requests per second that the upstream has named as its limit.
+        self._pacer = StartPacer()
+
+    def set_rate_limit(self, per_s: float | None, now_ms: float) -> None:
+        """Set the starts per second that the upstream allows, None if it names no limit."""
+        self._pacer.set_rate(per_s, now_ms)
+
+    def starts_per_s(self, now_ms: float) -> float:
+        """Return the rate of starts in the last second."""
+        return self._starts.per_ms(now_ms) * MS_PER_S
 
     def set_slowdown(self, slowdown: float, now_ms: float) -> None:
         """Set the reported slowdown of the upstream's machine."""
@@ -147,8 +158,20 @@
         return now_ms < self._cold_until_ms
 
     def start_wait_ms(self, now_ms: float) -> float:
-        """Return the time until the rate limit of a cold upstream allows a start."""
-        return self._starts.wait_ms(now_ms, self._cold_per_s) if self.is_cold(now_ms) else 0.0
+        """Return the time until the rate limits of the upstream allow a start."""
+        return self._rate_wait_ms(now_ms, ahead=0)
+
+    def _rate_wait_ms(self, now_ms: float, ahead: int) -> float:
+        """Return the time until the rate limits allow a start behind `ahead` queued calls."""
+        wait_ms = self._pacer.wait_ms(now_ms, ahead)
+        if self.is_cold(now_ms):
+            cold_wait_ms = self._starts.wait_ms(now_ms, self._cold_per_s)
+            wait_ms = max(wait_ms, cold_wait_ms + ahead * MS_PER_S / self._cold_per_s)
+        return wait_ms
+
+    def expected_rate_delay(self, work: Work, now_ms: float) -> float:
+        """Return the wait for the rate limits in service times, for a call that arrives now."""
+        return self._rate_wait_ms(now_ms, self._count_ahead(work, now_ms)) / self.service_ms(work)
 
     def has_room(self, now_ms: float) -> bool:
         """Return whether the limits allow a call to start now."""
@@ -159,18 +182,20 @@
         pause_ms = self.pause_ms(work, now_ms) if work is not None else 0.0
         if self.has_room(now_ms) and not self.waiting:
             return pause_ms
-        ahead = len(self.waiting)
-        if work is not None:
-            order = self._order(work, now_ms)
-            ahead = sum(1 for other in self.waiting if self._order(other, now_ms) <= order)
+        ahead = self._count_ahead(work, now_ms)
         wait_ms = 0.0
         if self.running >= self.limit:
             wait_ms = (ahead + 1) * self.mean_ms / max(1, self.limit)
             if work is not None and self._is_sustained(now_ms):
                 wait_ms = max(wait_ms, self._overtaken_wait_ms(work, now_ms))
-        if self.is_cold(now_ms):
-            wait_ms = max(wait_ms, self.start_wait_ms(now_ms) + ahead * MS_PER_S / self._cold_per_s)
-        return max(wait_ms, pause_ms)
+        return max(wait_ms, self._rate_wait_ms(now_ms, ahead), pause_ms)
+
+    def _count_ahead(self, work: Work | None, now_ms: float) -> int:
+        """Return the number of queued calls that run before a call, all of them for None."""
+        if work is None:
+            return len(self.waiting)
+        order = self._order(work, now_ms)
+        return sum(1 for other in self.waiting if self._order(other, now_ms) <= order)
 
     def _is_sustained(self, now_ms: float) -> bool:
         """Return whether the queue has been non-empty for longer than a burst."""
@@ -216,6 +241,7 @@
         """Record the start of a call."""
         self.running += 1
         self._starts.record_start(now_ms)
+        self._pacer.record_start(now_ms)
         if priority not in self._start_rates and len(self._start_rates) < MAX_PRIORITIES:
             self._start_rates[priority] = RateWindow(RATE_WINDOW_MS)
         if priority in self._start_rates:
--- a/tests/test_loadprobe.py
+++ b/tests/test_loadprobe.py
@@ -28,11 +28,15 @@
 
 
 class ProbeRateTest(TrioTestCase):
-    async def count_probes(self, gap_ms: float, idle_ms: float = 0.0) -> int:
+    async def count_probes(
+        self, gap_ms: float, idle_ms: float = 0.0, *, has_report: bool = True
+    ) -> int:
         """Return the probes within SECONDS at an upstream with calls at these intervals."""
         cfg = replace(settings(), upstream=UpstreamSettings(probe_interval_ms=80))
         kernel = Kernel(cfg)
-        load = SimpleNamespace(load_age_ms=1_000.0, idle_ms=idle_ms, call_gap_ms=gap_ms)
+        load = SimpleNamespace(
+            load_age_ms=1_000.0, idle_ms=idle_ms, call_gap_ms=gap_ms, has_report=has_report
+        )
         kernel.add("announce", SimpleNamespace(current=RECORD, has_reported=True))
         kernel.add("admission", load)
         kernel.add("config", SimpleNamespace())
@@ -53,3 +57,12 @@
         self.assertLessEqual(await self.count_probes(gap_ms=500.0), 2 * SECONDS * 2)
         self.assertGreaterEqual(await self.count_probes(gap_ms=100.0), 120)
         self.assertEqual(await self.count_probes(gap_ms=100.0, idle_ms=60_000.0), 0)
+
+    async def test_announced_upstream_is_probed_until_it_responds(self) -> None:
+        """Guards against a restarted node that sends calls before it knows the limit of its
+        upstream, and against frequent probes of one that does not respond.
+        """
+        unused_ms = 60_000.0
+        count = await self.count_probes(gap_ms=100.0, idle_ms=unused_ms, has_report=False)
+        self.assertGreaterEqual(count, SECONDS * 3)
+        self.assertLessEqual(count, SECONDS * 4 + 1)
--- a/tests/test_queueadmission.py
+++ b/tests/test_queueadmission.py
@@ -11,6 +11,7 @@
 import trio
 from trio.testing import MockClock
 
+from knapweedhitch.clock import now_ms
 from knapweedhitch.counters import Counters
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -179,7 +180,7 @@
     @with_admission
     async def test_slow_upstream_declines_if_another_is_better(self, a: QueueAdmission) -> None:
         """Guards against a call that is four times slower, as the load report arrived too late."""
-        a.record_probe(RECORD, {b"x-load": b"0,0,2,400"})
+        a.record_probe(RECORD, {b"x-load": b"0,0,2,400"}, now_ms())
         self.assertIsInstance(await self.assert_refused(a, spec(decline_above=2.0)), UpstreamSlow)
         await admit(a, spec())
         await trio.sleep(1.0)
@@ -191,10 +192,10 @@
 
         async def refresh() -> None:
             await trio.sleep(0.001)
-            a.record_probe(RECORD, {b"x-load": b"0,0,2,400"})
+            a.record_probe(RECORD, {b"x-load": b"0,0,2,400"}, now_ms())
 
         a._kernel.add("loadprobe", SimpleNamespace(refresh=refresh))
-        a.record_probe(RECORD, {b"x-load": b"0,0,2,100"})
+        a.record_probe(RECORD, {b"x-load": b"0,0,2,100"}, now_ms())
         await trio.sleep(0.03)
         self.assertIsInstance(await self.assert_refused(a, spec(decline_above=2.0)), UpstreamSlow)
 
@@ -208,7 +209,7 @@
 
         a._kernel.add("loadprobe", SimpleNamespace(refresh=refresh))
         await admit(a, spec(decline_above=2.0))
-        a.record_probe(RECORD, {b"x-load": b"0,0,2,100"})
+        a.record_probe(RECORD, {b"x-load": b"0,0,2,100"}, now_ms())
         await admit(a, spec(decline_above=2.0))
         self.assertEqual(probed_at_s, [])
 
@@ -216,7 +217,7 @@
     async def test_long_calls_wait_for_the_end_of_a_slow_period(self, a: QueueAdmission) -> None:
         """Guards against long calls at a quarter of the speed, and short ones delayed with them."""
         a.queue._mean_ms_by_route.update(long=200.0, short=10.0)
-        a.record_probe(RECORD, {b"x-load": b"0,0,2,400"})
+        a.record_probe(RECORD, {b"x-load": b"0,0,2,400"}, now_ms())
         admitted_at_s: dict[str, float] = {}
 
         async def run_call(route: str) -> None:
@@ -230,7 +231,7 @@
             nursery.start_soon(run_call, "short")
             await trio.sleep(0.1)
             self.assertEqual(list(admitted_at_s), ["short"])
-            a.record_probe(RECORD, {b"x-load": b"0,0,2,100"})
+            a.record_probe(RECORD, {b"x-load": b"0,0,2,100"}, now_ms())
         self.assertLess(admitted_at_s["short"] - began_s, 0.02)
         self.assertLess(admitted_at_s["long"] - began_s, 0.12)
 
@@ -240,7 +241,7 @@
     ) -> None:
         """Guards against starting a call whose deadline expired during the load probe."""
         a._kernel.add("loadprobe", SimpleNamespace(refresh=functools.partial(trio.sleep, 0.01)))
-        a.record_probe(RECORD, {b"x-load": b"0,0,2,100"})
+        a.record_probe(RECORD, {b"x-load": b"0,0,2,100"}, now_ms())
         await trio.sleep(0.03)
         self.assertIsInstance(
             await self.assert_refused(a, spec(deadline_ms=12.0)), DeadlineExceeded
--- a/tests/test_upstreamlimit.py
+++ b/tests/test_upstreamlimit.py
@@ -10,15 +10,18 @@
 from typing import Any
 
 import trio
+from msgspec import structs
 from trio.testing import MockClock
 
 from knapweedhitch.counters import Counters
 from knapweedhitch.deadline import Deadline
-from knapweedhitch.exceptions import Refusal
+from knapweedhitch.exceptions import Outcome, Refusal, UpstreamSlow
 from knapweedhitch.exchange import CallSpec
+from knapweedhitch.framing import header_names
 from knapweedhitch.items import Items
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.model import Address, CallResult, UpstreamRecord
+from knapweedhitch.pacing import TOLERANCE_MS
 from knapweedhitch.queueadmission import QueueAdmission
 from knapweedhitch.settings import (
     ControlMember,
@@ -29,10 +32,12 @@
     Settings,
 )
 from knapweedhitch.timers import Timers
-from knapweedhitch.upstreamload import UpstreamReport
+from knapweedhitch.upstreamload import UpstreamReport, parse_report
 from tests.test_items import backend
 
 RECORD = UpstreamRecord("s1", Address("10.0.0.1", 80), 6, 100, "i1", 1)
+HEADERS = HeaderSettings(limit="x-limit", leaving="x-leaving")
+NAMES = header_names(HEADERS)
 SERVICE_MS = 160.0
 # The stated bound: in any window, so many times the limit and so many requests beyond it, from
 # CONTACT_S after the limit was first named.
@@ -55,12 +60,12 @@
         self.pass_report: Callable[[UpstreamReport], None] = lambda report: None
         self._rng = random.Random(22)
 
-    async def call(self, deadline_ms: float = 3_000.0, objective_ms: float = 500.0) -> None:
+    async def call(self, objective_ms: float = 500.0, **fields: Any) -> None:
         """Run one call and report the limit in its response."""
-        deadline = Deadline.after_ms(deadline_ms)
+        deadline = Deadline.after_ms(3_000.0)
         spec = CallSpec(
             "r", "s1", "i1", "GET", b"/", (), False, deadline, 0, 0, 1,
-            target_latency_ms=objective_ms,
+            target_latency_ms=objective_ms, **fields,
         )  # fmt: skip
         try:
             slot = await self.admission.admit(deadline, spec)
@@ -106,7 +111,7 @@
                     node=NodeSettings(id="n1", domain="d1"),
                     secrets=SecretSettings("", ""),
                     control=ControlSettings(members=(ControlMember("c1", "127.0.0.1", 1),)),
-                    headers=HeaderSettings(limit="x-limit", leaving="x-leaving"),
+                    headers=HEADERS,
                 )
             )
             kernel.add("counters", Counters())
@@ -143,3 +148,95 @@
             with self.subTest(limit_per_s):
                 allowed = LIMIT_FACTOR * limit_per_s * WINDOW_S + LIMIT_SLACK
                 self.assertLessEqual(u.most_in_window(named_s + CONTACT_S), allowed)
+
+    @with_upstream
+    async def test_whole_limit_is_used(self, u: LimitedUpstream) -> None:
+        """Guards against refusals while the upstream still takes requests."""
+        u.limit_per_s = 8.0
+        u.respond(trio.current_time())
+        await u.run_traffic(per_s=25.0, for_s=10.0)
+        self.assertGreaterEqual(len(u.starts_s), 0.9 * 8.0 * 10.0)
+        self.assertLessEqual(len(u.starts_s), 8.0 * 10.0 + 8.0)
+
+    @with_upstream
+    async def test_calls_above_the_limit_are_refused_at_once(self, u: LimitedUpstream) -> None:
+        """Guards against callers that wait for a start that comes after their deadline, and against
+        a Retry-After that brings them back before it.
+        """
+        u.limit_per_s = 0.5
+        u.respond(trio.current_time())
+        await u.call()
+        refused_s = trio.current_time()
+        await u.call()
+        self.assertEqual(trio.current_time(), refused_s)
+        self.assertEqual([refusal.outcome for refusal in u.refusals], [Outcome.NOT_RUN])
+        early_ms = SERVICE_MS + TOLERANCE_MS
+        self.assertAlmostEqual(u.refusals[0].retry_after_ms, 2_000.0 - early_ms, delta=10.0)
+
+    @with_upstream
+    async def test_limit_ends_when_a_later_response_names_none(self, u: LimitedUpstream) -> None:
+        """Guards against a limit that outlives the need of the upstream, and against one that is
+        lifted by a response older than the one that named it.
+        """
+        asked_before_s = trio.current_time()
+        await trio.sleep(0.1)
+        u.limit_per_s = 1.0
+        u.respond(trio.current_time())
+        u.limit_per_s = None
+        u.respond(asked_before_s)
+        u.limit_per_s = 1.0
+        await u.run_traffic(per_s=25.0, for_s=1.0)
+        self.assertLessEqual(len(u.starts_s), 2)
+        u.limit_per_s = None
+        u.respond(trio.current_time())
+        await u.run_traffic(per_s=25.0, for_s=1.0)
+        self.assertGreater(len(u.starts_s), 15)
+        self.assertEqual(u.counters.get("starts_over_limit"), 0)
+
+    @with_upstream
+    async def test_new_incarnation_has_no_limit(self, u: LimitedUpstream) -> None:
+        """Guards against a restarted upstream that keeps the limit of the one before it, also if a
+        response of that one arrives late.
+        """
+        u.limit_per_s = 1.0
+        before_s = trio.current_time()
+        u.respond(before_s)
+        await trio.sleep(0.1)
+        u.admission.set_upstream(structs.replace(RECORD, incarnation=2))
+        u.respond(before_s)
+        u.limit_per_s = None
+        await u.run_traffic(per_s=25.0, for_s=1.0)
+        self.assertGreater(len(u.starts_s), 15)
+
+    @with_upstream
+    async def test_limit_of_zero_still_gets_a_trial(self, u: LimitedUpstream) -> None:
+        """Guards against an upstream that is never used again after it has named a limit of 0."""
+        u.limit_per_s = 0.0
+        u.respond(trio.current_time())
+        await u.run_traffic(per_s=5.0, for_s=30.0)
+        self.assertIn(len(u.starts_s), (2, 3, 4))
+
+    @with_upstream
+    async def test_malformed_limit_changes_nothing(self, u: LimitedUpstream) -> None:
+        """Guards against a limit that is lifted by a value that cannot be read."""
+        u.limit_per_s = 1.0
+        u.respond(trio.current_time())
+        for value in (b"", b"x", b"-1", b"nan", b"inf", b"1e9", b"1,5"):
+            headers = [(b"x-limit", value)]
+            now_ms = trio.current_time() * 1_000
+            u.pass_report(parse_report(headers, NAMES, RECORD.instance_id, now_ms))
+        await u.run_traffic(per_s=25.0, for_s=1.0)
+        self.assertLessEqual(len(u.starts_s), 2)
+        self.assertEqual(u.counters.get("reports_unreadable", "limit"), 7)
+
+    @with_upstream
+    async def test_call_declined_for_its_wait_goes_elsewhere(self, u: LimitedUpstream) -> None:
+        """Guards against calls that wait at a limited upstream while another one is free."""
+        u.limit_per_s = 2.0
+        u.respond(trio.current_time())
+        await u.call()
+        await u.call()
+        await u.call(decline_above=2.0, objective_ms=3_000.0)
+        self.assertIsInstance(u.refusals[0], UpstreamSlow)
+        await u.call(objective_ms=3_000.0)
+        self.assertEqual((len(u.starts_s), len(u.refusals)), (3, 1))
