Send no new calls to an upstream whose responses say that it leaves

The node beside an upstream takes the header, of a response or a probe, as a notice to leave. Every node remembers departed incarnations, from membership records and from the responses that it has passed on, and marks the target as draining, also when a restarted node announces it again; that node is told and closes its gate. A deregistered upstream is announced as leaving before it is dropped, so that others learn of it. A report in a response to a request that was sent before the incarnation was announced is not used.

Two tests let one incarnation serve again after it was leaving, which no announcement may do (AnnouncementStale); they use a new incarnation now, and a new test checks that the old one stays out.

Shown failing with the mechanisms off (five mutations, all caught).

--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -8,8 +8,10 @@
 from typing import Any
 
 import trio
+from msgspec import structs
 
 from knapweedhitch import logs
+from knapweedhitch.departures import DepartureTable
 from knapweedhitch.exceptions import (
     AnnouncementInvalid,
     AnnouncementStale,
@@ -23,14 +25,16 @@
 from knapweedhitch.http1 import ServerConnection, refusal_headers
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.listener import StreamServer
-from knapweedhitch.model import Address, UpstreamRecord, UpstreamState
+from knapweedhitch.messages import UpstreamDeparted
+from knapweedhitch.model import UNKNOWN_INCARNATION, Address, UpstreamRecord, UpstreamState
+from knapweedhitch.upstreamload import UpstreamReport
 
 PATH = b"/v1/announcement"
 SERVICE_NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?\Z")
 INSTANCE_ID = re.compile(r"[!-~]{1,128}\Z")
 MAX_COUNT = 1_000_000
-MAX_DEPARTURES = 1_000
 NO_HEARTBEAT = (-1, -1)
+DEREGISTERED = "deregistered"
 MAX_INCARNATION = (1 << 63) - 1
 FIELDS = ("service", "address", "slots", "connections", "instance_id", "incarnation", "state")
 
@@ -100,8 +104,10 @@
         # The (incarnation, sequence) of the newest heartbeat and its (instance id, incarnation).
         self._last_heartbeat = NO_HEARTBEAT
         self._last_heartbeat_source = ("", -1)
-        # The highest incarnation of each upstream that has reported leaving, oldest report first.
-        self._departures: dict[str, int] = {}
+        self._departures = DepartureTable()
+        # When the current incarnation was announced, and what other nodes know of a departed one.
+        self._current_since_ms = 0.0
+        self._announced_departure: UpstreamRecord | None = None
         self._server = StreamServer(
             kernel.cfg.listen.announce,
             kernel.cfg.upstream.max_announcers,
@@ -123,6 +129,10 @@
         self._counters = self._kernel.get("counters")
         self._membership = self._kernel.get("membership")
         self._admission = self._kernel.get("admission")
+        if self._kernel.has("pool"):
+            self._kernel.get("pool").subscribe_reports(self.record_report)
+        if self._kernel.has("peers"):
+            self._kernel.get("peers").handle(UpstreamDeparted, self._on_departed)
         if is_enabled:
             await self._server.start(self._kernel.nursery)
         self._timers.every(self._cfg.upstream.announcement_ttl_ms / 4, self._expire, align=True)
@@ -206,13 +216,13 @@
         ):
             self._counters.add("heartbeats_late")
             return False
-        if self._has_departed(record) and record.state is UpstreamState.SERVING:
+        if self._departures.includes(record) and record.state is UpstreamState.SERVING:
             self._counters.add("heartbeats_late")
             return False
         self._last_heartbeat = order
         self._last_heartbeat_source = (record.instance_id, record.incarnation)
         if record.state is UpstreamState.LEAVING:
-            self._record_departure(record.instance_id, record.incarnation)
+            self._departures.record(record.instance_id, record.incarnation)
         self._renewed_ms = self._timers.now_ms()
         self._set_current(record, "heartbeat")
         self._admission.set_cold_time(cold_ms)
@@ -221,11 +231,11 @@
     @property
     def has_reported(self) -> bool:
         """Return whether the upstream has reported anything since this node started."""
-        return self._last_heartbeat != NO_HEARTBEAT or bool(self._departures)
+        return self._last_heartbeat != NO_HEARTBEAT or len(self._departures) > 0
 
     def accept_probe_result(self, record: UpstreamRecord) -> None:
         """Use the record found by a probe unless the upstream has reported itself."""
-        if not self.has_reported and self.current is None:
+        if not self.has_reported and self.current is None and not self._departures.includes(record):
             self._renewed_ms = self._timers.now_ms()
             self._set_current(record, "probed")
 
@@ -237,19 +247,34 @@
             incarnation = known_incarnation if same else self._timers.wall_ms()
         # Recorded for an unknown upstream as well: after a restart of this node, the last heartbeat
         # of an upstream may arrive after its report that it is leaving.
-        self._record_departure(instance_id, incarnation)
+        self._departures.record(instance_id, incarnation)
         if (instance_id, incarnation) != self._last_heartbeat_source:
             self._counters.add("heartbeats_late")
             return
-        self._set_current(None, "deregistered")
+        self._set_current(None, DEREGISTERED)
 
-    def _has_departed(self, record: UpstreamRecord) -> bool:
-        return record.incarnation <= self._departures.get(record.instance_id, -1)
+    def record_report(self, report: UpstreamReport) -> None:
+        """Use the report in a response, which may tell that the upstream is leaving."""
+        current = self.current
+        if not report.leaving or current is None or report.instance_id != current.instance_id:
+            return
+        if report.requested_ms >= self._current_since_ms:
+            self.record_departure(current.instance_id, current.incarnation, "response")
+
+    def record_departure(self, instance_id: str, incarnation: int, cause: str) -> None:
+        """Record that an upstream departed; it gets no new calls, whatever it reports later."""
+        if incarnation == UNKNOWN_INCARNATION:
+            incarnation = self._timers.wall_ms()
+        self._departures.record(instance_id, incarnation)
+        current = self.current
+        if current is None or current.state is UpstreamState.LEAVING:
+            return
+        if self._departures.includes(current):
+            self._set_current(structs.replace(current, state=UpstreamState.LEAVING), cause)
 
-    def _record_departure(self, instance_id: str, incarnation: int) -> None:
-        self._departures[instance_id] = max(incarnation, self._departures.pop(instance_id, -1))
-        if len(self._departures) > MAX_DEPARTURES:
-            del self._departures[next(iter(self._departures))]
+    async def _on_departed(self, node_id: str, msg: UpstreamDeparted) -> None:
+        self._counters.add("departures_told")
+        self.record_departure(msg.instance_id, msg.incarnation, "told")
 
     def withdraw(self, data: bytes) -> None:
         """Drop the announcement; raises AnnouncementStale if `data` names another instance."""
@@ -265,6 +290,12 @@
         age_ms = self._timers.now_ms() - self._renewed_ms
         if self.current is not None and age_ms > self._cfg.upstream.announcement_ttl_ms:
             self._set_current(None, "expired")
+        if (
+            self._announced_departure is not None
+            and age_ms > self._cfg.upstream.announcement_ttl_ms
+        ):
+            self._announced_departure = None
+            self._membership.announce_local(self.current)
 
     def _set_current(self, record: UpstreamRecord | None, cause: str) -> None:
         if record == self.current:
@@ -280,8 +311,16 @@
             incarnation=logged.incarnation,
             state=logged.state.value,
         )
+        if record is not None and not _is_same_incarnation(record, self.current):
+            self._current_since_ms = self._timers.now_ms()
         self.current = record
-        self._membership.announce_local(record)
+        # Other nodes learn that a deregistered upstream left, so that they do not use it if this
+        # node restarts and finds it again.
+        left = cause == DEREGISTERED
+        self._announced_departure = (
+            structs.replace(logged, state=UpstreamState.LEAVING) if left else None
+        )
+        self._membership.announce_local(self._announced_departure or record)
         self._admission.set_upstream(record)
 
     def _describe_current(self) -> dict[str, object]:
@@ -304,5 +343,12 @@
         await conn.send_response(refusal.status, refusal_headers(refusal, "-", b""), [])
 
 
+def _is_same_incarnation(record: UpstreamRecord, other: UpstreamRecord | None) -> bool:
+    return other is not None and (record.instance_id, record.incarnation) == (
+        other.instance_id,
+        other.incarnation,
+    )
+
+
 def _encode_json(value: dict[str, object]) -> bytes:
     return json.dumps(value).encode("utf-8")
--- a/knapweedhitch/attempt.py
+++ b/knapweedhitch/attempt.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 import trio
@@ -69,6 +69,7 @@
         self._buffered: list[bytes] = []
         self._size_bytes = 0
         self.headers: Headers = ()
+        self.on_head: Callable[[Headers], None] = lambda headers: None
 
     @property
     def size_bytes(self) -> int:
@@ -86,6 +87,7 @@
     async def head(self, status: int, headers: Headers, load: LoadSample | None) -> None:
         """Receive status and headers; commit at once to a long response or an event stream."""
         self.status, self.headers, self.load = status, headers, load
+        self.on_head(headers)
         length = framing.content_length(headers)
         if (length is not None and length > self._hold_back_bytes) or EVENT_STREAM in headers:
             await self._commit()
--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -15,10 +15,16 @@
 from knapweedhitch.exchange import CallSpec, Headers
 from knapweedhitch.http1_client import ClientConnection
 from knapweedhitch.kernel import Kernel, service
-from knapweedhitch.model import Address, LoadSample, UpstreamRecord, UpstreamState
+from knapweedhitch.model import (
+    UNKNOWN_INCARNATION,
+    Address,
+    LoadSample,
+    UpstreamRecord,
+    UpstreamState,
+)
 from knapweedhitch.payload import NoBody
 from knapweedhitch.pool import connect_tcp
-from knapweedhitch.upstreamload import parse_load
+from knapweedhitch.upstreamload import LEAVING_VALUE, parse_load
 
 MS_PER_S = 1_000.0
 HTTP_OK = 200
@@ -143,14 +149,18 @@
         if backend is None:
             return
         address = Address(self._cfg.address.host, self._cfg.address.port)
-        candidate = UpstreamRecord(name, address, 1, backend.max_connections, "", 0)
+        candidate = UpstreamRecord(
+            name, address, 1, backend.max_connections, "", UNKNOWN_INCARNATION
+        )
         response = await self._probe(candidate)
-        if response is None or response.status != HTTP_OK:
+        if response is None:
             return
         headers = dict(response.headers)
         load = parse_load(headers.get(self._names.load, b""))
         instance_id = headers.get(self._names.instance, b"").decode("latin-1")
-        if load is not None and load.slots and instance_id:
+        if headers.get(self._names.leaving) == LEAVING_VALUE and instance_id:
+            self._announce.record_departure(instance_id, UNKNOWN_INCARNATION, "probed")
+        elif response.status == HTTP_OK and load is not None and load.slots and instance_id:
             record = structs.replace(candidate, slots=load.slots, instance_id=instance_id)
             self._announce.accept_probe_result(record)
             self._admission.record_probe(record, headers, response.requested_ms)
@@ -181,6 +191,7 @@
             await self._close_connection()
             stream = await connect_tcp(record.address)
             conn = ClientConnection(stream, self._cfg, self._names)
+            conn.on_report = self._announce.record_report
         backend = self._config.current.items.backends.get(record.service)
         path = backend.health_path if backend is not None else "/"
         host = str(record.address).encode("ascii")
--- a/knapweedhitch/members.py
+++ b/knapweedhitch/members.py
@@ -8,6 +8,7 @@
 
 from msgspec import structs
 
+from knapweedhitch.departures import DepartureTable
 from knapweedhitch.messages import Verdict
 from knapweedhitch.model import Member, MemberEvent, MemberState, Target, UpstreamState
 
@@ -48,18 +49,6 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest(), "big")
 
 
-def _to_target(member: Member) -> Target | None:
-    if member.upstream is None or member.state not in LIVE_STATES:
-        return None
-    return Target(
-        member.node_id,
-        member.domain,
-        member.upstream,
-        suspect=member.state is MemberState.SUSPECT,
-        draining=member.draining or member.upstream.state is UpstreamState.LEAVING,
-    )
-
-
 class MemberTable:
     """Store the newest record of every node, with indexes of targets and buckets."""
 
@@ -74,6 +63,7 @@
         self._targets_by_service: dict[str, dict[str, Target]] = {}
         self._target_tuples: dict[str, tuple[Target, ...]] = {}
         self.live: Mapping[str, Member] = MappingProxyType(self._live)
+        self.departures = DepartureTable()
 
     def __len__(self) -> int:
         return len(self._records)
@@ -106,6 +96,8 @@
         old = self._records.get(node_id)
         self._records[node_id] = member
         self._changed_ms[node_id] = self._now_ms()
+        if member.upstream is not None and member.upstream.state is UpstreamState.LEAVING:
+            self.departures.record(member.upstream.instance_id, member.upstream.incarnation)
         self._index(old, member)
         self._notify(MemberEvent(node_id, old, member))
 
@@ -125,9 +117,34 @@
             self._buckets[bucket].add(node_id)
         self._index_target(old, new)
 
+    def record_departure(self, node_id: str, instance_id: str, incarnation: int) -> None:
+        """Record that the upstream beside a node departed; it is no target from now on."""
+        self.departures.record(instance_id, incarnation)
+        member = self._records.get(node_id)
+        self._index_target(member, member)
+
+    def _indexed_target(self, member: Member) -> Target | None:
+        if member.upstream is None:
+            return None
+        by_node = self._targets_by_service.get(member.upstream.service, {})
+        return by_node.get(member.node_id)
+
+    def _to_target(self, member: Member) -> Target | None:
+        upstream = member.upstream
+        if upstream is None or member.state not in LIVE_STATES:
+            return None
+        leaving = upstream.state is UpstreamState.LEAVING or self.departures.includes(upstream)
+        return Target(
+            member.node_id,
+            member.domain,
+            upstream,
+            suspect=member.state is MemberState.SUSPECT,
+            draining=member.draining or leaving,
+        )
+
     def _index_target(self, old: Member | None, new: Member | None) -> None:
-        before = _to_target(old) if old is not None else None
-        after = _to_target(new) if new is not None else None
+        before = self._indexed_target(old) if old is not None else None
+        after = self._to_target(new) if new is not None else None
         if before == after:
             return
         if before is not None:
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -525,6 +525,17 @@
     verdicts: tuple[Verdict, ...]
 
 
+@message(68)
+class UpstreamDeparted(Message, frozen=True):
+    """Tell a node that the upstream which it announces departed before.
+
+    A node that has restarted does not know what its upstream reported to it before.
+    """
+
+    instance_id: str
+    incarnation: int
+
+
 @message(64)
 class SyncDigest(Message, frozen=True):
     """Request a comparison of live members, by one hash per bucket."""
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -12,6 +12,8 @@
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
+# The incarnation of an upstream that is known from a probe only, which does not tell it.
+UNKNOWN_INCARNATION = 0
 
 
 class Address(Record, frozen=True, order=True):
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -94,7 +94,7 @@
         self._cfg = kernel.cfg.upstream
         self._names = framing.header_names(kernel.cfg.headers)
         self._connect = connect
-        self._on_report: Callable[[UpstreamReport], None] = lambda report: None
+        self._report_subscribers: list[Callable[[UpstreamReport], None]] = []
         self._idle: dict[Address, list[ClientConnection]] = {}
         self._idle_count = 0
         self._exchange_ids = itertools.count()
@@ -210,12 +210,16 @@
             raise UpstreamUnreachable(Outcome.NOT_RUN, f"{address} {exc}".rstrip()) from None
         self._counters.record("connect", (trio.current_time() - started_s) * 1_000)
         conn = ClientConnection(stream, self._cfg, self._names)
-        conn.on_report = self._on_report
+        conn.on_report = self._pass_report
         return conn
 
     def subscribe_reports(self, fn: Callable[[UpstreamReport], None]) -> None:
         """Register the callback that receives what an upstream reports in each response."""
-        self._on_report = fn
+        self._report_subscribers.append(fn)
+
+    def _pass_report(self, report: UpstreamReport) -> None:
+        for fn in self._report_subscribers:
+            fn(report)
 
     # Idle connections
 
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import math
 
 import trio
@@ -20,7 +21,7 @@
     UpstreamShed,
     UpstreamSlow,
 )
-from knapweedhitch.exchange import CallSpec
+from knapweedhitch.exchange import CallSpec, Headers
 from knapweedhitch.framing import RequestHead
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.items import RouteItem
@@ -30,6 +31,7 @@
 from knapweedhitch.pick import PickResult, serving_targets
 from knapweedhitch.pool import cancelled_result, refused_result
 from knapweedhitch.responsesizes import ResponseSizes
+from knapweedhitch.upstreamload import LEAVING_VALUE
 
 POLICY = "expected-time"
 # Each refused attempt costs a message, so a call does not try every target of a service.
@@ -171,6 +173,7 @@
         instance_id = target.upstream.instance_id
         added = ((self._names.request_id, call.request_id.encode("ascii")),)
         attempt = Attempt(call.conn, target, added, call.svc.hold_back_bytes, None)
+        attempt.on_head = functools.partial(self._on_head, target)
         started_s = trio.current_time()
         self._picker.record_start(instance_id)
         call.targets_tried += 1
@@ -201,6 +204,11 @@
                 self._picker.observe(instance_id, attempt.load)
             self._picker.record_finish(instance_id, result)
 
+    def _on_head(self, target: Target, headers: Headers) -> None:
+        # The node beside the target sees this too, but it may restart before others learn of it.
+        if (self._names.leaving, LEAVING_VALUE) in headers:
+            self._membership.record_departure(target)
+
     async def _execute(self, call: RelayCall, target: Target, attempt: Attempt) -> CallResult:
         path = self._gate if target.node_id == self._cfg.node.id else self._forward
         spec = CallSpec(
