Take a refusal of an upstream for that of an earlier request if it is

Report of another operator: a faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told not-run for requests that were running. It could happen here: the id of a refused request was not among the recent ids of its connection, so that its repeated refusal failed the next request (502, its own response lost), and a repeated refusal without an id was believed (503, not-run, while the upstream ran it).

The id of each request now counts as recent, whatever its response. Where the request id is the only proof, a response without it fails the exchange with outcome unknown once others on the connection had it. A response with the id of its own request is never taken for an earlier one.

Second report, a head cut in its middle: every cut of four responses was tried, none looked complete; the test stays.

--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -68,6 +68,7 @@
         self._request_sent_s = math.inf
         self._first_byte_s = math.inf
         self.echoes_exchange_id = False
+        self.echoes_request_id = False
         self._writer_error: Exception | None = None
         self.on_report: Callable[[UpstreamReport], None] = lambda report: None
         # The ids of the last requests on this connection.
@@ -98,12 +99,15 @@
         sink.mark_dispatched()
         reader = _ResponseReader(self, spec, exchange_id, sink, load, first_byte_timeout_ms)
         self.started_s = started_s = trio.current_time()
-        if await self._send_request(wire, spec, body):
-            status = await reader.read()
-        else:
-            status = await self._stream_body(body, reader)
-        self.used = True
-        self.recent_request_ids.append(spec.request_id.encode("ascii"))
+        try:
+            if await self._send_request(wire, spec, body):
+                status = await reader.read()
+            else:
+                status = await self._stream_body(body, reader)
+        finally:
+            # A refused request counts too: its refusal may come once more.
+            self.used = True
+            self.recent_request_ids.append(spec.request_id.encode("ascii"))
         self.finish()
         now = trio.current_time()
         return ExchangeTimes(
@@ -310,9 +314,9 @@
 
     def _is_stale_response(self, event: h11.Response) -> bool:
         """Return whether a response carries the id of an earlier request on this connection."""
-        name = self._conn.names.request_id
+        name, own_id = self._conn.names.request_id, self._spec.request_id.encode("ascii")
         return any(
-            field == name and value in self._conn.recent_request_ids
+            field == name and value != own_id and value in self._conn.recent_request_ids
             for field, value in event.headers
         )
 
@@ -379,24 +383,30 @@
             raise UpstreamProtocolError(problem, bytes_sent=True)
 
     def _validate(self, event: h11.Response) -> None:
-        is_framed = closes = has_exchange_id = False
+        names = self._conn.names
+        is_framed = closes = has_exchange_id = has_request_id = False
         for name, value in event.headers:
             if name in (b"content-length", b"transfer-encoding"):
                 is_framed = True
             elif name == b"connection":
                 closes = b"close" in value.lower()
-            elif name == self._conn.names.exchange and value != self._exchange_id:
-                raise UpstreamProtocolError("answer of another exchange", bytes_sent=True)
-            elif name == self._conn.names.request_id and value != self._spec.request_id.encode(
-                "ascii"
-            ):
-                raise UpstreamProtocolError("answer of another request", bytes_sent=True)
-            has_exchange_id = has_exchange_id or name == self._conn.names.exchange
+            elif name == names.exchange:
+                has_exchange_id = True
+                if value != self._exchange_id:
+                    raise UpstreamProtocolError("answer of another exchange", bytes_sent=True)
+            elif name == names.request_id:
+                has_request_id = True
+                if value != self._spec.request_id.encode("ascii"):
+                    raise UpstreamProtocolError("answer of another request", bytes_sent=True)
         # A duplicate response can arrive after the next request was sent. It is recognized by its
         # missing exchange id if the upstream has echoed the ids on this connection so far.
         if self._conn.echoes_exchange_id and not has_exchange_id:
             raise UpstreamProtocolError("answer without its exchange id", bytes_sent=True)
         self._conn.echoes_exchange_id = has_exchange_id
+        # Without exchange ids, the request id is the only proof.
+        if self._conn.echoes_request_id and not has_request_id and not names.exchange:
+            raise UpstreamProtocolError("answer without its request id", bytes_sent=True)
+        self._conn.echoes_request_id = has_request_id
         has_no_body = self._spec.method == "HEAD" or event.status_code in (204, 304)
         closes = closes or self._conn.cfg.accept_unframed
         if not is_framed and not has_no_body and not closes and event.http_version >= b"1.1":
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -55,6 +55,47 @@
         self.is_complete = True
 
 
+REFUSAL = b"HTTP/1.1 503 x\r\nX-Id: r0\r\nX-Not-Run: 1\r\nContent-Length: 2\r\n\r\nno"
+
+
+class RefusedExchanges:
+    """Send two requests on one connection, of which the upstream refuses the first."""
+
+    def __init__(self, *parts: bytes) -> None:
+        self.sink = Sink()
+        self.errors: list[UpstreamError] = []
+        trio.run(self._run, parts, clock=trio.testing.MockClock(autojump_threshold=0))
+
+    async def _run(self, parts: tuple[bytes, ...]) -> None:
+        client, server = trio.testing.memory_stream_pair()
+        self.conn = ClientConnection(client, UpstreamSettings(accept_unframed=True), NAMES)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._respond, server, parts)
+            for request_id in ("r0", "r1"):
+                await self._exchange(request_id)
+            nursery.cancel_scope.cancel()
+
+    async def _exchange(self, request_id: str) -> None:
+        deadline = Deadline.after_ms(1_000)
+        spec = CallSpec(request_id, "s", "i1", "POST", b"/", (), False, deadline, 0, 0, 1)
+        headers = ((b"host", b"h"), (b"x-id", request_id.encode()))
+        try:
+            await self.conn.exchange(spec, b"", headers, NoBody(), self.sink, lambda: None, 1_000.0)
+        except UpstreamError as exc:
+            self.errors.append(exc)
+
+    async def _respond(
+        self, server: trio.testing.MemorySendStream, parts: tuple[bytes, ...]
+    ) -> None:
+        await server.receive_some(65_536)
+        await server.send_all(REFUSAL)
+        await server.receive_some(65_536)
+        for part in parts:
+            await server.send_all(part)
+            await trio.sleep(0.01)
+        await trio.sleep_forever()
+
+
 class ScriptedExchange:
     """Send one request and let the upstream respond with the given bytes."""
 
@@ -102,6 +143,43 @@
 
 
 class MismatchedResponseTest(unittest.TestCase):
+    def test_earlier_refusal_is_not_taken_for_that_of_a_later_request(self) -> None:
+        """Guards against a caller that is told not-run for a request that the upstream is running,
+        because it wrote an earlier refusal once more on the connection.
+        """
+        for parts in ((REFUSAL + OWN_RESPONSE,), (REFUSAL, OWN_RESPONSE)):
+            with self.subTest(parts):
+                exchanges = RefusedExchanges(*parts)
+                self.assertEqual([type(exc) for exc in exchanges.errors], [UpstreamNotRun])
+                self.assertEqual((exchanges.sink.status, exchanges.sink.body), (200, b"own"))
+
+    def test_refusal_without_the_id_that_others_had_proves_nothing(self) -> None:
+        """Guards against not-run for a request that may run, from a repeated refusal that does not
+        tell to which request it belongs.
+        """
+        nameless = REFUSAL.replace(b"X-Id: r0\r\n", b"")
+        exchanges = RefusedExchanges(nameless, OWN_RESPONSE)
+        kinds = [type(exc) for exc in exchanges.errors]
+        self.assertEqual(kinds, [UpstreamNotRun, UpstreamProtocolError])
+        self.assertFalse(exchanges.conn.reusable)
+
+    def test_response_cut_in_its_head_is_no_response(self) -> None:
+        """Guards against a success with an empty or short body that looks complete, after an
+        upstream that closes in the middle of its head or body.
+        """
+        head = b"HTTP/1.1 200 OK\r\nX-Id: r1\r\n"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n3\r\nown\r\n0\r\n\r\n"
+        unframed = head + b"Connection: close\r\n\r\n"
+        interim = b"HTTP/1.1 103 x\r\nLink: x\r\n\r\n" + OWN_RESPONSE
+        for response in (OWN_RESPONSE, chunked, unframed, interim):
+            for size in range(len(response)):
+                exchange = ScriptedExchange(*filter(None, [response[:size]]), b"")
+                with self.subTest(response[:size]):
+                    self.assertIsInstance(exchange.error, UpstreamError)
+                    self.assertNotIsInstance(exchange.error, UpstreamNotRun)
+                    self.assertFalse(exchange.sink.is_complete)
+                    self.assertFalse(exchange.conn.reusable)
+
     def test_late_second_response_is_skipped(self) -> None:
         """Guards against a request that fails because of a late response to an earlier one."""
         for parts in (
