Answer requests at the end of a planned stop, and give up silent nodes only for a retry

Report of another operator: in a planned stop, requests that came late in the grace were taken, passed on and cut at its end without an answer. It could happen here: a request taken before the refusals begin keeps its own deadline, and drain-timeout ended the process with its requests.

A request that is taken during a stop now ends before the stop does, so that its upstream is not asked for more and its outcome is known. Requests that are older and still in progress at the end are cancelled and get a response (outcome unknown once sent), for at most 100 ms; before, they got a closed connection.

--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -73,6 +73,8 @@
     keyed: bool
     wants_explanation: bool
     body: Replayable
+    # Cancelled at the end of a planned stop.
+    scope: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
     attempts: int = 0
     may_have_run: bool = False
     path: str = ""
@@ -99,9 +101,13 @@
     async def run(self, call: Call) -> Attempt:
         """Return the attempt with a complete or committed response; raises Refusal, CallerGone."""
         self._retry.record_call(call.svc.name)
-        with trio.CancelScope(deadline=call.deadline.at_s):
+        call.scope.deadline = call.deadline.at_s
+        with call.scope:
             return await self._run_attempts(call)
-        raise DeadlineExceeded(Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN)
+        outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
+        if call.deadline.expired():
+            raise DeadlineExceeded(outcome)
+        raise NodeDraining(outcome, "at the end of a planned stop")
 
     async def _run_attempts(self, call: Call) -> Attempt:
         excluded: frozenset[str] = frozenset()
--- a/knapweedhitch/drain.py
+++ b/knapweedhitch/drain.py
@@ -2,14 +2,22 @@
 
 from __future__ import annotations
 
+import math
+
 import trio
 
 from knapweedhitch import logs
+from knapweedhitch.clock import MS_PER_S
+from knapweedhitch.deadline import Deadline
 from knapweedhitch.kernel import Kernel, service
 
 POLL_INTERVAL_MS = 20
 # Callers that do not read their response must not hold up the stop for longer.
 CLOSE_TIMEOUT_MS = 300.0
+# A request that was taken during the stop ends this long before it, so that its outcome is known.
+END_MARGIN_MS = 50.0
+# How long the requests that are ended by the stop may take to get their response.
+END_TIMEOUT_MS = 100.0
 MAX_LOGGED_IDS = 20
 
 
@@ -24,6 +32,7 @@
         self.refusing = False
         self.cut_requests = 0
         self.finished = trio.Event()
+        self._ends_at_s = math.inf
 
     async def start(self) -> None:
         """Look up the services that take part in a stop."""
@@ -46,6 +55,9 @@
         if self.active:
             return
         self.active = True
+        self._ends_at_s = (
+            trio.current_time() + (self._cfg.announce_ms + self._cfg.drain_timeout_ms) / MS_PER_S
+        )
         if not self._serves_calls:
             self.finished.set()
         else:
@@ -59,24 +71,37 @@
     async def _run_planned_stop(self) -> None:
         self._membership.set_draining(True)
         logs.event("stop-announced", in_progress=self._in_progress())
-        await trio.sleep(self._cfg.announce_ms / 1_000)
+        await trio.sleep(self._cfg.announce_ms / MS_PER_S)
         self.refusing = True
         self._admission.set_draining(True)
-        timeout_at_s = trio.current_time() + self._cfg.drain_timeout_ms / 1_000
         while self._in_progress() and not self.finished.is_set():
-            if trio.current_time() >= timeout_at_s:
+            if trio.current_time() >= self._ends_at_s:
+                await self._end_requests()
                 self._stop_hard("drain-timeout")
                 return
-            await trio.sleep(POLL_INTERVAL_MS / 1_000)
+            await trio.sleep(POLL_INTERVAL_MS / MS_PER_S)
         if not self.finished.is_set():
             self._ingress.close()
-            await self._wait_for_connections()
+            await self._wait_for_connections(CLOSE_TIMEOUT_MS)
             logs.event("stop-finished", cut=0)
             self.finished.set()
 
-    async def _wait_for_connections(self) -> None:
+    def bound(self, deadline: Deadline) -> Deadline:
+        """Return the deadline of a new request, which ends before a planned stop does."""
+        return Deadline(min(deadline.at_s, self._ends_at_s - END_MARGIN_MS / MS_PER_S))
+
+    async def _end_requests(self) -> None:
+        """Cancel the requests in progress, each of which then gets a response, and wait for it."""
+        for trace in self._router.active:
+            if trace.call is not None:
+                self._counters.add("requests_ended", "drain-timeout")
+                trace.call.scope.cancel()
+        self._ingress.close()
+        await self._wait_for_connections(END_TIMEOUT_MS)
+
+    async def _wait_for_connections(self, timeout_ms: float) -> None:
         """Wait until the connections have ended; requests just read on them are still refused."""
-        with trio.move_on_after(CLOSE_TIMEOUT_MS / 1_000):
+        with trio.move_on_after(timeout_ms / MS_PER_S):
             await self._ingress.wait_closed()
 
     def _in_progress(self) -> int:
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -190,12 +190,25 @@
         if spec.has_body or not spec.retries_left or not idempotent:
             return await stream.receive()
         limit_ms = SILENT_AFTER_HEARTBEATS * self._kernel.cfg.peers.heartbeat_interval_ms
-        while (silent_ms := stream.silent_ms) < limit_ms:
-            with trio.move_on_after(max(MIN_FIRST_FRAME_WAIT_MS, limit_ms - silent_ms) / 1_000):
+        while stream.silent_ms < limit_ms or not self._may_give_up(spec):
+            wait_ms = max(MIN_FIRST_FRAME_WAIT_MS, limit_ms - stream.silent_ms)
+            with trio.move_on_after(wait_ms / 1_000):
                 return await stream.receive()
         self._counters.add("forward_silent")
         raise PeerFailed(Outcome.UNKNOWN, f"silent node={stream.peer_id}")
 
+    def _may_give_up(self, spec: CallSpec) -> bool:
+        """Return whether another attempt may replace a call at a silent node.
+
+        Without one the call goes on, as its upstream may be at work on it.
+        """
+        if self._kernel.has("drain") and self._kernel.get("drain").active:
+            return False
+        may_retry: bool = not self._kernel.has("retry") or self._kernel.get("retry").has_budget(
+            spec.service
+        )
+        return may_retry
+
     def _record_load(self, spec: CallSpec, load: LoadSample | None) -> None:
         if load is not None and self._kernel.has("picker"):
             self._kernel.get("picker").observe(spec.instance_id, load)
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -164,6 +164,7 @@
         timeout_ms = min(route.timeout_ms, deadline_ms)
         if timeout_ms <= 0:
             raise DeadlineExceeded
+        deadline = Deadline.after_ms(timeout_ms)
         parent = self._gate.find_parent(trace.request_id)
         max_replay_bytes = self._cfg.callers.max_replay_bytes
         return RelayCall(
@@ -172,7 +173,7 @@
             route=route,
             svc=ServiceConfig(self._split.choose(route), (), policy=POLICY),
             request_id=trace.request_id,
-            deadline=Deadline.after_ms(timeout_ms),
+            deadline=deadline if drain is None else drain.bound(deadline),
             body=ReplayBody(conn, max_replay_bytes) if head.has_body else NoBody(),
             config_version=current.version,
             started_s=trace.started_s,
--- a/knapweedhitch/retry.py
+++ b/knapweedhitch/retry.py
@@ -67,6 +67,10 @@
         self._counters.add("retries", reason)
         return True
 
+    def has_budget(self, service_name: str) -> bool:
+        """Return whether the budget of the service allows a retry now."""
+        return self._budget(service_name).tokens >= 1.0
+
     def may_call_again(self, service_name: str) -> bool:
         """Return whether a repeated run may make a call of its own; takes a token if so.
 
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -14,6 +14,7 @@
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
     DeadlineExceeded,
+    NodeDraining,
     NoTarget,
     Outcome,
     Refusal,
@@ -59,6 +60,8 @@
     body: Replayable
     config_version: int
     started_s: float
+    # Cancelled at the end of a planned stop.
+    scope: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
     # The caller's deadline at the start, and how long the caller has waited in earlier requests.
     deadline_ms: float = 0.0
     waited_ms: float = 0.0
@@ -94,9 +97,13 @@
 
     async def run(self, call: RelayCall) -> Attempt:
         """Return the attempt with a complete or committed response; raises Refusal, CallerGone."""
-        with trio.CancelScope(deadline=call.deadline.at_s):
+        call.scope.deadline = call.deadline.at_s
+        with call.scope:
             return await self._run_attempts(call)
-        raise DeadlineExceeded(Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN)
+        outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
+        if call.deadline.expired():
+            raise DeadlineExceeded(outcome)
+        raise NodeDraining(outcome, "at the end of a planned stop")
 
     async def _run_attempts(self, call: RelayCall) -> Attempt:
         """Try targets one after another until one responds; raises Refusal."""
--- a/knapweedhitch/router.py
+++ b/knapweedhitch/router.py
@@ -220,7 +220,8 @@
 
     def _prepare(self, trace: Trace[Call], conn: ServerConnection, head: RequestHead) -> Call:
         """Return the call of a request; raises Refusal with the outcome NOT_RUN."""
-        if (drain := self._get_drain()) is not None and drain.active:
+        drain = self._get_drain()
+        if drain is not None and drain.active:
             conn.close_after = True
             if drain.refusing:
                 raise NodeDraining
@@ -240,13 +241,14 @@
         deadline_ms = _int_header(head, framing.DEADLINE, svc.default_deadline_ms)
         if deadline_ms == 0:
             raise DeadlineExceeded
+        deadline = Deadline.after_ms(min(deadline_ms, svc.max_deadline_ms))
         max_replay_bytes = self._cfg.callers.max_replay_bytes
         return Call(
             conn=conn,
             head=head,
             svc=svc,
             request_id=trace.request_id,
-            deadline=Deadline.after_ms(min(deadline_ms, svc.max_deadline_ms)),
+            deadline=deadline if drain is None else drain.bound(deadline),
             retries_left=min(svc.retries, _int_header(head, framing.RETRIES, svc.retries)),
             depth=depth + 1,
             config_version=current.version,
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from knapweedhitch.settings import StopSettings
 from tests.request_world import World, in_node
 
 SLOW_REQUEST = b"POST / HTTP/1.1\r\nHost: shop.test\r\nx-stand-in: delay_ms=3000\r\n\r\n"
@@ -73,3 +74,37 @@
         self.assertEqual(
             (drain.cut_requests, world.counters.get("requests_cut", "second-signal")), (1, 1)
         )
+
+    @in_node(stop=StopSettings(announce_ms=1_000, drain_timeout_ms=1_000))
+    async def test_requests_at_the_end_of_a_stop_get_a_response(self, world: World) -> None:
+        """Guards against requests that were taken late in a planned stop and are cut at its end
+        without a response, paid ones among them.
+        """
+        world.add_upstream("up-1", local=True)
+        drain = world.kernel.get("drain")
+        early, late = world.caller(), world.caller()
+        await early.send(SLOW_REQUEST)
+        await trio.sleep(0.1)
+        drain.begin()
+        await trio.sleep(0.9)
+        await late.send(SLOW_REQUEST)
+        with trio.fail_after(1.5):
+            for caller in (early, late):
+                response = await caller.read_response()
+                self.assertEqual(response.headers["knapweedhitch-outcome"], "unknown")
+            await drain.finished.wait()
+
+    @in_node(stop=StopSettings(announce_ms=1_000, drain_timeout_ms=1_000))
+    async def test_request_taken_during_a_stop_ends_before_it(self, world: World) -> None:
+        """Guards against an upstream that is told to work on a request beyond the end of the stop,
+        and against a request whose outcome is lost with the process.
+        """
+        world.add_upstream("up-1", local=True)
+        drain, late = world.kernel.get("drain"), world.caller()
+        drain.begin()
+        await trio.sleep(0.9)
+        started_s = trio.current_time()
+        await late.send(SLOW_REQUEST)
+        response = await late.read_response()
+        self.assertEqual(response.headers["knapweedhitch-reason"], "deadline-exceeded")
+        self.assertLess(trio.current_time() - started_s, 1.1)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 from typing import Any
 
 import trio
@@ -14,6 +16,7 @@
     CallerGone,
     DeadlineExceeded,
     Outcome,
+    PeerFailed,
     QueueFull,
     Refusal,
     UpstreamFailed,
@@ -155,6 +158,15 @@
         return exc
 
 
+async def silence(node: Node, from_s: float, to_s: float) -> None:
+    """Drop what a node sends to n0 for some seconds."""
+    await trio.sleep(from_s)
+    wire = link_of(node, "n0")._wire
+    wire.silent = True
+    await trio.sleep(to_s - from_s)
+    wire.silent = False
+
+
 class ForwardTest(unittest.TestCase):
     def assert_refused(self, result: Any, cls: type[Refusal], outcome: Outcome) -> None:
         """Check type and outcome of a refusal."""
@@ -233,6 +245,35 @@
             self.assert_refused(result, DeadlineExceeded, Outcome.UNKNOWN)
             self.assertLess(trio.current_time() - start_s, 0.4)
 
+    @run_on_mock_clock
+    async def test_call_at_a_silent_node_is_given_up_only_for_a_retry(self) -> None:
+        """Guards against breaking off a run that another attempt cannot replace, because its node
+        is starved of processor time for a moment: in a planned stop, or without retry budget.
+        """
+
+        async def run_slowly(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            await trio.sleep(2.4)
+            return await respond(call, body, sink)
+
+        for may_retry, stopping, given_up in (
+            (True, False, True),
+            (False, False, False),
+            (True, True, False),
+        ):
+            async with running_nodes(2, prepare=install(run_slowly)) as (a, b):
+                a.add("retry", SimpleNamespace(has_budget=lambda name, may=may_retry: may))
+                a.add("drain", SimpleNamespace(active=stopping))
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(silence, b, 0.1, 2.2)
+                    spec = dataclasses.replace(make_spec(deadline_ms=5_000), idempotent=True)
+                    result = await execute(a, spec)
+                with self.subTest(may_retry=may_retry, stopping=stopping):
+                    if given_up:
+                        self.assert_refused(result, PeerFailed, Outcome.UNKNOWN)
+                    else:
+                        self.assertEqual(result, RESULT)
+
     @run_on_mock_clock
     async def test_cancel_concurrent_with_the_dispatch(self) -> None:
         """Guards against not-run for a call that is dispatched at the moment of its cancel."""
