--- a/knapweedhitch/membership.py
+++ b/knapweedhitch/membership.py
@@ -12,6 +12,7 @@
 from knapweedhitch.budget import TokenBucket
 from knapweedhitch.codec import Message
 from knapweedhitch.counters import Counters
+from knapweedhitch.departurenotices import DepartureNotifier
 from knapweedhitch.gossip import MAC_BYTES, GossipSocket, UpdateQueue
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.members import LIVE_STATES, MemberTable, precedence, verdict_of, with_state
@@ -20,11 +21,9 @@
     IndirectProbe,
     Probe,
     ProbeAck,
-    UpstreamDeparted,
     Verdict,
 )
 from knapweedhitch.model import (
-    UNKNOWN_INCARNATION,
     Address,
     Member,
     MemberEvent,
@@ -49,8 +48,6 @@
 MIN_GOSSIP_GAP_MS = 50.0
 LEAVE_GOSSIP_ROUNDS = 4
 MAX_ADDED_SEEDS = 16
-# Mean number of nodes that tell a restarted node over a new link that its upstream departed.
-TELLERS_WITHOUT_LINK = 3.0
 
 
 @service("membership")
@@ -71,6 +68,7 @@
             self._cfg.max_datagram_bytes - ENVELOPE_BYTES,
             self.counters,
         )
+        self._departures = DepartureNotifier(self.table, self._peers, self.counters, self._rng)
         self.own_id = kernel.cfg.node.id
         self._suspects: dict[str, float] = {}
         self._left = False
@@ -172,25 +170,7 @@
 
     def record_departure(self, target: Target) -> None:
         """Record that a target said that it leaves, also if its node restarts afterwards."""
-        upstream = target.upstream
-        incarnation = upstream.incarnation
-        if incarnation == UNKNOWN_INCARNATION:
-            incarnation = self._timers.wall_ms()
-        self.table.record_departure(target.node_id, upstream.instance_id, incarnation)
-
-    def _tell_departure(self, member: Member) -> None:
-        """Tell a node that the upstream which it announces as serving departed before."""
-        upstream = member.upstream
-        if upstream is None or upstream.state is UpstreamState.LEAVING:
-            return
-        if not self.table.departures.includes(upstream):
-            return
-        self.counters.add("departed_upstreams_announced")
-        # A few nodes without a link are enough; thousands must not open one at the same moment.
-        tells_anyway = self._rng.random() < TELLERS_WITHOUT_LINK / len(self.table.live)
-        if tells_anyway or member.node_id in self._peers.linked_peers():
-            incarnation = self.table.departures.incarnation_of(upstream.instance_id)
-            self._peers.send(member.node_id, UpstreamDeparted(upstream.instance_id, incarnation))
+        self._departures.record(target)
 
     def add_seeds(self, addresses: Iterable[Address]) -> None:
         """Add addresses through which the cluster can be joined."""
@@ -312,7 +292,7 @@
         else:
             self._suspects.pop(member.node_id, None)
         self.table.put(member)
-        self._tell_departure(member)
+        self._departures.tell(member)
         if not self._event_budget.take():
             # The loss or restart of a whole rack spreads through several syncs instead.
             self.counters.add("member_events_limited")
