Keep the idle timeout that an upstream states

Connections were reused for 5 s (1 s for unsafe requests), also when the upstream had said that it closes them sooner, so that a request could be reset. Four fifths of the stated time are used now.

--- a/knapweedhitch/framing.py
+++ b/knapweedhitch/framing.py
@@ -17,6 +17,9 @@
 MAX_LENGTH_DIGITS = 18
 VALID_REQUEST_ID = re.compile(rb"[!-~]{1,128}\Z")
 WHOLE_NUMBER = re.compile(rb"[0-9]{1,9}\Z")
+KEEP_ALIVE_TIMEOUT = re.compile(
+    rb"(?:\A|[,;\s])timeout\s*=\s*([0-9]{1,6})(?:[,;\s]|\Z)", re.IGNORECASE
+)
 
 DEADLINE = b"knapweedhitch-deadline-ms"
 RETRIES = b"knapweedhitch-retries"
@@ -257,6 +260,14 @@
     )
 
 
+def keep_alive_s(headers: Iterable[tuple[bytes, bytes]]) -> int | None:
+    """Return the idle timeout in seconds that a Keep-Alive header states, or None."""
+    for name, value in headers:
+        if name == b"keep-alive" and (found := KEEP_ALIVE_TIMEOUT.search(value)):
+            return int(found[1])
+    return None
+
+
 def content_length(headers: Headers) -> int | None:
     """Return the Content-Length of validated headers in bytes, None if it is missing."""
     for name, value in headers:
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -67,6 +67,8 @@
         self.started_s = math.inf
         self._request_sent_s = math.inf
         self._first_byte_s = math.inf
+        # How long the upstream keeps the idle connection open, as stated in its last response.
+        self.idle_timeout_ms = math.inf
         self.echoes_exchange_id = False
         self.echoes_request_id = False
         self._writer_error: Exception | None = None
@@ -297,6 +299,8 @@
                 await self._sink.informational(event.status_code, headers)
         self._validate(event)
         self._pass_report(event)
+        if (idle_timeout_s := framing.keep_alive_s(event.headers)) is not None:
+            self._conn.idle_timeout_ms = idle_timeout_s * MS_PER_S
         if self._was_not_run(event):
             await self._skip_body()
             raise UpstreamNotRun(f"status {event.status_code}", bytes_sent=True)
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -41,6 +41,9 @@
     (socket.TCP_KEEPCNT, 1),
 )
 SHED_STATUS = 503
+# A request must arrive before the upstream closes the idle connection, so only a part of the stated
+# timeout is used.
+IDLE_TIMEOUT_SHARE = 0.8
 
 Connect = Callable[[Address], Awaitable[trio.abc.Stream]]
 
@@ -235,7 +238,8 @@
                 return None
             idle.pop()
             self._idle_count -= 1
-            if idle_ms <= max_idle_ms and conn.is_quiet():
+            may_be_open = idle_ms <= min(max_idle_ms, conn.idle_timeout_ms * IDLE_TIMEOUT_SHARE)
+            if may_be_open and conn.is_quiet():
                 return conn
             self._counters.add("idle_connections_dropped", "aged" if conn.is_quiet() else "bytes")
             await conn.close()
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -46,6 +46,8 @@
     # Responds before the body of the request is read.
     early: bool = False
     close: bool = False
+    # States an idle timeout in whole seconds; negative for none.
+    keep_alive_s: int = -1
     # Sends a second response that nobody requested.
     extra: bool = False
     # Sends an informational response (103) first.
@@ -245,6 +247,8 @@
             headers.append(("content-length", str(behaviour.size)))
         if behaviour.close or behaviour.framing == "close":
             headers.append(("connection", "close"))
+        if behaviour.keep_alive_s >= 0:
+            headers.append(("keep-alive", f"timeout={behaviour.keep_alive_s}, max=100"))
         if behaviour.hints:
             await self._send(
                 h11.InformationalResponse(status_code=103, headers=[("link", "</a.css>")])
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -64,6 +64,18 @@
         await trio.sleep(20)
         self.assertEqual(world.pool._idle_count, 0)
 
+    @in_node()
+    async def test_stated_idle_timeout_of_an_upstream_is_kept(self, world: World) -> None:
+        """Guards against requests that are reset, on a connection that the upstream said it closes
+        by then.
+        """
+        up = world.add_upstream("up-1", local=True)
+        steps = ((0, 1, 1), (0.7, 1, 1), (0.9, 1, 2), (0.01, 0, 2), (0.01, -1, 3), (0.9, -1, 3))
+        for idle_s, timeout_s, connections in steps:
+            await trio.sleep(idle_s)
+            await world.caller().call(behaviour=f"keep_alive_s={timeout_s}")
+            self.assertEqual(up.connections, connections, (idle_s, timeout_s))
+
     @in_node()
     async def test_the_connection_of_an_abandoned_call_is_never_used_again(
         self, world: World
