--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -106,16 +106,21 @@
                 status = await reader.read()
             else:
                 status = await self._stream_body(body, reader)
-        finally:
-            # A refused request counts too: its refusal may come once more.
-            self.used = True
-            self.recent_request_ids.append(spec.request_id.encode("ascii"))
+        except UpstreamNotRun:
+            # The connection goes on, and the same refusal may come once more.
+            self._record_request(spec)
+            raise
+        self._record_request(spec)
         self.finish()
         now = trio.current_time()
         return ExchangeTimes(
             status, (self._first_byte_s - started_s) * 1_000, (now - started_s) * 1_000
         )
 
+    def _record_request(self, spec: CallSpec) -> None:
+        self.used = True
+        self.recent_request_ids.append(spec.request_id.encode("ascii"))
+
     async def _send_request(self, wire: bytes, spec: CallSpec, body: BodySource) -> bool:
         """Send the head with the first part of the body; return whether that was everything."""
         is_complete = not spec.has_body
--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -24,7 +24,7 @@
 )
 from knapweedhitch.payload import NoBody
 from knapweedhitch.pool import connect_tcp
-from knapweedhitch.upstreamload import LEAVING_VALUE, parse_load
+from knapweedhitch.upstreamload import LEAVING_VALUE, parse_load, parse_report
 
 MS_PER_S = 1_000.0
 HTTP_OK = 200
@@ -182,16 +182,27 @@
             await self._close_connection()
             return None
         self._counters.add("probes")
-        self._admission.record_probe(record, dict(response.headers), response.requested_ms)
+        self._pass_response(record, response)
         return response
 
+    def _pass_response(self, record: UpstreamRecord, response: _ProbeResponse) -> None:
+        headers, own_id = dict(response.headers), record.instance_id.encode("latin-1")
+        if own_id and headers.get(self._names.instance, own_id) != own_id:
+            # Another upstream responds at the address, so this says nothing of the announced one.
+            self._counters.add("probes_misdirected")
+            return
+        report = parse_report(
+            response.headers, self._names, record.instance_id, response.requested_ms
+        )
+        self._announce.record_report(report)
+        self._admission.record_probe(record, headers, response.requested_ms)
+
     async def _exchange(self, record: UpstreamRecord, response: _ProbeResponse) -> None:
         conn = self._conn
         if conn is None or self._conn_record != record or not conn.is_quiet():
             await self._close_connection()
             stream = await connect_tcp(record.address)
             conn = ClientConnection(stream, self._cfg, self._names)
-            conn.on_report = self._announce.record_report
         backend = self._config.current.items.backends.get(record.service)
         path = backend.health_path if backend is not None else "/"
         host = str(record.address).encode("ascii")
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -248,11 +248,6 @@
         """Record what a probe response reports, unless the upstream has changed since."""
         if record != self._record:
             return
-        if headers.get(self._names.instance, record.instance_id.encode()) != (
-            record.instance_id.encode()
-        ):
-            self._counters.add("probes_misdirected")
-            return
         report = parse_report(headers.items(), self._names, record.instance_id, requested_ms)
         self._record_report(report, "probe")
         cold = headers.get(self._names.cold)
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -171,7 +171,8 @@
 
     def expected_rate_delay(self, work: Work, now_ms: float) -> float:
         """Return the wait for the rate limits in service times, for a call that arrives now."""
-        return self._rate_wait_ms(now_ms, self._count_ahead(work, now_ms)) / self.service_ms(work)
+        wait_ms = self._rate_wait_ms(now_ms, self._count_ahead(work, now_ms))
+        return wait_ms / max(1.0, self.service_ms(work))
 
     def has_room(self, now_ms: float) -> bool:
         """Return whether the limits allow a call to start now."""
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -13,6 +13,7 @@
     UpstreamError,
     UpstreamNotRun,
     UpstreamProtocolError,
+    UpstreamTimeout,
 )
 from knapweedhitch.exchange import CallSpec, Headers
 from knapweedhitch.framing import header_names
@@ -163,6 +164,12 @@
         self.assertEqual(kinds, [UpstreamNotRun, UpstreamProtocolError])
         self.assertFalse(exchanges.conn.reusable)
 
+    def test_silence_on_a_new_connection_does_not_make_it_used(self) -> None:
+        """Guards against closing all idle connections of an upstream whenever a call times out."""
+        exchange = ScriptedExchange()
+        self.assertIsInstance(exchange.error, UpstreamTimeout)
+        self.assertFalse(exchange.conn.used)
+
     def test_response_cut_in_its_head_is_no_response(self) -> None:
         """Guards against a success with an empty or short body that looks complete, after an
         upstream that closes in the middle of its head or body.
--- a/tests/test_loadprobe.py
+++ b/tests/test_loadprobe.py
@@ -9,12 +9,13 @@
 
 from knapweedhitch.counters import Counters
 from knapweedhitch.kernel import Kernel
-from knapweedhitch.loadprobe import LoadProbe
+from knapweedhitch.loadprobe import LoadProbe, _ProbeResponse
 from knapweedhitch.model import Address, UpstreamRecord
-from knapweedhitch.settings import UpstreamSettings, replace
+from knapweedhitch.settings import HeaderSettings, UpstreamSettings, replace
 from tests.decision_fakes import FakeTimers, TrioTestCase, settings
 
 RECORD = UpstreamRecord("robes", Address("127.0.0.1", 80), 9, 220, "i1", 1)
+HEADERS = HeaderSettings(leaving="x-leaving", instance="x-instance")
 SECONDS = 10.0
 
 
@@ -66,3 +67,23 @@
         count = await self.count_probes(gap_ms=100.0, idle_ms=unused_ms, has_report=False)
         self.assertGreaterEqual(count, SECONDS * 3)
         self.assertLessEqual(count, SECONDS * 4 + 1)
+
+
+class ProbeResponseTest(TrioTestCase):
+    async def test_response_of_another_upstream_tells_nothing(self) -> None:
+        """Guards against an upstream that gets no calls, because the one that took over its address
+        before it says that it leaves.
+        """
+        kernel = Kernel(replace(settings(), headers=HEADERS))
+        counters, passed = Counters(), []
+        probe = LoadProbe(kernel)
+        probe._counters = counters
+        probe._announce = SimpleNamespace(record_report=passed.append)
+        probe._admission = SimpleNamespace(record_probe=lambda *args: passed.append(args))
+        for instance, count in ((b"i1", 2), (b"i9", 0)):
+            response = _ProbeResponse(5.0)
+            response.headers = ((b"x-leaving", b"1"), (b"x-instance", instance))
+            passed.clear()
+            probe._pass_response(RECORD, response)
+            self.assertEqual(len(passed), count)
+        self.assertEqual(counters.get("probes_misdirected"), 1)
