Test a limit and a departure through real processes of the platform

Guards the path from the platform's header names to the gate, which the unit tests leave out, and the restart of the node beside a target that left.

--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -100,7 +100,10 @@
 class ScriptedExchange:
     """Send one request and let the upstream respond with the given bytes."""
 
-    def __init__(self, *parts: bytes, method: str = "POST", endless: bytes = b"") -> None:
+    def __init__(
+        self, *parts: bytes, method: str = "POST", endless: bytes = b"", request_id: str = "r1"
+    ) -> None:
+        self.request_id = request_id
         self.sink = Sink()
         self.endless = endless
         self.endless_bytes = 0
@@ -115,8 +118,9 @@
         self.conn = ClientConnection(client, cfg, NAMES)
         self.conn.on_report = self.reports.append
         self.conn.recent_request_ids.append(b"r0")
-        spec = CallSpec("r1", "s", "i1", method, b"/", (), False, Deadline.after_ms(1_000), 0, 0, 1)
-        headers = ((b"host", b"h"), (b"x-id", b"r1"))
+        deadline = Deadline.after_ms(1_000)
+        spec = CallSpec(self.request_id, "s", "i1", method, b"/", (), False, deadline, 0, 0, 1)
+        headers = ((b"host", b"h"), (b"x-id", self.request_id.encode()))
         start_ms = trio.current_time() * 1_000
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._respond, server, parts)
@@ -154,6 +158,14 @@
                 self.assertEqual([type(exc) for exc in exchanges.errors], [UpstreamNotRun])
                 self.assertEqual((exchanges.sink.status, exchanges.sink.body), (200, b"own"))
 
+    def test_request_with_an_id_sent_before_gets_its_response(self) -> None:
+        """Guards against a request that waits until its deadline, because its caller used the same
+        id for an earlier one and its response looks like a late one.
+        """
+        exchange = ScriptedExchange(LATE_RESPONSE, request_id="r0")
+        self.assertIsNone(exchange.error)
+        self.assertEqual(exchange.sink.body, b"other")
+
     def test_refusal_without_the_id_that_others_had_proves_nothing(self) -> None:
         """Guards against not-run for a request that may run, from a repeated refusal that does not
         tell to which request it belongs.
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -32,10 +32,14 @@
     protocol_version = "HTTP/1.1"
     instance: ClassVar[str] = ""
     requests: ClassVar[list[dict[str, str]]] = []
+    arrivals_s: ClassVar[list[float]] = []
+    # What the target says of itself in all its responses.
+    notices: ClassVar[dict[str, str]] = {}
 
     def do_GET(self) -> None:
         if self.path == "/health":
-            self._respond(200, b"", {"Instance-Id": self.instance, "Server-Load": "0,0,6,100"})
+            load = {"Instance-Id": self.instance, "Server-Load": "0,0,6,100"}
+            self._respond(200, b"", load)
             return
         headers = {name.lower(): value for name, value in self.headers.items()}
         length = int(headers.get("content-length", 0))
@@ -43,6 +47,7 @@
         if headers.get("expect-instance") != self.instance:
             self._respond(421, b"", {"Instance-Id": self.instance})
             return
+        type(self).arrivals_s.append(time.monotonic())
         type(self).requests.append({**headers, "path": self.path, "body": body.decode()})
         response_headers = {"Attempt-Id": headers["attempt-id"], "Server-Signature": "sig"}
         self._respond(200, b"done", {**response_headers, "Server-Load": "1,0,6,100"})
@@ -52,7 +57,7 @@
 
     def _respond(self, status: int, body: bytes, headers: dict[str, str]) -> None:
         self.send_response(status)
-        for name, value in headers.items():
+        for name, value in {**headers, **self.notices}.items():
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -84,6 +89,8 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.bootstrap = True
         StandInTarget.requests = []
+        StandInTarget.arrivals_s = []
+        StandInTarget.notices = {}
         self.target = http.server.ThreadingHTTPServer((APPS[0], self.base + 9), StandInTarget)
         StandInTarget.instance = "i-1"
         threading.Thread(target=self.target.serve_forever, daemon=True).start()
@@ -186,6 +193,44 @@
             conn.sendall(b"GET /x/1 HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: e1\r\n\r\n")
             self.assertRegex(conn.recv(65_536), b"^HTTP/1.1 (200|503) ")
 
+    def count_arrivals(self, ip: str, from_s: float, for_s: float) -> int:
+        """Send requests for some seconds and return how many have reached the target."""
+        end_s = from_s + for_s
+        while time.monotonic() < end_s:
+            request_id = f"r{time.monotonic_ns()}"
+            self.assertIn(self.send_request(ip, request_id=request_id), (200, 503))
+            time.sleep(0.02)
+        return sum(1 for at_s in StandInTarget.arrivals_s if from_s <= at_s < end_s)
+
+    def test_target_names_a_limit_and_leaves(self) -> None:
+        """Guards against a target that gets more requests than it says it takes, or any after it
+        said that it leaves, also when the node beside it restarts or its heartbeat says otherwise.
+        """
+        self.configure()
+        self.wait_until("heartbeat", self.heartbeat, 200)
+        for ip in APPS:
+            self.wait_until("response", lambda ip=ip: self.send_request(ip), 200)
+        StandInTarget.notices = {"Server-Limit": "2.5"}
+        self.send_request(APPS[1])
+        arrivals = self.count_arrivals(APPS[1], time.monotonic() + 0.5, 4.0)
+        self.assertLessEqual(arrivals, 1.5 * 2.5 * 4 + 5)
+        self.assertGreaterEqual(arrivals, 3)
+
+        StandInTarget.notices = {"Server-Leaving": "1"}
+        self.wait_until("left", lambda: self.send_request(APPS[1]), 503)
+        self.assertEqual(self.heartbeat(seq=2), 200)
+        self.assertEqual(self.count_arrivals(APPS[1], time.monotonic(), 1.0), 0)
+        # The health answer says again that the target serves, as one in trouble may.
+        StandInTarget.notices = {}
+        self.kill(APPS[0])
+        self.start(APPS[0])
+        ready = self.address(APPS[0], "ready")
+        self.wait_until(
+            "ready", lambda: send_http(ready, "GET", "/knapweedhitch/readiness")[0], 200
+        )
+        self.heartbeat(seq=3)
+        self.assertEqual(self.count_arrivals(APPS[1], time.monotonic(), 3.0), 0)
+
     def test_whole_path(self) -> None:
         """Guards against parts that work alone but not together: roles, targets and restarts."""
         self.assertEqual(self.send_request(APPS[1]), 503 if self.send_request(APPS[1]) else 0)
