Obey a deregistration at a node that has just restarted

Cause: Announce.deregister compared the deregistration with the source of the last heartbeat. A restarted node has had none; it uses the record of a probe, whose incarnation is unknown. The same comparison refused a withdrawal of the product's own announcement, and an announced departure named the unknown incarnation, which other nodes could not match after the next restart.

Ruled out: other nodes that do not learn of the departure, and a probe that brings the upstream back. The unit test shows the fault without either.

One method now tells whether two records are of the same start, and the upstream in use decides. Before: test_deregistration_ends_the_use_of_a_probed_ upstream and test_departure_of_a_probed_upstream_names_its_incarnation fail (record still in use, SERVING announced), test_withdrawal_ends_the_use_of_a_ probed_upstream ends with AnnouncementStale.

--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -248,8 +248,11 @@
         # Recorded for an unknown upstream as well: after a restart of this node, the last heartbeat
         # of an upstream may arrive after its report that it is leaving.
         self._departures.record(instance_id, incarnation)
-        if (instance_id, incarnation) != self._last_heartbeat_source:
+        # What is in use may be known from a probe only, so the last heartbeat does not tell it.
+        if self.current is None or not self.current.is_same_start(instance_id, incarnation):
             self._counters.add("heartbeats_late")
+            in_use = self.current.instance_id if self.current is not None else None
+            logs.event("deregistration_of_unused", instance=instance_id, in_use=in_use)
             return
         self._set_current(None, DEREGISTERED)
 
@@ -269,8 +272,8 @@
         current = self.current
         if current is None or current.state is UpstreamState.LEAVING:
             return
-        if self._departures.includes(current):
-            self._set_current(structs.replace(current, state=UpstreamState.LEAVING), cause)
+        if current.instance_id == instance_id and current.incarnation <= incarnation:
+            self._set_current(self._as_departed(current), cause)
 
     async def _on_departed(self, node_id: str, msg: UpstreamDeparted) -> None:
         self._counters.add("departures_told")
@@ -279,11 +282,13 @@
     def withdraw(self, data: bytes) -> None:
         """Drop the announcement; raises AnnouncementStale if `data` names another instance."""
         current = self.current
-        if data and current is not None:
-            record = parse_announcement(data)
-            withdrawn = (record.instance_id, record.incarnation)
-            if withdrawn != (current.instance_id, current.incarnation):
-                raise AnnouncementStale(detail=f"current instance is {current.instance_id}")
+        withdrawn = parse_announcement(data) if data else current
+        if withdrawn is None:
+            return
+        if current is not None and not _is_same_start(withdrawn, current):
+            raise AnnouncementStale(detail=f"current instance is {current.instance_id}")
+        # A probe may still find the upstream, which may go on serving for a while.
+        self._departures.record(withdrawn.instance_id, withdrawn.incarnation)
         self._set_current(None, "withdrawn")
 
     def _expire(self) -> None:
@@ -311,18 +316,26 @@
             incarnation=logged.incarnation,
             state=logged.state.value,
         )
-        if record is not None and not _is_same_incarnation(record, self.current):
+        if record is not None and not _is_same_start(record, self.current):
             self._current_since_ms = self._timers.now_ms()
         self.current = record
         # Other nodes learn that a deregistered upstream left, so that they do not use it if this
         # node restarts and finds it again.
         left = cause == DEREGISTERED
-        self._announced_departure = (
-            structs.replace(logged, state=UpstreamState.LEAVING) if left else None
-        )
+        self._announced_departure = self._as_departed(logged) if left else None
         self._membership.announce_local(self._announced_departure or record)
         self._admission.set_upstream(record)
 
+    def _as_departed(self, record: UpstreamRecord) -> UpstreamRecord:
+        """Return the record of a departed upstream, with the incarnation that departed.
+
+        Other nodes could not tell later that an unknown incarnation is the one that departed.
+        """
+        if record.incarnation == UNKNOWN_INCARNATION:
+            incarnation = self._departures.incarnation_of(record.instance_id)
+            record = structs.replace(record, incarnation=incarnation)
+        return structs.replace(record, state=UpstreamState.LEAVING)
+
     def _describe_current(self) -> dict[str, object]:
         current = self.current
         view: dict[str, object] = {"ttl_ms": self._cfg.upstream.announcement_ttl_ms}
@@ -343,11 +356,8 @@
         await conn.send_response(refusal.status, refusal_headers(refusal, "-", b""), [])
 
 
-def _is_same_incarnation(record: UpstreamRecord, other: UpstreamRecord | None) -> bool:
-    return other is not None and (record.instance_id, record.incarnation) == (
-        other.instance_id,
-        other.incarnation,
-    )
+def _is_same_start(record: UpstreamRecord, other: UpstreamRecord | None) -> bool:
+    return other is not None and record.is_same_start(other.instance_id, other.incarnation)
 
 
 def _encode_json(value: dict[str, object]) -> bytes:
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -77,6 +77,18 @@
     incarnation: int
     state: UpstreamState = UpstreamState.SERVING
 
+    def is_same_start(self, instance_id: str, incarnation: int) -> bool:
+        """Return whether this may be a record of that start of an instance.
+
+        An unknown incarnation may be any.
+        """
+        if self.instance_id != instance_id:
+            return False
+        return self.incarnation == incarnation or UNKNOWN_INCARNATION in (
+            self.incarnation,
+            incarnation,
+        )
+
 
 class Member(Record, frozen=True):
     """Represent the membership record of a node."""
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -14,7 +14,7 @@
 from knapweedhitch.counters import Counters
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.messages import UpstreamDeparted
-from knapweedhitch.model import Address, UpstreamRecord, UpstreamState
+from knapweedhitch.model import UNKNOWN_INCARNATION, Address, UpstreamRecord, UpstreamState
 from knapweedhitch.settings import (
     ControlMember,
     ControlSettings,
@@ -30,10 +30,15 @@
 
 OLD = UpstreamRecord("robes", Address("10.0.0.1", 80), 6, 100, "i-1", 1_000)
 NEW = structs.replace(OLD, instance_id="i-2", incarnation=2_000)
+PROBE_RECORD = structs.replace(OLD, incarnation=UNKNOWN_INCARNATION)
 # The sequence of a step that passes on a probe result instead of a heartbeat.
 PROBED = -1
 Step = UpstreamRecord | str | UpstreamReport | UpstreamDeparted
 LEAVING = structs.replace(OLD, state=UpstreamState.LEAVING)
+WITHDRAWAL = (
+    b'{"service":"robes","address":"10.0.0.1:80","slots":6,"connections":100,'
+    b'"instance_id":"i-1","incarnation":1000}'
+)
 
 
 class HeartbeatTest(unittest.TestCase):
@@ -160,6 +165,47 @@
         self.run_steps((OLD, 5), ("i-1", 1_000))
         self.assertEqual(self.announced[-1], LEAVING)
 
+    def test_deregistration_ends_the_use_of_a_probed_upstream(self) -> None:
+        """Guards against a restarted node that acknowledges the deregistration of an upstream which
+        it knows from a probe only, and goes on using it: 114 to 122 calls came later than allowed.
+        """
+        for incarnation in (1_000, 0):
+            announce = self.run_steps((PROBE_RECORD, PROBED), ("i-1", incarnation))
+            self.assertIsNone(announce.current)
+            self.assertIsNone(self.run_steps((PROBE_RECORD, PROBED), ("i-1", 0), (OLD, 1)).current)
+        announce = self.run_steps((PROBE_RECORD, PROBED), ("i-9", 1_000))
+        self.assertEqual(announce.current, PROBE_RECORD)
+
+    def test_departure_of_a_probed_upstream_names_its_incarnation(self) -> None:
+        """Guards against nodes that take an upstream for serving again after the next restart,
+        because its departure was announced without the incarnation that departed.
+        """
+        leaving_now = UpstreamReport("i-1", 0.0, leaving=True)
+        departures: tuple[tuple[Step, int], ...] = (
+            ("i-1", 1_000),
+            ("i-1", 0),
+            (UpstreamDeparted("i-1", 1_000), 0),
+            (leaving_now, 0),
+        )
+        for departure in departures:
+            self.run_steps((PROBE_RECORD, PROBED), departure)
+            departed = self.announced[-1]
+            assert departed is not None
+            self.assertEqual(departed.state, UpstreamState.LEAVING)
+            self.assertGreaterEqual(departed.incarnation, OLD.incarnation)
+
+    def test_withdrawal_ends_the_use_of_a_probed_upstream(self) -> None:
+        """Guards against a restarted node that refuses the withdrawal of an upstream which it knows
+        from a probe only, or that finds it again by a probe.
+        """
+        announce = self.run_steps((PROBE_RECORD, PROBED))
+        announce.withdraw(WITHDRAWAL)
+        self.assertIsNone(announce.current)
+        announce = self.run_steps()
+        announce.withdraw(WITHDRAWAL)
+        announce.accept_probe_result(PROBE_RECORD)
+        self.assertIsNone(announce.current)
+
     def test_node_that_is_told_of_a_departure_ends_new_calls(self) -> None:
         """Guards against a restarted node that uses an upstream which left before it restarted."""
         for record in (OLD, structs.replace(OLD, incarnation=0)):
