Keep a named limit when the first heartbeat follows a probe

The first heartbeat names the incarnation, which counted as another upstream, so the limit was dropped and all queued calls started at once.

Before: test_limit_outlasts_the_first_heartbeat fails with 7 starts in a second at a limit of 1 (allowed 2). After: it passes. The other admission compares records by the same method now.

--- a/knapweedhitch/admission.py
+++ b/knapweedhitch/admission.py
@@ -151,7 +151,7 @@
             return
         if (
             old is None
-            or (old.instance_id, old.incarnation) != (record.instance_id, record.incarnation)
+            or not old.is_same_start(record.instance_id, record.incarnation)
             or old.slots != record.slots
         ):
             self._restart_cold(ColdCause.NEW_INCARNATION)
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -275,7 +275,7 @@
         if record is None:
             self._refuse_queue(NoTarget)
             return
-        if old is None or _identity(old) != _identity(record):
+        if old is None or not old.is_same_start(record.instance_id, record.incarnation):
             self._upstream_since_ms = self._timers.now_ms()
             self.has_report = False
             self._limit_per_s, self._limit_named_ms = None, -math.inf
@@ -370,10 +370,6 @@
         return refusal
 
 
-def _identity(record: UpstreamRecord) -> tuple[str, int]:
-    return record.instance_id, record.incarnation
-
-
 def _make_work(deadline: Deadline, spec: CallSpec, now_ms: float) -> Work:
     deadline_ms = deadline.at_s * MS_PER_S
     objective_ms = min(deadline_ms, now_ms + spec.target_latency_ms)
--- a/tests/test_upstreamlimit.py
+++ b/tests/test_upstreamlimit.py
@@ -20,7 +20,7 @@
 from knapweedhitch.framing import header_names
 from knapweedhitch.items import Items
 from knapweedhitch.kernel import Kernel
-from knapweedhitch.model import Address, CallResult, UpstreamRecord
+from knapweedhitch.model import UNKNOWN_INCARNATION, Address, CallResult, UpstreamRecord
 from knapweedhitch.pacing import TOLERANCE_MS
 from knapweedhitch.queueadmission import QueueAdmission
 from knapweedhitch.settings import (
@@ -208,6 +208,20 @@
         await u.run_traffic(per_s=25.0, for_s=1.0)
         self.assertGreater(len(u.starts_s), 15)
 
+    @with_upstream
+    async def test_limit_outlasts_the_first_heartbeat(self, u: LimitedUpstream) -> None:
+        """Guards against a restarted node that drops the limit which a probe told it, when a
+        heartbeat names the incarnation of the same upstream, and starts all queued calls at once.
+        """
+        u.admission.set_upstream(None)
+        u.admission.set_upstream(structs.replace(RECORD, incarnation=UNKNOWN_INCARNATION))
+        u.limit_per_s = 1.0
+        u.respond(trio.current_time())
+        await u.call()
+        u.admission.set_upstream(RECORD)
+        await u.run_traffic(per_s=25.0, for_s=1.0)
+        self.assertLessEqual(len(u.starts_s), 2)
+
     @with_upstream
     async def test_limit_of_zero_still_gets_a_trial(self, u: LimitedUpstream) -> None:
         """Guards against an upstream that is never used again after it has named a limit of 0."""
