Refuse heartbeats whose instance id no header can carry

Cause: the platform's heartbeat handler took any id; only the product's own announcements were checked. LoadProbe then encoded the id outside the block that keeps errors of a probe from ending the process. Ruled out: requests alone; the probe raises without any traffic.

The id is checked in Announce, where heartbeats, deregistrations and probe results meet.

--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -11,6 +11,7 @@
 from msgspec import structs
 
 from knapweedhitch import logs
+from knapweedhitch.budget import TokenBucket
 from knapweedhitch.departures import DepartureTable
 from knapweedhitch.exceptions import (
     AnnouncementInvalid,
@@ -35,6 +36,8 @@
 MAX_COUNT = 1_000_000
 NO_HEARTBEAT = (-1, -1)
 DEREGISTERED = "deregistered"
+WARNING_LINES_PER_S = 0.2
+WARNING_BURST = 2.0
 MAX_INCARNATION = (1 << 63) - 1
 FIELDS = ("service", "address", "slots", "connections", "instance_id", "incarnation", "state")
 
@@ -60,6 +63,12 @@
     )
 
 
+def check_instance_id(instance_id: str) -> None:
+    """Check the id of an instance, which headers and messages carry; raises AnnouncementInvalid."""
+    if not INSTANCE_ID.match(instance_id):
+        raise AnnouncementInvalid(detail="instance id: use 1 to 128 visible ASCII characters")
+
+
 def _parse_text(raw: dict[str, Any], field: str, pattern: re.Pattern[str]) -> str:
     value = raw.get(field)
     if not isinstance(value, str) or not pattern.match(value):
@@ -135,6 +144,7 @@
             self._kernel.get("peers").handle(UpstreamDeparted, self._on_departed)
         if is_enabled:
             await self._server.start(self._kernel.nursery)
+        self._warning_budget = TokenBucket(WARNING_LINES_PER_S, WARNING_BURST, self._timers.now_ms)
         self._timers.every(self._cfg.upstream.announcement_ttl_ms / 4, self._expire, align=True)
 
     async def stop(self) -> None:
@@ -207,8 +217,9 @@
         """Record a heartbeat; return False if it arrived after a newer one.
 
         The upstream stays cold for another `cold_ms`. Heartbeats are ordered by their
-        incarnation, and within one incarnation by their sequence.
+        incarnation, and within one incarnation by their sequence. Raises AnnouncementInvalid.
         """
+        check_instance_id(record.instance_id)
         order = (record.incarnation, sequence)
         same_source = (record.instance_id, record.incarnation) == self._last_heartbeat_source
         if order <= self._last_heartbeat and (
@@ -235,12 +246,23 @@
 
     def accept_probe_result(self, record: UpstreamRecord) -> None:
         """Use the record found by a probe unless the upstream has reported itself."""
+        try:
+            check_instance_id(record.instance_id)
+        except AnnouncementInvalid as exc:
+            self._counters.add("announcements_invalid", "probed")
+            if self._warning_budget.take():
+                logs.warning("probed_upstream_invalid", address=record.address, detail=exc.detail)
+            return
         if not self.has_reported and self.current is None and not self._departures.includes(record):
             self._renewed_ms = self._timers.now_ms()
             self._set_current(record, "probed")
 
     def deregister(self, instance_id: str, incarnation: int | None) -> None:
-        """Drop an upstream that reports leaving; an incarnation of None is the current one."""
+        """Drop an upstream that reports leaving; an incarnation of None is the current one.
+
+        Raises AnnouncementInvalid.
+        """
+        check_instance_id(instance_id)
         known_id, known_incarnation = self._last_heartbeat_source
         if incarnation is None:
             same = instance_id == known_id
--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -171,6 +171,7 @@
         try:
             with trio.fail_after(self._cfg.probe_timeout_ms / MS_PER_S):
                 await self._exchange(record, response)
+            self._pass_response(record, response)
         except (OSError, trio.TooSlowError, UpstreamError, Refusal, CallerGone) as exc:
             self._counters.add("probe_failed", type(exc).__name__)
             await self._close_connection()
@@ -182,12 +183,12 @@
             await self._close_connection()
             return None
         self._counters.add("probes")
-        self._pass_response(record, response)
         return response
 
     def _pass_response(self, record: UpstreamRecord, response: _ProbeResponse) -> None:
-        headers, own_id = dict(response.headers), record.instance_id.encode("latin-1")
-        if own_id and headers.get(self._names.instance, own_id) != own_id:
+        headers, own_id = dict(response.headers), record.instance_id
+        named = headers.get(self._names.instance)
+        if own_id and named is not None and named.decode("latin-1") != own_id:
             # Another upstream responds at the address, so this says nothing of the announced one.
             self._counters.add("probes_misdirected")
             return
--- a/knapweedhitch/platform/apis.py
+++ b/knapweedhitch/platform/apis.py
@@ -106,19 +106,19 @@
                 raise AnnouncementInvalid(detail=f"unknown service {heartbeat.info.service[:80]!r}")
             connections = backend.max_connections if backend is not None else DEFAULT_CONNECTIONS
             record = heartbeat.record(instance_id, connections)
+            self._announce.record_heartbeat(record, heartbeat.status.seq, heartbeat.cold_ms)
         except AnnouncementInvalid as exc:
             self._counters.add("heartbeats_invalid")
             return _error_reply(BAD_REQUEST, exc)
-        self._announce.record_heartbeat(record, heartbeat.status.seq, heartbeat.cold_ms)
         return OK_REPLY
 
     def _deregister(self, instance_id: str, body: bytes) -> OperatorResponse:
         try:
             deregistration = heartbeats.decode_deregistration(body)
+            self._announce.deregister(instance_id, deregistration.born)
         except AnnouncementInvalid as exc:
             self._counters.add("heartbeats_invalid")
             return _error_reply(BAD_REQUEST, exc)
-        self._announce.deregister(instance_id, deregistration.born)
         return OK_REPLY
 
 
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -12,6 +12,7 @@
 
 from knapweedhitch.announce import Announce
 from knapweedhitch.counters import Counters
+from knapweedhitch.exceptions import AnnouncementInvalid
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.messages import UpstreamDeparted
 from knapweedhitch.model import UNKNOWN_INCARNATION, Address, UpstreamRecord, UpstreamState
@@ -64,26 +65,33 @@
         kernel.add("admission", admission)
         return Announce(kernel)
 
+    async def run_step(self, announce: Announce, record: Step, sequence: int) -> None:
+        if isinstance(record, str):
+            announce.deregister(record, sequence or None)
+        elif isinstance(record, UpstreamReport):
+            sent_ms = trio.current_time() * 1_000 + record.requested_ms
+            announce.record_report(dataclasses.replace(record, requested_ms=sent_ms))
+        elif isinstance(record, UpstreamDeparted):
+            await announce._on_departed("n2", record)
+        elif sequence == PROBED:
+            announce.accept_probe_result(record)
+        else:
+            announce.record_heartbeat(record, sequence, 0.0)
+
     def run_steps(self, *steps: tuple[Step, int]) -> Announce:
         """Apply heartbeats (record, sequence), deregistrations (id, incarnation or 0), reports of
         responses and messages of other nodes.
         """
         announce = self.make_announce()
+        self.refused = 0
 
         async def main() -> None:
             await announce.start()
             for record, sequence in steps:
-                if isinstance(record, str):
-                    announce.deregister(record, sequence or None)
-                elif isinstance(record, UpstreamReport):
-                    sent_ms = trio.current_time() * 1_000 + record.requested_ms
-                    announce.record_report(dataclasses.replace(record, requested_ms=sent_ms))
-                elif isinstance(record, UpstreamDeparted):
-                    await announce._on_departed("n2", record)
-                elif sequence == PROBED:
-                    announce.accept_probe_result(record)
-                else:
-                    announce.record_heartbeat(record, sequence, 0.0)
+                try:
+                    await self.run_step(announce, record, sequence)
+                except AnnouncementInvalid:
+                    self.refused += 1
 
         async def run_in_nursery() -> None:
             async with trio.open_nursery() as nursery:
@@ -165,6 +173,17 @@
         self.run_steps((OLD, 5), ("i-1", 1_000))
         self.assertEqual(self.announced[-1], LEAVING)
 
+    def test_unreadable_instance_id_is_refused(self) -> None:
+        """Guards against a heartbeat whose id no header can carry: it took the place of the
+        upstream in use, and the next probe ended the process.
+        """
+        for instance_id in ("\ufffd\ufffe", "\u017elu\u0165", "i\n1", "i 1", "", "i" * 129):
+            odd = structs.replace(NEW, instance_id=instance_id)
+            with self.subTest(instance_id):
+                announce = self.run_steps((OLD, 5), (odd, 1), (instance_id, 2_000))
+                self.assertEqual((announce.current, self.refused), (OLD, 2))
+                self.assertIsNone(self.run_steps((odd, PROBED)).current)
+
     def test_deregistration_ends_the_use_of_a_probed_upstream(self) -> None:
         """Guards against a restarted node that acknowledges the deregistration of an upstream which
         it knows from a probe only, and goes on using it: 114 to 122 calls came later than allowed.
--- a/tests/test_loadprobe.py
+++ b/tests/test_loadprobe.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import trio
+from msgspec import structs
 
 from knapweedhitch.counters import Counters
 from knapweedhitch.kernel import Kernel
@@ -87,3 +88,19 @@
             probe._pass_response(RECORD, response)
             self.assertEqual(len(passed), count)
         self.assertEqual(counters.get("probes_misdirected"), 1)
+
+    async def test_probe_of_an_odd_record_ends_without_an_error(self) -> None:
+        """Guards against a process that ends because it cannot write an id into a header."""
+        kernel = Kernel(replace(settings(), headers=HEADERS))
+        probe = LoadProbe(kernel)
+        counters = probe._counters = Counters()
+        probe._timers = FakeTimers()
+        probe._announce = SimpleNamespace(record_report=lambda report: None)
+        probe._admission = SimpleNamespace(record_probe=lambda *args: None)
+
+        async def respond(record: UpstreamRecord, response: _ProbeResponse) -> None:
+            response.headers = ((b"x-instance", b"i1"),)
+
+        probe._exchange = respond
+        await probe._probe(structs.replace(RECORD, instance_id="\ufffd\ufffe"))
+        self.assertEqual(counters.get("probes_misdirected"), 1)
