Drop orders without a version that were replaced meanwhile

Cause: orders to take a domain or node out or back carry no version, and the operators' APIs acted on each request that they read, whether or not its caller still waited. A message held up between an instance and the leader has the same effect, and there no connection tells that the caller left. Ruled out: a replica that goes back to an older state, and nodes that miss the second order; no request reached the zone between its acknowledgement and the end of the pause.

The connection of a request with an effect is watched while its handler runs, and an order whose caller has left is not submitted. An order carries the configuration version that its node knew before this check, and the log refuses it if its domain was changed after that; while the caller waits, the node tries again. So a held-up order has no effect once it was replaced, wherever it waits.

--- a/knapweedhitch/configuration.py
+++ b/knapweedhitch/configuration.py
@@ -50,6 +50,14 @@
     return structs.replace(after, version=version)
 
 
+def subject_version(cfg: Configuration, op: changes.Operation) -> int | None:
+    """Return the version of what an operation replaces, None if that is the whole configuration."""
+    if not isinstance(op, (changes.DomainOut, changes.DomainIn)):
+        return None
+    status = cfg.domains.get(op.domain)
+    return status.version if status is not None else 0
+
+
 def check_service(svc: ServiceConfig) -> None:
     """Check the fields of a service; raises InvalidChange that names the field."""
     if not NAME.fullmatch(svc.name):
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -167,6 +167,10 @@
     """Report a replica that stopped after a failed write and no longer replies."""
 
 
+class OrderAbandoned(ConsensusError):
+    """Report an order that was not carried out, because its caller left or others came first."""
+
+
 class ChangeError(KnapweedhitchError):
     """Represent any refusal of a configuration change."""
 
@@ -669,6 +673,13 @@
     status = 503
 
 
+class OrderNotRun(Refusal):
+    """Refuse an order that was not carried out, because its caller left or others came first."""
+
+    reason = "order-abandoned"
+    status = 503
+
+
 class ChangeUnconfirmed(Refusal):
     """Report a change that may or may not be in force."""
 
--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -10,6 +10,7 @@
 import trio
 
 from knapweedhitch import changes_json, logs, metrics, operator_views, plain
+from knapweedhitch.caller import Caller
 from knapweedhitch.exceptions import (
     BadRequest,
     ChangeConflict,
@@ -21,6 +22,8 @@
     NoLeader,
     NoSuchResource,
     NotLeader,
+    OrderAbandoned,
+    OrderNotRun,
     Outcome,
     ProposalUnknown,
     Refusal,
@@ -36,6 +39,7 @@
     OperatorResponse,
     refusal_response,
 )
+from knapweedhitch.orders import submit_order
 from knapweedhitch.proposals import Proposer
 from knapweedhitch.settings import load_secret
 
@@ -154,10 +158,17 @@
     def _count(self, name: str, reason: str) -> None:
         self.kernel.get("counters").add(name, reason)
 
-    async def submit(self, raw: dict[str, Any]) -> OperatorResponse:
+    async def submit(self, raw: dict[str, Any], caller: Caller) -> OperatorResponse:
         """Submit the change in a JSON object and return the new version."""
         form = changes_json.parse_change(raw)
-        version = await self.proposer.submit(changes_json.to_change(form))
+        change = changes_json.to_change(form)
+        if change.base_version is None and not change.op.needs_base:
+            config = self.kernel.get("config")
+            version = await submit_order(
+                self.proposer.submit, lambda: config.current.version, caller, change
+            )
+        else:
+            version = await self.proposer.submit(change)
         logs.event(
             "change_accepted",
             change_id=form.change_id,
@@ -184,6 +195,8 @@
     if isinstance(exc, NotLeader):
         detail = "no leader among the control instances could be reached; nothing was changed"
         return NoLeader(detail=detail), {"leader_id": exc.leader_id}
+    if isinstance(exc, OrderAbandoned):
+        return OrderNotRun(detail=str(exc)), {}
     if isinstance(exc, ProposalUnknown):
         detail = "the change may be in force; send it again with the same change id"
         return ChangeUnconfirmed(Outcome.UNKNOWN, detail), {}
@@ -270,7 +283,7 @@
 
 @route("POST", "/v1/changes")
 async def _changes(api: OperatorApi, request: OperatorRequest, _: str) -> OperatorResponse:
-    return await api.submit(plain.parse_object(request.body))
+    return await api.submit(plain.parse_object(request.body), request.caller)
 
 
 def _parse_command(request: OperatorRequest) -> dict[str, Any]:
@@ -305,14 +318,15 @@
         # Gives a more specific error only; the log checks the rule again, in the order of changes.
         operator_views.check_last_domain(api.kernel, domain)
     op = {"kind": "domain_out", "domain": domain, "allow_last": allow_last}
-    return await api.submit(_change_fields(fields, op, None))
+    return await api.submit(_change_fields(fields, op, None), request.caller)
 
 
 @route("POST", "/v1/domains/*/in")
 async def _domain_in(api: OperatorApi, request: OperatorRequest, domain: str) -> OperatorResponse:
     fields = _parse_command(request)
     operator_views.check_known_domain(api.kernel, domain)
-    return await api.submit(_change_fields(fields, {"kind": "domain_in", "domain": domain}, None))
+    op = {"kind": "domain_in", "domain": domain}
+    return await api.submit(_change_fields(fields, op, None), request.caller)
 
 
 @route("POST", "/v1/nodes/*/drain")
@@ -320,9 +334,8 @@
     fields = _parse_command(request)
     if not fields.get("allow_unknown", False):
         operator_views.check_known_node(api.kernel, node_id)
-    return await api.submit(
-        _change_fields(fields, {"kind": "node_drain", "node_id": node_id}, None)
-    )
+    op = {"kind": "node_drain", "node_id": node_id}
+    return await api.submit(_change_fields(fields, op, None), request.caller)
 
 
 @route("POST", "/v1/nodes/*/undrain")
@@ -331,6 +344,5 @@
 ) -> OperatorResponse:
     fields = _parse_command(request)
     operator_views.check_known_node(api.kernel, node_id)
-    return await api.submit(
-        _change_fields(fields, {"kind": "node_undrain", "node_id": node_id}, None)
-    )
+    op = {"kind": "node_undrain", "node_id": node_id}
+    return await api.submit(_change_fields(fields, op, None), request.caller)
--- a/knapweedhitch/operator_http.py
+++ b/knapweedhitch/operator_http.py
@@ -10,6 +10,7 @@
 import trio
 
 from knapweedhitch import plain
+from knapweedhitch.caller import Caller
 from knapweedhitch.exceptions import (
     BadRequest,
     BodyTimeout,
@@ -24,6 +25,7 @@
 READ_BYTES = 16_384
 MAX_QUERY_FIELDS = 10
 JSON = "application/json"
+SAFE_METHODS = frozenset({"GET", "HEAD"})
 MS_PER_S = 1_000.0
 
 
@@ -36,6 +38,7 @@
     query: Mapping[str, str]
     authorization: bytes
     body: bytes
+    caller: Caller = dataclasses.field(default_factory=Caller, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,9 +110,33 @@
             return False
         if request is None:
             return False
-        await self._send(await self._handler(request), close=False)
+        await self._send(await self._handle(request), close=False)
         return self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
 
+    async def _handle(self, request: OperatorRequest) -> OperatorResponse:
+        """Run the handler; for requests with an effect, watch whether their caller leaves."""
+        if request.method in SAFE_METHODS:
+            return await self._handler(request)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, request.caller)
+            response = await self._handler(request)
+            nursery.cancel_scope.cancel()
+        return response
+
+    async def _watch_caller(self, caller: Caller) -> None:
+        """Mark the caller as left when its connection ends; keep what it sends ahead."""
+        ahead_bytes = 0
+        try:
+            while ahead_bytes < READ_BYTES:
+                data = bytes(await self._stream.receive_some(READ_BYTES))
+                self._conn.receive_data(data)
+                ahead_bytes += len(data)
+                if not data:
+                    caller.mark_left()
+                    return
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            caller.mark_left()
+
     async def _read_request(self) -> OperatorRequest | None:
         with trio.move_on_after(self._cfg.idle_timeout_ms / MS_PER_S) as idle:
             has_data = await self._wait_for_data()
--- a/knapweedhitch/platform/apis.py
+++ b/knapweedhitch/platform/apis.py
@@ -5,7 +5,8 @@
 import functools
 import os
 
-from knapweedhitch import changes, logs
+from knapweedhitch import changes, logs, orders
+from knapweedhitch.caller import Caller
 from knapweedhitch.changes import Change, DomainIn, DomainOut, Operation, PatchItems
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import (
@@ -142,9 +143,9 @@
             case "GET", "knapweedhitch", "config", "get":
                 return await self._get_config()
             case "POST", "knapweedhitch", "evacuations", zone, "start":
-                return await self._submit_operation(DomainOut(zone, allow_last=True))
+                return await self._submit_order(DomainOut(zone, allow_last=True), req.caller)
             case "POST", "knapweedhitch", "evacuations", zone, "finish":
-                return await self._submit_operation(DomainIn(zone))
+                return await self._submit_order(DomainIn(zone), req.caller)
         raise NotFound
 
     async def _patch(self, body: bytes) -> OperatorResponse:
@@ -152,12 +153,20 @@
             patch = items.decode_patch(body)
         except InvalidChange as exc:
             return _error_reply(BAD_REQUEST, exc)
-        return await self._submit_operation(PatchItems(patch))
+        return await self._accept(PatchItems(patch), self._control.submit)
 
-    async def _submit_operation(self, op: Operation) -> OperatorResponse:
+    async def _submit_order(self, op: Operation, caller: Caller) -> OperatorResponse:
+        async def submit(change: Change) -> int:
+            return await orders.submit_order(
+                self._control.submit, lambda: self._config.current.version, caller, change
+            )
+
+        return await self._accept(op, submit)
+
+    async def _accept(self, op: Operation, submit: orders.Submit) -> OperatorResponse:
         change = Change(changes.new_change_id(), None, "operator", op)
         try:
-            version = await self._control.submit(change)
+            version = await submit(change)
         except ChangeError as exc:
             return _error_reply(BAD_REQUEST, exc)
         except (ConsensusError, PeerError) as exc:
