Let a service take nothing while its upstreams are cold

Cause: the work queue divided by the cold rate to estimate a wait. The load reports ask for it on the task of all timers, whose error ends the process. Ruled out: the return of the domain by itself; other rates pass, and the queue alone fails with 0.

With a rate of 0 or less no call starts until the upstream is warm, and the wait is the time until then; it is an upper bound for other rates too, so that Retry-After is true. An infinite cold time is bounded.

--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -38,6 +38,8 @@
 # EWMA weight of the newest gap between calls, and the longest gap that counts.
 GAP_WEIGHT = 0.2
 MAX_GAP_MS = 500.0
+# An upstream that is cold for longer says so again.
+MAX_COLD_MS = 3_600_000.0
 LIMIT_LOG_LINES_PER_S = 1.0
 LIMIT_LOG_BURST = 5.0
 
@@ -294,7 +296,8 @@
         record = self._record
         if record is None or (cold_ms <= 0 and not self.queue.is_cold(self._timers.now_ms())):
             return
-        self.queue.set_cold(self._timers.now_ms() + cold_ms, self._cold_per_s())
+        until_ms = self._timers.now_ms() + min(cold_ms, MAX_COLD_MS)
+        self.queue.set_cold(until_ms, self._cold_per_s())
         self._dispatch()
 
     def _cold_per_s(self) -> float:
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -165,10 +165,17 @@
         """Return the time until the rate limits allow a start behind `ahead` queued calls."""
         wait_ms = self._pacer.wait_ms(now_ms, ahead)
         if self.is_cold(now_ms):
-            cold_wait_ms = self._starts.wait_ms(now_ms, self._cold_per_s)
-            wait_ms = max(wait_ms, cold_wait_ms + ahead * MS_PER_S / self._cold_per_s)
+            wait_ms = max(wait_ms, self._cold_wait_ms(now_ms, ahead))
         return wait_ms
 
+    def _cold_wait_ms(self, now_ms: float, ahead: int) -> float:
+        """Return the time until the rate of a cold upstream allows a start behind `ahead` calls."""
+        warm_in_ms = self._cold_until_ms - now_ms
+        if self._cold_per_s <= 0:
+            return warm_in_ms
+        turn_ms = self._starts.wait_ms(now_ms, self._cold_per_s)
+        return min(warm_in_ms, turn_ms + ahead * MS_PER_S / self._cold_per_s)
+
     def expected_rate_delay(self, work: Work, now_ms: float) -> float:
         """Return the wait for the rate limits in service times, for a call that arrives now."""
         wait_ms = self._rate_wait_ms(now_ms, self._count_ahead(work, now_ms))
--- a/tests/test_queueadmission.py
+++ b/tests/test_queueadmission.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import functools
+import itertools
+import math
 import unittest
 from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
 from typing import Any
 
 import trio
+from msgspec import structs
 from trio.testing import MockClock
 
 from knapweedhitch.clock import now_ms
@@ -28,7 +31,7 @@
 from knapweedhitch.items import Items
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.model import Address, CallResult, UpstreamRecord, UpstreamState
-from knapweedhitch.queueadmission import QueueAdmission
+from knapweedhitch.queueadmission import MAX_COLD_MS, QueueAdmission
 from knapweedhitch.settings import (
     AdmissionSettings,
     ControlMember,
@@ -177,6 +180,45 @@
         # The cold limit of the backend is 16 calls per second.
         self.assertLessEqual(started_count, 16)
 
+    @with_admission
+    async def test_upstream_that_takes_nothing_while_cold_is_used_when_warm(
+        self, a: QueueAdmission
+    ) -> None:
+        """Guards against a process that ends when a domain returns whose upstreams take nothing
+        while they are cold, and against callers that wait for them or return too early.
+        """
+        for cold_per_s in (0.0, 1e-300):
+            a._kernel.get("config").current.items = Items(
+                backends={"s1": structs.replace(backend(), cold_calls_per_s=cold_per_s)}
+            )
+            a.set_domain_out(True)
+            a.set_domain_out(False)
+            self.assertGreater(a.load().wait_ms, 0.0 if cold_per_s else 2_999.0)
+            if cold_per_s == 0.0:
+                refusal = await self.assert_refused(a, spec())
+                self.assertAlmostEqual(refusal.retry_after_ms, 3_000.0, delta=1.0)
+            await trio.sleep(3.0)
+            a.release(await admit(a, spec()), SUCCESS)
+
+    @with_admission
+    async def test_any_cold_time_and_rate_leave_the_node_working(self, a: QueueAdmission) -> None:
+        """Guards against numbers in a configuration or heartbeat that end the process."""
+        extremes = (0.0, -1.0, 1e-300, 1e300, math.inf)
+        for cold_start_ms, cold_per_s in itertools.product(extremes, extremes):
+            item = structs.replace(
+                backend(), cold_start_ms=cold_start_ms, cold_calls_per_s=cold_per_s
+            )
+            a._kernel.get("config").current.items = Items(backends={"s1": item})
+            with self.subTest(cold_start_ms=cold_start_ms, cold_per_s=cold_per_s):
+                a.set_domain_out(True)
+                a.set_domain_out(False)
+                self.assertTrue(math.isfinite(a.load().wait_ms))
+                try:
+                    a.release(await admit(a, spec()), SUCCESS)
+                except NoRoom as refusal:
+                    self.assertLessEqual(refusal.retry_after_ms, MAX_COLD_MS)
+                a.set_cold_time(0.0)
+
     @with_admission
     async def test_slow_upstream_declines_if_another_is_better(self, a: QueueAdmission) -> None:
         """Guards against a call that is four times slower, as the load report arrived too late."""
--- a/tests/test_workqueue.py
+++ b/tests/test_workqueue.py
@@ -226,6 +226,19 @@
             work_queue.start(1_500.0)
         self.assertTrue(work_queue.has_room(1_500.0))
 
+    def test_cold_rate_of_zero_allows_no_start_until_warm(self) -> None:
+        """Guards against an arithmetic error, which ended the processes beside all cold upstreams
+        of a service, and against starts at an upstream that takes none while it is cold.
+        """
+        work = Work(1, 0.0, 10_000.0, 1_000.0)
+        for per_s in (0.0, -1.0):
+            work_queue = queue(limit=50)
+            work_queue.set_cold(until_ms=3_000.0, per_s=per_s)
+            self.assertFalse(work_queue.has_room(0.0))
+            self.assertEqual(work_queue.expected_wait_ms(1_000.0), 2_000.0)
+            self.assertGreater(work_queue.expected_rate_delay(work, 0.0), 1.0)
+            self.assertTrue(work_queue.has_room(3_000.0))
+
     def test_unlimited_cold_rate_is_accepted(self) -> None:
         """Guards against an arithmetic error for an unknown cold rate, which is infinite."""
         window = RateWindow(1_000.0)
