Go on with the other timers when one function fails

An error in one periodic function ended the process and cut the requests of its callers, as the division by a cold rate of 0 did. Timers count (timer_errors) and log (timer_error, one line a second) such an error now, and call the others. A failed assertion still ends the process.

Before: test_failing_function_does_not_stop_the_others ends with ZeroDivisionError out of the nursery. After: it passes, and a broken invariant still raises.

--- a/knapweedhitch/timers.py
+++ b/knapweedhitch/timers.py
@@ -5,17 +5,21 @@
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import time
 from collections.abc import Callable
 
 import trio
 
+from knapweedhitch import logs
 from knapweedhitch.clock import MS_PER_S, now_ms
 from knapweedhitch.kernel import Kernel, service
 
 # Step of the grid of aligned timers. Wake-ups are most of the processor time of a node at rest.
 GRID_MS = 62.5
+# A periodic function that fails each time must not flood the log.
+MIN_ERROR_LINE_GAP_MS = 1_000.0
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -47,6 +51,7 @@
         self._wakeup = trio.Event()
         # Nodes that start at the same moment must not all act at the same moments.
         self._phase_ms = self._rng.uniform(0.0, GRID_MS)
+        self._error_logged_ms = -math.inf
 
     async def start(self) -> None:
         """Start the timer task."""
@@ -133,4 +138,20 @@
                 continue
             if sub.interval_ms is not None:
                 self._push_repeated(sub, sub.interval_ms)
-            sub.fn()
+            try:
+                sub.fn()
+            except AssertionError:
+                # A broken invariant ends the process; its state cannot be trusted.
+                raise
+            except Exception as exc:
+                self._record_error(sub, exc)
+
+    def _record_error(self, sub: Subscription, exc: Exception) -> None:
+        """Count and log the error of one function, so that the others go on."""
+        error = type(exc).__name__
+        if self._kernel.has("counters"):
+            self._kernel.get("counters").add("timer_errors", error)
+        if self.now_ms() - self._error_logged_ms >= MIN_ERROR_LINE_GAP_MS:
+            self._error_logged_ms = self.now_ms()
+            fn = getattr(sub.fn, "__qualname__", repr(sub.fn))
+            logs.warning("timer_error", function=fn, error=error, detail=exc)
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 import trio
 
+from knapweedhitch.counters import Counters
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.timers import GRID_MS, Timers
 from tests.decision_fakes import TrioTestCase, settings
@@ -48,6 +50,36 @@
                 for n, at_ms in enumerate(fired_ms):
                     self.assertAlmostEqual(at_ms, start_ms + n * interval_ms, delta=GRID_MS)
 
+    async def test_failing_function_does_not_stop_the_others(self) -> None:
+        """Guards against a process that ends because one periodic function fails, and against one
+        that goes on with a broken invariant.
+        """
+        kernel = Kernel(settings())
+        counters = Counters()
+        kernel.add("counters", counters)
+        kernel.add("timers", Timers(kernel, random.Random(1)))
+        fired: list[int] = []
+
+        def fail() -> None:
+            raise ZeroDivisionError
+
+        async def run(function: Callable[[], None]) -> None:
+            async with trio.open_nursery() as nursery:
+                await kernel.start(nursery)
+                kernel.get("timers").every(100.0, function)
+                kernel.get("timers").every(100.0, lambda: fired.append(1))
+                await trio.sleep(1.05)
+                nursery.cancel_scope.cancel()
+
+        await run(fail)
+        self.assertEqual((len(fired), counters.get("timer_errors", "ZeroDivisionError")), (10, 10))
+
+        def break_invariant() -> None:
+            raise AssertionError
+
+        with self.assertRaises(ExceptionGroup):
+            await run(break_invariant)
+
     async def test_timer_that_was_held_up_does_not_catch_up(self) -> None:
         """Guards against a burst of calls after the process was suspended."""
         kernel = Kernel(settings())
