Refuse entries of upstreams whose numbers or addresses are out of range

A heartbeat with a start of 10^30 or port 99999 got 200 and took the place of the sound upstream; a large start made all later heartbeats of the sound one look late. No process ended.

Cause: heartbeats of the platform were checked for types only. The ranges stand in the model now, so heartbeats, deregistrations, probe results and messages of other nodes meet the same check. A maximum of connections over the range, which an operator may configure, is cut to it.

Before: test_odd_entries_end_no_process_and_displace_no_target fails (three odd entries get 200, 0 requests at the sound target), test_odd_numbers_addresses_and_ nesting_are_refused fails in 12 of 19 cases. After: both pass.

--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -12,11 +12,13 @@
 
 from knapweedhitch import logs
 from knapweedhitch.budget import TokenBucket
+from knapweedhitch.codec import from_plain, to_plain
 from knapweedhitch.departures import DepartureTable
 from knapweedhitch.exceptions import (
     AnnouncementInvalid,
     AnnouncementStale,
     CallerGone,
+    CodecError,
     NotFound,
     Refusal,
     SettingsError,
@@ -27,18 +29,24 @@
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.listener import StreamServer
 from knapweedhitch.messages import UpstreamDeparted
-from knapweedhitch.model import UNKNOWN_INCARNATION, Address, UpstreamRecord, UpstreamState
+from knapweedhitch.model import (
+    INSTANCE_ID,
+    MAX_COUNT,
+    MAX_INCARNATION,
+    UNKNOWN_INCARNATION,
+    Address,
+    UpstreamRecord,
+    UpstreamState,
+)
 from knapweedhitch.upstreamload import UpstreamReport
 
 PATH = b"/v1/announcement"
 SERVICE_NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?\Z")
-INSTANCE_ID = re.compile(r"[!-~]{1,128}\Z")
-MAX_COUNT = 1_000_000
+MAX_PORT = 65_535
 NO_HEARTBEAT = (-1, -1)
 DEREGISTERED = "deregistered"
 WARNING_LINES_PER_S = 0.2
 WARNING_BURST = 2.0
-MAX_INCARNATION = (1 << 63) - 1
 FIELDS = ("service", "address", "slots", "connections", "instance_id", "incarnation", "state")
 
 
@@ -54,21 +62,43 @@
         raise AnnouncementInvalid(detail=f"unknown field {unknown[0][:40]!r}")
     return UpstreamRecord(
         service=_parse_text(raw, "service", SERVICE_NAME),
-        address=_parse_address(raw),
+        address=parse_address(str(raw.get("address"))),
         slots=_parse_int(raw, "slots", 1, MAX_COUNT),
         connections=_parse_int(raw, "connections", 1, MAX_COUNT),
-        instance_id=_parse_text(raw, "instance_id", INSTANCE_ID),
+        instance_id=_parse_text(raw, "instance_id", re.compile(INSTANCE_ID)),
         incarnation=_parse_int(raw, "incarnation", 0, MAX_INCARNATION),
         state=_parse_state(raw),
     )
 
 
+def check_record(record: UpstreamRecord) -> None:
+    """Check the record of an upstream from any source; raises AnnouncementInvalid."""
+    try:
+        from_plain(UpstreamRecord, to_plain(record))
+    except CodecError as exc:
+        raise AnnouncementInvalid(detail=str(exc)) from None
+    if record.address.port == 0:
+        raise AnnouncementInvalid(detail="address: use a port from 1")
+
+
 def check_instance_id(instance_id: str) -> None:
-    """Check the id of an instance, which headers and messages carry; raises AnnouncementInvalid."""
-    if not INSTANCE_ID.match(instance_id):
+    """Check the id of an instance; raises AnnouncementInvalid."""
+    if not re.match(INSTANCE_ID, instance_id):
         raise AnnouncementInvalid(detail="instance id: use 1 to 128 visible ASCII characters")
 
 
+def parse_address(text: str) -> Address:
+    """Return the address in `IP:PORT`; raises AnnouncementInvalid."""
+    host, _, port = text.rpartition(":")
+    try:
+        ip = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
+        if not (port.isascii() and port.isdigit() and 1 <= int(port) <= MAX_PORT):
+            raise ValueError
+    except ValueError:
+        raise AnnouncementInvalid(detail="address: use an IP address with a port") from None
+    return Address(str(ip), int(port))
+
+
 def _parse_text(raw: dict[str, Any], field: str, pattern: re.Pattern[str]) -> str:
     value = raw.get(field)
     if not isinstance(value, str) or not pattern.match(value):
@@ -83,17 +113,6 @@
     return value
 
 
-def _parse_address(raw: dict[str, Any]) -> Address:
-    host, _, port = str(raw.get("address")).rpartition(":")
-    try:
-        ip = ipaddress.ip_address(host.removeprefix("[").removesuffix("]"))
-        if not 1 <= int(port) <= 65_535:
-            raise ValueError
-    except ValueError:
-        raise AnnouncementInvalid(detail="address: use an IP address with a port") from None
-    return Address(str(ip), int(port))
-
-
 def _parse_state(raw: dict[str, Any]) -> UpstreamState:
     try:
         return UpstreamState(raw.get("state", "serving"))
@@ -219,7 +238,7 @@
         The upstream stays cold for another `cold_ms`. Heartbeats are ordered by their
         incarnation, and within one incarnation by their sequence. Raises AnnouncementInvalid.
         """
-        check_instance_id(record.instance_id)
+        check_record(record)
         order = (record.incarnation, sequence)
         same_source = (record.instance_id, record.incarnation) == self._last_heartbeat_source
         if order <= self._last_heartbeat and (
@@ -247,7 +266,7 @@
     def accept_probe_result(self, record: UpstreamRecord) -> None:
         """Use the record found by a probe unless the upstream has reported itself."""
         try:
-            check_instance_id(record.instance_id)
+            check_record(record)
         except AnnouncementInvalid as exc:
             self._counters.add("announcements_invalid", "probed")
             if self._warning_budget.take():
--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -16,6 +16,7 @@
 from knapweedhitch.http1_client import ClientConnection
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import (
+    MAX_COUNT,
     UNKNOWN_INCARNATION,
     Address,
     LoadSample,
@@ -149,9 +150,8 @@
         if backend is None:
             return
         address = Address(self._cfg.address.host, self._cfg.address.port)
-        candidate = UpstreamRecord(
-            name, address, 1, backend.max_connections, "", UNKNOWN_INCARNATION
-        )
+        connections = min(backend.max_connections, MAX_COUNT)
+        candidate = UpstreamRecord(name, address, 1, connections, "", UNKNOWN_INCARNATION)
         response = await self._probe(candidate)
         if response is None:
             return
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -4,8 +4,10 @@
 
 import enum
 from collections.abc import Mapping
+from typing import Annotated
 
 import msgspec
+from msgspec import Meta
 
 from knapweedhitch.codec import Float, Record
 from knapweedhitch.items import Items
@@ -14,13 +16,18 @@
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
 # The incarnation of an upstream that is known from a probe only, which does not tell it.
 UNKNOWN_INCARNATION = 0
+MAX_INCARNATION = (1 << 63) - 1
+MAX_COUNT = 1_000_000
+MAX_NAME_CHARS = 1_024
+# Headers carry the id of an instance, so it is visible ASCII.
+INSTANCE_ID = r"\A[!-~]{1,128}\Z"
 
 
 class Address(Record, frozen=True, order=True):
     """Represent an IP address and port."""
 
     host: str
-    port: int
+    port: Annotated[int, Meta(ge=0, le=65_535)]
 
     def __str__(self) -> str:
         return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
@@ -69,12 +76,12 @@
 class UpstreamRecord(Record, frozen=True):
     """Represent the announcement of an upstream."""
 
-    service: str
+    service: Annotated[str, Meta(min_length=1, max_length=MAX_NAME_CHARS)]
     address: Address
-    slots: int
-    connections: int
-    instance_id: str
-    incarnation: int
+    slots: Annotated[int, Meta(ge=1, le=MAX_COUNT)]
+    connections: Annotated[int, Meta(ge=1, le=MAX_COUNT)]
+    instance_id: Annotated[str, Meta(pattern=INSTANCE_ID)]
+    incarnation: Annotated[int, Meta(ge=0, le=MAX_INCARNATION)]
     state: UpstreamState = UpstreamState.SERVING
 
     def is_same_start(self, instance_id: str, incarnation: int) -> bool:
--- a/knapweedhitch/platform/apis.py
+++ b/knapweedhitch/platform/apis.py
@@ -19,6 +19,7 @@
 )
 from knapweedhitch.http_api import ApiServer
 from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.model import MAX_COUNT
 from knapweedhitch.operator_http import OperatorRequest, OperatorResponse
 from knapweedhitch.platform import heartbeats, items
 from knapweedhitch.platform.settings import BOOT_VARIABLE, Boot, parse_listener, read_boot
@@ -106,7 +107,7 @@
             if backends and backend is None:
                 raise AnnouncementInvalid(detail=f"unknown service {heartbeat.info.service[:80]!r}")
             connections = backend.max_connections if backend is not None else DEFAULT_CONNECTIONS
-            record = heartbeat.record(instance_id, connections)
+            record = heartbeat.record(instance_id, min(connections, MAX_COUNT))
             self._announce.record_heartbeat(record, heartbeat.status.seq, heartbeat.cold_ms)
         except AnnouncementInvalid as exc:
             self._counters.add("heartbeats_invalid")
--- a/knapweedhitch/platform/heartbeats.py
+++ b/knapweedhitch/platform/heartbeats.py
@@ -7,10 +7,15 @@
 import msgspec
 from msgspec import Meta, field
 
+from knapweedhitch.announce import parse_address
 from knapweedhitch.exceptions import AnnouncementInvalid
-from knapweedhitch.model import Address, UpstreamRecord, UpstreamState
+from knapweedhitch.model import MAX_COUNT, UpstreamRecord, UpstreamState
 
 MS_PER_S = 1_000.0
+# The end of the year 9999. A later start would make all heartbeats of other starts look late.
+MAX_UNIX_MS = 253_402_300_799_999
+MAX_SEQUENCE = (1 << 53) - 1
+UnixMs = Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)]
 UPSTREAM_STATES = {"ready": UpstreamState.SERVING, "draining": UpstreamState.LEAVING}
 
 
@@ -21,14 +26,14 @@
     """Describe the properties of a target that stay constant while it runs."""
 
     service: str
-    slots: Annotated[int, Meta(ge=1)]
+    slots: Annotated[int, Meta(ge=1, le=MAX_COUNT)]
 
 
 class Status(msgspec.Struct, frozen=True):
     """Describe the current status of a target; `seq` orders its heartbeats since its start."""
 
     state: str
-    seq: int
+    seq: Annotated[int, Meta(ge=0, le=MAX_SEQUENCE)]
     cold_remaining_s: Annotated[float, Meta(ge=0)] = field(name="coldRemainingS")
 
 
@@ -38,19 +43,16 @@
     address: str
     info: Info
     status: Status
-    born: int
+    born: UnixMs
 
     def record(self, instance_id: str, max_connections: int) -> UpstreamRecord:
         """Return the announced upstream; raises AnnouncementInvalid."""
         state = UPSTREAM_STATES.get(self.status.state)
         if state is None:
             raise AnnouncementInvalid(detail=f"unknown state {self.status.state[:40]!r}")
-        host, _, port = self.address.rpartition(":")
-        if not host or not port.isdigit():
-            raise AnnouncementInvalid(detail="address: use host:port")
         return UpstreamRecord(
             self.info.service,
-            Address(host, int(port)),
+            parse_address(self.address),
             self.info.slots,
             max_connections,
             instance_id,
@@ -67,7 +69,7 @@
 class Deregistration(msgspec.Struct, frozen=True):
     """Represent a deregistration, with the start of the target if given."""
 
-    born: int | None = None
+    born: UnixMs | None = None
 
 
 def decode_heartbeat(body: bytes) -> Heartbeat:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,6 +10,7 @@
 
 import yaml
 
+from knapweedhitch.announce import check_record
 from knapweedhitch.exceptions import AnnouncementInvalid, InvalidChange, SettingsError
 from knapweedhitch.items import Items, merge
 from knapweedhitch.model import Address, UpstreamState
@@ -187,6 +188,42 @@
             with self.subTest(data), self.assertRaises(AnnouncementInvalid):
                 heartbeats.decode_heartbeat(data)
 
+    def test_odd_numbers_addresses_and_nesting_are_refused(self) -> None:
+        """Guards against an entry of another writer that ends the process or displaces an upstream:
+        a start in the far future made all later heartbeats of the sound one look late.
+        """
+        deep = b"[" * 100_000 + b"]" * 100_000
+        huge = b"1" + b"0" * 30
+        cases = [
+            ("born", huge),
+            ("born", b"-5"),
+            ("status.seq", huge),
+            ("status.seq", b"-1"),
+            ("info.slots", huge),
+            ("info.slots", b"1e400"),
+            ("status.coldRemainingS", b"1e400"),
+            ("address", b'"10.1.0.8:99999"'),
+            ("address", b'"10.1.0.8:0"'),
+            ("address", b'"10.1.0.8:-1"'),
+            ("address", b'"10.1.0.8:\xd9\xa3"'),
+            ("address", b'"nowhere:80"'),
+            ("info.service", b'""'),
+            ("note", deep),
+            ("info.zone", deep),
+            ("status.state", deep),
+        ]
+        for path, value in cases:
+            data = json.dumps(replace_field(HEARTBEAT, path, "@")).encode()
+            with (
+                self.subTest(path=path, value=value[:40]),
+                self.assertRaises(AnnouncementInvalid),
+            ):
+                heartbeat = heartbeats.decode_heartbeat(data.replace(b'"@"', value))
+                check_record(heartbeat.record("i-1", 260))
+        for data in (b'{"born":' + huge + b"}", b'{"born":-1}', deep):
+            with self.subTest(data[:40]), self.assertRaises(AnnouncementInvalid):
+                heartbeats.decode_deregistration(data)
+
     def test_deregistration_may_have_no_body(self) -> None:
         """Guards against refusing the deregistration of a target that sends no body."""
         self.assertIsNone(heartbeats.decode_deregistration(b"").born)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -231,6 +231,40 @@
         self.heartbeat(seq=3)
         self.assertEqual(self.count_arrivals(APPS[1], time.monotonic(), 3.0), 0)
 
+    def test_odd_entries_end_no_process_and_displace_no_target(self) -> None:
+        """Guards against an entry of another writer that ends the processes which read it, or takes
+        the place of the sound target.
+        """
+        self.configure()
+        self.wait_until("heartbeat", self.heartbeat, 200)
+        for ip in APPS:
+            self.wait_until("response", lambda ip=ip: self.send_request(ip), 200)
+        entry = json.dumps(platform_boot.heartbeat(APPS[0], self.base, seq=2)).encode()
+        sound_address = f"{APPS[0]}:{self.base + platform_boot.TARGET_PORT}".encode()
+        deep = b"[" * 20_000 + b"]" * 20_000
+        odd_entries = {
+            "%ff%fe": entry,
+            "i%201": entry,
+            "": entry,
+            "i-9": entry.replace(sound_address, b"127.0.1.10:99999"),
+            "i-8": entry.replace(b'"born": 1000', b'"born": 1' + b"0" * 30),
+            "i-7": entry.replace(b'"slots": 6', b'"slots": 1' + b"0" * 30),
+            "i-6": entry.replace(b'"v1"', deep),
+            "i-5": deep,
+            "i-4": b"\xff\xfe",
+        }
+        address = self.address(APPS[0], "control")
+        for instance_id, body in odd_entries.items():
+            for action in ("heartbeat", "deregister"):
+                path = f"/knapweedhitch/instances/{instance_id}/{action}"
+                status = send_http(address, "POST", path, body)[0]
+                with self.subTest(instance_id=instance_id, action=action):
+                    if action == "heartbeat" or instance_id in ("%ff%fe", "i%201", "i-5", "i-4"):
+                        self.assertIn(status, range(400, 500))
+        # Longer than a probe of the target takes to come.
+        self.assertGreater(self.count_arrivals(APPS[1], time.monotonic(), 2.0), 20)
+        self.assertEqual({ip: p.poll() for ip, p in self.processes.items() if p.poll()}, {})
+
     def test_whole_path(self) -> None:
         """Guards against parts that work alone but not together: roles, targets and restarts."""
         self.assertEqual(self.send_request(APPS[1]), 503 if self.send_request(APPS[1]) else 0)
