Acknowledge nothing after a failed write of the log

But a replica whose disk was slow and then full acknowledged an entry that was on no disk: append requests that waited for the lock while the write failed found the entry in memory. Its disk then counted as one that had lost data, for as long as that leader led; three of five stop all changes.

Cause: the replica's state was checked before the wait for the lock only. Requests of other members take it through ReplicaState.running now, which refuses once the replica has stopped.

--- a/knapweedhitch/election.py
+++ b/knapweedhitch/election.py
@@ -138,7 +138,7 @@
     async def on_vote(self, node_id: str, msg: VoteRequest) -> VoteReply:
         """Reply to a vote request once the vote is durable; raises StorageError."""
         s = self._s
-        async with s.lock:
+        async with s.running():
             # The request names the voter's disk as the candidate's log lists it. No log lists the
             # disk id of an emptied or replaced disk, so such a disk cannot vote.
             is_admitted = s.is_confirmed and msg.voter_disk_id == s.store.disk_id
--- a/knapweedhitch/raftstate.py
+++ b/knapweedhitch/raftstate.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
 import enum
 import math
 import random
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import AsyncIterator, Iterable, Mapping
 from typing import Protocol
 
 import cbor2
@@ -23,6 +24,7 @@
     CorruptFile,
     NotLeader,
     ProposalUnknown,
+    ReplicaStopped,
 )
 from knapweedhitch.messages import LogEntry
 from knapweedhitch.rpc import Transport
@@ -294,6 +296,18 @@
         if term > self.store.term:
             await self.store.set_term(term, "")
 
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Hold the lock of a replica that runs; raises ReplicaStopped.
+
+        A write that fails leaves entries in memory that are not on the disk. Requests that waited
+        for the lock meanwhile must not acknowledge them.
+        """
+        async with self.lock:
+            if self.role is Role.STOPPED:
+                raise ReplicaStopped(f"{self.node_id} has stopped")
+            yield
+
     def fail(self, exc: Exception) -> None:
         """Stop the replica after a failed write; it handles no further message."""
         if self.role is Role.STOPPED:
--- a/knapweedhitch/replication.py
+++ b/knapweedhitch/replication.py
@@ -217,7 +217,7 @@
         self._record_contact(msg.term)
         if self._is_plain_heartbeat(msg):
             return self._reply(True, 0)
-        async with s.lock:
+        async with s.running():
             if msg.term < s.store.term:
                 return self._reply(False, 0)
             await self._follow_leader(msg.term, msg.leader_id)
@@ -291,7 +291,7 @@
         """Store one chunk of a snapshot and install it with the last one; raises StorageError."""
         s = self._s
         self._record_contact(msg.term)
-        async with s.lock:
+        async with s.running():
             if msg.term < s.store.term:
                 return SnapshotReply(s.store.term, 0, s.confirmed_disk_id)
             await self._follow_leader(msg.term, msg.leader_id)
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
@@ -9,8 +10,9 @@
 import trio
 from trio.testing import MockClock
 
+from knapweedhitch import wal
 from knapweedhitch.settings import Settings
-from tests.state_cluster import NAMES, Cluster, make_settings, wait_until
+from tests.state_cluster import NAMES, Cluster, Node, make_settings, wait_until
 
 SEEDS = 3
 CONTROL = {
@@ -188,3 +190,69 @@
             self.assertNotEqual((await cluster.wait_for_leader()).node_id, leader.node_id)
 
         run(check)
+
+    def test_disks_that_were_full_in_turn_count_again(self) -> None:
+        """Guards against a group that refuses changes to the end, although all its members run and
+        no two of their disks were full at the same time.
+        """
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_for_voters(cluster, *NAMES[:5])
+            for name in (*NAMES[:5], *NAMES[:5]):
+                node = cluster.nodes[name]
+                # Some of the next write still fits.
+                node.disk.free_bytes = cluster.rng.randrange(100)
+                await cluster.change()
+                await wait_until(lambda n=node: n.replica.is_stopped)
+                await cluster.change(timeout_ms=4_000.0)
+                await trio.sleep(2.0)
+                node.disk.free_bytes = None
+                await wait_until(lambda n=node: not n.replica.is_stopped)
+            await trio.sleep(1.0)
+            # Each disk counts: any three members accept a change without the others.
+            for lost in itertools.combinations(NAMES[:5], 2):
+                for name in lost:
+                    await cluster.crash(name)
+                await cluster.change(timeout_ms=6_000.0)
+                for name in lost:
+                    await cluster.restart(name)
+                await trio.sleep(1.0)
+            await cluster.check_nothing_lost()
+
+        run(check)
+
+    def test_replica_that_has_failed_acknowledges_nothing(self) -> None:
+        """Guards against an acknowledgement of an entry that never reached a disk: requests that
+        waited behind the failed write found the entry in memory. The disk then counted as one that
+        had lost data, for good.
+        """
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_for_voters(cluster, *NAMES[:5])
+            leader = await cluster.wait_for_leader()
+            follower = next(n for n in cluster.nodes.values() if n is not leader)
+            # The leader repeats its request while this sync takes long; then the disk is full.
+            follower.disk.latency_ms = 1_000.0
+            await cluster.change()
+            await cluster.change()
+            await trio.sleep(0.8)
+            follower.disk.free_bytes = 0
+            await wait_until(lambda: follower.replica.is_stopped)
+            await trio.sleep(1.0)
+            state = leader.replica.state
+            acknowledged = state.progress[follower.node_id].match_index
+            self.assertLessEqual(acknowledged, last_durable_index(follower))
+            follower.disk.free_bytes, follower.disk.latency_ms = None, 0.0
+            version = await cluster.change()
+            await wait_until(lambda: follower.machine.current.version >= version)
+            progress = state.progress[follower.node_id]
+            self.assertEqual(progress.disk_id, follower.replica.state.store.disk_id)
+
+        run(check)
+
+
+def last_durable_index(node: Node) -> int:
+    """Return the index of the last log entry that a node would find after a loss of power."""
+    content = node.disk.files["log"].durable or b""
+    records = itertools.chain.from_iterable(wal.scan("log", content).frames[1:])
+    return max(record[2] for record in records if record[0] not in ("term", "cut"))
