--- a/knapweedhitch/platform/heartbeats.py
+++ b/knapweedhitch/platform/heartbeats.py
@@ -7,7 +7,7 @@
 import msgspec
 from msgspec import Meta, field
 
-from knapweedhitch.announce import parse_address
+from knapweedhitch.announcement import parse_address
 from knapweedhitch.exceptions import AnnouncementInvalid
 from knapweedhitch.model import MAX_COUNT, UpstreamRecord, UpstreamState
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 
 import yaml
 
-from knapweedhitch.announce import check_record
+from knapweedhitch.announcement import check_record
 from knapweedhitch.exceptions import AnnouncementInvalid, InvalidChange, SettingsError
 from knapweedhitch.items import Items, merge
 from knapweedhitch.model import Address, UpstreamState
