Compare an order with the changes of its own domain or node only

An order of a node was compared with all changes, so that each drain refused the others, and 20 attempts were not enough.

A change has a field of its own now for the version that its node knew (seen_version). It is compared with the last change of the same domain or node, which the history tells for nodes; base versions are compared as before.

--- a/knapweedhitch/changes.py
+++ b/knapweedhitch/changes.py
@@ -137,12 +137,17 @@
 
 
 class Change(Record, frozen=True):
-    """Describe one change; a retry carries the same change id."""
+    """Describe one change; a retry carries the same change id.
+
+    An order without a base version is refused if what it replaces was changed after
+    `seen_version`, the version that its node knew when it read the order.
+    """
 
     change_id: str
     base_version: int | None
     operator: str
     op: Operation
+    seen_version: int | None = None
 
 
 class StampedChange(Record, frozen=True):
@@ -190,26 +195,30 @@
 
 
 def _change_to_plain(change: Change) -> list[Any]:
-    return [
+    plain = [
         change.change_id,
         change.base_version,
         change.operator,
         change.op.kind,
         to_plain(change.op),
     ]
+    # Logs of earlier builds have no sixth field.
+    return plain if change.seen_version is None else [*plain, change.seen_version]
 
 
 def _change_from_plain(raw: Any) -> Change:
-    if not isinstance(raw, list) or len(raw) != 5:
-        raise CodecError("five fields are expected")
-    change_id, base, operator, kind, fields = raw
+    if not isinstance(raw, list) or len(raw) not in (5, 6):
+        raise CodecError("five or six fields are expected")
+    change_id, base, operator, kind, fields, *rest = raw
+    seen = rest[0] if rest else None
     if not isinstance(change_id, str) or not 1 <= len(change_id) <= MAX_ID_CHARS:
         raise CodecError(f"a change id has 1 to {MAX_ID_CHARS} characters")
     if not isinstance(operator, str) or len(operator) > MAX_ID_CHARS:
         raise CodecError(f"an operator name has up to {MAX_ID_CHARS} characters")
-    if base is not None and (type(base) is not int or base < 0):
-        raise CodecError("a base version is a number from 0 or absent")
+    for version in (base, seen):
+        if version is not None and (type(version) is not int or version < 0):
+            raise CodecError("a version is a number from 0 or absent")
     cls = _by_kind.get(kind) if isinstance(kind, str) else None
     if cls is None:
         raise CodecError(f"no operation {kind!r}")
-    return Change(change_id, base, operator, from_plain(cls, fields))
+    return Change(change_id, base, operator, from_plain(cls, fields), seen)
--- a/knapweedhitch/configuration.py
+++ b/knapweedhitch/configuration.py
@@ -50,14 +50,6 @@
     return structs.replace(after, version=version)
 
 
-def subject_version(cfg: Configuration, op: changes.Operation) -> int | None:
-    """Return the version of what an operation replaces, None if that is the whole configuration."""
-    if not isinstance(op, (changes.DomainOut, changes.DomainIn)):
-        return None
-    status = cfg.domains.get(op.domain)
-    return status.version if status is not None else 0
-
-
 def check_service(svc: ServiceConfig) -> None:
     """Check the fields of a service; raises InvalidChange that names the field."""
     if not NAME.fullmatch(svc.name):
@@ -285,8 +277,13 @@
             names = sorted(old_items.keys() | new_items.keys())
             changed = [n for n in names if old_items.get(n) is not new_items.get(n)]
             lines += [f"~ {kind} {n}" for n in changed[:max_lines]]
-    lines += [f"+ draining {n}" for n in sorted(after.draining_nodes - before.draining_nodes)]
-    lines += [f"- draining {n}" for n in sorted(before.draining_nodes - after.draining_nodes)]
+    lines += [drain_line(n, True) for n in sorted(after.draining_nodes - before.draining_nodes)]
+    lines += [drain_line(n, False) for n in sorted(before.draining_nodes - after.draining_nodes)]
     if len(lines) > max_lines:
         lines[max_lines:] = [f"and {len(lines) - max_lines} more"]
     return tuple(lines)
+
+
+def drain_line(node_id: str, draining: bool) -> str:
+    """Return the line of a difference that tells that a node drains, or does not any more."""
+    return f"{'+' if draining else '-'} draining {node_id}"
--- a/knapweedhitch/history.py
+++ b/knapweedhitch/history.py
@@ -10,8 +10,18 @@
 import cbor2
 
 from knapweedhitch import configuration
-from knapweedhitch.changes import Change, StampedChange, decode_stamped
+from knapweedhitch.changes import (
+    Change,
+    DomainIn,
+    DomainOut,
+    NodeDrain,
+    NodeUndrain,
+    Operation,
+    StampedChange,
+    decode_stamped,
+)
 from knapweedhitch.codec import Record, from_plain, load_plain, to_plain
+from knapweedhitch.configuration import drain_line
 from knapweedhitch.exceptions import ChangeError, CodecError, InvalidChange, VersionConflict
 from knapweedhitch.model import Configuration
 from knapweedhitch.settings import ControlSettings
@@ -91,6 +101,7 @@
         change, before = stamped.change, self.current
         try:
             self._check_base(change)
+            self._check_seen(change)
             after = configuration.apply_accepted(before, stamped, self._limits.max_services)
         except VersionConflict as exc:
             return ChangeResult(
@@ -121,13 +132,28 @@
             if change.op.needs_base:
                 raise InvalidChange(f"{change.op.kind} needs a base version")
             return
-        lowest = configuration.subject_version(self.current, change.op)
-        if lowest is None:
-            lowest = self.operator_version
-        if not lowest <= base <= self.current.version:
-            raise VersionConflict(
-                base, self.current.version, self._describe_conflict(change, lowest)
-            )
+        self._check_version(change, base, self.operator_version)
+
+    def _check_seen(self, change: Change) -> None:
+        if change.seen_version is not None:
+            self._check_version(change, change.seen_version, self._subject_version(change.op))
+
+    def _check_version(self, change: Change, version: int, lowest: int) -> None:
+        """Check that a version is the lowest valid one or later; raises VersionConflict."""
+        if not lowest <= version <= self.current.version:
+            winner = self._describe_conflict(change, lowest)
+            raise VersionConflict(version, self.current.version, winner)
+
+    def _subject_version(self, op: Operation) -> int:
+        """Return the version that last changed what an operation replaces."""
+        if isinstance(op, DomainOut | DomainIn):
+            status = self.current.domains.get(op.domain)
+            return status.version if status is not None else 0
+        if isinstance(op, NodeDrain | NodeUndrain):
+            lines = {drain_line(op.node_id, draining) for draining in (True, False)}
+            records = (r for r in reversed(self._history) if not lines.isdisjoint(r.diff))
+            return next((r.version for r in records), 0)
+        return self.operator_version
 
     def _describe_conflict(self, change: Change, version: int) -> str:
         winner = next((r for r in reversed(self._history) if r.version == version), None)
--- a/knapweedhitch/orders.py
+++ b/knapweedhitch/orders.py
@@ -31,7 +31,7 @@
     Raises OrderAbandoned, ChangeError, ConsensusError, PeerError.
     """
     # Read before the check of the caller: whatever replaces the order has a higher version.
-    base_version = known_version()
+    seen_version = known_version()
     for number in itertools.count(1):
         await caller.wait_until_left(SETTLE_MS)
         if caller.has_left:
@@ -42,12 +42,12 @@
             change,
             # A change id that was submitted keeps its first result.
             change_id=_attempt_id(change.change_id, number),
-            base_version=base_version,
+            seen_version=seen_version,
         )
         try:
             return await submit(attempt)
         except VersionConflict as exc:
-            base_version = exc.current_version
+            seen_version = exc.current_version
     raise AssertionError("the loop ends by a result or an error")
 
 
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -188,13 +188,16 @@
         again = CHANGE_FIELDS | {"allow_last": True, "change_id": "another"}
         run(world.ask, "POST", "/v1/domains/east/out", again)
         self.assertEqual([c.op.allow_last for c in world.control.changes], [False, True])
+        # With a base version, an unrelated change could make an urgent removal fail.
+        self.assertEqual({c.base_version for c in world.control.changes}, {None})
 
     def test_other_changes_do_not_make_an_order_fail(self) -> None:
         """Guards against an urgent removal that fails because of unrelated changes."""
         world = World()
         world.control.errors = [VersionConflict(7, 8), VersionConflict(8, 7)]
         status, _ = run(world.ask, "POST", "/v1/domains/west/out", CHANGE_FIELDS)
-        self.assertEqual((status, world.control.changes[0].base_version), (200, 7))
+        change = world.control.changes[0]
+        self.assertEqual((status, change.base_version, change.seen_version), (200, None, 7))
 
     def test_resent_change_is_applied_once(self) -> None:
         """Guards against a change that is applied twice after its response was lost."""
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -10,7 +10,18 @@
 from trio.testing import MockClock
 
 from knapweedhitch.caller import Caller
-from knapweedhitch.changes import Change, DomainIn, DomainOut, Operation, PutService, new_change_id
+from knapweedhitch.changes import (
+    Change,
+    DomainIn,
+    DomainOut,
+    NodeDrain,
+    NodeUndrain,
+    Operation,
+    PutService,
+    StampedChange,
+    encode_stamped,
+    new_change_id,
+)
 from knapweedhitch.codec import Message
 from knapweedhitch.exceptions import (
     ConsensusError,
@@ -150,7 +161,7 @@
 
         async def submit(change: Change) -> int:
             attempts.append(change)
-            raise VersionConflict(change.base_version or 0, len(attempts))
+            raise VersionConflict(change.seen_version or 0, len(attempts))
 
         async def main() -> None:
             with self.assertRaises(OrderAbandoned):
@@ -165,10 +176,23 @@
         machine = ConfigurationMachine(make_settings("c1").control)
         machine.apply(encode_change(DomainOut(ZONE)))
         machine.apply(encode_change(PutService(service_config("a")), base=1))
-        self.assertEqual(machine.apply(encode_change(DomainIn(ZONE), base=1)).error, "")
-        self.assertEqual(machine.apply(encode_change(DomainOut("d2"), base=1)).error, "")
-        result = machine.apply(encode_change(DomainOut(ZONE), base=2))
-        self.assertEqual(result.error, "VersionConflict")
+        self.assertEqual(apply_order(machine, DomainIn(ZONE), seen=1), "")
+        self.assertEqual(apply_order(machine, DomainOut("d2"), seen=1), "")
+        self.assertEqual(apply_order(machine, DomainOut(ZONE), seen=2), "VersionConflict")
+
+    def test_orders_of_a_node_conflict_only_with_each_other(self) -> None:
+        """Guards against operators who drain many nodes at once and are refused, and against a
+        held-up order that ends or starts a drain anew, also after a restart from a snapshot.
+        """
+        machine = ConfigurationMachine(make_settings("c1").control)
+        for name in ("n1", "n2", "n3"):
+            self.assertEqual(apply_order(machine, NodeDrain(name), seen=0), "")
+        self.assertEqual(apply_order(machine, NodeUndrain("n1"), seen=1), "")
+        restored = ConfigurationMachine(make_settings("c1").control)
+        restored.restore(machine.snapshot())
+        for copy in (machine, restored):
+            self.assertEqual(apply_order(copy, NodeDrain("n1"), seen=3), "VersionConflict")
+            self.assertEqual(apply_order(copy, NodeUndrain("n2"), seen=2), "")
 
 
 class CallerTest(unittest.TestCase):
@@ -204,6 +228,12 @@
         self.assertEqual(self.serve(ORDER + ORDER[:20], ORDER[20:], closes=False), [False, False])
 
 
+def apply_order(machine: ConfigurationMachine, op: Operation, seen: int) -> str:
+    """Apply an order that was read at a version and return its error."""
+    change = Change(new_change_id(), None, "op", op, seen)
+    return machine.apply(encode_stamped(StampedChange(change, 1_000, {}))).error
+
+
 class _HeldUpOrders:
     """Deliver the orders that one node sends to another only when they are released."""
 
