Send no body in the response to a refused HEAD request

Callers of a refused HEAD request got no answer: the connection was closed, and all requests that were sent ahead on it with it.

Cause: a refusal has a body, which the HTTP library refuses to write for HEAD; the error ended the connection. The caller's connection leaves such a body out now, as the operator listener did.

Before: test_response_to_a_head_request_has_no_body gets no response.

--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -62,6 +62,7 @@
         self._broken = False
         # Set while a write waits for the caller, and after a failed one, which sets `_broken` too.
         self._writing = False
+        self._is_head_request = False
         self._body_limit: float = math.inf
         self._body_bytes = 0
         self._body_read = trio.Event()
@@ -85,6 +86,7 @@
             raise BadRequest(detail=str(exc)) from None
         if not isinstance(event, h11.Request):
             raise BadRequest(detail="no request")
+        self._is_head_request = event.method == b"HEAD"
         head = framing.parse_request(
             event.method,
             event.target,
@@ -214,22 +216,20 @@
 
     async def send_response(self, status: int, headers: Headers, parts: Iterable[bytes]) -> None:
         """Write a complete response at once; raises CallerGone."""
-        wire = [self._serialize_head(status, headers)]
-        wire += [self._conn.send(h11.Data(data=part)) or b"" for part in parts if part]
+        wire = [self._serialize_head(status, headers), *self._serialize_body(parts)]
         wire.append(self._conn.send(h11.EndOfMessage()) or b"")
         await self._write(b"".join(wire))
         self.response_ended = True
 
     async def send_head(self, status: int, headers: Headers, parts: Iterable[bytes] = ()) -> None:
         """Write the head of a response and the first parts of its body; raises CallerGone."""
-        wire = [self._serialize_head(status, headers)]
-        wire += [self._conn.send(h11.Data(data=part)) or b"" for part in parts if part]
+        wire = [self._serialize_head(status, headers), *self._serialize_body(parts)]
         await self._write(b"".join(wire))
 
     async def send_data(self, data: bytes) -> None:
         """Write a part of the body and wait until the socket accepts it; raises CallerGone."""
-        if data:
-            await self._write(self._conn.send(h11.Data(data=data)))
+        if body := b"".join(self._serialize_body((data,))):
+            await self._write(body)
 
     async def send_end(self) -> None:
         """Write the end of the response; raises CallerGone."""
@@ -246,6 +246,12 @@
         self.response_started = True
         return self._conn.send(h11.Response(status_code=status, headers=fields)) or b""
 
+    def _serialize_body(self, parts: Iterable[bytes]) -> list[bytes]:
+        """Return the parts of a body, none in the response to a HEAD request."""
+        if self._is_head_request:
+            return []
+        return [self._conn.send(h11.Data(data=part)) or b"" for part in parts if part]
+
     def _skip_buffered_body(self) -> None:
         # The connection can be kept if the rest of the body has already arrived.
         try:
--- a/tests/test_callerconn.py
+++ b/tests/test_callerconn.py
@@ -52,7 +52,7 @@
 
     async def refuse_unparsed(self, conn: ServerConnection, refusal: Refusal) -> None:
         conn.close_after = True
-        await conn.send_response(refusal.status, ((b"content-length", b"0"),), [])
+        await conn.send_response(refusal.status, ((b"content-length", b"2"),), [b"00"])
 
 
 Scenario = Callable[[trio.SocketStream, FakeRouter], Awaitable[None]]
@@ -104,6 +104,25 @@
 
         run_scenario(scenario)
 
+    def test_response_to_a_head_request_has_no_body(self) -> None:
+        """Guards against a refused HEAD request whose connection is closed without an answer, with
+        all other requests on it.
+        """
+
+        async def scenario(caller: trio.SocketStream, router: FakeRouter) -> None:
+            await caller.send_all((GET % 100).replace(b"GET", b"HEAD") + GET % 200)
+            data = await read_until(caller, 2)
+            first, second = data.split(b"HTTP/1.1 200 ")[1:]
+            self.assertTrue(first.endswith(b"content-length: 3\r\n\r\n"), first)
+            self.assertTrue(second.endswith(b"\r\n\r\n200"), second)
+
+        async def refused(caller: trio.SocketStream, router: FakeRouter) -> None:
+            await caller.send_all(b"HEAD /1 HTTP/1.1\r\nHost: a\r\nExpect: x\r\n\r\n")
+            self.assertIn(b" 417 ", await read_until(caller, 1))
+
+        run_scenario(scenario)
+        run_scenario(refused)
+
     def test_close_by_the_caller_cancels_all_of_its_requests(self) -> None:
         """Guards against work on pipelined requests after their caller has closed."""
 
