--- a/knapweedhitch/changes.py
+++ b/knapweedhitch/changes.py
@@ -24,6 +24,11 @@
     kind: ClassVar[str] = ""
     needs_base: ClassVar[bool] = False
 
+    @property
+    def subject(self) -> str:
+        """Return the domain or node that the operation is about, empty for others."""
+        return ""
+
 
 O = TypeVar("O", bound=type[Operation])  # noqa: E741
 
@@ -84,6 +89,11 @@
     domain: str
     allow_last: bool = False
 
+    @property
+    def subject(self) -> str:
+        """Return the domain."""
+        return self.domain
+
 
 @operation("domain_in")
 class DomainIn(Operation, frozen=True):
@@ -91,6 +101,11 @@
 
     domain: str
 
+    @property
+    def subject(self) -> str:
+        """Return the domain."""
+        return self.domain
+
 
 @operation("node_drain")
 class NodeDrain(Operation, frozen=True):
@@ -98,6 +113,11 @@
 
     node_id: str
 
+    @property
+    def subject(self) -> str:
+        """Return the node."""
+        return self.node_id
+
 
 @operation("node_undrain")
 class NodeUndrain(Operation, frozen=True):
@@ -105,6 +125,11 @@
 
     node_id: str
 
+    @property
+    def subject(self) -> str:
+        """Return the node."""
+        return self.node_id
+
 
 @operation("claim_group")
 class AddClaimGroup(Operation, frozen=True):
--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -4,7 +4,7 @@
 
 import random
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import trio
 
@@ -17,7 +17,7 @@
 from knapweedhitch.history import ConfigurationMachine, HistoryRecord
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import FeedPoll, FeedPush, FeedReply, VersionReport
-from knapweedhitch.model import Configuration
+from knapweedhitch.model import Configuration, DomainStatus
 
 MAX_POLLS_IN_FLIGHT = 4
 SOURCES_PER_POLL = 3
@@ -292,7 +292,7 @@
         if cfg.version <= self.current.version:
             self._counters.add("feed_revert_refused")
             raise AssertionError(f"version {cfg.version} after {self.current.version}")
-        before, self.current = self.current.version, cfg
+        domains, before, self.current = self.current.domains, self.current.version, cfg
         self._counters.add("feed_advances")
         self._counters.gauge("config_version", cfg.version)
         if self._log_budget.take():
@@ -300,6 +300,7 @@
             logs.event(
                 "config", node=self.node_id, before=before, version=cfg.version, routes=routes
             )
+            self._log_domains(domains)
         if len(bodies) == cfg.version - before:
             self._bodies.extend(bodies)
             self._subscribers.push(FeedPush(self.group_id, before, tuple(bodies)))
@@ -309,6 +310,18 @@
             fn(cfg)
         self._schedule_report()
 
+    def _log_domains(self, before: Mapping[str, DomainStatus]) -> None:
+        """Log each domain whose status has changed, so that logs tell which node knew it when."""
+        for name, status in self.current.domains.items():
+            if status != before.get(name):
+                logs.event(
+                    "domain_status",
+                    node=self.node_id,
+                    domain=name,
+                    out=int(status.out),
+                    version=status.version,
+                )
+
     async def _on_push(self, node_id: str, msg: FeedPush) -> None:
         # Until its group id is known, this node cannot tell whether the push is from its own group.
         if not self.group_id or not self._is_same_group(msg.group_id):
--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -173,6 +173,7 @@
             "change_accepted",
             change_id=form.change_id,
             kind=form.kind,
+            subject=change.op.subject,
             operator=form.operator,
             version=version,
         )
--- a/knapweedhitch/orders.py
+++ b/knapweedhitch/orders.py
@@ -32,6 +32,13 @@
     """
     # Read before the check of the caller: whatever replaces the order has a higher version.
     seen_version = known_version()
+    logs.event(
+        "order_received",
+        change=change.change_id,
+        kind=change.op.kind,
+        subject=change.op.subject,
+        known_version=seen_version,
+    )
     for number in itertools.count(1):
         await caller.wait_until_left(SETTLE_MS)
         if caller.has_left:
@@ -59,5 +66,11 @@
 
 
 def _abandon(change: Change, cause: str) -> OrderAbandoned:
-    logs.event("order_abandoned", change=change.change_id, kind=change.op.kind, cause=cause)
+    logs.event(
+        "order_abandoned",
+        change=change.change_id,
+        kind=change.op.kind,
+        subject=change.op.subject,
+        cause=cause,
+    )
     return OrderAbandoned(f"{change.op.kind}: {cause}")
--- a/knapweedhitch/platform/apis.py
+++ b/knapweedhitch/platform/apis.py
@@ -172,7 +172,13 @@
             return _error_reply(BAD_REQUEST, exc)
         except (ConsensusError, PeerError) as exc:
             return _error_reply(SERVICE_UNAVAILABLE, exc)
-        logs.event("change_accepted", change=change.change_id, kind=op.kind, version=version)
+        logs.event(
+            "change_accepted",
+            change=change.change_id,
+            kind=op.kind,
+            subject=op.subject,
+            version=version,
+        )
         return OK_REPLY
 
     async def _get_config(self) -> OperatorResponse:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import logbook
 import trio
 from trio.testing import MockClock
 
@@ -145,6 +146,22 @@
 
         run(check)
 
+    def test_log_tells_when_each_node_learnt_of_a_domain(self) -> None:
+        """Guards against an incident in which no log tells whether a node knew an order."""
+
+        async def check(world: World) -> None:
+            await world.start("n1", "n2")
+            with logbook.TestHandler().applicationbound() as handler:
+                version = await world.submit("n1", DomainOut("d1"))
+                feeds = [world.hosts[name].feed for name in ("n1", "n2")]
+                await wait_until(lambda: all(f.current.version == version for f in feeds))
+            lines = [r.message for r in handler.records if "event=domain_status" in r.message]
+            for name in ("n1", "n2"):
+                line = f"event=domain_status node={name} domain=d1 out=1 version={version}"
+                self.assertIn(line, lines)
+
+        run(check)
+
     def test_nodes_refused_by_a_full_source_find_another(self) -> None:
         """Guards against an unbounded subscriber table, and refused nodes that find no source."""
 
