Redirect orders that would change a domain or node to a path with its version

Cause: an order carries no version, and what arrives late looks like a new order. A slow link delays that end as much as the order, and at arrival the node knows already what has replaced it. The logs of the failing test show this: the late order has known_version 4, that of its successor, and is accepted as version 5.

Ruled out by the same logs: nodes that do not know the order (each logs domain_status within 10 ms) and a state that goes back.

Change: an order that would change something gets a 307 to the same path with the version that its node knows. Only a caller that still waits follows, and the log refuses the second request if another order was accepted for the domain or node after that version; so no delay matters. Orders that cannot undo anything need no redirect: the first one for a domain, the return from its first evacuation, and those for what is in force, as after a lost acknowledgement. A caller that follows no redirects may evacuate when it comes back to the same instance; a return needs the redirect. A node tries no order again by itself. The status of a domain keeps the version of its first order.

Changed tests: the loop in which a node tried an order again is gone, so its tests now ask for one submission a request and a redirect for each conflict; callers in tests follow two redirects as the platform's do.

--- a/knapweedhitch/changes.py
+++ b/knapweedhitch/changes.py
@@ -164,8 +164,8 @@
 class Change(Record, frozen=True):
     """Describe one change; a retry carries the same change id.
 
-    An order without a base version is refused if what it replaces was changed after
-    `seen_version`, the version that its node knew when it read the order.
+    An order about a domain or node has no base version. It is refused if its subject was changed
+    after `seen_version`, which its caller knew or which proves that nothing has replaced it.
     """
 
     change_id: str
--- a/knapweedhitch/configuration.py
+++ b/knapweedhitch/configuration.py
@@ -131,7 +131,7 @@
                     f"domain {op.domain} is the last one that serves {name}; "
                     "use allow_last to take it out all the same"
                 )
-    return structs.replace(cfg, domains={**cfg.domains, op.domain: DomainStatus(True, version)})
+    return _with_domain(cfg, op.domain, DomainStatus(True, version))
 
 
 @_register_rule(changes.DomainIn)
@@ -139,7 +139,14 @@
     cfg: Configuration, op: changes.DomainIn, stamped: StampedChange, version: int
 ) -> Configuration:
     _check_name("domain", op.domain)
-    return structs.replace(cfg, domains={**cfg.domains, op.domain: DomainStatus(False, version)})
+    return _with_domain(cfg, op.domain, DomainStatus(False, version))
+
+
+def _with_domain(cfg: Configuration, name: str, status: DomainStatus) -> Configuration:
+    before = cfg.domains.get(name)
+    first_version = status.version if before is None else before.first_version
+    status = structs.replace(status, first_version=first_version)
+    return structs.replace(cfg, domains={**cfg.domains, name: status})
 
 
 @_register_rule(changes.NodeDrain)
@@ -221,7 +228,7 @@
     plain = [
         cfg.version,
         [to_plain(svc) for _, svc in sorted(cfg.services.items())],
-        [[name, d.out, d.version] for name, d in sorted(cfg.domains.items())],
+        [[name, d.out, d.version, d.first_version] for name, d in sorted(cfg.domains.items())],
         sorted(cfg.draining_nodes),
         [[to_plain(g) for g in groups] for _, groups in sorted(cfg.claim_groups.items())],
         itemrules.to_state(cfg.items),
@@ -242,7 +249,7 @@
         return Configuration(
             version=_version(version),
             services={svc.name: svc for svc in svcs},
-            domains={str(n): DomainStatus(bool(out), _version(v)) for n, out, v in domains},
+            domains={str(n): _domain_status(*fields) for n, *fields in domains},
             draining_nodes=frozenset(str(node) for node in draining),
             claim_groups={gs[0].service: gs for gs in group_lists},
             items=itemrules.from_state(items),
@@ -251,6 +258,10 @@
         raise CodecError(f"invalid configuration state: {exc}") from None
 
 
+def _domain_status(out: object, version: object, first_version: object = 0) -> DomainStatus:
+    return DomainStatus(bool(out), _version(version), _version(first_version))
+
+
 def _version(raw: object) -> int:
     if type(raw) is not int or raw < 0:
         raise CodecError("a version must be a non-negative integer")
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -168,7 +168,7 @@
 
 
 class OrderAbandoned(ConsensusError):
-    """Report an order that was not carried out, because its caller left or others came first."""
+    """Report an order that was not carried out, because its caller left."""
 
 
 class ChangeError(KnapweedhitchError):
@@ -674,12 +674,23 @@
 
 
 class OrderNotRun(Refusal):
-    """Refuse an order that was not carried out, because its caller left or others came first."""
+    """Refuse an order that was not carried out, because its caller left."""
 
     reason = "order-abandoned"
     status = 503
 
 
+class OrderRedirected(Refusal):
+    """Ask the caller to send its order again to a path that names the version it is to replace."""
+
+    reason = "order-redirected"
+    status = 307
+
+    def __init__(self, version: int) -> None:
+        self.version = version
+        super().__init__(detail=f"send the order again with the version {version}")
+
+
 class ChangeUnconfirmed(Refusal):
     """Report a change that may or may not be in force."""
 
--- a/knapweedhitch/history.py
+++ b/knapweedhitch/history.py
@@ -92,6 +92,9 @@
         if previous_result is not None:
             return previous_result
         result = self._apply_new(stamped, body)
+        if change.seen_version is not None and result.error == VersionConflict.__name__:
+            # The caller may send the order again, with the same id and a later version.
+            return result
         self._results[change.change_id] = result
         while len(self._results) > self._limits.max_change_ids:
             self._results.popitem(last=False)
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -164,10 +164,12 @@
 
 
 class DomainStatus(Record, frozen=True):
-    """Describe whether a failure domain is out, and the version that last changed it."""
+    """Describe whether a failure domain is out, and the versions of the last and first order."""
 
     out: bool
     version: int
+    # 0 in states of builds that did not keep it.
+    first_version: int = 0
 
 
 class ClaimGroup(Record, frozen=True):
--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+import functools
 import hmac
 import ipaddress
 from collections.abc import Awaitable, Callable, Mapping
@@ -10,7 +12,6 @@
 import trio
 
 from knapweedhitch import changes_json, logs, metrics, operator_views, plain
-from knapweedhitch.caller import Caller
 from knapweedhitch.exceptions import (
     BadRequest,
     ChangeConflict,
@@ -24,6 +25,7 @@
     NotLeader,
     OrderAbandoned,
     OrderNotRun,
+    OrderRedirected,
     Outcome,
     ProposalUnknown,
     Refusal,
@@ -39,7 +41,7 @@
     OperatorResponse,
     refusal_response,
 )
-from knapweedhitch.orders import submit_order
+from knapweedhitch.orders import SEEN_VERSION, Orders, parse_seen_version
 from knapweedhitch.proposals import Proposer
 from knapweedhitch.settings import load_secret
 
@@ -132,6 +134,9 @@
         try:
             handler, parameter = self._find_route(request)
             return await handler(self, request, parameter)
+        except OrderRedirected as exc:
+            location = request.path_with(**{SEEN_VERSION: exc.version})
+            return dataclasses.replace(refusal_response(exc), location=location)
         except Exception as exc:
             return self._failure_response(exc)
 
@@ -158,15 +163,19 @@
     def _count(self, name: str, reason: str) -> None:
         self.kernel.get("counters").add(name, reason)
 
-    async def submit(self, raw: dict[str, Any], caller: Caller) -> OperatorResponse:
+    @functools.cached_property
+    def orders(self) -> Orders:
+        """Return the submission of orders, whose services start after the construction."""
+        get = self.kernel.get
+        return Orders(self.proposer.submit, get("config"), get("counters"))
+
+    async def submit(self, raw: dict[str, Any], request: OperatorRequest) -> OperatorResponse:
         """Submit the change in a JSON object and return the new version."""
         form = changes_json.parse_change(raw)
         change = changes_json.to_change(form)
         if change.base_version is None and not change.op.needs_base:
-            config = self.kernel.get("config")
-            version = await submit_order(
-                self.proposer.submit, lambda: config.current.version, caller, change
-            )
+            seen_version = parse_seen_version(request.query)
+            version = await self.orders.submit(change, request.caller, seen_version)
         else:
             version = await self.proposer.submit(change)
         logs.event(
@@ -284,7 +293,7 @@
 
 @route("POST", "/v1/changes")
 async def _changes(api: OperatorApi, request: OperatorRequest, _: str) -> OperatorResponse:
-    return await api.submit(plain.parse_object(request.body), request.caller)
+    return await api.submit(plain.parse_object(request.body), request)
 
 
 def _parse_command(request: OperatorRequest) -> dict[str, Any]:
@@ -319,7 +328,7 @@
         # Gives a more specific error only; the log checks the rule again, in the order of changes.
         operator_views.check_last_domain(api.kernel, domain)
     op = {"kind": "domain_out", "domain": domain, "allow_last": allow_last}
-    return await api.submit(_change_fields(fields, op, None), request.caller)
+    return await api.submit(_change_fields(fields, op, None), request)
 
 
 @route("POST", "/v1/domains/*/in")
@@ -327,7 +336,7 @@
     fields = _parse_command(request)
     operator_views.check_known_domain(api.kernel, domain)
     op = {"kind": "domain_in", "domain": domain}
-    return await api.submit(_change_fields(fields, op, None), request.caller)
+    return await api.submit(_change_fields(fields, op, None), request)
 
 
 @route("POST", "/v1/nodes/*/drain")
@@ -336,7 +345,7 @@
     if not fields.get("allow_unknown", False):
         operator_views.check_known_node(api.kernel, node_id)
     op = {"kind": "node_drain", "node_id": node_id}
-    return await api.submit(_change_fields(fields, op, None), request.caller)
+    return await api.submit(_change_fields(fields, op, None), request)
 
 
 @route("POST", "/v1/nodes/*/undrain")
@@ -346,4 +355,4 @@
     fields = _parse_command(request)
     operator_views.check_known_node(api.kernel, node_id)
     op = {"kind": "node_undrain", "node_id": node_id}
-    return await api.submit(_change_fields(fields, op, None), request.caller)
+    return await api.submit(_change_fields(fields, op, None), request)
--- a/knapweedhitch/operator_client.py
+++ b/knapweedhitch/operator_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import uuid
 from collections.abc import Awaitable, Callable
@@ -19,6 +20,7 @@
     OperatorAnswerLost,
     OperatorRefused,
     OperatorUnreachable,
+    OrderRedirected,
     VersionLags,
 )
 from knapweedhitch.model import Address
@@ -27,6 +29,7 @@
 # Above the daemon's operator.propose_timeout_ms, so that the daemon's own response arrives first.
 RESPONSE_TIMEOUT_MS = 10_000
 ATTEMPTS = 3
+MAX_REDIRECTS = 2
 RETRY_DELAY_MS = 200
 READ_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
@@ -39,6 +42,14 @@
 OpenStream = Callable[[], Awaitable[trio.abc.Stream]]
 
 
+class _Redirected(Exception):
+    """Report a response that names another path for the request."""
+
+    def __init__(self, path: str, refusal: OperatorRefused) -> None:
+        self.path = path
+        self.refusal = refusal
+
+
 class _ResponseLost(Exception):
     """Report a request that may have been sent and got no complete response."""
 
@@ -85,8 +96,7 @@
         for attempt in range(self._attempts):
             await self._delay_retry(attempt)
             try:
-                response: dict[str, Any] = await self._exchange("POST", path, body)
-                return response
+                return await self._post(path, body)
             except _ResponseLost as exc:
                 lost_problem = str(exc)
             except OperatorUnreachable:
@@ -96,7 +106,7 @@
             except OperatorRefused as exc:
                 if exc.error == ChangeUnconfirmed.reason:
                     lost_problem = str(exc)
-                elif exc.error == NoLeader.reason:
+                elif exc.error in (NoLeader.reason, OrderRedirected.reason):
                     refusal = exc
                 elif lost_problem and exc.error not in NOT_APPLIED_REASONS:
                     # The refusal doesn't reveal the outcome of the attempt whose response was lost.
@@ -107,6 +117,18 @@
             raise OperatorAnswerLost(str(body["change_id"]), lost_problem)
         raise refusal
 
+    async def _post(self, path: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Post a change and follow redirects of orders."""
+        for redirects in itertools.count():
+            try:
+                response: dict[str, Any] = await self._exchange("POST", path, body)
+                return response
+            except _Redirected as exc:
+                if redirects == MAX_REDIRECTS:
+                    raise exc.refusal from None
+                path = exc.path
+        raise AssertionError("the loop ends by a response or an error")
+
     async def wait_everywhere(self, version: int, timeout_ms: float) -> None:
         """Poll a control instance until a version is in force at every node that it knows.
 
@@ -201,7 +223,8 @@
 
 
 def _decode_response(head: h11.Response, body: bytes) -> Any:
-    kind = dict(head.headers).get(b"content-type", b"")
+    headers = dict(head.headers)
+    kind = headers.get(b"content-type", b"")
     if not kind.startswith(b"application/json"):
         if head.status_code == 200:
             return body.decode("utf-8", errors="replace")
@@ -213,9 +236,12 @@
     if head.status_code < 300:
         return response
     fields = response if isinstance(response, dict) else {}
-    raise OperatorRefused(
+    refusal = OperatorRefused(
         head.status_code, str(fields.get("error", "")), str(fields.get("detail", "")), fields
     )
+    if head.status_code == OrderRedirected.status:
+        raise _Redirected(headers.get(b"location", b"").decode("latin-1"), refusal)
+    raise refusal
 
 
 def parse_address(text: str) -> Address:
--- a/knapweedhitch/operator_http.py
+++ b/knapweedhitch/operator_http.py
@@ -4,7 +4,7 @@
 
 import dataclasses
 from collections.abc import Awaitable, Callable, Mapping
-from urllib.parse import parse_qsl, unquote
+from urllib.parse import parse_qsl, quote, unquote, urlencode
 
 import h11
 import trio
@@ -40,6 +40,11 @@
     body: bytes
     caller: Caller = dataclasses.field(default_factory=Caller, compare=False)
 
+    def path_with(self, **query: object) -> str:
+        """Return the path of the request with other query fields."""
+        path = "".join(f"/{quote(segment, safe='')}" for segment in self.segments)
+        return f"{path}?{urlencode(query)}"
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OperatorResponse:
@@ -48,6 +53,8 @@
     body: bytes
     status: int = 200
     content_type: str = JSON
+    # Where the caller sends its request again, empty if it need not.
+    location: str = ""
 
 
 Handler = Callable[[OperatorRequest], Awaitable[OperatorResponse]]
@@ -202,6 +209,8 @@
             ("Content-Length", str(len(response.body))),
             ("Cache-Control", "no-store"),
         ]
+        if response.location:
+            headers.append(("Location", response.location))
         if close:
             headers.append(("Connection", "close"))
         head = h11.Response(status_code=response.status, headers=headers)
--- a/knapweedhitch/orders.py
+++ b/knapweedhitch/orders.py
@@ -1,76 +1,171 @@
-"""Submit orders that carry no version, such as to take a failure domain out or back.
+"""Accept orders about a domain or node only if no later order can have replaced them.
 
-A caller that gets no response in time sends its order to another node and may then replace it by
-the opposite one. The first order, held up by a paused process or a cut link, must not undo that.
+An order carries no version, and a paused process or a slow link may deliver it after any delay. Its
+caller has then sent it elsewhere and may have replaced it by the opposite one. So an order that
+would change the state is redirected to a path that names the version which its node knows. Only a
+caller that still waits follows, and the log refuses the second request if another order about the
+same domain or node was accepted after that version.
 """
 
 from __future__ import annotations
 
-import itertools
-from collections.abc import Awaitable, Callable
+import dataclasses
+from collections import OrderedDict
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Protocol
 
 from msgspec import structs
 
 from knapweedhitch import logs
 from knapweedhitch.caller import Caller
-from knapweedhitch.changes import MAX_ID_CHARS, Change
-from knapweedhitch.exceptions import OrderAbandoned, VersionConflict
+from knapweedhitch.changes import Change, DomainIn, DomainOut, NodeDrain, NodeUndrain, Operation
+from knapweedhitch.clock import now_ms
+from knapweedhitch.counters import Counters
+from knapweedhitch.exceptions import BadRequest, OrderAbandoned, OrderRedirected, VersionConflict
+from knapweedhitch.model import Configuration
 
+SEEN_VERSION = "seen_version"
+MAX_VERSION_DIGITS = 18
+# A caller that does not follow redirects tries all control instances, with a growing delay between
+# them, before it comes back.
+REPEAT_WINDOW_MS = 10_000.0
+MAX_REDIRECTS_KEPT = 64
 # The end of a caller's connection may follow a request that was held up by a round trip.
 SETTLE_MS = 50.0
-MAX_ATTEMPTS = 20
 
 Submit = Callable[[Change], Awaitable[int]]
 
 
-async def submit_order(
-    submit: Submit, known_version: Callable[[], int], caller: Caller, change: Change
-) -> int:
-    """Submit an order while its caller waits and nothing newer has replaced it; return its version.
+class ConfigSource(Protocol):
+    """Provide the configuration that this node knows."""
 
-    Raises OrderAbandoned, ChangeError, ConsensusError, PeerError.
-    """
-    # Read before the check of the caller: whatever replaces the order has a higher version.
-    seen_version = known_version()
-    logs.event(
-        "order_received",
-        change=change.change_id,
-        kind=change.op.kind,
-        subject=change.op.subject,
-        known_version=seen_version,
-    )
-    for number in itertools.count(1):
-        await caller.wait_until_left(SETTLE_MS)
-        if caller.has_left:
-            raise _abandon(change, "the caller has left")
-        if number > MAX_ATTEMPTS:
-            raise _abandon(change, "other changes came first")
-        attempt = structs.replace(
-            change,
-            # A change id that was submitted keeps its first result.
-            change_id=_attempt_id(change.change_id, number),
+    @property
+    def current(self) -> Configuration: ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Redirect:
+    """Describe the last redirect of an order: the version that it named, and when it was sent."""
+
+    version: int
+    sent_ms: float
+
+
+class Orders:
+    """Submit orders of callers, or redirect them."""
+
+    def __init__(self, submit: Submit, config: ConfigSource, counters: Counters) -> None:
+        self._submit = submit
+        self._config = config
+        self._counters = counters
+        self._redirects: OrderedDict[tuple[str, str], _Redirect] = OrderedDict()
+
+    async def submit(self, change: Change, caller: Caller, seen_version: int | None) -> int:
+        """Submit an order and return its version; `seen_version` is the one that its path names.
+
+        Raises OrderRedirected, OrderAbandoned, ChangeError, ConsensusError, PeerError.
+        """
+        current = self._config.current
+        logs.event(
+            "order_received",
+            change=change.change_id,
+            kind=change.op.kind,
+            subject=change.op.subject,
+            known_version=current.version,
             seen_version=seen_version,
         )
+        if caller.has_left:
+            raise self._abandon(change)
+        earlier = self._redirects.pop(_key(change.op), None)
+        follows_redirects = seen_version is not None
+        if seen_version is None:
+            seen_version = proven_version(change.op, current)
+        if seen_version is None and earlier is not None:
+            seen_version = await self._version_of_repetition(change, caller, earlier)
+        if seen_version is None:
+            self._remember(change.op, current.version)
+            raise self._redirect(change, current.version, "version-needed")
         try:
-            return await submit(attempt)
+            return await self._submit(structs.replace(change, seen_version=seen_version))
         except VersionConflict as exc:
-            seen_version = exc.current_version
-    raise AssertionError("the loop ends by a result or an error")
-
-
-def _attempt_id(change_id: str, number: int) -> str:
-    if number == 1:
-        return change_id
-    suffix = f".{number}"
-    return change_id[: MAX_ID_CHARS - len(suffix)] + suffix
-
-
-def _abandon(change: Change, cause: str) -> OrderAbandoned:
-    logs.event(
-        "order_abandoned",
-        change=change.change_id,
-        kind=change.op.kind,
-        subject=change.op.subject,
-        cause=cause,
-    )
-    return OrderAbandoned(f"{change.op.kind}: {cause}")
+            if not follows_redirects:
+                self._remember(change.op, exc.current_version)
+            raise self._redirect(change, exc.current_version, "replaced") from None
+
+    async def _version_of_repetition(
+        self, change: Change, caller: Caller, earlier: _Redirect
+    ) -> int | None:
+        """Return the version of the redirect after which a caller sent its order here again.
+
+        Such a caller follows no redirects, and its return suggests that it got the response. Two
+        orders of the past may look alike, so only orders that stop traffic are accepted on that.
+        """
+        is_recent = now_ms() - earlier.sent_ms <= REPEAT_WINDOW_MS
+        if not is_recent or not isinstance(change.op, DomainOut | NodeDrain):
+            return None
+        await caller.wait_until_left(SETTLE_MS)
+        if caller.has_left:
+            raise self._abandon(change)
+        return earlier.version
+
+    def _remember(self, op: Operation, version: int) -> None:
+        self._redirects[_key(op)] = _Redirect(version, now_ms())
+        while len(self._redirects) > MAX_REDIRECTS_KEPT:
+            self._redirects.popitem(last=False)
+
+    def _redirect(self, change: Change, version: int, cause: str) -> OrderRedirected:
+        self._counters.add("orders_redirected", cause)
+        logs.event(
+            "order_redirected",
+            change=change.change_id,
+            kind=change.op.kind,
+            subject=change.op.subject,
+            version=version,
+            cause=cause,
+        )
+        return OrderRedirected(version)
+
+    def _abandon(self, change: Change) -> OrderAbandoned:
+        self._counters.add("orders_abandoned", "caller-left")
+        logs.event(
+            "order_abandoned",
+            change=change.change_id,
+            kind=change.op.kind,
+            subject=change.op.subject,
+            cause="caller-left",
+        )
+        return OrderAbandoned(f"{change.op.kind}: the caller has left")
+
+
+def proven_version(op: Operation, current: Configuration) -> int | None:
+    """Return a version after which nothing can have replaced the order, None if there is none.
+
+    This holds for the first order about a domain, for the return from the first and only time that
+    it was taken out, and for an order that asks for what is in force.
+    """
+    match op:
+        case DomainOut(domain=domain) | DomainIn(domain=domain):
+            status = current.domains.get(domain)
+            if status is None:
+                return 0
+            is_in_force = status.out == isinstance(op, DomainOut)
+            ends_first_order = status.out and status.version == status.first_version
+            return status.version if is_in_force or ends_first_order else None
+        case NodeDrain(node_id=node_id) | NodeUndrain(node_id=node_id):
+            is_draining = node_id in current.draining_nodes
+            return current.version if is_draining == isinstance(op, NodeDrain) else None
+    return None
+
+
+def parse_seen_version(query: Mapping[str, str]) -> int | None:
+    """Return the version that the query of a redirected order names; raises BadRequest."""
+    text = query.get(SEEN_VERSION)
+    if text is None:
+        return None
+    if not (text.isascii() and text.isdecimal() and len(text) <= MAX_VERSION_DIGITS):
+        raise BadRequest(detail=f"{SEEN_VERSION}: use a whole number from 0")
+    return int(text)
+
+
+def _key(op: Operation) -> tuple[str, str]:
+    return op.kind, op.subject
--- a/knapweedhitch/platform/apis.py
+++ b/knapweedhitch/platform/apis.py
@@ -5,8 +5,7 @@
 import functools
 import os
 
-from knapweedhitch import changes, logs, orders
-from knapweedhitch.caller import Caller
+from knapweedhitch import changes, logs
 from knapweedhitch.changes import Change, DomainIn, DomainOut, Operation, PatchItems
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import (
@@ -15,12 +14,14 @@
     ConsensusError,
     InvalidChange,
     NotFound,
+    OrderRedirected,
     PeerError,
 )
 from knapweedhitch.http_api import ApiServer
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import MAX_COUNT
 from knapweedhitch.operator_http import OperatorRequest, OperatorResponse
+from knapweedhitch.orders import SEEN_VERSION, Orders, Submit, parse_seen_version
 from knapweedhitch.platform import heartbeats, items
 from knapweedhitch.platform.settings import BOOT_VARIABLE, Boot, parse_listener, read_boot
 
@@ -135,6 +136,7 @@
         """Open the listener; raises OSError."""
         self._control = self._kernel.get("control")
         self._config = self._kernel.get("config")
+        self._orders = Orders(self._control.submit, self._config, self._counters)
         await super().start()
 
     async def _respond(self, req: OperatorRequest) -> OperatorResponse:
@@ -144,9 +146,9 @@
             case "GET", "knapweedhitch", "config", "get":
                 return await self._get_config()
             case "POST", "knapweedhitch", "evacuations", zone, "start":
-                return await self._submit_order(DomainOut(zone, allow_last=True), req.caller)
+                return await self._submit_order(DomainOut(zone, allow_last=True), req)
             case "POST", "knapweedhitch", "evacuations", zone, "finish":
-                return await self._submit_order(DomainIn(zone), req.caller)
+                return await self._submit_order(DomainIn(zone), req)
         raise NotFound
 
     async def _patch(self, body: bytes) -> OperatorResponse:
@@ -156,15 +158,20 @@
             return _error_reply(BAD_REQUEST, exc)
         return await self._accept(PatchItems(patch), self._control.submit)
 
-    async def _submit_order(self, op: Operation, caller: Caller) -> OperatorResponse:
+    async def _submit_order(self, op: Operation, req: OperatorRequest) -> OperatorResponse:
+        seen_version = parse_seen_version(req.query)
+
         async def submit(change: Change) -> int:
-            return await orders.submit_order(
-                self._control.submit, lambda: self._config.current.version, caller, change
-            )
+            return await self._orders.submit(change, req.caller, seen_version)
 
-        return await self._accept(op, submit)
+        try:
+            return await self._accept(op, submit)
+        except OrderRedirected as exc:
+            path = req.path_with(**{SEEN_VERSION: exc.version})
+            location = f"http://{_boot().listen.control}{path}"
+            return OperatorResponse(b"{}", exc.status, location=location)
 
-    async def _accept(self, op: Operation, submit: orders.Submit) -> OperatorResponse:
+    async def _accept(self, op: Operation, submit: Submit) -> OperatorResponse:
         change = Change(changes.new_change_id(), None, "operator", op)
         try:
             version = await submit(change)
