--- a/knapweedhitch/expectedtime.py
+++ b/knapweedhitch/expectedtime.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Sequence
 
-from knapweedhitch.pick import SLOW_TOLERANCE, Candidate, PickContext, policy
+from knapweedhitch.policies import SLOW_TOLERANCE, Candidate, PickContext, policy
 
 # Above this utilisation an upstream slows down, by up to KNEE_FACTOR when all slots are taken.
 KNEE_SHARE = 0.8
--- a/scripts/measure_policy.py
+++ b/scripts/measure_policy.py
@@ -31,7 +31,8 @@
     Target,
     UpstreamRecord,
 )
-from knapweedhitch.pick import Picker, policies
+from knapweedhitch.pick import Picker
+from knapweedhitch.policies import policies
 from knapweedhitch.retry import RetryPolicy
 from knapweedhitch.settings import parse_settings
 
--- a/tests/test_pick.py
+++ b/tests/test_pick.py
@@ -8,7 +8,7 @@
 from msgspec import structs
 
 from knapweedhitch.model import CallResult, UpstreamState, Warmth
-from knapweedhitch.pick import policies
+from knapweedhitch.policies import policies
 from tests.decision_fakes import BAD, GOOD, SVC, TrioTestCase, kernel, picker, sample, target
 
 NO_EXCLUSIONS = frozenset[str]()
--- a/tests/test_upstreamload.py
+++ b/tests/test_upstreamload.py
@@ -8,7 +8,7 @@
 from knapweedhitch.expectedtime import ExpectedTimePolicy
 from knapweedhitch.loadtable import LoadTable, LoadView
 from knapweedhitch.model import Address, LoadSample, Target, UpstreamRecord, Warmth
-from knapweedhitch.pick import Candidate, PickContext
+from knapweedhitch.policies import Candidate, PickContext
 from knapweedhitch.settings import RoutingSettings
 from knapweedhitch.upstreamload import UpstreamLoad, parse_load
 
