Refuse a late drain of a node whose successor is no longer in the history

Seen: with a history of 10 changes, a drain that an undrain had replaced was refused at once, but accepted behind 12 other changes (the default keeps 1,000). Cause: the version that last changed a node is read from the bounded history, and fell back to 0. It falls back to the last forgotten version now; a caller that is redirected gets a later one.

--- a/knapweedhitch/history.py
+++ b/knapweedhitch/history.py
@@ -155,9 +155,14 @@
         if isinstance(op, NodeDrain | NodeUndrain):
             lines = {drain_line(op.node_id, draining) for draining in (True, False)}
             records = (r for r in reversed(self._history) if not lines.isdisjoint(r.diff))
-            return next((r.version for r in records), 0)
+            return next((r.version for r in records), self._forgotten_version)
         return self.operator_version
 
+    @property
+    def _forgotten_version(self) -> int:
+        """Return the last version whose change is no longer in the history."""
+        return self.current.version - len(self._history)
+
     def _describe_conflict(self, change: Change, version: int) -> str:
         winner = next((r for r in reversed(self._history) if r.version == version), None)
         refused = f"{change.change_id} ({change.op.kind} by {change.operator})"
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -283,6 +283,18 @@
         self.assertEqual(apply_order(machine, DomainOut("d2"), seen=1), "")
         self.assertEqual(apply_order(machine, DomainOut(ZONE), seen=2), "VersionConflict")
 
+    def test_late_drain_of_a_node_is_refused_behind_many_changes(self) -> None:
+        """Guards against a held-up drain that is accepted because the history no longer has the
+        order that replaced it.
+        """
+        machine = ConfigurationMachine(make_settings("c1", max_history_entries=10).control)
+        self.assertEqual(apply_order(machine, NodeDrain("n1"), seen=0), "")
+        self.assertEqual(apply_order(machine, NodeUndrain("n1"), seen=1), "")
+        for number in range(12):
+            self.assertEqual(apply_order(machine, NodeDrain(f"m{number}"), seen=2 + number), "")
+        self.assertEqual(apply_order(machine, NodeDrain("n1"), seen=1), "VersionConflict")
+        self.assertEqual(apply_order(machine, NodeDrain("n1"), seen=14), "")
+
     def test_orders_of_a_node_conflict_only_with_each_other(self) -> None:
         """Guards against operators who drain many nodes at once and are refused, and against a
         held-up order that ends or starts a drain anew, also after a restart from a snapshot.
