Announcement: a late renewal does not return a withdrawn upstream

Seen: an upstream renews its announcement (PUT), gives up waiting, and withdraws it (DELETE, 200). The renewal, held up on its way, arrives after that, and the node sends calls to the upstream again until the announcement expires. Cause: put() compared a renewal with the current record only. After a withdrawal there is none, and the table of departed incarnations, which heartbeats and probes are compared with, was not asked. Evidence: test_late_announcement_does_not_return_a_withdrawn_upstream failed before (current is the withdrawn record) and passes now. Why it works: withdrawals, deregistrations and announcements that the upstream is leaving all record the incarnation as departed; a serving announcement of it is refused as stale, whatever is current. An upstream that comes back uses a higher incarnation, as it already had to after leaving.

--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -135,15 +135,11 @@
             and current.incarnation > record.incarnation
         ):
             raise AnnouncementStale(detail=f"current incarnation is {current.incarnation}")
-        if (
-            current is not None
-            and current.state is UpstreamState.LEAVING
-            and record.state is UpstreamState.SERVING
-            and (current.instance_id, current.incarnation)
-            == (record.instance_id, record.incarnation)
-        ):
-            # A delayed renewal must not undo the announcement that the upstream is leaving.
-            raise AnnouncementStale(detail="this incarnation is leaving; use a higher one")
+        if self._departures.includes(record) and record.state is UpstreamState.SERVING:
+            # A delayed renewal must not return an upstream that is leaving or has left.
+            raise AnnouncementStale(detail="this incarnation has departed; use a higher one")
+        if record.state is UpstreamState.LEAVING:
+            self._departures.record(record.instance_id, record.incarnation)
         self._renewed_ms = self._timers.now_ms()
         if record != current:
             self._set_current(record, "announced")
