Deregistration: it also ends the use of an earlier start of the upstream

Seen: an upstream starts again under its id, its heartbeats are held up, and it deregisters. The node acknowledges that and goes on sending calls, since it still uses the record of the earlier start (until the record expires, 6 s on the platform). The upstream accepts them, as its id is the expected one. Cause: a deregistration was matched with the start in use by equality. A later start was recorded as departed, but what is in use was left alone. Departures told by other nodes already included earlier starts. Evidence: test_deregistration_of_a_later_start_ends_the_use_of_the_earlier_one failed before (current is the earlier start, serving) and passes now. Why it works: an instance has one start at a time, so a later start proves that the earlier one has ended. The departure that other nodes learn now names the later start as well.

--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -202,7 +202,7 @@
         # of an upstream may arrive after its report that it is leaving.
         self._departures.record(instance_id, incarnation)
         # What is in use may be known from a probe only, so the last heartbeat does not tell it.
-        if self.current is None or not self.current.is_same_start(instance_id, incarnation):
+        if self.current is None or not self.current.is_start_up_to(instance_id, incarnation):
             self._counters.add("heartbeats_late")
             in_use = self.current.instance_id if self.current is not None else None
             logs.event("deregistration_of_unused", instance=instance_id, in_use=in_use)
@@ -280,14 +280,13 @@
         self._admission.set_upstream(record)
 
     def _as_departed(self, record: UpstreamRecord) -> UpstreamRecord:
-        """Return the record of a departed upstream, with the incarnation that departed.
+        """Return the record of a departed upstream, with the highest incarnation that departed.
 
-        Other nodes could not tell later that an unknown incarnation is the one that departed.
+        Other nodes could not tell later that an unknown or a later incarnation is a departed one.
         """
-        if record.incarnation == UNKNOWN_INCARNATION:
-            incarnation = self._departures.incarnation_of(record.instance_id)
-            record = structs.replace(record, incarnation=incarnation)
-        return structs.replace(record, state=UpstreamState.LEAVING)
+        departed = self._departures.incarnation_of(record.instance_id)
+        incarnation = max(record.incarnation, departed)
+        return structs.replace(record, incarnation=incarnation, state=UpstreamState.LEAVING)
 
     def _describe_current(self) -> dict[str, object]:
         current = self.current
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -96,6 +96,11 @@
             incarnation,
         )
 
+    def is_start_up_to(self, instance_id: str, incarnation: int) -> bool:
+        """Return whether this may be a record of that start of an instance or an earlier one."""
+        is_earlier = self.instance_id == instance_id and self.incarnation < incarnation
+        return is_earlier or self.is_same_start(instance_id, incarnation)
+
 
 class Member(Record, frozen=True):
     """Represent the membership record of a node."""
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -260,3 +260,14 @@
         self.assertEqual(self.refused, 1)
         restarted = structs.replace(OLD, incarnation=3_000)
         self.assertEqual(self.run_steps(*steps, (restarted, PUT)).current, restarted)
+
+    def test_deregistration_of_a_later_start_ends_the_use_of_the_earlier_one(self) -> None:
+        """Guards against calls to an upstream that has deregistered: it had started again under its
+        id, and its heartbeats were later than its deregistration.
+        """
+        restarted = structs.replace(OLD, incarnation=3_000)
+        announce = self.run_steps((OLD, 5), ("i-1", 3_000), (restarted, 1))
+        self.assertIsNone(announce.current)
+        departed = self.announced[-1]
+        assert departed is not None
+        self.assertEqual(departed.incarnation, 3_000)
