Load reports: those of a restarted node are not taken for late ones

Seen: a node restarts beside an upstream that goes on running, as in an update. Other nodes drop all its load reports as late until it has sent as many as before its restart, so they pick by old estimates and by the loads in responses only. Cause: reports are ordered by a count under the id of the upstream, which the upstream keeps; the count began at one with each process. The comment that a restarted node has a new instance id was wrong. Evidence: test_reports_of_a_restarted_node_are_used failed before (40 reports used, then none; 40 expected, then 41) and passes now. Why it works: the count begins at the start of the process in Unix milliseconds, which membership raises above that of an earlier process if the clock went back. Reports are more than 1 ms apart, so a later process counts above all numbers of an earlier one, whose late reports stay refused.

--- a/knapweedhitch/loadreports.py
+++ b/knapweedhitch/loadreports.py
@@ -104,12 +104,15 @@
             self._stop_timer()
             return
         admission = self._kernel.get("admission")
-        upstream = self._kernel.get("membership").own_member.upstream
+        own = self._kernel.get("membership").own_member
+        upstream = own.upstream
         if upstream is None:
             return
         sample: LoadSample = admission.load()
         now = self._timers.now_ms()
-        self._sequence += 1
+        # The upstream keeps its id when its node restarts, so each process counts from its start.
+        # Reports are more than 1 ms apart, so that the count is below the start of the next one.
+        self._sequence = max(self._sequence + 1, own.started_wall_ms)
         report = LoadReport(upstream.instance_id, self._sequence, sample)
         size_bytes = len(codec.encode(report)) + PACKET_OVERHEAD_BYTES
         for node_id, entry in list(self._subscribers.items()):
@@ -136,7 +139,6 @@
         self._counters.add("load_report_bytes", "", size_bytes)
 
     async def _on_report(self, node_id: str, msg: LoadReport) -> None:
-        # A restarted node has a new instance id, so its sequence may restart at one.
         if msg.sequence <= self._last_sequences.get(msg.instance_id, 0):
             self._counters.add("load_reports_late")
             return
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 from typing import Any
 
@@ -115,10 +116,18 @@
         return self.next_result
 
 
+@dataclasses.dataclass
+class Own:
+    """Represent the record of a node itself."""
+
+    upstream: UpstreamRecord = UPSTREAM
+    started_wall_ms: int = 1_000
+
+
 class Members(StaticMembership):
     """Provide a membership in which node n1 has an upstream."""
 
-    own_member = type("Own", (), {"upstream": UPSTREAM})
+    own_member = Own()
 
     def targets(self, service: str) -> tuple[Target, ...]:
         """Return the only target."""
@@ -189,6 +198,23 @@
             self.assertEqual(len(fake(a).observed), 2)
             self.assertEqual(a.counters.get("load_reports_late"), 2)
 
+    @run_on_mock_clock
+    async def test_reports_of_a_restarted_node_are_used(self) -> None:
+        """Guards against a node whose reports count as late for as long as it ran before its
+        restart, because its upstream kept its id.
+        """
+        # n2 stands for the process of n1 after its restart, beside the same upstream.
+        async with running_nodes(3, prepare=prepare) as (a, before, after):
+            after.kernel.get("membership").own_member = Own(started_wall_ms=60_000)
+            received = []
+            for sender, count in ((before, 40), (after, 1)):
+                for _ in range(count):
+                    sender.kernel.get("loadreports").record_interest("n0")
+                    fake(sender).in_flight = 9 - fake(sender).in_flight
+                    await trio.sleep(0.5)
+                received.append(len(fake(a).observed))
+            self.assertEqual(received, [40, 41])
+
 
 class DirectTest(unittest.TestCase):
     async def run_call(self, node: Node) -> Any:
