Cold upstreams: late heartbeats and health responses do not end a cold time

Seen: an upstream turns cold and says so in its health response. A heartbeat that it had sent while it was warm arrives after that (PROTOCOL.md: seconds late), says 0 s, and the node starts calls at the full rate at a cold upstream. In the same way a health response to an earlier request ended the cold time of a heartbeat, of a failed connection or of a domain that came back, and a failed connection cut short a longer cold time that the upstream had told. Cause: each source set the end of the cold time on arrival. Heartbeats are ordered among themselves by their sequence, but not against responses; responses were not compared with what came after their request. Evidence: test_late_heartbeat_does_not_end_a_cold_time (not cold; expected 3.9 s left), test_late_health_response_does_not_end_a_cold_time (0 ms left; expected 3,000) and test_newer_heartbeat_ends_the_cold_time_of_an_earlier_one (3,000 ms left; expected 10,000) failed before and pass now. Why it works: what responses told and what heartbeats told or the node assumed are kept apart, and the later end holds. Only a response whose request was sent after something was learnt is provably newer, and replaces it. A heartbeat still ends an assumed cold time, as health responses need not name one; a late heartbeat can therefore still end the assumption after a domain came back.

--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -11,6 +11,7 @@
 
 from knapweedhitch import framing, logs
 from knapweedhitch.budget import TokenBucket
+from knapweedhitch.coldtime import ColdTime
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
     DeadlineExceeded,
@@ -73,6 +74,7 @@
         # Mean time between calls, which tells how often other nodes need the load.
         self.call_gap_ms = MAX_GAP_MS
         self.queue = WorkQueue(self._cfg)
+        self.cold = ColdTime()
         # When the current incarnation of the upstream was announced, and whether it has responded
         # since.
         self._upstream_since_ms = math.inf
@@ -185,7 +187,7 @@
         is_measured = result.ok and not result.cancelled
         self._end_call(slot, result.service_ms if is_measured else None)
         if result.connect_failed and self._record is not None:
-            self.set_cold_time(self._cold_start_ms())
+            self._assume_cold()
         self._dispatch()
 
     @property
@@ -254,7 +256,9 @@
         self._record_report(report, "probe")
         cold = headers.get(self._names.cold)
         if cold is not None and cold.isdigit():
-            self.set_cold_time(float(cold))
+            now, cold_ms = self._timers.now_ms(), min(float(cold), MAX_COLD_MS)
+            self.cold.record_response(cold_ms, requested_ms, now)
+            self._apply_cold()
 
     def load(self) -> LoadSample:
         """Return a load sample of the local upstream."""
@@ -280,6 +284,7 @@
         if old is None or not old.is_same_start(record.instance_id, record.incarnation):
             self._upstream_since_ms = self._timers.now_ms()
             self.has_report = False
+            self.cold.start_incarnation()
             self._limit_per_s, self._limit_named_ms = None, -math.inf
             self.queue.set_rate_limit(None, self._upstream_since_ms)
             if self._kernel.has("loadprobe"):
@@ -292,13 +297,21 @@
         self._dispatch()
 
     def set_cold_time(self, cold_ms: float) -> None:
-        """Set the time until the upstream is warm; zero means warm."""
-        record = self._record
-        if record is None or (cold_ms <= 0 and not self.queue.is_cold(self._timers.now_ms())):
-            return
-        until_ms = self._timers.now_ms() + min(cold_ms, MAX_COLD_MS)
-        self.queue.set_cold(until_ms, self._cold_per_s())
-        self._dispatch()
+        """Set the time until the upstream is warm, as its newest heartbeat says; zero if it is."""
+        self.cold.record_heartbeat(min(cold_ms, MAX_COLD_MS), self._timers.now_ms())
+        self._apply_cold()
+
+    def _assume_cold(self) -> None:
+        """Assume that the upstream has just started."""
+        if self._record is not None:
+            self.cold.assume(min(self._cold_start_ms(), MAX_COLD_MS), self._timers.now_ms())
+            self._apply_cold()
+
+    def _apply_cold(self) -> None:
+        now = self._timers.now_ms()
+        if self._record is not None and (self.cold.until_ms > now or self.queue.is_cold(now)):
+            self.queue.set_cold(self.cold.until_ms, self._cold_per_s())
+            self._dispatch()
 
     def _cold_per_s(self) -> float:
         backend = self._backend()
@@ -323,7 +336,7 @@
         if out:
             self._refuse_queue(DomainOut)
         elif returned:
-            self.set_cold_time(self._cold_start_ms())
+            self._assume_cold()
 
     def _is_leaving(self) -> bool:
         return self._record is not None and self._record.state is UpstreamState.LEAVING
--- a/tests/test_queueadmission.py
+++ b/tests/test_queueadmission.py
@@ -217,7 +217,77 @@
                     a.release(await admit(a, spec()), SUCCESS)
                 except NoRoom as refusal:
                     self.assertLessEqual(refusal.retry_after_ms, MAX_COLD_MS)
-                a.set_cold_time(0.0)
+                self.respond(a, 0.0)
+
+    def respond(self, a: QueueAdmission, cold_ms: float, requested_ms: float | None = None) -> None:
+        """Pass on a health response that names a cold time to a request sent now or before."""
+        headers = {b"x-cold": b"%d" % cold_ms}
+        a.record_probe(RECORD, headers, now_ms() if requested_ms is None else requested_ms)
+
+    def cold_ms(self, a: QueueAdmission) -> float:
+        """Return the time until the upstream counts as warm."""
+        return max(0.0, a.cold.until_ms - now_ms())
+
+    @with_admission
+    async def test_late_heartbeat_does_not_end_a_cold_time(self, a: QueueAdmission) -> None:
+        """Guards against full load on a cold upstream: a heartbeat that it sent while it was warm
+        arrived after its health response said that it had turned cold.
+        """
+        self.respond(a, 4_000.0)
+        await trio.sleep(0.1)
+        a.set_cold_time(0.0)
+        self.assertTrue(a.queue.is_cold(now_ms()))
+        self.assertAlmostEqual(self.cold_ms(a), 3_900.0, delta=1.0)
+        # A health response to a later request ends it, as do the heartbeats of a new start.
+        self.respond(a, 0.0)
+        self.assertFalse(a.queue.is_cold(now_ms()))
+        self.respond(a, 4_000.0)
+        a.set_upstream(structs.replace(RECORD, incarnation=2))
+        a.set_cold_time(0.0)
+        self.assertFalse(a.queue.is_cold(now_ms()))
+
+    @with_admission
+    async def test_late_health_response_does_not_end_a_cold_time(self, a: QueueAdmission) -> None:
+        """Guards against full load on a cold upstream: it answered a health request while it was
+        warm, and a heartbeat, a failed connection or the return of its domain came before the
+        response.
+        """
+        turns_cold: tuple[Callable[[], None], ...] = (
+            lambda: a.set_cold_time(3_000.0),
+            lambda: a.release(slot, CallResult(False, 1.0, connect_failed=True)),
+            lambda: a.set_domain_out(False),
+        )
+        for number, turn_cold in enumerate(turns_cold):
+            with self.subTest(number):
+                slot = await admit(a, spec())
+                a.set_domain_out(True)
+                requested_ms = now_ms()
+                await trio.sleep(0.05)
+                turn_cold()
+                self.respond(a, 0.0, requested_ms)
+                self.assertAlmostEqual(self.cold_ms(a), 3_000.0, delta=1.0)
+                a.set_domain_out(False)
+                self.respond(a, 0.0)
+                self.assertEqual(self.cold_ms(a), 0.0)
+
+    @with_admission
+    async def test_newer_heartbeat_ends_the_cold_time_of_an_earlier_one(
+        self, a: QueueAdmission
+    ) -> None:
+        """Guards against a warm upstream that is held at its cold rate, and against one whose
+        longer cold time is cut short by a failed connection.
+        """
+        a.set_cold_time(5_000.0)
+        await trio.sleep(1.0)
+        a.set_cold_time(0.0)
+        self.assertEqual(self.cold_ms(a), 0.0)
+        a.set_domain_out(True)
+        a.set_domain_out(False)
+        a.set_cold_time(0.0)
+        self.assertEqual(self.cold_ms(a), 0.0)
+        self.respond(a, 10_000.0)
+        a.release(await admit(a, spec()), CallResult(False, 1.0, connect_failed=True))
+        self.assertAlmostEqual(self.cold_ms(a), 10_000.0, delta=1.0)
 
     @with_admission
     async def test_slow_upstream_declines_if_another_is_better(self, a: QueueAdmission) -> None:
