Named limits: a late response does not raise the limit of an upstream

Seen: an upstream in need lowers the limit that it names. A response with the earlier, higher limit, to a request sent before, arrives after that, and the node starts calls at the higher rate until another response names the lower one. Cause: a response that names no limit was compared with the time of the last naming, but one that names another limit was adopted on arrival. Evidence: test_late_response_does_not_raise_the_limit failed before (6 starts in a second at 1/s; at most 2 expected) and passes now. Why it works: a response proves only that it was made after its request was sent. A higher limit is adopted if that is after the present one was adopted; responses that only repeat the present limit do not move that time, so the next later request raises it. A lower limit is adopted at once.

--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -79,9 +79,9 @@
         # since.
         self._upstream_since_ms = math.inf
         self.has_report = False
-        # The rate limit that the upstream names, and when a response named it last.
+        # The rate limit that the upstream names, when it changed, and when it was named last.
         self._limit_per_s: float | None = None
-        self._limit_named_ms = -math.inf
+        self._limit_set_ms = self._limit_named_ms = -math.inf
         self._limit_log_budget = TokenBucket(
             LIMIT_LOG_LINES_PER_S, LIMIT_LOG_BURST, self._timers.now_ms
         )
@@ -226,12 +226,17 @@
         now, before = self._timers.now_ms(), self._limit_per_s
         if report.limit_per_s is not None:
             self._limit_named_ms = now
+            is_higher = before is not None and report.limit_per_s > before
+            if is_higher and report.requested_ms < self._limit_set_ms:
+                # This response may be older than the one that named the lower limit.
+                return
         elif report.requested_ms < self._limit_named_ms:
             # This response may be older than the one that named the limit.
             return
         self._limit_per_s = report.limit_per_s
         if self._limit_per_s == before:
             return
+        self._limit_set_ms = now
         self.queue.set_rate_limit(self._limit_per_s, now)
         self._counters.add("upstream_limit_changes", source)
         if self._limit_log_budget.take():
--- a/tests/test_upstreamlimit.py
+++ b/tests/test_upstreamlimit.py
@@ -193,6 +193,25 @@
         self.assertGreater(len(u.starts_s), 15)
         self.assertEqual(u.counters.get("starts_over_limit"), 0)
 
+    @with_upstream
+    async def test_late_response_does_not_raise_the_limit(self, u: LimitedUpstream) -> None:
+        """Guards against an upstream in need that gets calls at a limit which it has lowered since,
+        because a response with the earlier one arrives late.
+        """
+        asked_before_s = trio.current_time()
+        await trio.sleep(0.1)
+        for limit_per_s, requested_s in ((1.0, trio.current_time()), (50.0, asked_before_s)):
+            u.limit_per_s = limit_per_s
+            u.respond(requested_s)
+        u.limit_per_s = 1.0
+        await u.run_traffic(per_s=25.0, for_s=1.0)
+        self.assertLessEqual(len(u.starts_s), 2)
+        # A response to a later request raises it, however many responses named the lower limit.
+        u.limit_per_s = 50.0
+        u.respond(trio.current_time())
+        await u.run_traffic(per_s=25.0, for_s=1.0)
+        self.assertGreater(len(u.starts_s), 15)
+
     @with_upstream
     async def test_new_incarnation_has_no_limit(self, u: LimitedUpstream) -> None:
         """Guards against a restarted upstream that keeps the limit of the one before it, also if a
