Forward: the time to connect counts against the deadline of a call

Seen: a call that waits for a link to its target's node (a dial takes up to connect_timeout_ms + handshake_timeout_ms, 1.5 s) is handed all the time that was left before the wait, so the target works on after the caller has its 504. Cause: the opening of a stream carries the remaining time, computed before the wait for the link. Evidence: test_time_to_connect_counts_against_the_deadline failed before (deadline at 1.4 s at the target's node, 1.0 s at the caller's) and passes now. Why it works: the times left are reduced by the wait when the opening is queued on the link.

--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -4,6 +4,8 @@
 
 import math
 
+from msgspec import structs
+
 from knapweedhitch.codec import Float, Message, Record, message
 from knapweedhitch.exceptions import Outcome
 from knapweedhitch.model import ClaimVerdict, LoadSample, Member, MemberState
@@ -102,6 +104,14 @@
     decline_above: Float = math.inf
     is_repeat: bool = False
 
+    def after(self, elapsed_ms: float) -> OpenStream:
+        """Return this message with the remaining times reduced by the time since it was made."""
+        return structs.replace(
+            self,
+            deadline_ms=max(0.0, self.deadline_ms - elapsed_ms),
+            target_latency_ms=max(0.0, self.target_latency_ms - elapsed_ms),
+        )
+
 
 @message(11)
 class StreamData(Message, frozen=True):
--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -170,9 +170,10 @@
 
     async def open_stream(self, node_id: str, opening: OpenStream) -> PeerStream:
         """Queue the opening of a stream and return it; raises PeerUnreachable and PeerQueueFull."""
+        made_ms = Timers.now_ms()
         link = await self._get_link(node_id)
         try:
-            return link.open_stream(opening)
+            return link.open_stream(opening.after(Timers.now_ms() - made_ms))
         except PeerDisconnected as exc:
             raise PeerUnreachable(str(exc)) from None
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -27,7 +27,7 @@
 from knapweedhitch.messages import OpenStream, StreamHead
 from knapweedhitch.model import CallResult, LoadSample, Warmth
 from knapweedhitch.streams import PeerStream
-from tests.fake_net import Node, running_nodes
+from tests.fake_net import MemoryNet, Node, running_nodes
 from tests.test_peers import link_of, run_on_mock_clock
 
 LOAD = LoadSample(1, 2, 3, 4.0, Warmth.WARM)
@@ -245,6 +245,23 @@
             self.assert_refused(result, DeadlineExceeded, Outcome.UNKNOWN)
             self.assertLess(trio.current_time() - start_s, 0.4)
 
+    @run_on_mock_clock
+    async def test_time_to_connect_counts_against_the_deadline(self) -> None:
+        """Guards against a target that works on a call for as long after its deadline as its node
+        took to connect.
+        """
+        deadlines: list[Deadline] = []
+
+        async def record(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            deadlines.append(call.deadline)
+            return await respond(call, body, sink)
+
+        net = MemoryNet(connect_s=0.4)
+        async with running_nodes(2, net, prepare=install(record)) as (a, _):
+            call = make_spec(deadline_ms=1_000)
+            self.assertEqual(await execute(a, call), RESULT)
+            self.assertAlmostEqual(deadlines[0].at_s, call.deadline.at_s, delta=0.001)
+
     @run_on_mock_clock
     async def test_call_at_a_silent_node_is_given_up_only_for_a_retry(self) -> None:
         """Guards against breaking off a run that another attempt cannot replace, because its node
