Slot leases: a grant that arrives after its revocation is not used

Seen: an upstream turns cold, its node revokes the leases that it granted, and the reply with leases granted just before is handled after the revocation (the two wake different tasks, or came over different links). The holder starts calls at the cold upstream under them, up to a lifetime. Cause: a revocation removed the leases held at that moment; a grant was compared only with its lifetime. Evidence: test_grant_that_comes_after_its_revocation_is_not_used failed before (lease 1 was acquired) and passes now. Why it works: a grant whose request was sent before the last revocation may be older than that. Its leases are not used but returned, so that the upstream's node frees their slots.

--- a/knapweedhitch/direct.py
+++ b/knapweedhitch/direct.py
@@ -172,7 +172,10 @@
         self._counters.add("lease_requests", "granted" if grant.lease_ids else "refused")
         self._record_load(instance_id, grant)
         # The lifetime starts at the request, so it ends here no later than at the target.
-        leases.record_grant(instance_id, grant.lease_ids, grant.lifetime_ms, requested_ms)
+        for lease_id in leases.record_grant(
+            instance_id, grant.lease_ids, grant.lifetime_ms, requested_ms
+        ):
+            self._return_lease(node_id, instance_id, lease_id, False, CallResult(True, 0.0))
 
     async def _on_revoke(self, node_id: str, msg: LeaseRevoke) -> Ack:
         self._counters.add("lease_revokes")
--- a/knapweedhitch/slotlease.py
+++ b/knapweedhitch/slotlease.py
@@ -118,6 +118,7 @@
     acquired: dict[int, _Lease] = dataclasses.field(default_factory=dict)
     requested_ms: float | None = None
     next_request_ms: float = 0.0
+    revoked_ms: float = -math.inf
     demand_ms: collections.deque[float] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=MAX_RECENT_DEMAND)
     )
@@ -242,24 +243,31 @@
 
     def record_grant(
         self, instance_id: str, lease_ids: tuple[int, ...], lifetime_ms: float, sent_ms: float
-    ) -> None:
-        """Add granted leases, whose lifetime counts from the time the request was sent."""
+    ) -> tuple[int, ...]:
+        """Add granted leases, whose lifetime counts from the time the request was sent.
+
+        Return the ids of those that may have been revoked before they arrived.
+        """
         leases = self._get_or_create(instance_id)
         if leases is None:
-            return
+            return ()
         leases.requested_ms = None
+        if sent_ms <= leases.revoked_ms:
+            return lease_ids
         if not lease_ids:
             leases.next_request_ms = self._now_ms() + self._cfg.lease_lifetime_ms
         free_count = self._cfg.max_leases_per_peer - len(leases.free)
         expires_ms = sent_ms + lifetime_ms
         leases.free += [_Lease(i, expires_ms) for i in lease_ids[: max(0, free_count)]]
         self._drop_expired(leases)
+        return ()
 
     def revoke(self, instance_id: str) -> tuple[int, ...]:
         """Remove the unused leases of the target and return their ids, which must be returned."""
         leases = self._targets.get(instance_id)
         if leases is None:
             return ()
+        leases.revoked_ms = self._now_ms()
         removed = tuple(lease.lease_id for lease in leases.free)
         leases.free.clear()
         # A lease with a call in flight is returned after that call.
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -95,9 +95,10 @@
 
     def record_grant(
         self, instance_id: str, ids: tuple[int, ...], lifetime_ms: float, sent_ms: float
-    ) -> None:
+    ) -> tuple[int, ...]:
         """Add granted leases."""
         self.held += ids
+        return ()
 
     def revoke(self, instance_id: str) -> tuple[int, ...]:
         """Remove all leases and return their ids."""
--- a/tests/test_slotlease.py
+++ b/tests/test_slotlease.py
@@ -31,6 +31,21 @@
         self.assertIsNone(leases.acquire("i1"))
         self.assertFalse(leases.release("i1", 2, used=True))
 
+    async def test_grant_that_comes_after_its_revocation_is_not_used(self) -> None:
+        """Guards against calls to an upstream that has turned cold, under leases that it granted
+        before and whose grant arrived after their revocation.
+        """
+        leases = SlotLeases(kernel())
+        sent_ms = leases.record_request("i1")
+        await trio.sleep(0.01)
+        self.assertEqual(leases.revoke("i1"), ())
+        refused_ids = leases.record_grant("i1", (1, 2), 250.0, sent_ms)
+        self.assertIsNone(leases.acquire("i1"))
+        self.assertEqual(refused_ids, (1, 2))
+        await trio.sleep(0.3)
+        self.assertEqual(leases.record_grant("i1", (3,), 250.0, leases.record_request("i1")), ())
+        self.assertEqual(leases.acquire("i1"), 3)
+
     async def test_retained_lease_ends_with_its_lifetime_unless_renewed(self) -> None:
         """Guards against using a lease after its lifetime, when its node may have reassigned it."""
         leases = SlotLeases(kernel())
