--- a/tests/fake_net.py
+++ b/tests/fake_net.py
@@ -35,7 +35,10 @@
 
 
 class MemoryWire:
-    """Represent one end of an in-memory link; `silent` drops all frames without an error."""
+    """Represent one end of an in-memory link.
+
+    `silent` drops all frames without an error, `delay_s` delivers them later in their order.
+    """
 
     overhead_bytes = 2
 
@@ -46,6 +49,7 @@
         self._out, self._in = trio.open_memory_channel[bytes](math.inf)
         self.peer: MemoryWire | None = None
         self.silent = False
+        self.delay_s = 0.0
         self.sent: list[bytes] = []
 
     async def send(self, frames: Sequence[bytes]) -> None:
@@ -55,12 +59,22 @@
         del self.sent[:-1_000]
         if self.silent or self._net.is_partitioned(self.own_address, self.other_address):
             return
+        if self.delay_s and self._net.nursery is not None:
+            self._net.nursery.start_soon(self._deliver_later, tuple(frames))
+            return
         try:
             for frame in frames:
                 self.peer._out.send_nowait(frame)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             raise PeerDisconnected("broken") from None
 
+    async def _deliver_later(self, frames: Sequence[bytes]) -> None:
+        await trio.sleep(self.delay_s)
+        assert self.peer is not None
+        with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
+            for frame in frames:
+                self.peer._out.send_nowait(frame)
+
     async def receive(self) -> bytes:
         try:
             return await self._in.receive()
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -245,6 +245,31 @@
             self.assert_refused(result, DeadlineExceeded, Outcome.UNKNOWN)
             self.assertLess(trio.current_time() - start_s, 0.4)
 
+    @run_on_mock_clock
+    async def test_call_that_a_slow_link_delivers_late_is_never_said_to_be_not_run(self) -> None:
+        """Guards against a call that runs after its caller was told that it did not."""
+        runs: list[float] = []
+
+        async def record(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            runs.append(trio.current_time())
+            await dispatch(sink)
+            await trio.sleep(5.0)
+            return await respond(call, body, sink)
+
+        async with running_nodes(2, prepare=install(record)) as (a, b):
+            await execute(a, make_spec(deadline_ms=10))
+            runs.clear()
+            for node, peer in ((a, "n1"), (b, "n0")):
+                link_of(node, peer)._wire.delay_s = 1.0
+            began_s = trio.current_time()
+            result = await execute(a, make_spec(deadline_ms=300))
+            self.assert_refused(result, DeadlineExceeded, Outcome.UNKNOWN)
+            self.assertEqual(runs, [])
+            await trio.sleep(1.5)
+            self.assertEqual([round(at_s - began_s, 3) for at_s in runs], [1.0])
+            # The cancel follows the call as far behind as the caller gave up.
+            self.assertEqual(b.counters.get("forward_cancelled", "unknown"), 2)
+
     @run_on_mock_clock
     async def test_time_to_connect_counts_against_the_deadline(self) -> None:
         """Guards against a target that works on a call for as long after its deadline as its node
