Cold upstreams: ask the upstream of a returned domain whether it is cold

Seen: upstreams turn cold while their domain is out. When it comes back, their nodes assume that they are cold. A heartbeat that such an upstream sent before it turned cold arrives late, says 0 s and ends the assumption, and the first calls start at the full rate until a probe runs (every 250 ms at an unused upstream, and only once it is used again). Cause: nobody asked the upstream at the return, so that a heartbeat of unknown age was the newest word. Why it works: the node requests a probe at the return, also of an unused upstream. What the response tells is not ended by a heartbeat. The bound on cold times moved to coldtime, where they are recorded.

--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -39,8 +39,6 @@
 # EWMA weight of the newest gap between calls, and the longest gap that counts.
 GAP_WEIGHT = 0.2
 MAX_GAP_MS = 500.0
-# An upstream that is cold for longer says so again.
-MAX_COLD_MS = 3_600_000.0
 LIMIT_LOG_LINES_PER_S = 1.0
 LIMIT_LOG_BURST = 5.0
 
@@ -261,8 +259,7 @@
         self._record_report(report, "probe")
         cold = headers.get(self._names.cold)
         if cold is not None and cold.isdigit():
-            now, cold_ms = self._timers.now_ms(), min(float(cold), MAX_COLD_MS)
-            self.cold.record_response(cold_ms, requested_ms, now)
+            self.cold.record_response(float(cold), requested_ms, self._timers.now_ms())
             self._apply_cold()
 
     def load(self) -> LoadSample:
@@ -288,13 +285,11 @@
             return
         if old is None or not old.is_same_start(record.instance_id, record.incarnation):
             self._upstream_since_ms = self._timers.now_ms()
-            self.has_report = False
             self.cold.start_incarnation()
             self._limit_per_s, self._limit_named_ms = None, -math.inf
             self.queue.set_rate_limit(None, self._upstream_since_ms)
-            if self._kernel.has("loadprobe"):
-                # A node that has just started knows nothing of a limit named before.
-                self._kernel.get("loadprobe").request_probe()
+            # A node that has just started knows nothing of a limit named before.
+            self._request_probe()
         share = max(1, int(record.slots * self._cfg.slots_share))
         self.queue.limit = min(share, record.connections)
         if self._is_leaving():
@@ -303,13 +298,19 @@
 
     def set_cold_time(self, cold_ms: float) -> None:
         """Set the time until the upstream is warm, as its newest heartbeat says; zero if it is."""
-        self.cold.record_heartbeat(min(cold_ms, MAX_COLD_MS), self._timers.now_ms())
+        self.cold.record_heartbeat(cold_ms, self._timers.now_ms())
         self._apply_cold()
 
+    def _request_probe(self) -> None:
+        """Request a probe of the upstream, also if it is not in use."""
+        self.has_report = False
+        if self._kernel.has("loadprobe"):
+            self._kernel.get("loadprobe").request_probe()
+
     def _assume_cold(self) -> None:
         """Assume that the upstream has just started."""
         if self._record is not None:
-            self.cold.assume(min(self._cold_start_ms(), MAX_COLD_MS), self._timers.now_ms())
+            self.cold.assume(self._cold_start_ms(), self._timers.now_ms())
             self._apply_cold()
 
     def _apply_cold(self) -> None:
@@ -342,6 +343,8 @@
             self._refuse_queue(DomainOut)
         elif returned:
             self._assume_cold()
+            # A late heartbeat may end the assumption, but not what a response tells.
+            self._request_probe()
 
     def _is_leaving(self) -> bool:
         return self._record is not None and self._record.state is UpstreamState.LEAVING
--- a/tests/test_queueadmission.py
+++ b/tests/test_queueadmission.py
@@ -15,6 +15,7 @@
 from trio.testing import MockClock
 
 from knapweedhitch.clock import now_ms
+from knapweedhitch.coldtime import MAX_COLD_MS
 from knapweedhitch.counters import Counters
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -31,7 +32,7 @@
 from knapweedhitch.items import Items
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.model import Address, CallResult, UpstreamRecord, UpstreamState
-from knapweedhitch.queueadmission import MAX_COLD_MS, QueueAdmission
+from knapweedhitch.queueadmission import QueueAdmission
 from knapweedhitch.settings import (
     AdmissionSettings,
     ControlMember,
@@ -180,6 +181,25 @@
         # The cold limit of the backend is 16 calls per second.
         self.assertLessEqual(started_count, 16)
 
+    @with_admission
+    async def test_upstream_of_a_returned_domain_is_asked_whether_it_is_cold(
+        self, a: QueueAdmission
+    ) -> None:
+        """Guards against full load on an upstream that turned cold while its domain was out: a
+        heartbeat that it sent before that arrived late and ended the assumed cold time.
+        """
+
+        def answer_probe() -> None:
+            assert not a.has_report, "an unused upstream with a report is not probed"
+            self.respond(a, 3_000.0)
+
+        a._kernel.add("loadprobe", SimpleNamespace(request_probe=answer_probe))
+        self.respond(a, 0.0)
+        a.set_domain_out(True)
+        a.set_domain_out(False)
+        a.set_cold_time(0.0)
+        self.assertAlmostEqual(self.cold_ms(a), 3_000.0, delta=1.0)
+
     @with_admission
     async def test_upstream_that_takes_nothing_while_cold_is_used_when_warm(
         self, a: QueueAdmission
