--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -117,6 +117,13 @@
         """Guards against a delayed heartbeat that undoes the report that the upstream leaves."""
         self.assertEqual(self.run_steps((OLD, 4), (LEAVING, 6), (OLD, 5)).current, LEAVING)
 
+    def test_late_heartbeat_sets_no_cold_time(self) -> None:
+        """Guards against a cold upstream that counts as warm by a heartbeat which is delivered
+        late, or twice, behind a newer one.
+        """
+        self.run_steps((OLD, 4), (OLD, 6), (OLD, 5), (OLD, 6))
+        self.assertEqual(len(self.cold_ms), 2)
+
     def test_leaving_lasts_for_the_whole_incarnation(self) -> None:
         """Guards against new calls to an upstream that has reported leaving."""
         self.assertEqual(self.run_steps((LEAVING, 6), (OLD, 7)).current, LEAVING)
