--- a/scripts/measure_peers.py
+++ b/scripts/measure_peers.py
@@ -282,6 +282,7 @@
         """Represent the member record of the target."""
 
         upstream = UpstreamRecord("s", Address("127.0.0.1", 1), 9, 220, "instance-1", 1)
+        started_wall_ms = 1
 
     def __init__(self, seed: int) -> None:
         self._rng = random.Random(seed)
