Links: the way of a call counts against its deadline

Seen: a link turns slow, or the target's node is paused, and a forwarded call is handed all the time that was left when it was sent. It runs after its caller has its 504, until the cancel arrives as late as the call. No promise was broken: the outcome was told as unknown. Cause: the opening of a stream carries the remaining time, which began anew on arrival. Why it works: at most each 100 ms, and only before a call, the sender tells its clock. The receiver keeps the least difference to its own of the last 30 to 60 s; by how much the difference now exceeds that is a lower bound of the time that the call took, less the 100 ms. It never takes away more than has passed. A link that was slow from its start looks usual, and the first call on a link has no usual way yet. Earlier versions ignore the message, so that nodes can be upgraded one by one.

--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -23,6 +23,7 @@
 )
 from knapweedhitch.messages import (
     CallMessage,
+    Clock,
     Hello,
     OpenStream,
     Ping,
@@ -35,6 +36,7 @@
 from knapweedhitch.settings import PeerSettings
 from knapweedhitch.streams import STREAM_FRAMES, PeerStream, StreamTable
 from knapweedhitch.timers import Timers
+from knapweedhitch.transit import TransitTime
 from knapweedhitch.transport import Wire
 
 HANDSHAKE_MESSAGES = (Hello, Proof, Rejected)
@@ -93,6 +95,7 @@
         )
         self._was_resting = False
         self._last_ping_ms = 0.0
+        self._transit = TransitTime()
         self.disconnect_error: PeerDisconnected | None = None
         self.retired = False
         self.has_carried_streams = False
@@ -195,7 +198,9 @@
         """Open a stream under a new id; raises PeerQueueFull and PeerDisconnected."""
         if len(self._streams) >= self.cfg.max_streams:
             raise PeerQueueFull(f"peer={self.peer_id} streams={len(self._streams)}")
-        self.last_used_ms = Timers.now_ms()
+        now = self.last_used_ms = Timers.now_ms()
+        if self._transit.is_clock_due(now):
+            self.put_frame(Clock(now))
         self.has_carried_streams = True
         stream = self._streams.open()
         try:
@@ -332,19 +337,18 @@
         except UnknownMessage:
             self._counters.add("peer_unknown_messages")
             return
-        is_payload = isinstance(msg, (OpenStream, *STREAM_FRAMES))
-        self._counters.add(
-            "peer_bytes_in",
-            "payload" if is_payload else "control",
-            len(data) + self._wire.overhead_bytes,
-        )
+        kind = "payload" if isinstance(msg, (Clock, OpenStream, *STREAM_FRAMES)) else "control"
+        self._counters.add("peer_bytes_in", kind, len(data) + self._wire.overhead_bytes)
         if isinstance(msg, STREAM_FRAMES):
             if not self._streams.deliver(msg.stream_id, msg):
                 self._counters.add("peer_late_frames", "stream")
         elif isinstance(msg, OpenStream):
             self.last_used_ms = self.last_received_ms
             self.has_carried_streams = True
+            msg = msg.after(self._transit.excess_ms(self.last_received_ms))
             self._owner.on_stream(self, msg, self._streams.accept(msg))
+        elif isinstance(msg, Clock):
+            self._transit.record(msg.sent_ms, self.last_received_ms)
         elif isinstance(msg, CallMessage):
             self.last_used_ms = self.last_received_ms
             self._on_call(msg)
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -14,6 +14,9 @@
 
 Headers = tuple[tuple[bytes, bytes], ...]
 
+# Copying a message costs more than it is worth for a shorter time.
+MIN_ELAPSED_MS = 1.0
+
 # 1-9: links
 
 
@@ -77,6 +80,13 @@
     """Announce that the sender starts no new calls or streams on this link."""
 
 
+@message(9)
+class Clock(Message, frozen=True):
+    """Tell the clock of the sender before it opens a stream; earlier versions ignore it."""
+
+    sent_ms: Float
+
+
 # 10-19: streams
 
 
@@ -106,6 +116,8 @@
 
     def after(self, elapsed_ms: float) -> OpenStream:
         """Return this message with the remaining times reduced by the time since it was made."""
+        if elapsed_ms < MIN_ELAPSED_MS:
+            return self
         return structs.replace(
             self,
             deadline_ms=max(0.0, self.deadline_ms - elapsed_ms),
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -249,9 +249,11 @@
     async def test_call_that_a_slow_link_delivers_late_is_never_said_to_be_not_run(self) -> None:
         """Guards against a call that runs after its caller was told that it did not."""
         runs: list[float] = []
+        remaining_ms: list[float] = []
 
         async def record(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
             runs.append(trio.current_time())
+            remaining_ms.append(call.deadline.remaining_ms())
             await dispatch(sink)
             await trio.sleep(5.0)
             return await respond(call, body, sink)
@@ -259,6 +261,7 @@
         async with running_nodes(2, prepare=install(record)) as (a, b):
             await execute(a, make_spec(deadline_ms=10))
             runs.clear()
+            await trio.sleep(1.0)
             for node, peer in ((a, "n1"), (b, "n0")):
                 link_of(node, peer)._wire.delay_s = 1.0
             began_s = trio.current_time()
@@ -269,6 +272,30 @@
             self.assertEqual([round(at_s - began_s, 3) for at_s in runs], [1.0])
             # The cancel follows the call as far behind as the caller gave up.
             self.assertEqual(b.counters.get("forward_cancelled", "unknown"), 2)
+            # A gate refuses a call without time left, so that it does not run any more.
+            self.assertEqual(remaining_ms[1], 0.0)
+
+    @run_on_mock_clock
+    async def test_way_of_a_call_counts_against_its_deadline(self) -> None:
+        """Guards against a target that works on a call after its deadline, because the link turned
+        slow or its node was paused; the way is known to 100 ms.
+        """
+        deadlines: list[Deadline] = []
+
+        async def record(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            deadlines.append(call.deadline)
+            return await respond(call, body, sink)
+
+        async with running_nodes(2, prepare=install(record)) as (a, _):
+            await execute(a, make_spec())
+            for delay_s in (0.0, 0.05, 0.6, 0.6, 0.0):
+                link_of(a, "n1")._wire.delay_s = delay_s
+                call = make_spec(deadline_ms=1_000)
+                self.assertEqual(await execute(a, call), RESULT)
+                late_s = deadlines[-1].at_s - call.deadline.at_s
+                self.assertGreaterEqual(late_s, 0.0)
+                self.assertLessEqual(late_s, 0.11)
+                await trio.sleep(0.25)
 
     @run_on_mock_clock
     async def test_time_to_connect_counts_against_the_deadline(self) -> None:
