Give up a health response at 64 KiB

Cause: the probe bounded the time of a response and not its bytes. Head, trailer and chunk headers end at 64 KiB each, but a body, and chunk extensions of 60 KB for one byte of data, had no limit; 16 responses 1xx could take 1 MiB.

An exchange counts the bytes on the wire, framing included, and a connection may set a limit for them; the probe sets 64 KiB. A given-up response is a failed probe, as it was at the timeout, counted as probe_failed{UpstreamResponseTooLarge}.

--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -274,6 +274,10 @@
     """Report an upstream that sent invalid HTTP/1.1."""
 
 
+class UpstreamResponseTooLarge(UpstreamProtocolError):
+    """Report a response over the limit of bytes for its kind."""
+
+
 class UpstreamNotRun(UpstreamError):
     """Report a response by which the upstream states that it did not run the request."""
 
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -16,6 +16,7 @@
     UpstreamClosed,
     UpstreamNotRun,
     UpstreamProtocolError,
+    UpstreamResponseTooLarge,
     UpstreamTimeout,
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
@@ -60,6 +61,9 @@
         self.used = False
         self.has_sent = False
         self.reusable = False
+        # Bytes on the wire of the current exchange; framing counts, since it can be without end.
+        self.received_bytes = 0
+        self.max_response_bytes = math.inf
         self.cfg = cfg
         self._conn = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=cfg.max_response_header_bytes
@@ -95,6 +99,7 @@
     ) -> ExchangeTimes:
         """Run one exchange; raises UpstreamError, and Refusal or CallerGone from body and sink."""
         self.reusable = self.has_sent = False
+        self.received_bytes = 0
         self._request_sent_s = self._first_byte_s = math.inf
         request = h11.Request(method=spec.method, target=spec.target, headers=list(headers))
         wire = self._conn.send(request) or b""
@@ -186,7 +191,10 @@
             raise UpstreamTimeout("the request is not taken", bytes_sent=True)
 
     async def receive_more(self, first_byte_timeout_ms: float) -> None:
-        """Feed the next bytes to the parser; raises UpstreamTimeout, UpstreamClosed."""
+        """Feed the next bytes to the parser.
+
+        Raises UpstreamTimeout, UpstreamClosed and UpstreamResponseTooLarge.
+        """
         while True:
             started = self._first_byte_s < math.inf
             limit_ms = self.cfg.progress_timeout_ms if started else first_byte_timeout_ms
@@ -205,6 +213,10 @@
             raise UpstreamTimeout(f"{problem} within {limit_ms:.0f} ms", bytes_sent=True)
         if not started:
             self._first_byte_s = trio.current_time()
+        self.received_bytes += len(data)
+        if self.received_bytes > self.max_response_bytes:
+            limit = f"response over {self.max_response_bytes} bytes"
+            raise UpstreamResponseTooLarge(limit, bytes_sent=True)
         self._conn.receive_data(data)
 
     async def _receive(self) -> bytes:
--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -37,6 +37,9 @@
 IDLE_CHECK_MS = 250.0
 # Probes for each call at an upstream with few calls; more would load it with health checks.
 PROBES_PER_CALL = 2.0
+# A health response takes less than 1 KiB. A faulty upstream may send bytes without end, which were
+# read until the timeout, some 80 MB at each probe.
+MAX_RESPONSE_BYTES = 65_536
 
 
 class _ProbeResponse:
@@ -204,6 +207,7 @@
             await self._close_connection()
             stream = await connect_tcp(record.address)
             conn = ClientConnection(stream, self._cfg, self._names)
+            conn.max_response_bytes = MAX_RESPONSE_BYTES
         backend = self._config.current.items.backends.get(record.service)
         path = backend.health_path if backend is not None else "/"
         host = str(record.address).encode("ascii")
--- /dev/null
+++ b/tests/test_endless_bytes.py
@@ -0,0 +1,126 @@
+"""Tests that bytes without end from outside are given up and fill no memory."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Iterator
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+import trio
+import trio.testing
+
+from knapweedhitch import loadprobe
+from knapweedhitch.counters import Counters
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.loadprobe import MAX_RESPONSE_BYTES, LoadProbe
+from knapweedhitch.model import Address, UpstreamRecord
+from knapweedhitch.settings import HeaderSettings, UpstreamSettings, replace
+from tests.decision_fakes import FakeTimers, TrioTestCase, settings
+
+READ_BYTES = 65_536
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+# A chunk of one byte whose extension is nearly as long as the parser accepts.
+PADDED_CHUNK = b"1;" + b"x" * 60_000 + b"\r\ny\r\n"
+PADDED_1XX = b"HTTP/1.1 103 x\r\nLink: " + b"x" * 60_000 + b"\r\n\r\n"
+# Case, first bytes, and bytes that follow without end.
+ENDLESS_RESPONSES = [
+    ("head", b"", b"x" * 60_000),
+    ("header lines", HEAD, b"X-A: b\r\n" * 7_000),
+    ("1xx responses", b"", PADDED_1XX),
+    ("by length", HEAD + b"Content-Length: 99999999999\r\n\r\n", b"x" * 60_000),
+    ("chunked", CHUNKED, b"ea60\r\n" + b"x" * 60_000 + b"\r\n"),
+    ("chunks of one byte", CHUNKED, b"1\r\nx\r\n" * 10_000),
+    ("chunk extensions", CHUNKED, PADDED_CHUNK),
+    ("trailer", CHUNKED + b"0\r\n", b"X-A: b\r\n" * 7_000),
+    ("to the end of the connection", HEAD + b"Connection: close\r\n\r\n", b"x" * 60_000),
+]
+
+
+class EndlessPeer:
+    """Write bytes without end, each part once the reader has taken the one before."""
+
+    def __init__(self, first: bytes, endless: bytes) -> None:
+        self._first = first
+        self._endless = endless
+        self.written_bytes = 0
+        self.connections = 0
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Read one request, then write until the reader closes."""
+        self.connections += 1
+        try:
+            await stream.receive_some(READ_BYTES)
+            await self._write(stream, self._first)
+            while self._endless:
+                await trio.sleep(0.001)
+                await self._write(stream, self._endless)
+            await trio.sleep_forever()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+
+    async def _write(self, stream: trio.abc.Stream, data: bytes) -> None:
+        if data:
+            await stream.send_all(data)
+            self.written_bytes += len(data)
+
+
+class HealthTest(TrioTestCase):
+    async def test_endless_health_response_is_given_up(self) -> None:
+        """Guards against a link that is filled by a health response until the timeout, again at
+        each probe.
+        """
+        for name, first, endless in ENDLESS_RESPONSES:
+            with self.subTest(name):
+                peer = EndlessPeer(first, endless)
+                async with trio.open_nursery() as nursery:
+                    counters = await self.probe(peer, nursery)
+                    nursery.cancel_scope.cancel()
+                self.assertEqual(counters.get("probes"), 0)
+                reasons = [k[1] for k in counters._counters if k[0] == "probe_failed"]
+                self.assertEqual(len(reasons), 1)
+                self.assertIn(reasons[0], ("UpstreamResponseTooLarge", "UpstreamProtocolError"))
+                # The last read may be larger than what is left.
+                self.assertLessEqual(peer.written_bytes, MAX_RESPONSE_BYTES + 2 * READ_BYTES)
+
+    async def test_health_response_below_the_limit_is_accepted(self) -> None:
+        """Guards against an upstream whose load is unknown because of a page of some length."""
+        head = HEAD + b"X-Load: 1,0,9\r\nContent-Length: 60000\r\n\r\n"
+        async with trio.open_nursery() as nursery:
+            counters = await self.probe(EndlessPeer(head + b"x" * 60_000, b""), nursery)
+            nursery.cancel_scope.cancel()
+        self.assertEqual(counters.get("probes"), 1)
+
+    async def probe(self, peer: EndlessPeer, nursery: trio.Nursery) -> Counters:
+        """Probe an upstream once and return the counters."""
+        kernel = Kernel(
+            replace(
+                settings(),
+                headers=HeaderSettings(load="x-load"),
+                upstream=UpstreamSettings(accept_unframed=True),
+            )
+        )
+        probe = LoadProbe(kernel)
+        counters = probe._counters = Counters()
+        probe._timers = FakeTimers()
+        probe._config = SimpleNamespace(current=SimpleNamespace(items=SimpleNamespace(backends={})))
+        probe._announce = SimpleNamespace(record_report=lambda report: None)
+        probe._admission = SimpleNamespace(record_probe=lambda *args: None)
+        with connect_to(peer, nursery):
+            await probe._probe(UpstreamRecord("robes", Address("127.0.0.1", 80), 9, 220, "", 1))
+        return counters
+
+
+@contextlib.contextmanager
+def connect_to(peer: EndlessPeer, nursery: trio.Nursery) -> Iterator[None]:
+    """Let the probe connect to a peer over a stream that holds one write at a time."""
+
+    async def connect(address: Address) -> Any:
+        client, server = trio.testing.lockstep_stream_pair()
+        nursery.start_soon(peer.serve, server)
+        return client
+
+    with mock.patch.object(loadprobe, "connect_tcp", connect):
+        yield
