Join the parts of buffered bodies

A target or a caller whose body comes in chunks of two bytes made a node hold many times the memory that its limits allow.

Cause: Attempt, ReplayBody and Spool kept the parts as they came, each an object of some 50 bytes, and Spool a list entry for each size as well.

The three append to one bytearray now, so that memory follows the counted bytes.

--- a/knapweedhitch/attempt.py
+++ b/knapweedhitch/attempt.py
@@ -65,8 +65,9 @@
         self._hold_back_bytes = hold_back_bytes
         # None if the response is not recorded for an idempotency key.
         self._max_recorded_bytes = max_recorded_bytes
-        self._recorded_parts: list[bytes] | None = None if max_recorded_bytes is None else []
-        self._buffered: list[bytes] = []
+        # Joined, because each part of its own would take some 50 bytes more.
+        self._recorded: bytearray | None = None if max_recorded_bytes is None else bytearray()
+        self._buffered = bytearray()
         self._size_bytes = 0
         self.headers: Headers = ()
         self.on_head: Callable[[Headers], None] = lambda headers: None
@@ -99,7 +100,7 @@
         if self.committed:
             await self._write_to_caller(self._conn.send_data(data))
             return
-        self._buffered.append(data)
+        self._buffered += data
         if self._size_bytes > self._hold_back_bytes:
             await self._commit()
 
@@ -114,31 +115,33 @@
         if not self.committed:
             await self._claim()
             self.committed = True
-            buffered, self._buffered = self._buffered, []
+            body = self._take_buffered()
             await self._write_to_caller(
-                self._conn.send_response(self.status, self._all_headers(), buffered)
+                self._conn.send_response(self.status, self._all_headers(), [body])
             )
         if self.caller_gone:
             raise CallerGone("closed before the response was complete")
 
     def recorded_body(self) -> bytes | None:
         """Return the whole body, None if it is not recorded or over the limit."""
-        return None if self._recorded_parts is None else b"".join(self._recorded_parts)
+        return None if self._recorded is None else bytes(self._recorded)
 
     def _record(self, data: bytes) -> None:
-        if self._recorded_parts is not None and self._max_recorded_bytes is not None:
+        if self._recorded is not None and self._max_recorded_bytes is not None:
             if self._size_bytes <= self._max_recorded_bytes:
-                self._recorded_parts.append(data)
+                self._recorded += data
             else:
-                self._recorded_parts = None
+                self._recorded = None
 
     async def _commit(self) -> None:
         await self._claim()
         self.committed = True
-        buffered, self._buffered = self._buffered, []
-        await self._write_to_caller(
-            self._conn.send_head(self.status, self._all_headers(), buffered)
-        )
+        body = self._take_buffered()
+        await self._write_to_caller(self._conn.send_head(self.status, self._all_headers(), [body]))
+
+    def _take_buffered(self) -> bytes:
+        body, self._buffered = bytes(self._buffered), bytearray()
+        return body
 
     async def _claim(self) -> None:
         if self.race is not None and not self.race.claim(self):
--- a/knapweedhitch/payload.py
+++ b/knapweedhitch/payload.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import hashlib
 
 from knapweedhitch.exceptions import KeyedBodyTooLarge, SpoolFull
@@ -23,22 +24,23 @@
 
 
 class ReplayBody:
-    """Buffer the first parts of a body so that another attempt can send them again."""
+    """Buffer the beginning of a body so that another attempt can send it again."""
 
     def __init__(self, source: BodySource, max_bytes: int) -> None:
         self._source = source
         self._max_bytes = max_bytes
-        self._parts: list[bytes] = []
-        self._size_bytes = 0
+        # Joined, because each part of its own would take some 50 bytes more.
+        self._buffered = bytearray()
         self._position = 0
         self._is_complete = False
         self._is_replayable = True
 
     async def receive(self) -> bytes | None:
         """Return the next part, None at the end; raises Refusal or CallerGone."""
-        if self._position < len(self._parts):
-            self._position += 1
-            return self._parts[self._position - 1]
+        if self._position < len(self._buffered):
+            rest = bytes(self._buffered[self._position :])
+            self._position = len(self._buffered)
+            return rest
         if self._is_complete:
             return None
         part = await self._source.receive()
@@ -49,16 +51,15 @@
         return part
 
     def _buffer_part(self, part: bytes) -> None:
-        self._size_bytes += len(part)
-        if self._size_bytes <= self._max_bytes:
-            self._parts.append(part)
-            self._position += 1
+        if len(self._buffered) + len(part) <= self._max_bytes:
+            self._buffered += part
+            self._position = len(self._buffered)
         else:
             self._is_replayable = False
-            self._parts, self._position = [], 0
+            self._buffered, self._position = bytearray(), 0
 
     def rewind(self) -> bool:
-        """Restart at the first part; return False if it is no longer buffered."""
+        """Restart at the first byte; return False if it is no longer buffered."""
         self._position = 0
         return self._is_replayable
 
@@ -86,6 +87,13 @@
 Replayable = NoBody | ReplayBody | BufferedBody
 
 
+@dataclasses.dataclass(slots=True)
+class Reservation:
+    """Track the bytes that one body takes of a spool."""
+
+    size_bytes: int = 0
+
+
 class Spool:
     """Read bodies into memory up to a limit for each and a limit for all, in bytes."""
 
@@ -95,28 +103,27 @@
         self.used_bytes = 0
 
     async def read(
-        self, source: BodySource, length: int | None, reserved: list[int]
+        self, source: BodySource, length: int | None, reserved: Reservation
     ) -> list[bytes]:
-        """Return all parts, recording sizes in `reserved`; raises KeyedBodyTooLarge, SpoolFull."""
+        """Return the body in one part, recording its size; raises KeyedBodyTooLarge, SpoolFull."""
         if length is not None and length > self._max_body_bytes:
             raise KeyedBodyTooLarge(detail=f"limit {self._max_body_bytes} bytes")
-        parts: list[bytes] = []
-        size_bytes = 0
+        # Joined, because each part of its own would take some 50 bytes more.
+        body = bytearray()
         while (part := await source.receive()) is not None:
-            size_bytes += len(part)
-            if size_bytes > self._max_body_bytes:
+            if len(body) + len(part) > self._max_body_bytes:
                 raise KeyedBodyTooLarge(detail=f"limit {self._max_body_bytes} bytes")
             if self.used_bytes + len(part) > self._max_bytes:
                 raise SpoolFull(detail=f"limit {self._max_bytes} bytes")
             self.used_bytes += len(part)
-            reserved.append(len(part))
-            parts.append(part)
-        return parts
+            reserved.size_bytes += len(part)
+            body += part
+        return [bytes(body)] if body else []
 
-    def free(self, reserved: list[int]) -> None:
+    def free(self, reserved: Reservation) -> None:
         """Release the reserved bytes."""
-        self.used_bytes -= sum(reserved)
-        reserved.clear()
+        self.used_bytes -= reserved.size_bytes
+        reserved.size_bytes = 0
 
 
 def request_digest(
--- a/knapweedhitch/router.py
+++ b/knapweedhitch/router.py
@@ -33,7 +33,14 @@
 from knapweedhitch.idempotency import generate_uuid7
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import IDEMPOTENT_METHODS, SAFE_METHODS, Configuration, ServiceConfig
-from knapweedhitch.payload import BufferedBody, NoBody, ReplayBody, Spool, request_digest
+from knapweedhitch.payload import (
+    BufferedBody,
+    NoBody,
+    ReplayBody,
+    Reservation,
+    Spool,
+    request_digest,
+)
 from knapweedhitch.trace import Trace
 
 LOCAL_PREFIX = b"/.knapweedhitch/"
@@ -269,7 +276,7 @@
         return self._hosts.get(name)
 
     async def _serve_keyed(self, trace: Trace[Call], call: Call) -> None:
-        reserved: list[int] = []
+        reserved = Reservation()
         try:
             with trio.move_on_at(call.deadline.at_s) as scope:
                 parts = await self._spool.read(call.conn, call.head.content_length, reserved)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Iterator
+import tracemalloc
+from collections.abc import Awaitable, Callable, Iterator
 from types import SimpleNamespace
 from typing import Any
 from unittest import mock
@@ -12,14 +13,19 @@
 import trio.testing
 
 from knapweedhitch import loadprobe
+from knapweedhitch.attempt import Attempt
 from knapweedhitch.counters import Counters
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.loadprobe import MAX_RESPONSE_BYTES, LoadProbe
 from knapweedhitch.model import Address, UpstreamRecord
+from knapweedhitch.payload import ReplayBody, Reservation, Spool
 from knapweedhitch.settings import HeaderSettings, UpstreamSettings, replace
 from tests.decision_fakes import FakeTimers, TrioTestCase, settings
 
 READ_BYTES = 65_536
+LIMIT_BYTES = 65_536
+# A buffer that grows may have room to spare, and its object has a header.
+MAX_MEMORY_RATIO = 1.5
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 # A chunk of one byte whose extension is nearly as long as the parser accepts.
@@ -67,6 +73,70 @@
             self.written_bytes += len(data)
 
 
+class PartsBody:
+    """Provide a body in parts of two bytes, which are separate objects as those from a socket."""
+
+    def __init__(self, size_bytes: int) -> None:
+        self._left_bytes = size_bytes
+
+    async def receive(self) -> bytes | None:
+        """Return the next part, None at the end."""
+        self._left_bytes -= 2
+        return bytes(bytearray(2)) if self._left_bytes >= 0 else None
+
+
+async def held_bytes(fill: Callable[[], Awaitable[Any]]) -> int:
+    """Return the memory that is held after a function has returned."""
+    tracemalloc.start()
+    try:
+        kept = await fill()
+        size_bytes = tracemalloc.get_traced_memory()[0]
+        del kept
+        return size_bytes
+    finally:
+        tracemalloc.stop()
+
+
+class SmallPartsTest(TrioTestCase):
+    """Bodies that arrive in parts of two bytes take up no more memory than others."""
+
+    async def test_responses_that_are_held_back_and_recorded(self) -> None:
+        """Guards against a target whose responses in small chunks take many times the memory that
+        is allowed for holding them back and for recording them.
+        """
+
+        async def fill() -> Attempt:
+            attempt = Attempt(Any, Any, (), LIMIT_BYTES, LIMIT_BYTES)
+            for _ in range(LIMIT_BYTES // 2):
+                await attempt.data(bytes(bytearray(2)))
+            return attempt
+
+        self.assertLessEqual(await held_bytes(fill), 2 * LIMIT_BYTES * MAX_MEMORY_RATIO)
+
+    async def test_request_bodies_that_are_kept_for_another_try(self) -> None:
+        """Guards against requests in small chunks that take more memory than allowed."""
+
+        async def fill() -> ReplayBody:
+            body = ReplayBody(PartsBody(LIMIT_BYTES), LIMIT_BYTES)
+            while await body.receive() is not None:
+                pass
+            return body
+
+        self.assertLessEqual(await held_bytes(fill), LIMIT_BYTES * MAX_MEMORY_RATIO)
+
+    async def test_request_bodies_that_are_kept_for_a_key(self) -> None:
+        """Guards against keyed requests in small chunks that take more memory than allowed."""
+
+        async def fill() -> list[Any]:
+            reserved = Reservation()
+            spool = Spool(LIMIT_BYTES, LIMIT_BYTES)
+            parts = await spool.read(PartsBody(LIMIT_BYTES), None, reserved)
+            self.assertEqual(spool.used_bytes, LIMIT_BYTES)
+            return [parts, reserved]
+
+        self.assertLessEqual(await held_bytes(fill), LIMIT_BYTES * MAX_MEMORY_RATIO)
+
+
 class HealthTest(TrioTestCase):
     async def test_endless_health_response_is_given_up(self) -> None:
         """Guards against a link that is filled by a health response until the timeout, again at
