Count the memory of recorded headers

A holder of claims could run out of memory within its limit of recorded bytes.

Cause: the store counted the text of names and values. Each header is a tuple and two byte strings besides. A header counts with 128 bytes more now.

--- a/knapweedhitch/claimstore.py
+++ b/knapweedhitch/claimstore.py
@@ -14,6 +14,9 @@
 
 MS_PER_S = 1_000
 MAX_TOMBSTONES = 8
+# Memory that the objects of one header take besides its text. A response may have thousands of
+# headers of a few bytes.
+HEADER_COST_BYTES = 128
 
 Key = tuple[str, str]
 
@@ -33,7 +36,8 @@
 
     @property
     def n_bytes(self) -> int:
-        return len(self.body) + sum(len(name) + len(value) for name, value in self.headers)
+        headers_bytes = sum(len(name) + len(value) for name, value in self.headers)
+        return len(self.body) + headers_bytes + HEADER_COST_BYTES * len(self.headers)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -6,26 +6,31 @@
 import tracemalloc
 from collections.abc import Awaitable, Callable, Iterator
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
 from unittest import mock
 
 import trio
 import trio.testing
 
-from knapweedhitch import loadprobe
+from knapweedhitch import codec, loadprobe
 from knapweedhitch.attempt import Attempt
+from knapweedhitch.claimstore import ClaimStore
 from knapweedhitch.counters import Counters
+from knapweedhitch.idempotency import generate_uuid7
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.loadprobe import MAX_RESPONSE_BYTES, LoadProbe
-from knapweedhitch.model import Address, UpstreamRecord
+from knapweedhitch.messages import ClaimComplete, ClaimRequest
+from knapweedhitch.model import Address, ClaimGroup, UpstreamRecord
 from knapweedhitch.payload import ReplayBody, Reservation, Spool
-from knapweedhitch.settings import HeaderSettings, UpstreamSettings, replace
+from knapweedhitch.settings import ClaimSettings, HeaderSettings, UpstreamSettings, replace
 from tests.decision_fakes import FakeTimers, TrioTestCase, settings
 
 READ_BYTES = 65_536
 LIMIT_BYTES = 65_536
 # A buffer that grows may have room to spare, and its object has a header.
 MAX_MEMORY_RATIO = 1.5
+# A claim without a response; their number has a limit of its own.
+ENTRY_BYTES = 2_000
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 # A chunk of one byte whose extension is nearly as long as the parser accepts.
@@ -137,6 +142,36 @@
         self.assertLessEqual(await held_bytes(fill), LIMIT_BYTES * MAX_MEMORY_RATIO)
 
 
+class RecordedHeadersTest(TrioTestCase):
+    async def test_recorded_headers_count_with_their_memory(self) -> None:
+        """Guards against a holder that runs out of memory within its limit of recorded bytes,
+        because a target responds to each key with thousands of short headers.
+        """
+        cfg = ClaimSettings(max_recorded_bytes=16 * LIMIT_BYTES)
+        headers = tuple((b"h%d" % n, b"") for n in range(100))
+        groups = {"s": (ClaimGroup("s", 1, 0, ("h1",)),)}
+
+        now_ms = 0.0
+
+        async def fill() -> ClaimStore:
+            nonlocal now_ms
+            store = ClaimStore(cfg, "h1", lambda: now_ms, lambda: 0, lambda: groups)
+            now_ms = 10_000.0
+            for n in range(600):
+                key = generate_uuid7(10_000 + n)
+                store.claim(ClaimRequest("s", key, 1, b"", "a", 100.0, 3_600))
+                done = ClaimComplete("s", key, "a", True, 200, headers, b"")
+                store.complete(cast(ClaimComplete, codec.decode(codec.encode(done))))
+            self.assertEqual(len(store), 600)
+            self.assertGreater(store.recorded_bytes, 0)
+            return store
+
+        entries = 600 * ENTRY_BYTES
+        self.assertLessEqual(
+            await held_bytes(fill), cfg.max_recorded_bytes * MAX_MEMORY_RATIO + entries
+        )
+
+
 class HealthTest(TrioTestCase):
     async def test_endless_health_response_is_given_up(self) -> None:
         """Guards against a link that is filled by a health response until the timeout, again at
