Bound the number of headers of a response

The head is kept while the call runs, at the entry and at the target's node, and longer for a key.

The reader counts the lines before the parser makes objects of them, also in 1xx responses, and gives the response up beyond upstream.max_response_headers (200).

--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -400,6 +400,10 @@
             if len(raw) > self._max_head_bytes:
                 raise UpstreamProtocolError("head over the limit", bytes_sent=True)
             await self._conn.receive_more(self._first_byte_timeout_ms)
+        # Counted before the parser makes objects of them; the status line ends with the first CRLF.
+        if raw.count(b"\r\n", 0, end) > self._conn.cfg.max_response_headers:
+            limit = f"more than {self._conn.cfg.max_response_headers} headers"
+            raise UpstreamProtocolError(limit, bytes_sent=True)
         if problem := framing.find_framing_problem(raw[:end]):
             raise UpstreamProtocolError(problem, bytes_sent=True)
 
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -254,6 +254,8 @@
     idle_timeout_ms: Ms = 15_000
     max_idle_connections: Count = 64
     max_response_header_bytes: Bytes = 65_536
+    # Short headers take many times their size in memory.
+    max_response_headers: Count = 200
     announcement_ttl_ms: Ms = 3_000
     max_announcement_bytes: Bytes = 4_096
     max_announcers: Count = 16
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -262,6 +262,7 @@
 # Twice the largest head, and the reads that the time of one exchange allows.
 MAX_ENDLESS_BYTES = 2 * 65_536
 MAX_ENDLESS_MS = 500.0
+MAX_RESPONSE_HEADERS = UpstreamSettings().max_response_headers
 # Case, first bytes, bytes that follow without end, and the expected error.
 ENDLESS = [
     ("head", b"", b"x" * 1_000, UpstreamProtocolError),
@@ -303,6 +304,21 @@
                 self.assertFalse(exchange.conn.reusable)
 
 
+class HeaderCountTest(unittest.TestCase):
+    def test_response_with_thousands_of_headers_is_given_up(self) -> None:
+        """Guards against a target that makes a node hold many times the allowed size of a head,
+        by headers of one byte.
+        """
+        lines = b"a:\r\n" * MAX_RESPONSE_HEADERS
+        for first in (b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 103 x\r\n"):
+            with self.subTest(first):
+                exchange = ScriptedExchange(first + lines + b"b:\r\n\r\n" + OWN_RESPONSE)
+                self.assertIs(type(exchange.error), UpstreamProtocolError)
+                self.assertIn("headers", str(exchange.error))
+        exchange = ScriptedExchange(b"HTTP/1.1 103 x\r\n" + lines + b"\r\n" + OWN_RESPONSE)
+        self.assertEqual(exchange.sink.body, b"own")
+
+
 class UnframedTest(unittest.TestCase):
     def test_response_delimited_by_close_is_complete(self) -> None:
         """Guards against a response delimited by close that is treated as incomplete."""
