Give up a keyed response that can't be recorded

A target whose response to a keyed request never ended filled the link to its node until the deadline of the call, also after the caller had closed: 5.9 MB in 5 s at the pace of the test.

Cause: a response to record is read without its caller, since it has to reach the holders of the key. The attempt went on so after the response had become too large to record and had no reader at all.

It reads 1 MiB beyond that and then gives up; a response that ends before still tells that the run has ended, and its connection can be used again. The holders are told that the key has run and that there is no response to replay.

Before: test_endless_response_is_given_up_after_the_caller_closed failed in both cases (5,940,048 and 5,940,839 bytes, 1,310,720 allowed). After: it passes. test_many_endless_responses_fill_no_memory (30 callers, half of them read nothing, half have closed) is new and held before: with the limits of holding back or of recording off it fails. Its allowance is 9 times 64 KiB a call: 6 of the node and 3 of the streams of the test; with 6 it failed at 15.4 MB of 11.8. All four mutations are caught.

--- a/knapweedhitch/attempt.py
+++ b/knapweedhitch/attempt.py
@@ -13,6 +13,9 @@
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.model import LoadSample, Target
 
+# Bytes of a response to record that are read after its caller has gone and it is too large, since
+# its end tells that the run has ended and the connection can be used again.
+MAX_DISCARDED_BYTES = 1_048_576
 EVENT_STREAM = (b"content-type", b"text/event-stream")
 
 
@@ -69,6 +72,7 @@
         self._recorded: bytearray | None = None if max_recorded_bytes is None else bytearray()
         self._buffered = bytearray()
         self._size_bytes = 0
+        self._discarded_bytes = 0
         self.headers: Headers = ()
         self.on_head: Callable[[Headers], None] = lambda headers: None
 
@@ -94,9 +98,13 @@
             await self._commit()
 
     async def data(self, data: bytes) -> None:
-        """Receive a part of the body."""
+        """Receive a part of the body; raises CallerGone when nobody needs the rest."""
         self._size_bytes += len(data)
         self._record(data)
+        if self.caller_gone and self._recorded is None:
+            self._discarded_bytes += len(data)
+            if self._discarded_bytes > MAX_DISCARDED_BYTES:
+                raise CallerGone("closed, and the response is too large to record")
         if self.committed:
             await self._write_to_caller(self._conn.send_data(data))
             return
--- a/knapweedhitch/router.py
+++ b/knapweedhitch/router.py
@@ -305,6 +305,10 @@
             if exc.outcome is Outcome.NOT_RUN:
                 await self._settle("release", self._claims.release(claim))
             raise
+        except CallerGone:
+            # A response that is too large to record was given up; the key has run.
+            await self._settle("complete", self._claims.complete(claim, 0, (), None))
+            raise
         trace.status = attempt.status
         await self._deliver_and_record(attempt, claim)
 
