Refuse heartbeats over 64 KiB

A faulty target could fill the memory of the node beside it: the listener of an app node buffered up to 16 MiB of a heartbeat's body on each of 64 connections, 1 GiB.

Cause: the limit of bodies is one setting for both roles of the platform, and was raised to 16 MiB for the patches of operators at control instances. Heartbeats take some 300 bytes. App nodes, which get no patches, have a limit of 64 KiB now.

Before: test_endless_heartbeat_is_refused_at_a_small_size read 16,740,090 bytes by length and 16,742,324 in chunks, where 196,608 are allowed with the reads.

--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -36,6 +36,10 @@
 # Offsets of our ports in the port range that the platform assigns.
 PEER_PORT_OFFSET = 0
 METRICS_PORT_OFFSET = 1
+# Configurations of thousands of services are patched in one request at control instances. Other
+# nodes get heartbeats of some 300 bytes.
+MAX_PATCH_BYTES = 16_777_216
+MAX_HEARTBEAT_BYTES = 65_536
 
 HEADERS = HeaderSettings(
     request_id="attempt-id",
@@ -222,7 +226,9 @@
             measure_budget_bytes_per_s=8_000,
             max_candidates=16,
         ),
-        operator=OperatorSettings(max_body_bytes=16_777_216),
+        operator=OperatorSettings(
+            max_body_bytes=MAX_PATCH_BYTES if boot.service is None else MAX_HEARTBEAT_BYTES
+        ),
         stop=StopSettings(announce_ms=announce_ms, drain_timeout_ms=drain_ms - announce_ms),
         log=LogSettings(max_lines_per_s=200),
     )
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -12,6 +12,7 @@
 
 import trio
 import trio.testing
+import yaml
 from msgspec import structs
 
 from knapweedhitch import codec, loadprobe
@@ -23,10 +24,13 @@
 from knapweedhitch.loadprobe import MAX_RESPONSE_BYTES, LoadProbe
 from knapweedhitch.messages import ClaimComplete, ClaimRequest
 from knapweedhitch.model import Address, ClaimGroup, UpstreamRecord
+from knapweedhitch.operator_http import OperatorConnection, OperatorRequest, OperatorResponse
 from knapweedhitch.payload import ReplayBody, Reservation, Spool
+from knapweedhitch.platform.settings import MAX_HEARTBEAT_BYTES, parse_boot, translate
 from knapweedhitch.settings import ClaimSettings, HeaderSettings, UpstreamSettings, replace
 from tests.decision_fakes import FakeTimers, TrioTestCase, settings
 from tests.request_world import SERVICE, World, in_node
+from tests.test_platform import BOOT_SETTINGS
 
 READ_BYTES = 65_536
 LIMIT_BYTES = 65_536
@@ -35,7 +39,8 @@
 # A claim without a response; their number has a limit of its own.
 ENTRY_BYTES = 2_000
 HEAD = b"HTTP/1.1 200 OK\r\n"
-CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNKED_LINES = b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNKED = HEAD + CHUNKED_LINES
 # A chunk of one byte whose extension is nearly as long as the parser accepts.
 PADDED_CHUNK = b"1;" + b"x" * 60_000 + b"\r\ny\r\n"
 PADDED_1XX = b"HTTP/1.1 103 x\r\nLink: " + b"x" * 60_000 + b"\r\n\r\n"
@@ -53,6 +58,12 @@
 ]
 
 ENDLESS_BODIES = [case for case in ENDLESS_RESPONSES if case[0] in ("by length", "chunked")]
+HEARTBEAT = b"POST /knapweedhitch/instances/i1/heartbeat HTTP/1.1\r\nHost: x\r\n"
+ENDLESS_HEARTBEATS = [
+    ("head", HEARTBEAT, b"X-A: b\r\n" * 1_000),
+    ("by length", HEARTBEAT + b"Content-Length: 99999999\r\n\r\n", b"x" * 60_000),
+    ("chunked", HEARTBEAT + CHUNKED_LINES, b"ea60\r\n" + b"x" * 60_000 + b"\r\n"),
+]
 CALLERS = 30
 # A body held back, recorded, read, parsed and written, and a head; the streams of the test keep a
 # copy of a write to the caller, of up to two reads, and of one by the target.
@@ -64,18 +75,22 @@
 class EndlessPeer:
     """Write bytes without end, each part once the reader has taken the one before."""
 
-    def __init__(self, first: bytes, endless: bytes, pause_s: float = 0.001) -> None:
+    def __init__(
+        self, first: bytes, endless: bytes, pause_s: float = 0.001, *, starts: bool = False
+    ) -> None:
         self._first = first
         self._endless = endless
         self._pause_s = pause_s
+        self._starts = starts
         self.written_bytes = 0
         self.connections = 0
 
     async def serve(self, stream: trio.abc.Stream) -> None:
-        """Read one request, then write until the reader closes."""
+        """Read one request unless this side starts, then write until the reader closes."""
         self.connections += 1
         try:
-            await stream.receive_some(READ_BYTES)
+            if not self._starts:
+                await stream.receive_some(READ_BYTES)
             await self._write(stream, self._first)
             while self._endless:
                 await trio.sleep(self._pause_s)
@@ -243,6 +258,28 @@
         yield
 
 
+class HeartbeatTest(TrioTestCase):
+    async def test_endless_heartbeat_is_refused_at_a_small_size(self) -> None:
+        """Guards against a target that fills the memory of the node beside it with the bodies of
+        its heartbeats, 16 MiB on each of 64 connections.
+        """
+        boot = parse_boot(yaml.dump(BOOT_SETTINGS), "boot")
+        cfg = translate(boot, "boot").operator
+        for name, first, endless in ENDLESS_HEARTBEATS:
+            with self.subTest(name):
+                peer = EndlessPeer(first, endless, pause_s=0.01, starts=True)
+                async with trio.open_nursery() as nursery:
+                    client, server = trio.testing.lockstep_stream_pair()
+                    conn = OperatorConnection(server, cfg, lambda req: None, self.respond)
+                    nursery.start_soon(peer.serve, client)
+                    await conn.serve()
+                    nursery.cancel_scope.cancel()
+                self.assertLessEqual(peer.written_bytes, MAX_HEARTBEAT_BYTES + 2 * READ_BYTES)
+
+    async def respond(self, req: OperatorRequest) -> OperatorResponse:
+        self.fail("an endless request was handled")
+
+
 class KeyedRequestTest(unittest.TestCase):
     """Responses to keyed requests are recorded, so they are read without their caller as well."""
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -132,6 +132,7 @@
         cfg = translate(parse_boot(yaml.dump(boot), "boot"), "boot")
         self.assertTrue(cfg.is_control)
         self.assertFalse(cfg.listen.callers.enabled)
+        self.assertEqual(cfg.operator.max_body_bytes, 16_777_216)
 
     def test_bad_settings_are_refused_with_the_field(self) -> None:
         """Guards against accepting invalid settings, and errors that do not name the field."""
