Bound unwanted responses by their bytes on the wire

The body of a refusal or of a late response was read and dropped up to 64 KiB, but chunk extensions did not count: with 10 KB of them for each byte of data a target went on for the whole 100 ms, as fast as the link carries.

Cause: the limit counted data and not what frames it. It counts the received bytes of the exchange now.

Before: test_bytes_without_end_are_given_up failed in the two new cases (990,693 bytes, 131,072 allowed, at 10 KB a ms).

--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -373,16 +373,14 @@
             await self._read_unwanted_body(finish)
 
     async def _read_unwanted_body(self, finish: bool) -> None:
-        size_bytes = 0
+        max_received_bytes = self._conn.received_bytes + MAX_SKIPPED_BYTES
         while True:
             part = self._conn.next_event()
             if part is h11.NEED_DATA:
-                await self._conn.receive_more(self._first_byte_timeout_ms)
-            elif isinstance(part, h11.Data):
-                size_bytes += len(part.data)
-                if size_bytes > MAX_SKIPPED_BYTES:
+                if self._conn.received_bytes > max_received_bytes:
                     return
-            else:
+                await self._conn.receive_more(self._first_byte_timeout_ms)
+            elif not isinstance(part, h11.Data):
                 if finish:
                     self._conn.finish()
                 return
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -263,6 +263,8 @@
 MAX_ENDLESS_BYTES = 2 * 65_536
 MAX_ENDLESS_MS = 500.0
 MAX_RESPONSE_HEADERS = UpstreamSettings().max_response_headers
+# A chunk of one byte with an extension.
+PADDED_CHUNK = b"1;" + b"x" * 10_000 + b"\r\ny\r\n"
 # Case, first bytes, bytes that follow without end, and the expected error.
 ENDLESS = [
     ("head", b"", b"x" * 1_000, UpstreamProtocolError),
@@ -280,6 +282,18 @@
         b"1\r\nx\r\n",
         UpstreamNotRun,
     ),
+    (
+        "chunk extensions of a refusal",
+        NOT_RUN_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        PADDED_CHUNK,
+        UpstreamNotRun,
+    ),
+    (
+        "chunk extensions of a late response",
+        STALE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n",
+        PADDED_CHUNK,
+        UpstreamClosed,
+    ),
     ("unframed body of a refusal", NOT_RUN_HEAD + b"\r\n", b"x" * 10, UpstreamNotRun),
     (
         "body of a late response",
