Give up bodies that consist of chunk framing

A target or a caller could keep its node reading until the deadline by chunk extensions: 10 KB of them for each byte of data, as fast as the link carries. Memory held, but neither the limit of the body nor backpressure applied, as there was next to no data.

Cause: the limits count data. Each chunk header ends at 64 KiB, their number did not. Both readers now count what is received beyond the data and 16 bytes a part, and end the body at 64 KiB of it, as Go's net/http does with a similar count.

--- a/knapweedhitch/framing.py
+++ b/knapweedhitch/framing.py
@@ -13,6 +13,11 @@
 from knapweedhitch.settings import HeaderSettings
 
 HEAD_END = b"\r\n\r\n"
+# Allowed for each part of a body: the size of its chunk, two line ends and a short extension.
+CHUNK_FRAMING_BYTES = 16
+# Chunk extensions can be of any length and number. Nobody needs them, and they would keep a
+# connection busy without a body.
+MAX_FRAMING_BYTES = 65_536
 # Any 18-digit length fits in 64 bits.
 MAX_LENGTH_DIGITS = 18
 VALID_REQUEST_ID = re.compile(rb"[!-~]{1,128}\Z")
@@ -101,6 +106,28 @@
     has_body: bool
 
 
+class FramingBytes:
+    """Track the bytes of a body that are no data."""
+
+    __slots__ = ("_excess_bytes",)
+
+    def __init__(self) -> None:
+        self._excess_bytes = 0
+
+    def record_received(self, n_bytes: int) -> None:
+        """Record bytes on the wire."""
+        self._excess_bytes += n_bytes
+
+    def record_data(self, n_bytes: int) -> None:
+        """Record a part of the body."""
+        self._excess_bytes -= n_bytes + CHUNK_FRAMING_BYTES
+
+    @property
+    def is_over_limit(self) -> bool:
+        """Return whether the body has too much framing; call it when all data is recorded."""
+        return self._excess_bytes > MAX_FRAMING_BYTES
+
+
 def new_request_id() -> str:
     """Return a new random request id."""
     return os.urandom(12).hex()
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -65,6 +65,7 @@
         self._is_head_request = False
         self._body_limit: float = math.inf
         self._body_bytes = 0
+        self._framing_bytes = framing.FramingBytes()
         self._body_read = trio.Event()
         self._idle_scope: trio.CancelScope | None = None
         self._stopping = False
@@ -182,12 +183,15 @@
             event = self._next_body_event()
             if isinstance(event, h11.Data):
                 self._body_bytes += len(event.data)
+                self._framing_bytes.record_data(len(event.data))
                 if self._body_bytes > self._body_limit:
                     raise BodyTooLarge(detail=f"limit {self._body_limit} bytes")
                 return bytes(event.data)
             if event is not h11.NEED_DATA:
                 self._body_read.set()
                 return None
+            if self._framing_bytes.is_over_limit:
+                raise AmbiguousFraming(detail="too much chunk framing")
             if self._conn.they_are_waiting_for_100_continue and not self.response_started:
                 await self._write(self._conn.send(_informational(100, ())))
             with trio.move_on_after(self.cfg.body_timeout_ms / 1_000) as scope:
@@ -197,6 +201,7 @@
             if not data:
                 self._broken = True
                 raise CallerGone("closed in the middle of a request body")
+            self._framing_bytes.record_received(len(data))
             self._conn.receive_data(data)
 
     def _next_body_event(self) -> object:
@@ -296,6 +301,7 @@
         self._conn.start_next_cycle()
         self.response_started = self.response_ended = False
         self._body_limit, self._body_bytes = math.inf, 0
+        self._framing_bytes = framing.FramingBytes()
         self._body_read = trio.Event()
         return True
 
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -323,15 +323,25 @@
             raise UpstreamNotRun(f"status {event.status_code}", bytes_sent=True)
         headers = framing.response_headers(list(event.headers), self._conn.names)
         await self._sink.head(event.status_code, headers, self._load())
+        await self._read_body()
+        return event.status_code
+
+    async def _read_body(self) -> None:
+        framing_bytes = framing.FramingBytes()
         while True:
             part = self._conn.next_event()
             if part is h11.NEED_DATA:
+                if framing_bytes.is_over_limit:
+                    raise UpstreamProtocolError("too much chunk framing", bytes_sent=True)
+                received_bytes = self._conn.received_bytes
                 await self._conn.receive_more(self._first_byte_timeout_ms)
+                framing_bytes.record_received(self._conn.received_bytes - received_bytes)
             elif isinstance(part, h11.Data):
+                framing_bytes.record_data(len(part.data))
                 await self._sink.data(bytes(part.data))
             else:
                 await self._sink.end()
-                return event.status_code
+                return
 
     def _is_stale_response(self, event: h11.Response) -> bool:
         """Return whether a response carries the id of an earlier request on this connection."""
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -19,6 +19,7 @@
 from knapweedhitch.attempt import MAX_DISCARDED_BYTES, Attempt
 from knapweedhitch.claimstore import ClaimStore
 from knapweedhitch.counters import Counters
+from knapweedhitch.framing import MAX_FRAMING_BYTES
 from knapweedhitch.idempotency import generate_uuid7
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.loadprobe import MAX_RESPONSE_BYTES, LoadProbe
@@ -69,6 +70,7 @@
 # copy of a write to the caller, of up to two reads, and of one by the target.
 MAX_CALL_BYTES = (6 + 3) * 65_536
 DEADLINE_OF_5_S = structs.replace(SERVICE, default_deadline_ms=5_000)
+CHUNKED_REQUEST = b"POST / HTTP/1.1\r\nHost: shop.test\r\n" + CHUNKED_LINES
 KEYED_REQUEST = b"POST / HTTP/1.1\r\nHost: shop.test\r\nIdempotency-Key: k-1\r\n\r\n"
 
 
@@ -280,6 +282,23 @@
         self.fail("an endless request was handled")
 
 
+class CallerTest(unittest.TestCase):
+    @in_node(DEADLINE_OF_5_S)
+    async def test_endless_chunk_extensions_of_a_caller_are_refused(self, world: World) -> None:
+        """Guards against a caller that keeps its node busy until the deadline with chunk headers
+        instead of a body.
+        """
+        world.add_upstream("up-1")
+        caller = world.caller()
+        peer = EndlessPeer(CHUNKED_REQUEST, PADDED_CHUNK, pause_s=0.05, starts=True)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(peer.serve, caller.stream)
+            response = await caller.read_response()
+            nursery.cancel_scope.cancel()
+        self.assertEqual(response.status, 400)
+        self.assertLessEqual(peer.written_bytes, MAX_FRAMING_BYTES + 2 * READ_BYTES)
+
+
 class KeyedRequestTest(unittest.TestCase):
     """Responses to keyed requests are recorded, so they are read without their caller as well."""
 
--- a/tests/test_http1_client.py
+++ b/tests/test_http1_client.py
@@ -97,6 +97,10 @@
         await trio.sleep_forever()
 
 
+# Ends an exchange that goes on without end.
+MAX_EXCHANGE_S = 5.0
+
+
 class ScriptedExchange:
     """Send one request and let the upstream respond with the given bytes."""
 
@@ -125,9 +129,10 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._respond, server, parts)
             try:
-                await self.conn.exchange(
-                    spec, b"", headers, NoBody(), self.sink, lambda: None, 1_000.0
-                )
+                with trio.move_on_after(MAX_EXCHANGE_S):
+                    await self.conn.exchange(
+                        spec, b"", headers, NoBody(), self.sink, lambda: None, 1_000.0
+                    )
             except UpstreamError as exc:
                 self.error = exc
             self.elapsed_ms = trio.current_time() * 1_000 - start_ms
@@ -274,6 +279,7 @@
     ("100 responses", b"", b"HTTP/1.1 100 x\r\n\r\n", UpstreamProtocolError),
     ("chunk size", CHUNKED, b"0" * 1_000, UpstreamProtocolError),
     ("chunk extension", CHUNKED + b"3;", b"x" * 1_000, UpstreamProtocolError),
+    ("chunk extensions", CHUNKED, PADDED_CHUNK, UpstreamProtocolError),
     ("trailer", CHUNKED + b"3\r\nown\r\n0\r\n", b"X-A: b\r\n" * 100, UpstreamProtocolError),
     ("after the response", OWN_RESPONSE + b"x", b"x" * 1_000, None),
     (
