Cut the detail of refusals and upstream errors

A refusal quoted the invalid bytes of a target or a caller: 30,000 control characters in a head gave a response of 150,142 bytes, and up to four times a head of 64 KiB is possible. Such texts go to callers, log lines and frames between nodes, and are kept while the call runs.

Cause: the HTTP parser puts the whole line into its message, and that became the detail. Refusal and UpstreamError keep 1,000 characters of it.

Before: test_refusals_do_not_repeat_invalid_bytes got 150,142 and 150,138 bytes, where 4,096 are allowed.

--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -5,6 +5,9 @@
 import enum
 from typing import ClassVar
 
+# A problem that a parser reports may quote a whole line of the other side, of 64 KiB and more.
+MAX_DETAIL_CHARS = 1_000
+
 
 class Outcome(enum.Enum):
     """Represent whether a refused request may have run."""
@@ -255,7 +258,7 @@
 
     def __init__(self, problem: str, *, bytes_sent: bool) -> None:
         self.bytes_sent = bytes_sent
-        super().__init__(problem)
+        super().__init__(problem[:MAX_DETAIL_CHARS])
 
 
 class UpstreamConnectFailed(UpstreamError):
@@ -296,8 +299,8 @@
 
     def __init__(self, outcome: Outcome = Outcome.NOT_RUN, detail: str = "") -> None:
         self.outcome = outcome
-        self.detail = detail
-        super().__init__(f"{self.reason} outcome={outcome.value} {detail}".rstrip())
+        self.detail = detail[:MAX_DETAIL_CHARS]
+        super().__init__(f"{self.reason} outcome={outcome.value} {self.detail}".rstrip())
 
 
 class BadRequest(Refusal):
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -65,6 +65,7 @@
     ("by length", HEARTBEAT + b"Content-Length: 99999999\r\n\r\n", b"x" * 60_000),
     ("chunked", HEARTBEAT + CHUNKED_LINES, b"ea60\r\n" + b"x" * 60_000 + b"\r\n"),
 ]
+MAX_REFUSAL_BYTES = 4_096
 CALLERS = 30
 # A body held back, recorded, read, parsed and written, and a head; the streams of the test keep a
 # copy of a write to the caller, of up to two reads, and of one by the target.
@@ -299,6 +300,24 @@
         self.assertLessEqual(peer.written_bytes, MAX_FRAMING_BYTES + 2 * READ_BYTES)
 
 
+class RefusalTest(unittest.TestCase):
+    @in_node()
+    async def test_refusals_do_not_repeat_invalid_bytes(self, world: World) -> None:
+        """Guards against refusals, frames between nodes and log lines of hundreds of kilobytes
+        that quote the invalid bytes of a target or a caller.
+        """
+        world.add_upstream("up-1")
+        world.stand_ins[9_000] = EndlessPeer(HEAD + b"\x01" * 30_000 + b"\r\n\r\n", b"")
+        response = await world.caller().call("POST")
+        self.assertEqual(response.status, 502)
+        self.assertLessEqual(len(response.body), MAX_REFUSAL_BYTES)
+        caller = world.caller()
+        await caller.send(b"GET / HTTP/1.1\r\n" + b"\x01" * 30_000 + b"\r\n\r\n")
+        response = await caller.read_response()
+        self.assertEqual(response.status, 400)
+        self.assertLessEqual(len(response.body), MAX_REFUSAL_BYTES)
+
+
 class KeyedRequestTest(unittest.TestCase):
     """Responses to keyed requests are recorded, so they are read without their caller as well."""
 
