Limit messages to 1 KiB until a peer has proved itself

A host that knows no secret could make a node buffer a message of max_message_bytes (1 MiB, 16 MiB on the platform) on each of max_links connections to the port for links, for the time of a handshake.

Cause: the handshake refuses messages over 1 KiB after it has received them whole; the websocket library buffered up to the limit of links.

An accepted connection starts with 1 KiB, and the limit of links is set once the proof of the dialler is verified. The dialler sends nothing between its proof and the one of the acceptor, so that no message is judged by the wrong limit.

Before: test_long_message_before_the_handshake_closes_the_connection waited 10 s for the close with 1 MiB buffered. After: it passes, and so does a first message of 900 KB on a new link.

--- a/knapweedhitch/handshake.py
+++ b/knapweedhitch/handshake.py
@@ -12,11 +12,9 @@
 from knapweedhitch import codec
 from knapweedhitch.exceptions import CodecError, PeerDisconnected, PeerRejected, RejectReason
 from knapweedhitch.messages import PROTOCOL_VERSION, Hello, Proof, Rejected
-from knapweedhitch.transport import Wire
+from knapweedhitch.transport import MAX_HANDSHAKE_BYTES, Wire
 
 NONCE_BYTES = 32
-# Unauthenticated senders get a much lower message limit than authenticated peers.
-MAX_HANDSHAKE_BYTES = 1_024
 
 
 class Role(enum.Enum):
@@ -82,6 +80,8 @@
             await _receive(wire, Proof),
             compute_proof(own.secret, Role.DIALLER, peer_hello, own_hello),
         )
+        # The dialler sends nothing between its proof and that of this side.
+        wire.accept_long_messages()
         await wire.send(
             [codec.encode(compute_proof(own.secret, Role.ACCEPTOR, peer_hello, own_hello))]
         )
--- a/knapweedhitch/transport.py
+++ b/knapweedhitch/transport.py
@@ -24,6 +24,9 @@
 # With port 0 the system picks the TCP port; if that UDP port is in use, another pair is tried.
 BIND_ATTEMPTS = 16
 MAX_DATAGRAM_BYTES = 65_535
+# A connection that was accepted has this limit until its peer has proved itself; the messages of a
+# handshake are shorter.
+MAX_HANDSHAKE_BYTES = 1_024
 # Link frames hold at most 64 KiB plus a header, and closing a link must not delay its successor.
 CLOSE_TIMEOUT_S = 0.2
 
@@ -50,6 +53,10 @@
         """Return the next message; raises PeerDisconnected."""
         ...
 
+    def accept_long_messages(self) -> None:
+        """Accept messages of any length that links use, once the peer has proved itself."""
+        ...
+
     async def abort(self) -> None:
         """Close the connection at once, without a close handshake."""
         ...
@@ -94,8 +101,9 @@
 class WebsocketWire:
     """Transfer messages over one websocket connection."""
 
-    def __init__(self, conn: Connection, *, masked: bool) -> None:
+    def __init__(self, conn: Connection, max_message_bytes: int, *, masked: bool) -> None:
         self._conn = conn
+        self._max_message_bytes = max_message_bytes
         # RFC 6455: a 2-byte header, and a 4-byte mask in frames from the client.
         self.overhead_bytes = 6 if masked else 2
 
@@ -122,6 +130,10 @@
         except ConnectionClosed as exc:
             raise PeerDisconnected(f"the link was closed: {exc}") from None
 
+    def accept_long_messages(self) -> None:
+        """Accept messages of any length that links use, once the peer has proved itself."""
+        self._conn.protocol.max_message_size = self._max_message_bytes
+
     async def abort(self) -> None:
         """Close the connection at once, without a close handshake."""
         await trio.aclose_forcefully(self._conn.stream)
@@ -230,7 +242,7 @@
             raise PeerUnreachable("the listener is not bound")
 
         async def handle(conn: ServerConnection) -> None:
-            await handler(WebsocketWire(conn, masked=False))
+            await handler(WebsocketWire(conn, self._cfg.max_message_bytes, masked=False))
 
         try:
             await serve(
@@ -241,7 +253,7 @@
                 open_timeout=self._cfg.handshake_timeout_ms / 1_000,
                 ping_interval=None,
                 close_timeout=CLOSE_TIMEOUT_S,
-                max_size=self._cfg.max_message_bytes,
+                max_size=MAX_HANDSHAKE_BYTES,
                 max_queue=self._cfg.max_received_messages,
                 logger=_muted_logger,
             )
@@ -283,7 +295,7 @@
             async with connecting as conn:
                 opened = True
                 try:
-                    yield WebsocketWire(conn, masked=True)
+                    yield WebsocketWire(conn, self._cfg.max_message_bytes, masked=True)
                 finally:
                     # A close handshake would delay the end of a silent link.
                     await trio.aclose_forcefully(stream)
--- a/tests/fake_net.py
+++ b/tests/fake_net.py
@@ -81,6 +81,8 @@
         except (trio.EndOfChannel, trio.ClosedResourceError):
             raise PeerDisconnected("closed") from None
 
+    def accept_long_messages(self) -> None: ...
+
     async def abort(self) -> None:
         self._in.close()
         if (
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -23,15 +23,22 @@
 from knapweedhitch.idempotency import generate_uuid7
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.loadprobe import MAX_RESPONSE_BYTES, LoadProbe
-from knapweedhitch.messages import ClaimComplete, ClaimRequest
+from knapweedhitch.messages import Ack, ClaimComplete, ClaimRequest
 from knapweedhitch.model import Address, ClaimGroup, UpstreamRecord
 from knapweedhitch.operator_http import OperatorConnection, OperatorRequest, OperatorResponse
 from knapweedhitch.payload import ReplayBody, Reservation, Spool
 from knapweedhitch.platform.settings import MAX_HEARTBEAT_BYTES, parse_boot, translate
-from knapweedhitch.settings import ClaimSettings, HeaderSettings, UpstreamSettings, replace
+from knapweedhitch.settings import (
+    ClaimSettings,
+    HeaderSettings,
+    PeerSettings,
+    UpstreamSettings,
+    replace,
+)
 from tests.decision_fakes import FakeTimers, TrioTestCase, settings
 from tests.request_world import SERVICE, World, in_node
 from tests.test_platform import BOOT_SETTINGS
+from tests.test_transport import real_nodes
 
 READ_BYTES = 65_536
 LIMIT_BYTES = 65_536
@@ -65,6 +72,10 @@
     ("by length", HEARTBEAT + b"Content-Length: 99999999\r\n\r\n", b"x" * 60_000),
     ("chunked", HEARTBEAT + CHUNKED_LINES, b"ea60\r\n" + b"x" * 60_000 + b"\r\n"),
 ]
+WEBSOCKET_UPGRADE = (
+    b"GET / HTTP/1.1\r\nHost: %s\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
+    b"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: MDEyMzQ1Njc4OWFiY2RlZg==\r\n\r\n"
+)
 MAX_REFUSAL_BYTES = 4_096
 CALLERS = 30
 # A body held back, recorded, read, parsed and written, and a head; the streams of the test keep a
@@ -300,6 +311,43 @@
         self.assertLessEqual(peer.written_bytes, MAX_FRAMING_BYTES + 2 * READ_BYTES)
 
 
+class UnprovenPeerTest(unittest.TestCase):
+    def test_long_message_before_the_handshake_closes_the_connection(self) -> None:
+        """Guards against a process whose memory is filled through the port for links by hosts that
+        know no secret, a whole message on each of thousands of connections.
+        """
+
+        async def main() -> bytes:
+            cfg = PeerSettings(handshake_timeout_ms=60_000)
+            async with real_nodes(cfg) as (_, node):
+                address = node.peers.address
+                stream = await trio.open_tcp_stream(address.host, address.port)
+                await stream.send_all(WEBSOCKET_UPGRADE % str(address).encode())
+                self.assertIn(b" 101 ", await stream.receive_some(READ_BYTES))
+                size = cfg.max_message_bytes
+                frame_head = b"\x82\xff" + size.to_bytes(8, "big") + bytes(4)
+                await stream.send_all(frame_head + b"x" * (size - 1))
+                received = b""
+                with trio.fail_after(10), contextlib.suppress(trio.BrokenResourceError):
+                    while data := await stream.receive_some(READ_BYTES):
+                        received += data
+                await stream.aclose()
+            return received
+
+        # A close frame with the code for a message that is too large.
+        self.assertEqual(trio.run(main)[2:4], (1_009).to_bytes(2, "big"))
+
+    def test_first_message_after_the_handshake_may_be_long(self) -> None:
+        """Guards against a limit for handshakes that stays in force on a link."""
+        message = ClaimComplete("s", "k", "c", True, 200, (), b"x" * 900_000)
+
+        async def main() -> None:
+            async with real_nodes() as (node, _):
+                self.assertEqual(await node.peers.call("n1", message, 5_000), Ack())
+
+        trio.run(main)
+
+
 class RefusalTest(unittest.TestCase):
     @in_node()
     async def test_refusals_do_not_repeat_invalid_bytes(self, world: World) -> None:
