Bound by bytes the responses that wait for a holder

A node kept up to 1,000 responses for holders of keys that it could not reach. With responses of 1 MiB, the largest that a service may record, that is 1 GB.

Cause: the queue had a limit of sends and none of bytes. It has claims.max_background_bytes (16 MiB) too; beyond it a response is dropped and counted as beyond the limit of sends, and the key is unknown at that holder.

--- a/knapweedhitch/claims.py
+++ b/knapweedhitch/claims.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from knapweedhitch.claimstore import ClaimStore, group_for
+from knapweedhitch.claimstore import ClaimStore, group_for, recorded_bytes
 from knapweedhitch.codec import Message
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -130,6 +130,7 @@
         self._counters = kernel.get("counters")
         self._rng = rng or random.Random()
         self._background_sends = 0
+        self._background_bytes = 0
         self.store = ClaimStore(
             self._cfg, self._node_id, self._timers.now_ms, self._timers.wall_ms, self._groups
         )
@@ -337,13 +338,18 @@
                     nursery.start_soon(send, node_id)
 
     def _start_background_send(self, node_id: str, msg: Message) -> None:
-        if self._background_sends >= self._cfg.max_background_sends:
+        n_bytes = recorded_bytes(msg.headers, msg.body) if isinstance(msg, ClaimComplete) else 0
+        if (
+            self._background_sends >= self._cfg.max_background_sends
+            or self._background_bytes + n_bytes > self._cfg.max_background_bytes
+        ):
             self._counters.add("claim_sends_dropped", type(msg).__name__)
             return
         self._background_sends += 1
-        self._kernel.nursery.start_soon(self._retry_send, node_id, msg)
+        self._background_bytes += n_bytes
+        self._kernel.nursery.start_soon(self._retry_send, node_id, msg, n_bytes)
 
-    async def _retry_send(self, node_id: str, msg: Message) -> None:
+    async def _retry_send(self, node_id: str, msg: Message, n_bytes: int) -> None:
         try:
             for n in range(self._cfg.background_retries):
                 if await self._try_send(node_id, msg):
@@ -352,6 +358,7 @@
             self._counters.add("claim_sends_dropped", type(msg).__name__)
         finally:
             self._background_sends -= 1
+            self._background_bytes -= n_bytes
 
     async def _try_send(self, node_id: str, msg: Message) -> bool:
         with trio.move_on_after(self._cfg.call_timeout_ms / MS_PER_S):
--- a/knapweedhitch/claimstore.py
+++ b/knapweedhitch/claimstore.py
@@ -27,6 +27,12 @@
     return max(started, key=lambda group: group.from_wall_ms, default=None)
 
 
+def recorded_bytes(headers: Headers, body: bytes) -> int:
+    """Return the size of a recorded response in memory."""
+    headers_bytes = sum(len(name) + len(value) for name, value in headers)
+    return len(body) + headers_bytes + HEADER_COST_BYTES * len(headers)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _RecordedResponse:
     kept: bool
@@ -36,8 +42,7 @@
 
     @property
     def n_bytes(self) -> int:
-        headers_bytes = sum(len(name) + len(value) for name, value in self.headers)
-        return len(self.body) + headers_bytes + HEADER_COST_BYTES * len(self.headers)
+        return recorded_bytes(self.headers, self.body)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -348,6 +348,8 @@
     split_vote_delay_ms: Ms = 20
     tombstone_ms: Ms = 60_000
     max_background_sends: Count = 1_000
+    # Responses in these sends.
+    max_background_bytes: Bytes = 16_777_216
     background_retries: Count = 6
 
 
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -17,8 +17,10 @@
 
 from knapweedhitch import codec, loadprobe
 from knapweedhitch.attempt import MAX_DISCARDED_BYTES, Attempt
+from knapweedhitch.claims import Claims, GrantedClaim
 from knapweedhitch.claimstore import ClaimStore
 from knapweedhitch.counters import Counters
+from knapweedhitch.exceptions import PeerTimeout
 from knapweedhitch.framing import MAX_FRAMING_BYTES
 from knapweedhitch.idempotency import generate_uuid7
 from knapweedhitch.kernel import Kernel
@@ -35,6 +37,7 @@
     UpstreamSettings,
     replace,
 )
+from tests import decision_fakes
 from tests.decision_fakes import FakeTimers, TrioTestCase, settings
 from tests.request_world import SERVICE, World, in_node
 from tests.test_platform import BOOT_SETTINGS
@@ -213,6 +216,40 @@
         )
 
 
+class UnreachableHolder(FakeTimers):
+    """Fail every call, as a holder that is cut off."""
+
+    def handle(self, *args: Any) -> None:
+        """Ignore the registration."""
+
+    async def call(self, node_id: str, msg: Any, timeout_ms: float) -> Any:
+        raise PeerTimeout("cut off")
+
+
+class WaitingResponsesTest(TrioTestCase):
+    async def test_responses_that_wait_for_a_holder_are_bounded_by_bytes(self) -> None:
+        """Guards against a node that keeps a thousand responses of the largest size for a holder
+        that it cannot reach.
+        """
+        kernel = decision_fakes.kernel(f"claims: {{max_background_bytes: {16 * LIMIT_BYTES}}}")
+        kernel.add("peers", UnreachableHolder())
+        claims = Claims(kernel)
+
+        async def fill() -> Claims:
+            for _ in range(100):
+                claim = GrantedClaim("s", "k", "c", ("h1",), LIMIT_BYTES)
+                await claims.complete(claim, 200, (), bytes(LIMIT_BYTES))
+            return claims
+
+        async with trio.open_nursery() as kernel._nursery:
+            held = await held_bytes(fill)
+            kernel._nursery.cancel_scope.cancel()
+        self.assertLessEqual(held, 16 * LIMIT_BYTES * MAX_MEMORY_RATIO)
+        dropped = kernel.get("counters").get("claim_sends_dropped", "ClaimComplete")
+        self.assertGreaterEqual(dropped, 84)
+        self.assertEqual(claims._background_bytes, 0)
+
+
 class HealthTest(TrioTestCase):
     async def test_endless_health_response_is_given_up(self) -> None:
         """Guards against a link that is filled by a health response until the timeout, again at
