Wait for the end of the connection of an order without a version again

Found by the review of: an order whose caller had closed its connection was carried out if nothing could have replaced it by its state, for example the first return of a domain. The check ran before the task that watches the connection had read its end, so a process that woke from a pause acted on orders that were given up. One that names a version needs no wait, since the log compares it.

test_order_from_a_closed_connection_is_not_carried_out fails without the wait (mutation), and the check of an order whose connection ends just behind it, which had moved to orders that come back, stands again.

The same review: an order about a node that was in force left no line in the history, so a held-up one could undo it. It leaves one now; test_order_for_what_is_in_force_replaces_earlier_ones fails without it (mutation).

--- a/knapweedhitch/history.py
+++ b/knapweedhitch/history.py
@@ -121,7 +121,7 @@
             change.operator,
             change.op.kind,
             stamped.wall_ms,
-            configuration.diff(before, after),
+            configuration.diff(before, after) or _drain_lines(change.op),
             body,
         )
         self._history.append(record)
@@ -210,6 +210,13 @@
         self.current = current
 
 
+def _drain_lines(op: Operation) -> tuple[str, ...]:
+    """Return the line of an order about a node that was in force, since it replaces others too."""
+    if isinstance(op, NodeDrain | NodeUndrain):
+        return (drain_line(op.node_id, isinstance(op, NodeDrain)),)
+    return ()
+
+
 def _unpack(data: bytes, max_bytes: int) -> Any:
     unpacker = zlib.decompressobj()
     try:
--- a/knapweedhitch/orders.py
+++ b/knapweedhitch/orders.py
@@ -74,14 +74,13 @@
             known_version=current.version,
             seen_version=seen_version,
         )
-        if caller.has_left:
-            raise self._abandon(change)
         earlier = self._redirects.pop(_key(change.op), None)
         follows_redirects = seen_version is not None
-        if seen_version is None:
+        if not follows_redirects:
+            await self._check_caller(change, caller)
             seen_version = proven_version(change.op, current)
-        if seen_version is None and earlier is not None:
-            seen_version = await self._version_of_repetition(change, caller, earlier)
+            if seen_version is None and earlier is not None:
+                seen_version = _version_at_return(change.op, earlier)
         if seen_version is None:
             self._remember(change.op, current.version)
             raise self._redirect(change, current.version, "version-needed")
@@ -92,21 +91,20 @@
                 self._remember(change.op, exc.current_version)
             raise self._redirect(change, exc.current_version, "replaced") from None
 
-    async def _version_of_repetition(
-        self, change: Change, caller: Caller, earlier: _Redirect
-    ) -> int | None:
-        """Return the version of the redirect after which a caller sent its order here again.
-
-        Such a caller follows no redirects, and its return suggests that it got the response. Two
-        orders of the past may look alike, so only orders that stop traffic are accepted on that.
-        """
-        is_recent = now_ms() - earlier.sent_ms <= REPEAT_WINDOW_MS
-        if not is_recent or not isinstance(change.op, DomainOut | NodeDrain):
-            return None
+    async def _check_caller(self, change: Change, caller: Caller) -> None:
+        """Raise OrderAbandoned if the caller's connection has ended, or ends just behind it."""
         await caller.wait_until_left(SETTLE_MS)
-        if caller.has_left:
-            raise self._abandon(change)
-        return earlier.version
+        if not caller.has_left:
+            return
+        self._counters.add("orders_abandoned", "caller-left")
+        logs.event(
+            "order_abandoned",
+            change=change.change_id,
+            kind=change.op.kind,
+            subject=change.op.subject,
+            cause="caller-left",
+        )
+        raise OrderAbandoned(f"{change.op.kind}: the caller has left")
 
     def _remember(self, op: Operation, version: int) -> None:
         self._redirects[_key(op)] = _Redirect(version, now_ms())
@@ -125,23 +123,12 @@
         )
         return OrderRedirected(version)
 
-    def _abandon(self, change: Change) -> OrderAbandoned:
-        self._counters.add("orders_abandoned", "caller-left")
-        logs.event(
-            "order_abandoned",
-            change=change.change_id,
-            kind=change.op.kind,
-            subject=change.op.subject,
-            cause="caller-left",
-        )
-        return OrderAbandoned(f"{change.op.kind}: the caller has left")
-
 
 def proven_version(op: Operation, current: Configuration) -> int | None:
     """Return a version after which nothing can have replaced the order, None if there is none.
 
-    This holds for the first order about a domain, for the return from the first and only time that
-    it was taken out, and for an order that asks for what is in force.
+    This holds for the first order about a domain, for an order that asks for what is in force, and
+    for the return after the first order, unless an order before that was given up everywhere.
     """
     match op:
         case DomainOut(domain=domain) | DomainIn(domain=domain):
@@ -157,6 +144,16 @@
     return None
 
 
+def _version_at_return(op: Operation, earlier: _Redirect) -> int | None:
+    """Return the version of the redirect after which a caller sent its order here again.
+
+    Such a caller follows no redirects, and its return suggests that it got the response. Two orders
+    of the past may look alike, so only orders that stop traffic are accepted on that.
+    """
+    is_recent = now_ms() - earlier.sent_ms <= REPEAT_WINDOW_MS
+    return earlier.version if is_recent and isinstance(op, DomainOut | NodeDrain) else None
+
+
 def parse_seen_version(query: Mapping[str, str]) -> int | None:
     """Return the version that the query of a redirected order names; raises BadRequest."""
     text = query.get(SEEN_VERSION)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import types
 import unittest
 from collections.abc import Awaitable, Callable
@@ -37,7 +38,12 @@
 from knapweedhitch.messages import Propose
 from knapweedhitch.model import Configuration
 from knapweedhitch.operator_client import MAX_REDIRECTS
-from knapweedhitch.operator_http import OperatorConnection, OperatorRequest, OperatorResponse
+from knapweedhitch.operator_http import (
+    Handler,
+    OperatorConnection,
+    OperatorRequest,
+    OperatorResponse,
+)
 from knapweedhitch.orders import REPEAT_WINDOW_MS, SETTLE_MS, Orders
 from knapweedhitch.settings import OperatorSettings
 from tests.state_cluster import encode_change, make_settings, service_config, wait_until
@@ -74,17 +80,17 @@
     caller: Caller | None = None,
     seen_version: int | None = None,
 ) -> int:
-    """Submit an order at a node and follow its redirects, like a caller."""
-    orders = orders_of(world, name)
-    for _ in range(MAX_REDIRECTS):
+    """Submit an order at a node and follow its redirects while the caller waits."""
+    orders, caller = orders_of(world, name), caller or Caller()
+    for redirects in itertools.count():
         change = Change(new_change_id(), None, "op", op)
         try:
-            return await orders.submit(change, caller or Caller(), seen_version)
+            return await orders.submit(change, caller, seen_version)
         except OrderRedirected as exc:
+            if caller.has_left or redirects == MAX_REDIRECTS:
+                raise
             seen_version = exc.version
-    return await orders.submit(
-        Change(new_change_id(), None, "op", op), caller or Caller(), seen_version
-    )
+    raise AssertionError("the loop ends by a result or an error")
 
 
 async def order_until_accepted(world: World, names: tuple[str, ...], op: Operation) -> None:
@@ -148,8 +154,14 @@
                 await order(world, "c1", DomainOut(ZONE), caller)
             self.assertFalse(_is_out(world, "c1"))
 
-            # The caller was redirected and did not follow, and its connection ends just behind the
-            # order that it sent again.
+            # The end of the connection arrives just behind the order.
+            late = Caller()
+            world.nursery.start_soon(_leave_after, late, SETTLE_MS / 2)
+            with self.assertRaises(OrderAbandoned):
+                await order(world, "c1", DomainOut(ZONE), late)
+            self.assertFalse(_is_out(world, "c1"))
+
+            # The same for an order that its caller, which did not follow a redirect, sent again.
             await order(world, "c1", DomainOut(ZONE))
             await order(world, "c1", DomainIn(ZONE))
             orders = orders_of(world, "c1")
@@ -204,6 +216,19 @@
 
         run(check, size=1)
 
+    def test_order_for_what_is_in_force_replaces_earlier_ones(self) -> None:
+        """Guards against a held-up order that undoes a later one, because that one found what it
+        asked for in force and left no trace.
+        """
+        machine = ConfigurationMachine(make_settings("c1").control)
+        self.assertEqual(apply_order(machine, NodeDrain("n1"), seen=0), "")
+        self.assertEqual(apply_order(machine, NodeDrain("n1"), seen=1), "")
+        self.assertEqual(apply_order(machine, NodeUndrain("n1"), seen=1), "VersionConflict")
+        self.assertEqual(apply_order(machine, DomainOut(ZONE), seen=0), "")
+        self.assertEqual(apply_order(machine, DomainOut(ZONE), seen=3), "")
+        self.assertEqual(apply_order(machine, DomainIn(ZONE), seen=3), "VersionConflict")
+        self.assertEqual(apply_order(machine, NodeUndrain("n1"), seen=2), "")
+
     def test_caller_that_follows_no_redirect_is_served_at_its_return(self) -> None:
         """Guards against callers without redirects whose orders are never carried out, and against
         a single order of the past that is taken for such a return.
@@ -311,7 +336,7 @@
 
 
 class CallerTest(unittest.TestCase):
-    def serve(self, *parts: bytes, closes: bool) -> list[bool]:
+    def serve(self, *parts: bytes, closes: bool, handler: Handler | None = None) -> list[bool]:
         """Return, for each request of a connection, whether its caller has left meanwhile."""
         left: list[bool] = []
 
@@ -322,7 +347,9 @@
 
         async def main() -> None:
             client, server = trio.testing.memory_stream_pair()
-            conn = OperatorConnection(server, OperatorSettings(), lambda request: None, handle)
+            conn = OperatorConnection(
+                server, OperatorSettings(), lambda request: None, handler or handle
+            )
             for part in parts:
                 await client.send_all(part)
             if closes:
@@ -338,6 +365,36 @@
         self.assertEqual(self.serve(ORDER, closes=True), [True])
         self.assertEqual(self.serve(ORDER, closes=False), [False])
 
+    def test_order_from_a_closed_connection_is_not_carried_out(self) -> None:
+        """Guards against a process that wakes from a pause and reads an order together with the end
+        of its caller's connection: the handler ran before the end was noticed.
+        """
+        for op in (DomainOut(ZONE), DomainIn(ZONE)):
+            machine = ConfigurationMachine(make_settings("c1").control)
+            if isinstance(op, DomainIn):
+                machine.apply(encode_change(DomainOut(ZONE)))
+            results: list[Exception] = []
+
+            async def submit(change: Change, log: ConfigurationMachine = machine) -> int:
+                return log.apply(encode_stamped(StampedChange(change, 1_000, {}))).unwrap()
+
+            orders = Orders(submit, machine, Counters())
+
+            async def handle(
+                request: OperatorRequest, orders: Orders = orders, op: Operation = op
+            ) -> OperatorResponse:
+                try:
+                    change = Change(new_change_id(), None, "op", op)
+                    await orders.submit(change, request.caller, None)
+                except OrderAbandoned as exc:
+                    results.append(exc)  # noqa: B023
+                return OperatorResponse(b"{}")
+
+            with self.subTest(op=op.kind):
+                version = machine.current.version
+                self.serve(ORDER, closes=True, handler=handle)
+                self.assertEqual((len(results), machine.current.version), (1, version))
+
     def test_requests_sent_ahead_are_kept(self) -> None:
         """Guards against a request that is lost because it was read while another one ran."""
         self.assertEqual(self.serve(ORDER + ORDER[:20], ORDER[20:], closes=False), [False, False])
