Readmission: a late introduction does not end the use of a disk

Seen: a control instance restarts and introduces itself; the message is held up, and arrives after the instance was confirmed by others and has acknowledged more. The leader takes its disk for an older copy and never counts it again. If a further member of three fails, the leader loses its majority though two run, and steps down. The introductions of a member that is confirmed but behind could do the same. Cause: a member shows the state at its start. A state below what the disk has promised is proof of loss only if nothing was promised since that start, and the receiver kept the verdict beyond its reply. Evidence: test_late_introduction_does_not_end_the_use_of_a_disk failed before (the leader was replaced: term 3, expected 1) and passes now; test_consensus, test_replication and test_joining pass. Why it works: the verdict is the reply, on which the member takes a new disk id. A reply to a late message reaches nobody. Until its disk is confirmed, a member names no disk in its replies, so an older copy counts nowhere, and it repeats the question until it is told or holds all that was committed. A lower acknowledgement in one term still ends the use of a disk.

--- a/knapweedhitch/witness.py
+++ b/knapweedhitch/witness.py
@@ -54,15 +54,18 @@
         return promises is not None and promises.has_lost_data
 
     def detect_loss(self, node_id: str, current: Introduce) -> bool:
-        """Compare the reported state with the recorded one and return whether data is lost."""
+        """Compare the reported state with the recorded one and return whether data is lost.
+
+        The result is for the reply only. The report may arrive after its member was confirmed and
+        has promised more; a disk that is an older copy counts nowhere until then.
+        """
         promises = self._by_disk.get((node_id, current.disk_id))
         if promises is None:
             return False
-        if (
-            current.term < promises.term
-            or (current.last_term, current.last_index) < promises.acked_position
-        ):
-            promises.has_lost_data = True
-        if current.term == promises.voted_term and not current.vote:
-            promises.has_lost_data = True
-        return promises.has_lost_data
+        position = (current.last_term, current.last_index)
+        return (
+            promises.has_lost_data
+            or current.term < promises.term
+            or position < promises.acked_position
+            or (current.term == promises.voted_term and not current.vote)
+        )
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -259,6 +259,29 @@
         """Guards against a vote of an older copy that no other member has confirmed."""
         self.check_older_copy("lost at once")
 
+    def test_late_introduction_does_not_end_the_use_of_a_disk(self) -> None:
+        """Guards against a leader that loses its majority: a member had introduced itself after a
+        restart, the message arrived late, and its disk counted as an older copy from then on.
+        """
+
+        async def check(cluster: Cluster) -> None:
+            leader = await cluster.wait_for_leader()
+            restarted, other = (n for n in cluster.names if n != leader.node_id)
+            await cluster.restart(restarted)
+            replica = cluster.nodes[restarted].replica
+            await wait_until(lambda: replica.state.is_confirmed)
+            await cluster.change()
+            progress = leader.replica.state.progress[restarted]
+            await wait_until(lambda: progress.match_index == replica.state.store.last_index)
+            introduction = replica._readmission._initial_state
+            await leader.replica._readmission.on_introduce(restarted, introduction)
+            term = leader.replica.state.store.term
+            await cluster.crash(other)
+            await cluster.change()
+            self.assertEqual(leader.replica.state.store.term, term)
+
+        run(check)
+
     def test_restart_next_to_a_dead_member_is_confirmed_by_the_leader(self) -> None:
         """Guards against restarted members that wait for a dead one although a leader exists."""
 
