Check a call again when its body begins

What callers see: a request whose body begins seconds after its head reaches an upstream in a domain that went out meanwhile, or one that began to leave (EVAC, DRAIN).

Cause: the gate checks a call before it takes a connection, and the head of a call is written together with the first part of its body. So the check held for the time before the wait for the caller, not for the time of the writing.

--- a/knapweedhitch/gate.py
+++ b/knapweedhitch/gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -25,6 +26,23 @@
 UNUSED_RESULT = CallResult(ok=True, service_ms=0.0, cancelled=True)
 
 
+class _CheckedBody:
+    """Repeat a check when the first part of a body has arrived, with which the head is sent."""
+
+    def __init__(self, body: BodySource, check: Callable[[], object]) -> None:
+        self._body = body
+        self._check = check
+        self._has_begun = False
+
+    async def receive(self) -> bytes | None:
+        """Return the next part, None at the end; raises Refusal or CallerGone."""
+        part = await self._body.receive()
+        if not self._has_begun:
+            self._has_begun = True
+            self._check()
+        return part
+
+
 @service("gate")
 class Gate:
     """Run calls on the local upstream, with checks before and after the wait for a slot."""
@@ -85,6 +103,9 @@
         self._runs[spec.request_id] = spec
         try:
             record = self._check(spec)
+            if spec.has_body:
+                # The caller may send the head long before the body.
+                body = _CheckedBody(body, lambda: self._check(spec))
             result = await self._pool.exchange(
                 record.address, spec, body, sink, self._admission.load
             )
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -83,6 +83,31 @@
                 world.kernel.get("announce")._set_current(record, "restored")
         self.assertEqual(up.requests, [])
 
+    @in_node()
+    async def test_checks_are_repeated_after_the_wait_for_a_body(self, world: World) -> None:
+        """Guards against a call that reaches an upstream after its domain went out or it began to
+        leave, because the body of the caller began late.
+        """
+        up = world.add_upstream("up-1", local=True)
+        cases = [(take_domain_out, "domain-out"), (announce_leaving, "upstream-draining")]
+        record = world.kernel.get("announce").current
+        config = world.config.current
+        for change, expected in cases:
+            with self.subTest(expected=expected):
+                caller = world.caller()
+                await caller.send(
+                    b"POST / HTTP/1.1\r\nHost: shop.test\r\nContent-Length: 2\r\n\r\n"
+                )
+                await trio.testing.wait_all_tasks_blocked()
+                change(world)
+                await caller.send(b"ab")
+                response = await caller.read_response()
+                world.config.current = config
+                world.kernel.get("announce")._set_current(record, "restored")
+                self.assertEqual(response.headers.get("knapweedhitch-reason"), expected)
+                self.assertEqual(response.headers.get("knapweedhitch-outcome"), "not-run")
+        self.assertEqual(up.requests, [])
+
     @in_node(routing=RoutingSettings(call_id_separator="."))
     async def test_run_is_the_parent_of_calls_that_extend_its_id(self, world: World) -> None:
         """Guards against calls of a repeated run that cannot be told from those of callers."""
