Go on when a peer is killed while a node dials it

What callers see: a node process ends by itself, with the requests of all its callers (LOST, and the process counts as ended by itself).

Cause: a peer that is killed with a connection in its queue resets it. If the reader of the new connection meets the reset before the request is written, websockets raises ConnectionClosedError, which is neither an OSError nor an InvalidHandshake. The dial runs on the nursery of the process, and nothing there caught it. Class of fault: an error of a library that no type of ours stands for, on a task whose failure ends the process.

connect turns each error of the library and of the stream into PeerUnreachable, or PeerDisconnected once the link was open, which was raised as it came. A dial that fails in an unexpected way ends alone and is logged (dial-fault).

--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -232,6 +232,11 @@
             await self._dial_and_run(peer, dial)
         except PeerError as exc:
             self._record_dial_failure(peer, dial, exc)
+        except Exception as exc:
+            # An unexpected error of one link must not end the process and its other links.
+            logs.warning("dial-fault", peer=peer.node_id, error=type(exc).__name__, detail=exc)
+            fault = PeerDisconnected(f"{peer.node_id}: {type(exc).__name__}")
+            self._record_dial_failure(peer, dial, fault)
         finally:
             self._finish_dial(peer, dial)
             self._remove_if_unused(peer)
--- a/knapweedhitch/transport.py
+++ b/knapweedhitch/transport.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 import trio
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.exceptions import ConnectionClosed, WebSocketException
 from websockets.protocol import State
 from websockets.trio.client import connect
 from websockets.trio.connection import Connection
@@ -31,6 +31,14 @@
 CLOSE_TIMEOUT_S = 0.2
 
 # Failed handshakes are counted, not logged: any client can cause them at any rate.
+# A reset may show as any of these, as the reader or the writer of a connection meets it first.
+CONNECTION_ERRORS = (
+    OSError,
+    WebSocketException,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
+
 _muted_logger = logging.getLogger("knapweedhitch.websockets")
 _muted_logger.addHandler(logging.NullHandler())
 _muted_logger.propagate = False
@@ -270,7 +278,7 @@
 
     @contextlib.asynccontextmanager
     async def connect(self, address: Address) -> AsyncIterator[Wire]:
-        """Open a connection to a node; raises PeerUnreachable."""
+        """Open a connection to a node; raises PeerUnreachable, and PeerDisconnected at its end."""
         try:
             with trio.fail_after(self._cfg.connect_timeout_ms / 1_000):
                 # trio sets TCP_NODELAY on every stream it opens or accepts.
@@ -299,8 +307,8 @@
                 finally:
                     # A close handshake would delay the end of a silent link.
                     await trio.aclose_forcefully(stream)
-        except (OSError, InvalidHandshake, TimeoutError) as exc:
-            if opened:
-                raise
+        except CONNECTION_ERRORS as exc:
             await trio.aclose_forcefully(stream)
+            if opened:
+                raise PeerDisconnected(f"{address}: {exc}") from None
             raise PeerUnreachable(f"{address}: {exc}") from None
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -6,6 +6,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
+from unittest import mock
 
 import trio
 import trio.testing
@@ -91,6 +92,20 @@
                 with self.assertRaises(PeerUnreachable):
                     await a.peers.call(node_id, POLL, 1_000)
 
+    @run_on_mock_clock
+    async def test_unexpected_error_of_a_dial_ends_only_the_dial(self) -> None:
+        """Guards against a process that ends with the requests of all its callers, because one of
+        its dials failed with an error that has no type of ours.
+        """
+        async with running_nodes(2) as (a, b):
+            b.peers.handle(FeedPoll, reply_ack)
+            error = RuntimeError("reset")
+            broken = mock.patch.object(a.peers._transport, "connect", side_effect=error)
+            with broken, self.assertRaises(PeerUnreachable):
+                await a.peers.call("n1", POLL, 100)
+            await trio.sleep(PeerSettings().redial_backoff_ms / 1_000)
+            self.assertEqual(await a.peers.call("n1", POLL, 100), Ack())
+
     @run_on_mock_clock
     async def test_call_after_timeout_or_disconnect_may_have_been_processed(self) -> None:
         """Guards against a lost reply reported as unsent, so that a retry runs the call twice."""
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -4,9 +4,11 @@
 
 import contextlib
 import socket
+import struct
 import tempfile
 import unittest
 from collections.abc import AsyncIterator
+from unittest import mock
 
 import trio
 from msgspec import structs
@@ -129,6 +131,35 @@
 
         trio.run(main)
 
+    def test_reset_before_the_handshake_is_unreachable(self) -> None:
+        """Guards against an untyped error that ends the process when a peer is killed while this
+        node dials it.
+        """
+        open_tcp_stream = trio.open_tcp_stream
+        reset_on_close = struct.pack("ii", 1, 0)
+
+        async def main() -> None:
+            transport = NetTransport(PeerSettings())
+            with socket.socket() as listener:
+                listener.bind(("127.0.0.1", 0))
+                listener.listen(1)
+
+                async def open_reset_stream(host: str, port: int) -> trio.SocketStream:
+                    stream = await open_tcp_stream(host, port)
+                    conn, _ = listener.accept()
+                    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset_on_close)
+                    conn.close()
+                    return stream
+
+                # Reader or writer of the connection, in random order, meets the reset first.
+                with mock.patch("trio.open_tcp_stream", open_reset_stream):
+                    for _ in range(40):
+                        with self.assertRaises(PeerUnreachable):
+                            async with transport.connect(Address(*listener.getsockname())):
+                                pass
+
+        trio.run(main)
+
     def test_cut_connection_ends_the_call(self) -> None:
         """Guards against a call that waits forever for a reply on a closed connection."""
 
