Read secrets, boot files and answers up to their limit

A path that named a device, a pipe or a large file made a process read it whole: a secret and the settings file of the platform without a check before, answers with a check of the size, which a device or a pipe does not have.

Cause: only the settings file was read up to its limit. The others use the same function now.

Before: test_files_over_the_limit_are_not_read failed for load_secret (70,248,396 bytes held of a pipe of 64 MiB), read_boot (134,292,940) and read_answers (read whole, then another error). After: it passes, and the mutation files-of-any-size is caught.

--- a/knapweedhitch/cli_answers.py
+++ b/knapweedhitch/cli_answers.py
@@ -10,8 +10,16 @@
 from pathlib import Path
 from typing import Any, Protocol
 
-from knapweedhitch import changes_json, differences, generator, interview, plain, questionnaire
-from knapweedhitch.exceptions import AnswersError, CommandError
+from knapweedhitch import (
+    changes_json,
+    differences,
+    generator,
+    interview,
+    plain,
+    questionnaire,
+    settings,
+)
+from knapweedhitch.exceptions import AnswersError, CommandError, SettingsError
 from knapweedhitch.model import ServiceConfig
 from knapweedhitch.questionnaire import Answers
 
@@ -73,13 +81,9 @@
 
 def _read_text(path: Path) -> str:
     try:
-        if path.stat().st_size > questionnaire.MAX_ANSWERS_BYTES:
-            raise CommandError(f"{path}: is over {questionnaire.MAX_ANSWERS_BYTES} bytes")
-        return path.read_text(encoding="utf-8")
-    except OSError as exc:
-        raise CommandError(f"{path}: cannot be read: {exc.strerror}") from None
-    except UnicodeDecodeError as exc:
-        raise CommandError(f"{path}: is not UTF-8 at byte {exc.start}") from None
+        return settings.read_text(str(path), questionnaire.MAX_ANSWERS_BYTES)
+    except SettingsError as exc:
+        raise CommandError(str(exc)) from None
 
 
 def _write_text(path: Path, text: str, *, force: bool) -> None:
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from pathlib import Path
 from typing import Annotated
 
 import msgspec
@@ -29,6 +28,7 @@
     Settings,
     StopSettings,
     UpstreamSettings,
+    read_text,
 )
 from knapweedhitch.validation import describe_problem
 
@@ -126,11 +126,7 @@
 
 def read_boot(path: str) -> Boot:
     """Return the validated settings file at a path; raises SettingsError."""
-    try:
-        text = Path(path).read_text("utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
-        raise SettingsError(path, f"cannot be read: {exc}") from None
-    return parse_boot(text, path)
+    return parse_boot(read_text(path), path)
 
 
 def read_settings(path: str) -> Settings:
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -466,30 +466,36 @@
 
 def load_settings(path: str) -> Settings:
     """Return the validated settings of a YAML file; raises SettingsError."""
-    return parse_settings(_read_text(Path(path)), path)
+    return parse_settings(read_text(path), path)
 
 
-def _read_text(path: Path) -> str:
+def read_text(path: str, max_bytes: int = MAX_SETTINGS_BYTES) -> str:
+    """Return the text of a file; raises SettingsError, also if it is over `max_bytes`."""
     try:
-        with path.open("rb") as file:
-            data = file.read(MAX_SETTINGS_BYTES + 1)
-    except OSError as exc:
-        raise SettingsError(str(path), f"cannot be read: {exc.strerror}") from None
-    if len(data) > MAX_SETTINGS_BYTES:
-        raise SettingsError(str(path), f"is over {MAX_SETTINGS_BYTES} bytes")
-    try:
-        return data.decode("utf-8")
+        return _read_bytes(path, max_bytes).decode("utf-8")
     except UnicodeDecodeError as exc:
-        raise SettingsError(str(path), f"is not UTF-8 at byte {exc.start}") from None
+        raise SettingsError(path, f"is not UTF-8 at byte {exc.start}") from None
+
+
+def _read_bytes(path: str, max_bytes: int) -> bytes:
+    # The size of a device or a pipe is not known before it is read.
+    try:
+        with Path(path).open("rb") as file:
+            data = file.read(max_bytes + 1)
+    except OSError as exc:
+        raise SettingsError(path, f"cannot be read: {exc.strerror}") from None
+    if len(data) > max_bytes:
+        raise SettingsError(path, f"is over {max_bytes} bytes")
+    return data
 
 
 def load_secret(path: str) -> bytes:
     """Return the secret from a file that only its owner can read; raises SettingsError."""
     try:
         mode = os.stat(path).st_mode
-        data = Path(path).read_bytes().strip()
     except OSError as exc:
         raise SettingsError(path, f"cannot be read: {exc.strerror}") from None
+    data = _read_bytes(path, MAX_SETTINGS_BYTES).strip()
     if stat.S_IMODE(mode) & 0o077:
         raise SettingsError(path, f"mode {stat.S_IMODE(mode):04o} is too open; use chmod 600")
     if not MIN_SECRET_BYTES <= len(data) <= MAX_SECRET_BYTES:
--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import contextlib
+import os
+import threading
 import tracemalloc
 import unittest
 from collections.abc import Awaitable, Callable, Iterator
@@ -15,26 +17,35 @@
 import yaml
 from msgspec import structs
 
-from knapweedhitch import codec, loadprobe
+from knapweedhitch import codec, loadprobe, operator_client
 from knapweedhitch.attempt import MAX_DISCARDED_BYTES, Attempt
 from knapweedhitch.claims import Claims, GrantedClaim
 from knapweedhitch.claimstore import ClaimStore
+from knapweedhitch.cli_answers import read_answers
 from knapweedhitch.counters import Counters
-from knapweedhitch.exceptions import PeerTimeout
+from knapweedhitch.exceptions import (
+    CommandError,
+    OperatorUnreachable,
+    PeerTimeout,
+    SettingsError,
+)
 from knapweedhitch.framing import MAX_FRAMING_BYTES
 from knapweedhitch.idempotency import generate_uuid7
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.loadprobe import MAX_RESPONSE_BYTES, LoadProbe
 from knapweedhitch.messages import Ack, ClaimComplete, ClaimRequest
 from knapweedhitch.model import Address, ClaimGroup, UpstreamRecord
+from knapweedhitch.operator_client import OperatorClient
 from knapweedhitch.operator_http import OperatorConnection, OperatorRequest, OperatorResponse
 from knapweedhitch.payload import ReplayBody, Reservation, Spool
-from knapweedhitch.platform.settings import MAX_HEARTBEAT_BYTES, parse_boot, translate
+from knapweedhitch.platform.settings import MAX_HEARTBEAT_BYTES, parse_boot, read_boot, translate
 from knapweedhitch.settings import (
     ClaimSettings,
     HeaderSettings,
     PeerSettings,
     UpstreamSettings,
+    load_secret,
+    load_settings,
     replace,
 )
 from tests import decision_fakes
@@ -79,6 +90,7 @@
     b"GET / HTTP/1.1\r\nHost: %s\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
     b"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: MDEyMzQ1Njc4OWFiY2RlZg==\r\n\r\n"
 )
+LONG_PIPE_BYTES = 64 * 1_048_576
 MAX_REFUSAL_BYTES = 4_096
 CALLERS = 30
 # A body held back, recorded, read, parsed and written, and a head; the streams of the test keep a
@@ -136,12 +148,19 @@
 
 async def held_bytes(fill: Callable[[], Awaitable[Any]]) -> int:
     """Return the memory that is held after a function has returned."""
-    tracemalloc.start()
-    try:
+    with traced():
         kept = await fill()
         size_bytes = tracemalloc.get_traced_memory()[0]
         del kept
         return size_bytes
+
+
+@contextlib.contextmanager
+def traced() -> Iterator[Callable[[], int]]:
+    """Trace allocations and provide the peak of the traced memory in bytes."""
+    tracemalloc.start()
+    try:
+        yield lambda: tracemalloc.get_traced_memory()[1]
     finally:
         tracemalloc.stop()
 
@@ -385,6 +404,68 @@
         trio.run(main)
 
 
+class OperatorClientTest(TrioTestCase):
+    async def test_endless_response_ends_the_command(self) -> None:
+        """Guards against a command that runs on, or out of memory, when another program listens at
+        the address.
+        """
+        limit = mock.patch.object(operator_client, "MAX_RESPONSE_BYTES", 16 * LIMIT_BYTES)
+        for name, first, endless in ENDLESS_RESPONSES:
+            with self.subTest(name), limit:
+                peer = EndlessPeer(first, endless, pause_s=0.05)
+                started_s = trio.current_time()
+                async with trio.open_nursery() as nursery:
+
+                    async def connect() -> Any:
+                        client, server = trio.testing.lockstep_stream_pair()
+                        nursery.start_soon(peer.serve, server)  # noqa: B023
+                        return client
+
+                    address = Address("127.0.0.1", 1)
+                    client = OperatorClient(address, "t", attempts=1, open_stream=connect)
+                    with traced() as peak_bytes:
+                        with self.assertRaises(OperatorUnreachable):
+                            await client.get("/v1/status")
+                        peak = peak_bytes()
+                    nursery.cancel_scope.cancel()
+                elapsed_ms = (trio.current_time() - started_s) * 1_000
+                self.assertLessEqual(elapsed_ms, operator_client.RESPONSE_TIMEOUT_MS + 100)
+                self.assertLessEqual(peak, 16 * LIMIT_BYTES * MAX_MEMORY_RATIO + LIMIT_BYTES)
+
+
+class FileTest(unittest.TestCase):
+    def test_files_over_the_limit_are_not_read(self) -> None:
+        """Guards against a process that runs out of memory because a path names a device, a pipe or
+        another large file.
+        """
+        for read in (load_settings, load_secret, read_boot, read_answers):
+            with self.subTest(read.__name__), traced() as peak_bytes, long_pipe() as path:
+                with self.assertRaises((SettingsError, CommandError)):
+                    read(path)
+                self.assertLess(peak_bytes(), LONG_PIPE_BYTES / 2)
+
+
+@contextlib.contextmanager
+def long_pipe() -> Iterator[str]:
+    """Provide the path of a pipe with LONG_PIPE_BYTES, whose size is not known before."""
+    reader, writer = os.pipe()
+
+    def write() -> None:
+        part = bytes(READ_BYTES)
+        with contextlib.suppress(BrokenPipeError):
+            for _ in range(LONG_PIPE_BYTES // READ_BYTES):
+                os.write(writer, part)
+        os.close(writer)
+
+    thread = threading.Thread(target=write)
+    thread.start()
+    try:
+        yield f"/dev/fd/{reader}"
+    finally:
+        os.close(reader)
+        thread.join()
+
+
 class RefusalTest(unittest.TestCase):
     @in_node()
     async def test_refusals_do_not_repeat_invalid_bytes(self, world: World) -> None:
@@ -436,12 +517,10 @@
             with self.subTest(name):
                 world.stand_ins[9_000] = EndlessPeer(first, endless, pause_s=0.25)
                 callers = [world.caller(lockstep=True) for _ in range(CALLERS)]
-                tracemalloc.start()
-                for n, caller in enumerate(callers):
-                    await caller.send(KEYED_REQUEST)
-                    if n % 2:
-                        await caller.stream.aclose()
-                await trio.sleep(6)
-                peak_bytes = tracemalloc.get_traced_memory()[1]
-                tracemalloc.stop()
-                self.assertLess(peak_bytes, CALLERS * MAX_CALL_BYTES)
+                with traced() as peak_bytes:
+                    for n, caller in enumerate(callers):
+                        await caller.send(KEYED_REQUEST)
+                        if n % 2:
+                            await caller.stream.aclose()
+                    await trio.sleep(6)
+                    self.assertLess(peak_bytes(), CALLERS * MAX_CALL_BYTES)
