Test endless responses over a link

test_endless_responses_over_a_link_fill_no_memory: 30 callers that read nothing, whose responses come over a link without end in frames of two bytes.

--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -33,7 +33,7 @@
 from knapweedhitch.idempotency import generate_uuid7
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.loadprobe import MAX_RESPONSE_BYTES, LoadProbe
-from knapweedhitch.messages import Ack, ClaimComplete, ClaimRequest
+from knapweedhitch.messages import Ack, ClaimComplete, ClaimRequest, OpenStream, StreamHead
 from knapweedhitch.model import Address, ClaimGroup, UpstreamRecord
 from knapweedhitch.operator_client import OperatorClient
 from knapweedhitch.operator_http import OperatorConnection, OperatorRequest, OperatorResponse
@@ -48,10 +48,14 @@
     load_settings,
     replace,
 )
+from knapweedhitch.streams import PeerStream
 from tests import decision_fakes
 from tests.decision_fakes import FakeTimers, TrioTestCase, settings
+from tests.fake_net import running_nodes
 from tests.request_world import SERVICE, World, in_node
+from tests.test_peers import run_on_mock_clock
 from tests.test_platform import BOOT_SETTINGS
+from tests.test_streams import make_opening, register_stream_handler
 from tests.test_transport import real_nodes
 
 READ_BYTES = 65_536
@@ -90,6 +94,7 @@
     b"GET / HTTP/1.1\r\nHost: %s\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
     b"Sec-WebSocket-Version: 13\r\nSec-WebSocket-Key: MDEyMzQ1Njc4OWFiY2RlZg==\r\n\r\n"
 )
+STREAM_AND_TASK_BYTES = 16_384
 LONG_PIPE_BYTES = 64 * 1_048_576
 MAX_REFUSAL_BYTES = 4_096
 CALLERS = 30
@@ -367,6 +372,37 @@
         self.assertLessEqual(peer.written_bytes, MAX_FRAMING_BYTES + 2 * READ_BYTES)
 
 
+class LinkTest(unittest.TestCase):
+    @run_on_mock_clock
+    async def test_endless_responses_over_a_link_fill_no_memory(self) -> None:
+        """Guards against an entry node that keeps what another node passes on without end, in
+        frames of two bytes, for many callers that read nothing.
+        """
+        sent_bytes = 0
+
+        async def flood(msg: OpenStream, stream: PeerStream) -> None:
+            nonlocal sent_bytes
+            stream.put(StreamHead(stream.stream_id, 200, (), None))
+            while True:
+                await stream.send_data(bytes(bytearray(2)))
+                sent_bytes += 2
+
+        # A small window, since tracing is slow.
+        cfg = PeerSettings(window_bytes=16_384)
+        async with running_nodes(2, peers=cfg) as (near, far):
+            register_stream_handler(far, flood)
+            with traced() as peak_bytes:
+                streams = [
+                    await near.peers.open_stream("n1", make_opening()) for _ in range(CALLERS)
+                ]
+                await trio.sleep(1)
+                self.assertTrue(all(stream.has_unread for stream in streams))
+                self.assertLess(
+                    peak_bytes(), CALLERS * (2 * cfg.window_bytes + STREAM_AND_TASK_BYTES)
+                )
+        self.assertLess(sent_bytes, CALLERS * cfg.window_bytes)
+
+
 class UnprovenPeerTest(unittest.TestCase):
     def test_long_message_before_the_handshake_closes_the_connection(self) -> None:
         """Guards against a process whose memory is filled through the port for links by hosts that
