--- a/tests/test_endless_bytes.py
+++ b/tests/test_endless_bytes.py
@@ -19,6 +19,7 @@
 
 from knapweedhitch import codec, loadprobe, operator_client
 from knapweedhitch.attempt import MAX_DISCARDED_BYTES, Attempt
+from knapweedhitch.callerconn import MAX_PIPELINED_BYTES
 from knapweedhitch.claims import Claims, GrantedClaim
 from knapweedhitch.claimstore import ClaimStore
 from knapweedhitch.cli_answers import read_answers
@@ -40,6 +41,7 @@
 from knapweedhitch.payload import ReplayBody, Reservation, Spool
 from knapweedhitch.platform.settings import MAX_HEARTBEAT_BYTES, parse_boot, read_boot, translate
 from knapweedhitch.settings import (
+    CallerSettings,
     ClaimSettings,
     HeaderSettings,
     PeerSettings,
@@ -371,6 +373,38 @@
         self.assertEqual(response.status, 400)
         self.assertLessEqual(peer.written_bytes, MAX_FRAMING_BYTES + 2 * READ_BYTES)
 
+    @in_node()
+    async def test_endless_heads_of_a_caller_are_refused(self, world: World) -> None:
+        """Guards against a caller that fills memory with a head without end."""
+        for name, endless in (("line", b"x" * 10_000), ("header lines", b"X-A: b\r\n" * 1_000)):
+            with self.subTest(name):
+                caller = world.caller()
+                first = b"GET / HTTP/1.1\r\nHost: x\r\n"
+                peer = EndlessPeer(first, endless, pause_s=0.05, starts=True)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(peer.serve, caller.stream)
+                    response = await caller.read_response()
+                    written_bytes = peer.written_bytes
+                    nursery.cancel_scope.cancel()
+                self.assertEqual(response.status, 431)
+                self.assertLessEqual(written_bytes, CallerSettings().max_header_bytes + READ_BYTES)
+
+    @in_node()
+    async def test_endless_pipelined_requests_are_not_read(self, world: World) -> None:
+        """Guards against a caller that fills memory with requests while the first one waits."""
+        world.add_upstream("up-1")
+        world.stand_ins[9_000] = EndlessPeer(b"", b"")
+        for method in (b"GET", b"POST"):
+            with self.subTest(method):
+                request = method + b" / HTTP/1.1\r\nHost: shop.test\r\n\r\n"
+                peer = EndlessPeer(b"", request * 1_000, starts=True)
+                caller = world.caller(lockstep=True)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(peer.serve, caller.stream)
+                    await trio.sleep(1)
+                    self.assertLessEqual(peer.written_bytes, MAX_PIPELINED_BYTES + 2 * READ_BYTES)
+                    nursery.cancel_scope.cancel()
+
 
 class LinkTest(unittest.TestCase):
     @run_on_mock_clock
