Report a redirect that names no path as a refusal at the command line

Found when reading the diff: a 307 to another host, or to a GET, as another program on the port may send it, ended the command with a traceback, since the error of a redirect was no operator error. test_redirect_without_a_path_is_a_refusal guards against it.

--- a/knapweedhitch/operator_client.py
+++ b/knapweedhitch/operator_client.py
@@ -42,12 +42,12 @@
 OpenStream = Callable[[], Awaitable[trio.abc.Stream]]
 
 
-class _Redirected(Exception):
+class _Redirected(OperatorRefused):
     """Report a response that names another path for the request."""
 
-    def __init__(self, path: str, refusal: OperatorRefused) -> None:
+    def __init__(self, refusal: OperatorRefused, path: str) -> None:
+        super().__init__(refusal.status, refusal.error, refusal.detail, refusal.fields)
         self.path = path
-        self.refusal = refusal
 
 
 class _ResponseLost(Exception):
@@ -124,8 +124,8 @@
                 response: dict[str, Any] = await self._exchange("POST", path, body)
                 return response
             except _Redirected as exc:
-                if redirects == MAX_REDIRECTS:
-                    raise exc.refusal from None
+                if redirects == MAX_REDIRECTS or not exc.path.startswith("/"):
+                    raise
                 path = exc.path
         raise AssertionError("the loop ends by a response or an error")
 
@@ -240,7 +240,7 @@
         head.status_code, str(fields.get("error", "")), str(fields.get("detail", "")), fields
     )
     if head.status_code == OrderRedirected.status:
-        raise _Redirected(headers.get(b"location", b"").decode("latin-1"), refusal)
+        raise _Redirected(refusal, headers.get(b"location", b"").decode("latin-1"))
     raise refusal
 
 
--- a/tests/test_operator_client.py
+++ b/tests/test_operator_client.py
@@ -113,6 +113,22 @@
         with patched_server, contextlib.suppress(OperatorError):
             run(MemoryClient(world).get, "/v1/status")
 
+    def test_redirect_without_a_path_is_a_refusal(self) -> None:
+        """Guards against a traceback, or requests to another host, when another program answers."""
+
+        async def respond(stream: trio.abc.Stream) -> None:
+            await stream.receive_some(100_000)
+            head = b"HTTP/1.1 307 x\r\nContent-Type: application/json\r\nContent-Length: 2\r\n"
+            await stream.send_all(head + b"Location: http://elsewhere/\r\n\r\n{}")
+            await stream.aclose()
+
+        world = World()
+        for fn, args in (("get", ("/v1/status",)), ("change", ("/v1/changes", BODY))):
+            patched_server = mock.patch.object(world.api, "serve_stream", respond)
+            with self.subTest(fn), patched_server, self.assertRaises(OperatorRefused) as refused:
+                run(getattr(MemoryClient(world), fn), *args)
+            self.assertEqual(refused.exception.status, 307)
+
     def test_addresses_are_parsed_completely(self) -> None:
         """Guards against a malformed address that is parsed as another port or host."""
         self.assertEqual(operator_client.parse_address("[::1]:70"), Address("::1", 70))
