--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -272,7 +272,7 @@
             await wait_until(lambda: replica.state.is_confirmed)
             await cluster.change()
             progress = leader.replica.state.progress[restarted]
-            await wait_until(lambda: progress.match_index == replica.state.store.last_index)
+            await wait_until(lambda: progress.match_index == leader.replica.state.store.last_index)
             introduction = replica._readmission._initial_state
             await leader.replica._readmission.on_introduce(restarted, introduction)
             term = leader.replica.state.store.term
