--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -37,8 +37,8 @@
 IDLE_CHECK_MS = 250.0
 # Probes for each call at an upstream with few calls; more would load it with health checks.
 PROBES_PER_CALL = 2.0
-# A health response takes less than 1 KiB. A faulty upstream may send bytes without end, which were
-# read until the timeout, some 80 MB at each probe.
+# A health response takes less than 1 KiB. A faulty upstream may send bytes without end, and reading
+# them until the timeout would load the link.
 MAX_RESPONSE_BYTES = 65_536
 
 
--- a/knapweedhitch/transit.py
+++ b/knapweedhitch/transit.py
@@ -1,4 +1,4 @@
-"""By how much longer than usual the frames of a link take on their way."""
+"""Estimates of the transit time of frames on a link, compared with the usual one."""
 
 from __future__ import annotations
 
@@ -6,16 +6,16 @@
 
 # A stream is opened at most this long after the last clock message on its link.
 CLOCK_INTERVAL_MS = 100.0
-# The shortest way in this time is the usual one. Clocks of two machines differ by less than 0.1% in
-# speed, so that the usual way is known to 60 ms.
+# The shortest transit in this time is the usual one. Clocks of two machines differ by less than
+# 0.1% in speed, so that it is known to 60 ms.
 WINDOW_MS = 30_000.0
 
 
 class TransitTime:
     """Compare the clock of the sender with the time of arrival.
 
-    Neither clock is set, so only changes of the way are seen: a link that turns slow, or a process
-    that reads late. What is told is never more than the time that has passed since the sending.
+    The clocks are not synchronised, so only changes are seen: a link that turns slow, or a process
+    that reads late. The excess is never more than the time that has passed since the sending.
     """
 
     def __init__(self) -> None:
