Log what the caller of a request got, and why a connection ended

A request whose caller got nothing was logged with the status of its upstream, or with status 0 and no reason.

event=request has status 0 unless the complete response was written, and says how far it came, what was intended and what became of the connection. The new event=caller_connection_ended names the request that ended a connection, the cause, and the requests that ended with it. Router and relay share BoundedLog in place of two copies of the rate limit.

Both tests failed before: status=200 for a response that could not be written, and no line for a connection that was reset. No decision changes.

--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import CallerGone, Refusal
 from knapweedhitch.framing import HeaderNames, RequestHead
@@ -25,6 +26,7 @@
 
     def __init__(self, owner: CallerConnection) -> None:
         self._owner = owner
+        self.conn: ServerConnection
         self.turn = trio.Event()
         self.is_detached = False
         self.has_request = False
@@ -60,6 +62,7 @@
         names: HeaderNames,
         router: RequestHandler,
         counters: Counters,
+        log: BoundedLog,
     ) -> None:
         self.stream = stream
         self.gone = trio.Event()
@@ -67,9 +70,9 @@
         self._names = names
         self._router = router
         self._counters = counters
+        self._log = log
         self._buffer = b""
         self._pending: list[RequestStream] = []
-        self._conns: set[ServerConnection] = set()
         self._request_ended = trio.Event()
         self._is_stopping = False
         self._must_linger = False
@@ -77,8 +80,8 @@
     def stop_waiting(self) -> None:
         """Stop waiting for another request; requests in progress continue."""
         self._is_stopping = True
-        for conn in list(self._conns):
-            conn.stop_waiting()
+        for req_stream in self._pending:
+            req_stream.conn.stop_waiting()
 
     async def read(self) -> bytes:
         """Return the next bytes; raises BrokenResourceError and ClosedResourceError."""
@@ -108,32 +111,32 @@
     async def _serve_next(self, nursery: trio.Nursery) -> bool:
         """Serve one request; return False if the connection takes no further one."""
         req_stream = RequestStream(self)
-        conn = ServerConnection(
+        conn = req_stream.conn = ServerConnection(
             req_stream, self._cfg, self._names, lambda: self._is_last(req_stream)
         )
         if self._is_stopping:
             conn.stop_waiting()
-        self._add(req_stream, conn)
+        self._add(req_stream)
         try:
             head = await conn.receive_head()
         except Refusal as exc:
             await req_stream.turn.wait()
             await self._router.refuse_unparsed(conn, exc)
             self._must_linger = True
-            self._remove(req_stream, conn)
+            self._remove(req_stream)
             return False
         except CallerGone:
             self._counters.add("caller_gone")
-            self._remove(req_stream, conn)
+            self._remove(req_stream)
             return False
         if head is None:
-            self._remove(req_stream, conn)
+            self._remove(req_stream)
             return False
         req_stream.has_request = True
         if head.has_body or not self._router.may_run_concurrently(head):
             await self._buffer_until(req_stream.turn)
             if self.gone.is_set() and not req_stream.turn.is_set():
-                self._remove(req_stream, conn)
+                self._remove(req_stream)
                 return False
             return await self._run(req_stream, conn, head)
         self._buffer = conn.pipelined_bytes()
@@ -179,12 +182,13 @@
             if not req_stream.is_detached:
                 self._buffer = conn.pipelined_bytes()
             if not is_reusable:
+                self._log_end(conn)
                 self._must_linger = conn.response_ended
                 if conn.response_started and not conn.response_ended:
                     conn.reset(self.stream)
             return is_reusable
         finally:
-            self._remove(req_stream, conn)
+            self._remove(req_stream)
 
     async def _run_concurrently(
         self,
@@ -197,14 +201,31 @@
             # Requests after a response that closes the connection count as not received.
             scope.cancel()
 
-    def _add(self, req_stream: RequestStream, conn: ServerConnection) -> None:
+    def _log_end(self, conn: ServerConnection) -> None:
+        """Log a request that ends the connection within its response or before other requests."""
+        is_cut = conn.response_started and not conn.response_ended
+        others = [other.conn for other in self._pending if other.has_request]
+        others.remove(conn)
+        if self.gone.is_set() or not (is_cut or others):
+            return
+        cause = conn.failure or "connection-close"
+        for other in others:
+            other.failure = f"ended-by:{conn.request_id}"
+        self._counters.add("caller_connections_ended", cause)
+        self._log.event(
+            "caller_connection_ended",
+            id=conn.request_id,
+            cause=cause,
+            reset=int(is_cut),
+            ended=",".join(other.request_id for other in others),
+        )
+
+    def _add(self, req_stream: RequestStream) -> None:
         self._pending.append(req_stream)
-        self._conns.add(conn)
         self._pending[0].turn.set()
 
-    def _remove(self, req_stream: RequestStream, conn: ServerConnection) -> None:
+    def _remove(self, req_stream: RequestStream) -> None:
         self._pending.remove(req_stream)
-        self._conns.discard(conn)
         if self._pending:
             self._pending[0].turn.set()
         self._request_ended.set()
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -60,6 +60,9 @@
         self.response_ended = False
         self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=cfg.max_header_bytes)
         self._broken = False
+        # Names the request in the log, and why its connection failed before its response ended.
+        self.request_id = ""
+        self.failure = ""
         # Set while a write waits for the caller, and after a failed one, which sets `_broken` too.
         self._writing = False
         self._is_head_request = False
@@ -146,6 +149,7 @@
             return await receive_when_ready(self.stream, READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self._broken = True
+            self.failure = "read-failed"
             raise CallerGone(str(exc)) from None
 
     async def wait_caller_gone(self) -> None:
@@ -162,6 +166,7 @@
                 return
             if not data:
                 self._broken = True
+                self.failure = "closed-by-caller"
                 return
             self._conn.receive_data(data)
 
@@ -200,6 +205,7 @@
                 raise BodyTimeout(detail=f"limit {self.cfg.body_timeout_ms} ms")
             if not data:
                 self._broken = True
+                self.failure = "closed-by-caller"
                 raise CallerGone("closed in the middle of a request body")
             self._framing_bytes.record_received(len(data))
             self._conn.receive_data(data)
@@ -282,12 +288,15 @@
             self._writing = False
         except trio.Cancelled:
             self._broken = True
+            self.failure = self.failure or "write-cancelled"
             raise
         except WRITE_ERRORS as exc:
             self._broken = True
+            self.failure = "write-failed"
             raise CallerGone(f"cannot write: {type(exc).__name__}") from None
         if scope.cancelled_caught:
             self._broken = True
+            self.failure = "write-timeout"
             raise CallerGone(f"did not read for {self.cfg.write_timeout_ms} ms")
 
     # Ending
--- a/knapweedhitch/ingress.py
+++ b/knapweedhitch/ingress.py
@@ -5,6 +5,7 @@
 import trio
 
 from knapweedhitch import framing
+from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.callerconn import CallerConnection
 from knapweedhitch.exceptions import TooManyConnections
 from knapweedhitch.http1 import ServerConnection
@@ -36,6 +37,8 @@
         """Open the listener; raises OSError."""
         self._router = self._kernel.get("router")
         self._counters = self._kernel.get("counters")
+        timers = self._kernel.get("timers")
+        self._log = BoundedLog(self._kernel.cfg.log, self._counters, timers.now_ms)
         await self._server.start(self._kernel.nursery)
 
     async def stop(self) -> None:
@@ -55,7 +58,9 @@
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve the requests of one connection, in order, until it ends."""
-        conn = CallerConnection(stream, self._cfg, self._names, self._router, self._counters)
+        conn = CallerConnection(
+            stream, self._cfg, self._names, self._router, self._counters, self._log
+        )
         self._connections.add(conn)
         self._counters.add("caller_connections")
         try:
--- a/knapweedhitch/logs.py
+++ b/knapweedhitch/logs.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import re
 import sys
+import traceback
 from typing import IO
 
 import logbook
@@ -40,6 +42,12 @@
     _log.warning(render(name, fields))
 
 
+def location_of(exc: BaseException) -> str:
+    """Return the file and line that raised an exception."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    return f"{os.path.basename(frames[-1].filename)}:{frames[-1].lineno}" if frames else ""
+
+
 def setup(level: str, stream: IO[str] | None = None) -> logbook.Handler:
     """Install a handler for events at or above the level; the default stream is standard error."""
     handler = logbook.StreamHandler(
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -4,15 +4,13 @@
 
 import json
 import math
-import os
 import random
-import traceback
 
 import trio
 
 from knapweedhitch import framing, logs
 from knapweedhitch.attempt import Attempt
-from knapweedhitch.budget import TokenBucket
+from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.callerwait import CallerWaits
 from knapweedhitch.clock import MS_PER_S, now_ms
 from knapweedhitch.deadline import Deadline
@@ -77,8 +75,7 @@
         self._counters = get("counters")
         self._gate = get("gate")
         self._dispatcher = RouteDispatcher(self._kernel)
-        lines = self._cfg.log.max_lines_per_s
-        self._log_budget = TokenBucket(lines, lines, get("timers").now_ms)
+        self._log = BoundedLog(self._cfg.log, self._counters, get("timers").now_ms)
 
     async def stop(self) -> None:
         """Do nothing; requests end with their connections."""
@@ -98,6 +95,7 @@
         trace = Trace[RelayCall](
             framing.get_request_id(head, self._names.request_id), trio.current_time(), head.method
         )
+        conn.request_id = trace.request_id
         self.active[trace] = None
         try:
             await self._serve(trace, conn, head)
@@ -107,24 +105,28 @@
             trace.reason = "caller-gone"
             self._counters.add("caller_gone")
         except Exception as exc:
-            if self._log_budget.take():
-                error = type(exc).__name__
-                place = _location_of(exc)
-                logs.warning(
-                    "internal-error", id=trace.request_id, error=error, place=place, detail=exc
-                )
+            self._log.warning(
+                "internal-error",
+                id=trace.request_id,
+                error=type(exc).__name__,
+                place=logs.location_of(exc),
+                detail=exc,
+            )
             outcome = Outcome.UNKNOWN if trace.call is not None else Outcome.NOT_RUN
             await self._refuse(trace, conn, InternalError(outcome, type(exc).__name__))
+        except trio.Cancelled:
+            trace.reason = "connection-ended"
+            raise
         finally:
             del self.active[trace]
-            self._finish(trace)
+            self._finish(trace, conn)
 
     async def refuse_unparsed(self, conn: ServerConnection, refusal: Refusal) -> None:
         """Refuse a request that was not parsed and close its connection."""
         trace = Trace[RelayCall](framing.new_request_id(), trio.current_time())
         conn.close_after = True
         await self._refuse(trace, conn, refusal)
-        self._finish(trace)
+        self._finish(trace, conn)
 
     # Serving
     async def _serve(
@@ -223,6 +225,7 @@
         if conn.response_started:
             # The status is sent already, so only closing the connection can signal the failure.
             self._counters.add("answers_cut", refusal.reason)
+            conn.failure = conn.failure or refusal.reason
             return
         fields = {"reason": refusal.reason, "outcome": refusal.outcome.value}
         body = json.dumps({**fields, "request_id": trace.request_id}).encode("utf-8")
@@ -234,13 +237,11 @@
         except CallerGone:
             self._counters.add("caller_gone")
 
-    def _finish(self, trace: Trace[RelayCall]) -> None:
+    def _finish(self, trace: Trace[RelayCall], conn: ServerConnection) -> None:
         total_ms = (trio.current_time() - trace.started_s) * 1_000
         self._counters.record("total", total_ms)
         call = trace.call
-        fields: dict[str, object] = {"id": trace.request_id, "status": trace.status}
-        if trace.reason:
-            fields |= {"reason": trace.reason, "outcome": trace.outcome}
+        fields = trace.fields(conn)
         if call is not None:
             fields |= {
                 "route": call.route.name,
@@ -258,10 +259,7 @@
                 self._counters.record("added", max(0.0, total_ms - call.result.service_ms))
                 fields["service_ms"] = f"{call.result.service_ms:.1f}"
         fields["total_ms"] = f"{total_ms:.1f}"
-        if self._log_budget.take():
-            logs.event("request", **fields)
-        else:
-            self._counters.add("log_lines_dropped")
+        self._log.event("request", **fields)
 
 
 def _status_of(refusal: Refusal) -> int:
@@ -269,9 +267,3 @@
     if refusal.outcome is Outcome.NOT_RUN:
         return refusal.status if refusal.status < 500 else 503
     return 502 if refusal.status in NOT_RUN_STATUSES else refusal.status
-
-
-def _location_of(exc: BaseException) -> str:
-    """Return the file and line that raised an exception."""
-    frames = traceback.extract_tb(exc.__traceback__)
-    return f"{os.path.basename(frames[-1].filename)}:{frames[-1].lineno}" if frames else ""
--- a/knapweedhitch/router.py
+++ b/knapweedhitch/router.py
@@ -10,7 +10,7 @@
 
 from knapweedhitch import explain, framing, logs
 from knapweedhitch.attempt import Attempt
-from knapweedhitch.budget import TokenBucket
+from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.dispatch import Call, Dispatcher
 from knapweedhitch.exceptions import (
@@ -86,8 +86,7 @@
         self._counters = get("counters")
         self._timers = get("timers")
         self._dispatcher = Dispatcher(self._kernel)
-        lines = self._cfg.log.max_lines_per_s
-        self._log_budget = TokenBucket(lines, lines, self._timers.now_ms)
+        self._log = BoundedLog(self._cfg.log, self._counters, self._timers.now_ms)
 
     async def stop(self) -> None:
         """Do nothing; requests end with their connections."""
@@ -101,6 +100,7 @@
         trace = Trace[Call](
             framing.get_request_id(head, framing.REQUEST_ID), trio.current_time(), head.method
         )
+        conn.request_id = trace.request_id
         self.active[trace] = None
         try:
             if head.target.startswith(LOCAL_PREFIX):
@@ -116,24 +116,31 @@
             trace.reason = "caller-gone"
             self._counters.add("caller_gone")
         except Exception as exc:
-            if self._log_budget.take():
-                error = type(exc).__name__
-                logs.warning("internal-error", id=trace.request_id, error=error, detail=exc)
+            self._log.warning(
+                "internal-error",
+                id=trace.request_id,
+                error=type(exc).__name__,
+                place=logs.location_of(exc),
+                detail=exc,
+            )
             may_have_run = trace.call is not None or _has_key(head)
             refusal = InternalError(
                 Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN, type(exc).__name__
             )
             await self._refuse(trace, conn, refusal)
+        except trio.Cancelled:
+            trace.reason = "connection-ended"
+            raise
         finally:
             del self.active[trace]
-            self._finish(trace)
+            self._finish(trace, conn)
 
     async def refuse_unparsed(self, conn: ServerConnection, refusal: Refusal) -> None:
         """Refuse a request that was not parsed and close its connection."""
         trace = Trace[Call](framing.new_request_id(), trio.current_time())
         conn.close_after = True
         await self._refuse(trace, conn, refusal)
-        self._finish(trace)
+        self._finish(trace, conn)
 
     async def _refuse(self, trace: Trace[Call], conn: ServerConnection, refusal: Refusal) -> None:
         trace.status, trace.reason = refusal.status, refusal.reason
@@ -142,6 +149,7 @@
         if conn.response_started:
             # The status is sent already, so only closing the connection can signal the failure.
             self._counters.add("answers_cut", refusal.reason)
+            conn.failure = conn.failure or refusal.reason
             return
         body = json.dumps(
             {
@@ -159,17 +167,11 @@
         except CallerGone:
             self._counters.add("caller_gone")
 
-    def _finish(self, trace: Trace[Call]) -> None:
+    def _finish(self, trace: Trace[Call], conn: ServerConnection) -> None:
         total_ms = (trio.current_time() - trace.started_s) * 1_000
         self._counters.record("total", total_ms)
         call = trace.call
-        fields: dict[str, object] = {
-            "id": trace.request_id,
-            "method": trace.method,
-            "status": trace.status,
-        }
-        if trace.reason:
-            fields |= {"reason": trace.reason, "outcome": trace.outcome}
+        fields = trace.fields(conn) | {"method": trace.method}
         if call is not None:
             fields |= {"service": call.svc.name, "attempts": call.attempts, "path": call.path}
             if call.choices:
@@ -182,10 +184,7 @@
                     explain.Explanation(trace.request_id, call.svc.name, tuple(call.choices))
                 )
         fields["total_ms"] = f"{total_ms:.2f}"
-        if self._log_budget.take():
-            logs.event("request", **fields)
-        else:
-            self._counters.add("log_lines_dropped")
+        self._log.event("request", **fields)
 
     # Local paths of the node
 
--- a/tests/test_callerconn.py
+++ b/tests/test_callerconn.py
@@ -5,15 +5,17 @@
 import unittest
 from collections.abc import Awaitable, Callable
 
+import logbook
 import trio
 from trio.testing import MockClock, open_stream_to_socket_listener
 
+from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.callerconn import CallerConnection
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import Refusal
 from knapweedhitch.framing import DEFAULT_NAMES, RequestHead
 from knapweedhitch.http1 import ServerConnection
-from knapweedhitch.settings import CallerSettings
+from knapweedhitch.settings import CallerSettings, LogSettings
 
 GET = b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n"
 POST = b"POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
@@ -26,12 +28,14 @@
         self.started: list[bytes] = []
         self.abandoned: list[bytes] = []
         self.closing_targets: set[bytes] = set()
+        self.cut_targets: set[bytes] = set()
 
     def may_run_concurrently(self, head: RequestHead) -> bool:
         return head.method == "GET"
 
     async def handle(self, conn: ServerConnection, head: RequestHead) -> None:
         self.started.append(head.target)
+        conn.request_id = f"r{len(self.started)}"
         while head.has_body and await conn.receive() is not None:
             pass
         async with trio.open_nursery() as nursery:
@@ -48,6 +52,10 @@
             return
         conn.close_after = head.target in self.closing_targets
         body = head.target[1:]
+        if head.target in self.cut_targets:
+            conn.failure = "deadline-exceeded"
+            await conn.send_head(200, ((b"content-length", b"9"),), [body])
+            return
         await conn.send_response(200, ((b"content-length", b"%d" % len(body)),), [body])
 
     async def refuse_unparsed(self, conn: ServerConnection, refusal: Refusal) -> None:
@@ -63,7 +71,9 @@
     router = FakeRouter()
 
     async def serve(stream: trio.SocketStream) -> None:
-        conn = CallerConnection(stream, CallerSettings(), DEFAULT_NAMES, router, Counters())
+        counters = Counters()
+        log = BoundedLog(LogSettings(), counters, lambda: trio.current_time() * 1_000)
+        conn = CallerConnection(stream, CallerSettings(), DEFAULT_NAMES, router, counters, log)
         await conn.serve()
         await trio.aclose_forcefully(stream)
 
@@ -123,6 +133,20 @@
         run_scenario(scenario)
         run_scenario(refused)
 
+    def test_log_names_the_requests_that_end_with_a_connection(self) -> None:
+        """Guards against requests that end without any line that tells why."""
+
+        async def scenario(caller: trio.SocketStream, router: FakeRouter) -> None:
+            router.cut_targets.add(b"/100")
+            await caller.send_all(GET % 100 + GET % 5000 + GET % 6000)
+            with self.assertRaises(trio.BrokenResourceError):
+                await read_until(caller, 2)
+
+        with logbook.TestHandler() as handler:
+            run_scenario(scenario)
+        (line,) = [r.message for r in handler.records if "caller_connection_ended" in r.message]
+        self.assertIn("id=r1 cause=deadline-exceeded reset=1 ended=r2,r3", line)
+
     def test_close_by_the_caller_cancels_all_of_its_requests(self) -> None:
         """Guards against work on pipelined requests after their caller has closed."""
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import logbook
 import trio
 import trio.testing
 from msgspec import structs
@@ -157,6 +158,26 @@
         return b""
 
 
+class BrokenStream(trio.abc.Stream):
+    """Deliver one request; then the reader waits and each write fails."""
+
+    def __init__(self, data: bytes) -> None:
+        self._data = data
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        if not self._data:
+            await trio.sleep_forever()
+        data, self._data = self._data, b""
+        return data
+
+    async def send_all(self, data: object) -> None:
+        raise trio.BrokenResourceError
+
+    async def wait_send_all_might_not_block(self) -> None: ...
+
+    async def aclose(self) -> None: ...
+
+
 def run_on_mock_clock(fn: Callable[[Any], Awaitable[None]]) -> Callable[[Any], None]:
     @functools.wraps(fn)
     def run(self: Any) -> None:
@@ -172,6 +193,23 @@
     return world
 
 
+class LogTest(unittest.TestCase):
+    @run_on_mock_clock
+    async def test_response_that_its_caller_never_got_is_not_logged_as_sent(self) -> None:
+        """Guards against a log that says 200 for a request whose caller got nothing."""
+        world = await start_world([])
+        stream = BrokenStream(b"GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Id: r1\r\n\r\n")
+        conn = ServerConnection(stream, CallerSettings(), header_names(HEADERS))
+        head = await conn.receive_head()
+        assert head is not None
+        with logbook.TestHandler() as handler:
+            await world.relay.handle(conn, head)
+        (line,) = [r.message for r in handler.records if "event=request " in r.message]
+        for part in (" status=0 ", "response=cut", "intended_status=200", "reason=caller-gone"):
+            self.assertIn(part, line)
+        self.assertIn("connection=write-failed", line)
+
+
 class AttemptTest(unittest.TestCase):
     @run_on_mock_clock
     async def test_refusing_targets_are_skipped(self) -> None:
