--- /dev/null
+++ b/tests/test_pipelining.py
@@ -0,0 +1,147 @@
+"""Tests of pipelined requests through caller connection and relay, with fake targets."""
+
+from __future__ import annotations
+
+import dataclasses
+import unittest
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+from trio.testing import MockClock, open_stream_to_socket_listener
+
+from knapweedhitch.boundedlog import BoundedLog
+from knapweedhitch.callerconn import CallerConnection
+from knapweedhitch.exchange import CallSpec, ResponseSink
+from knapweedhitch.framing import header_names
+from knapweedhitch.model import CallResult
+from knapweedhitch.settings import CallerSettings, LogSettings
+from tests.test_relay import HEADERS, Handler, World, start_world
+
+# More than a response may have to be held back until it is complete.
+LARGE_BYTES = 100_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Response:
+    """Describe one response as its caller read it."""
+
+    status: int
+    body: bytes
+    at_s: float
+
+
+def respond_after(delay_s: float, n_bytes: int, pause_s: float = 0.0) -> Handler:
+    """Return a handler that responds after a delay and pauses in the middle of the body."""
+
+    async def handler(spec: CallSpec, sink: ResponseSink) -> CallResult:
+        sink.mark_dispatched()
+        await trio.sleep(delay_s)
+        await sink.head(200, ((b"content-length", b"%d" % n_bytes),), None)
+        await sink.data(b"x" * (n_bytes // 2))
+        await trio.sleep(pause_s)
+        await sink.data(b"x" * (n_bytes - n_bytes // 2))
+        await sink.end()
+        return CallResult(ok=True, service_ms=delay_s * 1_000, status=200)
+
+    return handler
+
+
+def route_by_id(handlers: dict[str, Handler]) -> list[Handler]:
+    """Return handlers that look at the id, since concurrent requests reach targets in any order."""
+
+    async def handler(spec: CallSpec, sink: ResponseSink) -> CallResult:
+        return await handlers[spec.request_id](spec, sink)
+
+    return [handler] * len(handlers)
+
+
+def get(number: int, deadline_ms: int) -> bytes:
+    """Return a safe request."""
+    lines = ("GET /safe/%d HTTP/1.1", "Host: h.example", "X-Id: r%d", "X-Deadline: %d", "", "")
+    return ("\r\n".join(lines) % (number, number, deadline_ms)).encode("ascii")
+
+
+class Caller:
+    """Read the responses on one connection."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self._data = b""
+        self._started_s = trio.current_time()
+
+    async def read(self) -> Response:
+        """Return the next response; raises BrokenResourceError, EOFError and RemoteProtocolError.
+
+        Each response gets a parser of its own, since h11 has no client side of pipelining.
+        """
+        conn = h11.Connection(h11.CLIENT)
+        conn.send(h11.Request(method="GET", target="/", headers=[("host", "h")]))
+        conn.send(h11.EndOfMessage())
+        conn.receive_data(self._data) if self._data else None
+        status, body = 0, b""
+        while not isinstance(event := conn.next_event(), h11.EndOfMessage):
+            if event is h11.NEED_DATA:
+                data = await self.stream.receive_some(65_536)
+                if not data:
+                    raise EOFError
+                conn.receive_data(data)
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                body += bytes(event.data)
+        self._data = conn.trailing_data[0]
+        return Response(status, body, trio.current_time() - self._started_s)
+
+
+def run_caller(handlers: dict[str, Handler], play: Callable[[Caller], Awaitable[None]]) -> World:
+    """Run a caller against one connection that the relay serves."""
+    # Bytes on loopback take some time, which the clock must not skip.
+    clock = MockClock(autojump_threshold=0.02)
+    return trio.run(_run_caller, handlers, play, clock=clock)
+
+
+async def _run_caller(
+    handlers: dict[str, Handler], play: Callable[[Caller], Awaitable[None]]
+) -> World:
+    world = await start_world(route_by_id(handlers))
+    log = BoundedLog(LogSettings(), world.counters, lambda: trio.current_time() * 1_000)
+
+    async def serve(stream: trio.SocketStream) -> None:
+        conn = CallerConnection(
+            stream, CallerSettings(), header_names(HEADERS), world.relay, world.counters, log
+        )
+        await conn.serve()
+        await trio.aclose_forcefully(stream)
+
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        stream = await open_stream_to_socket_listener(listeners[0])
+        with trio.fail_after(60):
+            await play(Caller(stream))
+        nursery.cancel_scope.cancel()
+    return world
+
+
+class DeadlineTest(unittest.TestCase):
+    def test_deadline_of_a_response_that_waits_ends_no_other_request(self) -> None:
+        """Guards against a connection that is reset, with all requests on it, because the deadline
+        of a large response has passed while it waited for the response ahead of it.
+        """
+        handlers = {
+            "r1": respond_after(1.5, 20),
+            "r2": respond_after(0.0, LARGE_BYTES),
+            "r3": respond_after(0.1, 30),
+        }
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 1_900) + get(2, 500) + get(3, 1_900))
+            first = await caller.read()
+            self.assertEqual((first.status, len(first.body)), (200, 20))
+            second = await caller.read()
+            self.assertIn(second.status, (200, 504))
+            third = await caller.read()
+            self.assertEqual((third.status, len(third.body)), (200, 30))
+
+        run_caller(handlers, play)
