Wait for the turn of a response before it is begun

Callers with pipelined requests saw their connection reset, and all requests on it end without an answer (LOST), because the deadline of one of them had passed.

Cause: a response that is not due yet waited inside the write, after the HTTP parser had accepted its head. Its deadline cancelled that write, which marked the connection broken although no byte had been written, and a broken connection cancelled every other request, also the earlier ones.

The wait now comes before the response is begun. A wait that its deadline cancels leaves the connection as it was, and the request gets a 504 in its turn. A request that ends the connection cancels the later ones only; the earlier ones get their responses first. The time limit of a write no longer counts the wait, and a 1xx response that is not due is left out.

--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
+
 import trio
 
 from knapweedhitch.boundedlog import BoundedLog
@@ -17,19 +19,44 @@
 MAX_PIPELINED_BYTES = 65_536
 
 
-class RequestStream(trio.abc.Stream):
-    """Present the connection to one request, whose writes wait for all earlier requests.
+class PipelinedRequest(trio.abc.Stream):
+    """Present the connection to one request and track the order of its response.
 
     The stream reads from the connection until it is detached. A detached stream reads only EOF,
     once the caller has gone.
     """
 
-    def __init__(self, owner: CallerConnection) -> None:
+    def __init__(self, owner: CallerConnection, cfg: CallerSettings, names: HeaderNames) -> None:
         self._owner = owner
-        self.conn: ServerConnection
-        self.turn = trio.Event()
+        self._due = trio.Event()
+        self.conn = ServerConnection(self, cfg, names, self)
+        # Cancels the request, which the caller then counts as not received.
+        self.scope = trio.CancelScope()
         self.is_detached = False
-        self.has_request = False
+        self.has_head = False
+
+    # Order of responses
+
+    @property
+    def is_due(self) -> bool:
+        """Return whether all earlier responses are complete."""
+        return self._due.is_set()
+
+    @property
+    def is_last(self) -> bool:
+        """Return whether no later request on the connection waits for its response."""
+        return not self._owner.requests_after(self)
+
+    async def wait_due(self) -> None:
+        """Wait until all earlier responses are complete."""
+        if not self._due.is_set():
+            await self._due.wait()
+
+    def set_due(self) -> None:
+        """Record that all earlier responses are complete."""
+        self._due.set()
+
+    # Stream
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Return the next bytes of the connection, b"" once the caller has gone."""
@@ -39,8 +66,7 @@
         return await self._owner.read()
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
-        """Write once all earlier requests are done."""
-        await self.turn.wait()
+        """Write to the connection."""
         rest = await send_at_once(self._owner.stream, bytes(data))
         if rest:
             await self._owner.stream.send_all(rest)
@@ -72,16 +98,18 @@
         self._counters = counters
         self._log = log
         self._buffer = b""
-        self._pending: list[RequestStream] = []
+        self._pending: list[PipelinedRequest] = []
         self._request_ended = trio.Event()
+        # Cancelled when no further request is taken.
+        self._reading = trio.CancelScope()
         self._is_stopping = False
         self._must_linger = False
 
     def stop_waiting(self) -> None:
         """Stop waiting for another request; requests in progress continue."""
         self._is_stopping = True
-        for req_stream in self._pending:
-            req_stream.conn.stop_waiting()
+        for req in self._pending:
+            req.conn.stop_waiting()
 
     async def read(self) -> bytes:
         """Return the next bytes; raises BrokenResourceError and ClosedResourceError."""
@@ -97,63 +125,68 @@
             self.gone.set()
         return data
 
+    def requests_after(self, req: PipelinedRequest) -> list[PipelinedRequest]:
+        """Return the later requests that wait for their responses."""
+        later = self._pending[self._pending.index(req) + 1 :]
+        return [other for other in later if other.has_head]
+
     async def serve(self) -> None:
         """Serve the requests of the connection until it ends."""
         async with trio.open_nursery() as nursery:
-            while await self._serve_next(nursery):
-                pass
+            with self._reading:
+                while await self._serve_next(nursery):
+                    pass
             while self._pending:
                 await self._wait_for_request_end()
-            nursery.cancel_scope.cancel()
         if self._must_linger:
             await linger(self.stream, self._cfg.linger_ms)
 
     async def _serve_next(self, nursery: trio.Nursery) -> bool:
         """Serve one request; return False if the connection takes no further one."""
-        req_stream = RequestStream(self)
-        conn = req_stream.conn = ServerConnection(
-            req_stream, self._cfg, self._names, lambda: self._is_last(req_stream)
-        )
+        req = PipelinedRequest(self, self._cfg, self._names)
         if self._is_stopping:
-            conn.stop_waiting()
-        self._add(req_stream)
+            req.conn.stop_waiting()
+        self._add(req)
         try:
-            head = await conn.receive_head()
-        except Refusal as exc:
-            await req_stream.turn.wait()
-            await self._router.refuse_unparsed(conn, exc)
-            self._must_linger = True
-            self._remove(req_stream)
-            return False
-        except CallerGone:
-            self._counters.add("caller_gone")
-            self._remove(req_stream)
-            return False
-        if head is None:
-            self._remove(req_stream)
-            return False
-        req_stream.has_request = True
-        if head.has_body or not self._router.may_run_concurrently(head):
-            await self._buffer_until(req_stream.turn)
-            if self.gone.is_set() and not req_stream.turn.is_set():
-                self._remove(req_stream)
+            head = await self._receive_head(req)
+            if head is None:
                 return False
-            return await self._run(req_stream, conn, head)
-        self._buffer = conn.pipelined_bytes()
-        req_stream.is_detached = True
-        nursery.start_soon(self._run_concurrently, req_stream, conn, head, nursery.cancel_scope)
+            if not head.has_body and self._router.may_run_concurrently(head):
+                self._buffer = req.conn.pipelined_bytes()
+                req.is_detached = True
+                nursery.start_soon(self._run_concurrently, req, head)
+            else:
+                await self._buffer_until_due(req)
+                if not req.is_due:
+                    return False
+                return await self._run(req, head)
+        finally:
+            if not req.is_detached:
+                self._remove(req)
         while len(self._pending) >= self._cfg.max_pipelined and not self.gone.is_set():
             self._request_ended = trio.Event()
-            await self._buffer_until(self._request_ended)
+            await self._buffer_until(self._request_ended.wait)
         return True
 
-    def _is_last(self, req_stream: RequestStream) -> bool:
-        """Return whether no later request on the connection waits for its response."""
-        later = self._pending[self._pending.index(req_stream) + 1 :]
-        return not any(other.has_request for other in later)
+    async def _receive_head(self, req: PipelinedRequest) -> RequestHead | None:
+        """Return the head of the next request, None if the connection takes no further one."""
+        try:
+            head = await req.conn.receive_head()
+        except Refusal as exc:
+            await self._router.refuse_unparsed(req.conn, exc)
+            self._must_linger = True
+            return None
+        except CallerGone:
+            self._counters.add("caller_gone")
+            return None
+        req.has_head = head is not None
+        return head
+
+    async def _buffer_until_due(self, req: PipelinedRequest) -> None:
+        await self._buffer_until(req.wait_due)
 
-    async def _buffer_until(self, event: trio.Event) -> None:
-        """Wait for an event or until the caller has gone; buffer the bytes that arrive."""
+    async def _buffer_until(self, wait: Callable[[], Awaitable[None]]) -> None:
+        """Wait for a condition or until the caller has gone; buffer the bytes that arrive."""
 
         async def read_into_buffer() -> None:
             while len(self._buffer) < MAX_PIPELINED_BYTES:
@@ -169,47 +202,46 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(read_into_buffer)
-            await event.wait()
+            await wait()
             nursery.cancel_scope.cancel()
 
-    async def _run(
-        self, req_stream: RequestStream, conn: ServerConnection, head: RequestHead
-    ) -> bool:
+    async def _run(self, req: PipelinedRequest, head: RequestHead) -> bool:
         """Handle a request; return whether another one may follow."""
-        try:
-            await self._router.handle(conn, head)
-            is_reusable = conn.start_next_request()
-            if not req_stream.is_detached:
+        conn = req.conn
+        await self._router.handle(conn, head)
+        if conn.start_next_request():
+            if not req.is_detached:
                 self._buffer = conn.pipelined_bytes()
-            if not is_reusable:
-                self._log_end(conn)
-                self._must_linger = conn.response_ended
-                if conn.response_started and not conn.response_ended:
-                    conn.reset(self.stream)
-            return is_reusable
+            return True
+        self._log_end(req)
+        self._must_linger = conn.response_ended
+        if conn.response_started and not conn.response_ended:
+            conn.reset(self.stream)
+        return False
+
+    async def _run_concurrently(self, req: PipelinedRequest, head: RequestHead) -> None:
+        try:
+            with req.scope:
+                if not await self._run(req, head):
+                    self._end_after(req)
         finally:
-            self._remove(req_stream)
+            self._remove(req)
 
-    async def _run_concurrently(
-        self,
-        req_stream: RequestStream,
-        conn: ServerConnection,
-        head: RequestHead,
-        scope: trio.CancelScope,
-    ) -> None:
-        if not await self._run(req_stream, conn, head):
-            # Requests after a response that closes the connection count as not received.
-            scope.cancel()
+    def _end_after(self, req: PipelinedRequest) -> None:
+        """Take no further request and cancel the later ones; earlier ones get their responses."""
+        self._reading.cancel()
+        for later in self.requests_after(req):
+            later.scope.cancel()
 
-    def _log_end(self, conn: ServerConnection) -> None:
+    def _log_end(self, req: PipelinedRequest) -> None:
         """Log a request that ends the connection within its response or before other requests."""
+        conn = req.conn
         is_cut = conn.response_started and not conn.response_ended
-        others = [other.conn for other in self._pending if other.has_request]
-        others.remove(conn)
-        if self.gone.is_set() or not (is_cut or others):
+        later = [other.conn for other in self.requests_after(req)]
+        if self.gone.is_set() or not (is_cut or later):
             return
         cause = conn.failure or "connection-close"
-        for other in others:
+        for other in later:
             other.failure = f"ended-by:{conn.request_id}"
         self._counters.add("caller_connections_ended", cause)
         self._log.event(
@@ -217,17 +249,17 @@
             id=conn.request_id,
             cause=cause,
             reset=int(is_cut),
-            ended=",".join(other.request_id for other in others),
+            ended=",".join(other.request_id for other in later),
         )
 
-    def _add(self, req_stream: RequestStream) -> None:
-        self._pending.append(req_stream)
-        self._pending[0].turn.set()
+    def _add(self, req: PipelinedRequest) -> None:
+        self._pending.append(req)
+        self._pending[0].set_due()
 
-    def _remove(self, req_stream: RequestStream) -> None:
-        self._pending.remove(req_stream)
+    def _remove(self, req: PipelinedRequest) -> None:
+        self._pending.remove(req)
         if self._pending:
-            self._pending[0].turn.set()
+            self._pending[0].set_due()
         self._request_ended.set()
 
     async def _wait_for_request_end(self) -> None:
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -4,8 +4,9 @@
 
 import math
 import struct
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from socket import SO_LINGER, SOL_SOCKET
+from typing import Protocol
 
 import h11
 import trio
@@ -39,6 +40,34 @@
 CLOSE_HEADER = (b"connection", b"close")
 
 
+class ResponseOrder(Protocol):
+    """Tell when the response to one of several pipelined requests may be written."""
+
+    @property
+    def is_due(self) -> bool:
+        """Return whether all earlier responses are complete."""
+        ...
+
+    @property
+    def is_last(self) -> bool:
+        """Return whether no later request waits for its response, so that it may be the last."""
+        ...
+
+    async def wait_due(self) -> None:
+        """Wait until all earlier responses are complete."""
+        ...
+
+
+class NoPipelining:
+    """Represent the order of responses without pipelined requests."""
+
+    is_due = True
+    is_last = True
+
+    async def wait_due(self) -> None:
+        """Return at once."""
+
+
 class ServerConnection:
     """Read requests from one caller and write their responses, one after another."""
 
@@ -47,13 +76,13 @@
         stream: trio.abc.Stream,
         cfg: CallerSettings,
         names: framing.HeaderNames = framing.DEFAULT_NAMES,
-        may_close: Callable[[], bool] = lambda: True,
+        order: ResponseOrder | None = None,
     ) -> None:
         self.stream = stream
         self.names = names
-        # Returns False while later requests of the caller are in progress.
-        self._may_close = may_close
-        self._will_close = False
+        self.order: ResponseOrder = order or NoPipelining()
+        # Whether the response has told the caller that the connection is closed after it.
+        self.will_close = False
         self.cfg = cfg
         self.close_after = False
         self.response_started = False
@@ -221,19 +250,26 @@
     # Writing
 
     async def send_informational(self, status: int, headers: Headers) -> None:
-        """Forward a 1xx response to HTTP/1.1 callers; raises CallerGone."""
-        if not self.response_started and (self._conn.their_http_version or b"1.0") >= b"1.1":
+        """Forward a 1xx response to HTTP/1.1 callers if it is due now; raises CallerGone."""
+        is_possible = self.order.is_due and not self.response_started
+        if is_possible and (self._conn.their_http_version or b"1.0") >= b"1.1":
             await self._write(self._conn.send(_informational(status, headers)))
 
     async def send_response(self, status: int, headers: Headers, parts: Iterable[bytes]) -> None:
-        """Write a complete response at once; raises CallerGone."""
+        """Write a complete response once it is due; raises CallerGone."""
+        await self.order.wait_due()
         wire = [self._serialize_head(status, headers), *self._serialize_body(parts)]
         wire.append(self._conn.send(h11.EndOfMessage()) or b"")
         await self._write(b"".join(wire))
         self.response_ended = True
 
     async def send_head(self, status: int, headers: Headers, parts: Iterable[bytes] = ()) -> None:
-        """Write the head of a response and the first parts of its body; raises CallerGone."""
+        """Write the head of a response and the first parts of its body once they are due.
+
+        Raises CallerGone. A cancelled wait leaves the connection as it was, so that another
+        response can be written in place of this one.
+        """
+        await self.order.wait_due()
         wire = [self._serialize_head(status, headers), *self._serialize_body(parts)]
         await self._write(b"".join(wire))
 
@@ -250,9 +286,9 @@
     def _serialize_head(self, status: int, headers: Headers) -> bytes:
         self._skip_buffered_body()
         fields = list(headers)
-        close_requested = (self.close_after or self._stopping) and self._may_close()
-        self._will_close = close_requested or self._conn.their_state is not h11.DONE
-        if self._will_close:
+        close_requested = (self.close_after or self._stopping) and self.order.is_last
+        self.will_close = close_requested or self._conn.their_state is not h11.DONE
+        if self.will_close:
             fields.append(CLOSE_HEADER)
         self.response_started = True
         return self._conn.send(h11.Response(status_code=status, headers=fields)) or b""
@@ -303,7 +339,7 @@
 
     def start_next_request(self) -> bool:
         """Prepare for the next request; return False if the connection must be closed."""
-        if self._broken or not self.response_ended or self._will_close:
+        if self._broken or not self.response_ended or self.will_close:
             return False
         if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
             return False
--- a/tests/test_callerconn.py
+++ b/tests/test_callerconn.py
@@ -29,13 +29,15 @@
         self.abandoned: list[bytes] = []
         self.closing_targets: set[bytes] = set()
         self.cut_targets: set[bytes] = set()
+        # These pause for half a second between their head and their body.
+        self.slow_body_targets: set[bytes] = set()
 
     def may_run_concurrently(self, head: RequestHead) -> bool:
         return head.method == "GET"
 
     async def handle(self, conn: ServerConnection, head: RequestHead) -> None:
         self.started.append(head.target)
-        conn.request_id = f"r{len(self.started)}"
+        conn.request_id = head.target[1:].decode()
         while head.has_body and await conn.receive() is not None:
             pass
         async with trio.open_nursery() as nursery:
@@ -56,7 +58,14 @@
             conn.failure = "deadline-exceeded"
             await conn.send_head(200, ((b"content-length", b"9"),), [body])
             return
-        await conn.send_response(200, ((b"content-length", b"%d" % len(body)),), [body])
+        headers = ((b"content-length", b"%d" % len(body)),)
+        if head.target in self.slow_body_targets:
+            await conn.send_head(200, headers)
+            await trio.sleep(0.5)
+            await conn.send_data(body)
+            await conn.send_end()
+            return
+        await conn.send_response(200, headers, [body])
 
     async def refuse_unparsed(self, conn: ServerConnection, refusal: Refusal) -> None:
         conn.close_after = True
@@ -145,7 +154,7 @@
         with logbook.TestHandler() as handler:
             run_scenario(scenario)
         (line,) = [r.message for r in handler.records if "caller_connection_ended" in r.message]
-        self.assertIn("id=r1 cause=deadline-exceeded reset=1 ended=r2,r3", line)
+        self.assertIn("id=100 cause=deadline-exceeded reset=1 ended=5000,6000", line)
 
     def test_close_by_the_caller_cancels_all_of_its_requests(self) -> None:
         """Guards against work on pipelined requests after their caller has closed."""
