Pass on no request behind a response that closes its connection

A request that arrived while a response with Connection: close was being sent was passed on to an upstream and then cancelled with the connection, so that it ended without an answer (LOST). Its caller had sent it before it read the close and sends it again, but its upstream was at work on it.

test_request_behind_a_response_that_closes_is_not_passed_on failed before: ['/100', '/2000'] were started, now only '/100'. Same class as the deadline of a response that waits: one request of a connection ends another one.

--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -179,6 +179,9 @@
         except CallerGone:
             self._counters.add("caller_gone")
             return None
+        if any(other.conn.will_close for other in self._pending):
+            # The caller sent it before it read that the connection closes, and sends it again.
+            return None
         req.has_head = head is not None
         return head
 
--- a/tests/test_callerconn.py
+++ b/tests/test_callerconn.py
@@ -156,6 +156,22 @@
         (line,) = [r.message for r in handler.records if "caller_connection_ended" in r.message]
         self.assertIn("id=100 cause=deadline-exceeded reset=1 ended=5000,6000", line)
 
+    def test_request_behind_a_response_that_closes_is_not_passed_on(self) -> None:
+        """Guards against a request that is passed on although the response that is being sent has
+        told that the connection closes, so that it ends without an answer.
+        """
+
+        async def scenario(caller: trio.SocketStream, router: FakeRouter) -> None:
+            router.closing_targets.add(b"/100")
+            router.slow_body_targets.add(b"/100")
+            await caller.send_all(GET % 100)
+            await trio.sleep(0.3)
+            await caller.send_all(GET % 2000)
+            self.assertIn(b"connection: close", (await read_until(caller, 1)).lower())
+            self.assertEqual(router.started, [b"/100"])
+
+        run_scenario(scenario)
+
     def test_close_by_the_caller_cancels_all_of_its_requests(self) -> None:
         """Guards against work on pipelined requests after their caller has closed."""
 
