Let a response that has begun end after its deadline

Callers whose deadline or route timeout passed while a response was being sent got a reset connection, and the requests behind it on the connection ended without an answer (LOST). The time between the first byte and the last grows with the size and the load of the link.

The deadline bounds the wait for a response now. Once its head has arrived, the exchange with the upstream and the stream over a link may take routing.transfer_grace_ms (2 s) more, and so may the call once its first byte is due to be written. A response that is still held back at the deadline gets a 504 as before. The deadline that the upstream is told does not change.

test_deadline_during_a_transfer_ends_no_later_request failed before with ECONNRESET.

--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from typing import Any
 
 import trio
@@ -36,6 +37,7 @@
 from knapweedhitch.payload import Replayable
 from knapweedhitch.pick import serving_targets
 from knapweedhitch.pool import cancelled_result, refused_result
+from knapweedhitch.transfer import extend_for_transfer
 
 # Refusals of a single target; another target, or the same one later, may accept the call.
 RETRYABLE_REFUSALS = (
@@ -212,7 +214,9 @@
             added = (*added, (framing.EXPLAIN, explain.render(call.choices)))
         svc = call.svc
         max_recorded_bytes = svc.max_recorded_answer_bytes if call.keyed else None
-        return Attempt(call.conn, target, added, svc.hold_back_bytes, max_recorded_bytes)
+        attempt = Attempt(call.conn, target, added, svc.hold_back_bytes, max_recorded_bytes)
+        attempt.on_commit = functools.partial(extend_for_transfer, call.scope, self._routing)
+        return attempt
 
     async def _execute(self, call: Call, attempt: Attempt) -> CallResult:
         instance_id = attempt.target.upstream.instance_id
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -40,6 +40,7 @@
 from knapweedhitch.model import CallResult, LoadSample
 from knapweedhitch.peers import Peers
 from knapweedhitch.streams import PeerStream
+from knapweedhitch.transfer import TransferSink
 
 MAX_INFORMATIONAL = 8
 # A live node answers a ping within one heartbeat interval without traffic. The link closes only
@@ -86,8 +87,9 @@
         """Run the call on the node; raises Refusal with the outcome confirmed by the node."""
         stream: PeerStream | None = None
         try:
-            with trio.move_on_at(spec.deadline.at_s):
+            with trio.move_on_at(spec.deadline.at_s) as scope:
                 stream = await self._open_stream(node_id, spec)
+                sink = TransferSink(sink, scope, self._kernel.cfg.routing)
                 return await self._exchange(stream, spec, body, sink)
             if stream is None:
                 raise DeadlineExceeded(Outcome.NOT_RUN, f"no link to node={node_id} in time")
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -28,6 +28,7 @@
 from knapweedhitch.http1_client import ClientConnection, ExchangeTimes
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import SAFE_METHODS, Address, CallResult, LoadSample
+from knapweedhitch.transfer import TransferSink
 from knapweedhitch.upstreamload import UpstreamReport
 
 SWEEP_INTERVAL_MS = 1_000
@@ -102,7 +103,7 @@
         self._idle_count = 0
         self._exchange_ids = itertools.count()
         self._exchange_prefix = os.urandom(6).hex()
-        self._margin_ms = kernel.cfg.routing.attempt_margin_ms
+        self._routing = kernel.cfg.routing
 
     async def start(self) -> None:
         """Start the task that closes connections after the idle timeout."""
@@ -127,6 +128,7 @@
             raise DeadlineExceeded(Outcome.NOT_RUN)
         opened: list[ClientConnection] = []
         with trio.CancelScope(deadline=spec.deadline.at_s) as scope:
+            sink = TransferSink(sink, scope, self._routing)
             return await self._exchange(address, spec, body, sink, load, opened)
         assert scope.cancelled_caught
         has_sent = any(conn.has_sent for conn in opened)
@@ -180,7 +182,7 @@
         return UpstreamFailed(outcome, str(exc))
 
     def _build_headers(self, spec: CallSpec, exchange_id: bytes) -> Headers:
-        remaining_ms = max(1, int(spec.deadline.remaining_ms()) - self._margin_ms)
+        remaining_ms = max(1, int(spec.deadline.remaining_ms()) - self._routing.attempt_margin_ms)
         names = self._names
         fields = (
             (names.request_id, spec.request_id.encode("ascii")),
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -32,6 +32,7 @@
 from knapweedhitch.pick import PickResult, serving_targets
 from knapweedhitch.pool import cancelled_result, refused_result
 from knapweedhitch.responsesizes import ResponseSizes
+from knapweedhitch.transfer import extend_for_transfer
 from knapweedhitch.upstreamload import LEAVING_VALUE
 
 POLICY = "expected-time"
@@ -181,6 +182,7 @@
         added = ((self._names.request_id, call.request_id.encode("ascii")),)
         attempt = Attempt(call.conn, target, added, call.svc.hold_back_bytes, None)
         attempt.on_head = functools.partial(self._on_head, target)
+        attempt.on_commit = functools.partial(extend_for_transfer, call.scope, self._cfg.routing)
         started_s = trio.current_time()
         self._picker.record_start(instance_id)
         call.targets_tried += 1
--- a/tests/stand_in.py
+++ b/tests/stand_in.py
@@ -33,6 +33,8 @@
     shed_ratio: float = 0.0
     fail_ratio: float = 0.0
     fail_status: int = 500
+    # Waits this long before each part of the body.
+    pause_ms: float = 0.0
     # Bytes of the body after which the connection is closed; negative for complete responses.
     cut_after: int = -1
     # Added to delay_ms.
@@ -276,6 +278,8 @@
         while sent < body_bytes:
             part = BODY_PART[: min(len(BODY_PART), body_bytes - sent)]
             framed = self._conn.send(h11.Data(data=part)) or b""
+            if behaviour.pause_ms:
+                await trio.sleep(behaviour.pause_ms / 1_000)
             await out.stream.send_all(part if behaviour.framing in ("close", "open") else framed)
             sent += len(part)
         if behaviour.cut_after >= 0:
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -230,6 +230,23 @@
             for _ in range(2):
                 self.assert_refused(await execute(a, make_spec()), Refusal, Outcome.UNKNOWN)
 
+    @run_on_mock_clock
+    async def test_deadline_during_the_body_does_not_cut_the_response(self) -> None:
+        """Guards against a response over a link that is cut at its deadline although it arrives."""
+
+        async def send_slowly(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            await sink.head(200, (), None)
+            await trio.sleep(1.5)
+            await sink.data(b"late")
+            await sink.end()
+            return RESULT
+
+        async with running_nodes(2, prepare=install(send_slowly)) as (a, _):
+            sink = Sink()
+            self.assertEqual(await execute(a, make_spec(), sink=sink), RESULT)
+            self.assertEqual(sink.body, b"late")
+
     @run_on_mock_clock
     async def test_silent_target_at_the_deadline_gives_outcome_unknown(self) -> None:
         """Guards against an unanswered cancel that is reported as not run."""
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -145,3 +145,21 @@
             self.assertEqual((third.status, len(third.body)), (200, 30))
 
         run_caller(handlers, play)
+
+    def test_deadline_during_a_transfer_ends_no_later_request(self) -> None:
+        """Guards against a response that is cut, with the requests behind it, because its deadline
+        passes between its first byte and its last.
+        """
+        handlers = {
+            "r1": respond_after(0.3, LARGE_BYTES, pause_s=0.5),
+            "r2": respond_after(0.0, 20),
+        }
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 500) + get(2, 1_900))
+            first = await caller.read()
+            self.assertEqual((first.status, len(first.body)), (200, LARGE_BYTES))
+            second = await caller.read()
+            self.assertEqual((second.status, len(second.body)), (200, 20))
+
+        run_caller(handlers, play)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -76,6 +76,19 @@
             await world.caller().call(behaviour=f"keep_alive_s={timeout_s}")
             self.assertEqual(up.connections, connections, (idle_s, timeout_s))
 
+    @in_node()
+    async def test_deadline_during_the_body_does_not_cut_the_response(self, world: World) -> None:
+        """Guards against a response that is cut at its deadline although its body arrives."""
+        world.add_upstream("up-1", local=True)
+        headers = "Knapweedhitch-Deadline-Ms: 300\r\n"
+        for pause_ms, status in ((500, 200), (5_000, 0)):
+            response = await world.caller().call(
+                behaviour=f"pause_ms={pause_ms},size=70000", headers=headers
+            )
+            with self.subTest(pause_ms=pause_ms):
+                is_whole = len(response.body) == 70_000
+                self.assertEqual((response.status if is_whole else 0), status)
+
     @in_node()
     async def test_the_connection_of_an_abandoned_call_is_never_used_again(
         self, world: World
