Hold large pipelined responses in memory until they are due

A response over hold_back_bytes that had to wait for the one ahead of it waited at its upstream, whose slot it held, and was replaced by a 504 at its deadline although the upstream had made it in time.

Spool uses the same ByteBudget.

--- a/knapweedhitch/budget.py
+++ b/knapweedhitch/budget.py
@@ -1,4 +1,4 @@
-"""Token buckets that limit retries, hedges, bytes and events."""
+"""Limits on rates, of retries, hedges, bytes and events, and on bytes in memory."""
 
 from __future__ import annotations
 
@@ -47,3 +47,22 @@
         elapsed_ms = max(0.0, now - self._updated_ms)
         self._updated_ms = now
         self._tokens = min(self.burst, self._tokens + self.rate_per_s * elapsed_ms / 1_000.0)
+
+
+class ByteBudget:
+    """Limit the bytes that several users hold in memory together."""
+
+    def __init__(self, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.used_bytes = 0
+
+    def reserve(self, n_bytes: int) -> bool:
+        """Reserve bytes and return True, or return False if they are over the limit."""
+        if self.used_bytes + n_bytes > self.max_bytes:
+            return False
+        self.used_bytes += n_bytes
+        return True
+
+    def free(self, n_bytes: int) -> None:
+        """Release reserved bytes."""
+        self.used_bytes -= n_bytes
--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -7,6 +7,7 @@
 import trio
 
 from knapweedhitch.boundedlog import BoundedLog
+from knapweedhitch.budget import ByteBudget
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import CallerGone, Refusal
 from knapweedhitch.framing import HeaderNames, RequestHead
@@ -28,6 +29,7 @@
 
     def __init__(self, owner: CallerConnection, cfg: CallerSettings, names: HeaderNames) -> None:
         self._owner = owner
+        self._held_bytes = 0
         self._due = trio.Event()
         self.conn = ServerConnection(self, cfg, names, self)
         # Cancels the request, which the caller then counts as not received.
@@ -52,6 +54,21 @@
         if not self._due.is_set():
             await self._due.wait()
 
+    def may_hold_back(self, n_bytes: int) -> bool:
+        """Return whether so many bytes of the response may wait in memory until it is due."""
+        if self.is_due:
+            return False
+        more_bytes = max(0, n_bytes - self._held_bytes)
+        if not self._owner.waiting_bytes.reserve(more_bytes):
+            return False
+        self._held_bytes += more_bytes
+        return True
+
+    def free(self) -> None:
+        """Release the memory of the response."""
+        self._owner.waiting_bytes.free(self._held_bytes)
+        self._held_bytes = 0
+
     def set_due(self) -> None:
         """Record that all earlier responses are complete."""
         self._due.set()
@@ -89,9 +106,11 @@
         router: RequestHandler,
         counters: Counters,
         log: BoundedLog,
+        waiting_bytes: ByteBudget,
     ) -> None:
         self.stream = stream
         self.gone = trio.Event()
+        self.waiting_bytes = waiting_bytes
         self._cfg = cfg
         self._names = names
         self._router = router
@@ -261,6 +280,7 @@
 
     def _remove(self, req: PipelinedRequest) -> None:
         self._pending.remove(req)
+        req.free()
         if self._pending:
             self._pending[0].set_due()
         self._request_ended.set()
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -57,6 +57,10 @@
         """Wait until all earlier responses are complete."""
         ...
 
+    def may_hold_back(self, n_bytes: int) -> bool:
+        """Return whether so many bytes of the response may wait in memory until it is due."""
+        ...
+
 
 class NoPipelining:
     """Represent the order of responses without pipelined requests."""
@@ -67,6 +71,10 @@
     async def wait_due(self) -> None:
         """Return at once."""
 
+    def may_hold_back(self, n_bytes: int) -> bool:
+        """Return False, since the response is due."""
+        return False
+
 
 class ServerConnection:
     """Read requests from one caller and write their responses, one after another."""
--- a/knapweedhitch/ingress.py
+++ b/knapweedhitch/ingress.py
@@ -6,6 +6,7 @@
 
 from knapweedhitch import framing
 from knapweedhitch.boundedlog import BoundedLog
+from knapweedhitch.budget import ByteBudget
 from knapweedhitch.callerconn import CallerConnection
 from knapweedhitch.exceptions import TooManyConnections
 from knapweedhitch.http1 import ServerConnection
@@ -24,6 +25,7 @@
         self._names = framing.header_names(kernel.cfg.headers)
         self._connections: set[CallerConnection] = set()
         self._connection_ended = trio.Event()
+        self._waiting_bytes = ByteBudget(self._cfg.max_waiting_response_bytes)
         self._server = StreamServer(
             kernel.cfg.listen.callers, self._cfg.max_connections, self.serve, self._refuse
         )
@@ -59,7 +61,13 @@
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve the requests of one connection, in order, until it ends."""
         conn = CallerConnection(
-            stream, self._cfg, self._names, self._router, self._counters, self._log
+            stream,
+            self._cfg,
+            self._names,
+            self._router,
+            self._counters,
+            self._log,
+            self._waiting_bytes,
         )
         self._connections.add(conn)
         self._counters.add("caller_connections")
--- a/knapweedhitch/payload.py
+++ b/knapweedhitch/payload.py
@@ -5,6 +5,7 @@
 import dataclasses
 import hashlib
 
+from knapweedhitch.budget import ByteBudget
 from knapweedhitch.exceptions import KeyedBodyTooLarge, SpoolFull
 from knapweedhitch.exchange import BodySource, Headers
 
@@ -99,8 +100,12 @@
 
     def __init__(self, max_body_bytes: int, max_bytes: int) -> None:
         self._max_body_bytes = max_body_bytes
-        self._max_bytes = max_bytes
-        self.used_bytes = 0
+        self._budget = ByteBudget(max_bytes)
+
+    @property
+    def used_bytes(self) -> int:
+        """Return the bytes of all bodies in memory."""
+        return self._budget.used_bytes
 
     async def read(
         self, source: BodySource, length: int | None, reserved: Reservation
@@ -113,16 +118,15 @@
         while (part := await source.receive()) is not None:
             if len(body) + len(part) > self._max_body_bytes:
                 raise KeyedBodyTooLarge(detail=f"limit {self._max_body_bytes} bytes")
-            if self.used_bytes + len(part) > self._max_bytes:
-                raise SpoolFull(detail=f"limit {self._max_bytes} bytes")
-            self.used_bytes += len(part)
+            if not self._budget.reserve(len(part)):
+                raise SpoolFull(detail=f"limit {self._budget.max_bytes} bytes")
             reserved.size_bytes += len(part)
             body += part
         return [bytes(body)] if body else []
 
     def free(self, reserved: Reservation) -> None:
         """Release the reserved bytes."""
-        self.used_bytes -= reserved.size_bytes
+        self._budget.free(reserved.size_bytes)
         reserved.size_bytes = 0
 
 
--- a/tests/test_callerconn.py
+++ b/tests/test_callerconn.py
@@ -10,6 +10,7 @@
 from trio.testing import MockClock, open_stream_to_socket_listener
 
 from knapweedhitch.boundedlog import BoundedLog
+from knapweedhitch.budget import ByteBudget
 from knapweedhitch.callerconn import CallerConnection
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import Refusal
@@ -82,7 +83,9 @@
     async def serve(stream: trio.SocketStream) -> None:
         counters = Counters()
         log = BoundedLog(LogSettings(), counters, lambda: trio.current_time() * 1_000)
-        conn = CallerConnection(stream, CallerSettings(), DEFAULT_NAMES, router, counters, log)
+        conn = CallerConnection(
+            stream, CallerSettings(), DEFAULT_NAMES, router, counters, log, ByteBudget(0)
+        )
         await conn.serve()
         await trio.aclose_forcefully(stream)
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -11,6 +11,7 @@
 from trio.testing import MockClock, open_stream_to_socket_listener
 
 from knapweedhitch.boundedlog import BoundedLog
+from knapweedhitch.budget import ByteBudget
 from knapweedhitch.callerconn import CallerConnection
 from knapweedhitch.exchange import CallSpec, ResponseSink
 from knapweedhitch.framing import header_names
@@ -94,22 +95,34 @@
         return Response(status, body, trio.current_time() - self._started_s)
 
 
-def run_caller(handlers: dict[str, Handler], play: Callable[[Caller], Awaitable[None]]) -> World:
+def run_caller(
+    handlers: dict[str, Handler],
+    play: Callable[[Caller], Awaitable[None]],
+    waiting_bytes: ByteBudget,
+) -> World:
     """Run a caller against one connection that the relay serves."""
     # Bytes on loopback take some time, which the clock must not skip.
     clock = MockClock(autojump_threshold=0.02)
-    return trio.run(_run_caller, handlers, play, clock=clock)
+    return trio.run(_run_caller, handlers, play, waiting_bytes, clock=clock)
 
 
 async def _run_caller(
-    handlers: dict[str, Handler], play: Callable[[Caller], Awaitable[None]]
+    handlers: dict[str, Handler],
+    play: Callable[[Caller], Awaitable[None]],
+    waiting_bytes: ByteBudget,
 ) -> World:
     world = await start_world(route_by_id(handlers))
     log = BoundedLog(LogSettings(), world.counters, lambda: trio.current_time() * 1_000)
 
     async def serve(stream: trio.SocketStream) -> None:
         conn = CallerConnection(
-            stream, CallerSettings(), header_names(HEADERS), world.relay, world.counters, log
+            stream,
+            CallerSettings(),
+            header_names(HEADERS),
+            world.relay,
+            world.counters,
+            log,
+            waiting_bytes,
         )
         await conn.serve()
         await trio.aclose_forcefully(stream)
@@ -140,11 +153,11 @@
             first = await caller.read()
             self.assertEqual((first.status, len(first.body)), (200, 20))
             second = await caller.read()
-            self.assertIn(second.status, (200, 504))
+            self.assertEqual(second.status, 504)
             third = await caller.read()
             self.assertEqual((third.status, len(third.body)), (200, 30))
 
-        run_caller(handlers, play)
+        run_caller(handlers, play, ByteBudget(0))
 
     def test_deadline_during_a_transfer_ends_no_later_request(self) -> None:
         """Guards against a response that is cut, with the requests behind it, because its deadline
@@ -162,4 +175,25 @@
             second = await caller.read()
             self.assertEqual((second.status, len(second.body)), (200, 20))
 
-        run_caller(handlers, play)
+        run_caller(handlers, play, ByteBudget(0))
+
+    def test_response_that_waits_in_memory_is_not_lost_at_its_deadline(self) -> None:
+        """Guards against a large response that its upstream has made in time, and that its caller
+        does not get, because it had to wait for the response ahead of it.
+        """
+        handlers = {
+            "r1": respond_after(1.5, 20),
+            "r2": respond_after(0.0, LARGE_BYTES),
+            "r3": respond_after(0.0, LARGE_BYTES),
+        }
+        statuses = []
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 1_900) + get(2, 500) + get(3, 500))
+            statuses.extend([(await caller.read()).status for _ in range(3)])
+
+        waiting_bytes = ByteBudget(LARGE_BYTES + LARGE_BYTES // 2)
+        run_caller(handlers, play, waiting_bytes)
+        # There is room for one of the two.
+        self.assertEqual(sorted(statuses), [200, 200, 504])
+        self.assertEqual(waiting_bytes.used_bytes, 0)
