Add a seeded soak of the platform programs as separate processes

Change: python -m tests.soak starts five control instances and app nodes on loopback addresses, with stand-in targets and clients of five habits, and checks LOST, TWICE, REFUSED, MIXED, UNASKED, DRAIN, EVAC and CONFIG.

--- a/tests/platform_boot.py
+++ b/tests/platform_boot.py
@@ -18,7 +18,16 @@
 
 
 def write_boot_file(
-    folder: str, ip: str, cores: Sequence[str], base: int, *, bootstrap: bool = True
+    folder: str,
+    ip: str,
+    cores: Sequence[str],
+    base: int,
+    *,
+    bootstrap: bool = True,
+    service: str = "robes",
+    tolerated_machines: int = 1,
+    retry_slack: float = 0.0,
+    seeds: Sequence[str] = (),
 ) -> Path:
     """Write the settings file of one process and return its path."""
     is_core = ip in cores
@@ -30,13 +39,13 @@
         "region": "r",
         "listen": {name: address(ip, name, base) for name in names},
         "portRange": [base + 4, base + 8],
-        "seeds": [address(core, "control", base) for core in cores],
+        "seeds": [address(core, "control", base) for core in seeds or cores],
         "bootstrap": bootstrap,
         "limits": {"maxFds": 2_000},
         "dataDir": f"{folder}/{ip}" if is_core else None,
-        "faultTolerance": {"machines": 1},
-        "bounds": {"graceS": 6},
-        "service": None if is_core else "robes",
+        "faultTolerance": {"machines": tolerated_machines},
+        "bounds": {"graceS": 6, "retryBudgetSlack": retry_slack},
+        "service": None if is_core else service,
         "appAddr": f"{ip}:{base + TARGET_PORT}",
     }
     path = Path(folder) / f"{ip}.yaml"
--- /dev/null
+++ b/tests/soak/clients.py
@@ -0,0 +1,336 @@
+"""Clients on each node, one class for each habit of using connections."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import h11
+import trio
+
+from tests.soak.cluster import POLL_S, Cluster
+from tests.soak.ledger import Ending, Ledger, Request
+from tests.soak.operators import IDLE_TIMEOUT_S, ROUTES, Route
+from tests.soak.targets import make_body
+from tests.soak.wire import ClientConnection, ConnectionEnded, Response, render_head
+
+# A client waits this much longer than its deadline before it closes the connection.
+PATIENCE_S = 1.0
+CONNECT_TIMEOUT_S = 1.0
+RETRY_PAUSE_S = 0.2
+READINESS_INTERVAL_S = 1.0
+# Clients reuse connections that have been idle for up to this share of the idle timeout.
+IDLE_SHARE = 0.8
+BATCHES_PER_CONNECTION = 20
+UPLOAD_PARTS = 6
+
+Habit = Callable[["Client"], Awaitable[None]]
+HABITS: dict[str, tuple[int, Habit]] = {}
+
+
+def habit(clients_per_node: int) -> Callable[[Habit], Habit]:
+    """Register a habit with the number of its clients at each node."""
+
+    def register(fn: Habit) -> Habit:
+        HABITS[fn.__name__] = (clients_per_node, fn)
+        return fn
+
+    return register
+
+
+class Gate:
+    """Poll the readiness of a node, and keep new connections away after two misses."""
+
+    def __init__(self, cluster: Cluster, ip: str) -> None:
+        self.is_open = True
+        self._cluster = cluster
+        self._ip = ip
+
+    async def run(self) -> None:
+        """Poll until cancelled."""
+        misses = 0
+        while True:
+            ready = await trio.to_thread.run_sync(self._cluster.is_ready, self._ip)
+            misses = 0 if ready else misses + 1
+            self.is_open = misses < 2
+            await trio.sleep(READINESS_INTERVAL_S)
+
+
+class Client:
+    """Send requests to one node in one habit."""
+
+    def __init__(
+        self, cluster: Cluster, ledger: Ledger, rng: random.Random, ip: str, gate: Gate, name: str
+    ) -> None:
+        self.ledger = ledger
+        self.rng = rng
+        self._cluster = cluster
+        self._ip = ip
+        self._gate = gate
+        self._name = name
+        self._connections = 0
+
+    async def run(self, serve: Habit) -> None:
+        """Follow the habit until cancelled."""
+        while True:
+            if not self._gate.is_open:
+                await trio.sleep(POLL_S)
+                continue
+            try:
+                await serve(self)
+            except (OSError, trio.TooSlowError):
+                await trio.sleep(RETRY_PAUSE_S)
+
+    async def connect(self) -> ClientConnection:
+        """Open a connection to the node; raises OSError and TooSlowError."""
+        host, _, port = self._cluster.address(self._ip, "outbound").rpartition(":")
+        self._connections += 1
+        with trio.fail_after(CONNECT_TIMEOUT_S):
+            return ClientConnection(await trio.open_tcp_stream(host, int(port)))
+
+    def make_request(self, route: Route, deadline_s: float, body: bytes = b"") -> Request:
+        """Return a request with a new id."""
+        request = Request(
+            id=f"{self.rng.getrandbits(64):016x}",
+            habit=self._name,
+            entry=self._ip,
+            method="POST" if body else "GET",
+            host=route.host,
+            path=f"{route.prefix}{self.rng.randrange(1_000)}?q={self.rng.randrange(1_000)}",
+            kind=route.kind,
+            deadline_s=deadline_s,
+            route_timeout_s=route.timeout_s,
+            body=body,
+            connection=f"{self._ip}/{self._name}/{self._connections}",
+        )
+        self.ledger.requests[request.id] = request
+        return request
+
+    def render(self, request: Request, *, chunked: bool = False) -> bytes:
+        """Return the head of a request."""
+        headers = {
+            "Host": request.host,
+            "Attempt-Id": request.id,
+            "Deadline-Ms": str(int(request.deadline_s * 1_000)),
+            # The node sets this header, whatever a client sends.
+            "Caller-Service": "forged",
+        }
+        if request.body and chunked:
+            headers["Transfer-Encoding"] = "chunked"
+        elif request.body:
+            headers["Content-Length"] = str(len(request.body))
+        return render_head(request.method, request.path, headers)
+
+    async def exchange(self, conn: ClientConnection, request: Request) -> bool:
+        """Send one whole request and read its response; return whether the connection stays."""
+        request.sent_s = time.monotonic()
+        try:
+            await conn.send(self.render(request) + request.body)
+        except ConnectionEnded as exc:
+            self._end_cut(request, exc)
+            return False
+        return await self.read(conn, request, request.sent_s + request.deadline_s)
+
+    async def read(
+        self, conn: ClientConnection, request: Request, until_s: float, pause_s: float = 0.0
+    ) -> bool:
+        """Read one response; return whether the connection stays open."""
+        wait_s = until_s + PATIENCE_S - time.monotonic()
+        with trio.move_on_after(max(0.0, wait_s)) as scope:
+            try:
+                response = await conn.read_response(request.method, pause_s)
+            except ConnectionEnded as exc:
+                self._end_cut(request, exc)
+                return False
+            except h11.ProtocolError as exc:
+                self._end(request, Ending.GARBLED)
+                request.problem = f"bytes that are no response: {exc}"
+                return False
+        if scope.cancelled_caught:
+            self._end(request, Ending.ABANDONED)
+            return False
+        self._end(request, Ending.ANSWERED)
+        request.status = response.status
+        request.received_bytes = len(response.body)
+        request.problem = find_mixed(request, response)
+        return not response.closes
+
+    def abandon(self, requests: list[Request], first: Request) -> None:
+        """Record that requests behind another one have ended with their connection."""
+        for request in requests:
+            # Requests behind a response that closes the connection count as not read.
+            is_cut = first.ending.is_cut
+            self._end(request, first.ending if is_cut else Ending.ABANDONED)
+            request.error = f"behind {first.id}"
+
+    def _end_cut(self, request: Request, exc: ConnectionEnded) -> None:
+        self._end(request, Ending.RESET if exc.is_reset else Ending.CLOSED)
+        request.received_bytes = exc.received_bytes
+        request.error = str(exc)
+
+    def _end(self, request: Request, ending: Ending) -> None:
+        request.ending = ending
+        request.ended_s = time.monotonic()
+
+
+def find_mixed(request: Request, response: Response) -> str:
+    """Return what is wrong with a response to a request, or nothing."""
+    signature = response.headers.get("server-signature", "")
+    is_success = 200 <= response.status < 300
+    if not signature:
+        return "a success without a signature" if is_success else ""
+    _, request_id, _, size = signature.split(".")
+    if request_id != request.id:
+        return f"signature {signature}"
+    if is_success and response.body != make_body(signature, int(size)):
+        return f"body of {len(response.body)} bytes is not that of {signature}"
+    if response.headers.get("attempt-id") != request.id:
+        return f"attempt id {response.headers.get('attempt-id')}"
+    return ""
+
+
+@habit(clients_per_node=3)
+async def pipeline(client: Client) -> None:
+    """Send 2 to 4 safe requests with different deadlines before the first response."""
+    conn = await client.connect()
+    rng = client.rng
+    try:
+        for number in range(BATCHES_PER_CONNECTION):
+            size = rng.randint(2, 4)
+            routes = [rng.choice((ROUTES["reads"], ROUTES["lists"])) for _ in range(size)]
+            batch = [client.make_request(route, rng.uniform(0.5, 5.0)) for route in routes]
+            for ahead, request in enumerate(batch):
+                request.ahead = ahead
+                request.on_kept_connection = number > 0
+            if not await send_batch(client, conn, batch):
+                return
+            await trio.sleep(rng.uniform(0.0, 1.0))
+    finally:
+        await conn.aclose()
+
+
+async def send_batch(client: Client, conn: ClientConnection, batch: list[Request]) -> bool:
+    """Send requests and read their responses; return whether the connection stays open."""
+    now_s = time.monotonic()
+    for request in batch:
+        request.sent_s = now_s
+    try:
+        await conn.send(b"".join(client.render(request) for request in batch))
+    except ConnectionEnded as exc:
+        client._end_cut(batch[0], exc)
+        client.abandon(batch[1:], batch[0])
+        return False
+    until_s = 0.0
+    for number, request in enumerate(batch):
+        # A response has to wait for those ahead of it.
+        until_s = max(until_s, request.sent_s + request.deadline_s)
+        if not await client.read(conn, request, until_s):
+            client.abandon(batch[number + 1 :], request)
+            return False
+    return True
+
+
+@habit(clients_per_node=3)
+async def kept(client: Client) -> None:
+    """Keep a connection with pauses near the idle timeout, and send heads in two parts."""
+    conn = await client.connect()
+    rng = client.rng
+    try:
+        for number in range(BATCHES_PER_CONNECTION):
+            route = rng.choice((ROUTES["lists"], ROUTES["orders"]))
+            body = rng.randbytes(rng.randint(1, 5_000)) if route.kind == "unsafe" else b""
+            request = client.make_request(route, rng.uniform(1.0, 5.0), body)
+            request.on_kept_connection = number > 0
+            if not await send_in_parts(client, conn, request):
+                return
+            share = rng.choice((0.05, 0.1, 0.2, 1.0))
+            await trio.sleep(IDLE_TIMEOUT_S * IDLE_SHARE * share * rng.uniform(0.9, 1.0))
+    finally:
+        await conn.aclose()
+
+
+async def send_in_parts(client: Client, conn: ClientConnection, request: Request) -> bool:
+    """Send a head in two parts, then read the response; return whether the connection stays."""
+    data = client.render(request) + request.body
+    cut = client.rng.randrange(1, len(data) - len(request.body))
+    request.sent_s = time.monotonic()
+    try:
+        await conn.send(data[:cut])
+        await trio.sleep(client.rng.choice((0.0, 0.02, 0.2, 1.0)))
+        request.sent_s = time.monotonic()
+        await conn.send(data[cut:])
+    except ConnectionEnded as exc:
+        client._end_cut(request, exc)
+        return False
+    return await client.read(conn, request, request.sent_s + request.deadline_s)
+
+
+@habit(clients_per_node=1)
+async def fresh(client: Client) -> None:
+    """Open a new connection for each unsafe request."""
+    conn = await client.connect()
+    try:
+        body = client.rng.randbytes(client.rng.randint(1, 3_000))
+        request = client.make_request(ROUTES["orders"], client.rng.uniform(1.0, 5.0), body)
+        await client.exchange(conn, request)
+    finally:
+        await conn.aclose()
+    await trio.sleep(client.rng.uniform(0.1, 0.8))
+
+
+@habit(clients_per_node=1)
+async def upload(client: Client) -> None:
+    """Send a large body slowly, with a length or in chunks."""
+    rng = client.rng
+    conn = await client.connect()
+    try:
+        body = rng.randbytes(rng.randint(1_000, 120_000))
+        request = client.make_request(ROUTES["uploads"], 8.0, body)
+        chunked = rng.random() < 0.5
+        pause_s = rng.uniform(0.0, 0.4)
+
+        async def send_body() -> None:
+            try:
+                await conn.send(client.render(request, chunked=chunked))
+                step = len(body) // UPLOAD_PARTS + 1
+                for start in range(0, len(body), step):
+                    part = body[start : start + step]
+                    await conn.send(b"%x\r\n%b\r\n" % (len(part), part) if chunked else part)
+                    request.sent_s = time.monotonic()
+                    await trio.sleep(pause_s)
+                if chunked:
+                    await conn.send(b"0\r\n\r\n")
+                request.sent_s = time.monotonic()
+            except ConnectionEnded:
+                pass  # The reader reports how the connection ended.
+
+        request.sent_s = time.monotonic()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send_body)
+            await client.read(conn, request, request.sent_s + request.deadline_s)
+            nursery.cancel_scope.cancel()
+    finally:
+        await conn.aclose()
+    await trio.sleep(rng.uniform(0.2, 1.5))
+
+
+@habit(clients_per_node=1)
+async def slow_reader(client: Client) -> None:
+    """Read responses in small parts with pauses."""
+    rng = client.rng
+    conn = await client.connect()
+    try:
+        for number in range(BATCHES_PER_CONNECTION):
+            request = client.make_request(ROUTES["lists"], rng.uniform(3.0, 5.0))
+            request.on_kept_connection = number > 0
+            request.sent_s = time.monotonic()
+            await conn.send(client.render(request))
+            until_s = request.sent_s + request.deadline_s
+            if not await client.read(conn, request, until_s, pause_s=rng.uniform(0.001, 0.05)):
+                return
+            await trio.sleep(rng.uniform(0.1, 1.0))
+    except ConnectionEnded as exc:
+        client._end_cut(request, exc)
+    finally:
+        await conn.aclose()
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,175 @@
+"""Run one seed: processes, targets, clients, faults and checks, and the final kill of all."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+import time
+from pathlib import Path
+
+import trio
+
+from tests.soak import checks, clients, faults
+from tests.soak.cluster import Cluster
+from tests.soak.fleet import Fleet
+from tests.soak.ledger import Ending, Ledger, Violation
+from tests.soak.operators import Operator
+from tests.soak.targets import Behaviour
+
+JUDGE_INTERVAL_S = 1.0
+# Configurations and load reports spread before the traffic starts.
+SETTLE_S = 2.0
+READ_BACK_TIMEOUT_S = 20.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Describe one seed of the soak."""
+
+    seed: int
+    seconds: float
+    nodes: int
+    faults: tuple[str, ...] = ()
+    behaviour: Behaviour = dataclasses.field(default_factory=Behaviour)
+
+
+@dataclasses.dataclass(frozen=True)
+class Result:
+    """Describe what a seed showed."""
+
+    verdict: str
+    violations: tuple[Violation, ...]
+
+
+def parse_behaviour(text: str) -> Behaviour:
+    """Return a behaviour from `name=value,...`; raises ValueError and KeyError."""
+    values: dict[str, object] = {}
+    defaults = Behaviour()
+    for pair in filter(None, text.split(",")):
+        name, _, value = pair.partition("=")
+        kind = type(getattr(defaults, name))
+        if kind is tuple:
+            first, _, last = value.partition("-")
+            number = type(getattr(defaults, name)[0])
+            values[name] = (number(first), number(last))
+        else:
+            values[name] = value == "1" if kind is bool else kind(value)
+    return dataclasses.replace(defaults, **values)  # type: ignore[arg-type]
+
+
+async def run_seed(plan: Plan, folder: Path) -> Result:
+    """Run one seed and return its verdict."""
+    ledger = Ledger(folder)
+    rng = random.Random(plan.seed)
+    cluster = Cluster(ledger, rng, plan.nodes)
+    operator = Operator(cluster, ledger, random.Random(rng.random()))
+    judge = checks.Judge(cluster, ledger, operator)
+    started_s = time.monotonic()
+    try:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(cluster, ledger, random.Random(rng.random()), plan.behaviour, nursery)
+            world = World(plan, cluster, ledger, operator, judge, fleet, rng)
+            await world.run(nursery)
+            nursery.cancel_scope.cancel()
+        await world.read_back()
+        judge.judge(float("inf"))
+    finally:
+        cluster.kill_all()
+        ledger.close()
+    return summarize(plan, ledger, time.monotonic() - started_s)
+
+
+class World:
+    """Run the parts of one seed together."""
+
+    def __init__(
+        self,
+        plan: Plan,
+        cluster: Cluster,
+        ledger: Ledger,
+        operator: Operator,
+        judge: checks.Judge,
+        fleet: Fleet,
+        rng: random.Random,
+    ) -> None:
+        self._plan = plan
+        self._cluster = cluster
+        self._ledger = ledger
+        self._operator = operator
+        self._judge = judge
+        self._fleet = fleet
+        self._rng = rng
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Start everything, and play the traffic and the faults."""
+        cluster = self._cluster
+        cluster.start(*cluster.cores, *cluster.apps)
+        nursery.start_soon(cluster.watch)
+        self._fleet.start()
+        await self._operator.configure_first()
+        await cluster.wait_ready(cluster.apps)
+        cluster.bootstrap = False
+        await trio.sleep(SETTLE_S)
+        nursery.start_soon(self._judge_regularly)
+        async with trio.open_nursery() as traffic:
+            for ip in cluster.apps:
+                self._start_clients(traffic, ip)
+            context = faults.Context(
+                cluster,
+                self._ledger,
+                self._operator,
+                self._fleet,
+                random.Random(self._rng.random()),
+            )
+            with trio.move_on_after(self._plan.seconds):
+                await faults.play(context, self._plan.faults)
+            # Running faults end, such as a suspension, before the clients do.
+            traffic.cancel_scope.cancel()
+
+    def _start_clients(self, nursery: trio.Nursery, ip: str) -> None:
+        gate = clients.Gate(self._cluster, ip)
+        nursery.start_soon(gate.run)
+        for name, (count, serve) in clients.HABITS.items():
+            for number in range(count):
+                rng = random.Random(self._rng.random())
+                label = f"{name}-{number}"
+                client = clients.Client(self._cluster, self._ledger, rng, ip, gate, label)
+                nursery.start_soon(client.run, serve)
+
+    async def _judge_regularly(self) -> None:
+        while True:
+            await trio.sleep(JUDGE_INTERVAL_S)
+            self._judge.judge_finished()
+
+    async def read_back(self) -> None:
+        """Kill all processes, start the control instances again and read the configuration."""
+        cluster = self._cluster
+        cluster.kill_all()
+        cluster.start(*cluster.cores)
+        end_s = time.monotonic() + READ_BACK_TIMEOUT_S
+        config = None
+        while config is None and time.monotonic() < end_s:
+            await trio.sleep(0.2)
+            config = await self._operator.read_back()
+        checks.check_read_back(self._operator, self._ledger, config)
+
+
+def summarize(plan: Plan, ledger: Ledger, took_s: float) -> Result:
+    """Return the verdict line of a seed."""
+    requests = [r for r in ledger.requests.values() if r.habit != "call"]
+    endings = collections.Counter(r.ending for r in requests)
+    statuses = collections.Counter(r.status for r in requests if r.ending is Ending.ANSWERED)
+    rules = collections.Counter(v.rule for v in ledger.violations)
+    broken = " ".join(f"{rule}={count}" for rule, count in sorted(rules.items())) or "held"
+    events = collections.Counter(event.kind for event in ledger.events)
+    parts = [
+        f"seed={plan.seed} nodes={plan.nodes} faults={','.join(plan.faults) or 'none'}: {broken};",
+        f"{len(requests)} requests,",
+        ", ".join(f"{ending.value} {count}" for ending, count in endings.most_common()),
+        f"({', '.join(f'{status}: {count}' for status, count in statuses.most_common())});",
+        f"runs {sum(len(r.runs) for r in requests)};",
+        " ".join(f"{kind}={count}" for kind, count in sorted(events.items())),
+        f"{took_s:.0f} s; {ledger.folder}",
+    ]
+    return Result(" ".join(parts), tuple(ledger.violations))
