Log why an attempt through another node ended, at both ends

A request that failed as peer-failed could not be traced: neither node said whether the peer was silent, had cancelled the call or whether the link broke, and nothing told that a link had closed or what it still had to write.

New events: forward_failed at the entry node, forwarded_call_ended at the target's node, and link_closed with the open streams, the queue and the age of the last frame.

No other behaviour changes.

--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from collections.abc import Iterator
-from typing import Any
 
 import trio
 
 from knapweedhitch import framing, logs
+from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.counters import Counters
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -23,7 +24,7 @@
     PeerUnreachable,
     Refusal,
 )
-from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
+from knapweedhitch.exchange import BodySource, CallSpec, ResponseSink
 from knapweedhitch.handlers import fail_frame
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import (
@@ -31,7 +32,6 @@
     OpenStream,
     StreamCancelled,
     StreamData,
-    StreamEnd,
     StreamFail,
     StreamHead,
     StreamInformational,
@@ -39,10 +39,11 @@
 )
 from knapweedhitch.model import CallResult, LoadSample
 from knapweedhitch.peers import Peers
+from knapweedhitch.remotecall import RemoteBody, RemoteSink
 from knapweedhitch.streams import PeerStream
+from knapweedhitch.timers import Timers
 from knapweedhitch.transfer import TransferSink
 
-MAX_INFORMATIONAL = 8
 # A live node answers a ping within one heartbeat interval without traffic. The link closes only
 # after three intervals, which is longer than the deadline of many lookups.
 SILENT_AFTER_HEARTBEATS = 1.5
@@ -71,6 +72,7 @@
         self._kernel = kernel
         self._peers: Peers = kernel.get("peers")
         self._counters: Counters = kernel.get("counters")
+        self._log = BoundedLog(kernel.cfg.log, self._counters, Timers.now_ms)
 
     async def start(self) -> None:
         """Register the handler for streams from other nodes."""
@@ -86,23 +88,42 @@
     ) -> CallResult:
         """Run the call on the node; raises Refusal with the outcome confirmed by the node."""
         stream: PeerStream | None = None
+        received = _Received(sink)
         try:
             with trio.move_on_at(spec.deadline.at_s) as scope:
                 stream = await self._open_stream(node_id, spec)
-                sink = TransferSink(sink, scope, self._kernel.cfg.routing)
-                return await self._exchange(stream, spec, body, sink)
+                received.sink = TransferSink(sink, scope, self._kernel.cfg.routing)
+                return await self._exchange(stream, spec, body, received)
             if stream is None:
                 raise DeadlineExceeded(Outcome.NOT_RUN, f"no link to node={node_id} in time")
             outcome = await stream.cancel()
             self._counters.add("forward_deadlines", outcome.value)
             raise DeadlineExceeded(outcome, f"at node={node_id}")
         except (PeerDisconnected, PeerProtocolError) as exc:
-            raise PeerFailed(Outcome.UNKNOWN, str(exc)) from None
+            failure = PeerFailed(Outcome.UNKNOWN, str(exc))
+            self._log_failure(node_id, spec, failure, received)
+            raise failure from None
+        except PeerFailed as exc:
+            self._log_failure(node_id, spec, exc, received)
+            raise
         finally:
             # A cancelled call, a sink failure or an invalid response leaves the stream open.
             if stream is not None and not stream.finished:
                 self._counters.add("forward_cancels", (await stream.cancel()).value)
 
+    def _log_failure(
+        self, node_id: str, spec: CallSpec, failure: PeerFailed, received: _Received
+    ) -> None:
+        self._log.event(
+            "forward_failed",
+            id=spec.request_id,
+            peer=node_id,
+            outcome=failure.outcome.value,
+            head=int(received.has_head),
+            bytes=received.body_bytes,
+            detail=failure.detail,
+        )
+
     async def _open_stream(self, node_id: str, spec: CallSpec) -> PeerStream:
         opening = OpenStream(
             0,
@@ -131,17 +152,17 @@
             raise PeerFailed(Outcome.NOT_RUN, str(exc)) from None
 
     async def _exchange(
-        self, stream: PeerStream, spec: CallSpec, body: BodySource, sink: ResponseSink
+        self, stream: PeerStream, spec: CallSpec, body: BodySource, received: _Received
     ) -> CallResult:
         if not spec.has_body:
-            return await self._receive_response(stream, spec, sink)
+            return await self._receive_response(stream, spec, received)
         body_sender = _BodySender(stream, body)
         result: CallResult | None = None
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(body_sender.run, nursery.cancel_scope)
             try:
-                result = await self._receive_response(stream, spec, sink)
+                result = await self._receive_response(stream, spec, received)
             except Exception as exc:
                 # The nursery would wrap an exception in a group.
                 failure = exc
@@ -160,30 +181,33 @@
         return failure
 
     async def _receive_response(
-        self, stream: PeerStream, spec: CallSpec, sink: ResponseSink
+        self, stream: PeerStream, spec: CallSpec, received: _Received
     ) -> CallResult:
-        has_head = False
+        sink = received.sink
         msg = await self._receive_first_frame(stream, spec)
         while True:
             if isinstance(msg, StreamData):
+                received.body_bytes += len(msg.data)
                 await sink.data(msg.data)
             elif isinstance(msg, StreamHead):
-                has_head = True
+                received.has_head = True
                 self._record_load(spec, msg.load)
                 await sink.head(msg.status, msg.headers, msg.load)
             elif isinstance(msg, StreamInformational):
                 await sink.informational(msg.status, msg.headers)
             elif isinstance(msg, StreamResult):
                 self._record_load(spec, msg.load)
-                if not has_head:
+                if not received.has_head:
                     raise PeerProtocolError("an answer without a head")
                 await sink.end()
                 return CallResult(msg.ok, msg.service_ms, msg.status, shed=msg.shed)
             elif isinstance(msg, StreamFail):
                 self._record_load(spec, msg.load)
-                raise refusal_of(msg, Outcome.UNKNOWN if has_head else msg.outcome)
+                raise refusal_of(msg, Outcome.UNKNOWN if received.has_head else msg.outcome)
             elif isinstance(msg, StreamCancelled):
-                raise PeerFailed(Outcome.UNKNOWN if has_head else msg.outcome, "cancelled there")
+                raise PeerFailed(
+                    Outcome.UNKNOWN if received.has_head else msg.outcome, "cancelled there"
+                )
             msg = await stream.receive()
 
     async def _receive_first_frame(self, stream: PeerStream, spec: CallSpec) -> Message:
@@ -252,16 +276,31 @@
                 )
             except Refusal as exc:
                 failure = exc
-            except CallerGone:
+            except CallerGone as exc:
                 # The link was lost, so the entry node has already responded to its caller.
+                self._log_end(node_id, spec, sink, str(exc))
                 return
             except Exception as exc:
                 logs.warning("forwarded_call_failed", error=f"{type(exc).__name__}: {exc}")
                 failure = InternalError(Outcome.UNKNOWN, type(exc).__name__)
         load = self._current_load()
+        if stream.end_reason:
+            self._log_end(node_id, spec, sink, stream.end_reason)
         self._finish(stream, sink, result, failure, load)
         self._record_interest(node_id, load)
 
+    def _log_end(self, node_id: str, spec: CallSpec, sink: RemoteSink, why: str) -> None:
+        """Log a forwarded call whose entry node does not wait for its result."""
+        self._log.event(
+            "forwarded_call_ended",
+            id=spec.request_id,
+            peer=node_id,
+            dispatched=int(sink.was_dispatched),
+            head=int(sink.has_head),
+            bytes=sink.body_bytes,
+            detail=why,
+        )
+
     def _record_interest(self, node_id: str, load: LoadSample | None) -> None:
         if self._kernel.has("loadreports"):
             self._kernel.get("loadreports").record_interest(node_id, load)
@@ -307,6 +346,15 @@
     return min(max(0.0, deadline_ms), 86_400_000.0) if math.isfinite(deadline_ms) else 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Received:
+    """Track how much of a response has come from the node of its target."""
+
+    sink: ResponseSink
+    has_head: bool = False
+    body_bytes: int = 0
+
+
 class _BodySender:
     """Send a request body to the stream."""
 
@@ -328,75 +376,3 @@
         except Exception as exc:
             self.failure = exc
             scope.cancel()
-
-
-class RemoteBody:
-    """Read the request body that the entry node sends."""
-
-    def __init__(self, stream: PeerStream) -> None:
-        self._stream = stream
-
-    async def receive(self) -> bytes | None:
-        """Return the next part, None at the end; raises CallerGone if the stream was lost."""
-        if self._stream.body_ended and not self._stream.has_unread:
-            return None
-        try:
-            msg = await self._stream.receive()
-        except PeerDisconnected as exc:
-            raise CallerGone(str(exc)) from None
-        if isinstance(msg, StreamEnd):
-            return None
-        assert isinstance(msg, StreamData)
-        return msg.data
-
-
-class RemoteSink:
-    """Send the response to the entry node.
-
-    `mark_dispatched` is called right before the first byte is sent to the upstream; a call that is
-    cancelled before that is confirmed as not run.
-    """
-
-    def __init__(self, stream: PeerStream, load: Any) -> None:
-        self._stream = stream
-        self._load = load
-        self._informational = 0
-        self.has_head = False
-        self.was_dispatched = False
-
-    def mark_dispatched(self) -> None:
-        """Record that the call is about to be sent to the upstream."""
-        self.was_dispatched = True
-
-    def cancel_outcome(self) -> Outcome:
-        """Return the outcome of a cancelled call after the gate has returned."""
-        return Outcome.UNKNOWN if self.was_dispatched else Outcome.NOT_RUN
-
-    async def informational(self, status: int, headers: Headers) -> None:
-        """Forward a 1xx response, up to MAX_INFORMATIONAL for each call."""
-        self.was_dispatched = True
-        self._informational += 1
-        if self._informational <= MAX_INFORMATIONAL:
-            self._put(StreamInformational(self._stream.stream_id, status, headers))
-
-    async def head(self, status: int, headers: Headers, load: LoadSample | None) -> None:
-        """Send status and headers with a load sample."""
-        self.was_dispatched = self.has_head = True
-        sample = load if load is not None else self._load()
-        self._put(StreamHead(self._stream.stream_id, status, headers, sample))
-
-    async def data(self, data: bytes) -> None:
-        """Send a part of the body as the window allows; raises CallerGone."""
-        try:
-            await self._stream.send_data(data)
-        except PeerDisconnected as exc:
-            raise CallerGone(str(exc)) from None
-
-    async def end(self) -> None:
-        """Do nothing; the StreamResult frame that follows ends the response."""
-
-    def _put(self, msg: Any) -> None:
-        try:
-            self._stream.put(msg)
-        except PeerDisconnected as exc:
-            raise CallerGone(str(exc)) from None
--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -138,6 +138,16 @@
         )
         return not is_busy
 
+    def describe_backlog(self) -> dict[str, int]:
+        """Return the open streams and calls and what waits to be written, for a log line."""
+        return {
+            "streams": len(self._streams),
+            "calls": len(self._calls) + self._calls_in_progress,
+            "queued_frames": len(self._queue),
+            "queued_bytes": self._queued_bytes,
+            "writing": int(self._writing),
+        }
+
     async def wait_batch_written(self) -> None:
         """Wait until the next batch has been written or the link is closed."""
         await self._batch_written.wait()
--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -8,6 +8,7 @@
 import trio
 
 from knapweedhitch import handshake, logs
+from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.codec import Message
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import (
@@ -75,6 +76,7 @@
         self._peers: dict[str, _Peer] = {}
         self._links: set[Link] = set()
         self._handlers = Handlers(kernel)
+        self._log = BoundedLog(kernel.cfg.log, self._counters, Timers.now_ms)
         self.address = Address(kernel.cfg.listen.peers.host, kernel.cfg.listen.peers.port)
 
     @property
@@ -341,6 +343,15 @@
 
     def on_link_change(self, link: Link) -> None:
         """Prefer another usable link of the peer after its preferred link became unusable."""
+        if link.disconnect_error is not None:
+            self._log.event(
+                "link_closed",
+                peer=link.peer_id,
+                detail=link.disconnect_error,
+                dialled=int(link.dialled),
+                **link.describe_backlog(),
+                silent_ms=round(link.silent_ms),
+            )
         peer = self._peers.get(link.peer_id)
         if peer is not None and peer.preferred is link and not link.is_usable:
             peer.preferred = next((other for other in peer.links if other.is_usable), None)
--- a/knapweedhitch/streams.py
+++ b/knapweedhitch/streams.py
@@ -93,6 +93,13 @@
         """Return the time since the last frame arrived on the link."""
         return self._link.silent_ms
 
+    @property
+    def end_reason(self) -> str:
+        """Return why the stream ended or must end before its result, or an empty string."""
+        if self._lost is not None:
+            return str(self._lost)
+        return "cancelled by the other node" if self.stop_requested else ""
+
     @property
     def has_unread(self) -> bool:
         """Return whether a delivered frame has not been received yet."""
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -8,6 +8,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import logbook
 import trio
 
 from knapweedhitch.deadline import Deadline
@@ -26,6 +27,7 @@
 from knapweedhitch.handlers import fail_frame
 from knapweedhitch.messages import OpenStream, StreamHead
 from knapweedhitch.model import CallResult, LoadSample, Warmth
+from knapweedhitch.settings import LogSettings
 from knapweedhitch.streams import PeerStream
 from tests.fake_net import MemoryNet, Node, running_nodes
 from tests.test_peers import link_of, run_on_mock_clock
@@ -411,6 +413,44 @@
             self.assertEqual(b.counters.get("forward_cancelled", "not-run"), 1)
             self.assertEqual(len(link_of(a, "n1")._streams), 0)
 
+    @run_on_mock_clock
+    async def test_lost_link_is_logged_at_both_ends(self) -> None:
+        """Guards against an attempt that ends as peer-failed while no log line tells why, or which
+        requests a closed link cut.
+        """
+
+        async def respond_in_part(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            await sink.head(200, (), None)
+            await sink.data(b"x" * 100)
+            await trio.sleep_forever()
+            raise AssertionError
+
+        async with running_nodes(2, prepare=install(respond_in_part)) as (a, b):
+            with logbook.TestHandler().applicationbound() as handler:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(execute, a, make_spec())
+                    await trio.sleep(0.1)
+                    link_of(b, "n0").close("test")
+            lines = [record.message for record in handler.records]
+        for start in (
+            'event=link_closed peer=n0 detail="peer=n0 test" dialled=0 streams=1',
+            'event=forward_failed id=r peer=n1 outcome=unknown head=1 bytes=100 detail="peer=n1 ',
+            "event=forwarded_call_ended id=r peer=n0 dispatched=1 head=1 bytes=100 detail=",
+        ):
+            self.assertEqual([line.startswith(start) for line in lines].count(True), 1, lines)
+
+    @run_on_mock_clock
+    async def test_event_lines_are_bounded(self) -> None:
+        """Guards against a failing peer that floods the log, and lines dropped without a count."""
+        log = LogSettings(max_lines_per_s=2)
+        async with running_nodes(1, prepare=install(respond), log=log) as (a,):
+            with logbook.TestHandler().applicationbound() as handler:
+                for _ in range(5):
+                    self.assert_refused(await execute(a, make_spec()), PeerFailed, Outcome.NOT_RUN)
+            self.assertEqual(len(handler.records), 2)
+            self.assertEqual(a.counters.get("log_lines_dropped"), 3)
+
     @run_on_mock_clock
     async def test_failed_request_body_takes_the_outcome_of_the_target(self) -> None:
         """Guards against a truncated request body that reaches the upstream as a complete one."""
