Close a retired link only when the peer has its frames

Callers got a response that broke off, or a 502 peer-failed of a call that ran, when the link under it was replaced or retired: the link closed as soon as its last frame was written. The close resets the connection if the peer has sent anything that was not read (a credit, a ping), and what still waits in the socket buffer is lost; on a link of 3 Mbit/s that is much of a response.

A side now closes when the peer has answered a ping that was sent after the last frame. Frames arrive in order, so the answer covers everything before it. A retired link keeps the heartbeat of one in use, so that a silent peer is noticed.

--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -12,6 +12,7 @@
 from knapweedhitch import codec
 from knapweedhitch.codec import Message
 from knapweedhitch.counters import Counters
+from knapweedhitch.delivery import DeliveryTracker
 from knapweedhitch.exceptions import (
     CodecError,
     PeerBusy,
@@ -39,6 +40,7 @@
 from knapweedhitch.transit import TransitTime
 from knapweedhitch.transport import Wire
 
+HEARTBEAT_MESSAGES = (Ping, Pong)
 HANDSHAKE_MESSAGES = (Hello, Proof, Rejected)
 BUSY_ERROR = "busy"
 # Bodies wait while more than this is queued, so that they do not delay short messages.
@@ -96,6 +98,7 @@
         self._was_resting = False
         self._last_ping_ms = 0.0
         self._transit = TransitTime()
+        self._delivery = DeliveryTracker()
         self.disconnect_error: PeerDisconnected | None = None
         self.retired = False
         self.has_carried_streams = False
@@ -166,6 +169,7 @@
             raise PeerQueueFull(f"peer={self.peer_id} queued={len(self._queue)}")
         if len(data) > self.cfg.max_message_bytes:
             raise PeerQueueFull(f"peer={self.peer_id} a message of {len(data)} bytes is too large")
+        self._delivery.record_queued()
         self._enqueue(data, "payload" if isinstance(msg, OpenStream) else "control")
 
     def put_frame(self, msg: Message, kind: str = "payload") -> None:
@@ -175,6 +179,8 @@
         if len(self._queue) >= self.cfg.max_queued_messages + 4 * self.cfg.max_streams:
             self.close(f"{len(self._queue)} frames are queued")
             return
+        if not isinstance(msg, HEARTBEAT_MESSAGES):
+            self._delivery.record_queued()
         self._enqueue(codec.encode(msg), kind)
 
     def _enqueue(self, data: bytes, kind: str) -> None:
@@ -228,7 +234,10 @@
     # Ending
 
     def retire(self) -> None:
-        """Accept no new work; the link closes when both sides have retired it and it is idle."""
+        """Accept no new work; the link closes when both sides have retired it and it is idle.
+
+        Both sides have then received everything that was sent on it.
+        """
         if not self.retired and self.disconnect_error is None:
             self.retired = True
             self.put_frame(Retire(), "control")
@@ -236,8 +245,15 @@
             self._close_if_retired()
 
     def _close_if_retired(self) -> None:
-        if self.retired and self._peer_retired and self.is_idle:
+        if not (self.retired and self._peer_retired and self.is_idle):
+            return
+        # What was written may still wait in a socket buffer, and a close may discard it there.
+        if self._delivery.is_confirmed:
             self.close("both sides have retired the link")
+        elif not self._delivery.is_waiting:
+            sequence = next(self._sequence)
+            self._delivery.record_ping(sequence)
+            self.put_frame(Ping(sequence), "control")
 
     def close(self, reason: str) -> None:
         """Close the link at once; its open calls and streams fail with PeerDisconnected."""
@@ -267,7 +283,8 @@
         now = Timers.now_ms()
         # A heartbeat costs 150 bytes with headers; at the full rate 50 unused links would use
         # 8 KB/s of a budget of 3 KB/s.
-        resting = self.is_idle and now - self.last_used_ms >= self.cfg.rest_after_ms
+        is_unused = self.is_idle and not self.retired
+        resting = is_unused and now - self.last_used_ms >= self.cfg.rest_after_ms
         interval_ms = rest_heartbeat_ms if resting else self.cfg.heartbeat_interval_ms
         if not resting and self._was_resting:
             # Silence while the link rested does not count as missed heartbeats; a ping is due now.
@@ -373,7 +390,10 @@
             self._close_if_retired()
         elif isinstance(msg, HANDSHAKE_MESSAGES):
             raise PeerProtocolError(f"{type(msg).__name__} after the handshake")
-        elif not isinstance(msg, Pong):
+        elif isinstance(msg, Pong):
+            self._delivery.record_pong(msg.sequence)
+            self._close_if_retired()
+        else:
             self._owner.on_message(self, msg, 0)
 
     def _on_call(self, msg: CallMessage) -> None:
