End a planned stop when peers have got their responses

A planned stop ended when no call was in progress at the router and the gate. A gate's call ends when its response is queued on the link, not when the node that asked has it; the links then closed at once, with their queues and what the socket buffers held. On a link of 3 Mbit/s the rest of a response takes a while. The entry node had begun to pass on a response over 64 KiB and could only reset its caller; for a shorter one it answered 502 peer-failed.

The stop now retires every link after the last request, refuses new ones and ends when the peers have received what was sent: at the latest at the end of the stop, and 100 ms after it if requests had to be ended. A peer that dials meanwhile gets no link, so its call is not-run and can go elsewhere. A silent peer is given up after missed heartbeats. A control instance dropped its queued replies in the same way and now finishes them within 500 ms.

--- a/knapweedhitch/drain.py
+++ b/knapweedhitch/drain.py
@@ -1,4 +1,4 @@
-"""The planned stop: announce it, finish the requests in progress, then close."""
+"""The planned stop: announce it, finish what others wait for, then close."""
 
 from __future__ import annotations
 
@@ -18,6 +18,11 @@
 END_MARGIN_MS = 50.0
 # How long the requests that are ended by the stop may take to get their response.
 END_TIMEOUT_MS = 100.0
+# Peers get the rest of their responses and replies within this time. A peer with a handler that
+# takes longer must not hold up the stop.
+LINKS_TIMEOUT_MS = 10_000.0
+# A control instance is still counted as a voter while it stops.
+CONTROL_LINKS_TIMEOUT_MS = 500.0
 MAX_LOGGED_IDS = 20
 
 
@@ -38,6 +43,7 @@
         """Look up the services that take part in a stop."""
         get = self._kernel.get
         self._membership = get("membership")
+        self._peers = get("peers")
         self._counters = get("counters")
         # A control instance that serves no calls has no services of the request path.
         self._serves_calls = self._kernel.has("ingress")
@@ -59,7 +65,7 @@
             trio.current_time() + (self._cfg.announce_ms + self._cfg.drain_timeout_ms) / MS_PER_S
         )
         if not self._serves_calls:
-            self.finished.set()
+            self._kernel.nursery.start_soon(self._stop_control)
         else:
             self._kernel.nursery.start_soon(self._run_planned_stop)
 
@@ -67,6 +73,11 @@
         """Stop at once and log the requests that are cut."""
         if self._serves_calls and not self.finished.is_set():
             self._stop_hard("second-signal")
+        self.finished.set()
+
+    async def _stop_control(self) -> None:
+        await self._peers.finish(CONTROL_LINKS_TIMEOUT_MS)
+        self.finished.set()
 
     async def _run_planned_stop(self) -> None:
         self._membership.set_draining(True)
@@ -77,12 +88,15 @@
         while self._in_progress() and not self.finished.is_set():
             if trio.current_time() >= self._ends_at_s:
                 await self._end_requests()
+                await self._peers.finish(END_TIMEOUT_MS)
                 self._stop_hard("drain-timeout")
                 return
             await trio.sleep(POLL_INTERVAL_MS / MS_PER_S)
         if not self.finished.is_set():
             self._ingress.close()
             await self._wait_for_connections(CLOSE_TIMEOUT_MS)
+            remaining_ms = (self._ends_at_s - trio.current_time()) * MS_PER_S
+            await self._peers.finish(min(max(remaining_ms, END_TIMEOUT_MS), LINKS_TIMEOUT_MS))
             logs.event("stop-finished", cut=0)
             self.finished.set()
 
--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -75,6 +75,8 @@
         self._identity: handshake.Identity | None = None
         self._peers: dict[str, _Peer] = {}
         self._links: set[Link] = set()
+        self._link_ended = trio.Event()
+        self._is_finishing = False
         self._handlers = Handlers(kernel)
         self._log = BoundedLog(kernel.cfg.log, self._counters, Timers.now_ms)
         self.address = Address(kernel.cfg.listen.peers.host, kernel.cfg.listen.peers.port)
@@ -113,6 +115,15 @@
             for link in list(peer.links):
                 link.close("the node stops")
 
+    async def finish(self, timeout_ms: float) -> None:
+        """Open no more links and wait until the peers have received what was sent to them."""
+        self._is_finishing = True
+        for link in list(self._links):
+            link.retire()
+        with trio.move_on_after(timeout_ms / MS_PER_S):
+            while self._links:
+                await self._link_ended.wait()
+
     def _check_heartbeats(self) -> None:
         rest_heartbeat_ms = compute_rest_heartbeat_ms(self._cfg, len(self._links))
         for link in list(self._links):
@@ -244,6 +255,8 @@
             self._remove_if_unused(peer)
 
     async def _dial_and_run(self, peer: _Peer, dial: _Dial) -> None:
+        if self._is_finishing:
+            raise PeerUnreachable("this node stops")
         address = self._address_of(peer.node_id)
         if address is None:
             raise PeerUnreachable("no address is known")
@@ -290,6 +303,9 @@
 
     async def _accept(self, wire: Wire) -> None:
         assert self._identity is not None
+        if self._is_finishing:
+            self._counters.add("peer_rejected", "stopping")
+            return
         try:
             with trio.move_on_after(self._cfg.handshake_timeout_ms / 1_000) as scope:
                 node_id = await handshake.accept(wire, self._identity)
@@ -319,10 +335,14 @@
         for msg in peer.pending_sends:
             link.put_frame(msg, "control")
         peer.pending_sends.clear()
+        if self._is_finishing:
+            link.retire()
         try:
             await link.run()
         finally:
             self._links.discard(link)
+            self._link_ended.set()
+            self._link_ended = trio.Event()
             peer.links.remove(link)
             self._remove_if_unused(peer)
 
--- a/tests/request_world.py
+++ b/tests/request_world.py
@@ -138,6 +138,16 @@
         self.draining = draining
 
 
+class FakePeers(FakeService):
+    """Provide no links."""
+
+    def handle(self, msg_type: type, fn: Callable[..., Any]) -> None:
+        """Ignore the handler, as no message arrives."""
+
+    async def finish(self, timeout_ms: float) -> None:
+        """Return at once."""
+
+
 class FakePicker(FakeService):
     """Pick the first target that is not excluded."""
 
@@ -267,6 +277,7 @@
         self.kernel = Kernel(cfg)
         self.config = FakeConfig(svc)
         self.membership = FakeMembership()
+        self.peers = FakePeers()
         self.picker = FakePicker()
         self.retry = FakeRetry()
         self.admission = FakeAdmission()
@@ -279,7 +290,16 @@
 
     def build(self) -> None:
         self.kernel.build(["timers", "counters"])
-        names = ("config", "membership", "picker", "retry", "admission", "claims", "forward")
+        names = (
+            "config",
+            "membership",
+            "peers",
+            "picker",
+            "retry",
+            "admission",
+            "claims",
+            "forward",
+        )
         for name in (*names, "pool"):
             self.kernel.add(name, getattr(self, name))
         self.kernel.build(SERVICES)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 import unittest
+from collections.abc import AsyncIterator
 from typing import Any
 
 import trio
@@ -12,12 +15,15 @@
 from knapweedhitch.drain import Drain
 from knapweedhitch.exchange import BodySource, CallSpec
 from knapweedhitch.forward import Forward
-from knapweedhitch.model import CallResult
-from knapweedhitch.settings import StopSettings
-from tests.fake_net import MemoryNet, Node, running_nodes
+from knapweedhitch.messages import Ack, FeedPoll
+from knapweedhitch.model import Address, CallResult
+from knapweedhitch.peers import Peers
+from knapweedhitch.settings import ListenSettings, StopSettings
+from knapweedhitch.transport import NetTransport
+from tests.fake_net import SECRET, MemoryNet, Node, StaticMembership, listen, running_nodes
 from tests.request_world import FakeService
-from tests.test_forward import RESULT, FakeServices, dispatch, execute, make_spec
-from tests.test_peers import link_of, run_on_mock_clock
+from tests.test_forward import RESULT, FakeServices, Sink, dispatch, execute, make_spec
+from tests.test_peers import POLL, link_of, run_on_mock_clock
 
 BODY_BYTES = 200_000
 STOP = StopSettings(announce_ms=100, drain_timeout_ms=3_000)
@@ -80,6 +86,41 @@
 
 
 class PlannedStopTest(unittest.TestCase):
+    @run_on_mock_clock
+    async def test_response_on_a_slow_link_survives_the_stop_of_its_node(self) -> None:
+        """Guards against a planned stop that ends once its calls have ended, while their responses
+        are still on the way to the nodes that asked.
+        """
+        net = MemoryNet()
+        async with running_nodes(2, net, prepare, stop=STOP) as (a, b):
+            self.assertEqual(await execute(a, make_spec()), RESULT)
+            link_of(b, "n0")._wire.delay_s = 0.6
+            sink = Sink()
+            results: list[Any] = []
+
+            async def call() -> None:
+                results.append(await execute(a, make_spec(deadline_ms=4_000), sink=sink))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await trio.sleep(0.01)
+                await stop(b, net)
+            self.assertEqual((results, len(sink.body)), ([RESULT], BODY_BYTES))
+
+    @run_on_mock_clock
+    async def test_silent_peer_does_not_hold_up_a_stop(self) -> None:
+        """Guards against a stop that waits for a peer that is gone until its grace period ends."""
+        net = MemoryNet()
+        long_stop = StopSettings(announce_ms=100, drain_timeout_ms=60_000)
+        async with running_nodes(2, net, prepare, stop=long_stop) as (a, b):
+            self.assertEqual(await execute(a, make_spec()), RESULT)
+            await trio.sleep(20)
+            for wire in net.wires:
+                wire.silent = True
+            started_s = trio.current_time()
+            await stop(b, net)
+            self.assertLess(trio.current_time() - started_s, 3.2)
+
     @run_on_mock_clock
     async def test_retired_link_delivers_what_it_has_written(self) -> None:
         """Guards against a replaced link that closes once its response is written and so cuts it
@@ -101,6 +142,45 @@
             await trio.sleep(2)
             self.assertEqual((len(a.peers._links), len(b.peers._links)), (0, 0))
 
+    @run_on_mock_clock
+    async def test_control_instance_replies_before_it_stops(self) -> None:
+        """Guards against a control instance whose stop drops the replies that it has queued."""
+
+        async def reply(node_id: str, msg: FeedPoll) -> Ack:
+            await trio.sleep(0.05)
+            return Ack()
+
+        def prepare_control(node: Node) -> None:
+            node.add("drain", Drain(node.kernel))
+
+        net = MemoryNet()
+        async with running_nodes(2, net, prepare_control, stop=STOP) as (a, b):
+            b.peers.handle(FeedPoll, reply)
+            await a.peers.call("n1", POLL, 1_000)
+            link_of(b, "n0")._wire.delay_s = 0.1
+            replies: list[Any] = []
+
+            async def call() -> None:
+                replies.append(await a.peers.call("n1", POLL, 1_000))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(call)
+                await trio.sleep(0.01)
+                await stop(b, net)
+            self.assertEqual(replies, [Ack()])
+
+
+async def relay_slowly(source: trio.SocketStream, sink: trio.SocketStream) -> None:
+    """Pass bytes on at the rate of a slow link, and its end."""
+    try:
+        while data := await source.receive_some(RELAY_BYTES):
+            await trio.sleep(RELAY_INTERVAL_S)
+            await sink.send_all(data)
+        await sink.send_eof()
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        await trio.aclose_forcefully(source)
+        await trio.aclose_forcefully(sink)
+
 
 class DeliveryTest(unittest.TestCase):
     def test_answer_confirms_only_earlier_frames(self) -> None:
@@ -116,3 +196,54 @@
         delivery.record_ping(8)
         delivery.record_pong(8)
         self.assertTrue(delivery.is_confirmed)
+
+
+class RealStopTest(unittest.TestCase):
+    def test_response_on_a_slow_connection_survives_the_stop_of_its_node(self) -> None:
+        """Guards against a stop that resets a connection with a response in its send buffer."""
+
+        async def main() -> None:
+            async with slow_real_nodes() as (a, b):
+                sink = Sink()
+                results: list[Any] = []
+
+                async def call() -> None:
+                    results.append(await execute(a, make_spec(deadline_ms=6_000), sink=sink))
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(call)
+                    await trio.sleep(0.3)
+                    await stop(b, MemoryNet())
+                self.assertEqual((results, len(sink.body)), ([RESULT], BODY_BYTES))
+
+        trio.run(main)
+
+
+@contextlib.asynccontextmanager
+async def slow_real_nodes() -> AsyncIterator[list[Node]]:
+    """Run two nodes on real sockets; the link from n0 to n1 passes through a slow relay."""
+    nodes = []
+    fake_membership = StaticMembership(0)
+    async with trio.open_nursery() as nursery:
+        for i in range(2):
+            node = Node(MemoryNet(), i, listen=ListenSettings(peers=listen(0)), stop=STOP)
+            node.peers = Peers(node.kernel, NetTransport(node.kernel.cfg.peers), SECRET)
+            node.kernel._services["peers"] = node.peers
+            node.add("membership", fake_membership)
+            prepare(node)
+            await nursery.start(node.run)
+            nodes.append(node)
+        server = nodes[1].peers.address
+
+        async def relay(near: trio.SocketStream) -> None:
+            far = await trio.open_tcp_stream(server.host, server.port)
+            far.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * RELAY_BYTES)
+            async with trio.open_nursery() as inner:
+                inner.start_soon(relay_slowly, near, far)
+                inner.start_soon(relay_slowly, far, near)
+
+        listeners = await nursery.start(trio.serve_tcp, relay, 0)
+        port = listeners[0].socket.getsockname()[1]
+        fake_membership.addresses["n1"] = Address("127.0.0.1", port)
+        yield nodes
+        nursery.cancel_scope.cancel()
