Don't take the rest of a link for silence of its peer

Safe requests got 502 peer-failed with an unknown outcome, or used up a retry, 80 ms or less after they were sent to a sound node, mostly while nodes stopped or processes were busy. A call that another attempt may replace is given up when its node has been silent for 1.5 heartbeats. The silence was counted from the last frame, also while the link rested: on the platform a link without calls for 500 ms has a heartbeat of 250 ms up to 10 links, 300 ms with 12 and 2 s from 80 on. The first call after that found more than 375 ms of silence and failed in the moment in which it was sent. A rolling stop moves calls to links that have rested.

Silence now counts from the end of the rest, which is when the call is sent; a ping follows within a quarter of a heartbeat.

--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -215,6 +215,7 @@
         if len(self._streams) >= self.cfg.max_streams:
             raise PeerQueueFull(f"peer={self.peer_id} streams={len(self._streams)}")
         now = self.last_used_ms = Timers.now_ms()
+        self._end_rest(now)
         if self._transit.is_clock_due(now):
             self.put_frame(Clock(now))
         self.has_carried_streams = True
@@ -270,8 +271,8 @@
 
     @property
     def silent_ms(self) -> float:
-        """Return the time since the last frame arrived."""
-        return Timers.now_ms() - self.last_received_ms
+        """Return for how long the peer has sent nothing although frames were due."""
+        return Timers.now_ms() - max(self.last_received_ms, self._active_since_ms)
 
     def check_heartbeat(self, rest_heartbeat_ms: float) -> None:
         """Ping a quiet peer, close a silent link and retire an unused one.
@@ -286,12 +287,10 @@
         is_unused = self.is_idle and not self.retired
         resting = is_unused and now - self.last_used_ms >= self.cfg.rest_after_ms
         interval_ms = rest_heartbeat_ms if resting else self.cfg.heartbeat_interval_ms
-        if not resting and self._was_resting:
-            # Silence while the link rested does not count as missed heartbeats; a ping is due now.
-            self._active_since_ms = now
+        if not resting:
+            self._end_rest(now)
         self._was_resting = resting
-        silent_ms = now - max(self.last_received_ms, self._active_since_ms)
-        if silent_ms >= (self.cfg.missed_heartbeats - SILENCE_MARGIN_HEARTBEATS) * interval_ms:
+        if self.silent_ms >= (self.cfg.missed_heartbeats - SILENCE_MARGIN_HEARTBEATS) * interval_ms:
             self._counters.add("peer_link_closed", "silent")
             self.close("missed heartbeats")
             return
@@ -303,6 +302,12 @@
         if now - self.last_used_ms >= self.cfg.idle_close_ms and self.is_idle:
             self.retire()
 
+    def _end_rest(self, now: float) -> None:
+        """Start to count silence anew; while the link rested, few frames were due."""
+        if self._was_resting:
+            self._was_resting = False
+            self._active_since_ms = now
+
     # Running
 
     async def run(self) -> None:
--- a/knapweedhitch/streams.py
+++ b/knapweedhitch/streams.py
@@ -90,7 +90,7 @@
 
     @property
     def silent_ms(self) -> float:
-        """Return the time since the last frame arrived on the link."""
+        """Return for how long the peer has sent nothing on the link although frames were due."""
         return self._link.silent_ms
 
     @property
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -362,6 +362,22 @@
                     else:
                         self.assertEqual(result, RESULT)
 
+    @run_on_mock_clock
+    async def test_call_on_a_link_that_rested_is_not_given_up(self) -> None:
+        """Guards against a call that fails as peer-failed the moment it is sent, since its link was
+        unused for a while and so had a slower heartbeat.
+        """
+
+        async def run_slowly(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await trio.sleep(1.0)
+            return await respond(call, body, sink)
+
+        async with running_nodes(2, prepare=install(run_slowly)) as (a, _):
+            for rest_s in (5.0, 12.0, 17.0, 24.0, 40.0):
+                await trio.sleep(rest_s)
+                spec = dataclasses.replace(make_spec(deadline_ms=5_000), idempotent=True)
+                self.assertEqual(await execute(a, spec), RESULT)
+
     @run_on_mock_clock
     async def test_cancel_concurrent_with_the_dispatch(self) -> None:
         """Guards against not-run for a call that is dispatched at the moment of its cancel."""
