Count the wait of a pipelined request against its deadline

A request that its caller had sent ahead got its whole deadline anew when it was parsed, after the one before it had ended. Upstreams worked for callers that had given up, and were told more time than was left.

The time of a request begins when the last bytes before it was parsed arrived. test_time_in_the_buffer_counts_against_the_deadline failed before: 200 after 1 s for a deadline of 500 ms, now 503 not-run, and no upstream is asked.

--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -117,6 +117,7 @@
         self._counters = counters
         self._log = log
         self._buffer = b""
+        self._received_s = trio.current_time()
         self._pending: list[PipelinedRequest] = []
         self._request_ended = trio.Event()
         # Cancelled when no further request is taken.
@@ -136,7 +137,7 @@
             data, self._buffer = self._buffer, b""
             return data
         try:
-            data = await receive_when_ready(self.stream, READ_BYTES)
+            data = await self._receive()
         except trio.BrokenResourceError:
             self.gone.set()
             raise
@@ -144,6 +145,11 @@
             self.gone.set()
         return data
 
+    async def _receive(self) -> bytes:
+        data = await receive_when_ready(self.stream, READ_BYTES)
+        self._received_s = trio.current_time()
+        return data
+
     def requests_after(self, req: PipelinedRequest) -> list[PipelinedRequest]:
         """Return the later requests that wait for their responses."""
         later = self._pending[self._pending.index(req) + 1 :]
@@ -202,6 +208,8 @@
             # The caller sent it before it read that the connection closes, and sends it again.
             return None
         req.has_head = head is not None
+        # The head may have waited in memory for earlier requests; its deadline counts meanwhile.
+        req.conn.received_s = self._received_s
         return head
 
     async def _buffer_until_due(self, req: PipelinedRequest) -> None:
@@ -213,7 +221,7 @@
         async def read_into_buffer() -> None:
             while len(self._buffer) < MAX_PIPELINED_BYTES:
                 try:
-                    data = await receive_when_ready(self.stream, READ_BYTES)
+                    data = await self._receive()
                 except (trio.BrokenResourceError, trio.ClosedResourceError):
                     data = b""
                 if not data:
--- a/knapweedhitch/deadline.py
+++ b/knapweedhitch/deadline.py
@@ -18,6 +18,11 @@
         """Return a deadline that many milliseconds from now."""
         return cls(trio.current_time() + remaining_ms / 1_000.0)
 
+    @classmethod
+    def since(cls, started_s: float, limit_ms: float) -> Deadline:
+        """Return a deadline that many milliseconds after a time on the trio clock."""
+        return cls(started_s + limit_ms / 1_000.0)
+
     def remaining_ms(self) -> float:
         """Return the remaining time, zero after the deadline."""
         return max(0.0, (self.at_s - trio.current_time()) * 1_000.0)
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -99,6 +99,8 @@
         self._broken = False
         # Names the request in the log, and why its connection failed before its response ended.
         self.request_id = ""
+        # When the last bytes of the request head had arrived.
+        self.received_s = trio.current_time()
         self.failure = ""
         # Set while a write waits for the caller, and after a failed one, which sets `_broken` too.
         self._writing = False
@@ -117,6 +119,7 @@
         raw = await self._receive_raw_head()
         if raw is None:
             return None
+        self.received_s = trio.current_time()
         if len(raw) > self.cfg.max_header_bytes:
             raise HeaderTooLarge(detail=f"limit {self.cfg.max_header_bytes} bytes")
         if problem := framing.find_framing_problem(raw):
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -93,7 +93,7 @@
     async def handle(self, conn: ServerConnection, head: RequestHead) -> None:
         """Handle one request and write its response or refusal."""
         trace = Trace[RelayCall](
-            framing.get_request_id(head, self._names.request_id), trio.current_time(), head.method
+            framing.get_request_id(head, self._names.request_id), conn.received_s, head.method
         )
         conn.request_id = trace.request_id
         self.active[trace] = None
@@ -164,9 +164,9 @@
         header_ms = framing.parse_int_header(head, self._names.deadline)
         deadline_ms = math.inf if header_ms is None else float(header_ms)
         timeout_ms = min(route.timeout_ms, deadline_ms)
-        if timeout_ms <= 0:
+        deadline = Deadline.since(trace.started_s, timeout_ms)
+        if deadline.expired():
             raise DeadlineExceeded
-        deadline = Deadline.after_ms(timeout_ms)
         parent = self._gate.find_parent(trace.request_id)
         max_replay_bytes = self._cfg.callers.max_replay_bytes
         return RelayCall(
--- a/knapweedhitch/router.py
+++ b/knapweedhitch/router.py
@@ -98,7 +98,7 @@
     async def handle(self, conn: ServerConnection, head: RequestHead) -> None:
         """Handle one request and write its response or refusal."""
         trace = Trace[Call](
-            framing.get_request_id(head, framing.REQUEST_ID), trio.current_time(), head.method
+            framing.get_request_id(head, framing.REQUEST_ID), conn.received_s, head.method
         )
         conn.request_id = trace.request_id
         self.active[trace] = None
@@ -245,9 +245,9 @@
         if svc.require_key and head.method not in IDEMPOTENT_METHODS and not keyed:
             raise KeyRequired
         deadline_ms = _int_header(head, framing.DEADLINE, svc.default_deadline_ms)
-        if deadline_ms == 0:
+        deadline = Deadline.since(trace.started_s, min(deadline_ms, svc.max_deadline_ms))
+        if deadline.expired():
             raise DeadlineExceeded
-        deadline = Deadline.after_ms(min(deadline_ms, svc.max_deadline_ms))
         max_replay_bytes = self._cfg.callers.max_replay_bytes
         return Call(
             conn=conn,
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -197,3 +197,26 @@
         # There is room for one of the two.
         self.assertEqual(sorted(statuses), [200, 200, 504])
         self.assertEqual(waiting_bytes.used_bytes, 0)
+
+    def test_time_in_the_buffer_counts_against_the_deadline(self) -> None:
+        """Guards against work for a request whose caller has given up while it waited, unread,
+        behind one that may not run beside others.
+        """
+        handlers = {
+            "r1": respond_after(1.0, 20),
+            "r2": respond_after(0.0, 20),
+            "r3": respond_after(0.0, 20),
+        }
+        statuses = []
+
+        async def play(caller: Caller) -> None:
+            post = (
+                b"POST /paid/1 HTTP/1.1\r\nHost: h.example\r\nX-Id: r1\r\nContent-Length: 0\r\n\r\n"
+            )
+            await caller.stream.send_all(post + get(2, 500) + get(3, 1_900))
+            statuses.extend([(await caller.read()).status for _ in range(3)])
+
+        world = run_caller(handlers, play, ByteBudget(0))
+        self.assertEqual(statuses, [200, 503, 200])
+        r3 = next(spec for spec in world.specs if spec.request_id == "r3")
+        self.assertLess(r3.deadline.at_s - world.specs[0].deadline.at_s, 0.5)
