Split the command line of the daemon from its event loop

Cause: the module daemon imports trio and most of the package before its first function runs, so the entry point knapweedhitch.daemon:main cannot install signal handlers early. No logic has changed.

--- a/knapweedhitch/platform/roles.py
+++ b/knapweedhitch/platform/roles.py
@@ -46,10 +46,10 @@
 
 
 def _report_settings(problem: str) -> int:
-    from knapweedhitch import daemon
+    from knapweedhitch import runtime
 
     print(problem, file=sys.stderr)
-    return daemon.EXIT_SETTINGS
+    return runtime.EXIT_SETTINGS
 
 
 def _accept_callers(listener: Listener) -> None:
@@ -73,7 +73,7 @@
         return _report_settings(f"knapweedhitch: {exc}")
     _accept_callers(cfg.listen.callers)
     # Imported only now, because these modules take most of the time of a start.
-    from knapweedhitch import daemon, logs
+    from knapweedhitch import logs, runtime
 
     logs.setup(cfg.log.level, sys.stdout)
-    return daemon.run_services(cfg, SERVICES_BY_ROLE[args[0]], lambda: read_settings(path))
+    return runtime.run_services(cfg, SERVICES_BY_ROLE[args[0]], lambda: read_settings(path))
--- /dev/null
+++ b/knapweedhitch/runtime.py
@@ -0,0 +1,203 @@
+"""The event loop of one process: starts the services, reports readiness and stops on a signal."""
+
+from __future__ import annotations
+
+import gc
+import importlib
+import signal
+import sys
+from collections.abc import AsyncIterator, Callable, Iterator, Sequence
+
+import trio
+
+from knapweedhitch import __version__, logs
+from knapweedhitch.clock import SuspendAwareClock
+from knapweedhitch.exceptions import KnapweedhitchError, MissingModule, SettingsError
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.model import Address
+from knapweedhitch.settings import Settings
+
+EXIT_OK = 0
+EXIT_FAULT = 1
+EXIT_SETTINGS = 2
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
+# Name of each service and the module that registers it, in the order of construction.
+SERVICES = (
+    ("counters", "counters"),
+    ("timers", "timers"),
+    ("peers", "peers"),
+    ("membership", "membership"),
+    ("config", "feed"),
+    ("control", "control"),
+    ("picker", "pick"),
+    ("admission", "admission"),
+    ("retry", "retry"),
+    ("slotlease", "slotlease"),
+    ("pool", "pool"),
+    ("gate", "gate"),
+    ("forward", "forward"),
+    ("loadreports", "loadreports"),
+    ("direct", "direct"),
+    ("claims", "claims"),
+    ("announce", "announce"),
+    ("router", "router"),
+    ("ingress", "ingress"),
+    ("operator_api", "operator_api"),
+    ("drain", "drain"),
+)
+# Name of each listener and the service that owns it; the bound address is its attribute `address`.
+LISTENERS = (
+    ("callers", "ingress"),
+    ("peers", "peers"),
+    ("announce", "announce"),
+    ("operator", "operator_api"),
+)
+
+
+def load_services(cfg: Settings, services: Sequence[tuple[str, str]] = SERVICES) -> list[str]:
+    """Import the service modules and return the services to construct; raises MissingModule."""
+    names = []
+    for name, module in services:
+        if name == "control" and not cfg.is_control:
+            continue
+        try:
+            importlib.import_module(f"knapweedhitch.{module}")
+        except ImportError as exc:
+            raise MissingModule(
+                f"service {name}: module knapweedhitch.{module} cannot be imported: {exc}; "
+                "install knapweedhitch again"
+            ) from exc
+        names.append(name)
+    return names
+
+
+def bound_addresses(kernel: Kernel) -> dict[str, str]:
+    """Return the host:port of every bound listener."""
+    addresses = {}
+    for listener, owner in LISTENERS:
+        if kernel.has(owner):
+            addresses[listener] = str(kernel.get(owner).address)
+    return addresses
+
+
+async def serve(cfg: Settings, names: Sequence[str], read_settings: Callable[[], Settings]) -> None:
+    """Run the named services until a graceful or a hard stop has finished."""
+    kernel = Kernel(cfg)
+    # Opened before the services start, so that no signal kills a half-started process.
+    with trio.open_signal_receiver(*SIGNALS) as receiver:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                _handle_signals, receiver, kernel, nursery.cancel_scope, read_settings
+            )
+            await nursery.start(kernel.run, names)
+            _set_phase(kernel, "running")
+            _exempt_from_collection()
+            logs.event(
+                "ready",
+                node=cfg.node.id,
+                domain=cfg.node.domain,
+                release=__version__,
+                **bound_addresses(kernel),
+            )
+            await kernel.get("drain").finished.wait()
+            logs.event("stopped", node=cfg.node.id)
+            nursery.cancel_scope.cancel()
+
+
+def _exempt_from_collection() -> None:
+    # Modules and services live as long as the process; a full collection that scans them pauses all
+    # calls for tens of milliseconds.
+    gc.collect()
+    gc.freeze()
+    gc.enable()
+
+
+def _set_phase(kernel: Kernel, phase: str) -> None:
+    if kernel.has("operator_api"):
+        kernel.get("operator_api").phase = phase
+
+
+async def _handle_signals(
+    receiver: AsyncIterator[int],
+    kernel: Kernel,
+    scope: trio.CancelScope,
+    read_settings: Callable[[], Settings],
+) -> None:
+    stop_signals = 0
+    async for number in receiver:
+        name = signal.Signals(number).name
+        if number == signal.SIGHUP:
+            reload(kernel, read_settings)
+            continue
+        stop_signals += 1
+        if not kernel.has("drain"):
+            logs.event("stop_during_start", signal=name)
+            scope.cancel()
+            return
+        _set_phase(kernel, "stopping")
+        if stop_signals == 1:
+            logs.event("planned_stop", signal=name)
+            kernel.get("drain").begin()
+        else:
+            logs.warning("hard_stop", signal=name)
+            kernel.get("drain").stop_now()
+
+
+def reload(kernel: Kernel, read_settings: Callable[[], Settings]) -> None:
+    """Read the settings again and apply the seeds; other changes take effect at the next start."""
+    try:
+        cfg = read_settings()
+    except SettingsError as exc:
+        logs.warning("reload_refused", place=exc.place, problem=exc.problem)
+        return
+    if kernel.has("membership"):
+        seeds = [Address(seed.host, seed.port) for seed in cfg.membership.seeds]
+        kernel.get("membership").add_seeds(seeds)
+    logs.event("reload", node=cfg.node.id, seeds=len(cfg.membership.seeds))
+
+
+def _iter_leaves(exc: BaseException) -> Iterator[BaseException]:
+    if isinstance(exc, BaseExceptionGroup):
+        for inner in exc.exceptions:
+            yield from _iter_leaves(inner)
+    else:
+        yield exc
+
+
+def print_error(problem: str, code: int) -> int:
+    """Print a problem for the user and return the exit code."""
+    print(f"knapweedhitchd: {problem}", file=sys.stderr)
+    return code
+
+
+def run_services(
+    cfg: Settings, services: Sequence[tuple[str, str]], read_settings: Callable[[], Settings]
+) -> int:
+    """Run services until a stop and return the exit code; SIGHUP calls `read_settings`."""
+    try:
+        names = load_services(cfg, services)
+        trio.run(
+            serve,
+            cfg,
+            names,
+            read_settings,
+            clock=SuspendAwareClock(),
+            strict_exception_groups=True,
+        )
+    except (KnapweedhitchError, OSError, trio.TooSlowError, BaseExceptionGroup) as exc:
+        return _report_failure(exc)
+    return EXIT_OK
+
+
+def _report_failure(exc: BaseException) -> int:
+    faults = list(_iter_leaves(exc))
+    for fault in faults:
+        if isinstance(fault, SettingsError):
+            return print_error(str(fault), EXIT_SETTINGS)
+    unknown = [f for f in faults if not isinstance(f, (KnapweedhitchError, OSError))]
+    if unknown and not all(isinstance(f, trio.TooSlowError) for f in unknown):
+        # A bug in the program; a bug report needs the traceback.
+        raise exc
+    problem = "; ".join(f"{type(f).__name__}: {f}" for f in faults)
+    return print_error(f"stopped by a fault: {problem}", EXIT_FAULT)
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from knapweedhitch import daemon
+from knapweedhitch import runtime
 from knapweedhitch.clock import SuspendAwareClock
 from tests.decision_fakes import settings
 
@@ -53,9 +53,9 @@
             clocks.append(trio.lowlevel.current_clock())
 
         with (
-            mock.patch.object(daemon, "serve", serve),
-            mock.patch.object(daemon, "load_services", return_value=[]),
+            mock.patch.object(runtime, "serve", serve),
+            mock.patch.object(runtime, "load_services", return_value=[]),
         ):
-            code = daemon.run_services(settings(), (), lambda: SimpleNamespace())  # type: ignore[arg-type,return-value]
-        self.assertEqual(code, daemon.EXIT_OK)
+            code = runtime.run_services(settings(), (), lambda: SimpleNamespace())  # type: ignore[arg-type,return-value]
+        self.assertEqual(code, runtime.EXIT_OK)
         self.assertIsInstance(clocks[0], SuspendAwareClock)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -17,7 +17,7 @@
 import trio.testing
 import yaml
 
-from knapweedhitch import daemon, kernel
+from knapweedhitch import daemon, kernel, runtime
 from knapweedhitch.exceptions import MissingModule
 from knapweedhitch.settings import parse_settings
 from scripts import harness
@@ -63,7 +63,7 @@
             with trio.move_on_after(60):
                 async with trio.open_nursery() as nursery:
                     cfg = parse_settings(yaml.dump(BASE))
-                    nursery.start_soon(daemon.serve, cfg, ["drain"], lambda: cfg)
+                    nursery.start_soon(runtime.serve, cfg, ["drain"], lambda: cfg)
                     await trio.testing.wait_all_tasks_blocked()
                     for signal_number in signals:
                         signal.raise_signal(signal_number)
@@ -91,7 +91,7 @@
         """Guards against unbounded memory growth when garbage collection stays disabled."""
         gc.disable()
         try:
-            daemon._exempt_from_collection()
+            runtime._exempt_from_collection()
             self.assertTrue(gc.isenabled())
         finally:
             gc.enable()
@@ -101,15 +101,15 @@
         """Guards against a failed start whose error doesn't name the missing module."""
         cfg = parse_settings(yaml.dump(BASE))
         with self.assertRaisesRegex(MissingModule, "service x: module knapweedhitch.nothere"):
-            daemon.load_services(cfg, [("counters", "counters"), ("x", "nothere")])
+            runtime.load_services(cfg, [("counters", "counters"), ("x", "nothere")])
 
     def test_control_runs_on_control_instances_alone(self) -> None:
         """Guards against a log replica on an instance that isn't a control member."""
         services = [("counters", "counters"), ("control", "counters")]
         other = parse_settings(yaml.dump(BASE | {"node": {"id": "b1", "domain": "b"}}))
-        self.assertEqual(daemon.load_services(other, services), ["counters"])
+        self.assertEqual(runtime.load_services(other, services), ["counters"])
         member = parse_settings(yaml.dump(BASE))
-        self.assertEqual(daemon.load_services(member, services), ["counters", "control"])
+        self.assertEqual(runtime.load_services(member, services), ["counters", "control"])
 
     def test_bad_settings_end_the_command_with_one_line(self) -> None:
         """Guards against a daemon that starts, or prints a traceback, on bad settings."""
@@ -125,7 +125,7 @@
         err = io.StringIO()
         with contextlib.redirect_stderr(err), self.assertRaises(SystemExit) as caught:
             daemon.main(args)
-        self.assertEqual(caught.exception.code, daemon.EXIT_SETTINGS)
+        self.assertEqual(caught.exception.code, runtime.EXIT_SETTINGS)
         self.assertEqual(len(err.getvalue().splitlines()), 1, err.getvalue())
 
 
