Stop and reload in order while the services start

Callers whose connections are accepted are reset, as at a crash.

Cause: every service is built before the first one starts, so the check for a drain service was true at once, and the planned stop used services which had not started. A SIGHUP gave seeds to a membership in the same state.

Evidence: a SIGTERM during the start, both roles: drain.py, line 61, in begin: if not self._serves_calls: AttributeError: 'Drain' object has no attribute '_serves_calls' and the new tests before the fix: AssertionError: 60.0 not less than 0.5 AssertionError: Lists differ: ['reload', 'ready'] != ['ready', 'reload']

Fix: the handler knows whether the services have started. Until then a stop cancels the start, with exit code 0, and a reload is kept until they have.

--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -87,9 +87,8 @@
     # Opened before the services start, so that no signal kills a half-started process.
     with trio.open_signal_receiver(*SIGNALS) as receiver:
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _handle_signals, receiver, kernel, nursery.cancel_scope, read_settings
-            )
+            handler = _SignalHandler(kernel, nursery.cancel_scope, read_settings)
+            nursery.start_soon(handler.run, receiver)
             await nursery.start(kernel.run, names)
             _set_phase(kernel, "running")
             _exempt_from_collection()
@@ -100,6 +99,7 @@
                 release=__version__,
                 **bound_addresses(kernel),
             )
+            handler.set_running()
             await kernel.get("drain").finished.wait()
             logs.event("stopped", node=cfg.node.id)
             nursery.cancel_scope.cancel()
@@ -118,30 +118,52 @@
         kernel.get("operator_api").phase = phase
 
 
-async def _handle_signals(
-    receiver: AsyncIterator[int],
-    kernel: Kernel,
-    scope: trio.CancelScope,
-    read_settings: Callable[[], Settings],
-) -> None:
-    stop_signals = 0
-    async for number in receiver:
-        name = signal.Signals(number).name
-        if number == signal.SIGHUP:
-            reload(kernel, read_settings)
-            continue
-        stop_signals += 1
-        if not kernel.has("drain"):
+class _SignalHandler:
+    """Act on signals; those that need the services wait until these have started."""
+
+    def __init__(
+        self, kernel: Kernel, scope: trio.CancelScope, read_settings: Callable[[], Settings]
+    ) -> None:
+        self._kernel = kernel
+        self._scope = scope
+        self._read_settings = read_settings
+        self._is_running = False
+        self._reload_pending = False
+        self._stop_signals = 0
+
+    async def run(self, receiver: AsyncIterator[int]) -> None:
+        """Act on each signal that arrives."""
+        async for number in receiver:
+            if number == signal.SIGHUP:
+                self._handle_reload()
+            else:
+                self._handle_stop(signal.Signals(number).name)
+
+    def set_running(self) -> None:
+        """Act through the services from now on, also on an earlier SIGHUP."""
+        self._is_running = True
+        if self._reload_pending:
+            self._handle_reload()
+
+    def _handle_reload(self) -> None:
+        if self._is_running:
+            reload(self._kernel, self._read_settings)
+        else:
+            self._reload_pending = True
+
+    def _handle_stop(self, name: str) -> None:
+        if not self._is_running:
             logs.event("stop_during_start", signal=name)
-            scope.cancel()
+            self._scope.cancel()
             return
-        _set_phase(kernel, "stopping")
-        if stop_signals == 1:
+        self._stop_signals += 1
+        _set_phase(self._kernel, "stopping")
+        if self._stop_signals == 1:
             logs.event("planned_stop", signal=name)
-            kernel.get("drain").begin()
+            self._kernel.get("drain").begin()
         else:
             logs.warning("hard_stop", signal=name)
-            kernel.get("drain").stop_now()
+            self._kernel.get("drain").stop_now()
 
 
 def reload(kernel: Kernel, read_settings: Callable[[], Settings]) -> None:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -51,27 +51,75 @@
         self.finished.set()
 
 
-class ServeTest(unittest.TestCase):
-    def serve(self, *signals: signal.Signals) -> FakeDrain:
-        drains: list[FakeDrain] = []
+class SlowStart:
+    """Take a second to start, after a signal to the process."""
+
+    def __init__(self, number: signal.Signals) -> None:
+        self._number = number
+
+    async def start(self) -> None:
+        signal.raise_signal(self._number)
+        await trio.sleep(1)
 
-        def build_drain(k: kernel.Kernel) -> FakeDrain:
-            drains.append(FakeDrain(k))
-            return drains[-1]
+    async def stop(self) -> None: ...
 
-        async def scenario() -> None:
+
+class ServeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.cfg = parse_settings(yaml.dump(BASE))
+        self.drains: list[FakeDrain] = []
+        self.read_settings = mock.Mock(return_value=self.cfg)
+        patcher = mock.patch.object(runtime.logs, "event")
+        self.event = patcher.start()
+        self.addCleanup(patcher.stop)
+
+    def build_drain(self, k: kernel.Kernel) -> FakeDrain:
+        self.drains.append(FakeDrain(k))
+        return self.drains[-1]
+
+    def logged(self) -> list[str]:
+        return [call.args[0] for call in self.event.call_args_list]
+
+    def run_serve(self, names: list[str], *signals: signal.Signals) -> float:
+        """Serve with signals at intervals of a second, for at most 60 s; return the seconds."""
+
+        async def scenario() -> float:
+            started_s = trio.current_time()
             with trio.move_on_after(60):
                 async with trio.open_nursery() as nursery:
-                    cfg = parse_settings(yaml.dump(BASE))
-                    nursery.start_soon(runtime.serve, cfg, ["drain"], lambda: cfg)
+                    nursery.start_soon(runtime.serve, self.cfg, names, self.read_settings)
                     await trio.testing.wait_all_tasks_blocked()
                     for signal_number in signals:
                         signal.raise_signal(signal_number)
                         await trio.sleep(1)
+            return trio.current_time() - started_s
 
-        with mock.patch.dict(kernel._factories, {"drain": build_drain}):
-            trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
-        return drains[0]
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        with mock.patch.dict(kernel._factories, {"drain": self.build_drain}):
+            return trio.run(scenario, clock=clock)
+
+    def serve(self, *signals: signal.Signals) -> FakeDrain:
+        self.run_serve(["drain"], *signals)
+        return self.drains[0]
+
+    def serve_slow_start(self, number: signal.Signals) -> float:
+        factories = {"slow": lambda k: SlowStart(number)}
+        with mock.patch.dict(kernel._factories, factories):
+            return self.run_serve(["slow", "drain"])
+
+    def test_stop_while_the_services_start_ends_the_start(self) -> None:
+        """Guards against a stop that uses services which have not started, and ends in a fault."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            with self.subTest(number):
+                self.assertLess(self.serve_slow_start(number), 0.5)
+                self.assertEqual(self.drains[-1].calls, [])
+                self.assertEqual(self.logged()[-1], "stop_during_start")
+
+    def test_reload_while_the_services_start_waits_for_them(self) -> None:
+        """Guards against seeds that are given to a membership which has not started."""
+        self.serve_slow_start(signal.SIGHUP)
+        self.assertEqual(self.logged(), ["ready", "reload"])
+        self.read_settings.assert_called_once_with()
 
     def test_second_sigterm_cuts_a_planned_stop_that_does_not_end(self) -> None:
         """Guards against a process that can't be stopped while an upload never finishes."""
