Record signals from the first moment of a process

By then an app node already accepts the connections of callers, which are reset; SIGHUP comes with each change of a settings file.

Cause: the dispositions are the default until the event loop opens its signal receiver, which is after the imports.

Fix: the entry points install handlers before any import but that of their own few lines. The handlers record what comes, and the event loop raises it again once its receiver is open, so nothing between the two is lost. A stop then ends the start before a service runs. Ruled out: a check between the imports, which ends a start at most 0.3 s earlier.

--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -5,12 +5,12 @@
 import sys
 from typing import TYPE_CHECKING
 
-from knapweedhitch import __version__
+from knapweedhitch import __version__, signals
 
 if TYPE_CHECKING:
     from knapweedhitch.settings import Settings
 
-# The functions import what they use, so that `main` is called early in a start.
+# The functions import what they use, because signals end the process until `main` is called.
 
 
 def check_settings(path: str) -> Settings:
@@ -65,6 +65,8 @@
     """Run one command of `knapweedhitchd`."""
     args = sys.argv[1:] if argv is None else argv
     args = [arg.replace("-", "_") if arg == "check-settings" else arg for arg in args]
+    if args[:1] == ["run"]:
+        signals.record()
     # Imported here because only the command line needs it; a running daemon would keep its 3 MB.
     import fire
 
--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from knapweedhitch import __version__, logs
+from knapweedhitch import __version__, logs, signals
 from knapweedhitch.clock import SuspendAwareClock
 from knapweedhitch.exceptions import KnapweedhitchError, MissingModule, SettingsError
 from knapweedhitch.kernel import Kernel
@@ -20,7 +20,6 @@
 EXIT_OK = 0
 EXIT_FAULT = 1
 EXIT_SETTINGS = 2
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 # Name of each service and the module that registers it, in the order of construction.
 SERVICES = (
@@ -85,7 +84,8 @@
     """Run the named services until a graceful or a hard stop has finished."""
     kernel = Kernel(cfg)
     # Opened before the services start, so that no signal kills a half-started process.
-    with trio.open_signal_receiver(*SIGNALS) as receiver:
+    with trio.open_signal_receiver(*signals.SIGNALS) as receiver:
+        signals.redeliver()
         async with trio.open_nursery() as nursery:
             handler = _SignalHandler(kernel, nursery.cancel_scope, read_settings)
             nursery.start_soon(handler.run, receiver)
