Ignore signals once a process has stopped

Seen: a signal that comes while the interpreter ends turns the exit code 0 of a planned stop into -1, -15 or -2.

Cause: the signal receiver puts back the handlers of before, and the interpreter resets every Python handler to the default action when it ends, before it removes its last objects.

Evidence: a signal sent from the removal of an object at that time: AssertionError: -1 != 0 AssertionError: -15 != 0 AssertionError: -2 != 0 each after the line event=stop_during_start.

Fix: the entry points ignore the three signals when the event loop has ended. The interpreter leaves ignored signals alone. Until then the recording handlers are in force again. The tests that run the command line in their own process no longer change its handlers.

--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -42,7 +42,9 @@
 
     def run(self, settings: str) -> None:
         """Run the daemon until SIGTERM; a second SIGTERM aborts calls in flight."""
-        sys.exit(run_daemon(str(settings)))
+        code = run_daemon(str(settings))
+        signals.ignore()
+        sys.exit(code)
 
     def check_settings(self, settings: str) -> None:
         """Check a settings file and its secret files; exit 0 if the daemon would start."""
--- a/knapweedhitch/platform/__main__.py
+++ b/knapweedhitch/platform/__main__.py
@@ -17,7 +17,9 @@
     gc.disable()
     from knapweedhitch.platform import roles
 
-    return roles.run(sys.argv[1:])
+    code = roles.run(sys.argv[1:])
+    signals.ignore()
+    return code
 
 
 if __name__ == "__main__":
--- a/knapweedhitch/signals.py
+++ b/knapweedhitch/signals.py
@@ -1,4 +1,4 @@
-"""Signals that a process gets before its event loop runs."""
+"""Signals that a process gets before its event loop runs or after it."""
 
 from __future__ import annotations
 
@@ -26,3 +26,9 @@
     _received.clear()
     for number in received:
         signal.raise_signal(number)
+
+
+def ignore() -> None:
+    """Ignore signals from now on; the interpreter resets handlers, but not these, when it ends."""
+    for number in SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -17,7 +17,7 @@
 import trio.testing
 import yaml
 
-from knapweedhitch import daemon, kernel, runtime
+from knapweedhitch import daemon, kernel, runtime, signals
 from knapweedhitch.exceptions import MissingModule
 from knapweedhitch.settings import parse_settings
 from scripts import harness
@@ -80,7 +80,7 @@
     def logged(self) -> list[str]:
         return [call.args[0] for call in self.event.call_args_list]
 
-    def run_serve(self, names: list[str], *signals: signal.Signals) -> float:
+    def run_serve(self, names: list[str], *numbers: signal.Signals) -> float:
         """Serve with signals at intervals of a second, for at most 60 s; return the seconds."""
 
         async def scenario() -> float:
@@ -89,7 +89,7 @@
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(runtime.serve, self.cfg, names, self.read_settings)
                     await trio.testing.wait_all_tasks_blocked()
-                    for signal_number in signals:
+                    for signal_number in numbers:
                         signal.raise_signal(signal_number)
                         await trio.sleep(1)
             return trio.current_time() - started_s
@@ -98,8 +98,8 @@
         with mock.patch.dict(kernel._factories, {"drain": self.build_drain}):
             return trio.run(scenario, clock=clock)
 
-    def serve(self, *signals: signal.Signals) -> FakeDrain:
-        self.run_serve(["drain"], *signals)
+    def serve(self, *numbers: signal.Signals) -> FakeDrain:
+        self.run_serve(["drain"], *numbers)
         return self.drains[0]
 
     def serve_slow_start(self, number: signal.Signals) -> float:
@@ -171,7 +171,12 @@
 
     def assert_refused(self, args: list[str]) -> None:
         err = io.StringIO()
-        with contextlib.redirect_stderr(err), self.assertRaises(SystemExit) as caught:
+        with (
+            contextlib.redirect_stderr(err),
+            self.assertRaises(SystemExit) as caught,
+            # The handlers would stay in the process of the tests.
+            mock.patch.multiple(signals, record=mock.DEFAULT, ignore=mock.DEFAULT),
+        ):
             daemon.main(args)
         self.assertEqual(caught.exception.code, runtime.EXIT_SETTINGS)
         self.assertEqual(len(err.getvalue().splitlines()), 1, err.getvalue())
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -85,7 +85,7 @@
                     self.assertIn(f"event=stop_during_start signal={number}", self.read_log())
                     self.assertNotIn("event=ready", self.read_log())
 
-    def test_signals_during_a_start_of_the_daemon_are_obeyed(self) -> None:
+    def test_signals_during_a_start_and_end_of_the_daemon_are_obeyed(self) -> None:
         """Guards against a daemon whose entry point leaves signals to their default action."""
         settings = {
             "node": {"id": "a1", "domain": "a"},
@@ -96,9 +96,22 @@
             Path(cfg["control"]["data_dir"]).mkdir(parents=True)
             path = h.folder / "a1.yaml"
             path.write_text(yamltext.dump(cfg))
+            command = ("knapweedhitch.daemon", "run")
             for point in ("fire", "trio"):
                 with self.subTest(point):
-                    args = ["-m", "tests.signal_at", "SIGHUP", point, "SIGTERM", point, "--"]
-                    child = h.start(point, [*args, "knapweedhitch.daemon", "run", str(path)])
+                    args = ["-m", "tests.signal_at", "SIGHUP", point, "SIGTERM", point]
+                    child = h.start(point, [*args, "SIGHUP", "exit", "--", *command, str(path)])
                     self.assertEqual(child.wait(TIMEOUT_S), 0, child.output())
                     self.assertIn("event=stop_during_start signal=SIGTERM", child.output())
+
+
+class EndTest(ProcessTest):
+    def test_signals_at_the_end_of_a_process_change_no_exit_code(self) -> None:
+        """Guards against a process that has stopped as planned but ends by a signal that comes
+        while the interpreter ends.
+        """
+        for number in ("SIGHUP", "SIGTERM", "SIGINT"):
+            with self.subTest(number):
+                process = self.start("core", "SIGTERM", "trio", number, "exit")
+                self.assertEqual(process.wait(TIMEOUT_S), 0, self.read_log())
+                self.assertIn("event=stop_during_start", self.read_log())
