Log each fault that ends a process, with its type and place

Seen: a process that ends with exit code 1 cannot be traced. Known faults give one line on standard error without a place, unknown ones a traceback and no log line, and faults outside a group neither.

Cause: only the text of the exceptions was printed, and plain exceptions passed the handler.

Evidence, the new tests before the fix: AssertionError: Items in the second set but not the first AssertionError: Lists differ: [] != ['ZeroDivisionError']

Fix: every inner exception becomes a line event=fault with its type, its text and the innermost frame in this package, or where it arose if it never was in the package. Exit codes, the message and the traceback stay as they are.

--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -6,7 +6,9 @@
 import importlib
 import signal
 import sys
+import traceback
 from collections.abc import AsyncIterator, Callable, Iterator, Sequence
+from pathlib import Path
 
 import trio
 
@@ -20,6 +22,7 @@
 EXIT_OK = 0
 EXIT_FAULT = 1
 EXIT_SETTINGS = 2
+PACKAGE = Path(__file__).parent
 
 # Name of each service and the module that registers it, in the order of construction.
 SERVICES = (
@@ -187,6 +190,15 @@
         yield exc
 
 
+def _find_place(exc: BaseException) -> str:
+    """Return where an exception left this package, or arose if it never was in it."""
+    frames = [(f.f_code, line) for f, line in traceback.walk_tb(exc.__traceback__)]
+    own = [frame for frame in frames if Path(frame[0].co_filename).is_relative_to(PACKAGE)]
+    for code, line in reversed(own or frames):
+        return f"{Path(code.co_filename).name}:{line} {code.co_name}"
+    return "unknown"
+
+
 def print_error(problem: str, code: int) -> int:
     """Print a problem for the user and return the exit code."""
     print(f"knapweedhitchd: {problem}", file=sys.stderr)
@@ -207,13 +219,15 @@
             clock=SuspendAwareClock(),
             strict_exception_groups=True,
         )
-    except (KnapweedhitchError, OSError, trio.TooSlowError, BaseExceptionGroup) as exc:
+    except (Exception, BaseExceptionGroup) as exc:
         return _report_failure(exc)
     return EXIT_OK
 
 
 def _report_failure(exc: BaseException) -> int:
     faults = list(_iter_leaves(exc))
+    for fault in faults:
+        logs.warning("fault", error=type(fault).__name__, place=_find_place(fault), detail=fault)
     for fault in faults:
         if isinstance(fault, SettingsError):
             return print_error(str(fault), EXIT_SETTINGS)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -9,6 +9,7 @@
 import signal
 import tempfile
 import unittest
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -19,7 +20,8 @@
 
 from knapweedhitch import daemon, kernel, runtime, signals
 from knapweedhitch.exceptions import MissingModule
-from knapweedhitch.settings import parse_settings
+from knapweedhitch.listener import StreamServer
+from knapweedhitch.settings import Listener, parse_settings
 from scripts import harness
 
 logging.disable(logging.CRITICAL)
@@ -182,6 +184,63 @@
         self.assertEqual(len(err.getvalue().splitlines()), 1, err.getvalue())
 
 
+class FailureTest(unittest.TestCase):
+    def run_failing(self, fail: Callable[[], Awaitable[None]]) -> tuple[int, list[dict[str, Any]]]:
+        """Run a daemon that fails; return its exit code and the fields of each logged fault."""
+
+        async def serve(*args: Any) -> None:
+            await fail()
+
+        with (
+            mock.patch.object(runtime, "serve", serve),
+            mock.patch.object(runtime.logs, "warning") as warning,
+            contextlib.redirect_stderr(io.StringIO()),
+        ):
+            try:
+                code = runtime.run_services(mock.Mock(), (), mock.Mock())
+            except Exception:
+                code = runtime.EXIT_FAULT
+        self.assertEqual(
+            [call.args for call in warning.call_args_list], [("fault",)] * warning.call_count
+        )
+        return code, [call.kwargs for call in warning.call_args_list]
+
+    def test_each_exception_of_a_group_is_logged_with_its_place(self) -> None:
+        """Guards against a process that ends with exit code 1 for a reason that no log tells."""
+
+        async def fail_in_library() -> None:
+            server = StreamServer(Listener("192.0.2.1", 1), 1, mock.Mock(), mock.Mock())
+            # The other fault must not cancel it first.
+            with trio.CancelScope(shield=True):
+                await server.start(mock.Mock())
+
+        async def fail_here() -> None:
+            raise KeyError("a")
+
+        async def fail() -> None:
+            async with trio.open_nursery() as outer:
+                outer.start_soon(fail_here)
+                async with trio.open_nursery() as inner:
+                    inner.start_soon(fail_in_library)
+
+        code, faults = self.run_failing(fail)
+        self.assertEqual(code, runtime.EXIT_FAULT)
+        places = {fault["error"]: fault["place"] for fault in faults}
+        self.assertEqual(set(places), {"KeyError", "OSError"})
+        self.assertRegex(places["KeyError"], r"^test_daemon\.py:\d+ fail_here$")
+        self.assertRegex(places["OSError"], r"^listener\.py:\d+ start$")
+
+    def test_fault_outside_a_group_is_logged(self) -> None:
+        """Guards against a fault without a log line because no nursery has wrapped it."""
+
+        async def fail() -> None:
+            raise ZeroDivisionError("plain")
+
+        code, faults = self.run_failing(fail)
+        self.assertEqual(code, runtime.EXIT_FAULT)
+        self.assertEqual([fault["error"] for fault in faults], ["ZeroDivisionError"])
+
+
 class HarnessTest(unittest.TestCase):
     def test_processes_end_when_the_block_fails(self) -> None:
         """Guards against orphaned processes after a failed test."""
