Don't take a pause of the own process for silence of a peer

A process that got no processor time for some heartbeats found all its peers silent when it ran again, before it had read what they had sent meanwhile: it gave up safe calls (502 peer-failed, or a retry at another target) and closed links with all requests in them.

A link is not closed by a check that comes after a gap of more than 0.75 heartbeats, and a call is given up when the node is silent at two looks, an eighth of a heartbeat apart. A node that is gone is still found: at the next check, a quarter of a heartbeat later.

--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -10,6 +10,7 @@
 
 from knapweedhitch import framing, logs
 from knapweedhitch.boundedlog import BoundedLog
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.counters import Counters
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -47,7 +48,9 @@
 # A live node answers a ping within one heartbeat interval without traffic. The link closes only
 # after three intervals, which is longer than the deadline of many lookups.
 SILENT_AFTER_HEARTBEATS = 1.5
-MIN_FIRST_FRAME_WAIT_MS = 10.0
+# Silence has to be seen twice, this far apart: when this process has got no processor time for a
+# while, what the node sent meanwhile is still unread.
+SECOND_LOOK_HEARTBEATS = 0.125
 
 
 def _iter_subclasses(cls: type[Refusal]) -> Iterator[type[Refusal]]:
@@ -215,10 +218,13 @@
         idempotent = framing.may_repeat(spec)
         if spec.has_body or not spec.retries_left or not idempotent:
             return await stream.receive()
-        limit_ms = SILENT_AFTER_HEARTBEATS * self._kernel.cfg.peers.heartbeat_interval_ms
-        while stream.silent_ms < limit_ms or not self._may_give_up(spec):
-            wait_ms = max(MIN_FIRST_FRAME_WAIT_MS, limit_ms - stream.silent_ms)
-            with trio.move_on_after(wait_ms / 1_000):
+        heartbeat_ms = self._kernel.cfg.peers.heartbeat_interval_ms
+        limit_ms = SILENT_AFTER_HEARTBEATS * heartbeat_ms
+        was_silent = False
+        while not (was_silent and stream.silent_ms >= limit_ms and self._may_give_up(spec)):
+            was_silent = stream.silent_ms >= limit_ms
+            wait_ms = max(SECOND_LOOK_HEARTBEATS * heartbeat_ms, limit_ms - stream.silent_ms)
+            with trio.move_on_after(wait_ms / MS_PER_S):
                 return await stream.receive()
         self._counters.add("forward_silent")
         raise PeerFailed(Outcome.UNKNOWN, f"silent node={stream.peer_id}")
--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -49,6 +49,9 @@
 REPLY_MARGIN_BYTES = 256
 # A silent link must be replaced within three heartbeats; closing it earlier leaves time to redial.
 SILENCE_MARGIN_HEARTBEATS = 0.25
+# Checks come four times per heartbeat. After a longer gap this process got no processor time, and
+# what the peer has sent meanwhile is still unread.
+MAX_CHECK_GAP_HEARTBEATS = 0.75
 
 
 class LinkOwner(Protocol):
@@ -95,6 +98,7 @@
         self.opened_ms = self.last_used_ms = self.last_received_ms = self._active_since_ms = (
             Timers.now_ms()
         )
+        self._checked_ms = self.opened_ms
         self._was_resting = False
         self._last_ping_ms = 0.0
         self._transit = TransitTime()
@@ -290,7 +294,10 @@
         if not resting:
             self._end_rest(now)
         self._was_resting = resting
-        if self.silent_ms >= (self.cfg.missed_heartbeats - SILENCE_MARGIN_HEARTBEATS) * interval_ms:
+        gap_ms, self._checked_ms = now - self._checked_ms, now
+        was_paused = gap_ms > MAX_CHECK_GAP_HEARTBEATS * self.cfg.heartbeat_interval_ms
+        limit_ms = (self.cfg.missed_heartbeats - SILENCE_MARGIN_HEARTBEATS) * interval_ms
+        if self.silent_ms >= limit_ms and not was_paused:
             self._counters.add("peer_link_closed", "silent")
             self.close("missed heartbeats")
             return
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -10,6 +10,7 @@
 
 import logbook
 import trio
+import trio.testing
 
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -378,6 +379,30 @@
                 spec = dataclasses.replace(make_spec(deadline_ms=5_000), idempotent=True)
                 self.assertEqual(await execute(a, spec), RESULT)
 
+    @run_on_mock_clock
+    async def test_pause_of_the_own_process_is_no_silence_of_a_node(self) -> None:
+        """Guards against giving up calls and links for the silence of a node, when it was the own
+        process that got no processor time and so read nothing.
+        """
+
+        async def run_slowly(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await trio.sleep(20.0)
+            return await respond(call, body, sink)
+
+        async def pause(clock: trio.testing.MockClock) -> None:
+            for pause_s in (1.0, 1.7, 3.0):
+                await trio.sleep(2.0)
+                clock.jump(pause_s)
+
+        clock = trio.lowlevel.current_clock()
+        async with (
+            running_nodes(2, prepare=install(run_slowly)) as (a, _),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(pause, clock)
+            spec = dataclasses.replace(make_spec(deadline_ms=30_000), idempotent=True)
+            self.assertEqual(await execute(a, spec), RESULT)
+
     @run_on_mock_clock
     async def test_cancel_concurrent_with_the_dispatch(self) -> None:
         """Guards against not-run for a call that is dispatched at the moment of its cancel."""
