Refuse configuration items with a version below 0

Such an item was acknowledged and never in force (CONFIG: what was acknowledged is missing), because a name that is not known counts as version -1. It is invalid now, for upserts, removals and limits.

test_version_below_zero_is_refused failed before in all five cases.

--- a/knapweedhitch/items.py
+++ b/knapweedhitch/items.py
@@ -103,6 +103,7 @@
         check_route(route)
     for backend in patch.backends:
         _check_backend(backend)
+    _check_versions(patch)
     routes, removed_routes = _merge_kind(
         items.routes, items.removed_routes, patch.routes, patch.removed_routes
     )
@@ -174,6 +175,16 @@
         raise InvalidChange(f"service {backend.name}: use one connection or more")
 
 
+def _check_versions(patch: ItemPatch) -> None:
+    """Raise InvalidChange for a version below 0, which would be accepted and have no effect."""
+    named = (*patch.routes, *patch.backends, *patch.removed_routes, *patch.removed_backends)
+    for item in named:
+        if item.version < 0:
+            raise InvalidChange(f"{item.name}: use a version from 0, got {item.version}")
+    if patch.limits is not None and patch.limits.version < 0:
+        raise InvalidChange(f"limits: use a version from 0, got {patch.limits.version}")
+
+
 def _check_consistency(items: Items) -> None:
     if len(items.routes) + len(items.backends) > MAX_ITEMS:
         raise InvalidChange(f"over {MAX_ITEMS} items")
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -113,6 +113,19 @@
             with self.subTest(name), self.assertRaises(InvalidChange):
                 merge(BASE, patch([route("r3", 2), bad]))
 
+    def test_version_below_zero_is_refused(self) -> None:
+        """Guards against an item that is acknowledged and never in force."""
+        cases = (
+            patch([route("new", -1)]),
+            patch([], [backend("new", -1)]),
+            patch(limits=LimitsItem(-1, 1, 1, 1.0, 1.0, "")),
+            patch(gone=[Removal("r1", -1)]),
+            patch(gone_backends=[Removal("s2", -1)]),
+        )
+        for case in cases:
+            with self.subTest(case), self.assertRaises(InvalidChange):
+                merge(BASE, case)
+
     def test_service_in_use_is_not_removed(self) -> None:
         """Guards against a route whose service is removed."""
         with self.assertRaises(InvalidChange):
