--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -10,7 +10,7 @@
 import trio
 
 from tests.soak import world
-from tests.soak.faults import FAULTS
+from tests.soak.faults import FAULTS, UNSOUND
 
 
 def parse_args(args: list[str]) -> argparse.Namespace:
@@ -32,7 +32,9 @@
     """Run the seeds and return 1 if one of them broke a promise."""
     options = parse_args(args)
     base = Path(options.folder or tempfile.mkdtemp(prefix="knapweedhitch-soak-"))
-    names = {"none": [], "all": list(FAULTS)}.get(options.faults, options.faults.split(","))
+    names = {"none": [], "all": [name for name in FAULTS if name not in UNSOUND]}.get(
+        options.faults, options.faults.split(",")
+    )
     broken = 0
     for seed in range(options.seed, options.seed + options.seeds):
         folder = base / f"seed-{seed}"
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from tests.soak.cluster import GRACE_S, Cluster
-from tests.soak.ledger import Ending, Event, Ledger, Request, Run, RunState
+from tests.soak.ledger import Ending, Event, Ledger, Request, RunState
 from tests.soak.operators import Operator
 
 CONTACT_S = 3.0
@@ -85,20 +85,24 @@
         # A start is no planned stop of this machine alone: it holds no configuration at first.
         stops = ("SIGTERM", "started")
         return not any(
-            event.at_s <= to_s and event.at_s + GRACE_S + CONTACT_S >= from_s
+            event.at_s <= to_s and event.at_s + CONTACT_S >= from_s
             for m in machines
             for event in self.events(stops, m)
         )
 
 
-def is_own_break(judge: Judge, run: Run, ended_s: float) -> bool:
-    """Return whether the target or the machine beside it broke off a run."""
-    if run.state is RunState.BROKEN:
+def is_upstream_break(judge: Judge, request: Request) -> bool:
+    """Return whether a response that had begun broke off at its target or the machine beside it."""
+    if request.behind:
+        return is_upstream_break(judge, judge.ledger.requests[request.behind])
+    if not request.received_bytes:
+        # The node can still answer with a failure.
+        return False
+    run, ended_s = request.runs[-1], request.ended_s
+    if run.state is RunState.BROKEN or judge.is_disrupted(run.ip, run.started_s, ended_s):
         return True
     ends = judge.events(("target-ended",), run.target)
-    if any(run.started_s <= event.at_s <= ended_s + SLACK_S for event in ends):
-        return True
-    return judge.is_disrupted(run.ip, run.started_s, ended_s)
+    return any(run.started_s <= event.at_s <= ended_s + SLACK_S for event in ends)
 
 
 def is_late_work(judge: Judge, request: Request) -> bool:
@@ -121,9 +125,7 @@
         return
     if judge.is_disrupted(request.entry, request.sent_s, request.ended_s):
         return
-    if any(is_own_break(judge, run, request.ended_s) for run in request.runs):
-        return
-    if is_late_work(judge, request):
+    if is_upstream_break(judge, request) or is_late_work(judge, request):
         return
     if not request.runs:
         is_stopping = any(
@@ -131,7 +133,9 @@
             for stop in judge.events(("SIGTERM", "SIGHUP"), request.entry)
         )
         waited_s = request.ended_s - request.sent_s
-        if not is_stopping or request.ahead or waited_s <= LOSS_SLACK_S:
+        # The node can't have read a request that could not be sent.
+        is_unsent = request.error.startswith("send")
+        if not is_stopping or request.ahead or is_unsent or waited_s <= LOSS_SLACK_S:
             return
     text = judge.ledger.describe(request)
     for other in judge.ledger.requests.values():
--- a/tests/soak/clients.py
+++ b/tests/soak/clients.py
@@ -24,6 +24,7 @@
 IDLE_SHARE = 0.8
 BATCHES_PER_CONNECTION = 20
 UPLOAD_PARTS = 6
+SLOW_READER_BUFFER_BYTES = 4_096
 
 Habit = Callable[["Client"], Awaitable[None]]
 HABITS: dict[str, tuple[int, Habit]] = {}
@@ -82,12 +83,16 @@
             except (OSError, trio.TooSlowError):
                 await trio.sleep(RETRY_PAUSE_S)
 
-    async def connect(self) -> ClientConnection:
+    async def connect(self, buffer_bytes: int = 0) -> ClientConnection:
         """Open a connection to the node; raises OSError and TooSlowError."""
         host, _, port = self._cluster.address(self._ip, "outbound").rpartition(":")
         self._connections += 1
+        sock = trio.socket.socket()
+        if buffer_bytes:
+            sock.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, buffer_bytes)
         with trio.fail_after(CONNECT_TIMEOUT_S):
-            return ClientConnection(await trio.open_tcp_stream(host, int(port)))
+            await sock.connect((host, int(port)))
+        return ClientConnection(trio.SocketStream(sock))
 
     def make_request(self, route: Route, deadline_s: float, body: bytes = b"") -> Request:
         """Return a request with a new id."""
@@ -128,7 +133,7 @@
         try:
             await conn.send(self.render(request) + request.body)
         except ConnectionEnded as exc:
-            self._end_cut(request, exc)
+            self.end_cut(request, exc)
             return False
         return await self.read(conn, request, request.sent_s + request.deadline_s)
 
@@ -141,7 +146,7 @@
             try:
                 response = await conn.read_response(request.method, pause_s)
             except ConnectionEnded as exc:
-                self._end_cut(request, exc)
+                self.end_cut(request, exc)
                 return False
             except h11.ProtocolError as exc:
                 self._end(request, Ending.GARBLED)
@@ -162,9 +167,9 @@
             # Requests behind a response that closes the connection count as not read.
             is_cut = first.ending.is_cut
             self._end(request, first.ending if is_cut else Ending.ABANDONED)
-            request.error = f"behind {first.id}"
+            request.behind = first.id
 
-    def _end_cut(self, request: Request, exc: ConnectionEnded) -> None:
+    def end_cut(self, request: Request, exc: ConnectionEnded) -> None:
         self._end(request, Ending.RESET if exc.is_reset else Ending.CLOSED)
         request.received_bytes = exc.received_bytes
         request.error = str(exc)
@@ -193,24 +198,42 @@
 @habit(clients_per_node=3)
 async def pipeline(client: Client) -> None:
     """Send 2 to 4 safe requests with different deadlines before the first response."""
-    conn = await client.connect()
+    await send_batches(client, await client.connect(), (0.5, 5.0), (0.0, 0.0))
+
+
+@habit(clients_per_node=1)
+async def slow_reader(client: Client) -> None:
+    """Send batches of requests, and read the responses in small parts with pauses."""
+    conn = await client.connect(buffer_bytes=SLOW_READER_BUFFER_BYTES)
+    await send_batches(client, conn, (2.0, 5.0), (0.001, 0.05))
+
+
+async def send_batches(
+    client: Client,
+    conn: ClientConnection,
+    deadline_s: tuple[float, float],
+    pause_s: tuple[float, float],
+) -> None:
+    """Send batches of safe requests on one connection until it ends."""
     rng = client.rng
     try:
         for number in range(BATCHES_PER_CONNECTION):
             size = rng.randint(2, 4)
             routes = [rng.choice((ROUTES["reads"], ROUTES["lists"])) for _ in range(size)]
-            batch = [client.make_request(route, rng.uniform(0.5, 5.0)) for route in routes]
+            batch = [client.make_request(route, rng.uniform(*deadline_s)) for route in routes]
             for ahead, request in enumerate(batch):
                 request.ahead = ahead
                 request.on_kept_connection = number > 0
-            if not await send_batch(client, conn, batch):
+            if not await send_batch(client, conn, batch, rng.uniform(*pause_s)):
                 return
             await trio.sleep(rng.uniform(0.0, 1.0))
     finally:
         await conn.aclose()
 
 
-async def send_batch(client: Client, conn: ClientConnection, batch: list[Request]) -> bool:
+async def send_batch(
+    client: Client, conn: ClientConnection, batch: list[Request], pause_s: float
+) -> bool:
     """Send requests and read their responses; return whether the connection stays open."""
     now_s = time.monotonic()
     for request in batch:
@@ -218,14 +241,14 @@
     try:
         await conn.send(b"".join(client.render(request) for request in batch))
     except ConnectionEnded as exc:
-        client._end_cut(batch[0], exc)
+        client.end_cut(batch[0], exc)
         client.abandon(batch[1:], batch[0])
         return False
     until_s = 0.0
     for number, request in enumerate(batch):
         # A response has to wait for those ahead of it.
         until_s = max(until_s, request.sent_s + request.deadline_s)
-        if not await client.read(conn, request, until_s):
+        if not await client.read(conn, request, until_s, pause_s):
             client.abandon(batch[number + 1 :], request)
             return False
     return True
@@ -261,7 +284,7 @@
         request.sent_s = time.monotonic()
         await conn.send(data[cut:])
     except ConnectionEnded as exc:
-        client._end_cut(request, exc)
+        client.end_cut(request, exc)
         return False
     return await client.read(conn, request, request.sent_s + request.deadline_s)
 
@@ -313,24 +336,3 @@
     finally:
         await conn.aclose()
     await trio.sleep(rng.uniform(0.2, 1.5))
-
-
-@habit(clients_per_node=1)
-async def slow_reader(client: Client) -> None:
-    """Read responses in small parts with pauses."""
-    rng = client.rng
-    conn = await client.connect()
-    try:
-        for number in range(BATCHES_PER_CONNECTION):
-            request = client.make_request(ROUTES["lists"], rng.uniform(3.0, 5.0))
-            request.on_kept_connection = number > 0
-            request.sent_s = time.monotonic()
-            await conn.send(client.render(request))
-            until_s = request.sent_s + request.deadline_s
-            if not await client.read(conn, request, until_s, pause_s=rng.uniform(0.001, 0.05)):
-                return
-            await trio.sleep(rng.uniform(0.1, 1.0))
-    except ConnectionEnded as exc:
-        client._end_cut(request, exc)
-    finally:
-        await conn.aclose()
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -71,6 +71,11 @@
         """Return the port of all targets."""
         return self._base + platform_boot.TARGET_PORT
 
+    @property
+    def hidden_target_port(self) -> int:
+        """Return the port at which targets listen behind their relays."""
+        return self._base
+
     def address(self, ip: str, port: str) -> str:
         """Return a named address of a process."""
         return platform_boot.address(ip, port, self._base)
@@ -89,7 +94,7 @@
             seeds=self.cores[:SEEDS],
         )
 
-    def start(self, *ips: str) -> None:
+    def start(self, *ips: str, is_planned: bool = True) -> None:
         """Start processes; each continues its log file."""
         for ip in ips:
             role = "core" if ip in self.cores else "app"
@@ -107,6 +112,7 @@
                     start_new_session=True,
                 )
             self.children[ip] = Child(ip, process, log_path)
+            self._record("started", ip, 0.0, is_planned=is_planned)
             self.expected_down.discard(ip)
 
     def is_ready(self, ip: str) -> bool:
@@ -126,6 +132,8 @@
     async def stop(self, ip: str) -> None:
         """Stop a process as the platform does: SIGTERM, and SIGKILL after the grace period."""
         child = self.children[ip]
+        if ip in self.expected_down:
+            return
         self.expected_down.add(ip)
         self._record("SIGTERM", ip, GRACE_S + 1.0, is_planned=True)
         child.signal(signal.SIGTERM)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -8,6 +8,7 @@
 
 from tests.soak.cluster import Cluster
 from tests.soak.ledger import Ledger
+from tests.soak.relay import Relay
 from tests.soak.targets import Behaviour, Target
 
 # Time between the end of a target and the start of its successor at the same address.
@@ -26,6 +27,7 @@
         nursery: trio.Nursery,
     ) -> None:
         self.targets: dict[str, Target] = {}
+        self.relays: dict[str, Relay] = {}
         self._cluster = cluster
         self._ledger = ledger
         self._rng = rng
@@ -36,6 +38,10 @@
     def start(self) -> None:
         """Start a target beside each node."""
         for ip in self._cluster.apps:
+            cluster = self._cluster
+            relay = Relay(ip, cluster.target_port, cluster.hidden_target_port)
+            self.relays[ip] = relay
+            self._nursery.start_soon(relay.run)
             self.start_target(ip)
 
     def start_target(self, ip: str) -> None:
@@ -47,8 +53,19 @@
         self.targets[ip] = target
         self._nursery.start_soon(target.run)
 
+    async def leave(self, ip: str, drains: bool) -> None:
+        """Let a target leave as planned."""
+        await self.targets[ip].leave(drains=drains)
+
     async def replace(self, ip: str, *, drains: bool) -> None:
         """Let a target leave as planned, and start its successor."""
-        await self.targets[ip].leave(drains=drains)
+        await self.leave(ip, drains)
+        await trio.sleep(REPLACE_DELAY_S)
+        self.start_target(ip)
+
+    async def crash(self, ip: str) -> None:
+        """End a target at once, and start its successor."""
+        self.targets[ip].is_leaving = True
+        self.targets[ip].end()
         await trio.sleep(REPLACE_DELAY_S)
         self.start_target(ip)
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -82,6 +82,8 @@
     received_bytes: int = 0
     problem: str = ""
     error: str = ""
+    # Id of an earlier request with whose connection this one ended.
+    behind: str = ""
     runs: list[Run] = dataclasses.field(default_factory=list)
 
     @property
@@ -187,7 +189,8 @@
             f"sent={self.elapsed(request.sent_s):.3f} deadline={request.deadline_s:.3f} "
             f"{request.ending.value}={self.elapsed(request.ended_s):.3f} "
             f"({self.wall_clock(request.ended_s)}) status={request.status} "
-            f"received={request.received_bytes} {request.error} {request.problem} runs=[{runs}]"
+            f"received={request.received_bytes} behind={request.behind or None} "
+            f"{request.error} {request.problem} runs=[{runs}]"
         )
 
     def close(self) -> None:
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -67,6 +67,8 @@
         self._ledger = ledger
         self._rng = rng
         self._version = 7
+        # Takes orders as acknowledged without sending them, to show that the checks can fail.
+        self.feigns = False
 
     async def configure_first(self) -> None:
         """Send the whole first configuration until it is accepted."""
@@ -155,6 +157,8 @@
 
     async def _order(self, path: str, body: bytes) -> bool:
         """Send an order until it is acknowledged; return False after the last try."""
+        if self.feigns:
+            return True
         end_s = time.monotonic() + ORDER_TIMEOUT_S
         pause_s = 0.1
         headers = {"Content-Type": "application/json"} if body else {}
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -19,7 +19,7 @@
 from tests.soak.wire import READ_BYTES, ClientConnection, ConnectionEnded, render_head
 
 HEARTBEAT_S = 1.5
-SLOTS = 8
+SLOTS = 12
 QUEUE = 12
 IDLE_TIMEOUT_S = 8.0
 # Time for which a target goes on serving after the acknowledgement that it drains.
@@ -44,8 +44,10 @@
     forget_ratio: float = 0.0
     # A full target gives no response in place of a refusal.
     hangs_when_full: bool = False
-    # Faults of an unsound target, to show that the checks can fail.
+    # Faults of an unsound target, which show that the checks can fail.
     swaps_bodies: bool = False
+    denies_runs: bool = False
+    feigns_leaving: bool = False
 
 
 def make_body(signature: str, size: int) -> bytes:
@@ -86,7 +88,9 @@
     async def run(self) -> None:
         """Serve until the target ends."""
         with self._scope:
-            listeners = await trio.open_tcp_listeners(self._cluster.target_port, host=self.ip)
+            listeners = await trio.open_tcp_listeners(
+                self._cluster.hidden_target_port, host=self.ip
+            )
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(trio.serve_listeners, self._serve, listeners)
                 nursery.start_soon(self._beat)
@@ -101,7 +105,9 @@
     async def leave(self, *, drains: bool) -> None:
         """Leave as planned: drain and deregister, or deregister first; then end."""
         self.is_leaving = True
-        if drains:
+        if self.behaviour.feigns_leaving:
+            acknowledged = True
+        elif drains:
             self.state = "draining"
             acknowledged = await self._send_heartbeat()
         else:
@@ -154,6 +160,8 @@
                 while await self._serve_one(conn):
                     pass
             except h11.ProtocolError as exc:
+                if conn.peer_closed:
+                    return  # The caller gave up before the end of its body.
                 text = f"{self.instance_id} got bytes that are no request: {exc}"
                 self._ledger.report("UNASKED", f"{text}", time.monotonic(), text)
             finally:
@@ -239,6 +247,9 @@
             await conn.respond(504, [*echo, ("Server-Signature", self._sign(run, 0))], b"")
             return conn.keep_alive()
         run.status = status
+        if self.behaviour.denies_runs:
+            await conn.respond(503, [*echo, ("Not-Executed", "1")], b"")
+            return conn.keep_alive()
         return await self._answer(conn, run, echo)
 
     async def _do_work(self, request: Received, end_s: float) -> int:
@@ -347,6 +358,7 @@
 
     def __init__(self, stream: trio.SocketStream) -> None:
         self.stream = stream
+        self.peer_closed = False
         self._conn = h11.Connection(h11.SERVER)
 
     async def read_request(self) -> Received | None:
@@ -358,7 +370,9 @@
                 if self._conn.they_are_waiting_for_100_continue:
                     response = h11.InformationalResponse(status_code=100, headers=[])
                     await self.stream.send_all(self._conn.send(response) or b"")
-                self._conn.receive_data(bytes(await self.stream.receive_some(READ_BYTES)))
+                data = bytes(await self.stream.receive_some(READ_BYTES))
+                self.peer_closed = not data
+                self._conn.receive_data(data)
             elif isinstance(event, h11.Request):
                 request = event
             elif isinstance(event, h11.Data):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -121,6 +121,8 @@
                 self._operator,
                 self._fleet,
                 random.Random(self._rng.random()),
+                trio.CapacityLimiter(1),
+                set(),
             )
             with trio.move_on_after(self._plan.seconds):
                 await faults.play(context, self._plan.faults)
@@ -161,7 +163,9 @@
     endings = collections.Counter(r.ending for r in requests)
     statuses = collections.Counter(r.status for r in requests if r.ending is Ending.ANSWERED)
     rules = collections.Counter(v.rule for v in ledger.violations)
+    beside_deadline = sum("passed at that moment" in v.text for v in ledger.violations)
     broken = " ".join(f"{rule}={count}" for rule, count in sorted(rules.items())) or "held"
+    broken += f" (beside a deadline: {beside_deadline})" if beside_deadline else ""
     events = collections.Counter(event.kind for event in ledger.events)
     parts = [
         f"seed={plan.seed} nodes={plan.nodes} faults={','.join(plan.faults) or 'none'}: {broken};",
