--- /dev/null
+++ b/tests/test_full_link.py
@@ -0,0 +1,158 @@
+"""Tests of links with much to carry in one direction, on real sockets."""
+
+from __future__ import annotations
+
+import contextlib
+import functools
+import socket
+import unittest
+from collections.abc import AsyncIterator
+from typing import Any
+
+import trio
+
+from knapweedhitch.exchange import BodySource, CallSpec
+from knapweedhitch.forward import Forward
+from knapweedhitch.model import Address, CallResult
+from knapweedhitch.peers import Peers
+from knapweedhitch.settings import ListenSettings, PeerSettings
+from knapweedhitch.transport import NetTransport, Wire
+from tests.fake_net import SECRET, MemoryNet, Node, StaticMembership, listen
+from tests.test_forward import (
+    RESULT,
+    Body,
+    FakeGate,
+    FakeServices,
+    Sink,
+    dispatch,
+    execute,
+    make_spec,
+)
+from tests.test_planned_stop import RELAY_BYTES, relay_slowly
+
+BODY_BYTES = 90_000
+CALLS = 6
+# As on the platform; other settings than these keep a link open for longer.
+PEERS = PeerSettings(heartbeat_interval_ms=250, rest_after_ms=500, rest_heartbeat_ms=250)
+
+
+async def respond(spec: CallSpec, body: BodySource, sink: Any) -> CallResult:
+    """Read the whole request and send a large response, or a short one to a request with a body."""
+    await dispatch(sink)
+    while await body.receive() is not None:
+        pass
+    await sink.head(200, (), None)
+    await sink.data(b"x" * (1 if spec.has_body else BODY_BYTES))
+    await sink.end()
+    return RESULT
+
+
+@contextlib.asynccontextmanager
+async def nodes_with_slow_link() -> AsyncIterator[list[Node]]:
+    """Run two nodes whose link from n0 to n1 carries some 3 Mbit/s in each direction."""
+    nodes = []
+    membership = StaticMembership(0)
+    async with trio.open_nursery() as nursery:
+        for i in range(2):
+            node = Node(MemoryNet(), i, listen=ListenSettings(peers=listen(0)), peers=PEERS)
+            node.peers = Peers(node.kernel, NetTransport(node.kernel.cfg.peers), SECRET)
+            node.kernel._services["peers"] = node.peers
+            node.add("membership", membership)
+            node.add("admission", FakeServices())
+            node.add("gate", FakeGate(respond))
+            node.add("forward", Forward(node.kernel))
+            await nursery.start(node.run)
+            nodes.append(node)
+        server = nodes[1].peers.address
+
+        async def relay(near: trio.SocketStream) -> None:
+            far = await trio.open_tcp_stream(server.host, server.port)
+            for stream in (near, far):
+                stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * RELAY_BYTES)
+            async with trio.open_nursery() as inner:
+                inner.start_soon(relay_slowly, near, far)
+                inner.start_soon(relay_slowly, far, near)
+
+        serve = functools.partial(trio.serve_tcp, relay, 0, host="127.0.0.1")
+        listeners = await nursery.start(serve)
+        port = listeners[0].socket.getsockname()[1]
+        membership.addresses["n1"] = Address("127.0.0.1", port)
+        yield nodes
+        nursery.cancel_scope.cancel()
+
+
+class FullLinkTest(unittest.TestCase):
+    def check_calls(self, has_body: bool) -> None:
+        """Run concurrent calls through the link, all of which must succeed."""
+
+        async def main() -> tuple[list[Any], list[Any]]:
+            async with nodes_with_slow_link() as (a, b):
+                results: list[Any] = []
+
+                async def call() -> None:
+                    body = Body(b"x" * BODY_BYTES) if has_body else Body()
+                    spec = make_spec(has_body, deadline_ms=8_000)
+                    results.append(await execute(a, spec, body, Sink()))
+
+                async with trio.open_nursery() as nursery:
+                    for _ in range(CALLS):
+                        nursery.start_soon(call)
+                closed = [node.counters.get("peer_link_closed", "silent") for node in (a, b)]
+                return results, closed
+
+        results, closed = trio.run(main)
+        self.assertEqual(results, [RESULT] * CALLS)
+        self.assertEqual(closed, [0, 0])
+
+    def test_link_that_is_full_of_responses_is_not_taken_for_silent(self) -> None:
+        """Guards against a node that closes a link, with the responses on it, because its pings
+        wait behind them while the other node receives and has nothing to send.
+        """
+        self.check_calls(has_body=False)
+
+    def test_link_that_is_full_of_request_bodies_is_not_taken_for_silent(self) -> None:
+        """Guards against the same at the node that sends the requests."""
+        self.check_calls(has_body=True)
+
+
+class FullWireTest(unittest.TestCase):
+    def test_wire_that_is_full_in_both_directions_goes_on(self) -> None:
+        """Guards against two nodes that both wait with a write until the other one reads, because
+        neither reads while its own write waits.
+        """
+        frames = [b"x" * 65_536] * 16
+
+        async def exchange(wire: Wire, received: list[int]) -> None:
+            """Send all frames at once and receive as many."""
+            wire._conn.stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RELAY_BYTES)  # type: ignore[attr-defined]
+            wire.accept_long_messages()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(wire.send, frames)
+                for _ in frames:
+                    received.append(len(await wire.receive()))
+
+        async def main() -> list[list[int]]:
+            transport = NetTransport(PeerSettings())
+            address = await transport.bind("127.0.0.1", 0)
+            received: list[list[int]] = [[], []]
+            accepted = trio.Event()
+            ended = trio.Event()
+
+            async def accept(wire: Wire) -> None:
+                accepted.set()
+                await exchange(wire, received[0])
+                ended.set()
+                await trio.sleep_forever()
+
+            with trio.move_on_after(5) as scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(transport.serve, accept)
+                    async with transport.connect(address) as wire:
+                        await accepted.wait()
+                        await exchange(wire, received[1])
+                        await ended.wait()
+                    scope.cancel()
+            return received
+
+        received = trio.run(main)
+        self.assertEqual([len(lengths) for lengths in received], [len(frames)] * 2)
