Keep the bytes behind a refused request

A caller that sent requests behind one that may not run beside others, and that was refused, waited in vain for their responses: what had arrived while the refused one waited for its turn was dropped (LOST). If the drop fell into a body, its rest was parsed and run as a request (UNASKED).

Cause: after a request its left-over bytes replaced the buffer, in place of being put before what had not been read yet. Refusals of that kind are rarer without a wait, so it took a pipeline with a POST and a deadline that passed.

--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -241,7 +241,8 @@
         await self._router.handle(conn, head)
         if conn.start_next_request():
             if not req.is_detached:
-                self._buffer = conn.pipelined_bytes()
+                # Bytes that nobody has read yet came later than those that the request left over.
+                self._buffer = conn.pipelined_bytes() + self._buffer
             return True
         self._log_end(req)
         self._must_linger = conn.response_ended
