--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from knapweedhitch.arrivals import Arrivals
 from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.budget import ByteBudget
 from knapweedhitch.counters import Counters
@@ -117,7 +118,7 @@
         self._counters = counters
         self._log = log
         self._buffer = b""
-        self._received_s = trio.current_time()
+        self._arrivals = Arrivals()
         self._pending: list[PipelinedRequest] = []
         self._request_ended = trio.Event()
         # Cancelled when no further request is taken.
@@ -147,7 +148,7 @@
 
     async def _receive(self) -> bytes:
         data = await receive_when_ready(self.stream, READ_BYTES)
-        self._received_s = trio.current_time()
+        self._arrivals.record(len(data))
         return data
 
     def requests_after(self, req: PipelinedRequest) -> list[PipelinedRequest]:
@@ -209,7 +210,8 @@
             return None
         req.has_head = head is not None
         # The head may have waited in memory for earlier requests; its deadline counts meanwhile.
-        req.conn.received_s = self._received_s
+        unread_bytes = len(self._buffer) + len(req.conn.pipelined_bytes())
+        req.conn.received_s = self._arrivals.time_of(self._arrivals.received_bytes - unread_bytes)
         return head
 
     async def _buffer_until_due(self, req: PipelinedRequest) -> None:
