--- a/knapweedhitch/items.py
+++ b/knapweedhitch/items.py
@@ -177,12 +177,15 @@
 
 def _check_versions(patch: ItemPatch) -> None:
     """Raise InvalidChange for a version below 0, which would be accepted and have no effect."""
-    named = (*patch.routes, *patch.backends, *patch.removed_routes, *patch.removed_backends)
-    for item in named:
-        if item.version < 0:
-            raise InvalidChange(f"{item.name}: use a version from 0, got {item.version}")
-    if patch.limits is not None and patch.limits.version < 0:
-        raise InvalidChange(f"limits: use a version from 0, got {patch.limits.version}")
+    versions = [(item.name, item.version) for item in patch.routes]
+    versions += [(item.name, item.version) for item in patch.backends]
+    versions += [(item.name, item.version) for item in patch.removed_routes]
+    versions += [(item.name, item.version) for item in patch.removed_backends]
+    if patch.limits is not None:
+        versions.append(("limits", patch.limits.version))
+    for name, version in versions:
+        if version < 0:
+            raise InvalidChange(f"{name}: use a version from 0, got {version}")
 
 
 def _check_consistency(items: Items) -> None:
