Pass on no request behind one that asks for a close

A request behind one with Connection: close, or of HTTP/1.0, was passed on and then cancelled when the connection closed, so that it ended without an answer. That the connection closes is known when the head is read, not only when the response begins.

--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -205,8 +205,8 @@
         except CallerGone:
             self._counters.add("caller_gone")
             return None
-        if any(other.conn.will_close for other in self._pending):
-            # The caller sent it before it read that the connection closes, and sends it again.
+        if any(other.conn.will_close for other in self._pending if other is not req):
+            # Its caller counts it as not received and sends it again.
             return None
         req.has_head = head is not None
         # The head may have waited in memory for earlier requests; its deadline counts meanwhile.
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -89,7 +89,7 @@
         self.stream = stream
         self.names = names
         self.order: ResponseOrder = order or NoPipelining()
-        # Whether the response has told the caller that the connection is closed after it.
+        # Whether the connection is closed after the response, as the caller knows or asks.
         self.will_close = False
         self.cfg = cfg
         self.close_after = False
@@ -145,6 +145,7 @@
         if not head.has_body:
             # Reads the EndOfMessage event, so that h11 knows that the request is complete.
             self._next_body_event()
+            self.will_close = self._conn.their_state is h11.MUST_CLOSE
         return head
 
     async def _receive_raw_head(self) -> bytes | None:
