Count a caller connection as idle only without requests in progress

A connection closed right after a response, without a word, although it had been idle for less than its timeout: the time of the request itself counted as idle. And once that time had passed, or while the refusal of a bad request waited for its turn, nobody read from the connection, so the requests in progress went on for a caller that had left.

The idle timeout starts when no earlier response is due, and the connection is read until the last request on it has ended.

--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -71,8 +71,10 @@
         self._held_bytes = 0
 
     def set_due(self) -> None:
-        """Record that all earlier responses are complete."""
-        self._due.set()
+        """Record that all earlier responses are complete, so that the connection may be idle."""
+        if not self._due.is_set():
+            self._due.set()
+            self.conn.start_idle_timeout()
 
     # Stream
 
@@ -163,7 +165,7 @@
                 while await self._serve_next(nursery):
                     pass
             while self._pending:
-                await self._wait_for_request_end()
+                await self._buffer_until_request_end()
         if self._must_linger:
             await linger(self.stream, self._cfg.linger_ms)
 
@@ -178,11 +180,11 @@
             if head is None:
                 return False
             if not head.has_body and self._router.may_run_concurrently(head):
-                self._buffer = req.conn.pipelined_bytes()
+                self._buffer = req.conn.pipelined_bytes() + self._buffer
                 req.is_detached = True
                 nursery.start_soon(self._run_concurrently, req, head)
             else:
-                await self._buffer_until_due(req)
+                await self._buffer_until(req.wait_due)
                 if not req.is_due:
                     return False
                 return await self._run(req, head)
@@ -190,8 +192,7 @@
             if not req.is_detached:
                 self._remove(req)
         while len(self._pending) >= self._cfg.max_pipelined and not self.gone.is_set():
-            self._request_ended = trio.Event()
-            await self._buffer_until(self._request_ended.wait)
+            await self._buffer_until_request_end()
         return True
 
     async def _receive_head(self, req: PipelinedRequest) -> RequestHead | None:
@@ -199,6 +200,7 @@
         try:
             head = await req.conn.receive_head()
         except Refusal as exc:
+            await self._buffer_until(req.wait_due)
             await self._router.refuse_unparsed(req.conn, exc)
             self._must_linger = True
             return None
@@ -214,11 +216,10 @@
         req.conn.received_s = self._arrivals.time_of(self._arrivals.received_bytes - unread_bytes)
         return head
 
-    async def _buffer_until_due(self, req: PipelinedRequest) -> None:
-        await self._buffer_until(req.wait_due)
-
     async def _buffer_until(self, wait: Callable[[], Awaitable[None]]) -> None:
         """Wait for a condition or until the caller has gone; buffer the bytes that arrive."""
+        if self.gone.is_set():
+            return
 
         async def read_into_buffer() -> None:
             while len(self._buffer) < MAX_PIPELINED_BYTES:
@@ -296,6 +297,9 @@
             self._pending[0].set_due()
         self._request_ended.set()
 
-    async def _wait_for_request_end(self) -> None:
+    async def _buffer_until_request_end(self) -> None:
+        """Wait until a request has ended; until the caller has gone, read on to notice that."""
         self._request_ended = trio.Event()
-        await self._request_ended.wait()
+        await self._buffer_until(self._request_ended.wait)
+        if self.gone.is_set():
+            await self._request_ended.wait()
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -176,7 +176,9 @@
     async def _receive_first(self) -> bytes:
         if self._stopping:
             return b""
-        with trio.move_on_after(self.cfg.idle_timeout_ms / 1_000) as self._idle_scope:
+        with trio.CancelScope() as self._idle_scope:
+            if self.order.is_due:
+                self.start_idle_timeout()
             data = await self._receive()
         interrupted = self._idle_scope.cancelled_caught
         self._idle_scope = None
@@ -185,6 +187,11 @@
         self._conn.receive_data(data)
         return data
 
+    def start_idle_timeout(self) -> None:
+        """Limit the wait for the first byte of a request from now on."""
+        if self._idle_scope is not None:
+            self._idle_scope.deadline = trio.current_time() + self.cfg.idle_timeout_ms / 1_000
+
     async def _receive(self) -> bytes:
         try:
             return await receive_when_ready(self.stream, READ_BYTES)
--- a/tests/test_shared_connection.py
+++ b/tests/test_shared_connection.py
@@ -179,11 +179,13 @@
         async def scenario(
             caller: trio.SocketStream, router: FakeRouter, conn: CallerConnection
         ) -> None:
-            await caller.send_all(GET % (IDLE_TIMEOUT_S * 900))
-            self.assertNotIn(b"close", (await read_until(caller, 1)).lower())
-            await trio.sleep(IDLE_TIMEOUT_S / 2)
-            await caller.send_all(GET % 100)
-            self.assertIn(b" 200 ", await read_until(caller, 1))
+            # A little less than the timeout, and more.
+            for request_ms in (IDLE_TIMEOUT_S * 900, IDLE_TIMEOUT_S * 1_500):
+                await caller.send_all(GET % request_ms)
+                self.assertNotIn(b"close", (await read_until(caller, 1)).lower())
+                await trio.sleep(IDLE_TIMEOUT_S / 2)
+                await caller.send_all(GET % 100)
+                self.assertIn(b" 200 ", await read_until(caller, 1))
 
         run_with_idle_timeout(scenario)
 
