Close an idle caller connection without cutting its last response

A planned stop and the idle timeout closed a caller's connection at once. If the end of the last response was still on its way and the caller had sent its next request, the close reset the connection and the caller lost the response (LOST): 4,056 of 16,000 bytes arrived.

Writing is shut down first, and the connection is closed when the caller closes it or after callers.linger_ms, without reading: a request that crosses the close stays unread, so that its caller may send it again.

--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -12,7 +12,7 @@
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import CallerGone, Refusal
 from knapweedhitch.framing import HeaderNames, RequestHead
-from knapweedhitch.http1 import READ_BYTES, ServerConnection, linger
+from knapweedhitch.http1 import READ_BYTES, ServerConnection, linger, linger_unread
 from knapweedhitch.ingressapi import RequestHandler
 from knapweedhitch.settings import CallerSettings
 from knapweedhitch.sockets import receive_when_ready, send_at_once
@@ -127,6 +127,7 @@
         self._reading = trio.CancelScope()
         self._is_stopping = False
         self._must_linger = False
+        self._has_responded = False
 
     def stop_waiting(self) -> None:
         """Stop waiting for another request; requests in progress continue."""
@@ -168,6 +169,8 @@
                 await self._buffer_until_request_end()
         if self._must_linger:
             await linger(self.stream, self._cfg.linger_ms)
+        elif self._has_responded and not self.gone.is_set():
+            await linger_unread(self.stream, self._cfg.linger_ms)
 
     async def _serve_next(self, nursery: trio.Nursery) -> bool:
         """Serve one request; return False if the connection takes no further one."""
@@ -243,6 +246,7 @@
         conn = req.conn
         await self._router.handle(conn, head)
         if conn.start_next_request():
+            self._has_responded = True
             if not req.is_detached:
                 # Bytes that nobody has read yet came later than those that the request left over.
                 self._buffer = conn.pipelined_bytes() + self._buffer
@@ -250,6 +254,7 @@
         self._log_end(req)
         self._must_linger = conn.response_ended
         if conn.response_started and not conn.response_ended:
+            self._has_responded = False
             conn.reset(self.stream)
         return False
 
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -5,7 +5,7 @@
 import math
 import struct
 from collections.abc import Iterable
-from socket import SO_LINGER, SOL_SOCKET
+from socket import MSG_PEEK, SO_LINGER, SOL_SOCKET
 from typing import Protocol
 
 import h11
@@ -411,6 +411,24 @@
             pass
 
 
+async def linger_unread(stream: trio.abc.Stream, linger_ms: float) -> None:
+    """Shut down writing, then wait until the caller closes for up to `linger_ms`, reading nothing.
+
+    Closing with unread bytes resets the connection, and the caller may lose the end of a response
+    that is still on its way. A request that crosses the close stays unread and may be sent again.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        return
+    with trio.move_on_after(linger_ms / 1_000):
+        try:
+            await stream.send_eof()
+            if await stream.socket.recv(1, MSG_PEEK):
+                await trio.sleep_forever()
+        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # The caller has closed or reset the connection.
+            pass
+
+
 def _informational(status: int, headers: Headers) -> h11.InformationalResponse:
     return h11.InformationalResponse(status_code=status, headers=list(headers))
 
