Read from a link while a write to it waits

Two nodes that both had much to send over their link waited for each other until the link was closed as silent, with every request on it (LOST, 502 peer-failed).

Cause: websockets writes after each read what the read has caused, under the lock that a write of ours holds while the peer does not read. So nothing was read while a write waited: 0.67 s for 256 KiB at 3.15 Mbit/s, and without end if both sides wrote. Reading waits for that lock only when it has caused something.

--- a/knapweedhitch/transport.py
+++ b/knapweedhitch/transport.py
@@ -12,7 +12,7 @@
 import trio
 from websockets.exceptions import ConnectionClosed, WebSocketException
 from websockets.protocol import State
-from websockets.trio.client import connect
+from websockets.trio.client import ClientConnection, connect
 from websockets.trio.connection import Connection
 from websockets.trio.server import ServerConnection, serve
 
@@ -106,6 +106,27 @@
         ...
 
 
+class _UnblockedReading(Connection):
+    """Read on while a write waits for the peer.
+
+    The library calls `send_data` after each read, which waits for the lock of the write. Two nodes
+    whose writes wait for each other to read would wait for ever.
+    """
+
+    async def send_data(self) -> None:
+        """Write what reading has caused, mostly nothing."""
+        if self.protocol.writes:
+            await super().send_data()
+
+
+class _AcceptedConnection(_UnblockedReading, ServerConnection):
+    """Represent a connection that a peer has opened."""
+
+
+class _DialledConnection(_UnblockedReading, ClientConnection):
+    """Represent a connection to a peer."""
+
+
 class WebsocketWire:
     """Transfer messages over one websocket connection."""
 
@@ -257,6 +278,7 @@
                 handle,
                 listeners=[self._listener],  # type: ignore[list-item]
                 compression=None,
+                create_connection=_AcceptedConnection,
                 server_header=None,
                 open_timeout=self._cfg.handshake_timeout_ms / 1_000,
                 ping_interval=None,
@@ -289,6 +311,7 @@
             f"ws://{address}/",
             stream=stream,
             compression=None,
+            create_connection=_DialledConnection,
             proxy=None,
             user_agent_header=None,
             open_timeout=self._cfg.connect_timeout_ms / 1_000,
