Ping a peer to which nothing was sent for a heartbeat

A link of 3.2 Mbit/s with four responses of 90 KB at once was closed as silent after 0.69 s, and the requests on it ended: 1 of 4, 3 of 6 and 9 of 12 were lost. Where the entry node had begun to pass a response on, it reset its caller's connection with the pipelined requests behind it (LOST).

Cause: a node pinged only when it received nothing. One that receives a long response sends nothing, and the pings of the other side wait behind the response, so the sender heard nothing for 2.75 heartbeats although the link worked.

Now a quiet direction is enough for a ping.

--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -101,6 +101,7 @@
         self._checked_ms = self.opened_ms
         self._was_resting = False
         self._last_ping_ms = 0.0
+        self._last_sent_ms = self.opened_ms
         self._transit = TransitTime()
         self._delivery = DeliveryTracker()
         self.disconnect_error: PeerDisconnected | None = None
@@ -190,6 +191,7 @@
     def _enqueue(self, data: bytes, kind: str) -> None:
         self._counters.add("peer_bytes_out", kind, len(data) + self._wire.overhead_bytes)
         self._queue.append(data)
+        self._last_sent_ms = Timers.now_ms()
         self._queued_bytes += len(data)
         self._frames_queued.set()
 
@@ -301,9 +303,10 @@
             self._counters.add("peer_link_closed", "silent")
             self.close("missed heartbeats")
             return
-        # Any frame that arrived within the interval counts as a pong.
-        since_received_ms = now - self.last_received_ms
-        if since_received_ms >= interval_ms and now - self._last_ping_ms >= interval_ms:
+        # Any frame that arrived within the interval counts as a pong. A peer that only receives
+        # pings as well, since the pings of the other side wait behind what it receives.
+        quiet_ms = now - min(self.last_received_ms, self._last_sent_ms)
+        if quiet_ms >= interval_ms and now - self._last_ping_ms >= interval_ms:
             self._last_ping_ms = now
             self.put_frame(Ping(next(self._sequence)), "control")
         if now - self.last_used_ms >= self.cfg.idle_close_ms and self.is_idle:
