Count the bytes of an incomplete message as a sign of life

A link was closed as silent while the bytes of a long message arrived: only whole messages counted, and 64 KiB take more than the 0.69 s of the limit once a link carries less than 0.8 Mbit/s.

test_link_with_a_slow_message_on_it_is_not_taken_for_silent failed before with PeerFailed(missed heartbeats) at 0.33 Mbit/s.

--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -278,7 +278,9 @@
     @property
     def silent_ms(self) -> float:
         """Return for how long the peer has sent nothing although frames were due."""
-        return Timers.now_ms() - max(self.last_received_ms, self._active_since_ms)
+        # A long message may take many heartbeats to arrive over a slow or shared link.
+        last_sign_ms = max(self.last_received_ms, self._wire.last_read_ms, self._active_since_ms)
+        return Timers.now_ms() - last_sign_ms
 
     def check_heartbeat(self, rest_heartbeat_ms: float) -> None:
         """Ping a quiet peer, close a silent link and retire an unused one.
--- a/knapweedhitch/transport.py
+++ b/knapweedhitch/transport.py
@@ -5,6 +5,7 @@
 import contextlib
 import errno
 import logging
+import math
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Protocol
@@ -16,6 +17,7 @@
 from websockets.trio.connection import Connection
 from websockets.trio.server import ServerConnection, serve
 
+from knapweedhitch.clock import now_ms
 from knapweedhitch.exceptions import PeerDisconnected, PeerUnreachable
 from knapweedhitch.model import Address
 from knapweedhitch.settings import PeerSettings
@@ -48,6 +50,11 @@
 class Wire(Protocol):
     """Transfer whole binary messages in order between two nodes."""
 
+    @property
+    def last_read_ms(self) -> float:
+        """Return when the last bytes arrived, also those of an incomplete message."""
+        ...
+
     @property
     def overhead_bytes(self) -> int:
         """Return the number of bytes that framing adds to a short message."""
@@ -113,8 +120,11 @@
     whose writes wait for each other to read would wait for ever.
     """
 
+    last_read_ms = -math.inf
+
     async def send_data(self) -> None:
-        """Write what reading has caused, mostly nothing."""
+        """Write what a read has caused, mostly nothing; the library calls this after each read."""
+        self.last_read_ms = now_ms()
         if self.protocol.writes:
             await super().send_data()
 
@@ -130,12 +140,17 @@
 class WebsocketWire:
     """Transfer messages over one websocket connection."""
 
-    def __init__(self, conn: Connection, max_message_bytes: int, *, masked: bool) -> None:
+    def __init__(self, conn: _UnblockedReading, max_message_bytes: int, *, masked: bool) -> None:
         self._conn = conn
         self._max_message_bytes = max_message_bytes
         # RFC 6455: a 2-byte header, and a 4-byte mask in frames from the client.
         self.overhead_bytes = 6 if masked else 2
 
+    @property
+    def last_read_ms(self) -> float:
+        """Return when the last bytes arrived, also those of an incomplete message."""
+        return self._conn.last_read_ms
+
     async def send(self, frames: Sequence[bytes]) -> None:
         """Send messages in one write; raises PeerDisconnected."""
         conn = self._conn
@@ -271,6 +286,7 @@
             raise PeerUnreachable("the listener is not bound")
 
         async def handle(conn: ServerConnection) -> None:
+            assert isinstance(conn, _AcceptedConnection)
             await handler(WebsocketWire(conn, self._cfg.max_message_bytes, masked=False))
 
         try:
@@ -326,6 +342,7 @@
             async with connecting as conn:
                 opened = True
                 try:
+                    assert isinstance(conn, _DialledConnection)
                     yield WebsocketWire(conn, self._cfg.max_message_bytes, masked=True)
                 finally:
                     # A close handshake would delay the end of a silent link.
--- a/tests/fake_net.py
+++ b/tests/fake_net.py
@@ -41,6 +41,7 @@
     """
 
     overhead_bytes = 2
+    last_read_ms = -math.inf
 
     def __init__(self, net: MemoryNet, own_address: Address, other_address: Address) -> None:
         self._net = net
--- a/tests/test_full_link.py
+++ b/tests/test_full_link.py
@@ -28,10 +28,12 @@
     execute,
     make_spec,
 )
-from tests.test_planned_stop import RELAY_BYTES, relay_slowly
+from tests.test_planned_stop import RELAY_BYTES, RELAY_INTERVAL_S, RelayPace, relay_slowly
 
 BODY_BYTES = 90_000
 CALLS = 6
+# A tenth of 3 Mbit/s: 64 KiB take more than a second and a half.
+SHARED_INTERVAL_S = 0.4
 # As on the platform; other settings than these keep a link open for longer.
 PEERS = PeerSettings(heartbeat_interval_ms=250, rest_after_ms=500, rest_heartbeat_ms=250)
 
@@ -48,8 +50,8 @@
 
 
 @contextlib.asynccontextmanager
-async def nodes_with_slow_link() -> AsyncIterator[list[Node]]:
-    """Run two nodes whose link from n0 to n1 carries some 3 Mbit/s in each direction."""
+async def nodes_with_slow_link(pace: RelayPace) -> AsyncIterator[list[Node]]:
+    """Run two nodes whose link passes through a slow relay."""
     nodes = []
     membership = StaticMembership(0)
     async with trio.open_nursery() as nursery:
@@ -70,8 +72,8 @@
             for stream in (near, far):
                 stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * RELAY_BYTES)
             async with trio.open_nursery() as inner:
-                inner.start_soon(relay_slowly, near, far)
-                inner.start_soon(relay_slowly, far, near)
+                inner.start_soon(relay_slowly, near, far, pace)
+                inner.start_soon(relay_slowly, far, near, pace)
 
         serve = functools.partial(trio.serve_tcp, relay, 0, host="127.0.0.1")
         listeners = await nursery.start(serve)
@@ -82,12 +84,18 @@
 
 
 class FullLinkTest(unittest.TestCase):
-    def check_calls(self, has_body: bool) -> None:
+    def check_calls(
+        self, has_body: bool, calls: int = CALLS, interval_s: float = RELAY_INTERVAL_S
+    ) -> None:
         """Run concurrent calls through the link, all of which must succeed."""
 
         async def main() -> tuple[list[Any], list[Any]]:
-            async with nodes_with_slow_link() as (a, b):
+            pace = RelayPace()
+            async with nodes_with_slow_link(pace) as (a, b):
                 results: list[Any] = []
+                # Opens the link, whose handshake has a time limit.
+                await execute(a, make_spec(True), Body())
+                pace.interval_s = interval_s
 
                 async def call() -> None:
                     body = Body(b"x" * BODY_BYTES) if has_body else Body()
@@ -95,13 +103,13 @@
                     results.append(await execute(a, spec, body, Sink()))
 
                 async with trio.open_nursery() as nursery:
-                    for _ in range(CALLS):
+                    for _ in range(calls):
                         nursery.start_soon(call)
                 closed = [node.counters.get("peer_link_closed", "silent") for node in (a, b)]
                 return results, closed
 
         results, closed = trio.run(main)
-        self.assertEqual(results, [RESULT] * CALLS)
+        self.assertEqual(results, [RESULT] * calls)
         self.assertEqual(closed, [0, 0])
 
     def test_link_that_is_full_of_responses_is_not_taken_for_silent(self) -> None:
@@ -114,6 +122,12 @@
         """Guards against the same at the node that sends the requests."""
         self.check_calls(has_body=True)
 
+    def test_link_with_a_slow_message_on_it_is_not_taken_for_silent(self) -> None:
+        """Guards against a node that closes a link while the bytes of a long message arrive, since
+        it counts whole messages only; many links may share the bandwidth of a machine.
+        """
+        self.check_calls(has_body=False, calls=1, interval_s=SHARED_INTERVAL_S)
+
 
 class FullWireTest(unittest.TestCase):
     def test_wire_that_is_full_in_both_directions_goes_on(self) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import dataclasses
 import socket
 import unittest
 from collections.abc import AsyncIterator
@@ -170,11 +171,18 @@
             self.assertEqual(replies, [Ack()])
 
 
-async def relay_slowly(source: trio.SocketStream, sink: trio.SocketStream) -> None:
+@dataclasses.dataclass
+class RelayPace:
+    """Set the time that a relay takes for RELAY_BYTES."""
+
+    interval_s: float = RELAY_INTERVAL_S
+
+
+async def relay_slowly(source: trio.SocketStream, sink: trio.SocketStream, pace: RelayPace) -> None:
     """Pass bytes on at the rate of a slow link, and its end."""
     try:
         while data := await source.receive_some(RELAY_BYTES):
-            await trio.sleep(RELAY_INTERVAL_S)
+            await trio.sleep(pace.interval_s)
             await sink.send_all(data)
         await sink.send_eof()
     except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -239,8 +247,8 @@
             far = await trio.open_tcp_stream(server.host, server.port)
             far.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * RELAY_BYTES)
             async with trio.open_nursery() as inner:
-                inner.start_soon(relay_slowly, near, far)
-                inner.start_soon(relay_slowly, far, near)
+                inner.start_soon(relay_slowly, near, far, RelayPace())
+                inner.start_soon(relay_slowly, far, near, RelayPace())
 
         listeners = await nursery.start(trio.serve_tcp, relay, 0)
         port = listeners[0].socket.getsockname()[1]
