--- a/knapweedhitch/transport.py
+++ b/knapweedhitch/transport.py
@@ -293,8 +293,8 @@
             await serve(
                 handle,
                 listeners=[self._listener],  # type: ignore[list-item]
-                compression=None,
                 create_connection=_AcceptedConnection,
+                compression=None,
                 server_header=None,
                 open_timeout=self._cfg.handshake_timeout_ms / 1_000,
                 ping_interval=None,
@@ -326,8 +326,8 @@
         connecting = connect(
             f"ws://{address}/",
             stream=stream,
-            compression=None,
             create_connection=_DialledConnection,
+            compression=None,
             proxy=None,
             user_agent_header=None,
             open_timeout=self._cfg.connect_timeout_ms / 1_000,
