--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -275,7 +275,10 @@
 
     async def _sweep_address(self, address: Address) -> None:
         oldest_s = trio.current_time() - self._cfg.idle_timeout_ms / 1_000
-        idle = self._idle[address]
+        # Another task may have dropped the connections while the sweep closed some of others.
+        idle = self._idle.get(address)
+        if idle is None:
+            return
         stale = [c for c in idle if c.idle_since_s < oldest_s or not c.is_quiet()]
         idle[:] = [c for c in idle if c not in stale]
         if not idle:
