Use the limit of the link for the bodies of its calls

A call or reply over 1 MiB, which the platform allows for large configurations, closed the link with every request on it: its body was decoded with the default limit of the codec, not with peers.max_message_bytes.

--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -416,7 +416,7 @@
     def _on_call(self, msg: CallMessage) -> None:
         self._calls_in_progress += 1
         try:
-            body = codec.decode(msg.body)
+            body = codec.decode(msg.body, self.cfg.max_message_bytes)
         except UnknownMessage as exc:
             # A newer version may send it; an error reply lets that node continue.
             self.reply(msg.call_id, None, str(exc))
@@ -441,5 +441,5 @@
         elif msg.error:
             pending.error = PeerCallFailed(f"peer={self.peer_id} error={msg.error[:200]}")
         else:
-            pending.reply = codec.decode(msg.body)
+            pending.reply = codec.decode(msg.body, self.cfg.max_message_bytes)
         pending.done.set()
