Read what has arrived before a broken link closes

A complete response was lost at its entry node when the target's node closed the link right after it: reading a response sends credit back, the write fails as the other side is gone, and the failed write closed the link with all that had arrived and was not read yet. Callers got 502 peer-failed, or a response over 64 KiB that broke off, for a request that was answered. A link closes at the end of a planned stop of either node and when it is retired.

After a failed write the link takes no new calls, and the reader closes it when it has read everything, at the latest after 500 ms.

--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -10,6 +10,7 @@
 from msgspec import structs
 
 from knapweedhitch import codec
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.codec import Message
 from knapweedhitch.counters import Counters
 from knapweedhitch.delivery import DeliveryTracker
@@ -52,6 +53,8 @@
 # Checks come four times per heartbeat. After a longer gap this process got no processor time, and
 # what the peer has sent meanwhile is still unread.
 MAX_CHECK_GAP_HEARTBEATS = 0.75
+# How long a link that can't be written to reads what has arrived.
+READ_REST_MS = 500.0
 
 
 class LinkOwner(Protocol):
@@ -108,6 +111,8 @@
         self.retired = False
         self.has_carried_streams = False
         self._peer_retired = False
+        # Set once nothing can be written any more.
+        self._is_broken = False
         self._wire = wire
         self._owner = owner
         self._counters = counters
@@ -125,7 +130,8 @@
     @property
     def is_usable(self) -> bool:
         """Return whether the link accepts new calls and streams."""
-        return self.disconnect_error is None and not self.retired and not self._peer_retired
+        is_open = self.disconnect_error is None and not self._is_broken
+        return is_open and not self.retired and not self._peer_retired
 
     @property
     def is_congested(self) -> bool:
@@ -351,6 +357,11 @@
                 self._batch_written = trio.Event()
                 self._close_if_retired()
         except PeerDisconnected as exc:
+            # The peer may have closed the link after complete responses, which are read first; the
+            # reader closes the link at their end.
+            self._is_broken = True
+            self._owner.on_link_change(self)
+            await trio.sleep(READ_REST_MS / MS_PER_S)
             self.close(str(exc))
 
     def _take_batch(self) -> list[bytes]:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -40,6 +40,7 @@
         self.in_progress = 0
         self.active: dict[Any, None] = {}
         self.run_s = 0.05
+        self.ended = trio.Event()
 
     async def execute(
         self, node_id: str, spec: CallSpec, body: BodySource, sink: Any
@@ -54,6 +55,7 @@
             return RESULT
         finally:
             self.in_progress -= 1
+            self.ended.set()
 
     def set_draining(self, draining: bool) -> None:
         """Do nothing."""
@@ -143,6 +145,34 @@
             await trio.sleep(2)
             self.assertEqual((len(a.peers._links), len(b.peers._links)), (0, 0))
 
+    @run_on_mock_clock
+    async def test_response_that_has_come_is_read_after_the_link_broke(self) -> None:
+        """Guards against a complete response that is dropped unread, since a frame to its node,
+        which has closed the link, could not be written.
+        """
+        # The order in which reader and writer run is random.
+        for _ in range(10):
+            async with running_nodes(2, prepare=prepare) as (a, b):
+                self.assertEqual(await execute(a, make_spec()), RESULT)
+                link = link_of(b, "n0")
+                b.kernel.get("gate").ended = trio.Event()
+                results: list[Any] = []
+
+                async def call(a: Node = a, results: list[Any] = results) -> None:
+                    results.append(await execute(a, make_spec()))
+
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(call)
+                    await trio.sleep(0.01)
+                    self.assertEqual(len(link._streams), 1)
+                    # Does not run on the clock, since the response arrives in no time.
+                    await b.kernel.get("gate").ended.wait()
+                    while not link.is_idle:
+                        await trio.lowlevel.checkpoint()
+                    link.close("test")
+                self.assertEqual(results, [RESULT])
+                self.assertEqual(a.peers.linked_peers(), [])
+
     @run_on_mock_clock
     async def test_control_instance_replies_before_it_stops(self) -> None:
         """Guards against a control instance whose stop drops the replies that it has queued."""
