Answer operators' calls in progress before a stop ends

A control instance ended at SIGTERM at once: an operator's call that was read and perhaps already committed got no response, and the operator had to send the change again without knowing whether it was in force. Instances with an upstream dropped the response to its heartbeat or deregistration likewise.

A stop now closes these listeners and waits until each request that was read has its response: up to 1 s at a control instance, before its links end, and 300 ms elsewhere, together with the callers' connections.

Run: test_http_api test_platform test_planned_stop test_peers test_mutations test_orders test_docs test_operator_api test_drain test_kernel test_daemon test_platform_processes test_processes: 114 passed, 0 failed.

--- a/knapweedhitch/drain.py
+++ b/knapweedhitch/drain.py
@@ -9,6 +9,7 @@
 from knapweedhitch import logs
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.deadline import Deadline
+from knapweedhitch.http_api import ApiServer
 from knapweedhitch.kernel import Kernel, service
 
 POLL_INTERVAL_MS = 20
@@ -21,6 +22,8 @@
 # Peers get the rest of their responses and replies within this time. A peer with a handler that
 # takes longer must not hold up the stop.
 LINKS_TIMEOUT_MS = 10_000.0
+# A change of the configuration is decided or given up within this time.
+API_TIMEOUT_MS = 1_000.0
 # A control instance is still counted as a voter while it stops.
 CONTROL_LINKS_TIMEOUT_MS = 500.0
 MAX_LOGGED_IDS = 20
@@ -38,6 +41,7 @@
         self.cut_requests = 0
         self.finished = trio.Event()
         self._ends_at_s = math.inf
+        self._servers: list[ApiServer] = []
 
     async def start(self) -> None:
         """Look up the services that take part in a stop."""
@@ -53,6 +57,10 @@
             self._gate = get("gate")
             self._ingress = get("ingress")
 
+    def add_server(self, server: ApiServer) -> None:
+        """Let a stop wait for the responses of a server."""
+        self._servers.append(server)
+
     async def stop(self) -> None:
         """Do nothing; the kernel stops the other services."""
 
@@ -76,6 +84,8 @@
         self.finished.set()
 
     async def _stop_control(self) -> None:
+        for server in self._servers:
+            await server.finish(API_TIMEOUT_MS)
         await self._peers.finish(CONTROL_LINKS_TIMEOUT_MS)
         self.finished.set()
 
@@ -94,7 +104,10 @@
             await trio.sleep(POLL_INTERVAL_MS / MS_PER_S)
         if not self.finished.is_set():
             self._ingress.close()
-            await self._wait_for_connections(CLOSE_TIMEOUT_MS)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._wait_for_connections, CLOSE_TIMEOUT_MS)
+                for server in self._servers:
+                    nursery.start_soon(server.finish, CLOSE_TIMEOUT_MS)
             remaining_ms = (self._ends_at_s - trio.current_time()) * MS_PER_S
             await self._peers.finish(min(max(remaining_ms, END_TIMEOUT_MS), LINKS_TIMEOUT_MS))
             logs.event("stop-finished", cut=0)
--- a/knapweedhitch/http_api.py
+++ b/knapweedhitch/http_api.py
@@ -5,6 +5,7 @@
 import trio
 
 from knapweedhitch import logs, metrics
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import InternalError, NotFound, Refusal, TooManyConnections
 from knapweedhitch.kernel import Kernel, service
@@ -28,6 +29,7 @@
         self._cfg = cfg
         self._counters = counters
         self._handler = handler
+        self._connections: set[OperatorConnection] = set()
         self._server = StreamServer(listener, cfg.max_connections, self._serve, self._refuse)
 
     async def start(self, nursery: trio.Nursery) -> None:
@@ -38,8 +40,20 @@
         """Stop accepting connections."""
         self._server.close()
 
+    async def finish(self, timeout_ms: float) -> None:
+        """Stop accepting connections and wait for the responses to requests in progress."""
+        self.close()
+        with trio.move_on_after(timeout_ms / MS_PER_S):
+            while busy := [conn for conn in self._connections if conn.is_busy]:
+                await busy[0].wait_response_sent()
+
     async def _serve(self, stream: trio.abc.Stream) -> None:
-        await self._connection(stream).serve()
+        conn = self._connection(stream)
+        self._connections.add(conn)
+        try:
+            await conn.serve()
+        finally:
+            self._connections.discard(conn)
 
     async def _refuse(self, stream: trio.abc.Stream) -> None:
         await self._connection(stream).refuse(TooManyConnections())
--- a/knapweedhitch/operator_http.py
+++ b/knapweedhitch/operator_http.py
@@ -81,6 +81,8 @@
         authorize: Callable[[OperatorRequest], None],
         handler: Handler,
     ) -> None:
+        self._response_sent = trio.Event()
+        self._response_sent.set()
         self._stream = stream
         self._authorize = authorize
         self._handler = handler
@@ -88,6 +90,15 @@
         self._cfg = cfg
         self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=cfg.max_header_bytes)
 
+    @property
+    def is_busy(self) -> bool:
+        """Return whether a request that has been read waits for its response."""
+        return not self._response_sent.is_set()
+
+    async def wait_response_sent(self) -> None:
+        """Wait until the request in progress, if any, has its response."""
+        await self._response_sent.wait()
+
     async def serve(self) -> None:
         """Respond to requests until the connection ends; invalid ones get a typed refusal."""
         try:
@@ -117,7 +128,11 @@
             return False
         if request is None:
             return False
-        await self._send(await self._handle(request), close=False)
+        self._response_sent = trio.Event()
+        try:
+            await self._send(await self._handle(request), close=False)
+        finally:
+            self._response_sent.set()
         return self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
 
     async def _handle(self, request: OperatorRequest) -> OperatorResponse:
--- a/knapweedhitch/platform/apis.py
+++ b/knapweedhitch/platform/apis.py
@@ -56,6 +56,8 @@
     async def start(self) -> None:
         """Open the listener; raises OSError."""
         await self._server.start(self._kernel.nursery)
+        if self._kernel.has("drain"):
+            self._kernel.get("drain").add_server(self._server)
 
     async def stop(self) -> None:
         """Close the listener."""
