Test responses that fill a link in both directions

Between two sound nodes that had much to send, responses broke off 0.7 s after anything, and several requests at a time got 502 peer-failed.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -19,7 +19,7 @@
 from knapweedhitch.messages import Ack, FeedPoll
 from knapweedhitch.model import Address, CallResult
 from knapweedhitch.peers import Peers
-from knapweedhitch.settings import ListenSettings, StopSettings
+from knapweedhitch.settings import ListenSettings, PeerSettings, StopSettings
 from knapweedhitch.transport import NetTransport
 from tests.fake_net import SECRET, MemoryNet, Node, StaticMembership, listen, running_nodes
 from tests.request_world import FakeService
@@ -258,13 +258,21 @@
 
 
 @contextlib.asynccontextmanager
-async def slow_real_nodes() -> AsyncIterator[list[Node]]:
+async def slow_real_nodes(
+    relay_interval_s: float = RELAY_INTERVAL_S, cfg: PeerSettings | None = None
+) -> AsyncIterator[list[Node]]:
     """Run two nodes on real sockets; the link from n0 to n1 passes through a slow relay."""
     nodes = []
     fake_membership = StaticMembership(0)
     async with trio.open_nursery() as nursery:
         for i in range(2):
-            node = Node(MemoryNet(), i, listen=ListenSettings(peers=listen(0)), stop=STOP)
+            node = Node(
+                MemoryNet(),
+                i,
+                listen=ListenSettings(peers=listen(0)),
+                peers=cfg or PeerSettings(),
+                stop=STOP,
+            )
             node.peers = Peers(node.kernel, NetTransport(node.kernel.cfg.peers), SECRET)
             node.kernel._services["peers"] = node.peers
             node.add("membership", fake_membership)
@@ -277,8 +285,8 @@
             far = await trio.open_tcp_stream(server.host, server.port)
             far.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * RELAY_BYTES)
             async with trio.open_nursery() as inner:
-                inner.start_soon(relay_slowly, near, far, RelayPace())
-                inner.start_soon(relay_slowly, far, near, RelayPace())
+                inner.start_soon(relay_slowly, near, far, RelayPace(relay_interval_s))
+                inner.start_soon(relay_slowly, far, near, RelayPace(relay_interval_s))
 
         listeners = await nursery.start(trio.serve_tcp, relay, 0)
         port = listeners[0].socket.getsockname()[1]
