Read the settings file again when it changes without a signal

Seen: a process whose settings file changes without a SIGHUP goes on with the old seeds until its next start.

Cause: only a SIGHUP read the file. Other fields of the file take effect at the next start, as with SIGHUP.

The new tests before the fix: AssertionError: Lists differ: [] != ['10.0.0.1:2', '10.0.0.1:3', '10.0.0.1:4']

Content that cannot be read or is not valid is reported once, and the node goes on with what it has. Ruled out: the time of modification, which does not tell two changes of one tick apart.

--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -9,15 +9,24 @@
 
 if TYPE_CHECKING:
     from knapweedhitch.settings import Settings
+    from knapweedhitch.settingsfile import SettingsFile
 
 # The functions import what they use, because signals end the process until `main` is called.
 
 
-def check_settings(path: str) -> Settings:
+def open_settings(path: str) -> SettingsFile:
+    """Return the settings file of a daemon."""
+    from knapweedhitch.settings import parse_settings
+    from knapweedhitch.settingsfile import SettingsFile
+
+    return SettingsFile(path, parse_settings)
+
+
+def check_settings(file: SettingsFile) -> Settings:
     """Return the settings of a file after checking its secret files; raises SettingsError."""
-    from knapweedhitch.settings import load_secret, load_settings
+    from knapweedhitch.settings import load_secret
 
-    cfg = load_settings(path)
+    cfg = file.read()
     load_secret(cfg.secrets.peer_secret_file)
     load_secret(cfg.secrets.operator_token_file)
     return cfg
@@ -27,14 +36,14 @@
     """Run the daemon with a settings file and return its exit code."""
     from knapweedhitch import logs, runtime
     from knapweedhitch.exceptions import SettingsError
-    from knapweedhitch.settings import load_settings
 
+    file = open_settings(path)
     try:
-        cfg = check_settings(path)
+        cfg = check_settings(file)
     except SettingsError as exc:
         return runtime.print_error(str(exc), runtime.EXIT_SETTINGS)
     logs.setup(cfg.log.level)
-    return runtime.run_services(cfg, runtime.SERVICES, lambda: load_settings(path))
+    return runtime.run_services(cfg, runtime.SERVICES, file)
 
 
 class Commands:
@@ -52,7 +61,7 @@
         from knapweedhitch.exceptions import SettingsError
 
         try:
-            cfg = check_settings(str(settings))
+            cfg = check_settings(open_settings(str(settings)))
         except SettingsError as exc:
             sys.exit(runtime.print_error(str(exc), runtime.EXIT_SETTINGS))
         role = "control instance" if cfg.is_control else "instance"
--- a/knapweedhitch/platform/roles.py
+++ b/knapweedhitch/platform/roles.py
@@ -7,8 +7,9 @@
 
 from knapweedhitch import earlylisten
 from knapweedhitch.exceptions import SettingsError
-from knapweedhitch.platform.settings import BOOT_VARIABLE, read_settings
+from knapweedhitch.platform.settings import BOOT_VARIABLE, parse_settings
 from knapweedhitch.settings import Listener
+from knapweedhitch.settingsfile import SettingsFile
 
 SHARED_SERVICES = (
     ("counters", "counters"),
@@ -66,9 +67,9 @@
     """Run the role given in the arguments and return the exit code."""
     if len(args) != 1 or args[0] not in SERVICES_BY_ROLE:
         return _report_settings(f"the role must be one of {', '.join(SERVICES_BY_ROLE)}")
-    path = os.environ.get(BOOT_VARIABLE, "")
+    file = SettingsFile(os.environ.get(BOOT_VARIABLE, ""), parse_settings)
     try:
-        cfg = read_settings(path)
+        cfg = file.read()
     except SettingsError as exc:
         return _report_settings(f"knapweedhitch: {exc}")
     _accept_callers(cfg.listen.callers)
@@ -76,4 +77,4 @@
     from knapweedhitch import logs, runtime
 
     logs.setup(cfg.log.level, sys.stdout)
-    return runtime.run_services(cfg, SERVICES_BY_ROLE[args[0]], lambda: read_settings(path))
+    return runtime.run_services(cfg, SERVICES_BY_ROLE[args[0]], file)
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -129,9 +129,9 @@
     return parse_boot(read_text(path), path)
 
 
-def read_settings(path: str) -> Settings:
-    """Return the daemon settings from the platform's file at a path; raises SettingsError."""
-    return translate(read_boot(path), path)
+def parse_settings(text: str, place: str) -> Settings:
+    """Return the daemon settings in the text of the platform's file; raises SettingsError."""
+    return translate(parse_boot(text, place), place)
 
 
 def parse_listener(text: str | None, place: str) -> Listener:
--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -7,7 +7,7 @@
 import signal
 import sys
 import traceback
-from collections.abc import AsyncIterator, Callable, Iterator, Sequence
+from collections.abc import AsyncIterator, Iterator, Sequence
 from pathlib import Path
 
 import trio
@@ -18,10 +18,13 @@
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.model import Address
 from knapweedhitch.settings import Settings
+from knapweedhitch.settingsfile import SettingsFile
 
 EXIT_OK = 0
 EXIT_FAULT = 1
 EXIT_SETTINGS = 2
+# Changes of the settings file may come without a signal.
+SETTINGS_CHECK_MS = 5_000.0
 PACKAGE = Path(__file__).parent
 
 # Name of each service and the module that registers it, in the order of construction.
@@ -83,14 +86,14 @@
     return addresses
 
 
-async def serve(cfg: Settings, names: Sequence[str], read_settings: Callable[[], Settings]) -> None:
+async def serve(cfg: Settings, names: Sequence[str], file: SettingsFile) -> None:
     """Run the named services until a graceful or a hard stop has finished."""
     kernel = Kernel(cfg)
     # Opened before the services start, so that no signal kills a half-started process.
     with trio.open_signal_receiver(*signals.SIGNALS) as receiver:
         signals.redeliver()
         async with trio.open_nursery() as nursery:
-            handler = _SignalHandler(kernel, nursery.cancel_scope, read_settings)
+            handler = _SignalHandler(kernel, nursery.cancel_scope, file)
             nursery.start_soon(handler.run, receiver)
             await nursery.start(kernel.run, names)
             _set_phase(kernel, "running")
@@ -103,6 +106,9 @@
                 **bound_addresses(kernel),
             )
             handler.set_running()
+            kernel.get("timers").every(
+                SETTINGS_CHECK_MS, handler.check_settings, jitter=0.1, align=True
+            )
             await kernel.get("drain").finished.wait()
             logs.event("stopped", node=cfg.node.id)
             nursery.cancel_scope.cancel()
@@ -124,12 +130,10 @@
 class _SignalHandler:
     """Act on signals; those that need the services wait until these have started."""
 
-    def __init__(
-        self, kernel: Kernel, scope: trio.CancelScope, read_settings: Callable[[], Settings]
-    ) -> None:
+    def __init__(self, kernel: Kernel, scope: trio.CancelScope, file: SettingsFile) -> None:
         self._kernel = kernel
         self._scope = scope
-        self._read_settings = read_settings
+        self._file = file
         self._is_running = False
         self._reload_pending = False
         self._stop_signals = 0
@@ -148,9 +152,14 @@
         if self._reload_pending:
             self._handle_reload()
 
+    def check_settings(self) -> None:
+        """Reload the settings file if it has changed without a signal."""
+        if self._file.has_changed():
+            self._handle_reload()
+
     def _handle_reload(self) -> None:
         if self._is_running:
-            reload(self._kernel, self._read_settings)
+            reload(self._kernel, self._file)
         else:
             self._reload_pending = True
 
@@ -169,10 +178,10 @@
             self._kernel.get("drain").stop_now()
 
 
-def reload(kernel: Kernel, read_settings: Callable[[], Settings]) -> None:
+def reload(kernel: Kernel, file: SettingsFile) -> None:
     """Read the settings again and apply the seeds; other changes take effect at the next start."""
     try:
-        cfg = read_settings()
+        cfg = file.read()
     except SettingsError as exc:
         logs.warning("reload_refused", place=exc.place, problem=exc.problem)
         return
@@ -205,17 +214,15 @@
     return code
 
 
-def run_services(
-    cfg: Settings, services: Sequence[tuple[str, str]], read_settings: Callable[[], Settings]
-) -> int:
-    """Run services until a stop and return the exit code; SIGHUP calls `read_settings`."""
+def run_services(cfg: Settings, services: Sequence[tuple[str, str]], file: SettingsFile) -> int:
+    """Run services until a stop and return the exit code; the settings file may change."""
     try:
         names = load_services(cfg, services)
         trio.run(
             serve,
             cfg,
             names,
-            read_settings,
+            file,
             clock=SuspendAwareClock(),
             strict_exception_groups=True,
         )
--- /dev/null
+++ b/knapweedhitch/settingsfile.py
@@ -0,0 +1,34 @@
+"""A settings file that may change while the process runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from knapweedhitch.exceptions import SettingsError
+from knapweedhitch.settings import Settings, read_text
+
+Parser = Callable[[str, str], Settings]
+
+
+class SettingsFile:
+    """Read one settings file and track whether its content has changed."""
+
+    def __init__(self, path: str, parse: Parser) -> None:
+        self._path = path
+        self._parse = parse
+        # None while the file cannot be read.
+        self._text: str | None = None
+
+    def read(self) -> Settings:
+        """Return the validated settings; raises SettingsError."""
+        self._text = None
+        self._text = read_text(self._path)
+        return self._parse(self._text, self._path)
+
+    def has_changed(self) -> bool:
+        """Return whether the content is other than at the last read."""
+        # The time of modification would not do: two changes may share one, and clocks may jump.
+        try:
+            return read_text(self._path) != self._text
+        except SettingsError:
+            return self._text is not None
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -4,7 +4,6 @@
 
 import time
 import unittest
-from types import SimpleNamespace
 from typing import Any
 from unittest import mock
 
@@ -56,6 +55,6 @@
             mock.patch.object(runtime, "serve", serve),
             mock.patch.object(runtime, "load_services", return_value=[]),
         ):
-            code = runtime.run_services(settings(), (), lambda: SimpleNamespace())  # type: ignore[arg-type,return-value]
+            code = runtime.run_services(settings(), (), mock.Mock())
         self.assertEqual(code, runtime.EXIT_OK)
         self.assertIsInstance(clocks[0], SuspendAwareClock)
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -9,7 +9,7 @@
 import signal
 import tempfile
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from pathlib import Path
 from typing import Any
 from unittest import mock
@@ -18,10 +18,12 @@
 import trio.testing
 import yaml
 
-from knapweedhitch import daemon, kernel, runtime, signals
+from knapweedhitch import daemon, kernel, runtime, signals, timers
 from knapweedhitch.exceptions import MissingModule
 from knapweedhitch.listener import StreamServer
+from knapweedhitch.model import Address
 from knapweedhitch.settings import Listener, parse_settings
+from knapweedhitch.settingsfile import SettingsFile
 from scripts import harness
 
 logging.disable(logging.CRITICAL)
@@ -53,6 +55,20 @@
         self.finished.set()
 
 
+class FakeMembership:
+    """Record the seeds that are added."""
+
+    def __init__(self) -> None:
+        self.seeds: list[str] = []
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+    def add_seeds(self, addresses: Iterable[Address]) -> None:
+        self.seeds += [str(address) for address in addresses]
+
+
 class SlowStart:
     """Take a second to start, after a signal to the process."""
 
@@ -68,46 +84,69 @@
 
 class ServeTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.cfg = parse_settings(yaml.dump(BASE))
         self.drains: list[FakeDrain] = []
-        self.read_settings = mock.Mock(return_value=self.cfg)
-        patcher = mock.patch.object(runtime.logs, "event")
-        self.event = patcher.start()
-        self.addCleanup(patcher.stop)
+        self.membership = FakeMembership()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "s.yaml"
+        self.write_seeds(1)
+        for name in ("event", "warning"):
+            patcher = mock.patch.object(runtime.logs, name, self.log)
+            patcher.start()
+            self.addCleanup(patcher.stop)
+        self.logged: list[str] = []
+
+    def log(self, name: str, **fields: object) -> None:
+        self.logged.append(name)
+
+    def write_seeds(self, *ports: int) -> None:
+        seeds = [{"host": "10.0.0.1", "port": port} for port in ports]
+        self.path.write_text(yaml.dump(BASE | {"membership": {"seeds": seeds}}))
 
     def build_drain(self, k: kernel.Kernel) -> FakeDrain:
         self.drains.append(FakeDrain(k))
         return self.drains[-1]
 
-    def logged(self) -> list[str]:
-        return [call.args[0] for call in self.event.call_args_list]
+    def run_serve(
+        self, names: list[str], *numbers: signal.Signals, files: Sequence[Callable[[], object]] = ()
+    ) -> float:
+        """Serve for at most 60 s and return the seconds.
 
-    def run_serve(self, names: list[str], *numbers: signal.Signals) -> float:
-        """Serve with signals at intervals of a second, for at most 60 s; return the seconds."""
+        Signals come at intervals of a second, then changes of files at intervals of 10 s.
+        """
 
         async def scenario() -> float:
+            file = SettingsFile(str(self.path), parse_settings)
             started_s = trio.current_time()
             with trio.move_on_after(60):
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(runtime.serve, self.cfg, names, self.read_settings)
+                    nursery.start_soon(runtime.serve, file.read(), names, file)
                     await trio.testing.wait_all_tasks_blocked()
                     for signal_number in numbers:
                         signal.raise_signal(signal_number)
                         await trio.sleep(1)
+                    for change_file in files:
+                        await trio.sleep(10)
+                        change_file()
             return trio.current_time() - started_s
 
         clock = trio.testing.MockClock(autojump_threshold=0)
-        with mock.patch.dict(kernel._factories, {"drain": self.build_drain}):
+        factories = {
+            "timers": timers.Timers,
+            "drain": self.build_drain,
+            "membership": lambda k: self.membership,
+        }
+        with mock.patch.dict(kernel._factories, factories):
             return trio.run(scenario, clock=clock)
 
     def serve(self, *numbers: signal.Signals) -> FakeDrain:
-        self.run_serve(["drain"], *numbers)
+        self.run_serve(["timers", "drain"], *numbers)
         return self.drains[0]
 
     def serve_slow_start(self, number: signal.Signals) -> float:
         factories = {"slow": lambda k: SlowStart(number)}
         with mock.patch.dict(kernel._factories, factories):
-            return self.run_serve(["slow", "drain"])
+            return self.run_serve(["timers", "slow", "drain"])
 
     def test_stop_while_the_services_start_ends_the_start(self) -> None:
         """Guards against a stop that uses services which have not started, and ends in a fault."""
@@ -115,13 +154,31 @@
             with self.subTest(number):
                 self.assertLess(self.serve_slow_start(number), 0.5)
                 self.assertEqual(self.drains[-1].calls, [])
-                self.assertEqual(self.logged()[-1], "stop_during_start")
+                self.assertEqual(self.logged[-1], "stop_during_start")
 
     def test_reload_while_the_services_start_waits_for_them(self) -> None:
         """Guards against seeds that are given to a membership which has not started."""
         self.serve_slow_start(signal.SIGHUP)
-        self.assertEqual(self.logged(), ["ready", "reload"])
-        self.read_settings.assert_called_once_with()
+        self.assertEqual(self.logged, ["ready", "reload"])
+
+    def test_settings_that_change_without_a_signal_are_read_again(self) -> None:
+        """Guards against a node that goes on with seeds of which none is left."""
+        changes = (lambda: self.write_seeds(2, 3), lambda: self.write_seeds(4))
+        self.run_serve(["timers", "membership", "drain"], files=changes)
+        self.assertEqual(self.membership.seeds, ["10.0.0.1:2", "10.0.0.1:3", "10.0.0.1:4"])
+        self.assertEqual(self.logged, ["ready", "reload", "reload"])
+
+    def test_settings_that_cannot_be_read_are_refused_once(self) -> None:
+        """Guards against a log line at each check of a settings file that is damaged or missing."""
+        changes = (
+            lambda: self.path.write_text("["),
+            self.path.unlink,
+            self.path.mkdir,
+            self.path.rmdir,
+            lambda: self.write_seeds(1),
+        )
+        self.run_serve(["timers", "membership", "drain"], files=changes)
+        self.assertEqual(self.logged, ["ready", "reload_refused", "reload_refused", "reload"])
 
     def test_second_sigterm_cuts_a_planned_stop_that_does_not_end(self) -> None:
         """Guards against a process that can't be stopped while an upload never finishes."""
