Refuse settings that cannot be converted

Seen: a SIGHUP with such a file in place ends a running process with exit code 1, and a start prints a traceback.

Cause: only the checks of the schema gave a SettingsError. An address that is none, an infinite time and text with half of a surrogate pair passed them and failed later, in the translation or where the text is encoded.

The new tests before the fix: ValueError: host: 'T27.0.9.10' is not an IP address OverflowError: cannot convert float infinity to integer AssertionError: SettingsError not raised

Fix: the YAML loader refuses text that is not Unicode, and the translation of the platform's file reports what it cannot convert as SettingsError.

--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -131,7 +131,10 @@
 
 def parse_settings(text: str, place: str) -> Settings:
     """Return the daemon settings in the text of the platform's file; raises SettingsError."""
-    return translate(parse_boot(text, place), place)
+    try:
+        return translate(parse_boot(text, place), place)
+    except (ValueError, OverflowError) as exc:
+        raise SettingsError(place, str(exc)) from None
 
 
 def parse_listener(text: str | None, place: str) -> Listener:
--- a/knapweedhitch/yamltext.py
+++ b/knapweedhitch/yamltext.py
@@ -11,7 +11,7 @@
 
 
 class _Loader(yaml.SafeLoader):
-    """Refuse aliases and repeated keys."""
+    """Refuse aliases, repeated keys and text that is not Unicode."""
 
     def compose_node(self, parent: yaml.Node | None, index: Any) -> yaml.Node | None:
         # Nested aliases let a short text expand without bound when it is formatted.
@@ -22,6 +22,12 @@
             )
         return super().compose_node(parent, index)
 
+    def construct_scalar(self, node: yaml.ScalarNode | yaml.MappingNode) -> Any:
+        value = super().construct_scalar(node)
+        # An escape can stand for half of a surrogate pair, which no later step can encode.
+        str(value).encode("utf-8")
+        return value
+
     def construct_mapping(self, node: yaml.MappingNode, deep: bool = False) -> dict[Hashable, Any]:
         mapping = super().construct_mapping(node, deep=deep)
         # A duplicate key would silently override an earlier answer or setting.
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -4,6 +4,7 @@
 
 import importlib
 import json
+import math
 import platform as standard_platform
 import unittest
 from typing import Any
@@ -15,7 +16,7 @@
 from knapweedhitch.items import Items, merge
 from knapweedhitch.model import Address, UpstreamState
 from knapweedhitch.platform import heartbeats, items
-from knapweedhitch.platform.settings import parse_boot, translate
+from knapweedhitch.platform.settings import parse_boot, parse_settings, translate
 
 BOOT_SETTINGS: dict[str, Any] = {
     "node": "app_host-east-1",
@@ -153,6 +154,18 @@
         with self.assertRaises(SettingsError):
             parse_boot("a: [", "boot")
 
+    def test_settings_that_cannot_be_converted_are_refused(self) -> None:
+        """Guards against a settings file that ends the process which reads it again."""
+        cases = (
+            ("ip", "T27.0.9.10"),
+            ("bounds.graceS", math.inf),
+            ("zone", "\ud800"),
+            ("listen.outbound", "\ud800:1"),
+        )
+        for path, value in cases:
+            with self.subTest(path), self.assertRaises(SettingsError):
+                parse_settings(yaml.dump(replace_field(BOOT_SETTINGS, path, value)), "boot")
+
 
 class HeartbeatTest(unittest.TestCase):
     def test_heartbeat_becomes_an_announcement(self) -> None:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -116,6 +116,12 @@
             with self.subTest(text=text), self.assertRaisesRegex(ValueError, "occurs twice"):
                 yamltext.load(text)
 
+    def test_text_that_is_not_unicode_is_a_value_error(self) -> None:
+        """Guards against a settings file that ends the process which reads it again."""
+        for text in ('a: "\\ud800"', '"\\udfff": 1'):
+            with self.subTest(text), self.assertRaisesRegex(ValueError, "surrogates"):
+                yamltext.load(text)
+
     def test_deep_nesting_is_a_value_error(self) -> None:
         """Guards against a stack overflow from deeply nested brackets."""
         with self.assertRaises(ValueError):
