--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -18,7 +18,7 @@
 IPS = {"app": "127.0.9.10", "core": "127.0.9.20"}
 TIMEOUT_S = 30.0
 # From the first import of a process to the last one.
-APP_IMPORTS = ("knapweedhitch.platform.roles", "yaml", "trio", "knapweedhitch.drain")
+IMPORTS = ("knapweedhitch.platform.roles", "yaml", "trio", "knapweedhitch.drain")
 
 
 class ProcessTest(unittest.TestCase):
@@ -63,7 +63,7 @@
         """Guards against a process that ends when its settings file changes while it starts, or
         that goes on with the old settings.
         """
-        for point in APP_IMPORTS:
+        for point in IMPORTS:
             with self.subTest(point):
                 process = self.start("core", "SIGHUP", point)
                 self.wait_for_line(process, "event=reload ")
@@ -78,7 +78,7 @@
         code that tells of a fault, or that first completes its start.
         """
         for role, number in (("app", "SIGTERM"), ("core", "SIGTERM"), ("core", "SIGINT")):
-            for point in APP_IMPORTS:
+            for point in IMPORTS:
                 with self.subTest(f"{role} {number} {point}"):
                     process = self.start(role, number, point, number, "knapweedhitch.kernel")
                     self.assertEqual(process.wait(TIMEOUT_S), 0, self.read_log())
