--- a/knapweedhitch/counters.py
+++ b/knapweedhitch/counters.py
@@ -8,6 +8,7 @@
 import trio
 from hdrh.histogram import HdrHistogram
 
+from knapweedhitch import output
 from knapweedhitch.kernel import Kernel, service
 
 # Histograms count microseconds, from 1 us to 1 hour, with 2 significant digits.
@@ -87,7 +88,7 @@
     def snapshot(self) -> MetricsSnapshot:
         """Return a copy of the current counters, gauges and histogram summaries."""
         histograms = {name: self._summary(name) for name in self._histogram_names()}
-        return MetricsSnapshot(dict(self._counters), dict(self._gauges), histograms)
+        return MetricsSnapshot(self._all_counters(), dict(self._gauges), histograms)
 
     async def snapshot_in_steps(self) -> MetricsSnapshot:
         """Return a snapshot with a checkpoint after each histogram; 20 at once block for 13 ms."""
@@ -95,7 +96,11 @@
         for name in self._histogram_names():
             histograms[name] = self._summary(name)
             await trio.lowlevel.checkpoint()
-        return MetricsSnapshot(dict(self._counters), dict(self._gauges), histograms)
+        return MetricsSnapshot(self._all_counters(), dict(self._gauges), histograms)
+
+    def _all_counters(self) -> dict[tuple[str, str], int]:
+        dropped = {("log_lines_dropped", reason): n for reason, n in output.dropped().items()}
+        return self._counters | dropped
 
     def _histogram_names(self) -> list[str]:
         return list(self._histograms.keys() | self._pending.keys())
--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -42,7 +42,7 @@
         cfg = check_settings(file)
     except SettingsError as exc:
         return runtime.print_error(str(exc), runtime.EXIT_SETTINGS)
-    logs.setup(cfg.log.level)
+    logs.setup_buffered(cfg.log, sys.stderr)
     return runtime.run_services(cfg, runtime.SERVICES, file)
 
 
--- a/knapweedhitch/logs.py
+++ b/knapweedhitch/logs.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import datetime
 import os
 import re
 import sys
 import traceback
-from typing import IO
+from typing import IO, TYPE_CHECKING
 
 import logbook
 
+from knapweedhitch import output
+from knapweedhitch.logwriter import LineWriter
+
+if TYPE_CHECKING:
+    from knapweedhitch.settings import LogSettings
+
 _log = logbook.Logger("knapweedhitch")
 
 FORMAT = "time={record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name} {record.message}"
@@ -55,3 +62,37 @@
     )
     handler.push_application()
     return handler
+
+
+class BufferedHandler(logbook.Handler, logbook.StringFormatterHandlerMixin):
+    """Pass log lines to a writer."""
+
+    def __init__(self, writer: LineWriter, level: str) -> None:
+        logbook.Handler.__init__(self, logbook.lookup_level(level))
+        logbook.StringFormatterHandlerMixin.__init__(self, FORMAT)
+        self._writer = writer
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Buffer the line of a record."""
+        self._writer.write(self.format(record))
+
+
+def _render_dropped(count: int) -> str:
+    now = datetime.datetime.now(datetime.UTC)
+    fields = render("log_lines_dropped", {"count": count})
+    return f"time={now:%Y-%m-%dT%H:%M:%S.%f} level=WARNING {fields}"
+
+
+def setup_buffered(cfg: LogSettings, stream: IO[str] | None) -> logbook.Handler:
+    """Install a handler that never blocks; without a standard stream there is no log."""
+    if stream is None:
+        return _install(logbook.NullHandler())
+    writer = output.find_writer(stream)
+    writer.max_bytes = cfg.max_buffered_bytes
+    writer.render_dropped = _render_dropped
+    return _install(BufferedHandler(writer, cfg.level))
+
+
+def _install(handler: logbook.Handler) -> logbook.Handler:
+    handler.push_application()
+    return handler
--- a/knapweedhitch/platform/roles.py
+++ b/knapweedhitch/platform/roles.py
@@ -76,5 +76,5 @@
     # Imported only now, because these modules take most of the time of a start.
     from knapweedhitch import logs, runtime
 
-    logs.setup(cfg.log.level, sys.stdout)
+    logs.setup_buffered(cfg.log, sys.stdout or sys.stderr)
     return runtime.run_services(cfg, SERVICES_BY_ROLE[args[0]], file)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -383,6 +383,8 @@
 
     level: Annotated[str, Meta(pattern="^(DEBUG|INFO|NOTICE|WARNING|ERROR)$")] = "INFO"
     max_lines_per_s: Count = 1_000
+    # Lines that wait for the reader of the output; further ones are dropped.
+    max_buffered_bytes: Annotated[int, Meta(ge=4_096, le=1 << 30)] = 1_048_576
 
 
 class Settings(Section, frozen=True):
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -14,7 +14,7 @@
 import time
 import unittest
 from pathlib import Path
-from typing import Any, ClassVar
+from typing import IO, Any, ClassVar
 
 from scripts.harness import ROOT
 from tests import platform_boot
@@ -129,7 +129,7 @@
         for ip in ips:
             role = "core" if ip in CORES else "app"
             env = {**os.environ, "KNAPWEEDHITCH_BOOT": str(self.write_boot_file(ip))}
-            log = (Path(self.folder.name) / f"{ip}.log").open("ab")
+            log = self.open_log(ip)
             self.processes[ip] = subprocess.Popen(
                 [sys.executable, "-m", "knapweedhitch.platform", role],
                 env=env,
@@ -139,6 +139,10 @@
             )
             log.close()
 
+    def open_log(self, ip: str) -> IO[bytes]:
+        """Return the output of a new process; tests substitute a pipe."""
+        return (Path(self.folder.name) / f"{ip}.log").open("ab")
+
     def kill(self, *ips: str) -> None:
         for ip in ips:
             self.processes[ip].kill()
