--- a/knapweedhitch/daemon.py
+++ b/knapweedhitch/daemon.py
@@ -51,6 +51,9 @@
 
     def run(self, settings: str) -> None:
         """Run the daemon until SIGTERM; a second SIGTERM aborts calls in flight."""
+        from knapweedhitch import output
+
+        output.protect_stderr()
         code = run_daemon(str(settings))
         signals.ignore()
         sys.exit(code)
--- a/knapweedhitch/output.py
+++ b/knapweedhitch/output.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import atexit
+import io
 import os
+import sys
 import time
 from typing import Protocol
 
@@ -22,6 +24,37 @@
     def fileno(self) -> int: ...
 
 
+class LineStream(io.TextIOBase):
+    """Pass the lines printed to a stream to a writer."""
+
+    encoding = "utf-8"
+    errors = "backslashreplace"
+
+    def __init__(self, writer: LineWriter) -> None:
+        self._writer = writer
+        self._start_of_line = ""
+
+    def writable(self) -> bool:
+        """Return whether the stream can be written to."""
+        return True
+
+    def fileno(self) -> int:
+        """Return the file descriptor."""
+        return self._writer.fd
+
+    def write(self, text: str) -> int:
+        """Pass the lines that the text completes to the writer."""
+        *lines, self._start_of_line = (self._start_of_line + text).split("\n")
+        for line in lines:
+            self._writer.write(line)
+        return len(text)
+
+    def flush(self) -> None:
+        """Complete a line that has begun."""
+        if self._start_of_line:
+            self.write("\n")
+
+
 def find_writer(stream: SupportsFileno) -> LineWriter:
     """Return the writer of the file behind a standard stream."""
     fd = stream.fileno()
@@ -35,6 +68,13 @@
     return _writers[key]
 
 
+def protect_stderr() -> None:
+    """Write standard error from a thread too: prints, warnings and the traceback of an exit."""
+    stream = sys.__stderr__
+    if stream is not None and sys.stderr is stream:
+        sys.stderr = LineStream(find_writer(stream))
+
+
 def dropped() -> dict[str, int]:
     """Return the number of dropped lines by reason."""
     total: dict[str, int] = {}
@@ -46,6 +86,10 @@
 
 @atexit.register
 def _close_writers() -> None:
+    if isinstance(sys.stderr, LineStream):
+        sys.stderr.flush()
     end_s = time.monotonic() + CLOSE_TIMEOUT_S
-    for writer in _writers.values():
-        writer.close(max(0.0, end_s - time.monotonic()))
+    closed = [writer.close(max(0.0, end_s - time.monotonic())) for writer in _writers.values()]
+    if all(closed):
+        # Nobody writes the messages of the interpreter's own end otherwise.
+        sys.stderr = sys.__stderr__
--- a/knapweedhitch/platform/roles.py
+++ b/knapweedhitch/platform/roles.py
@@ -5,7 +5,7 @@
 import os
 import sys
 
-from knapweedhitch import earlylisten
+from knapweedhitch import earlylisten, output
 from knapweedhitch.exceptions import SettingsError
 from knapweedhitch.platform.settings import BOOT_VARIABLE, parse_settings
 from knapweedhitch.settings import Listener
@@ -65,6 +65,7 @@
 
 def run(args: list[str]) -> int:
     """Run the role given in the arguments and return the exit code."""
+    output.protect_stderr()
     if len(args) != 1 or args[0] not in SERVICES_BY_ROLE:
         return _report_settings(f"the role must be one of {', '.join(SERVICES_BY_ROLE)}")
     file = SettingsFile(os.environ.get(BOOT_VARIABLE, ""), parse_settings)
--- a/tests/test_logwriter.py
+++ b/tests/test_logwriter.py
@@ -204,6 +204,43 @@
         self.assertIn("event=line number=49", lines[-1])
 
 
+class ErrorOutputTest(unittest.TestCase):
+    """Run processes that fail early, with a full pipe or a file as their standard error."""
+
+    FAULT = "from knapweedhitch import output; output.protect_stderr(); 1 / 0"
+    # The settings file does not exist.
+    FAILURES = (
+        (["-m", "knapweedhitch.platform", "app"], 2, "cannot be read"),
+        (["-m", "knapweedhitch.daemon", "run", "/nowhere/s.yaml"], 2, "cannot be read"),
+        (["-c", FAULT], 1, "ZeroDivisionError: division by zero"),
+    )
+
+    def run_process(self, args: list[str], stderr: int) -> int:
+        env = {**os.environ, "KNAPWEEDHITCH_BOOT": "/nowhere/boot.yaml"}
+        command = [sys.executable, *args]
+        return subprocess.run(
+            command, stderr=stderr, env=env, cwd=ROOT, timeout=TIMEOUT_S
+        ).returncode
+
+    def test_early_failure_ends_the_process_while_nobody_reads(self) -> None:
+        """Guards against a process that is not started again, as it waits to print its error."""
+        for args, code, _ in self.FAILURES:
+            read_end, write_end = small_pipe()
+            os.write(write_end, b"x" * PIPE_BYTES)
+            with self.subTest(args=args):
+                self.assertEqual(self.run_process(args, write_end), code)
+            os.close(write_end)
+            os.close(read_end)
+
+    def test_early_failure_is_printed(self) -> None:
+        """Guards against an error that is still in the buffer when the process ends."""
+        for args, code, problem in self.FAILURES:
+            with self.subTest(args=args), tempfile.TemporaryFile() as file:
+                self.assertEqual(self.run_process(args, file.fileno()), code)
+                file.seek(0)
+                self.assertRegex(file.read().decode(), f"{problem}.*\\n\\Z")
+
+
 class MetricsTest(unittest.TestCase):
     def test_dropped_lines_are_on_the_metrics_page(self) -> None:
         """Guards against lines that are lost without a trace for operators."""
