--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -181,7 +181,7 @@
 def reload(kernel: Kernel, file: SettingsFile) -> None:
     """Read the settings again and apply the seeds; other changes take effect at the next start."""
     try:
-        cfg = file.read()
+        cfg = file.reload()
     except SettingsError as exc:
         logs.warning("reload_refused", place=exc.place, problem=exc.problem)
         return
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -476,6 +476,16 @@
     return parse_settings(read_text(path), path)
 
 
+def check_regular(path: str) -> None:
+    """Raise SettingsError if a path names no regular file, whose writer a read could wait for."""
+    try:
+        mode = os.stat(path).st_mode
+    except OSError as exc:
+        raise SettingsError(path, f"cannot be read: {exc.strerror}") from None
+    if not stat.S_ISREG(mode):
+        raise SettingsError(path, "is not a regular file and is read only at the start")
+
+
 def read_text(path: str, max_bytes: int = MAX_SETTINGS_BYTES) -> str:
     """Return the text of a file; raises SettingsError, also if it is over `max_bytes`."""
     try:
--- a/knapweedhitch/settingsfile.py
+++ b/knapweedhitch/settingsfile.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 
 from knapweedhitch.exceptions import SettingsError
-from knapweedhitch.settings import Settings, read_text
+from knapweedhitch.settings import Settings, check_regular, read_text
 
 Parser = Callable[[str, str], Settings]
 
@@ -25,10 +25,17 @@
         self._text = read_text(self._path)
         return self._parse(self._text, self._path)
 
+    def reload(self) -> Settings:
+        """Return the validated settings of a regular file; raises SettingsError."""
+        self._text = None
+        check_regular(self._path)
+        return self.read()
+
     def has_changed(self) -> bool:
         """Return whether the content is other than at the last read."""
         # The time of modification would not do: two changes may share one, and clocks may jump.
         try:
+            check_regular(self._path)
             return read_text(self._path) != self._text
         except SettingsError:
             return self._text is not None
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import json
+import os
 import signal
 import time
+from pathlib import Path
 
 from tests import platform_boot
 from tests.platform_world import APPS, CORES, PlatformWorld, StandInTarget, send_http
@@ -75,6 +77,21 @@
         ended = [ip for ip, process in self.processes.items() if process.poll() is not None]
         self.assertEqual(ended, [])
 
+    def test_reload_from_a_pipe_is_refused(self) -> None:
+        """Guards against a process that stops serving at SIGHUP to wait for a pipe."""
+        self.configure()
+        self.wait_until("heartbeat", self.heartbeat, 200)
+        self.wait_until("response", lambda: self.send_request(APPS[1]), 200)
+        path = Path(self.folder.name) / f"{APPS[1]}.yaml"
+        path.unlink()
+        os.mkfifo(path)
+        self.processes[APPS[1]].send_signal(signal.SIGHUP)
+        log = Path(self.folder.name) / f"{APPS[1]}.log"
+        self.wait_until("refused", lambda: "event=reload_refused" in log.read_text(), True)
+        self.assertEqual(self.send_request(APPS[1]), 200)
+        self.processes[APPS[1]].send_signal(signal.SIGTERM)
+        self.assertEqual(self.processes[APPS[1]].wait(8), 0)
+
     def test_whole_path(self) -> None:
         """Guards against parts that work alone but not together: roles, targets and restarts."""
         self.assertEqual(self.send_request(APPS[1]), 503 if self.send_request(APPS[1]) else 0)
