--- a/tests/test_wal.py
+++ b/tests/test_wal.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+import os
 import random
 import tempfile
 import threading
 import unittest
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Any, TypeVar
 from unittest import mock
 
@@ -148,6 +150,69 @@
         with mock.patch("os.fsync", lambda _fd: released.wait(STALL_S)):
             self.assertLess(trio.run(main), STALL_S / 2)
 
+    def test_a_stalled_disk_does_not_hold_up_other_tasks(self) -> None:
+        """Guards against a control instance that answers nobody while its disk hangs."""
+        operations: tuple[tuple[str, Callable[[FolderDisk], Awaitable[Any]]], ...] = (
+            ("open", lambda disk: disk.append("new", b"data")),
+            ("write", lambda disk: disk.append("log", b"data")),
+            ("ftruncate", lambda disk: disk.truncate("log", 2)),
+            ("replace", lambda disk: disk.rename("log", "old")),
+            ("listdir", lambda disk: disk.names()),
+        )
+        for call, operation in operations:
+            with self.subTest(call):
+                self.assertLess(trio.run(self.time_of_other_task, call, operation), STALL_S / 2)
+
+    async def time_of_other_task(
+        self, call: str, operation: Callable[[FolderDisk], Awaitable[Any]]
+    ) -> float:
+        """Return the seconds that a sleep of 50 ms takes while a system call waits for the disk."""
+        released = threading.Event()
+        real = getattr(os, call)
+
+        def stall(*args: Any, **kwargs: Any) -> Any:
+            released.wait(STALL_S)
+            return real(*args, **kwargs)
+
+        with tempfile.TemporaryDirectory() as folder:
+            disk = FolderDisk(folder)
+            await disk.append("log", b"first")
+            started_s = trio.current_time()
+            with mock.patch(f"os.{call}", stall):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(operation, disk)
+                    await trio.sleep(0.05)
+                    took_s = trio.current_time() - started_s
+                    released.set()
+            await disk.close()
+        return took_s
+
+    def test_stop_leaves_a_file_open_that_is_being_written(self) -> None:
+        """Guards against the rest of a write that goes to the next file with the same number."""
+        released = threading.Event()
+        real = os.write
+
+        def write_slowly(fd: int, data: bytes) -> int:
+            released.wait(STALL_S)
+            return real(fd, bytes(data[:2]))
+
+        async def main() -> bytes:
+            with tempfile.TemporaryDirectory() as folder:
+                disk = FolderDisk(folder)
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(disk.append, "log", b"data")
+                    await trio.sleep(0.05)
+                    await disk.close()
+                    released.set()
+                data = (Path(folder) / "log").read_bytes()
+                await disk.close()
+                with self.assertRaises(StorageError):
+                    await disk.append("log", b"without the lock of the folder")
+                return data
+
+        with mock.patch("os.write", write_slowly):
+            self.assertEqual(trio.run(main), b"data")
+
 
 class StoreFaultTest(unittest.TestCase):
     def test_failed_write_closes_the_store_for_good(self) -> None:
