Soak: limit the processor of app nodes; remove the relays between nodes

Cause: nodes dial the addresses that membership spreads, so that the relays between nodes carried only what goes to known control instances: transit times of responses between relayed and other nodes were those of direct ones (p99 0.191 and 0.193 s at a rate of 40 KB/s).

--- a/tests/platform_boot.py
+++ b/tests/platform_boot.py
@@ -28,7 +28,6 @@
     tolerated_machines: int = 1,
     retry_slack: float = 0.0,
     seeds: Sequence[str] = (),
-    first_peer_port: int = 4,
 ) -> Path:
     """Write the settings file of one process and return its path."""
     is_core = ip in cores
@@ -39,7 +38,7 @@
         "zone": f"zone-{ip.split('.')[2]}",
         "region": "r",
         "listen": {name: address(ip, name, base) for name in names},
-        "portRange": [base + first_peer_port, base + first_peer_port + 4],
+        "portRange": [base + 4, base + 8],
         "seeds": [address(core, "control", base) for core in seeds or cores],
         "bootstrap": bootstrap,
         "limits": {"maxFds": 2_000},
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,8 +26,7 @@
     parser.add_argument("--habits", default=",".join(clients.HABITS), help="of the clients")
     parser.add_argument("--target", default="", help="name=value,... of the targets' behaviour")
     parser.add_argument("--deadlines", default="0.5-5", help="of pipelined requests, in seconds")
-    parser.add_argument("--relayed", type=int, default=0, help="nodes with relays to the others")
-    parser.add_argument("--link-kbytes", type=float, default=0.0, help="rate of those relays, KB/s")
+    parser.add_argument("--cpu-share", type=float, default=1.0, help="of a core for each app node")
     parser.add_argument("--folder", default="", help="folder of the logs")
     return parser.parse_args(args)
 
@@ -49,8 +48,7 @@
             nodes=options.nodes,
             faults=tuple(names),
             habits=tuple(options.habits.split(",")),
-            relayed=options.relayed,
-            link_bytes_per_s=options.link_kbytes * 1_000,
+            cpu_share=options.cpu_share,
             deadlines_s=world.parse_range(options.deadlines),
             behaviour=world.parse_behaviour(options.target),
         )
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -29,11 +29,9 @@
 RETRY_SLACK = 60.0
 START_TIMEOUT_S = 40.0
 POLL_S = 0.05
-CLUSTER_PORTS = 20
-# Offsets of the port for other nodes. Relayed nodes use the second one to listen and to dial, so
-# that their connections with all others pass through a relay.
-PEER_PORT = 4
-RELAYED_PEER_PORT = 14
+CLUSTER_PORTS = 10
+# A machine with a share of a core gets it as a quota of each such period.
+QUOTA_PERIOD_S = 0.1
 
 
 class StartError(Exception):
@@ -43,9 +41,7 @@
 class Cluster:
     """Run control instances and app nodes, and restart those that end by themselves."""
 
-    def __init__(
-        self, ledger: Ledger, rng: random.Random, cores: int, nodes: int, relayed: int
-    ) -> None:
+    def __init__(self, ledger: Ledger, rng: random.Random, cores: int, nodes: int) -> None:
         self.ledger = ledger
         net = f"127.{rng.randrange(2, 250)}"
         self.cores = tuple(f"{net}.{i % ZONES + 1}.{20 + i}" for i in range(cores))
@@ -54,13 +50,11 @@
         self.service_of = {
             ip: SERVICES[(i + i // ZONES) % len(SERVICES)] for i, ip in enumerate(self.apps)
         }
-        # Nodes whose connections with the others can be disturbed.
-        self.relayed = frozenset(rng.sample(self.apps, relayed))
         self.children: dict[str, Child] = {}
         self.bootstrap = True
         # Processes that a fault ends or has ended.
         self.expected_down: set[str] = set()
-        self._is_watching = True
+        self._frozen: set[str] = set()
         self._base = find_ports((*self.cores, *self.apps))
 
     @staticmethod
@@ -83,11 +77,6 @@
         """Return the port at which targets listen behind their relays."""
         return self._base
 
-    def peer_ports(self, ip: str) -> tuple[int, int]:
-        """Return the ports of the relay in front of a process and of the process itself."""
-        ports = self._base + PEER_PORT, self._base + RELAYED_PEER_PORT
-        return ports if ip in self.relayed else (ports[1], ports[0])
-
     def address(self, ip: str, port: str) -> str:
         """Return a named address of a process."""
         return platform_boot.address(ip, port, self._base)
@@ -104,7 +93,6 @@
             tolerated_machines=len(self.cores) // 2,
             retry_slack=RETRY_SLACK,
             seeds=self.cores[:SEEDS],
-            first_peer_port=RELAYED_PEER_PORT if ip in self.relayed else PEER_PORT,
         )
 
     def start(self, *ips: str, is_planned: bool = True) -> None:
@@ -176,15 +164,26 @@
     async def freeze(self, ip: str, for_s: float) -> None:
         """Suspend a process for some seconds."""
         self._record("SIGSTOP", ip, for_s)
+        self._frozen.add(ip)
         self.children[ip].signal(signal.SIGSTOP)
         try:
             await trio.sleep(for_s)
         finally:
+            self._frozen.discard(ip)
             self.children[ip].signal(signal.SIGCONT)
 
+    async def limit_processor(self, ip: str, share: float) -> None:
+        """Suspend a process for the rest of each period, as a quota of a core does."""
+        while True:
+            self.children[ip].signal(signal.SIGSTOP)
+            await trio.sleep(QUOTA_PERIOD_S * (1.0 - share))
+            if ip not in self._frozen:
+                self.children[ip].signal(signal.SIGCONT)
+            await trio.sleep(QUOTA_PERIOD_S * share)
+
     async def watch(self) -> None:
         """Report processes that end by themselves, and start them again."""
-        while self._is_watching:
+        while True:
             for ip, child in list(self.children.items()):
                 if child.alive or ip in self.expected_down:
                     continue
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -14,7 +14,7 @@
 from tests.soak.fleet import Fleet
 from tests.soak.ledger import Event, Ledger
 from tests.soak.operators import Operator
-from tests.soak.relay import LinkState, Relay
+from tests.soak.relay import LinkState
 
 # A control instance that is back counts as lost for this long, as on the platform.
 CATCH_UP_S = 4.0
@@ -219,26 +219,13 @@
 async def links(context: Context) -> None:
     """Disturb the connections to a target for some seconds."""
     ip = pick_target(context)
-    if ip:
-        await disturb(context, context.fleet.relays[ip], [ip])
-
-
-@series(gap_s=(1.0, 4.0))
-async def peer_links(context: Context) -> None:
-    """Disturb connections between the relayed nodes and the others for some seconds."""
-    relay = context.rng.choice(context.fleet.peer_relays)
-    relayed = context.cluster.relayed
-    await disturb(context, relay, [relay.ip] if relay.ip in relayed else sorted(relayed))
-
-
-async def disturb(context: Context, relay: Relay, machines: list[str]) -> None:
-    """Disturb the connections of a relay; the machines count as disrupted."""
-    rng = context.rng
+    if not ip:
+        return
+    rng, relay = context.rng, context.fleet.relays[ip]
     for_s = rng.uniform(0.2, 4.0)
     kind = rng.choice(("reset", *(state.value for state in LinkState if state.value != "sound")))
     now_s = time.monotonic()
-    for ip in machines:
-        context.ledger.add_event(Event(now_s, f"link-{kind}", ip, now_s + for_s))
+    context.ledger.add_event(Event(now_s, f"link-{kind}", ip, now_s + for_s))
     if kind == "reset":
         relay.reset_all()
         return
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -28,8 +28,6 @@
     ) -> None:
         self.targets: dict[str, Target] = {}
         self.relays: dict[str, Relay] = {}
-        # Relays of connections between nodes.
-        self.peer_relays: list[Relay] = []
         self._cluster = cluster
         self._ledger = ledger
         self._rng = rng
@@ -37,14 +35,6 @@
         self._nursery = nursery
         self._starts = 0
 
-    def start_peer_relays(self, bytes_per_s: float) -> None:
-        """Start the relays between the relayed nodes and all others."""
-        cluster = self._cluster
-        for ip in (*cluster.cores, *cluster.apps) if cluster.relayed else ():
-            relay = Relay(ip, *cluster.peer_ports(ip), bytes_per_s)
-            self.peer_relays.append(relay)
-            self._nursery.start_soon(relay.run)
-
     def start(self) -> None:
         """Start a target beside each node."""
         for ip in self._cluster.apps:
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -1,4 +1,4 @@
-"""Relays in front of targets and nodes that delay, silence, cut, slow or reset connections."""
+"""Relays in front of targets that delay, silence, cut or reset connections."""
 
 from __future__ import annotations
 
@@ -9,9 +9,7 @@
 
 import trio
 
-READ_BYTES = 16_384
-# Small buffers make a sender notice a slow link, as on the platform.
-BUFFER_BYTES = 32_768
+READ_BYTES = 65_536
 # Makes the kernel send a reset when the socket is closed.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -30,15 +28,12 @@
 class Relay:
     """Relay connections to one port of a machine."""
 
-    def __init__(self, ip: str, port: int, target_port: int, bytes_per_s: float = 0.0) -> None:
+    def __init__(self, ip: str, port: int, target_port: int) -> None:
         self.state = LinkState.SOUND
         self.delay_s = 0.0
         self.ip = ip
         self._port = port
         self._target_port = target_port
-        # 0 without a limit. Each direction has its own.
-        self._bytes_per_s = bytes_per_s
-        self._limits = {True: trio.Lock(), False: trio.Lock()}
         self._streams: set[trio.SocketStream] = set()
 
     async def run(self) -> None:
@@ -58,10 +53,6 @@
             await trio.aclose_forcefully(caller)
             return
         self._streams |= {caller, target}
-        if self._bytes_per_s:
-            for stream in (caller, target):
-                for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
-                    stream.setsockopt(socket.SOL_SOCKET, option, BUFFER_BYTES)
         try:
             async with trio.open_nursery() as nursery:
                 done = nursery.cancel_scope.cancel
@@ -87,9 +78,6 @@
                 if self.state is LinkState.SILENT or is_lost:
                     # A gap in the bytes must not show, so the connection stays silent for good.
                     await trio.sleep_forever()
-                if self._bytes_per_s:
-                    async with self._limits[is_response]:
-                        await trio.sleep(len(data) / self._bytes_per_s)
                 await dst.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             pass
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -33,9 +33,8 @@
     faults: tuple[str, ...] = ()
     habits: tuple[str, ...] = tuple(clients.HABITS)
     cores: int = 5
-    # Nodes whose connections with the others pass through relays, and the rate of those.
-    relayed: int = 0
-    link_bytes_per_s: float = 0.0
+    # Share of a core that each app node gets.
+    cpu_share: float = 1.0
     # Shortest and longest deadline of pipelined requests.
     deadlines_s: tuple[float, float] = (0.5, 5.0)
     behaviour: Behaviour = dataclasses.field(default_factory=Behaviour)
@@ -75,7 +74,7 @@
     """Run one seed and return its verdict."""
     ledger = Ledger(folder)
     rng = random.Random(plan.seed)
-    cluster = Cluster(ledger, rng, plan.cores, plan.nodes, plan.relayed)
+    cluster = Cluster(ledger, rng, plan.cores, plan.nodes)
     operator = Operator(cluster, ledger, random.Random(rng.random()))
     judge = checks.Judge(cluster, ledger, operator)
     started_s = time.monotonic()
@@ -117,7 +116,6 @@
     async def run(self, nursery: trio.Nursery) -> None:
         """Start everything, and play the traffic and the faults."""
         cluster = self._cluster
-        self._fleet.start_peer_relays(self._plan.link_bytes_per_s)
         cluster.start(*cluster.cores, *cluster.apps)
         nursery.start_soon(cluster.watch)
         self._fleet.start()
@@ -129,6 +127,8 @@
         async with trio.open_nursery() as traffic:
             for ip in cluster.apps:
                 self._start_clients(traffic, ip)
+                if self._plan.cpu_share < 1.0:
+                    traffic.start_soon(cluster.limit_processor, ip, self._plan.cpu_share)
             context = faults.Context(
                 cluster,
                 self._ledger,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -226,7 +226,7 @@
         self.addCleanup(folder.cleanup)
         ledger = Ledger(Path(folder.name))
         self.addCleanup(ledger.close)
-        cluster = Cluster(ledger, random.Random(1), cores=1, nodes=1, relayed=0)
+        cluster = Cluster(ledger, random.Random(1), cores=1, nodes=1)
         ip = cluster.apps[0]
         path = Path(folder.name) / "child.log"
         with path.open("wb") as log:
