--- a/knapweedhitch/logwriter.py
+++ b/knapweedhitch/logwriter.py
@@ -149,12 +149,17 @@
 
     Returns None for other files.
     """
+    pipe_fd = None
     try:
-        if stat.S_ISFIFO(os.fstat(fd).st_mode):
-            flags = os.O_WRONLY | os.O_NONBLOCK | os.O_CLOEXEC
-            return os.open(f"/proc/self/fd/{fd}", flags)
+        if not stat.S_ISFIFO(os.fstat(fd).st_mode):
+            return None
+        pipe_fd = os.open(f"/proc/self/fd/{fd}", os.O_WRONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+        if os.path.sameopenfile(fd, pipe_fd):
+            return pipe_fd
     except OSError:
         pass  # The thread writes the lines.
+    if pipe_fd is not None:
+        os.close(pipe_fd)
     return None
 
 
--- a/tests/test_logwriter.py
+++ b/tests/test_logwriter.py
@@ -108,6 +108,17 @@
         self.assertFalse(self.writer.close(0.1))
         self.assertLess(time.monotonic() - started_s, TIMEOUT_S)
 
+    def test_pipe_that_cannot_be_opened_again_is_written_by_the_thread(self) -> None:
+        """Guards against lines that are lost, or go to another file, where /proc is restricted."""
+        other_end = os.open(os.devnull, os.O_WRONLY)
+        for result in (OSError(errno.EACCES, "refused"), other_end):
+            with self.subTest(result=result):
+                with mock.patch.object(logwriter.os, "open", side_effect=[result]):
+                    writer = LineWriter(self.write_end)
+                writer.write(LINE)
+                self.assertTrue(writer.close(TIMEOUT_S))
+                self.assertEqual(read_until(self.read_end, b"\n"), [LINE])
+
     def test_thread_that_cannot_start_is_counted(self) -> None:
         """Guards against an error in the code that logs when there is no room for a thread."""
         with mock.patch("threading.Thread.start", side_effect=RuntimeError):
