Soak: judge calls of targets as well; take the arrival of a head for DRAIN and EVAC

Cuts of calls that targets made were not judged.

Change: a run has the moment at which its head arrived; calls record how they ended.

--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -51,6 +51,8 @@
     target: str
     ip: str
     service: str
+    # When its head came, and when the target began to work on it.
+    arrived_s: float
     started_s: float
     state: RunState = RunState.WORKING
     status: int = 0
@@ -85,6 +87,15 @@
     behind: str = ""
     runs: list[Run] = dataclasses.field(default_factory=list)
 
+    def end(self, ending: Ending) -> None:
+        """Record how the request ended."""
+        self.ending, self.ended_s = ending, time.monotonic()
+
+    def end_cut(self, received_bytes: int, error: str, *, is_reset: bool) -> None:
+        """Record that the connection ended before a whole response."""
+        self.end(Ending.RESET if is_reset else Ending.CLOSED)
+        self.received_bytes, self.error = received_bytes, error
+
     @property
     def may_repeat(self) -> bool:
         """Return whether the route allows more than one run."""
