--- a/knapweedhitch/logs.py
+++ b/knapweedhitch/logs.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import datetime
-import os
 import re
 import sys
 import traceback
+from pathlib import Path
 from typing import IO, TYPE_CHECKING
 
 import logbook
@@ -19,6 +19,8 @@
 
 _log = logbook.Logger("knapweedhitch")
 
+PACKAGE = Path(__file__).parent
+
 FORMAT = "time={record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name} {record.message}"
 
 
@@ -50,9 +52,12 @@
 
 
 def location_of(exc: BaseException) -> str:
-    """Return the file and line that raised an exception."""
-    frames = traceback.extract_tb(exc.__traceback__)
-    return f"{os.path.basename(frames[-1].filename)}:{frames[-1].lineno}" if frames else ""
+    """Return where an exception left this package, or arose if it never was in it."""
+    frames = [(frame.f_code, line) for frame, line in traceback.walk_tb(exc.__traceback__)]
+    own = [frame for frame in frames if Path(frame[0].co_filename).is_relative_to(PACKAGE)]
+    for code, line in reversed(own or frames):
+        return f"{Path(code.co_filename).name}:{line} {code.co_name}"
+    return "unknown"
 
 
 def setup(level: str, stream: IO[str] | None = None) -> logbook.Handler:
--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -6,9 +6,7 @@
 import importlib
 import signal
 import sys
-import traceback
 from collections.abc import AsyncIterator, Iterator, Sequence
-from pathlib import Path
 
 import trio
 
@@ -25,7 +23,6 @@
 EXIT_SETTINGS = 2
 # Changes of the settings file may come without a signal.
 SETTINGS_CHECK_MS = 5_000.0
-PACKAGE = Path(__file__).parent
 
 # Name of each service and the module that registers it, in the order of construction.
 SERVICES = (
@@ -199,15 +196,6 @@
         yield exc
 
 
-def _find_place(exc: BaseException) -> str:
-    """Return where an exception left this package, or arose if it never was in it."""
-    frames = [(f.f_code, line) for f, line in traceback.walk_tb(exc.__traceback__)]
-    own = [frame for frame in frames if Path(frame[0].co_filename).is_relative_to(PACKAGE)]
-    for code, line in reversed(own or frames):
-        return f"{Path(code.co_filename).name}:{line} {code.co_name}"
-    return "unknown"
-
-
 def print_error(problem: str, code: int) -> int:
     """Print a problem for the user and return the exit code."""
     print(f"knapweedhitchd: {problem}", file=sys.stderr)
@@ -234,7 +222,9 @@
 def _report_failure(exc: BaseException) -> int:
     faults = list(_iter_leaves(exc))
     for fault in faults:
-        logs.warning("fault", error=type(fault).__name__, place=_find_place(fault), detail=fault)
+        logs.warning(
+            "fault", error=type(fault).__name__, place=logs.location_of(fault), detail=fault
+        )
     for fault in faults:
         if isinstance(fault, SettingsError):
             return print_error(str(fault), EXIT_SETTINGS)
