--- a/tests/test_shared_connection.py
+++ b/tests/test_shared_connection.py
@@ -43,7 +43,9 @@
     def test_request_behind_a_refused_one_gets_its_response(self) -> None:
         """Guards against a request that is dropped unread, so that its caller waits in vain."""
         expired, unknown = post(2, 500), post(2, 1_900, "/nowhere/")
-        for refused, status in ((expired, 503), (unknown, 404)):
+        # The method of a request without a route doesn't matter.
+        unknown_get = get(2, 1_900).replace(b"/safe/", b"/nowhere/")
+        for refused, status in ((expired, 503), (unknown, 404), (unknown_get, 404)):
             statuses: list[int] = []
 
             async def play(caller: Caller, refused: bytes, statuses: list[int]) -> None:
@@ -55,7 +57,7 @@
                         statuses.append((await caller.read()).status)
 
             handlers = {"r1": respond_after(1.0, 20), "r3": respond_after(0.0, 20)}
-            with self.subTest(status):
+            with self.subTest(refused=refused):
                 run_caller(
                     handlers,
                     lambda caller, r=refused, s=statuses: play(caller, r, s),  # type: ignore[misc]
