--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -220,3 +220,15 @@
         self.assertEqual(statuses, [200, 503, 200])
         r3 = next(spec for spec in world.specs if spec.request_id == "r3")
         self.assertLess(r3.deadline.at_s - world.specs[0].deadline.at_s, 0.5)
+
+    def test_response_that_never_ends_is_cut_soon_after_its_deadline(self) -> None:
+        """Guards against a request without a final answer half a second after its timeout."""
+        handlers = {"r1": respond_after(0.1, LARGE_BYTES, pause_s=30.0)}
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 500))
+            with self.assertRaises(trio.BrokenResourceError):
+                await caller.read()
+            self.assertLess(trio.current_time(), 1.0)
+
+        run_caller(handlers, play, ByteBudget(0))
