--- a/knapweedhitch/attempt.py
+++ b/knapweedhitch/attempt.py
@@ -96,7 +96,7 @@
         self.status, self.headers, self.load = status, headers, load
         self.on_head(headers)
         length = framing.content_length(headers)
-        if EVENT_STREAM in headers or not self._may_hold_back(length or 0):
+        if EVENT_STREAM in headers or not self._try_hold_back(length or 0):
             await self._commit()
 
     async def data(self, data: bytes) -> None:
@@ -111,7 +111,7 @@
             await self._write_to_caller(self._conn.send_data(data))
             return
         self._buffered += data
-        if not self._may_hold_back(self._size_bytes):
+        if not self._try_hold_back(self._size_bytes):
             await self._commit()
 
     async def end(self) -> None:
@@ -143,8 +143,8 @@
             else:
                 self._recorded = None
 
-    def _may_hold_back(self, n_bytes: int) -> bool:
-        return n_bytes <= self._hold_back_bytes or self._conn.order.may_hold_back(n_bytes)
+    def _try_hold_back(self, n_bytes: int) -> bool:
+        return n_bytes <= self._hold_back_bytes or self._conn.order.try_hold_back(n_bytes)
 
     async def _commit(self) -> None:
         await self._claim()
--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -55,8 +55,8 @@
         if not self._due.is_set():
             await self._due.wait()
 
-    def may_hold_back(self, n_bytes: int) -> bool:
-        """Return whether so many bytes of the response may wait in memory until it is due."""
+    def try_hold_back(self, n_bytes: int) -> bool:
+        """Reserve memory for bytes of the response until it is due; return False if it is full."""
         if self.is_due:
             return False
         more_bytes = max(0, n_bytes - self._held_bytes)
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -50,15 +50,18 @@
 
     @property
     def is_last(self) -> bool:
-        """Return whether no later request waits for its response, so that it may be the last."""
+        """Return whether no later request waits, so that this response may close the connection."""
         ...
 
     async def wait_due(self) -> None:
-        """Wait until all earlier responses are complete."""
+        """Wait until all earlier responses are complete.
+
+        A cancelled wait leaves the connection as it was, so that another response can be written.
+        """
         ...
 
-    def may_hold_back(self, n_bytes: int) -> bool:
-        """Return whether so many bytes of the response may wait in memory until it is due."""
+    def try_hold_back(self, n_bytes: int) -> bool:
+        """Reserve memory for bytes of the response until it is due; return False if it is full."""
         ...
 
 
@@ -71,7 +74,7 @@
     async def wait_due(self) -> None:
         """Return at once."""
 
-    def may_hold_back(self, n_bytes: int) -> bool:
+    def try_hold_back(self, n_bytes: int) -> bool:
         """Return False, since the response is due."""
         return False
 
@@ -283,12 +286,8 @@
         self.response_ended = True
 
     async def send_head(self, status: int, headers: Headers, parts: Iterable[bytes] = ()) -> None:
-        """Write the head of a response and the first parts of its body once they are due.
-
-        Raises CallerGone. A cancelled wait leaves the connection as it was, so that another
-        response can be written in place of this one.
-        """
-        await self.order.wait_due()
+        """Write the head of a response that is due and parts of its body; raises CallerGone."""
+        assert self.order.is_due
         wire = [self._serialize_head(status, headers), *self._serialize_body(parts)]
         await self._write(b"".join(wire))
 
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -321,8 +321,8 @@
     hedge_percentile: Annotated[float, Meta(gt=0.0, lt=100.0)] = 95.0
     hedge_min_ms: Ms = 2
     attempt_margin_ms: Ms = 5
-    # A response that has begun before the deadline of its request may end this much later; operators
-    # expect the end of a request at most 500 ms after the timeout of its route.
+    # A response that has begun before its deadline may end this much later. Operators expect the
+    # end of a request at most 500 ms after the timeout of its route.
     transfer_grace_ms: Ms = 400
     locality_spill_ratio: Annotated[float, Meta(ge=1.0, le=100.0)] = 1.5
     sample_half_life_ms: Ms = 200
