--- a/tests/test_full_link.py
+++ b/tests/test_full_link.py
@@ -8,6 +8,7 @@
 import unittest
 from collections.abc import AsyncIterator
 from typing import Any
+from unittest import mock
 
 import trio
 
@@ -28,7 +29,14 @@
     execute,
     make_spec,
 )
-from tests.test_planned_stop import RELAY_BYTES, RELAY_INTERVAL_S, RelayPace, relay_slowly
+from tests.test_planned_stop import (
+    RELAY_BYTES,
+    RELAY_INTERVAL_S,
+    RelayPace,
+    relay_slowly,
+    slow_real_nodes,
+    stop,
+)
 
 BODY_BYTES = 90_000
 CALLS = 6
@@ -128,6 +136,28 @@
         """
         self.check_calls(has_body=False, calls=1, interval_s=SHARED_INTERVAL_S)
 
+    def test_stop_delivers_what_waits_on_a_full_link(self) -> None:
+        """Guards against a planned stop that ends when the first link counts as silent, with the
+        responses on it.
+        """
+
+        async def main() -> list[Any]:
+            async with slow_real_nodes(cfg=PEERS) as (a, b):
+                results: list[Any] = []
+
+                async def call() -> None:
+                    results.append(await execute(a, make_spec(deadline_ms=8_000), sink=Sink()))
+
+                async with trio.open_nursery() as nursery:
+                    for _ in range(CALLS):
+                        nursery.start_soon(call)
+                    await trio.sleep(0.3)
+                    await stop(b, MemoryNet())
+                return results
+
+        with mock.patch("tests.test_planned_stop.BODY_BYTES", BODY_BYTES):
+            self.assertEqual(trio.run(main), [RESULT] * CALLS)
+
 
 class FullWireTest(unittest.TestCase):
     def test_wire_that_is_full_in_both_directions_goes_on(self) -> None:
