Finish requests that were taken before a stop during a start

A SIGTERM while the last services of a node start cancelled the start, and with it the requests of callers that had connected already (LOST in planned work). The stop now waits for the rest of the start if callers are connected, and is a planned stop then; otherwise the start ends at once as before.

test_stop_during_a_start_finishes_requests_that_were_taken fails without it: ['stop'] in place of ['begin', 'stop'].

--- a/knapweedhitch/ingress.py
+++ b/knapweedhitch/ingress.py
@@ -35,6 +35,11 @@
         """Return the address of the listener."""
         return self._server.address
 
+    @property
+    def has_connections(self) -> bool:
+        """Return whether callers are connected, whose requests may be in progress."""
+        return bool(self._connections)
+
     async def start(self) -> None:
         """Open the listener; raises OSError."""
         self._router = self._kernel.get("router")
--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -133,6 +133,7 @@
         self._file = file
         self._is_running = False
         self._reload_pending = False
+        self._pending_stop = ""
         self._stop_signals = 0
 
     async def run(self, receiver: AsyncIterator[int]) -> None:
@@ -148,6 +149,8 @@
         self._is_running = True
         if self._reload_pending:
             self._handle_reload()
+        if self._pending_stop:
+            self._handle_stop(self._pending_stop)
 
     def check_settings(self) -> None:
         """Reload the settings file if it has changed without a signal."""
@@ -163,7 +166,11 @@
     def _handle_stop(self, name: str) -> None:
         if not self._is_running:
             logs.event("stop_during_start", signal=name)
-            self._scope.cancel()
+            if self._serves_callers():
+                # The services that a planned stop needs start next.
+                self._pending_stop = name
+            else:
+                self._scope.cancel()
             return
         self._stop_signals += 1
         _set_phase(self._kernel, "stopping")
@@ -174,6 +181,9 @@
             logs.warning("hard_stop", signal=name)
             self._kernel.get("drain").stop_now()
 
+    def _serves_callers(self) -> bool:
+        return self._kernel.has("ingress") and self._kernel.get("ingress").has_connections
+
 
 def reload(kernel: Kernel, file: SettingsFile) -> None:
     """Read the settings again and apply the seeds; other changes take effect at the next start."""
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -82,6 +82,17 @@
     async def stop(self) -> None: ...
 
 
+class FakeIngress:
+    """Have a connection of a caller."""
+
+    address = Address("127.0.0.1", 1)
+    has_connections = True
+
+    async def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
+
+
 class ServeTest(unittest.TestCase):
     def setUp(self) -> None:
         self.drains: list[FakeDrain] = []
@@ -156,6 +167,19 @@
                 self.assertEqual(self.drains[-1].calls, [])
                 self.assertEqual(self.logged[-1], "stop_during_start")
 
+    def test_stop_during_a_start_finishes_requests_that_were_taken(self) -> None:
+        """Guards against a stop that cuts the requests of callers which have connected already,
+        while the last services start.
+        """
+        factories = {
+            "slow": lambda k: SlowStart(signal.SIGTERM),
+            "ingress": lambda k: FakeIngress(),
+        }
+        with mock.patch.dict(kernel._factories, factories):
+            self.run_serve(["timers", "membership", "ingress", "slow", "drain"])
+        self.assertEqual(self.drains[-1].calls, ["begin", "stop"])
+        self.assertIn("planned_stop", self.logged)
+
     def test_reload_while_the_services_start_waits_for_them(self) -> None:
         """Guards against seeds that are given to a membership which has not started."""
         self.serve_slow_start(signal.SIGHUP)
