--- a/knapweedhitch/logwriter.py
+++ b/knapweedhitch/logwriter.py
@@ -7,6 +7,7 @@
 import select
 import stat
 import threading
+import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
 
@@ -93,10 +94,19 @@
         return True
 
     def _run(self) -> None:
+        written_s = -BATCH_S
         while True:
-            lines = [self._lines.get(), *self._waiting_lines()]
+            first_line = self._lines.get()
+            wait_s = written_s + BATCH_S - time.monotonic()
+            if wait_s > 0:
+                self._closing.wait(wait_s)
+            lines = [first_line, *self._waiting_lines()]
             self._write_lines(line for line in lines if line)
-            if self._closing.wait(BATCH_S) and self._lines.empty():
+            written_s = time.monotonic()
+            # The next line of a busy process would wake the thread only to wait for others.
+            if len(lines) > 1:
+                self._closing.wait(BATCH_S)
+            if self._closing.is_set() and self._lines.empty():
                 return
 
     def _waiting_lines(self) -> Iterator[bytes]:
