--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,6 +26,7 @@
     parser.add_argument("--habits", default=",".join(clients.HABITS), help="of the clients")
     parser.add_argument("--target", default="", help="name=value,... of the targets' behaviour")
     parser.add_argument("--deadlines", default="0.5-5", help="of pipelined requests, in seconds")
+    parser.add_argument("--final", type=float, default=0.0, help="traffic after a final kill, in s")
     parser.add_argument("--cpu-share", type=float, default=1.0, help="of a core for each app node")
     parser.add_argument("--folder", default="", help="folder of the logs")
     return parser.parse_args(args)
@@ -48,6 +49,7 @@
             nodes=options.nodes,
             faults=tuple(names),
             habits=tuple(options.habits.split(",")),
+            final_s=options.final,
             cpu_share=options.cpu_share,
             deadlines_s=world.parse_range(options.deadlines),
             behaviour=world.parse_behaviour(options.target),
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -173,7 +173,7 @@
     for run in request.runs:
         for ack in judge.events(("drain-acked",), run.target):
             late_s = run.arrived_s - ack.at_s - DRAIN_S
-            if late_s > 0.0 and judge.is_in_touch(request.entry, ack.at_s, run.arrived_s):
+            if late_s > 0.0 and judge.is_in_touch(request.entry, request.sent_s, run.arrived_s):
                 text = f"{late_s:.3f} s too late at {run.target}: {judge.ledger.describe(request)}"
                 judge.ledger.report("DRAIN", run.arrived_s, text)
 
@@ -187,7 +187,7 @@
             is_late = acknowledged_s + EVACUATION_S < run.arrived_s < finished_s
             if evacuated != zone or not is_late:
                 continue
-            if judge.is_in_touch(request.entry, acknowledged_s, run.arrived_s):
+            if judge.is_in_touch(request.entry, request.sent_s, run.arrived_s):
                 text = f"{zone} was evacuated: {judge.ledger.describe(request)}"
                 judge.ledger.report("EVAC", run.arrived_s, text)
 
@@ -201,11 +201,10 @@
     if not newest:
         return
     allowed = {v.service for v in versions if v.version >= newest}
-    oldest_s = min(v.acknowledged_s for v in in_force if v.version == newest)
     for run in request.runs:
         if run.service in allowed:
             continue
-        if judge.is_in_touch(request.entry, oldest_s, run.started_s):
+        if judge.is_in_touch(request.entry, request.sent_s, run.started_s):
             text = f"{run.service} is not in {allowed}: {judge.ledger.describe(request)}"
             judge.ledger.report("CONFIG", run.started_s, text)
 
--- a/tests/soak/cluster.py
+++ b/tests/soak/cluster.py
@@ -199,6 +199,7 @@
         """Kill all processes and wait for them."""
         self.expected_down.update(self.children)
         for child in self.children.values():
+            self._record("SIGKILL", child.name, 0.0)
             child.signal(signal.SIGCONT)
             child.signal(signal.SIGKILL)
         for child in self.children.values():
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -101,7 +101,9 @@
         }
         await self._patch(patch, [route.name])
 
-    async def evacuate(self, zone: str, for_s: float) -> None:
+    async def evacuate(
+        self, zone: str, for_s: float, acknowledged: trio.Event | None = None
+    ) -> None:
         """Evacuate a zone for some seconds."""
         path = f"/knapweedhitch/evacuations/{zone}"
         started_s = time.monotonic()
@@ -111,6 +113,8 @@
         number = len(self.evacuations)
         self.evacuations.append((zone, acknowledged_s, float("inf")))
         self._ledger.add_event(Event(acknowledged_s, "evacuation-acked", zone, started_s))
+        if acknowledged is not None:
+            acknowledged.set()
         try:
             await trio.sleep(for_s)
         finally:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+import math
 import random
 import time
 from pathlib import Path
@@ -33,6 +34,8 @@
     faults: tuple[str, ...] = ()
     habits: tuple[str, ...] = tuple(clients.HABITS)
     cores: int = 5
+    # Time of traffic after all processes were killed, right after an evacuation; 0 for none.
+    final_s: float = 0.0
     # Share of a core that each app node gets.
     cpu_share: float = 1.0
     # Shortest and longest deadline of pipelined requests.
@@ -128,9 +131,21 @@
             )
             with trio.move_on_after(self._plan.seconds):
                 await faults.play(context, self._plan.faults)
+            if self._plan.final_s:
+                await self._play_final_fault(nursery)
             # Running faults end, such as a suspension, before the clients do.
             traffic.cancel_scope.cancel()
 
+    async def _play_final_fault(self, nursery: trio.Nursery) -> None:
+        """Kill all processes right after an evacuation, and go on with the traffic."""
+        cluster, zone = self.cluster, self._rng.choice(self.cluster.zones)
+        acknowledged = trio.Event()
+        nursery.start_soon(self._operator.evacuate, zone, math.inf, acknowledged)
+        await acknowledged.wait()
+        cluster.kill_all()
+        cluster.start(*cluster.cores, *cluster.apps, is_planned=False)
+        await trio.sleep(self._plan.final_s)
+
     def _start_clients(self, nursery: trio.Nursery, ip: str) -> None:
         gate = clients.Gate(self.cluster, ip)
         nursery.start_soon(gate.run)
