--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -36,11 +36,11 @@
     def start(self, nursery: trio.Nursery) -> None:
         """Start a target beside each node."""
         self._nursery = nursery
-        for ip in self._cluster.apps:
-            cluster = self._cluster
+        cluster = self._cluster
+        for ip in cluster.apps:
             relay = Relay(ip, cluster.target_port, cluster.hidden_target_port)
             self.relays[ip] = relay
-            self._nursery.start_soon(relay.run)
+            nursery.start_soon(relay.run)
             self.start_target(ip)
 
     def start_target(self, ip: str) -> None:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -22,8 +22,6 @@
     GARBLED = "garbled"
     # The client closed the connection itself.
     ABANDONED = "abandoned"
-    # No connection could be opened.
-    REFUSED = "refused"
 
     @property
     def is_cut(self) -> bool:
--- a/tests/soak/operators.py
+++ b/tests/soak/operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import json
 import random
 import time
@@ -168,11 +169,8 @@
         headers = {"Content-Type": "application/json"} if body else {}
         while time.monotonic() < end_s:
             address = self._cluster.address(self._rng.choice(self._cluster.cores), "control")
-            status, data = await trio.to_thread.run_sync(
-                lambda a=address: send_http(
-                    a, "POST", path, body, headers, timeout_s=REQUEST_TIMEOUT_S, redirects=2
-                )
-            )
+            send = functools.partial(send_http, timeout_s=REQUEST_TIMEOUT_S, redirects=2)
+            status, data = await trio.to_thread.run_sync(send, address, "POST", path, body, headers)
             if 200 <= status < 300:
                 return True
             if status in FINAL_STATUSES:
--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -7,7 +7,6 @@
 import json
 import random
 import time
-from collections.abc import AsyncIterator
 from typing import Any
 
 import h11
@@ -16,7 +15,8 @@
 from tests.platform_world import send_http
 from tests.soak.cluster import Cluster
 from tests.soak.ledger import Ending, Event, Ledger, Request, Run, RunState
-from tests.soak.wire import READ_BYTES, ClientConnection, ConnectionEnded, render_head
+from tests.soak.targetconn import Received, TargetConnection, watch_close
+from tests.soak.wire import ClientConnection, ConnectionEnded, render_head
 
 HEARTBEAT_S = 1.5
 SLOTS = 12
@@ -24,7 +24,6 @@
 IDLE_TIMEOUT_S = 8.0
 # Time for which a target goes on serving after the acknowledgement that it drains.
 DRAIN_S = 2.0
-LATE_CALL_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -345,85 +344,3 @@
         if problems:
             text = f"{self.instance_id} ran {run.request_id}: {', '.join(problems)}"
             self._ledger.report("UNASKED", run.started_s, text)
-
-
-@dataclasses.dataclass(frozen=True, eq=False)
-class Received:
-    """Describe a request as a target has read it."""
-
-    method: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-    arrived_s: float = 0.0
-
-
-class TargetConnection:
-    """Read requests and send responses on one connection of a target."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self.stream = stream
-        self.peer_closed = False
-        self._conn = h11.Connection(h11.SERVER)
-
-    async def read_request(self) -> Received | None:
-        """Return the next request, or None when the connection has ended."""
-        request, arrived_s, body = None, 0.0, bytearray()
-        while True:
-            event = self._conn.next_event()
-            if event is h11.NEED_DATA:
-                if self._conn.they_are_waiting_for_100_continue:
-                    response = h11.InformationalResponse(status_code=100, headers=[])
-                    await self.stream.send_all(self._conn.send(response) or b"")
-                data = bytes(await self.stream.receive_some(READ_BYTES))
-                self.peer_closed = not data
-                self._conn.receive_data(data)
-            elif isinstance(event, h11.Request):
-                request, arrived_s = event, time.monotonic()
-            elif isinstance(event, h11.Data):
-                body += event.data
-            elif isinstance(event, h11.EndOfMessage) and request is not None:
-                headers = {k.decode(): v.decode("latin-1") for k, v in request.headers}
-                target = request.target.decode("latin-1")
-                return Received(request.method.decode(), target, headers, bytes(body), arrived_s)
-            else:
-                return None
-
-    async def wait_close(self) -> None:
-        """Return when the peer closes the connection; other bytes are kept."""
-        while data := bytes(await self.stream.receive_some(READ_BYTES)):
-            self._conn.receive_data(data)
-
-    async def respond(
-        self, status: int, headers: list[tuple[str, str]], body: bytes, cut_after: int = -1
-    ) -> None:
-        """Send a response, or its first bytes only."""
-        fields = [*headers, ("Content-Length", str(len(body)))]
-        head = self._conn.send(h11.Response(status_code=status, headers=fields)) or b""
-        await self.stream.send_all(head + (body if cut_after < 0 else body[:cut_after]))
-        if cut_after < 0:
-            if body:
-                self._conn.send(h11.Data(data=body))
-            self._conn.send(h11.EndOfMessage())
-
-    def keep_alive(self) -> bool:
-        """Return whether another request may come."""
-        if self._conn.our_state is not h11.DONE or self._conn.their_state is not h11.DONE:
-            return False
-        self._conn.start_next_cycle()
-        return True
-
-
-@contextlib.asynccontextmanager
-async def watch_close(conn: TargetConnection, scope: trio.CancelScope) -> AsyncIterator[None]:
-    """Cancel a scope when the peer closes the connection inside the block."""
-
-    async def watch() -> None:
-        with contextlib.suppress(trio.BrokenResourceError):
-            await conn.wait_close()
-        scope.cancel()
-
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(watch)
-        yield
-        nursery.cancel_scope.cancel()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -21,7 +21,8 @@
 from tests.soak.cluster import Cluster
 from tests.soak.ledger import Ending, Event, Ledger, Request, Run, RunState
 from tests.soak.operators import ItemVersion, Operator
-from tests.soak.targets import Behaviour, Received, Target, make_body
+from tests.soak.targetconn import Received
+from tests.soak.targets import Behaviour, Target, make_body
 from tests.soak.wire import Response
 
 ENTRY, NODE = "127.2.1.100", "127.2.2.101"
