Answer calls to the operator API before a stop ends

Without the wait (mutation stop-cuts-calls-of-the-operator-api) the new test_stop_waits_for_the_operator_api fails.

--- a/knapweedhitch/drain.py
+++ b/knapweedhitch/drain.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
+from typing import Protocol
 
 import trio
 
 from knapweedhitch import logs
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.deadline import Deadline
-from knapweedhitch.http_api import ApiServer
 from knapweedhitch.kernel import Kernel, service
 
 POLL_INTERVAL_MS = 20
@@ -29,6 +29,14 @@
 MAX_LOGGED_IDS = 20
 
 
+class FinishingServer(Protocol):
+    """Define the interface of servers whose responses a stop waits for."""
+
+    async def finish(self, timeout_ms: float) -> None:
+        """Stop accepting connections and wait for the responses to requests in progress."""
+        ...
+
+
 @service("drain")
 class Drain:
     """Stop the node after its requests in progress; a second signal stops it at once."""
@@ -41,7 +49,7 @@
         self.cut_requests = 0
         self.finished = trio.Event()
         self._ends_at_s = math.inf
-        self._servers: list[ApiServer] = []
+        self._servers: list[FinishingServer] = []
 
     async def start(self) -> None:
         """Look up the services that take part in a stop."""
@@ -57,7 +65,7 @@
             self._gate = get("gate")
             self._ingress = get("ingress")
 
-    def add_server(self, server: ApiServer) -> None:
+    def add_server(self, server: FinishingServer) -> None:
         """Let a stop wait for the responses of a server."""
         self._servers.append(server)
 
--- a/knapweedhitch/http_api.py
+++ b/knapweedhitch/http_api.py
@@ -5,7 +5,6 @@
 import trio
 
 from knapweedhitch import logs, metrics
-from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import InternalError, NotFound, Refusal, TooManyConnections
 from knapweedhitch.kernel import Kernel, service
@@ -16,6 +15,7 @@
     OperatorRequest,
     OperatorResponse,
     refusal_response,
+    wait_responses_sent,
 )
 from knapweedhitch.settings import Listener, OperatorSettings
 
@@ -43,9 +43,7 @@
     async def finish(self, timeout_ms: float) -> None:
         """Stop accepting connections and wait for the responses to requests in progress."""
         self.close()
-        with trio.move_on_after(timeout_ms / MS_PER_S):
-            while busy := [conn for conn in self._connections if conn.is_busy]:
-                await busy[0].wait_response_sent()
+        await wait_responses_sent(self._connections, timeout_ms)
 
     async def _serve(self, stream: trio.abc.Stream) -> None:
         conn = self._connection(stream)
--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -40,6 +40,7 @@
     OperatorRequest,
     OperatorResponse,
     refusal_response,
+    wait_responses_sent,
 )
 from knapweedhitch.orders import SEEN_VERSION, Orders, parse_seen_version
 from knapweedhitch.proposals import Proposer
@@ -84,7 +85,7 @@
         self.phase = "starting"
         self.proposer = Proposer(kernel)
         self._token = b""
-        self._connections = 0
+        self._connections: set[OperatorConnection] = set()
         self._scope = trio.CancelScope()
 
     async def start(self) -> None:
@@ -97,6 +98,12 @@
             # Tokens and responses cross the network unencrypted.
             logs.warning("operator_listener_open", address=self.address)
         self.kernel.nursery.start_soon(self._listen, listeners)
+        if self.kernel.has("drain"):
+            self.kernel.get("drain").add_server(self)
+
+    async def finish(self, timeout_ms: float) -> None:
+        """Wait for the responses to requests in progress; the listener stays open for status."""
+        await wait_responses_sent(self._connections, timeout_ms)
 
     async def stop(self) -> None:
         """Close the listener and its connections."""
@@ -109,15 +116,15 @@
     async def serve_stream(self, stream: trio.abc.Stream) -> None:
         """Serve one connection; a failure in it never ends the process."""
         connection = OperatorConnection(stream, self.cfg, self.authorize, self.handle)
-        if self._connections >= self.cfg.max_connections:
+        if len(self._connections) >= self.cfg.max_connections:
             self._count("operator_refused", TooManyConnections.reason)
             await connection.refuse(TooManyConnections(detail="close other connections first"))
             return
-        self._connections += 1
+        self._connections.add(connection)
         try:
             await connection.serve()
         finally:
-            self._connections -= 1
+            self._connections.discard(connection)
 
     def authorize(self, request: OperatorRequest) -> None:
         """Compare the bearer token in constant time; raises Unauthorized."""
--- a/knapweedhitch/operator_http.py
+++ b/knapweedhitch/operator_http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Awaitable, Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping, Set
 from urllib.parse import parse_qsl, quote, unquote, urlencode
 
 import h11
@@ -239,6 +239,13 @@
             raise trio.BrokenResourceError("the client does not read the response")
 
 
+async def wait_responses_sent(connections: Set[OperatorConnection], timeout_ms: float) -> None:
+    """Wait until each request that has been read has its response, at most for the timeout."""
+    with trio.move_on_after(timeout_ms / MS_PER_S):
+        while busy := [conn for conn in connections if conn.is_busy]:
+            await busy[0].wait_response_sent()
+
+
 def _parse_head(head: h11.Request) -> OperatorRequest:
     if any(name == b"upgrade" for name, _ in head.headers):
         raise UpgradeRefused(detail="no other protocol is spoken here")
