--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -23,6 +23,7 @@
     PeerQueueFull,
     UnknownMessage,
 )
+from knapweedhitch.heartbeat import Action, Heartbeat
 from knapweedhitch.messages import (
     CallMessage,
     Clock,
@@ -48,11 +49,6 @@
 CONGESTED_BYTES = 262_144
 MAX_WRITE_BYTES = 262_144
 REPLY_MARGIN_BYTES = 256
-# A silent link must be replaced within three heartbeats; closing it earlier leaves time to redial.
-SILENCE_MARGIN_HEARTBEATS = 0.25
-# Checks come four times per heartbeat. After a longer gap this process got no processor time, and
-# what the peer has sent meanwhile is still unread.
-MAX_CHECK_GAP_HEARTBEATS = 0.75
 # How long a link that can't be written to reads what has arrived.
 READ_REST_MS = 500.0
 
@@ -98,13 +94,8 @@
         self.peer_id = peer_id
         self.cfg = cfg
         self.dialled = dialled
-        self.opened_ms = self.last_used_ms = self.last_received_ms = self._active_since_ms = (
-            Timers.now_ms()
-        )
-        self._checked_ms = self.opened_ms
-        self._was_resting = False
-        self._last_ping_ms = 0.0
-        self._last_sent_ms = self.opened_ms
+        self.opened_ms = self.last_used_ms = Timers.now_ms()
+        self._heartbeat = Heartbeat(cfg, self.opened_ms)
         self._transit = TransitTime()
         self._delivery = DeliveryTracker()
         self.disconnect_error: PeerDisconnected | None = None
@@ -197,7 +188,7 @@
     def _enqueue(self, data: bytes, kind: str) -> None:
         self._counters.add("peer_bytes_out", kind, len(data) + self._wire.overhead_bytes)
         self._queue.append(data)
-        self._last_sent_ms = Timers.now_ms()
+        self._heartbeat.queued_ms = Timers.now_ms()
         self._queued_bytes += len(data)
         self._frames_queued.set()
 
@@ -227,7 +218,7 @@
         if len(self._streams) >= self.cfg.max_streams:
             raise PeerQueueFull(f"peer={self.peer_id} streams={len(self._streams)}")
         now = self.last_used_ms = Timers.now_ms()
-        self._end_rest(now)
+        self._heartbeat.end_rest(now)
         if self._transit.is_clock_due(now):
             self.put_frame(Clock(now))
         self.has_carried_streams = True
@@ -284,9 +275,7 @@
     @property
     def silent_ms(self) -> float:
         """Return for how long the peer has sent nothing although frames were due."""
-        # A long message may take many heartbeats to arrive over a slow or shared link.
-        last_sign_ms = max(self.last_received_ms, self._wire.last_read_ms, self._active_since_ms)
-        return Timers.now_ms() - last_sign_ms
+        return self._heartbeat.silent_ms(Timers.now_ms(), self._wire.last_read_ms)
 
     def check_heartbeat(self, rest_heartbeat_ms: float) -> None:
         """Ping a quiet peer, close a silent link and retire an unused one.
@@ -301,31 +290,17 @@
         is_unused = self.is_idle and not self.retired
         resting = is_unused and now - self.last_used_ms >= self.cfg.rest_after_ms
         interval_ms = rest_heartbeat_ms if resting else self.cfg.heartbeat_interval_ms
-        if not resting:
-            self._end_rest(now)
-        self._was_resting = resting
-        gap_ms, self._checked_ms = now - self._checked_ms, now
-        was_paused = gap_ms > MAX_CHECK_GAP_HEARTBEATS * self.cfg.heartbeat_interval_ms
-        limit_ms = (self.cfg.missed_heartbeats - SILENCE_MARGIN_HEARTBEATS) * interval_ms
-        if self.silent_ms >= limit_ms and not was_paused:
+        last_read_ms = self._wire.last_read_ms
+        action = self._heartbeat.check(now, last_read_ms, interval_ms, resting=resting)
+        if action is Action.CLOSE:
             self._counters.add("peer_link_closed", "silent")
             self.close("missed heartbeats")
             return
-        # Any frame that arrived within the interval counts as a pong. A peer that only receives
-        # pings as well, since the pings of the other side wait behind what it receives.
-        quiet_ms = now - min(self.last_received_ms, self._last_sent_ms)
-        if quiet_ms >= interval_ms and now - self._last_ping_ms >= interval_ms:
-            self._last_ping_ms = now
+        if action is Action.PING:
             self.put_frame(Ping(next(self._sequence)), "control")
         if now - self.last_used_ms >= self.cfg.idle_close_ms and self.is_idle:
             self.retire()
 
-    def _end_rest(self, now: float) -> None:
-        """Start to count silence anew; while the link rested, few frames were due."""
-        if self._was_resting:
-            self._was_resting = False
-            self._active_since_ms = now
-
     # Running
 
     async def run(self) -> None:
@@ -378,15 +353,15 @@
         try:
             while self.disconnect_error is None:
                 data = await self._wire.receive()
-                self.last_received_ms = Timers.now_ms()
-                self._on_frame(data)
+                received_ms = self._heartbeat.received_ms = Timers.now_ms()
+                self._on_frame(data, received_ms)
         except PeerDisconnected as exc:
             self.close(str(exc))
         except (CodecError, PeerProtocolError) as exc:
             self._counters.add("peer_link_closed", type(exc).__name__)
             self.close(str(exc))
 
-    def _on_frame(self, data: bytes) -> None:
+    def _on_frame(self, data: bytes, received_ms: float) -> None:
         try:
             msg = codec.decode(data, self.cfg.max_message_bytes)
         except UnknownMessage:
@@ -398,14 +373,14 @@
             if not self._streams.deliver(msg.stream_id, msg):
                 self._counters.add("peer_late_frames", "stream")
         elif isinstance(msg, OpenStream):
-            self.last_used_ms = self.last_received_ms
+            self.last_used_ms = received_ms
             self.has_carried_streams = True
-            msg = msg.after(self._transit.excess_ms(self.last_received_ms))
+            msg = msg.after(self._transit.excess_ms(received_ms))
             self._owner.on_stream(self, msg, self._streams.accept(msg))
         elif isinstance(msg, Clock):
-            self._transit.record(msg.sent_ms, self.last_received_ms)
+            self._transit.record(msg.sent_ms, received_ms)
         elif isinstance(msg, CallMessage):
-            self.last_used_ms = self.last_received_ms
+            self.last_used_ms = received_ms
             self._on_call(msg)
         elif isinstance(msg, ReplyMessage):
             self._on_reply(msg)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -374,7 +374,8 @@
             return await respond(call, body, sink)
 
         async with running_nodes(2, prepare=install(run_slowly)) as (a, _):
-            for rest_s in (5.0, 12.0, 17.0, 24.0, 40.0):
+            # The last ones begin at all phases of the check of the heartbeat.
+            for rest_s in (5.0, 12.0, 17.0, 24.0, 40.0, *(20.0 + 0.04 * i for i in range(10))):
                 await trio.sleep(rest_s)
                 spec = dataclasses.replace(make_spec(deadline_ms=5_000), idempotent=True)
                 self.assertEqual(await execute(a, spec), RESULT)
