--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -9,13 +9,14 @@
 from knapweedhitch.arrivals import Arrivals
 from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.budget import ByteBudget
+from knapweedhitch.closing import linger, linger_unread
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import CallerGone, Refusal
 from knapweedhitch.framing import HeaderNames, RequestHead
-from knapweedhitch.http1 import READ_BYTES, ServerConnection, linger, linger_unread
+from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.ingressapi import RequestHandler
 from knapweedhitch.settings import CallerSettings
-from knapweedhitch.sockets import receive_when_ready, send_at_once
+from knapweedhitch.sockets import READ_BYTES, receive_when_ready, send_at_once
 
 # Further pipelined bytes stay in the socket; a caller that closes after those is noticed later.
 MAX_PIPELINED_BYTES = 65_536
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -5,13 +5,13 @@
 import math
 import struct
 from collections.abc import Iterable
-from socket import MSG_PEEK, SO_LINGER, SOL_SOCKET
-from typing import Protocol
+from socket import SO_LINGER, SOL_SOCKET
 
 import h11
 import trio
 
 from knapweedhitch import framing
+from knapweedhitch.closing import linger
 from knapweedhitch.exceptions import (
     AmbiguousFraming,
     BadRequest,
@@ -24,14 +24,12 @@
     Refusal,
 )
 from knapweedhitch.exchange import Headers
+from knapweedhitch.responseorder import NoPipelining, ResponseOrder
 from knapweedhitch.settings import CallerSettings
-from knapweedhitch.sockets import receive_when_ready, send_at_once
+from knapweedhitch.sockets import READ_BYTES, receive_when_ready, send_at_once
 
-READ_BYTES = 65_536
 # Further pipelined bytes stay in the socket; a caller that closes after those is noticed later.
 MAX_PIPELINED_BYTES = 65_536
-# Bytes of an unread body that are read and dropped so that the caller can read its response.
-MAX_LINGER_BYTES = 1_048_576
 WRITE_ERRORS = (
     trio.BrokenResourceError,
     trio.BusyResourceError,
@@ -40,45 +38,6 @@
 CLOSE_HEADER = (b"connection", b"close")
 
 
-class ResponseOrder(Protocol):
-    """Tell when the response to one of several pipelined requests may be written."""
-
-    @property
-    def is_due(self) -> bool:
-        """Return whether all earlier responses are complete."""
-        ...
-
-    @property
-    def is_last(self) -> bool:
-        """Return whether no later request waits, so that this response may close the connection."""
-        ...
-
-    async def wait_due(self) -> None:
-        """Wait until all earlier responses are complete.
-
-        A cancelled wait leaves the connection as it was, so that another response can be written.
-        """
-        ...
-
-    def try_hold_back(self, n_bytes: int) -> bool:
-        """Reserve memory for bytes of the response until it is due; return False if it is full."""
-        ...
-
-
-class NoPipelining:
-    """Represent the order of responses without pipelined requests."""
-
-    is_due = True
-    is_last = True
-
-    async def wait_due(self) -> None:
-        """Return at once."""
-
-    def try_hold_back(self, n_bytes: int) -> bool:
-        """Return False, since the response is due."""
-        return False
-
-
 class ServerConnection:
     """Read requests from one caller and write their responses, one after another."""
 
@@ -394,40 +353,6 @@
                 pass
 
 
-async def linger(stream: trio.abc.Stream, linger_ms: float) -> None:
-    """Shut down writing, then read and drop what the caller still sends for up to `linger_ms`.
-
-    Closing with unread bytes resets the connection, and the caller may lose the response.
-    """
-    with trio.move_on_after(linger_ms / 1_000):
-        try:
-            if isinstance(stream, trio.abc.HalfCloseableStream):
-                await stream.send_eof()
-            remaining_bytes = MAX_LINGER_BYTES
-            while remaining_bytes > 0 and (data := await stream.receive_some(READ_BYTES)):
-                remaining_bytes -= len(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            pass
-
-
-async def linger_unread(stream: trio.abc.Stream, linger_ms: float) -> None:
-    """Shut down writing, then wait until the caller closes for up to `linger_ms`, reading nothing.
-
-    Closing with unread bytes resets the connection, and the caller may lose the end of a response
-    that is still on its way. A request that crosses the close stays unread and may be sent again.
-    """
-    if not isinstance(stream, trio.SocketStream):
-        return
-    with trio.move_on_after(linger_ms / 1_000):
-        try:
-            await stream.send_eof()
-            if await stream.socket.recv(1, MSG_PEEK):
-                await trio.sleep_forever()
-        except (OSError, trio.BrokenResourceError, trio.ClosedResourceError):
-            # The caller has closed or reset the connection.
-            pass
-
-
 def _informational(status: int, headers: Headers) -> h11.InformationalResponse:
     return h11.InformationalResponse(status_code=status, headers=list(headers))
 
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -22,10 +22,9 @@
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
 from knapweedhitch.model import LoadSample
 from knapweedhitch.settings import UpstreamSettings
-from knapweedhitch.sockets import receive_when_ready, send_at_once
+from knapweedhitch.sockets import READ_BYTES, receive_when_ready, send_at_once
 from knapweedhitch.upstreamload import UpstreamReport, parse_report
 
-READ_BYTES = 65_536
 MISDIRECTED_STATUS = 421
 # Reading the rest of an unwanted response saves a new connection, which takes a few ms.
 MAX_SKIPPED_BYTES = 65_536
--- /dev/null
+++ b/knapweedhitch/responseorder.py
@@ -0,0 +1,44 @@
+"""The order of the responses to pipelined requests."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+
+class ResponseOrder(Protocol):
+    """Tell when the response to one of several pipelined requests may be written."""
+
+    @property
+    def is_due(self) -> bool:
+        """Return whether all earlier responses are complete."""
+        ...
+
+    @property
+    def is_last(self) -> bool:
+        """Return whether no later request waits, so that this response may close the connection."""
+        ...
+
+    async def wait_due(self) -> None:
+        """Wait until all earlier responses are complete.
+
+        A cancelled wait leaves the connection as it was, so that another response can be written.
+        """
+        ...
+
+    def try_hold_back(self, n_bytes: int) -> bool:
+        """Reserve memory for bytes of the response until it is due; return False if it is full."""
+        ...
+
+
+class NoPipelining:
+    """Represent the order of responses without pipelined requests."""
+
+    is_due = True
+    is_last = True
+
+    async def wait_due(self) -> None:
+        """Return at once."""
+
+    def try_hold_back(self, n_bytes: int) -> bool:
+        """Return False, since the response is due."""
+        return False
--- a/knapweedhitch/sockets.py
+++ b/knapweedhitch/sockets.py
@@ -8,6 +8,7 @@
 import trio
 
 CLOSED_ERRNOS = (errno.EBADF, errno.ENOTSOCK)
+READ_BYTES = 65_536
 
 
 async def send_at_once(stream: trio.abc.Stream, data: bytes) -> bytes:
