--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -5,12 +5,15 @@
 import datetime
 import io
 import random
+import tempfile
 import unittest
 from unittest import mock
 
+import msgspec
 from hdrh.histogram import HdrHistogram
 
-from knapweedhitch import counters, logs
+from knapweedhitch import counters, logs, output
+from knapweedhitch.settings import LogSettings
 
 
 class LogsTest(unittest.TestCase):
@@ -50,6 +53,16 @@
             r"^time=[0-9T:.-]{26} level=WARNING event=log_lines_dropped count=3$",
         )
 
+    def test_bound_of_the_buffer_comes_from_the_settings(self) -> None:
+        """Guards against a setting without effect, and a buffer that holds no line."""
+        with tempfile.TemporaryFile("w") as file:
+            handler = logs.setup_buffered(LogSettings(max_buffered_bytes=5_000), file)
+            handler.pop_application()
+            self.assertEqual(output.find_writer(file).max_bytes, 5_000)
+        for value in (0, 4_095, 1 << 31, "1 MB"):
+            with self.subTest(value=value), self.assertRaises(msgspec.ValidationError):
+                msgspec.convert({"max_buffered_bytes": value}, LogSettings)
+
 
 class CountersTest(unittest.TestCase):
     def test_number_of_counters_is_bounded(self) -> None:
