Hold responses of a known length until they are complete

A response over 64 KiB was passed on as it arrived. So was a caller whose response broke off because a node or a link was lost, although its request might have been sent to another target.

Responses with a Content-Length up to callers.max_held_response_bytes (1 MiB) are now held while callers.max_waiting_response_bytes (16 MiB a node) allows. The deadline bounds the exchange with the upstream only; what follows waits for the caller, in writes of 64 KiB that each have callers.write_timeout_ms.

--- a/knapweedhitch/attempt.py
+++ b/knapweedhitch/attempt.py
@@ -72,6 +72,7 @@
         self._recorded: bytearray | None = None if max_recorded_bytes is None else bytearray()
         self._buffered = bytearray()
         self._size_bytes = 0
+        self._has_length = False
         self._discarded_bytes = 0
         self.headers: Headers = ()
         self.on_head: Callable[[Headers], None] = lambda headers: None
@@ -92,10 +93,12 @@
             await self._write_to_caller(self._conn.send_informational(status, headers))
 
     async def head(self, status: int, headers: Headers, load: LoadSample | None) -> None:
-        """Receive status and headers; commit at once to a long response or an event stream."""
+        """Receive status and headers; commit at once to an event stream or without memory."""
         self.status, self.headers, self.load = status, headers, load
         self.on_head(headers)
         length = framing.content_length(headers)
+        # Without a length the end may be far; what comes before it may be wanted at once.
+        self._has_length = length is not None
         if EVENT_STREAM in headers or not self._try_hold_back(length or 0):
             await self._commit()
 
@@ -144,7 +147,9 @@
                 self._recorded = None
 
     def _try_hold_back(self, n_bytes: int) -> bool:
-        return n_bytes <= self._hold_back_bytes or self._conn.order.try_hold_back(n_bytes)
+        return n_bytes <= self._hold_back_bytes or self._conn.order.try_hold_back(
+            n_bytes, until_complete=self._has_length
+        )
 
     async def _commit(self) -> None:
         await self._claim()
--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -56,9 +56,11 @@
         if not self._due.is_set():
             await self._due.wait()
 
-    def try_hold_back(self, n_bytes: int) -> bool:
-        """Reserve memory for bytes of the response until it is due; return False if it is full."""
-        if self.is_due:
+    def try_hold_back(self, n_bytes: int, *, until_complete: bool) -> bool:
+        """Reserve memory for bytes of the response; return False if it is full."""
+        if n_bytes > self.conn.cfg.max_held_response_bytes:
+            return False
+        if self.is_due and not until_complete:
             return False
         more_bytes = max(0, n_bytes - self._held_bytes)
         if not self._owner.waiting_bytes.reserve(more_bytes):
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -30,6 +30,7 @@
 
 # Further pipelined bytes stay in the socket; a caller that closes after those is noticed later.
 MAX_PIPELINED_BYTES = 65_536
+MAX_WRITE_BYTES = 65_536
 WRITE_ERRORS = (
     trio.BrokenResourceError,
     trio.BusyResourceError,
@@ -296,8 +297,7 @@
                 if not data:
                     return
             self._writing = True
-            with trio.move_on_after(self.cfg.write_timeout_ms / 1_000) as scope:
-                await self.stream.send_all(data)
+            is_taken = await self._write_slowly(data)
             self._writing = False
         except trio.Cancelled:
             self._broken = True
@@ -307,11 +307,20 @@
             self._broken = True
             self.failure = "write-failed"
             raise CallerGone(f"cannot write: {type(exc).__name__}") from None
-        if scope.cancelled_caught:
+        if not is_taken:
             self._broken = True
             self.failure = "write-timeout"
             raise CallerGone(f"did not read for {self.cfg.write_timeout_ms} ms")
 
+    async def _write_slowly(self, data: bytes) -> bool:
+        """Write as the caller reads; return False if it takes no part in `write_timeout_ms`."""
+        for start in range(0, len(data), MAX_WRITE_BYTES):
+            with trio.move_on_after(self.cfg.write_timeout_ms / 1_000) as scope:
+                await self.stream.send_all(data[start : start + MAX_WRITE_BYTES])
+            if scope.cancelled_caught:
+                return False
+        return True
+
     # Ending
 
     def start_next_request(self) -> bool:
--- a/knapweedhitch/responseorder.py
+++ b/knapweedhitch/responseorder.py
@@ -25,8 +25,11 @@
         """
         ...
 
-    def try_hold_back(self, n_bytes: int) -> bool:
-        """Reserve memory for bytes of the response until it is due; return False if it is full."""
+    def try_hold_back(self, n_bytes: int, *, until_complete: bool) -> bool:
+        """Reserve memory for bytes of the response; return False if it is full.
+
+        They are held until the response is due, or until it is due and complete.
+        """
         ...
 
 
@@ -39,6 +42,6 @@
     async def wait_due(self) -> None:
         """Return at once."""
 
-    def try_hold_back(self, n_bytes: int) -> bool:
-        """Return False, since the response is due."""
+    def try_hold_back(self, n_bytes: int, *, until_complete: bool) -> bool:
+        """Return False, since the response is due and there is no memory for it."""
         return False
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -240,8 +240,10 @@
     linger_ms: Ms = 500
     # Pipelined requests of one connection that run concurrently.
     max_pipelined: Count = 16
-    # Responses of the node that wait in memory for earlier ones on their connections. Beyond it
-    # they wait at their upstreams, whose slots they hold meanwhile.
+    # Responses that are held in memory until they are complete and earlier ones on their connection
+    # are done: of one request, and of the node. Others are passed on as they arrive, so that a
+    # failure in the middle cuts them, with the requests behind them.
+    max_held_response_bytes: Bytes = 1_048_576
     max_waiting_response_bytes: Bytes = 16_777_216
     max_replay_bytes: Bytes = 65_536
     max_keyed_body_bytes: Bytes = 1_048_576
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import dataclasses
+import socket
 import unittest
 from collections.abc import Awaitable, Callable
 
 import h11
 import trio
-from trio.testing import MockClock, open_stream_to_socket_listener
+from trio.testing import MockClock
 
 from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.budget import ByteBudget
 from knapweedhitch.callerconn import CallerConnection
+from knapweedhitch.exceptions import Outcome, PeerFailed
 from knapweedhitch.exchange import CallSpec, ResponseSink
 from knapweedhitch.framing import header_names
 from knapweedhitch.model import CallResult
@@ -48,13 +50,30 @@
     return handler
 
 
+def fail_in_the_body(n_bytes: int) -> Handler:
+    """Return a handler whose response breaks off in the middle at the first try."""
+    tries: list[str] = []
+
+    async def handler(spec: CallSpec, sink: ResponseSink) -> CallResult:
+        tries.append(spec.instance_id)
+        if len(tries) > 1:
+            return await respond_after(0.0, n_bytes)(spec, sink)
+        sink.mark_dispatched()
+        await sink.head(200, ((b"content-length", b"%d" % n_bytes),), None)
+        await sink.data(b"x" * (n_bytes // 2))
+        raise PeerFailed(Outcome.UNKNOWN, "the link broke")
+
+    return handler
+
+
 def route_by_id(handlers: dict[str, Handler]) -> list[Handler]:
     """Return handlers that look at the id, since concurrent requests reach targets in any order."""
 
     async def handler(spec: CallSpec, sink: ResponseSink) -> CallResult:
         return await handlers[spec.request_id](spec, sink)
 
-    return [handler] * len(handlers)
+    # One more for a second try.
+    return [handler] * (len(handlers) + 1)
 
 
 def get(number: int, deadline_ms: int) -> bytes:
@@ -99,17 +118,19 @@
     handlers: dict[str, Handler],
     play: Callable[[Caller], Awaitable[None]],
     waiting_bytes: ByteBudget,
+    receive_buffer_bytes: int = 0,
 ) -> World:
     """Run a caller against one connection that the relay serves."""
     # Bytes on loopback take some time, which the clock must not skip.
     clock = MockClock(autojump_threshold=0.02)
-    return trio.run(_run_caller, handlers, play, waiting_bytes, clock=clock)
+    return trio.run(_run_caller, handlers, play, waiting_bytes, receive_buffer_bytes, clock=clock)
 
 
 async def _run_caller(
     handlers: dict[str, Handler],
     play: Callable[[Caller], Awaitable[None]],
     waiting_bytes: ByteBudget,
+    receive_buffer_bytes: int,
 ) -> World:
     world = await start_world(route_by_id(handlers))
     log = BoundedLog(LogSettings(), world.counters, lambda: trio.current_time() * 1_000)
@@ -130,7 +151,11 @@
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     async with trio.open_nursery() as nursery:
         nursery.start_soon(trio.serve_listeners, serve, listeners)
-        stream = await open_stream_to_socket_listener(listeners[0])
+        sock = trio.socket.socket()
+        if receive_buffer_bytes:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes)
+        await sock.connect(listeners[0].socket.getsockname())
+        stream = trio.SocketStream(sock)
         with trio.fail_after(60):
             await play(Caller(stream))
         nursery.cancel_scope.cancel()
@@ -232,3 +257,43 @@
             self.assertLess(trio.current_time(), 1.0)
 
         run_caller(handlers, play, ByteBudget(0))
+
+    def test_slow_reader_at_its_deadline_loses_no_later_response(self) -> None:
+        """Guards against a whole response that is cut at its deadline because its caller reads it
+        slowly, and against the loss of the requests behind it.
+        """
+        handlers = {"r1": respond_after(0.1, LARGE_BYTES), "r2": respond_after(0.0, 20)}
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 500) + get(2, 1_900))
+            await trio.sleep(1.5)
+            first, second = await caller.read(), await caller.read()
+            self.assertEqual((first.status, len(first.body)), (200, LARGE_BYTES))
+            self.assertEqual((second.status, len(second.body)), (200, 20))
+
+        run_caller(handlers, play, ByteBudget(LARGE_BYTES), receive_buffer_bytes=4_096)
+
+    def test_response_that_breaks_off_ends_no_later_request(self) -> None:
+        """Guards against a connection that is reset, with the requests behind, because the node or
+        the link of one of its targets fails in the middle of a large response.
+        """
+        handlers = {"r1": fail_in_the_body(LARGE_BYTES), "r2": respond_after(0.0, 20)}
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 1_900) + get(2, 1_900))
+            first, second = await caller.read(), await caller.read()
+            self.assertEqual((first.status, len(first.body)), (200, LARGE_BYTES))
+            self.assertEqual((second.status, len(second.body)), (200, 20))
+
+        run_caller(handlers, play, ByteBudget(LARGE_BYTES))
+
+    def test_response_over_the_limit_is_passed_on_as_it_arrives(self) -> None:
+        """Guards against a response of any size that is held in memory until it is complete."""
+        n_bytes = CallerSettings().max_held_response_bytes + 1
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 1_900))
+            with trio.fail_after(0.5):
+                await caller.stream.receive_some(1)
+
+        run_caller({"r1": respond_after(0.0, n_bytes, 1.0)}, play, ByteBudget(2 * n_bytes))
