--- a/knapweedhitch/heartbeat.py
+++ b/knapweedhitch/heartbeat.py
@@ -18,7 +18,6 @@
 
     NONE = enum.auto()
     PING = enum.auto()
-    CLOSE = enum.auto()
 
 
 class Heartbeat:
@@ -29,6 +28,8 @@
         # When the last whole message arrived, and when the last one was queued for the peer.
         self.received_ms = now_ms
         self.queued_ms = now_ms
+        # Whether the last check found the peer silent for longer than it may be.
+        self.is_silent = False
         self._active_since_ms = now_ms
         self._checked_ms = now_ms
         self._pinged_ms = 0.0
@@ -51,15 +52,15 @@
     def check(
         self, now_ms: float, last_read_ms: float, interval_ms: float, *, resting: bool
     ) -> Action:
-        """Return what is due; called several times per heartbeat interval."""
+        """Look for silence and return what is due; called several times per heartbeat interval."""
         if not resting:
             self.end_rest(now_ms)
         self._is_resting = resting
         gap_ms, self._checked_ms = now_ms - self._checked_ms, now_ms
         was_paused = gap_ms > MAX_CHECK_GAP_HEARTBEATS * self._cfg.heartbeat_interval_ms
         limit_ms = (self._cfg.missed_heartbeats - SILENCE_MARGIN_HEARTBEATS) * interval_ms
-        if self.silent_ms(now_ms, last_read_ms) >= limit_ms and not was_paused:
-            return Action.CLOSE
+        is_over_limit = self.silent_ms(now_ms, last_read_ms) >= limit_ms
+        self.is_silent = is_over_limit and not was_paused
         # Any frame that arrived within the interval counts as a pong. A peer that only receives
         # pings as well, since the pings of the other side wait behind what it receives.
         quiet_ms = now_ms - min(self.received_ms, self.queued_ms)
--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -49,6 +49,8 @@
 CONGESTED_BYTES = 262_144
 MAX_WRITE_BYTES = 262_144
 REPLY_MARGIN_BYTES = 256
+# A node without processor time is silent as well; the runs that its streams stand for go on.
+KEEP_STREAMS_HEARTBEATS = 12.0
 # How long a link that can't be written to reads what has arrived.
 READ_REST_MS = 500.0
 
@@ -104,6 +106,8 @@
         self._peer_retired = False
         # Set once nothing can be written any more.
         self._is_broken = False
+        # Set while the peer is silent and streams wait for it.
+        self._is_silent = False
         self._wire = wire
         self._owner = owner
         self._counters = counters
@@ -121,7 +125,7 @@
     @property
     def is_usable(self) -> bool:
         """Return whether the link accepts new calls and streams."""
-        is_open = self.disconnect_error is None and not self._is_broken
+        is_open = self.disconnect_error is None and not self._is_broken and not self._is_silent
         return is_open and not self.retired and not self._peer_retired
 
     @property
@@ -265,13 +269,16 @@
             return
         self.disconnect_error = PeerDisconnected(f"peer={self.peer_id} {reason}")
         self._owner.on_link_change(self)
-        for pending in self._calls.values():
-            pending.error = self.disconnect_error
-            pending.done.set()
+        self._fail_calls(self.disconnect_error)
         self._streams.fail_all(self.disconnect_error)
         self._batch_written.set()
         self._scope.cancel()
 
+    def _fail_calls(self, exc: PeerDisconnected) -> None:
+        for pending in self._calls.values():
+            pending.error = exc
+            pending.done.set()
+
     @property
     def silent_ms(self) -> float:
         """Return for how long the peer has sent nothing although frames were due."""
@@ -292,15 +299,35 @@
         interval_ms = rest_heartbeat_ms if resting else self.cfg.heartbeat_interval_ms
         last_read_ms = self._wire.last_read_ms
         action = self._heartbeat.check(now, last_read_ms, interval_ms, resting=resting)
-        if action is Action.CLOSE:
-            self._counters.add("peer_link_closed", "silent")
-            self.close("missed heartbeats")
+        if self._heartbeat.is_silent:
+            self._on_silence()
+        if self.disconnect_error is not None:
             return
         if action is Action.PING:
             self.put_frame(Ping(next(self._sequence)), "control")
         if now - self.last_used_ms >= self.cfg.idle_close_ms and self.is_idle:
             self.retire()
 
+    def _on_silence(self) -> None:
+        """Close the link, but keep one with streams of this side for some time, without new work.
+
+        Streams of the peer alone are no reason: work for a node that is gone must end.
+        """
+        keep_ms = KEEP_STREAMS_HEARTBEATS * self.cfg.heartbeat_interval_ms
+        if not self._streams.has_opened or self.silent_ms >= keep_ms:
+            self._counters.add("peer_link_closed", "silent")
+            self.close("missed heartbeats")
+        elif not self._is_silent:
+            self._is_silent = True
+            self._counters.add("peer_links_silent")
+            self._owner.on_link_change(self)
+            self._fail_calls(PeerDisconnected(f"peer={self.peer_id} missed heartbeats"))
+
+    def _end_silence(self) -> None:
+        """Finish the streams of a link whose peer is back; new work uses another link."""
+        self._is_silent = False
+        self.retire()
+
     # Running
 
     async def run(self) -> None:
@@ -354,6 +381,8 @@
             while self.disconnect_error is None:
                 data = await self._wire.receive()
                 received_ms = self._heartbeat.received_ms = Timers.now_ms()
+                if self._is_silent:
+                    self._end_silence()
                 self._on_frame(data, received_ms)
         except PeerDisconnected as exc:
             self.close(str(exc))
--- a/knapweedhitch/streams.py
+++ b/knapweedhitch/streams.py
@@ -278,6 +278,11 @@
     def __len__(self) -> int:
         return len(self._open)
 
+    @property
+    def has_opened(self) -> bool:
+        """Return whether a stream that this side opened is still open."""
+        return any(stream.opener for stream in self._open.values())
+
     def open(self) -> PeerStream:
         """Open a stream from this side."""
         stream = PeerStream(self._link, self._next_id, self._link.cfg.window_bytes, opener=True)
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -380,6 +380,46 @@
                 spec = dataclasses.replace(make_spec(deadline_ms=5_000), idempotent=True)
                 self.assertEqual(await execute(a, spec), RESULT)
 
+    @run_on_mock_clock
+    async def test_run_at_a_node_that_is_silent_for_a_while_is_kept(self) -> None:
+        """Guards against a run that is given up, and broken off at its upstream, because its node
+        got no processor time for some heartbeats.
+        """
+
+        async def run_slowly(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            await trio.sleep(6.0)
+            return await respond(call, body, sink)
+
+        async with running_nodes(2, prepare=install(run_slowly)) as (a, b):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(silence, b, 0.1, 5.0)
+                self.assertEqual(await execute(a, make_spec(deadline_ms=20_000)), RESULT)
+            # The next call uses a new link; the old one closes once it is idle.
+            self.assertEqual(await execute(a, make_spec(deadline_ms=20_000)), RESULT)
+            self.assertEqual(a.counters.get("peer_links_opened"), 2)
+            self.assertEqual((len(a.peers._links), len(b.peers._links)), (1, 1))
+
+    @run_on_mock_clock
+    async def test_run_at_a_node_that_is_gone_is_given_up(self) -> None:
+        """Guards against a caller that waits for its whole deadline for a node that is gone."""
+
+        async def hang(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            await trio.sleep_forever()
+            raise AssertionError
+
+        async with (
+            running_nodes(2, prepare=install(hang)) as (a, b),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(silence, b, 0.1, 1_000.0)
+            started_s = trio.current_time()
+            result = await execute(a, make_spec(deadline_ms=60_000))
+            self.assert_refused(result, PeerFailed, Outcome.UNKNOWN)
+            self.assertLess(trio.current_time() - started_s, 13.5)
+            nursery.cancel_scope.cancel()
+
     @run_on_mock_clock
     async def test_pause_of_the_own_process_is_no_silence_of_a_node(self) -> None:
         """Guards against giving up calls and links for the silence of a node, when it was the own
--- a/tests/test_full_link.py
+++ b/tests/test_full_link.py
@@ -113,12 +113,14 @@
                 async with trio.open_nursery() as nursery:
                     for _ in range(calls):
                         nursery.start_soon(call)
-                closed = [node.counters.get("peer_link_closed", "silent") for node in (a, b)]
-                return results, closed
+                counters = [node.counters for node in (a, b)]
+                closed = [counts.get("peer_link_closed", "silent") for counts in counters]
+                silent = [counts.get("peer_links_silent") for counts in counters]
+                return results, [*closed, *silent]
 
-        results, closed = trio.run(main)
+        results, found_silent = trio.run(main)
         self.assertEqual(results, [RESULT] * calls)
-        self.assertEqual(closed, [0, 0])
+        self.assertEqual(found_silent, [0, 0, 0, 0])
 
     def test_link_that_is_full_of_responses_is_not_taken_for_silent(self) -> None:
         """Guards against a node that closes a link, with the responses on it, because its pings
