Extend the time limit of a call when its response begins

The time limit was extended when the first byte went to the caller. The head of the response extends the limit now, to the deadline and routing.transfer_grace_ms, however often.

--- a/knapweedhitch/attempt.py
+++ b/knapweedhitch/attempt.py
@@ -76,8 +76,6 @@
         self._discarded_bytes = 0
         self.headers: Headers = ()
         self.on_head: Callable[[Headers], None] = lambda headers: None
-        # Called before the first byte of a response that is not complete goes to the caller.
-        self.on_commit: Callable[[], None] = lambda: None
 
     @property
     def size_bytes(self) -> int:
@@ -155,7 +153,6 @@
         await self._claim()
         self.committed = True
         await self._conn.order.wait_due()
-        self.on_commit()
         body = self._take_buffered()
         await self._write_to_caller(self._conn.send_head(self.status, self._all_headers(), [body]))
 
--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -215,9 +215,12 @@
         svc = call.svc
         max_recorded_bytes = svc.max_recorded_answer_bytes if call.keyed else None
         attempt = Attempt(call.conn, target, added, svc.hold_back_bytes, max_recorded_bytes)
-        attempt.on_commit = functools.partial(extend_for_transfer, call.scope, self._routing)
+        attempt.on_head = functools.partial(self._on_head, call)
         return attempt
 
+    def _on_head(self, call: Call, headers: Headers) -> None:
+        extend_for_transfer(call.scope, call.deadline, self._routing)
+
     async def _execute(self, call: Call, attempt: Attempt) -> CallResult:
         instance_id = attempt.target.upstream.instance_id
         self._picker.record_start(instance_id)
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -75,6 +75,7 @@
         self._kernel = kernel
         self._peers: Peers = kernel.get("peers")
         self._counters: Counters = kernel.get("counters")
+        self._routing = kernel.cfg.routing
         self._log = BoundedLog(kernel.cfg.log, self._counters, Timers.now_ms)
 
     async def start(self) -> None:
@@ -95,7 +96,7 @@
         try:
             with trio.move_on_at(spec.deadline.at_s) as scope:
                 stream = await self._open_stream(node_id, spec)
-                received.sink = TransferSink(sink, scope, self._kernel.cfg.routing)
+                received.sink = TransferSink(sink, scope, spec.deadline, self._routing)
                 return await self._exchange(stream, spec, body, received)
             if stream is None:
                 raise DeadlineExceeded(Outcome.NOT_RUN, f"no link to node={node_id} in time")
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -128,7 +128,7 @@
             raise DeadlineExceeded(Outcome.NOT_RUN)
         opened: list[ClientConnection] = []
         with trio.CancelScope(deadline=spec.deadline.at_s) as scope:
-            sink = TransferSink(sink, scope, self._routing)
+            sink = TransferSink(sink, scope, spec.deadline, self._routing)
             return await self._exchange(address, spec, body, sink, load, opened)
         assert scope.cancelled_caught
         has_sent = any(conn.has_sent for conn in opened)
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -181,8 +181,7 @@
         instance_id = target.upstream.instance_id
         added = ((self._names.request_id, call.request_id.encode("ascii")),)
         attempt = Attempt(call.conn, target, added, call.svc.hold_back_bytes, None)
-        attempt.on_head = functools.partial(self._on_head, target)
-        attempt.on_commit = functools.partial(extend_for_transfer, call.scope, self._cfg.routing)
+        attempt.on_head = functools.partial(self._on_head, call, target)
         started_s = trio.current_time()
         self._picker.record_start(instance_id)
         call.targets_tried += 1
@@ -213,7 +212,8 @@
                 self._picker.observe(instance_id, attempt.load)
             self._picker.record_finish(instance_id, result)
 
-    def _on_head(self, target: Target, headers: Headers) -> None:
+    def _on_head(self, call: RelayCall, target: Target, headers: Headers) -> None:
+        extend_for_transfer(call.scope, call.deadline, self._cfg.routing)
         # The node beside the target sees this too, but it may restart before others learn of it.
         if (self._names.leaving, LEAVING_VALUE) in headers:
             self._membership.record_departure(target)
--- a/knapweedhitch/transfer.py
+++ b/knapweedhitch/transfer.py
@@ -5,14 +5,15 @@
 import trio
 
 from knapweedhitch.clock import MS_PER_S
+from knapweedhitch.deadline import Deadline
 from knapweedhitch.exchange import Headers, ResponseSink
 from knapweedhitch.model import LoadSample
 from knapweedhitch.settings import RoutingSettings
 
 
-def extend_for_transfer(scope: trio.CancelScope, cfg: RoutingSettings) -> None:
-    """Extend the time limit of a response that has begun."""
-    scope.deadline += cfg.transfer_grace_ms / MS_PER_S
+def extend_for_transfer(scope: trio.CancelScope, deadline: Deadline, cfg: RoutingSettings) -> None:
+    """Extend the time limit of a call whose response has begun beyond its deadline."""
+    scope.deadline = max(scope.deadline, deadline.at_s + cfg.transfer_grace_ms / MS_PER_S)
 
 
 class TransferSink:
@@ -22,9 +23,16 @@
     its caller's connection the requests behind it as well.
     """
 
-    def __init__(self, sink: ResponseSink, scope: trio.CancelScope, cfg: RoutingSettings) -> None:
+    def __init__(
+        self,
+        sink: ResponseSink,
+        scope: trio.CancelScope,
+        deadline: Deadline,
+        cfg: RoutingSettings,
+    ) -> None:
         self._sink = sink
         self._scope = scope
+        self._deadline = deadline
         self._cfg = cfg
 
     def mark_dispatched(self) -> None:
@@ -37,7 +45,7 @@
 
     async def head(self, status: int, headers: Headers, load: LoadSample | None) -> None:
         """Receive status and headers, and extend the limit."""
-        extend_for_transfer(self._scope, self._cfg)
+        extend_for_transfer(self._scope, self._deadline, self._cfg)
         await self._sink.head(status, headers, load)
 
     async def data(self, data: bytes) -> None:
