--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import random
+import signal
 import subprocess
 import sys
 import tempfile
@@ -250,6 +251,17 @@
             trio.run(cluster.stop, ip)
             self.assertEqual(self.rules(ledger), expected)
 
+    def test_signal_before_any_code_ran(self) -> None:
+        """Guards against a report of what no code can prevent, and of nothing else."""
+        for age_s, expected in ((0.04, []), (0.06, ["EXIT"])):
+            cluster, ledger, ip = self.run_child("import time;print('ready');time.sleep(60)")
+            now_s = time.monotonic()
+            ledger.add_event(Event(now_s - age_s, "started", ip, is_planned=True))
+            with mock.patch.object(time, "monotonic", return_value=now_s):
+                cluster.children[ip].signal(signal.SIGTERM)
+                trio.run(cluster.stop, ip)
+            self.assertEqual(self.rules(ledger), expected)
+
     def test_process_that_ends_by_itself(self) -> None:
         """Guards against a process that ends with no fault."""
         cluster, ledger, ip = self.run_child("print('ready')")
