--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -235,7 +235,7 @@
         # A target drops a request when its connection closes.
         with trio.CancelScope() as dropped:
             async with watch_close(conn, dropped):
-                with trio.move_on_after(end_s - time.monotonic()) as expired:
+                with trio.move_on_after(max(0.0, end_s - time.monotonic())) as expired:
                     status = await self._do_work(request, end_s)
         run.ended_s = time.monotonic()
         if dropped.cancelled_caught:
