--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -138,8 +138,9 @@
             return
     text = judge.ledger.describe(request)
     for other in judge.ledger.requests.values():
-        is_beside = other.connection == request.connection and other is not request
-        if is_beside and abs(other.expires_s - request.ended_s) < BESIDE_S:
+        # Requests that were answered before don't tell the cause.
+        is_beside = other.connection == request.connection and other.ending.is_cut
+        if is_beside and other is not request and abs(other.expires_s - request.ended_s) < BESIDE_S:
             text += f"; the deadline of {other.id} (ahead={other.ahead}) passed at that moment"
             text += " while it was sent" if other.received_bytes else ""
     judge.ledger.report("LOST", request.ended_s, text)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -87,6 +87,18 @@
         self.add_request(self.make_run(), ending=Ending.CLOSED, status=0, ahead=2)
         self.assertEqual(self.broken_rules(), ["LOST", "LOST"])
 
+    def test_cause_beside_a_lost_request(self) -> None:
+        """Guards against a cause that names a request which had been answered before."""
+        cut: dict[str, Any] = {"ending": Ending.RESET, "status": 0, "connection": "c"}
+        self.add_request(self.make_run(), connection="c", deadline_s=1.0, received_bytes=10)
+        lost = self.add_request(self.make_run(), **cut)
+        self.add_request(self.make_run(), **cut, deadline_s=1.0)
+        self.assertEqual(self.broken_rules(), ["LOST"])
+        text = self.ledger.violations[0].text
+        self.assertTrue(text.startswith(lost.id))
+        self.assertEqual(text.count("passed at that moment"), 1)
+        self.assertNotIn("while it was sent", text)
+
     def test_cut_that_the_pages_allow(self) -> None:
         cut: dict[str, Any] = {"ending": Ending.RESET, "status": 0}
         self.add_request(**cut)
