Soak: take its own lateness off the wait of a request that did not run

Change: the soak records when it runs late and takes that off the 0.2 s of the rule, only for requests that no target ran. A test shows both sides.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -131,7 +131,9 @@
             stop.at_s <= request.ended_s <= stop.at_s + GRACE_S + 1.0
             for stop in judge.events(("SIGTERM", "SIGHUP"), request.entry)
         )
+        # A client that runs late sends to a process that has ended, and notices that late.
         waited_s = request.ended_s - request.sent_s
+        waited_s -= judge.ledger.lag_in(request.sent_s, request.ended_s)
         # The node can't have read a request that could not be sent.
         is_unsent = request.error.startswith("send")
         if not is_stopping or request.ahead or is_unsent or waited_s <= LOSS_SLACK_S:
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -135,6 +135,8 @@
         self.strays: list[Run] = []
         self.events: list[Event] = []
         self.violations: list[Violation] = []
+        # Times in which the soak itself was late, with how late, in seconds.
+        self.lags: list[tuple[float, float, float]] = []
         self._start_s = time.monotonic()
         self._wall_offset_s = time.time() - self._start_s
         self._file = (folder / "events.jsonl").open("w", encoding="utf-8")
@@ -163,6 +165,10 @@
         else:
             request.runs.append(run)
 
+    def lag_in(self, from_s: float, to_s: float) -> float:
+        """Return for how long the soak itself was late in a time, in seconds."""
+        return sum(late_s for at_s, end_s, late_s in self.lags if at_s <= to_s and end_s >= from_s)
+
     def report(self, rule: str, at_s: float, text: str) -> None:
         """Record a violation."""
         self.violations.append(Violation(rule, at_s, text))
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -19,6 +19,7 @@
 from tests.soak.targets import Behaviour
 
 JUDGE_INTERVAL_S = 1.0
+LAG_INTERVAL_S = 0.02
 # Configurations and load reports spread before the traffic starts.
 SETTLE_S = 2.0
 READ_BACK_TIMEOUT_S = 20.0
@@ -115,6 +116,7 @@
         cluster.bootstrap = False
         await trio.sleep(SETTLE_S)
         nursery.start_soon(self._judge_regularly)
+        nursery.start_soon(self._measure_lag)
         async with trio.open_nursery() as traffic:
             for ip in cluster.apps:
                 self._start_clients(traffic, ip)
@@ -159,6 +161,16 @@
                 )
                 nursery.start_soon(client.run, entry)
 
+    async def _measure_lag(self) -> None:
+        """Record when this process gets to run later than it should."""
+        while True:
+            at_s = time.monotonic()
+            await trio.sleep(LAG_INTERVAL_S)
+            end_s = time.monotonic()
+            late_s = end_s - at_s - LAG_INTERVAL_S
+            if late_s > LAG_INTERVAL_S:
+                self.ledger.lags.append((at_s, end_s, late_s))
+
     async def _judge_regularly(self) -> None:
         while True:
             await trio.sleep(JUDGE_INTERVAL_S)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -125,6 +125,15 @@
         self.add_event("SIGTERM", ENTRY, late_s + 0.5, is_planned=True)
         self.assertEqual(self.broken_rules(), ["LOST", "LOST"])
 
+    def test_lag_of_the_soak_excuses_only_a_request_that_did_not_run(self) -> None:
+        self.add_event("SIGTERM", ENTRY, SENT_S - 0.5, is_planned=True)
+        cut: dict[str, Any] = {"ending": Ending.CLOSED, "status": 0, "ended_s": SENT_S + 0.3}
+        self.ledger.lags.append((SENT_S + 0.1, SENT_S + 0.25, 0.13))
+        self.add_request(**cut)
+        self.add_request(**{**cut, "ended_s": SENT_S + 0.4})
+        self.add_request(self.make_run(), **cut)
+        self.assertEqual(self.broken_rules(), ["LOST", "LOST"])
+
     def test_unsafe_request_that_runs_twice(self) -> None:
         runs = [self.make_run(), self.make_run(target="i-2")]
         self.add_request(*runs)
