--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import signal
 import subprocess
@@ -15,6 +16,7 @@
 from unittest import mock
 
 import trio
+import trio.testing
 
 from scripts.harness import Child
 from tests.soak import checks, world
@@ -196,6 +198,25 @@
         self.add_request(self.make_run(ip=third_zone, target="i-3", arrived_s=SENT_S - 1.1))
         self.assertEqual(self.broken_rules(), ["DRAIN", "EVAC"])
 
+    def test_return_of_a_zone_ends_all_evacuations_of_it(self) -> None:
+        """Guards against a report for a zone that one of two overlapping orders took back."""
+
+        async def order(path: str, body: bytes) -> bool:
+            return True
+
+        async def evacuate_twice() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.operator.evacuate, "zone-3", 0.0)
+                nursery.start_soon(self.operator.evacuate, "zone-3", math.inf)
+                await trio.testing.wait_all_tasks_blocked()
+                await trio.sleep(0.05)
+                ends = [finished_s for _, _, finished_s in self.operator.evacuations]
+                nursery.cancel_scope.cancel()
+            self.assertEqual([math.isinf(end_s) for end_s in ends], [False, False])
+
+        with mock.patch.object(self.operator, "_order", order):
+            trio.run(evacuate_twice)
+
     def test_run_that_only_an_older_configuration_allows(self) -> None:
         def version(number: int, service: str, acknowledged_s: float) -> ItemVersion:
             item = {"name": "lists", "version": number}
