Keep the runs of an entry node that is silent for a while

Callers of an entry node that got no processor time for 0.7 s got 502 for each request that was at work at another node, and unsafe work was broken off at its upstream.

Cause: keeps a silent link only at the side that waits for results. The node of the target closed it after 2.75 heartbeats, as if the entry node were gone.

Both sides keep a link with streams now, for up to 12 heartbeats, also when its runs have ended meanwhile, so that their results reach the entry node. Calls of the silent node that no upstream has received end at once, as before; the entry node is told that they have not run, in place of unknown, so that it may send them elsewhere.

--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -309,12 +309,14 @@
             self.retire()
 
     def _on_silence(self) -> None:
-        """Close the link, but keep one with streams of this side for some time, without new work.
+        """Close the link, but keep one that carries streams for some time, without new work.
 
-        Streams of the peer alone are no reason: work for a node that is gone must end.
+        Calls of the peer that have not reached an upstream end, since the peer may be gone.
         """
         keep_ms = KEEP_STREAMS_HEARTBEATS * self.cfg.heartbeat_interval_ms
-        if not self._streams.has_opened or self.silent_ms >= keep_ms:
+        # Results of streams that have ended meanwhile may still be on their way.
+        is_needed = self._is_silent or len(self._streams) or self._queue or self._writing
+        if not is_needed or self.silent_ms >= keep_ms:
             self._counters.add("peer_link_closed", "silent")
             self.close("missed heartbeats")
         elif not self._is_silent:
@@ -322,6 +324,7 @@
             self._counters.add("peer_links_silent")
             self._owner.on_link_change(self)
             self._fail_calls(PeerDisconnected(f"peer={self.peer_id} missed heartbeats"))
+            self._streams.stop_waiting("the other node is silent")
 
     def _end_silence(self) -> None:
         """Finish the streams of a link whose peer is back; new work uses another link."""
--- a/knapweedhitch/remotecall.py
+++ b/knapweedhitch/remotecall.py
@@ -46,11 +46,15 @@
         self._informational = 0
         self.body_bytes = 0
         self.has_head = False
-        self.was_dispatched = False
+
+    @property
+    def was_dispatched(self) -> bool:
+        """Return whether the upstream may have received the call."""
+        return self._stream.is_running
 
     def mark_dispatched(self) -> None:
         """Record that the call is about to be sent to the upstream."""
-        self.was_dispatched = True
+        self._stream.is_running = True
 
     def cancel_outcome(self) -> Outcome:
         """Return the outcome of a cancelled call after the gate has returned."""
@@ -58,14 +62,15 @@
 
     async def informational(self, status: int, headers: Headers) -> None:
         """Forward a 1xx response, up to MAX_INFORMATIONAL for each call."""
-        self.was_dispatched = True
+        self.mark_dispatched()
         self._informational += 1
         if self._informational <= MAX_INFORMATIONAL:
             self._put(StreamInformational(self._stream.stream_id, status, headers))
 
     async def head(self, status: int, headers: Headers, load: LoadSample | None) -> None:
         """Send status and headers with a load sample."""
-        self.was_dispatched = self.has_head = True
+        self.mark_dispatched()
+        self.has_head = True
         sample = load if load is not None else self._load()
         self._put(StreamHead(self._stream.stream_id, status, headers, sample))
 
--- a/knapweedhitch/streams.py
+++ b/knapweedhitch/streams.py
@@ -52,11 +52,13 @@
         "_lost",
         "_on_stop",
         "_room",
+        "_stop_reason",
         "_unacknowledged",
         "_wakeup",
         "_window",
         "body_ended",
         "finished",
+        "is_running",
         "opener",
         "stop_requested",
         "stream_id",
@@ -69,6 +71,9 @@
         self.finished = False
         self.body_ended = False
         self.stop_requested = False
+        self._stop_reason = ""
+        # Set by the acceptor when an upstream may have received the call.
+        self.is_running = False
         self._on_stop: Callable[[], None] | None = None
         self._window = window_bytes
         self._credit = window_bytes
@@ -98,7 +103,7 @@
         """Return why the stream ended or must end before its result, or an empty string."""
         if self._lost is not None:
             return str(self._lost)
-        return "cancelled by the other node" if self.stop_requested else ""
+        return self._stop_reason
 
     @property
     def has_unread(self) -> bool:
@@ -135,7 +140,7 @@
                 raise PeerProtocolError(f"stream {self.stream_id}: second end")
             self.body_ended = True
         elif isinstance(msg, StreamCancel):
-            self._stop()
+            self.stop("cancelled by the other node")
             return
         elif isinstance(msg, TERMINAL_FRAMES):
             self._finish()
@@ -148,7 +153,7 @@
             return
         self._lost = exc
         self._finish()
-        self._stop()
+        self.stop(str(exc))
         self._wake()
 
     async def receive(self) -> Message:
@@ -255,8 +260,10 @@
             if self._credit_added is not None:
                 self._credit_added.set()
 
-    def _stop(self) -> None:
+    def stop(self, reason: str) -> None:
+        """Ask the acceptor to end the call."""
         self.stop_requested = True
+        self._stop_reason = reason
         if self._on_stop is not None:
             self._on_stop()
 
@@ -278,11 +285,6 @@
     def __len__(self) -> int:
         return len(self._open)
 
-    @property
-    def has_opened(self) -> bool:
-        """Return whether a stream that this side opened is still open."""
-        return any(stream.opener for stream in self._open.values())
-
     def open(self) -> PeerStream:
         """Open a stream from this side."""
         stream = PeerStream(self._link, self._next_id, self._link.cfg.window_bytes, opener=True)
@@ -318,6 +320,12 @@
         """Remove a finished stream; its late frames are dropped from then on."""
         self._open.pop(stream_id, None)
 
+    def stop_waiting(self, reason: str) -> None:
+        """Ask for the end of the calls of the peer that no upstream has received."""
+        for stream in list(self._open.values()):
+            if not (stream.opener or stream.is_running):
+                stream.stop(reason)
+
     def fail_all(self, exc: PeerDisconnected) -> None:
         """End every open stream because the link was closed."""
         for stream in list(self._open.values()):
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -161,15 +161,21 @@
         return exc
 
 
-async def silence(node: Node, from_s: float, to_s: float) -> None:
-    """Drop what a node sends to n0 for some seconds."""
+async def silence(node: Node, from_s: float, to_s: float, peer_id: str = "n0") -> None:
+    """Drop what a node sends to a peer for some seconds."""
     await trio.sleep(from_s)
-    wire = link_of(node, "n0")._wire
+    wire = link_of(node, peer_id)._wire
     wire.silent = True
     await trio.sleep(to_s - from_s)
     wire.silent = False
 
 
+async def delay(node: Node, from_s: float, delay_s: float) -> None:
+    """Delay what a node sends to n0 from some time on; what is under way at a close is lost."""
+    await trio.sleep(from_s)
+    link_of(node, "n0")._wire.delay_s = delay_s
+
+
 class ForwardTest(unittest.TestCase):
     def assert_refused(self, result: Any, cls: type[Refusal], outcome: Outcome) -> None:
         """Check type and outcome of a refusal."""
@@ -400,6 +406,71 @@
             self.assertEqual(a.counters.get("peer_links_opened"), 2)
             self.assertEqual((len(a.peers._links), len(b.peers._links)), (1, 1))
 
+    @run_on_mock_clock
+    async def test_run_for_an_entry_node_that_is_silent_for_a_while_is_kept(self) -> None:
+        """Guards against a run that is broken off at its upstream, or whose result is dropped,
+        because its entry node got no processor time for some heartbeats.
+        """
+        for run_s in (4.0, 6.0):
+
+            async def run_slowly(
+                call: CallSpec, body: BodySource, sink: Any, run_s: float = run_s
+            ) -> CallResult:
+                await dispatch(sink)
+                await trio.sleep(run_s)
+                return await respond(call, body, sink)
+
+            async with running_nodes(2, prepare=install(run_slowly)) as (a, b):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(silence, a, 0.1, 5.0, "n1")
+                    nursery.start_soon(delay, b, 0.1, 2.0)
+                    self.assertEqual(await execute(a, make_spec(deadline_ms=20_000)), RESULT)
+                self.assertEqual(await execute(a, make_spec(deadline_ms=20_000)), RESULT)
+                self.assertEqual((len(a.peers._links), len(b.peers._links)), (1, 1))
+
+    @run_on_mock_clock
+    async def test_call_of_a_silent_entry_node_that_waits_is_not_run(self) -> None:
+        """Guards against a call that waits at its target, is ended because its entry node is silent
+        and counts as one that may have run.
+        """
+
+        async def wait(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await trio.sleep_forever()
+            raise AssertionError
+
+        async with (
+            running_nodes(2, prepare=install(wait)) as (a, b),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(silence, a, 0.1, 4.0, "n1")
+            nursery.start_soon(delay, b, 0.1, 2.0)
+            result = await execute(a, make_spec(deadline_ms=20_000))
+            self.assert_refused(result, PeerFailed, Outcome.NOT_RUN)
+            self.assertEqual(b.counters.get("forward_cancelled", "not-run"), 1)
+
+    @run_on_mock_clock
+    async def test_run_for_an_entry_node_that_is_gone_ends(self) -> None:
+        """Guards against work that goes on without end for an entry node that is gone."""
+        stopped = trio.Event()
+
+        async def hang(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            try:
+                await trio.sleep_forever()
+            finally:
+                stopped.set()
+            raise AssertionError
+
+        async with (
+            running_nodes(2, prepare=install(hang)) as (a, _),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(silence, a, 0.1, 1_000.0, "n1")
+            nursery.start_soon(execute, a, make_spec(deadline_ms=60_000))
+            with trio.fail_after(13.5):
+                await stopped.wait()
+            nursery.cancel_scope.cancel()
+
     @run_on_mock_clock
     async def test_run_at_a_node_that_is_gone_is_given_up(self) -> None:
         """Guards against a caller that waits for its whole deadline for a node that is gone."""
