Accept the calls of runs that a planned stop waits for

A request failed with the 500 of its upstream in a planned stop of the node beside it, if it began before the node refused new work and made a call after that.

Cause: the node refused the calls with node-draining, although the stop waits for the run that needs them. A run is told by the id of its call, as for repeats.

test_run_in_a_planned_stop_makes_its_calls failed before: AssertionError: b'200' not found in b'HTTP/1.1 503' (r1.1) and passes now; requests that no run makes are still refused.

--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -151,9 +151,11 @@
     ) -> RelayCall:
         """Return the call of a request; raises Refusal with the outcome NOT_RUN."""
         drain = self._kernel.get("drain") if self._kernel.has("drain") else None
+        parent = self._gate.find_parent(trace.request_id)
         if drain is not None and drain.active:
             conn.close_after = True
-            if drain.refusing:
+            # The stop waits for the runs of the local upstream, which need the calls they make.
+            if drain.refusing and parent is None:
                 raise NodeDraining
         current = self._config.current
         if current.items.is_empty:
@@ -167,7 +169,6 @@
         deadline = Deadline.since(trace.started_s, timeout_ms)
         if deadline.expired():
             raise DeadlineExceeded
-        parent = self._gate.find_parent(trace.request_id)
         max_replay_bytes = self._cfg.callers.max_replay_bytes
         return RelayCall(
             conn=conn,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -305,6 +305,22 @@
                 marks = [spec.is_repeat for spec in world.specs[sent:]]
                 self.assertEqual(marks, [] if is_repeat is None else [is_repeat])
 
+    @run_on_mock_clock
+    async def test_run_in_a_planned_stop_makes_its_calls(self) -> None:
+        """Guards against a request that fails in a planned stop, although the stop waits for its
+        run, because the calls that the run makes are refused.
+        """
+        world = await start_world([])
+        await world.request("/safe/x")
+        world.runs = {"r1": world.specs[0]}
+        drain = SimpleNamespace(active=True, refusing=True, bound=lambda deadline: deadline)
+        world.relay._kernel.add("drain", drain)
+        for request_id, status in (("r1.1", b"200"), ("r2.1", b"503"), ("r1", b"503")):
+            with self.subTest(request_id):
+                response = await world.request("/safe/y", request_id=request_id)
+                self.assertIn(status, response[:12])
+                self.assertIn(b"connection: close", response.lower())
+
     @run_on_mock_clock
     async def test_only_two_targets_may_decline_for_their_slowdown(self) -> None:
         """Guards against a call that is declined by one target after another when all are slow."""
