A deadline right before the first byte of a response ends no other request

A connection was reset at the deadline of one request, with the requests behind it, although nothing of its response had been written.

A process that lacked processor time finds a response and its deadline in one turn of the event loop. The head was serialised, and its write was cancelled before the first byte, which marks the connection broken. Held responses are not concerned; streamed ones, those over the memory limit and 1xx responses are. The cancellation is now taken before the head is serialised, so that the caller gets a 504 in its turn.

test_deadline_right_before_the_first_byte_ends_no_later_request failed before in both cases (103 and 200): BrokenResourceError, connection reset by peer.

--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -209,7 +209,7 @@
             if self._framing_bytes.is_over_limit:
                 raise AmbiguousFraming(detail="too much chunk framing")
             if self._conn.they_are_waiting_for_100_continue and not self.response_started:
-                await self._write(self._conn.send(_informational(100, ())))
+                await self._write_informational(100, ())
             with trio.move_on_after(self.cfg.body_timeout_ms / 1_000) as scope:
                 data = await self._receive()
             if scope.cancelled_caught:
@@ -235,7 +235,13 @@
         """Forward a 1xx response to HTTP/1.1 callers if it is due now; raises CallerGone."""
         is_possible = self.order.is_due and not self.response_started
         if is_possible and (self._conn.their_http_version or b"1.0") >= b"1.1":
-            await self._write(self._conn.send(_informational(status, headers)))
+            await self._write_informational(status, headers)
+
+    async def _write_informational(self, status: int, headers: Headers) -> None:
+        event = h11.InformationalResponse(status_code=status, headers=list(headers))
+        # A cancelled write breaks the connection; before it, the caller can still get a response.
+        await trio.lowlevel.checkpoint_if_cancelled()
+        await self._write(self._conn.send(event))
 
     async def send_response(self, status: int, headers: Headers, parts: Iterable[bytes]) -> None:
         """Write a complete response once it is due; raises CallerGone."""
@@ -248,6 +254,8 @@
     async def send_head(self, status: int, headers: Headers, parts: Iterable[bytes] = ()) -> None:
         """Write the head of a response that is due and parts of its body; raises CallerGone."""
         assert self.order.is_due
+        # A cancelled write breaks the connection; before it, the caller can get another response.
+        await trio.lowlevel.checkpoint_if_cancelled()
         wire = [self._serialize_head(status, headers), *self._serialize_body(parts)]
         await self._write(b"".join(wire))
 
@@ -362,10 +370,6 @@
                 pass
 
 
-def _informational(status: int, headers: Headers) -> h11.InformationalResponse:
-    return h11.InformationalResponse(status_code=status, headers=list(headers))
-
-
 def refusal_headers(
     refusal: Refusal,
     request_id: str,
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -66,6 +66,27 @@
     return handler
 
 
+def respond_as_the_deadline_passes(status: int) -> Handler:
+    """Return a handler that writes to the caller in the turn in which the deadline is found to have
+    passed, as in a process that had no processor time.
+    """
+
+    async def handler(spec: CallSpec, sink: ResponseSink) -> CallResult:
+        clock = trio.lowlevel.current_clock()
+        assert isinstance(clock, MockClock)
+        sink.mark_dispatched()
+        clock.jump(1.0)
+        await trio.lowlevel.cancel_shielded_checkpoint()
+        if status < 200:
+            await sink.informational(status, ())
+        else:
+            await sink.head(status, ((b"content-type", b"text/event-stream"),), None)
+        await trio.sleep_forever()
+        raise AssertionError
+
+    return handler
+
+
 def route_by_id(handlers: dict[str, Handler]) -> list[Handler]:
     """Return handlers that look at the id, since concurrent requests reach targets in any order."""
 
@@ -258,6 +279,22 @@
 
         run_caller(handlers, play, ByteBudget(0))
 
+    def test_deadline_right_before_the_first_byte_ends_no_later_request(self) -> None:
+        """Guards against a connection that is reset, with the requests behind, although no byte of
+        the response was written when its deadline passed.
+        """
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 500) + get(2, 1_900))
+            self.assertEqual([(await caller.read()).status for _ in range(2)], [504, 200])
+
+        for status in (103, 200):
+            first = respond_as_the_deadline_passes(status)
+            with self.subTest(status):
+                run_caller(
+                    {"r1": first, "r2": respond_after(0.0, 20)}, play, ByteBudget(LARGE_BYTES)
+                )
+
     def test_slow_reader_at_its_deadline_loses_no_later_response(self) -> None:
         """Guards against a whole response that is cut at its deadline because its caller reads it
         slowly, and against the loss of the requests behind it.
