A safe call at a silent node waits while other targets are tried

A safe request got 502 with time left, although its target was at work on it: the node of the target sent nothing for 1.5 heartbeats (0.4 s on the platform), the call was given up there, and the other targets had no room.

Cause: the silence of a node ended the first attempt before a second one had been accepted. Now the attempt goes on, and the others run beside it through the race that hedges use: the first good response wins and cancels the rest. A second attempt that a target refuses goes to the next one. The retry budget and the allowance of the route hold as before; the attempt in progress counts as sent, and attempts beside it as repeats. Without another target the call waits. Calls outside routes are unchanged.

--- a/knapweedhitch/exchange.py
+++ b/knapweedhitch/exchange.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import math
+from collections.abc import Callable
 from typing import Protocol
 
 from knapweedhitch.deadline import Deadline
@@ -42,6 +43,9 @@
     # Whether another upstream may have received this call before, or the caller is itself a run
     # that was repeated.
     is_repeat: bool = False
+    # Called once if the node of the target is silent, to start another attempt beside this one.
+    # Without it, an attempt that may be replaced is given up.
+    on_silence: Callable[[], None] | None = None
 
 
 class BodySource(Protocol):
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -215,7 +215,10 @@
             msg = await stream.receive()
 
     async def _receive_first_frame(self, stream: PeerStream, spec: CallSpec) -> Message:
-        """Return the first frame; raises PeerFailed for a silent node if a retry is possible."""
+        """Return the first frame; a silent node is reported, or given up if a retry is possible.
+
+        Raises PeerFailed.
+        """
         idempotent = framing.may_repeat(spec)
         if spec.has_body or not spec.retries_left or not idempotent:
             return await stream.receive()
@@ -228,6 +231,9 @@
             with trio.move_on_after(wait_ms / MS_PER_S):
                 return await stream.receive()
         self._counters.add("forward_silent")
+        if spec.on_silence is not None:
+            spec.on_silence()
+            return await stream.receive()
         raise PeerFailed(Outcome.UNKNOWN, f"silent node={stream.peer_id}")
 
     def _may_give_up(self, spec: CallSpec) -> bool:
--- a/knapweedhitch/hedge.py
+++ b/knapweedhitch/hedge.py
@@ -1,7 +1,8 @@
-"""Start a second attempt (hedge) if the first one is slower than usual."""
+"""Start a second attempt (hedge) if the first one is slower than usual or its node is silent."""
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -22,12 +23,12 @@
 
 
 class Hedge:
-    """Run one attempt and, after a delay, a second one; the first good response wins."""
+    """Run one attempt, and on demand or after a delay a second; the first good response wins."""
 
     def __init__(
         self, kernel: Kernel, execute: Execute, make_second: Callable[[], Attempt | None]
     ) -> None:
-        self._nursery = kernel.nursery
+        self._kernel = kernel
         self._timers: Timers = kernel.get("timers")
         self._execute = execute
         self._make_second = make_second
@@ -38,10 +39,12 @@
         self._second_done = trio.Event()
         self._closed = False
 
-    async def run(self, primary: Attempt, delay_ms: float) -> tuple[Attempt, CallResult]:
+    async def run(self, primary: Attempt, delay_ms: float = math.inf) -> tuple[Attempt, CallResult]:
         """Return the winning attempt with its result; raises Refusal, CallerGone."""
         self._race.enter(primary)
-        timer = self._timers.after(delay_ms, self._start_second)
+        timer = None
+        if delay_ms < math.inf:
+            timer = self._timers.after(delay_ms, self.start_second)
         result: CallResult | None = None
         refusal: Refusal | None = None
         try:
@@ -50,14 +53,15 @@
                     result = await self._execute(primary)
                 except Refusal as exc:
                     refusal = exc
-            timer.cancel()
+            self._closed = True
             is_decided = result is not None and (is_conclusive(result) or self._second is None)
             if result is not None and is_decided and self._race.claim(primary):
                 return primary, result
             return await self._await_second(primary, result, refusal)
         finally:
             self._closed = True
-            timer.cancel()
+            if timer is not None:
+                timer.cancel()
             if self._second is not None and not self._second_done.is_set():
                 self._second.scope.cancel()
 
@@ -74,13 +78,14 @@
             return primary, result
         raise refusal or self._second_failure or InternalError(Outcome.UNKNOWN, "no attempt ended")
 
-    def _start_second(self) -> None:
-        if self._closed or self._race.winner is not None:
+    def start_second(self) -> None:
+        """Start the second attempt unless it has been started or the race is over."""
+        if self._closed or self._second is not None or self._race.winner is not None:
             return
         self._second = self._make_second()
         if self._second is not None:
             self._race.enter(self._second)
-            self._nursery.start_soon(self._run_second, self._second)
+            self._kernel.nursery.start_soon(self._run_second, self._second)
 
     async def _run_second(self, attempt: Attempt) -> None:
         try:
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import math
+from collections.abc import Callable
 
 import trio
 
@@ -17,6 +18,7 @@
     NodeDraining,
     NoTarget,
     Outcome,
+    PeerFailed,
     Refusal,
     RetryBudgetExhausted,
     UpstreamShed,
@@ -24,6 +26,7 @@
 )
 from knapweedhitch.exchange import CallSpec, Headers
 from knapweedhitch.framing import RequestHead
+from knapweedhitch.hedge import Hedge
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.items import RouteItem
 from knapweedhitch.kernel import Kernel
@@ -71,18 +74,22 @@
     # `sent` counts attempts that may have reached an upstream; `targets_tried` counts all attempts.
     sent: int = 0
     targets_tried: int = 0
+    in_progress: int = 0
     result: CallResult | None = None
     instances: list[str] = dataclasses.field(default_factory=list)
     causes: list[str] = dataclasses.field(default_factory=list)
     may_have_run: bool = False
     decline_above: float = math.inf
     declined: frozenset[str] = frozenset()
+    # Starts another attempt beside the one in progress, whose node is silent.
+    on_silence: Callable[[], None] | None = None
 
 
 class RouteDispatcher:
     """Run calls on targets of the service that their route selects."""
 
     def __init__(self, kernel: Kernel) -> None:
+        self._kernel = kernel
         self._cfg = kernel.cfg
         self._names = framing.header_names(kernel.cfg.headers)
         get = kernel.get
@@ -150,7 +157,7 @@
         if failure is None and not self._latency_left_ms(call):
             # The response would be late even if the second upstream succeeded.
             return False
-        attempts_left = call.route.max_attempts - call.sent
+        attempts_left = call.route.max_attempts - call.sent - call.in_progress
         return bool(
             self._retry.may_retry(
                 call.svc.name, cause, call.route.idempotent, outcome, remaining_ms, attempts_left
@@ -178,20 +185,65 @@
         return target
 
     async def _try(self, call: RelayCall, target: Target) -> tuple[Attempt, CallResult]:
-        instance_id = target.upstream.instance_id
+        attempt = self._create_attempt(call, target)
+        is_remote = target.node_id != self._cfg.node.id
+        if not (is_remote and call.route.idempotent) or call.head.has_body:
+            return attempt, await self._run_attempt(call, attempt)
+
+        async def execute(chosen: Attempt) -> CallResult:
+            run = self._run_attempt if chosen is attempt else self._run_second
+            return await run(call, chosen)
+
+        hedge = Hedge(self._kernel, execute, functools.partial(self._create_second, call))
+        call.on_silence = hedge.start_second
+        return await hedge.run(attempt)
+
+    def _create_attempt(self, call: RelayCall, target: Target) -> Attempt:
         added = ((self._names.request_id, call.request_id.encode("ascii")),)
         attempt = Attempt(call.conn, target, added, call.svc.hold_back_bytes, None)
-        attempt.on_head = functools.partial(self._on_head, call, target)
+        attempt.on_head = functools.partial(self._on_head, call, attempt)
+        return attempt
+
+    def _create_second(self, call: RelayCall) -> Attempt | None:
+        """Return an attempt beside the one at a silent node, None if there may be none."""
+        target = self._pick_second(call, PeerFailed(Outcome.UNKNOWN))
+        return None if target is None else self._create_attempt(call, target)
+
+    async def _run_second(self, call: RelayCall, attempt: Attempt) -> CallResult:
+        """Run an attempt beside the one at a silent node on the first target that takes it."""
+        while True:
+            try:
+                return await self._run_attempt(call, attempt)
+            except Refusal as exc:
+                # After other failures, the attempt may hold a part of a response.
+                if exc.outcome is not Outcome.NOT_RUN:
+                    raise
+                target = self._pick_second(call, exc)
+                if target is None:
+                    raise
+                attempt.target = target
+
+    def _pick_second(self, call: RelayCall, failure: Refusal) -> Target | None:
+        target = self._pick(call, failure.reason)
+        if target is None or self._may_try_again(call, failure, failure.reason):
+            return target
+        call.instances.pop()
+        call.causes.pop()
+        return None
+
+    async def _run_attempt(self, call: RelayCall, attempt: Attempt) -> CallResult:
+        target, instance_id = attempt.target, attempt.target.upstream.instance_id
         started_s = trio.current_time()
         self._picker.record_start(instance_id)
         call.targets_tried += 1
+        call.in_progress += 1
         result: CallResult | None = None
         try:
             result = await self._execute(call, target, attempt)
             call.sent += 1
             call.may_have_run = True
             self._response_sizes.record(call.route.name, attempt.size_bytes)
-            return attempt, result
+            return result
         except Refusal as exc:
             if isinstance(exc, UpstreamSlow):
                 call.declined |= {instance_id}
@@ -203,6 +255,7 @@
             result = refused_result(exc, (trio.current_time() - started_s) * 1_000)
             raise
         finally:
+            call.in_progress -= 1
             if result is None:
                 call.may_have_run = True
                 elapsed_ms = (trio.current_time() - started_s) * 1_000
@@ -212,11 +265,11 @@
                 self._picker.observe(instance_id, attempt.load)
             self._picker.record_finish(instance_id, result)
 
-    def _on_head(self, call: RelayCall, target: Target, headers: Headers) -> None:
+    def _on_head(self, call: RelayCall, attempt: Attempt, headers: Headers) -> None:
         extend_for_transfer(call.scope, call.deadline, self._cfg.routing)
         # The node beside the target sees this too, but it may restart before others learn of it.
         if (self._names.leaving, LEAVING_VALUE) in headers:
-            self._membership.record_departure(target)
+            self._membership.record_departure(attempt.target)
 
     async def _execute(self, call: RelayCall, target: Target, attempt: Attempt) -> CallResult:
         path = self._gate if target.node_id == self._cfg.node.id else self._forward
@@ -238,7 +291,8 @@
             target_latency_ms=max(0.0, self._latency_left_ms(call) - call.waited_ms),
             route=call.route.name,
             decline_above=call.decline_above,
-            is_repeat=call.sent > 0 or call.is_repeat,
+            is_repeat=call.sent > 0 or call.in_progress > 1 or call.is_repeat,
+            on_silence=call.on_silence,
         )
         result: CallResult = await path.execute(target.node_id, spec, call.body, attempt)
         return result
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -369,6 +369,29 @@
                     else:
                         self.assertEqual(result, RESULT)
 
+    @run_on_mock_clock
+    async def test_call_at_a_silent_node_goes_on_while_another_attempt_runs(self) -> None:
+        """Guards against a call that is given up before another attempt has responded."""
+
+        async def run_slowly(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            await trio.sleep(2.4)
+            return await respond(call, body, sink)
+
+        noticed_s: list[float] = []
+        async with (
+            running_nodes(2, prepare=install(run_slowly)) as (a, b),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(silence, b, 0.1, 2.2)
+            spec = dataclasses.replace(
+                make_spec(deadline_ms=5_000),
+                idempotent=True,
+                on_silence=lambda: noticed_s.append(trio.current_time()),
+            )
+            self.assertEqual(await execute(a, spec), RESULT)
+        self.assertEqual(len(noticed_s), 1)
+
     @run_on_mock_clock
     async def test_call_on_a_link_that_rested_is_not_given_up(self) -> None:
         """Guards against a call that fails as peer-failed the moment it is sent, since its link was
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -305,6 +305,46 @@
                 marks = [spec.is_repeat for spec in world.specs[sent:]]
                 self.assertEqual(marks, [] if is_repeat is None else [is_repeat])
 
+    @run_on_mock_clock
+    async def test_call_at_a_silent_node_waits_if_no_other_target_responds(self) -> None:
+        """Guards against a safe request that fails, with time left, because its node was silent for
+        a moment and no other target had room.
+        """
+
+        async def respond_after_silence(spec: CallSpec, sink: ResponseSink) -> CallResult:
+            sink.mark_dispatched()
+            await trio.sleep(0.4)
+            if spec.on_silence is None:
+                raise PeerFailed(Outcome.UNKNOWN, "silent")
+            spec.on_silence()
+            await trio.sleep(0.6)
+            return await respond(spec, sink)
+
+        no_room = [fail_with(NoRoom())] * 3
+        cases: tuple[tuple[list[Handler], float, int, int], ...] = (
+            (no_room, 1.0, 3, 0),
+            ([fail_with(UpstreamFailed(Outcome.UNKNOWN))], 1.0, 2, 0),
+            ([fail_with(UpstreamShed(Outcome.NOT_RUN))], 1.0, 2, 0),
+            ([hang], 1.0, 2, 1),
+            ([respond_after_silence], 1.0, 2, 1),
+            ([respond], 0.4, 2, 1),
+        )
+        for others, end_s, sent, cancelled in cases:
+            world = await start_world([])
+            for _ in range(4):
+                await world.request("/safe/x")  # Earns retries.
+            world.handlers, world.specs = [respond_after_silence, *others], []
+            started_s = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                world.relay._kernel._nursery = nursery
+                response = await world.request("/safe/x")
+            with self.subTest(others):
+                self.assertTrue(response.startswith(b"HTTP/1.1 200"), response[:80])
+                self.assertAlmostEqual(trio.current_time() - started_s, end_s, places=1)
+                self.assertEqual((len(world.specs), world.cancelled), (sent, cancelled))
+                marks = [spec.is_repeat for spec in world.specs]
+                self.assertEqual(marks, [False, *[True] * (sent - 1)])
+
     @run_on_mock_clock
     async def test_run_in_a_planned_stop_makes_its_calls(self) -> None:
         """Guards against a request that fails in a planned stop, although the stop waits for its
