Election: candidates at the same moment do not split the votes

The lease is right: a node must not act on a configuration that it can't confirm. The election was at fault. Members that found the leader silent at nearly the same moment granted each other's pre-vote, voted for themselves and waited a whole election timeout (600 to 1,200 ms) once more. A member that had just voted for another one could also campaign against it, in the next term.

Now a candidate refuses the pre-vote of one that it precedes (position of the log, then id), begins no term if it has voted in a new one meanwhile, waits a whole election timeout after a vote for another member, and repeats a failed campaign within one timeout. What makes a vote safe is unchanged.

--- a/knapweedhitch/election.py
+++ b/knapweedhitch/election.py
@@ -18,34 +18,42 @@
 
     def __init__(self, state: ReplicaState) -> None:
         self._s = state
+        self._is_candidate = False
+        # When this replica last voted for another one.
+        self._voted_ms = -math.inf
 
     async def run(self) -> None:
         """Detect a silent leader or, while leading, a lost quorum; raises StorageError."""
         s = self._s
+        has_failed = False
         while s.role is not Role.STOPPED:
             if s.role is Role.LEADER:
+                has_failed = False
                 await trio.sleep(s.cfg.heartbeat_ms / MS_PER_S)
                 self._check_quorum()
                 continue
             if not (s.is_voter and len(s.voters) == 1):
-                await self._wait_for_election_timeout()
+                await self._wait_for_election_timeout(has_failed)
             may_campaign = s.is_voter and not s.is_behind and not s.is_disk_slow
+            has_failed = False
             if may_campaign and s.role is Role.FOLLOWER and not self._has_live_leader():
                 await self.campaign()
+                has_failed = s.role is Role.FOLLOWER
             if s.role is Role.FOLLOWER:
                 await trio.sleep(s.rng.random() * s.cfg.heartbeat_ms / MS_PER_S)
 
-    async def _wait_for_election_timeout(self) -> None:
+    async def _wait_for_election_timeout(self, is_retry: bool) -> None:
         s = self._s
         had_contact = s.last_contact_ms > -math.inf
         base_ms = s.cfg.election_timeout_ms if had_contact else s.cfg.first_election_timeout_ms
-        timeout_ms = base_ms * (1.0 + s.rng.random())
+        timeout_ms = base_ms * ((0.0 if is_retry else 1.0) + s.rng.random())
         timeout_at_ms = now_ms() + timeout_ms
         while s.role is Role.FOLLOWER:
             await trio.sleep_until(timeout_at_ms / MS_PER_S)
-            if s.last_contact_ms + timeout_ms <= timeout_at_ms:
+            contact_ms = max(s.last_contact_ms, self._voted_ms)
+            if contact_ms + timeout_ms <= timeout_at_ms:
                 return
-            timeout_at_ms = s.last_contact_ms + timeout_ms
+            timeout_at_ms = contact_ms + timeout_ms
 
     def _check_quorum(self) -> None:
         s = self._s
@@ -57,13 +65,23 @@
 
     async def campaign(self) -> None:
         """Request pre-votes, then votes, and lead on a majority; raises StorageError."""
+        self._is_candidate = True
+        try:
+            await self._campaign()
+        finally:
+            self._is_candidate = False
+
+    async def _campaign(self) -> None:
         s = self._s
-        if not await self._request_votes(s.store.term + 1, pre_vote=True):
+        term = s.store.term + 1
+        if not await self._request_votes(term, pre_vote=True):
             return
         async with s.lock:
             if s.role is not Role.FOLLOWER or not s.is_voter or self._has_live_leader():
                 return
-            term = s.store.term + 1
+            # A vote for another candidate has begun a term meanwhile.
+            if s.store.term + 1 != term:
+                return
             s.leader_id = None
             await s.store.set_term(term, s.node_id)
         s.counters.add("consensus_elections")
@@ -147,7 +165,7 @@
             if not is_admitted or self._has_live_leader() or not self._is_up_to_date(msg):
                 return self._reply(False)
             if msg.pre_vote:
-                return self._reply(msg.term > s.store.term)
+                return self._reply(msg.term > s.store.term and not self._precedes(msg))
             if msg.term < s.store.term:
                 return self._reply(False)
             if msg.term == s.store.term and s.store.vote not in ("", msg.candidate_id):
@@ -155,10 +173,21 @@
             if (msg.term, msg.candidate_id) != (s.store.term, s.store.vote):
                 s.become_follower(None)
                 await s.store.set_term(msg.term, msg.candidate_id)
+            self._voted_ms = now_ms()
             return self._reply(True)
 
     def _is_up_to_date(self, msg: VoteRequest) -> bool:
         return (msg.last_term, msg.last_index) >= self._s.required_position
 
+    def _precedes(self, msg: VoteRequest) -> bool:
+        """Return whether this replica is a candidate that goes before the other one.
+
+        Two candidates that let each other begin a term would each vote for themselves, and split
+        the votes.
+        """
+        store = self._s.store
+        own = (store.last_term, store.last_index, self._s.node_id)
+        return self._is_candidate and own > (msg.last_term, msg.last_index, msg.candidate_id)
+
     def _reply(self, granted: bool) -> VoteReply:
         return VoteReply(self._s.store.term, granted, self._s.confirmed_disk_id)
