Election: a leader goes on after a pause that no other member noticed

A leader that got no processor time for longer than the election timeout of 600 ms stepped down at its next check of the quorum, before it had sent a heartbeat or read a reply. The others campaign after 600 to 1,200 ms, so a pause of 0.7 s always ended the leadership, though most often nobody had missed the leader.

After a check that came late by more than a heartbeat, the leader now waits for one more reply (control.call_timeout_ms, 300 ms), once in each silence, so that repeated pauses don't keep a leader without a majority. The proof of freshness and the commit of changes depend on acknowledgements as before; a leader that was replaced meanwhile learns it from the first reply.

--- a/knapweedhitch/election.py
+++ b/knapweedhitch/election.py
@@ -21,6 +21,10 @@
         self._is_candidate = False
         # When this replica last voted for another one.
         self._voted_ms = -math.inf
+        # The last acknowledgement before a pause of this process, and the time until which a
+        # silence since then is no reason to step down.
+        self._excused_ack_ms = -math.inf
+        self._excused_until_ms = -math.inf
 
     async def run(self) -> None:
         """Detect a silent leader or, while leading, a lost quorum; raises StorageError."""
@@ -29,8 +33,9 @@
         while s.role is not Role.STOPPED:
             if s.role is Role.LEADER:
                 has_failed = False
-                await trio.sleep(s.cfg.heartbeat_ms / MS_PER_S)
-                self._check_quorum()
+                due_ms = now_ms() + s.cfg.heartbeat_ms
+                await trio.sleep_until(due_ms / MS_PER_S)
+                self._check_quorum(was_paused=now_ms() - due_ms > s.cfg.heartbeat_ms)
                 continue
             if not (s.is_voter and len(s.voters) == 1):
                 await self._wait_for_election_timeout(has_failed)
@@ -55,13 +60,21 @@
                 return
             timeout_at_ms = contact_ms + timeout_ms
 
-    def _check_quorum(self) -> None:
+    def _check_quorum(self, *, was_paused: bool) -> None:
         s = self._s
-        if s.role is Role.LEADER:
-            silent_ms = now_ms() - max(s.quorum_acked_ms(), s.leader_since_ms)
-            if silent_ms > s.cfg.election_timeout_ms:
-                s.counters.add("consensus_quorum_lost")
-                s.become_follower(None)
+        if s.role is not Role.LEADER:
+            return
+        acked_ms = max(s.quorum_acked_ms(), s.leader_since_ms)
+        if now_ms() - acked_ms <= s.cfg.election_timeout_ms:
+            return
+        if was_paused and acked_ms > self._excused_ack_ms:
+            # A process that got no processor time has neither sent heartbeats nor read replies.
+            # Its peers get time for one reply, once in each silence.
+            self._excused_ack_ms = acked_ms
+            self._excused_until_ms = now_ms() + s.cfg.call_timeout_ms
+        if now_ms() >= self._excused_until_ms:
+            s.counters.add("consensus_quorum_lost")
+            s.become_follower(None)
 
     async def campaign(self) -> None:
         """Request pre-votes, then votes, and lead on a majority; raises StorageError."""
