Proposals: ask the leader first and silent control instances last

A node that is no control instance asked all of them in a fixed order, so that each change waited 300 ms (control.call_timeout_ms) for a silent first one, also when another one led for long, and did not use the leader that a refusal names.

Now the instance that accepted the last change, or that a refusal names, is asked first, and one that gave no answer last. The others name the old leader until the next election: an instance that was silent for this change is not believed to lead.

--- a/knapweedhitch/proposals.py
+++ b/knapweedhitch/proposals.py
@@ -33,6 +33,8 @@
         members = (member.id for member in kernel.cfg.control.members)
         # The local node comes first, because an attempt there needs no message.
         self._members = sorted(members, key=lambda node_id: node_id != own_id)
+        # The instance that accepted the last change, or that another one named as the leader.
+        self._leader_id: str | None = None
 
     async def submit(self, change: Any) -> int:
         """Submit a change and return its version.
@@ -51,19 +53,29 @@
     async def _submit_until_accepted(self, change: Any, state: _SubmitState) -> int:
         data = changes.encode_change(change)
         while True:
-            for node_id in self._members:
+            # A silent instance takes a whole timeout, so the leader comes first and it comes last.
+            untried = sorted(self._members, key=state.silent.__contains__)
+            while untried:
+                node_id = self._leader_id if self._leader_id in untried else untried[0]
+                untried.remove(node_id)
                 was_uncertain = state.may_be_accepted
                 # Set before the call, because an attempt cancelled by the timeout may be accepted.
                 state.may_be_accepted = True
                 try:
-                    return await self._submit_to(node_id, change, data)
+                    version = await self._submit_to(node_id, change, data)
                 except NotLeader as exc:
                     state.may_be_accepted = was_uncertain
                     state.leader_id = exc.leader_id
+                    # Until the next election, the others name a silent instance as the leader.
+                    self._leader_id = exc.leader_id if exc.leader_id not in state.silent else None
                 except (PeerUnreachable, PeerQueueFull):
                     state.may_be_accepted = was_uncertain
+                    state.silent.add(node_id)
                 except (PeerError, ProposalUnknown):
-                    pass
+                    state.silent.add(node_id)
+                else:
+                    self._leader_id = node_id
+                    return version
             await trio.sleep(RETRY_DELAY_MS / MS_PER_S)
 
     async def _submit_to(self, node_id: str, change: Any, data: bytes) -> int:
@@ -82,6 +94,8 @@
     def __init__(self) -> None:
         self.leader_id: str | None = None
         self.may_be_accepted = False
+        # The instances that gave no answer.
+        self.silent: set[str] = set()
 
 
 def _version_from_reply(reply: ProposeReply, change: Any) -> int:
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -16,7 +16,7 @@
 from knapweedhitch import operator_api, settings
 from knapweedhitch.changes import Change
 from knapweedhitch.counters import Counters
-from knapweedhitch.exceptions import VersionConflict
+from knapweedhitch.exceptions import PeerTimeout, VersionConflict
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.messages import ProposeReply, VersionReport
 from knapweedhitch.model import (
@@ -113,8 +113,14 @@
 
     def __init__(self) -> None:
         self.replies: dict[str, list[ProposeReply | Exception]] = {}
+        self.silent: set[str] = set()
+        self.asked: list[str] = []
 
     async def call(self, node_id: str, msg: Any, timeout_ms: float) -> ProposeReply:
+        self.asked.append(node_id)
+        if node_id in self.silent:
+            await trio.sleep(timeout_ms / 1_000.0)
+            raise PeerTimeout(node_id)
         await trio.sleep(0.01)
         replies = self.replies.get(node_id) or [ProposeReply(0, "NotLeader", "", "")]
         reply = replies.pop(0) if len(replies) > 1 else replies[0]
--- a/tests/test_operator_api.py
+++ b/tests/test_operator_api.py
@@ -16,6 +16,7 @@
 from hypothesis import strategies as st
 
 from knapweedhitch import changes_json, metrics, plain
+from knapweedhitch.clock import now_ms
 from knapweedhitch.counters import Counters, MetricsSnapshot
 from knapweedhitch.exceptions import (
     InvalidChange,
@@ -287,6 +288,47 @@
             response = self.post({"n1": [hint], "n3": [accepted]}, *control_errors)
             self.assertEqual(response[:2], (200, 9))
 
+    def test_silent_instance_delays_only_the_first_change(self) -> None:
+        """Guards against changes that each wait for a suspended leader although a new one leads."""
+        world = World(control=False)
+        hint, accepted = ProposeReply(0, "NotLeader", "", "n1"), ProposeReply(9, "", "", "")
+        world.peers.replies = {"n2": [hint], "n3": [accepted]}
+        world.peers.silent.add("n1")
+        timeout_ms = world.kernel.cfg.control.call_timeout_ms
+
+        async def submit() -> list[float]:
+            took_ms = []
+            for number in range(3):
+                start_ms = now_ms()
+                body = BODY | {"change_id": f"c{number}", "base_version": 8}
+                self.assertEqual((await world.ask("POST", "/v1/changes", body))[0], 200)
+                took_ms.append(now_ms() - start_ms)
+            return took_ms
+
+        took_ms = run(submit)
+        self.assertLess(took_ms[0], timeout_ms + 100)
+        self.assertLess(max(took_ms[1:]), 100, took_ms)
+
+    def test_new_leader_is_found_before_a_silent_one_is_asked_again(self) -> None:
+        """Guards against changes that wait twice for the old leader, whom the others still name."""
+        world = World(control=False)
+        hint, accepted = ProposeReply(0, "NotLeader", "", "n1"), ProposeReply(9, "", "", "")
+        world.peers.replies = {"n2": [hint], "n3": [hint, accepted]}
+        world.peers.silent.add("n1")
+        body = BODY | {"base_version": 8}
+        self.assertEqual(run(world.ask, "POST", "/v1/changes", body)[0], 200)
+        self.assertEqual(world.peers.asked, ["n1", "n2", "n3", "n2", "n3"])
+
+    def test_named_leader_is_asked_next(self) -> None:
+        """Guards against waiting for a silent instance when another one names the leader."""
+        world = World(control=False)
+        hint, accepted = ProposeReply(0, "NotLeader", "", "n3"), ProposeReply(9, "", "", "")
+        world.peers.replies = {"n1": [hint], "n3": [accepted]}
+        world.peers.silent.add("n2")
+        body = BODY | {"base_version": 8}
+        self.assertEqual(run(world.ask, "POST", "/v1/changes", body)[0], 200)
+        self.assertEqual(world.peers.asked, ["n1", "n3"])
+
     def test_outcome_is_unknown_only_if_the_change_was_sent(self) -> None:
         """Guards against "refused" for a change in force and "unknown" for one never sent."""
         unreachable = {node: [PeerUnreachable("down")] for node in ("n1", "n2", "n3")}
