Count the held response of each attempt

Two attempts at a time for one request (hedges, and attempts beside one at a silent node) held up to twice callers.max_waiting_response_bytes, as the reservation counted once a request. Each attempt reserves its own now, and releases it when it fails or is cancelled. An attempt that ends a moment after its request reserves nothing: what it reserved then was never released.

--- a/knapweedhitch/attempt.py
+++ b/knapweedhitch/attempt.py
@@ -72,6 +72,8 @@
         self._recorded: bytearray | None = None if max_recorded_bytes is None else bytearray()
         self._buffered = bytearray()
         self._size_bytes = 0
+        # Bytes of memory that are reserved at the connection.
+        self._held_bytes = 0
         self._has_length = False
         self._discarded_bytes = 0
         self.headers: Headers = ()
@@ -144,10 +146,21 @@
             else:
                 self._recorded = None
 
+    def discard(self) -> None:
+        """Release the memory of a response that will not be delivered."""
+        self._conn.order.release(self._held_bytes)
+        self._held_bytes = 0
+        self._buffered = bytearray()
+
     def _try_hold_back(self, n_bytes: int) -> bool:
-        return n_bytes <= self._hold_back_bytes or self._conn.order.try_hold_back(
-            n_bytes, until_complete=self._has_length
+        if n_bytes <= max(self._hold_back_bytes, self._held_bytes):
+            return True
+        is_held = self._conn.order.try_hold_back(
+            n_bytes, self._held_bytes, until_complete=self._has_length
         )
+        if is_held:
+            self._held_bytes = n_bytes
+        return is_held
 
     async def _commit(self) -> None:
         await self._claim()
--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -32,6 +32,7 @@
     def __init__(self, owner: CallerConnection, cfg: CallerSettings, names: HeaderNames) -> None:
         self._owner = owner
         self._held_bytes = 0
+        self._has_ended = False
         self._due = trio.Event()
         self.conn = ServerConnection(self, cfg, names, self)
         # Cancels the request, which the caller then counts as not received.
@@ -56,20 +57,30 @@
         if not self._due.is_set():
             await self._due.wait()
 
-    def try_hold_back(self, n_bytes: int, *, until_complete: bool) -> bool:
-        """Reserve memory for bytes of the response; return False if it is full."""
-        if n_bytes > self.conn.cfg.max_held_response_bytes:
+    def try_hold_back(self, n_bytes: int, held_bytes: int, *, until_complete: bool) -> bool:
+        """Reserve memory for bytes of a response, some of them before; return False if it is full.
+
+        Several attempts may each hold a response.
+        """
+        if self._has_ended or n_bytes > self.conn.cfg.max_held_response_bytes:
             return False
         if self.is_due and not until_complete:
             return False
-        more_bytes = max(0, n_bytes - self._held_bytes)
+        more_bytes = max(0, n_bytes - held_bytes)
         if not self._owner.waiting_bytes.reserve(more_bytes):
             return False
         self._held_bytes += more_bytes
         return True
 
+    def release(self, n_bytes: int) -> None:
+        """Release the memory of a response that will not be written."""
+        if not self._has_ended:
+            self._owner.waiting_bytes.free(n_bytes)
+            self._held_bytes -= n_bytes
+
     def free(self) -> None:
-        """Release the memory of the response."""
+        """Release all memory; an attempt that ends later can reserve no more."""
+        self._has_ended = True
         self._owner.waiting_bytes.free(self._held_bytes)
         self._held_bytes = 0
 
--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -235,9 +235,11 @@
         except Refusal as exc:
             call.may_have_run = call.may_have_run or exc.outcome is Outcome.UNKNOWN
             result = refused_result(exc, (trio.current_time() - started_s) * 1_000)
+            attempt.discard()
             raise
         finally:
             if result is None:
+                attempt.discard()
                 call.may_have_run = True
                 result = cancelled_result(call.deadline, (trio.current_time() - started_s) * 1_000)
             # The sample was taken while this call ran, so it is recorded before the call's end.
--- a/knapweedhitch/responseorder.py
+++ b/knapweedhitch/responseorder.py
@@ -25,13 +25,17 @@
         """
         ...
 
-    def try_hold_back(self, n_bytes: int, *, until_complete: bool) -> bool:
-        """Reserve memory for bytes of the response; return False if it is full.
+    def try_hold_back(self, n_bytes: int, held_bytes: int, *, until_complete: bool) -> bool:
+        """Reserve memory for bytes of a response, some of them before; return False if it is full.
 
         They are held until the response is due, or until it is due and complete.
         """
         ...
 
+    def release(self, n_bytes: int) -> None:
+        """Release the memory of a response that will not be written."""
+        ...
+
 
 class NoPipelining:
     """Represent the order of responses without pipelined requests."""
@@ -42,6 +46,9 @@
     async def wait_due(self) -> None:
         """Return at once."""
 
-    def try_hold_back(self, n_bytes: int, *, until_complete: bool) -> bool:
+    def try_hold_back(self, n_bytes: int, held_bytes: int, *, until_complete: bool) -> bool:
         """Return False, since the response is due and there is no memory for it."""
         return False
+
+    def release(self, n_bytes: int) -> None:
+        """Do nothing, since no memory is reserved."""
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -253,10 +253,12 @@
                 call.sent += 1
             call.may_have_run = call.may_have_run or exc.outcome is Outcome.UNKNOWN
             result = refused_result(exc, (trio.current_time() - started_s) * 1_000)
+            attempt.discard()
             raise
         finally:
             call.in_progress -= 1
             if result is None:
+                attempt.discard()
                 call.may_have_run = True
                 elapsed_ms = (trio.current_time() - started_s) * 1_000
                 result = cancelled_result(call.deadline, elapsed_ms)
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -6,6 +6,7 @@
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
+from types import SimpleNamespace
 
 import h11
 import trio
@@ -13,7 +14,7 @@
 
 from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.budget import ByteBudget
-from knapweedhitch.callerconn import CallerConnection
+from knapweedhitch.callerconn import CallerConnection, PipelinedRequest
 from knapweedhitch.exceptions import Outcome, PeerFailed
 from knapweedhitch.exchange import CallSpec, ResponseSink
 from knapweedhitch.framing import header_names
@@ -171,6 +172,7 @@
 
     listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
     async with trio.open_nursery() as nursery:
+        world.relay._kernel._nursery = nursery
         nursery.start_soon(trio.serve_listeners, serve, listeners)
         sock = trio.socket.socket()
         if receive_buffer_bytes:
@@ -244,6 +246,55 @@
         self.assertEqual(sorted(statuses), [200, 200, 504])
         self.assertEqual(waiting_bytes.used_bytes, 0)
 
+    def test_memory_of_each_attempt_counts(self) -> None:
+        """Guards against two attempts at a time that hold twice the memory for responses, and
+        against memory that stays reserved after an attempt or its request has ended.
+        """
+        waiting_bytes = ByteBudget(3 * LARGE_BYTES)
+        used_bytes: list[int] = []
+
+        async def hold(spec: CallSpec, sink: ResponseSink) -> CallResult:
+            is_first = not used_bytes
+            sink.mark_dispatched()
+            await sink.head(200, ((b"content-length", b"%d" % LARGE_BYTES),), None)
+            await sink.data(b"x" * (LARGE_BYTES - 1))
+            used_bytes.append(waiting_bytes.used_bytes)
+            if is_first:
+                assert spec.on_silence is not None
+                spec.on_silence()
+                await trio.sleep(0.2)
+                raise PeerFailed(Outcome.UNKNOWN, "the link broke")
+            await trio.sleep(0.4)
+            used_bytes.append(waiting_bytes.used_bytes)
+            await sink.data(b"x")
+            await sink.end()
+            return CallResult(ok=True, service_ms=400.0, status=200)
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 1_900))
+            self.assertEqual((await caller.read()).status, 200)
+            await trio.sleep(0.1)
+
+        run_caller({"r1": hold}, play, waiting_bytes)
+        self.assertEqual(used_bytes, [LARGE_BYTES, 2 * LARGE_BYTES, LARGE_BYTES])
+        self.assertEqual(waiting_bytes.used_bytes, 0)
+
+    def test_attempt_that_outlives_its_request_holds_no_memory(self) -> None:
+        """Guards against memory that is reserved, or released twice, by an attempt that ends a
+        moment after its request, and so counts for ever.
+        """
+
+        async def main() -> None:
+            owner = SimpleNamespace(waiting_bytes=ByteBudget(1_000))
+            req = PipelinedRequest(owner, CallerSettings(), header_names(HEADERS))  # type: ignore
+            self.assertTrue(req.try_hold_back(600, 0, until_complete=True))
+            req.free()
+            self.assertFalse(req.try_hold_back(700, 600, until_complete=True))
+            req.release(600)
+            self.assertEqual(owner.waiting_bytes.used_bytes, 0)
+
+        trio.run(main)
+
     def test_time_in_the_buffer_counts_against_the_deadline(self) -> None:
         """Guards against work for a request whose caller has given up while it waited, unread,
         behind one that may not run beside others.
