Retire a link when its peer is silent

Calls hung until their deadline, for up to 3 s on the platform, at a node that received nothing from their entry node, although both could have used another link.

Cause: since a silent link with streams is kept in place of closed, and only the side that found the silence stopped using it. If the link is cut in one direction, the other side goes on hearing this one and sends its calls into the cut. The link is retired at once now, which tells the peer; before, it was retired when the peer was back.

test_node_that_is_not_heard_uses_another_link failed before: DeadlineExceeded: deadline-exceeded outcome=unknown at node=n0 and passes now.

--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -322,14 +322,15 @@
         elif not self._is_silent:
             self._is_silent = True
             self._counters.add("peer_links_silent")
-            self._owner.on_link_change(self)
+            # A peer that still hears this node must not use the link either.
+            self.retire()
             self._fail_calls(PeerDisconnected(f"peer={self.peer_id} missed heartbeats"))
             self._streams.stop_waiting("the other node is silent")
 
     def _end_silence(self) -> None:
         """Finish the streams of a link whose peer is back; new work uses another link."""
         self._is_silent = False
-        self.retire()
+        self._close_if_retired()
 
     # Running
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -471,6 +471,32 @@
             self.assert_refused(result, PeerFailed, Outcome.NOT_RUN)
             self.assertEqual(b.counters.get("forward_cancelled", "not-run"), 1)
 
+    @run_on_mock_clock
+    async def test_node_that_is_not_heard_uses_another_link(self) -> None:
+        """Guards against calls that a node goes on sending over a link that is cut in its direction
+        only, while the other node keeps the link for the streams on it.
+        """
+
+        async def run(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            if call.request_id == "slow":
+                await trio.sleep(30.0)
+            return await respond(call, body, sink)
+
+        async with (
+            running_nodes(2, prepare=install(run)) as (a, b),
+            trio.open_nursery() as nursery,
+        ):
+            nursery.start_soon(silence, b, 0.1, 1_000.0)
+            slow = dataclasses.replace(make_spec(deadline_ms=60_000), request_id="slow")
+            nursery.start_soon(execute, a, slow)
+            await trio.sleep(4.0)
+            self.assertEqual(a.counters.get("peer_links_silent"), 1)
+            call = make_spec(deadline_ms=2_000)
+            forward = b.kernel.get("forward")
+            self.assertEqual(await forward.execute("n0", call, Body(), Sink()), RESULT)
+            nursery.cancel_scope.cancel()
+
     @run_on_mock_clock
     async def test_run_for_an_entry_node_that_is_gone_ends(self) -> None:
         """Guards against work that goes on without end for an entry node that is gone."""
