Drop a 1xx response while its caller does not read

A connection could be reset at the deadline of a request whose upstream sends a 1xx response, while its caller had earlier responses to read.

Cause: the write of the 1xx response waited for the caller within the deadline of the request; a cancelled write breaks the connection. A 1xx response may be left out, so it is written only if the socket has room for a short write.

Left: a 100 Continue waits within the deadline, since the body does not come without it.

--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -16,7 +16,7 @@
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.ingressapi import RequestHandler
 from knapweedhitch.settings import CallerSettings
-from knapweedhitch.sockets import READ_BYTES, receive_when_ready, send_at_once
+from knapweedhitch.sockets import READ_BYTES, has_room, receive_when_ready, send_at_once
 
 # Further pipelined bytes stay in the socket; a caller that closes after those is noticed later.
 MAX_PIPELINED_BYTES = 65_536
@@ -57,6 +57,11 @@
         if not self._due.is_set():
             await self._due.wait()
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether a short write completes at once."""
+        return has_room(self._owner.stream)
+
     def try_hold_back(self, n_bytes: int, held_bytes: int, *, until_complete: bool) -> bool:
         """Reserve memory for bytes of a response, some of them before; return False if it is full.
 
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -232,8 +232,12 @@
     # Writing
 
     async def send_informational(self, status: int, headers: Headers) -> None:
-        """Forward a 1xx response to HTTP/1.1 callers if it is due now; raises CallerGone."""
-        is_possible = self.order.is_due and not self.response_started
+        """Forward a 1xx response to HTTP/1.1 callers if it is due now; raises CallerGone.
+
+        It is dropped if the caller has yet to read earlier ones: a write that waits for that would
+        be cancelled at the deadline, which breaks the connection.
+        """
+        is_possible = self.order.is_due and self.order.has_room and not self.response_started
         if is_possible and (self._conn.their_http_version or b"1.0") >= b"1.1":
             await self._write_informational(status, headers)
 
--- a/knapweedhitch/responseorder.py
+++ b/knapweedhitch/responseorder.py
@@ -18,6 +18,11 @@
         """Return whether no later request waits, so that this response may close the connection."""
         ...
 
+    @property
+    def has_room(self) -> bool:
+        """Return whether a short write completes at once, since the caller reads."""
+        ...
+
     async def wait_due(self) -> None:
         """Wait until all earlier responses are complete.
 
@@ -42,6 +47,7 @@
 
     is_due = True
     is_last = True
+    has_room = True
 
     async def wait_due(self) -> None:
         """Return at once."""
--- a/knapweedhitch/sockets.py
+++ b/knapweedhitch/sockets.py
@@ -4,6 +4,7 @@
 
 import errno
 import os
+import select
 
 import trio
 
@@ -30,6 +31,18 @@
     return data[sent:]
 
 
+def has_room(stream: trio.abc.Stream) -> bool:
+    """Return whether a short write completes at once; unknown streams count as having room."""
+    if not isinstance(stream, trio.SocketStream):
+        return True
+    poll = select.poll()
+    try:
+        poll.register(stream.socket.fileno(), select.POLLOUT)
+    except ValueError:
+        return False  # The socket is closed.
+    return bool(poll.poll(0))
+
+
 async def receive_when_ready(stream: trio.abc.Stream, max_bytes: int) -> bytes:
     """Wait for data and return it, or b"" at the end of the stream.
 
--- a/tests/test_shared_connection.py
+++ b/tests/test_shared_connection.py
@@ -12,7 +12,7 @@
 
 from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.budget import ByteBudget
-from knapweedhitch.callerconn import CallerConnection
+from knapweedhitch.callerconn import CallerConnection, PipelinedRequest
 from knapweedhitch.counters import Counters
 from knapweedhitch.framing import DEFAULT_NAMES, RequestHead
 from knapweedhitch.http1 import ServerConnection
@@ -208,6 +208,40 @@
         run_with_idle_timeout(scenario)
 
 
+class InformationalTest(unittest.TestCase):
+    def test_caller_that_reads_nothing_loses_no_response_to_a_1xx(self) -> None:
+        """Guards against a connection that is reset at the deadline of a request, because a 1xx
+        response to it waits for a caller that has earlier responses to read.
+        """
+
+        async def main() -> None:
+            ours, theirs = socket.socketpair()
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(ours))
+            caller = trio.SocketStream(trio.socket.from_stdlib_socket(theirs))
+            log = BoundedLog(LogSettings(), Counters(), lambda: 0.0)
+            cfg, counters = CallerSettings(), Counters()
+            owner = CallerConnection(
+                stream, cfg, DEFAULT_NAMES, FakeRouter(), counters, log, ByteBudget(0)
+            )
+            req = PipelinedRequest(owner, cfg, DEFAULT_NAMES)
+            owner._add(req)
+            await caller.send_all(GET)
+            await req.conn.receive_head()
+            earlier_bytes = 0
+            with self.assertRaises(BlockingIOError):
+                while True:
+                    earlier_bytes += ours.send(b"x" * 4_096)
+            with trio.move_on_after(0.05):
+                await req.conn.send_informational(103, ())
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(req.conn.send_response, 504, (), [])
+                data = b""
+                while not data[earlier_bytes:].startswith(b"HTTP/1.1 504"):
+                    data += await caller.receive_some(65_536)
+
+        trio.run(main)
+
+
 class StopTest(unittest.TestCase):
     def test_response_in_the_send_buffer_survives_the_end_of_its_connection(self) -> None:
         """Guards against a planned stop that closes a connection while the end of its last response
