--- a/tests/test_full_link.py
+++ b/tests/test_full_link.py
@@ -2,11 +2,8 @@
 
 from __future__ import annotations
 
-import contextlib
-import functools
 import socket
 import unittest
-from collections.abc import AsyncIterator
 from typing import Any
 from unittest import mock
 
@@ -14,11 +11,16 @@
 
 from knapweedhitch.exchange import BodySource, CallSpec
 from knapweedhitch.forward import Forward
-from knapweedhitch.model import Address, CallResult
-from knapweedhitch.peers import Peers
-from knapweedhitch.settings import ListenSettings, PeerSettings
+from knapweedhitch.model import CallResult
+from knapweedhitch.settings import PeerSettings
 from knapweedhitch.transport import NetTransport, Wire
-from tests.fake_net import SECRET, MemoryNet, Node, StaticMembership, listen
+from tests.fake_net import MemoryNet, Node
+from tests.slow_nodes import (
+    RELAY_BYTES,
+    RELAY_INTERVAL_S,
+    RelayPace,
+    nodes_with_slow_link,
+)
 from tests.test_forward import (
     RESULT,
     Body,
@@ -29,14 +31,7 @@
     execute,
     make_spec,
 )
-from tests.test_planned_stop import (
-    RELAY_BYTES,
-    RELAY_INTERVAL_S,
-    RelayPace,
-    relay_slowly,
-    slow_real_nodes,
-    stop,
-)
+from tests.test_planned_stop import slow_real_nodes, stop
 
 BODY_BYTES = 90_000
 CALLS = 6
@@ -57,38 +52,11 @@
     return RESULT
 
 
-@contextlib.asynccontextmanager
-async def nodes_with_slow_link(pace: RelayPace) -> AsyncIterator[list[Node]]:
-    """Run two nodes whose link passes through a slow relay."""
-    nodes = []
-    membership = StaticMembership(0)
-    async with trio.open_nursery() as nursery:
-        for i in range(2):
-            node = Node(MemoryNet(), i, listen=ListenSettings(peers=listen(0)), peers=PEERS)
-            node.peers = Peers(node.kernel, NetTransport(node.kernel.cfg.peers), SECRET)
-            node.kernel._services["peers"] = node.peers
-            node.add("membership", membership)
-            node.add("admission", FakeServices())
-            node.add("gate", FakeGate(respond))
-            node.add("forward", Forward(node.kernel))
-            await nursery.start(node.run)
-            nodes.append(node)
-        server = nodes[1].peers.address
-
-        async def relay(near: trio.SocketStream) -> None:
-            far = await trio.open_tcp_stream(server.host, server.port)
-            for stream in (near, far):
-                stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * RELAY_BYTES)
-            async with trio.open_nursery() as inner:
-                inner.start_soon(relay_slowly, near, far, pace)
-                inner.start_soon(relay_slowly, far, near, pace)
-
-        serve = functools.partial(trio.serve_tcp, relay, 0, host="127.0.0.1")
-        listeners = await nursery.start(serve)
-        port = listeners[0].socket.getsockname()[1]
-        membership.addresses["n1"] = Address("127.0.0.1", port)
-        yield nodes
-        nursery.cancel_scope.cancel()
+def prepare(node: Node) -> None:
+    """Add the services of the request path to a node."""
+    node.add("admission", FakeServices())
+    node.add("gate", FakeGate(respond))
+    node.add("forward", Forward(node.kernel))
 
 
 class FullLinkTest(unittest.TestCase):
@@ -99,7 +67,7 @@
 
         async def main() -> tuple[list[Any], list[Any]]:
             pace = RelayPace()
-            async with nodes_with_slow_link(pace) as (a, b):
+            async with nodes_with_slow_link(pace, prepare, peers=PEERS) as (a, b):
                 results: list[Any] = []
                 # Opens the link, whose handshake has a time limit.
                 await execute(a, make_spec(True), Body())
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import contextlib
-import dataclasses
-import socket
 import unittest
 from collections.abc import AsyncIterator
 from typing import Any
@@ -17,20 +15,16 @@
 from knapweedhitch.exchange import BodySource, CallSpec
 from knapweedhitch.forward import Forward
 from knapweedhitch.messages import Ack, FeedPoll
-from knapweedhitch.model import Address, CallResult
-from knapweedhitch.peers import Peers
-from knapweedhitch.settings import ListenSettings, PeerSettings, StopSettings
-from knapweedhitch.transport import NetTransport
-from tests.fake_net import SECRET, MemoryNet, Node, StaticMembership, listen, running_nodes
+from knapweedhitch.model import CallResult
+from knapweedhitch.settings import PeerSettings, StopSettings
+from tests.fake_net import MemoryNet, Node, running_nodes
 from tests.request_world import FakeService
+from tests.slow_nodes import RELAY_INTERVAL_S, RelayPace, nodes_with_slow_link
 from tests.test_forward import RESULT, FakeServices, Sink, dispatch, execute, make_spec
 from tests.test_peers import POLL, link_of, run_on_mock_clock
 
 BODY_BYTES = 200_000
 STOP = StopSettings(announce_ms=100, drain_timeout_ms=3_000)
-RELAY_BYTES = 16_384
-# 3.2 Mbit/s
-RELAY_INTERVAL_S = 0.04
 
 
 class StopWorld(FakeService):
@@ -201,25 +195,6 @@
             self.assertEqual(replies, [Ack()])
 
 
-@dataclasses.dataclass
-class RelayPace:
-    """Set the time that a relay takes for RELAY_BYTES."""
-
-    interval_s: float = RELAY_INTERVAL_S
-
-
-async def relay_slowly(source: trio.SocketStream, sink: trio.SocketStream, pace: RelayPace) -> None:
-    """Pass bytes on at the rate of a slow link, and its end."""
-    try:
-        while data := await source.receive_some(RELAY_BYTES):
-            await trio.sleep(pace.interval_s)
-            await sink.send_all(data)
-        await sink.send_eof()
-    except (trio.BrokenResourceError, trio.ClosedResourceError):
-        await trio.aclose_forcefully(source)
-        await trio.aclose_forcefully(sink)
-
-
 class DeliveryTest(unittest.TestCase):
     def test_answer_confirms_only_earlier_frames(self) -> None:
         """Guards against a link that closes over a frame sent after its last ping."""
@@ -261,35 +236,7 @@
 async def slow_real_nodes(
     relay_interval_s: float = RELAY_INTERVAL_S, cfg: PeerSettings | None = None
 ) -> AsyncIterator[list[Node]]:
-    """Run two nodes on real sockets; the link from n0 to n1 passes through a slow relay."""
-    nodes = []
-    fake_membership = StaticMembership(0)
-    async with trio.open_nursery() as nursery:
-        for i in range(2):
-            node = Node(
-                MemoryNet(),
-                i,
-                listen=ListenSettings(peers=listen(0)),
-                peers=cfg or PeerSettings(),
-                stop=STOP,
-            )
-            node.peers = Peers(node.kernel, NetTransport(node.kernel.cfg.peers), SECRET)
-            node.kernel._services["peers"] = node.peers
-            node.add("membership", fake_membership)
-            prepare(node)
-            await nursery.start(node.run)
-            nodes.append(node)
-        server = nodes[1].peers.address
-
-        async def relay(near: trio.SocketStream) -> None:
-            far = await trio.open_tcp_stream(server.host, server.port)
-            far.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * RELAY_BYTES)
-            async with trio.open_nursery() as inner:
-                inner.start_soon(relay_slowly, near, far, RelayPace(relay_interval_s))
-                inner.start_soon(relay_slowly, far, near, RelayPace(relay_interval_s))
-
-        listeners = await nursery.start(trio.serve_tcp, relay, 0)
-        port = listeners[0].socket.getsockname()[1]
-        fake_membership.addresses["n1"] = Address("127.0.0.1", port)
+    """Run two nodes that can stop; their link passes through a slow relay."""
+    pace = RelayPace(relay_interval_s)
+    async with nodes_with_slow_link(pace, prepare, peers=cfg or PeerSettings(), stop=STOP) as nodes:
         yield nodes
-        nursery.cancel_scope.cancel()
