Feed: log through BoundedLog

The feed had a budget of its own for its lines. The lines that it drops are now counted as log_lines_dropped, as docs/OPERATIONS.md says of each source, and each line of a domain takes its own share of the budget.

--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -9,7 +9,7 @@
 import trio
 
 from knapweedhitch import configuration, logs
-from knapweedhitch.budget import TokenBucket
+from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.changes import decode_stamped
 from knapweedhitch.clock import now_ms
 from knapweedhitch.exceptions import ChangeError, CodecError, PeerError
@@ -49,13 +49,12 @@
         self._polls_in_flight = 0
         self._report_is_due = False
         self._needs_state = False
-        lines = kernel.cfg.log.max_lines_per_s
-        self._log_budget = TokenBucket(lines, lines, now_ms)
 
     async def start(self) -> None:
         """Start polling and serving."""
         self._timers = self._kernel.get("timers")
         self._counters = self._kernel.get("counters")
+        self._log = BoundedLog(self._kernel.cfg.log, self._counters, now_ms)
         self._peers = self._kernel.get("peers")
         self._control = self._kernel.get("control") if self._kernel.has("control") else None
         is_control = self._machine is not None
@@ -295,12 +294,11 @@
         domains, before, self.current = self.current.domains, self.current.version, cfg
         self._counters.add("feed_advances")
         self._counters.gauge("config_version", cfg.version)
-        if self._log_budget.take():
-            routes = len(cfg.items.routes)
-            logs.event(
-                "config", node=self.node_id, before=before, version=cfg.version, routes=routes
-            )
-            self._log_domains(domains)
+        routes = len(cfg.items.routes)
+        self._log.event(
+            "config", node=self.node_id, before=before, version=cfg.version, routes=routes
+        )
+        self._log_domains(domains)
         if len(bodies) == cfg.version - before:
             self._bodies.extend(bodies)
             self._subscribers.push(FeedPush(self.group_id, before, tuple(bodies)))
@@ -314,7 +312,7 @@
         """Log each domain whose status has changed, so that logs tell which node knew it when."""
         for name, status in self.current.domains.items():
             if status != before.get(name):
-                logs.event(
+                self._log.event(
                     "domain_status",
                     node=self.node_id,
                     domain=name,
