Use MS_PER_S of the clock module

Twelve modules had their own constant of the same value. cli, questionnaire, generator and claimstore keep theirs: it is an integer there, and its products are printed, written to settings or compared with whole milliseconds.

--- a/knapweedhitch/admission.py
+++ b/knapweedhitch/admission.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.coldstart import ColdCause, Ramp
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -30,8 +31,6 @@
 from knapweedhitch.slotlease import LeaseLedger
 from knapweedhitch.slots import Slot, closed_refusal
 
-MS_PER_S = 1_000.0
-
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Waiter:
--- a/knapweedhitch/caller.py
+++ b/knapweedhitch/caller.py
@@ -4,7 +4,7 @@
 
 import trio
 
-MS_PER_S = 1_000.0
+from knapweedhitch.clock import MS_PER_S
 
 
 class Caller:
--- a/knapweedhitch/claims.py
+++ b/knapweedhitch/claims.py
@@ -11,6 +11,7 @@
 import trio
 
 from knapweedhitch.claimstore import ClaimStore, group_for, recorded_bytes
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.codec import Message
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -39,7 +40,6 @@
 )
 from knapweedhitch.model import ClaimGroup, ClaimVerdict, ServiceConfig
 
-MS_PER_S = 1_000.0
 RETRY_DELAY_MS = 100.0
 
 # A holder with such a verdict has run since before the key was created and holds no claim of it, so
--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -10,6 +10,7 @@
 from msgspec import structs
 
 from knapweedhitch import framing, logs
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import CallerGone, Refusal, UpstreamError
 from knapweedhitch.exchange import CallSpec, Headers
@@ -27,7 +28,6 @@
 from knapweedhitch.pool import connect_tcp
 from knapweedhitch.upstreamload import LEAVING_VALUE, parse_load, parse_report
 
-MS_PER_S = 1_000.0
 HTTP_OK = 200
 # Maximum wait of a call for the current slowdown of its target.
 REFRESH_WAIT_MS = 10.0
--- a/knapweedhitch/operator_client.py
+++ b/knapweedhitch/operator_client.py
@@ -11,6 +11,7 @@
 import h11
 import trio
 
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.exceptions import (
     ChangeConflict,
     ChangeInvalid,
@@ -35,7 +36,6 @@
 MAX_HEADER_BYTES = 65_536
 # The status of 15,000 nodes takes about 2 MB.
 MAX_RESPONSE_BYTES = 67_108_864
-MS_PER_S = 1_000.0
 # The leader looks up the change id first, so these errors mean that no earlier attempt is in force.
 NOT_APPLIED_REASONS = frozenset({ChangeConflict.reason, ChangeInvalid.reason})
 
--- a/knapweedhitch/operator_http.py
+++ b/knapweedhitch/operator_http.py
@@ -11,6 +11,7 @@
 
 from knapweedhitch import plain
 from knapweedhitch.caller import Caller
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.exceptions import (
     BadRequest,
     BodyTimeout,
@@ -26,7 +27,6 @@
 MAX_QUERY_FIELDS = 10
 JSON = "application/json"
 SAFE_METHODS = frozenset({"GET", "HEAD"})
-MS_PER_S = 1_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -9,6 +9,7 @@
 
 from knapweedhitch import handshake, logs
 from knapweedhitch.boundedlog import BoundedLog
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.codec import Message
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import (
@@ -30,7 +31,6 @@
 from knapweedhitch.transport import NetTransport, Transport, Wire
 
 HEARTBEAT_CHECKS_PER_INTERVAL = 4
-MS_PER_S = 1_000.0
 # Proves nothing; a fixed key keeps the handshake messages the same without authentication.
 OPEN_CLUSTER_SECRET = b"knapweedhitch without a secret"
 
--- a/knapweedhitch/platform/heartbeats.py
+++ b/knapweedhitch/platform/heartbeats.py
@@ -8,10 +8,10 @@
 from msgspec import Meta, field
 
 from knapweedhitch.announcement import parse_address
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.exceptions import AnnouncementInvalid
 from knapweedhitch.model import MAX_COUNT, UpstreamRecord, UpstreamState
 
-MS_PER_S = 1_000.0
 # The end of the year 9999. A later start would make all heartbeats of other starts look late.
 MAX_UNIX_MS = 253_402_300_799_999
 MAX_SEQUENCE = (1 << 53) - 1
--- a/knapweedhitch/platform/items.py
+++ b/knapweedhitch/platform/items.py
@@ -8,11 +8,11 @@
 import msgspec
 from msgspec import field
 
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.exceptions import InvalidChange
 from knapweedhitch.items import BackendItem, ItemPatch, Items, LimitsItem, Removal, RouteItem
 from knapweedhitch.items import RoutePart as Part
 
-MS_PER_S = 1_000.0
 # Requests of routes of this kind are idempotent; those of any other kind are not.
 IDEMPOTENT_KIND = "safe"
 
--- a/knapweedhitch/proposals.py
+++ b/knapweedhitch/proposals.py
@@ -7,6 +7,7 @@
 import trio
 
 from knapweedhitch import changes
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.exceptions import (
     InvalidChange,
     NotLeader,
@@ -21,7 +22,6 @@
 
 # An election yields the next leader within this time; an earlier retry only repeats the refusal.
 RETRY_DELAY_MS = 100
-MS_PER_S = 1_000.0
 
 
 class Proposer:
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -11,6 +11,7 @@
 
 from knapweedhitch import framing, logs
 from knapweedhitch.budget import TokenBucket
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.coldtime import ColdTime
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -31,7 +32,6 @@
 from knapweedhitch.upstreamload import UpstreamReport, parse_report
 from knapweedhitch.workqueue import MAX_LOAD_AGE_MS, Work, WorkQueue
 
-MS_PER_S = 1_000.0
 # A slow period of a few hundred ms may have begun since the last report; a probe takes about 1 ms.
 REFRESH_AGE_MS = 20.0
 # An upstream without a report for this long is not probed for each call.
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -10,10 +10,10 @@
 import dataclasses
 import math
 
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.pacing import StartPacer
 from knapweedhitch.settings import AdmissionSettings
 
-MS_PER_S = 1_000.0
 # EWMA weight of the newest service time.
 MEAN_WEIGHT = 0.05
 # Long enough for several starts, short enough to follow a burst.
