--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -77,6 +77,7 @@
         # since.
         self._upstream_since_ms = math.inf
         self.has_report = False
+        self._starts_before_report = 0
         # The rate limit that the upstream names, when it changed, and when it was named last.
         self._limit_per_s: float | None = None
         self._limit_set_ms = self._limit_named_ms = -math.inf
@@ -170,6 +171,9 @@
         now = self._timers.now_ms()
         if self.queue.start_wait_ms(now) > 0:
             self._counters.add("starts_over_limit")
+        if not self.has_report:
+            self._starts_before_report += 1
+            self._counters.add("starts_before_report")
         self.queue.start(now, work.priority)
         self._counters.record("queue_ms", queued_ms)
         return slot
@@ -207,6 +211,8 @@
             self._record_report(report, "response")
 
     def _record_report(self, report: UpstreamReport, source: str) -> None:
+        if not self.has_report:
+            self._log_first_report(report, source)
         self.has_report = True
         for name in report.malformed:
             self._counters.add("reports_unreadable", name)
@@ -219,6 +225,15 @@
         if self.queue.waiting:
             self._dispatch()
 
+    def _log_first_report(self, report: UpstreamReport, source: str) -> None:
+        logs.event(
+            "upstream-first-report",
+            instance=report.instance_id,
+            source=source,
+            after_ms=round(self._timers.now_ms() - self._upstream_since_ms, 1),
+            started=self._starts_before_report,
+        )
+
     def _update_limit(self, report: UpstreamReport, source: str) -> None:
         """Adopt the limit in a response; without one, the last limit has ended."""
         now, before = self._timers.now_ms(), self._limit_per_s
@@ -303,7 +318,7 @@
 
     def _request_probe(self) -> None:
         """Request a probe of the upstream, also if it is not in use."""
-        self.has_report = False
+        self.has_report, self._starts_before_report = False, 0
         if self._kernel.has("loadprobe"):
             self._kernel.get("loadprobe").request_probe()
 
