Keep what an upstream tells in one place, with one identity of its start

Callers saw little of it: an upstream that had just started again could get its queued calls at once while it was cold, one that said that it leaves could get a few more calls, and a limit could be lost for the time between two probes.

Cause: the record, the cold time, the limit and the notice to leave of an upstream were kept by two services, each with its own rule for which message tells of the current start, and were applied one after the other with a dispatch of queued calls in between. - Announce passed on the record of a heartbeat before its cold time. - A response that lifts the limit and says that the upstream leaves reached the queue first and Announce second. - The response to a probe counted only if the record had not changed at all; a first heartbeat names the incarnation of the same upstream. - A heartbeat whose incarnation began after a health check was taken for the start that had answered it, with its limit; and late responses of that start counted for the new one. - A new start was not probed if the one before had responded within 10 ms.

UpstreamStart is the identity over all messages, used by Announce and the admission; UpstreamStatus holds all that the start told. The admission applies it as a whole before it starts any call.

--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -28,6 +28,7 @@
 from knapweedhitch.messages import UpstreamDeparted
 from knapweedhitch.model import UNKNOWN_INCARNATION, Address, UpstreamRecord, UpstreamState
 from knapweedhitch.upstreamload import UpstreamReport
+from knapweedhitch.upstreamstatus import UpstreamStart, next_start
 
 PATH = b"/v1/announcement"
 NO_HEARTBEAT = (-1, -1)
@@ -49,8 +50,8 @@
         self._last_heartbeat = NO_HEARTBEAT
         self._last_heartbeat_source = ("", -1)
         self._departures = DepartureTable()
-        # When the current incarnation was announced, and what other nodes know of a departed one.
-        self._current_since_ms = 0.0
+        self._start: UpstreamStart | None = None
+        # What other nodes know of a departed upstream.
         self._announced_departure: UpstreamRecord | None = None
         self._server = StreamServer(
             kernel.cfg.listen.announce,
@@ -166,8 +167,7 @@
         if record.state is UpstreamState.LEAVING:
             self._departures.record(record.instance_id, record.incarnation)
         self._renewed_ms = self._timers.now_ms()
-        self._set_current(record, "heartbeat")
-        self._admission.set_cold_time(cold_ms)
+        self._set_current(record, "heartbeat", cold_ms)
         return True
 
     @property
@@ -211,11 +211,10 @@
 
     def record_report(self, report: UpstreamReport) -> None:
         """Use the report in a response, which may tell that the upstream is leaving."""
-        current = self.current
-        if not report.leaving or current is None or report.instance_id != current.instance_id:
-            return
-        if report.requested_ms >= self._current_since_ms:
-            self.record_departure(current.instance_id, current.incarnation, "response")
+        start = self._start
+        if report.leaving and start is not None and start.sent(report):
+            record = start.record
+            self.record_departure(record.instance_id, record.incarnation, "response")
 
     def record_departure(self, instance_id: str, incarnation: int, cause: str) -> None:
         """Record that an upstream departed; it gets no new calls, whatever it reports later."""
@@ -255,9 +254,18 @@
             self._announced_departure = None
             self._membership.announce_local(self.current)
 
-    def _set_current(self, record: UpstreamRecord | None, cause: str) -> None:
-        if record == self.current:
-            return
+    def _set_current(
+        self, record: UpstreamRecord | None, cause: str, cold_ms: float | None = None
+    ) -> None:
+        is_change = record != self.current
+        if is_change:
+            self._change_current(record, cause)
+        if record is not None and cold_ms is not None:
+            self._admission.record_heartbeat(record, cold_ms)
+        elif is_change:
+            self._admission.set_upstream(record)
+
+    def _change_current(self, record: UpstreamRecord | None, cause: str) -> None:
         logged = record or self.current
         assert logged is not None
         self._counters.add("announcements", cause)
@@ -269,15 +277,13 @@
             incarnation=logged.incarnation,
             state=logged.state.value,
         )
-        if record is not None and not _is_same_start(record, self.current):
-            self._current_since_ms = self._timers.now_ms()
+        self._start = next_start(self._start, record, self._timers) if record is not None else None
         self.current = record
         # Other nodes learn that a deregistered upstream left, so that they do not use it if this
         # node restarts and finds it again.
         left = cause == DEREGISTERED
         self._announced_departure = self._as_departed(logged) if left else None
         self._membership.announce_local(self._announced_departure or record)
-        self._admission.set_upstream(record)
 
     def _as_departed(self, record: UpstreamRecord) -> UpstreamRecord:
         """Return the record of a departed upstream, with the highest incarnation that departed.
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -27,9 +27,10 @@
 from knapweedhitch.exchange import CallSpec
 from knapweedhitch.items import BackendItem, Items
 from knapweedhitch.kernel import Kernel, service
-from knapweedhitch.model import CallResult, LoadSample, UpstreamRecord, UpstreamState, Warmth
+from knapweedhitch.model import CallResult, LoadSample, UpstreamRecord, Warmth
 from knapweedhitch.slots import Slot, closed_refusal
 from knapweedhitch.upstreamload import UpstreamReport, parse_report
+from knapweedhitch.upstreamstatus import UpstreamStatus
 from knapweedhitch.workqueue import MAX_LOAD_AGE_MS, Work, WorkQueue
 
 # A slow period of a few hundred ms may have begun since the last report; a probe takes about 1 ms.
@@ -60,9 +61,7 @@
         self._cfg = kernel.cfg.admission
         self._timers = kernel.get("timers")
         self._counters = kernel.get("counters")
-        self._record: UpstreamRecord | None = None
-        self._draining = False
-        self._domain_out = False
+        self._draining = self._domain_out = False
         self._ids = itertools.count(1)
         self._routes_by_slot: dict[int, str] = {}
         self._waiters: dict[int, _Waiter] = {}
@@ -72,15 +71,10 @@
         # Mean time between calls, which tells how often other nodes need the load.
         self.call_gap_ms = MAX_GAP_MS
         self.queue = WorkQueue(self._cfg)
-        self.cold = ColdTime()
-        # When the current incarnation of the upstream was announced, and whether it has responded
-        # since.
-        self._upstream_since_ms = math.inf
+        self.status = UpstreamStatus(self._timers)
+        # Whether the upstream has responded since it was announced or its domain returned.
         self.has_report = False
         self._starts_before_report = 0
-        # The rate limit that the upstream names, when it changed, and when it was named last.
-        self._limit_per_s: float | None = None
-        self._limit_set_ms = self._limit_named_ms = -math.inf
         self._limit_log_budget = TokenBucket(
             LIMIT_LOG_LINES_PER_S, LIMIT_LOG_BURST, self._timers.now_ms
         )
@@ -171,7 +165,7 @@
         now = self._timers.now_ms()
         if self.queue.start_wait_ms(now) > 0:
             self._counters.add("starts_over_limit")
-        if not self.has_report:
+        if not self.status.has_responded:
             self._starts_before_report += 1
             self._counters.add("starts_before_report")
         self.queue.start(now, work.priority)
@@ -188,7 +182,7 @@
             return
         is_measured = result.ok and not result.cancelled
         self._end_call(slot, result.service_ms if is_measured else None)
-        if result.connect_failed and self._record is not None:
+        if result.connect_failed:
             self._assume_cold()
         self._dispatch()
 
@@ -204,78 +198,62 @@
 
     def _on_report(self, report: UpstreamReport) -> None:
         """Record the report of a response, unless the upstream has been replaced since."""
-        record = self._record
-        if record is None or report.instance_id != record.instance_id:
-            return
-        if report.requested_ms >= self._upstream_since_ms:
+        start = self.status.start
+        if start is not None and start.sent(report):
             self._record_report(report, "response")
 
     def _record_report(self, report: UpstreamReport, source: str) -> None:
-        if not self.has_report:
+        if not self.status.has_responded:
             self._log_first_report(report, source)
         self.has_report = True
         for name in report.malformed:
             self._counters.add("reports_unreadable", name)
-        if "limit" not in report.malformed:
-            self._update_limit(report, source)
-        if report.load is None:
-            return
-        self._load_reported_ms = self._timers.now_ms()
-        self.queue.set_slowdown(report.load.slowdown, self._load_reported_ms)
-        if self.queue.waiting:
-            self._dispatch()
+        limit_before, now = self.status.limit_per_s, self._timers.now_ms()
+        self.status.record_report(report)
+        if self.status.limit_per_s != limit_before:
+            self._apply_limit(limit_before, source)
+        if report.load is not None:
+            self._load_reported_ms = now
+            self.queue.set_slowdown(report.load.slowdown, now)
+        self._apply_status()
 
     def _log_first_report(self, report: UpstreamReport, source: str) -> None:
         logs.event(
             "upstream-first-report",
             instance=report.instance_id,
             source=source,
-            after_ms=round(self._timers.now_ms() - self._upstream_since_ms, 1),
+            after_ms=round(self.status.age_ms, 1),
             started=self._starts_before_report,
         )
 
-    def _update_limit(self, report: UpstreamReport, source: str) -> None:
-        """Adopt the limit in a response; without one, the last limit has ended."""
-        now, before = self._timers.now_ms(), self._limit_per_s
-        if report.limit_per_s is not None:
-            self._limit_named_ms = now
-            is_higher = before is not None and report.limit_per_s > before
-            if is_higher and report.requested_ms < self._limit_set_ms:
-                # This response may be older than the one that named the lower limit.
-                return
-        elif report.requested_ms < self._limit_named_ms:
-            # This response may be older than the one that named the limit.
-            return
-        self._limit_per_s = report.limit_per_s
-        if self._limit_per_s == before:
-            return
-        self._limit_set_ms = now
-        self.queue.set_rate_limit(self._limit_per_s, now)
+    def _apply_limit(self, before: float | None, source: str) -> None:
+        start, now = self.status.start, self._timers.now_ms()
+        assert start is not None
+        limit_per_s = self.status.limit_per_s
+        self.queue.set_rate_limit(limit_per_s, now)
         self._counters.add("upstream_limit_changes", source)
         if self._limit_log_budget.take():
             logs.event(
                 "upstream-limit",
-                instance=self._record.instance_id if self._record is not None else "",
+                instance=start.record.instance_id,
                 source=source,
-                per_s=self._limit_per_s,
+                per_s=limit_per_s,
                 before=before,
                 started_per_s=round(self.queue.starts_per_s(now)),
             )
-        if self.queue.waiting:
-            self._dispatch()
 
     def record_probe(
         self, record: UpstreamRecord, headers: Mapping[bytes, bytes], requested_ms: float
     ) -> None:
-        """Record what a probe response reports, unless the upstream has changed since."""
-        if record != self._record:
+        """Record what a probe response reports, unless the upstream has been replaced since."""
+        start = self.status.start
+        if start is None or not start.answered_probe(record, requested_ms):
             return
-        report = parse_report(headers.items(), self._names, record.instance_id, requested_ms)
-        self._record_report(report, "probe")
         cold = headers.get(self._names.cold)
         if cold is not None and cold.isdigit():
             self.cold.record_response(float(cold), requested_ms, self._timers.now_ms())
-            self._apply_cold()
+        report = parse_report(headers.items(), self._names, record.instance_id, requested_ms)
+        self._record_report(report, "probe")
 
     def load(self) -> LoadSample:
         """Return a load sample of the local upstream."""
@@ -287,52 +265,59 @@
             limit=self.queue.limit,
             latency_ms=self.queue.mean_ms,
             warmth=Warmth.COLD if cold else Warmth.WARM,
-            draining=self._draining or self._domain_out or self._is_leaving(),
+            draining=self._draining or self._domain_out or self.status.leaving,
             slowdown=round(self.queue.slowdown, 2),
             wait_ms=round(self.queue.expected_wait_ms(now), 1),
         )
 
     def set_upstream(self, record: UpstreamRecord | None) -> None:
         """Set the announced upstream, or None if there is none."""
-        old, self._record = self._record, record
+        self._set_record(record)
+        self._apply_status()
+
+    def record_heartbeat(self, record: UpstreamRecord, cold_ms: float) -> None:
+        """Set the upstream and the time until it is warm, zero if it is, from one heartbeat."""
+        self._set_record(record)
+        self.cold.record_heartbeat(cold_ms, self._timers.now_ms())
+        self._apply_status()
+
+    def _set_record(self, record: UpstreamRecord | None) -> None:
+        if self.status.set_record(record):
+            self.queue.set_rate_limit(None, self._timers.now_ms())
+            self._starts_before_report = 0
+            self._request_probe()
+
+    def _apply_status(self) -> None:
+        """Apply all that the upstream has told before any call starts."""
+        record = self.status.record
         if record is None:
             self._refuse_queue(NoTarget)
             return
-        if old is None or not old.is_same_start(record.instance_id, record.incarnation):
-            self._upstream_since_ms = self._timers.now_ms()
-            self.cold.start_incarnation()
-            self._limit_per_s, self._limit_named_ms = None, -math.inf
-            self.queue.set_rate_limit(None, self._upstream_since_ms)
-            # A node that has just started knows nothing of a limit named before.
-            self._request_probe()
         share = max(1, int(record.slots * self._cfg.slots_share))
         self.queue.limit = min(share, record.connections)
-        if self._is_leaving():
+        now = self._timers.now_ms()
+        if self.cold.until_ms > now or self.queue.is_cold(now):
+            self.queue.set_cold(self.cold.until_ms, self._cold_per_s())
+        if self.status.leaving:
             self._refuse_queue(UpstreamDraining)
         self._dispatch()
 
-    def set_cold_time(self, cold_ms: float) -> None:
-        """Set the time until the upstream is warm, as its newest heartbeat says; zero if it is."""
-        self.cold.record_heartbeat(cold_ms, self._timers.now_ms())
-        self._apply_cold()
+    @property
+    def cold(self) -> ColdTime:
+        """Return the cold time of the upstream."""
+        return self.status.cold
 
     def _request_probe(self) -> None:
-        """Request a probe of the upstream, also if it is not in use."""
-        self.has_report, self._starts_before_report = False, 0
+        """Request a probe of the upstream, also if it is not in use or has just responded."""
+        self.has_report, self._load_reported_ms = False, -math.inf
         if self._kernel.has("loadprobe"):
             self._kernel.get("loadprobe").request_probe()
 
     def _assume_cold(self) -> None:
         """Assume that the upstream has just started."""
-        if self._record is not None:
+        if self.status.record is not None:
             self.cold.assume(self._cold_start_ms(), self._timers.now_ms())
-            self._apply_cold()
-
-    def _apply_cold(self) -> None:
-        now = self._timers.now_ms()
-        if self._record is not None and (self.cold.until_ms > now or self.queue.is_cold(now)):
-            self.queue.set_cold(self.cold.until_ms, self._cold_per_s())
-            self._dispatch()
+            self._apply_status()
 
     def _cold_per_s(self) -> float:
         backend = self._backend()
@@ -344,7 +329,8 @@
 
     def _backend(self) -> BackendItem | None:
         items: Items = self._kernel.get("config").current.items
-        return items.backends.get(self._record.service) if self._record is not None else None
+        record = self.status.record
+        return items.backends.get(record.service) if record is not None else None
 
     def set_draining(self, draining: bool) -> None:
         """Set whether the node drains; it then refuses new calls but serves the queued ones."""
@@ -361,11 +347,12 @@
             # A late heartbeat may end the assumption, but not what a response tells.
             self._request_probe()
 
-    def _is_leaving(self) -> bool:
-        return self._record is not None and self._record.state is UpstreamState.LEAVING
-
     def _refuse_if_closed(self) -> None:
-        refusal = closed_refusal(self._record, draining=self._draining, domain_out=self._domain_out)
+        refusal = closed_refusal(
+            self.status.record, draining=self._draining, domain_out=self._domain_out
+        )
+        if refusal is None and self.status.leaving:
+            refusal = UpstreamDraining()
         if refusal is not None:
             raise self._count_refusal(refusal)
 
--- a/tests/test_announce.py
+++ b/tests/test_announce.py
@@ -63,7 +63,8 @@
         kernel.add("timers", Timers(kernel))
         kernel.add("membership", SimpleNamespace(announce_local=self.announced.append))
         admission = SimpleNamespace(
-            set_upstream=lambda record: None, set_cold_time=self.cold_ms.append
+            set_upstream=lambda record: None,
+            record_heartbeat=lambda record, cold_ms: self.cold_ms.append(cold_ms),
         )
         kernel.add("admission", admission)
         return Announce(kernel)
--- a/tests/test_queueadmission.py
+++ b/tests/test_queueadmission.py
@@ -197,7 +197,7 @@
         self.respond(a, 0.0)
         a.set_domain_out(True)
         a.set_domain_out(False)
-        a.set_cold_time(0.0)
+        a.record_heartbeat(RECORD, 0.0)
         self.assertAlmostEqual(self.cold_ms(a), 3_000.0, delta=1.0)
 
     @with_admission
@@ -255,15 +255,14 @@
         """
         self.respond(a, 4_000.0)
         await trio.sleep(0.1)
-        a.set_cold_time(0.0)
+        a.record_heartbeat(RECORD, 0.0)
         self.assertTrue(a.queue.is_cold(now_ms()))
         self.assertAlmostEqual(self.cold_ms(a), 3_900.0, delta=1.0)
         # A health response to a later request ends it, as do the heartbeats of a new start.
         self.respond(a, 0.0)
         self.assertFalse(a.queue.is_cold(now_ms()))
         self.respond(a, 4_000.0)
-        a.set_upstream(structs.replace(RECORD, incarnation=2))
-        a.set_cold_time(0.0)
+        a.record_heartbeat(structs.replace(RECORD, incarnation=2), 0.0)
         self.assertFalse(a.queue.is_cold(now_ms()))
 
     @with_admission
@@ -273,7 +272,7 @@
         response.
         """
         turns_cold: tuple[Callable[[], None], ...] = (
-            lambda: a.set_cold_time(3_000.0),
+            lambda: a.record_heartbeat(RECORD, 3_000.0),
             lambda: a.release(slot, CallResult(False, 1.0, connect_failed=True)),
             lambda: a.set_domain_out(False),
         )
@@ -297,13 +296,13 @@
         """Guards against a warm upstream that is held at its cold rate, and against one whose
         longer cold time is cut short by a failed connection.
         """
-        a.set_cold_time(5_000.0)
+        a.record_heartbeat(RECORD, 5_000.0)
         await trio.sleep(1.0)
-        a.set_cold_time(0.0)
+        a.record_heartbeat(RECORD, 0.0)
         self.assertEqual(self.cold_ms(a), 0.0)
         a.set_domain_out(True)
         a.set_domain_out(False)
-        a.set_cold_time(0.0)
+        a.record_heartbeat(RECORD, 0.0)
         self.assertEqual(self.cold_ms(a), 0.0)
         self.respond(a, 10_000.0)
         a.release(await admit(a, spec()), CallResult(False, 1.0, connect_failed=True))
