Hold the calls of an upstream until it has responded for the first time

A target that named a limit got more requests than it allows when the node beside it was killed: the review saw 12 in 4 s where 11 were allowed.

Cause: a node that has just restarted, or whose upstream has, knows nothing of a limit, a cold time or a notice to leave, and took that for their absence. Until the health response of about 1 ms later, calls started up to the slots; if the health check did not respond, until the response to a first call.

The upstream itself knows best and is asked at once, so calls wait for that response, at most probe_timeout_ms. Without one, a single call runs at a time until a response has come. No other node need tell, and nothing need be stored.

Before: test_limit_holds_while_the_node_is_killed_three_times (32 starts where 11 are allowed), test_start_of_a_node_keeps_the_limit (7 starts at a limit of 1), test_queued_calls_wait_for_the_response_of_a_new_start (2 starts) and test_upstream_without_health_responses_gets_one_call_first (8 starts, 2 allowed) fail. After: they pass. What a start costs: test_start_of_a_node_costs_one_response, all calls start within 1 ms of the first response and none is refused. The calls of the admission tests begin after a first response now.

--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -71,7 +71,7 @@
         # Mean time between calls, which tells how often other nodes need the load.
         self.call_gap_ms = MAX_GAP_MS
         self.queue = WorkQueue(self._cfg)
-        self.status = UpstreamStatus(self._timers)
+        self.status = UpstreamStatus(kernel.cfg.upstream, self._timers)
         # Whether the upstream has responded since it was announced or its domain returned.
         self.has_report = False
         self._starts_before_report = 0
@@ -97,6 +97,7 @@
         await trio.lowlevel.checkpoint_if_cancelled()
         self._refuse_if_closed()
         self._record_request()
+        await self.status.wait_for_probe(deadline)
         await self._refresh_load()
         self._refuse_if_closed()
         now = self._timers.now_ms()
@@ -294,7 +295,8 @@
             self._refuse_queue(NoTarget)
             return
         share = max(1, int(record.slots * self._cfg.slots_share))
-        self.queue.limit = min(share, record.connections)
+        # The response to a first call tells what the upstream allows.
+        self.queue.limit = min(share, record.connections) if self.status.has_responded else 1
         now = self._timers.now_ms()
         if self.cold.until_ms > now or self.queue.is_cold(now):
             self.queue.set_cold(self.cold.until_ms, self._cold_per_s())
@@ -368,7 +370,7 @@
         for overdue in self.queue.drop_overdue(now):
             self._waiters[id(overdue)].refusal = self._no_room(overdue, now)
             self._waiters[id(overdue)].event.set()
-        while (work := self.queue.next(now)) is not None:
+        while not self.status.probe_wait_ms and (work := self.queue.next(now)) is not None:
             waiter = self._waiters[id(work)]
             waiter.slot = self._start_call(now - work.arrived_ms, work)
             waiter.event.set()
@@ -377,7 +379,7 @@
     def _set_timer(self) -> None:
         """Schedule a dispatch for the next start on a cold upstream or the end of a slow period."""
         now = self._timers.now_ms()
-        wait_ms = self.queue.start_wait_ms(now)
+        wait_ms = max(self.queue.start_wait_ms(now), self.status.probe_wait_ms)
         if any(self.queue.pause_ms(work, now) for work in self.queue.waiting):
             wait_ms = max(wait_ms, REFRESH_AGE_MS)
         if self.queue.waiting and wait_ms > 0 and not self._timer_is_set:
--- a/knapweedhitch/upstreamstatus.py
+++ b/knapweedhitch/upstreamstatus.py
@@ -5,8 +5,13 @@
 import dataclasses
 import math
 
+import trio
+
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.coldtime import ColdTime
+from knapweedhitch.deadline import Deadline
 from knapweedhitch.model import UNKNOWN_INCARNATION, UpstreamRecord, UpstreamState
+from knapweedhitch.settings import UpstreamSettings
 from knapweedhitch.timers import Timers
 from knapweedhitch.upstreamload import UpstreamReport
 
@@ -52,9 +57,15 @@
 
 
 class UpstreamStatus:
-    """Track what the current start of the upstream has told, and nothing of those before it."""
+    """Track what the current start of the upstream has told, and nothing of those before it.
+
+    Until it has responded for the first time, it may name a limit, be cold or leave without this
+    node knowing it. A probe is sent at once, so calls wait for its response, and then, if there was
+    none, for that to a first call.
+    """
 
-    def __init__(self, timers: Timers) -> None:
+    def __init__(self, cfg: UpstreamSettings, timers: Timers) -> None:
+        self._cfg = cfg
         self._timers = timers
         self.start: UpstreamStart | None = None
         self.has_responded = False
@@ -64,6 +75,7 @@
         self._leaving = False
         # When the limit changed, and when it was named last.
         self._limit_set_ms = self._limit_named_ms = -math.inf
+        self._changed = trio.Event()
 
     @property
     def record(self) -> UpstreamRecord | None:
@@ -81,8 +93,22 @@
         """Return the time since this node learnt of the start."""
         return self._timers.now_ms() - self.start.since_ms if self.start is not None else math.inf
 
+    @property
+    def probe_wait_ms(self) -> float:
+        """Return how much longer the first response may come from the probe sent at the start."""
+        if self.start is None or self.has_responded or not self._cfg.probe_interval_ms:
+            return 0.0
+        return max(0.0, self._cfg.probe_timeout_ms - self.age_ms)
+
+    async def wait_for_probe(self, deadline: Deadline) -> None:
+        """Wait for the response to the probe sent at the start, if nothing has come before."""
+        while (wait_ms := self.probe_wait_ms) > 0 and not deadline.expired():
+            with trio.move_on_after(min(wait_ms, deadline.remaining_ms()) / MS_PER_S):
+                await self._changed.wait()
+
     def set_record(self, record: UpstreamRecord | None) -> bool:
         """Set the announced record; return whether it is of another start."""
+        self._notify()
         if record is None:
             self.start = None
             return False
@@ -98,6 +124,7 @@
 
     def record_report(self, report: UpstreamReport) -> None:
         """Record what a response of this start tells."""
+        self._notify()
         self.has_responded = True
         # An upstream that leaves never serves again before its next start.
         self._leaving = self._leaving or report.leaving
@@ -118,3 +145,8 @@
             return
         if report.limit_per_s != before:
             self.limit_per_s, self._limit_set_ms = report.limit_per_s, now_ms
+
+    def _notify(self) -> None:
+        """Wake the waiting calls, which run after the change is complete."""
+        self._changed.set()
+        self._changed = trio.Event()
--- a/tests/test_queueadmission.py
+++ b/tests/test_queueadmission.py
@@ -82,6 +82,7 @@
                 await timers.start()
                 await admission.start()
                 admission.set_upstream(RECORD)
+                admission.record_probe(RECORD, {}, now_ms())
                 await fn(self, admission)
                 nursery.cancel_scope.cancel()
 
--- a/tests/test_upstreamstatus.py
+++ b/tests/test_upstreamstatus.py
@@ -43,6 +43,10 @@
 SERVICE_MS = 160.0
 PROBE_MS = 2.0
 PROBE_TIMEOUT_MS = 200
+# Of the platform's rule on limits, in a window that begins after a limit was first named.
+WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
 
 
 class Upstream:
@@ -169,6 +173,86 @@
 
 
 class RestartedNodeTest(unittest.TestCase):
+    @with_upstream
+    async def test_limit_holds_while_the_node_is_killed_three_times(
+        self, upstream: Upstream, nursery: trio.Nursery
+    ) -> None:
+        """Guards against a restarted node that starts calls before it knows the limit of its
+        upstream: 12 requests in 4 s where the limit allowed 11.
+        """
+        upstream.limit_per_s = 1.0
+        for first in (RECORD, PROBED):
+            with self.subTest(first.incarnation):
+                upstream.starts_s.clear()
+                await self.run_processes(upstream, first, count=4, for_s=WINDOW_S / 4)
+                allowed = LIMIT_FACTOR * upstream.limit_per_s * WINDOW_S + LIMIT_SLACK
+                self.assertLessEqual(len(upstream.starts_s), allowed)
+
+    async def run_processes(
+        self, upstream: Upstream, first: UpstreamRecord, count: int, for_s: float
+    ) -> None:
+        """Run processes of one node, each of which is killed after a time with many calls."""
+        for _ in range(count):
+            async with trio.open_nursery() as process:
+                node = await start_node(upstream, process)
+                if first is PROBED:
+                    node.find_upstream()
+                else:
+                    node.announce.record_heartbeat(first, 1, 0.0)
+                for _ in range(10):
+                    process.start_soon(node.call)
+                await trio.sleep(for_s / 10)
+                node.announce.record_heartbeat(RECORD, 2, 0.0)
+                await trio.sleep(for_s * 9 / 10)
+                process.cancel_scope.cancel()
+
+    @with_upstream
+    async def test_start_of_a_node_keeps_the_limit(
+        self, upstream: Upstream, nursery: trio.Nursery
+    ) -> None:
+        """Guards against a burst of calls between a heartbeat and the first health response."""
+        upstream.limit_per_s = 1.0
+        node = await start_node(upstream, nursery)
+        node.announce.record_heartbeat(RECORD, 1, 0.0)
+        for _ in range(10):
+            nursery.start_soon(node.call)
+        await trio.sleep(0.5)
+        self.assertLessEqual(len(upstream.starts_s), 1)
+        self.assertEqual(node.counters.get("starts_before_report"), 0)
+
+    @with_upstream
+    async def test_start_of_a_node_costs_one_response(
+        self, upstream: Upstream, nursery: trio.Nursery
+    ) -> None:
+        """Guards against an upstream that is out of use for long after each restart of its node."""
+        node = await start_node(upstream, nursery)
+        node.announce.record_heartbeat(RECORD, 1, 0.0)
+        began_s = trio.current_time()
+        for _ in range(RECORD.slots):
+            nursery.start_soon(node.call)
+        await trio.sleep(0.1)
+        waits_ms = [(at_s - began_s) * 1_000 for at_s in upstream.starts_s]
+        self.assertEqual(len(waits_ms), RECORD.slots)
+        self.assertLessEqual(max(waits_ms), PROBE_MS + 1.0)
+        self.assertEqual(upstream.refusals, [])
+
+    @with_upstream
+    async def test_upstream_without_health_responses_gets_one_call_first(
+        self, upstream: Upstream, nursery: trio.Nursery
+    ) -> None:
+        """Guards against calls above a limit that only responses to calls tell, and against an
+        upstream that is never used because its health check does not respond.
+        """
+        upstream.probe_ms, upstream.limit_per_s = math.inf, 1.0
+        node = await start_node(upstream, nursery)
+        node.announce.record_heartbeat(RECORD, 1, 0.0)
+        began_s = trio.current_time()
+        for _ in range(10):
+            nursery.start_soon(node.call)
+        await trio.sleep(1.0)
+        self.assertLessEqual(len(upstream.starts_s), 2)
+        self.assertLessEqual((upstream.starts_s[0] - began_s) * 1_000, PROBE_TIMEOUT_MS + 1.0)
+
     @with_upstream
     async def test_response_sent_for_before_the_first_heartbeat_counts(
         self, upstream: Upstream, nursery: trio.Nursery
@@ -215,6 +299,25 @@
         await trio.sleep(0.9)
         self.assertLessEqual(len(upstream.starts_s), 1)
 
+    @with_upstream
+    async def test_queued_calls_wait_for_the_response_of_a_new_start(
+        self, upstream: Upstream, nursery: trio.Nursery
+    ) -> None:
+        """Guards against queued calls that start before a new start has named its limit."""
+        node = await start_node(upstream, nursery)
+        upstream.limit_per_s = 1.0
+        node.announce.record_heartbeat(RECORD, 1, 0.0)
+        await trio.sleep(0.1)
+        for _ in range(6):
+            nursery.start_soon(node.call)
+        await trio.sleep(0.3)  # No call runs, and the next ones wait for their turn.
+        self.assertGreater(node.admission.load().queued, 0)
+        upstream.starts_s.clear()
+        born_later = structs.replace(RECORD, incarnation=BORN_MS + 1)
+        node.announce.record_heartbeat(born_later, 1, 0.0)
+        await trio.sleep(PROBE_MS / 2 / 1_000)
+        self.assertEqual(upstream.starts_s, [])
+
     @with_upstream
     async def test_limit_of_a_probed_upstream_ends_with_its_start(
         self, upstream: Upstream, nursery: trio.Nursery
