Pace an upstream's starts as if earlier processes of its node had used them up

A target that names a limit got one more request, or as many as fit into the tolerance of the pace, in each process of a node that restarts often.

Cause: the pace began anew when a process learnt a limit, also if a process before it had just started calls. Now it begins with a full pace at the start of the process, and a call that started before the limit was named counts. A process takes longer to begin than a turn at all but the smallest limits, so little is lost: at 4.4 a second the first call comes at most 227 ms after its start.

Before: test_number_of_restarts_does_not_raise_the_limit fails (16 processes in 4 s: 16 starts at a limit of 0, 16 at 1 and 48 at 4.4 a second; allowed 1, 5 and 18). After: it passes. The tests of limits begin 3 s after the start of the process.

--- a/knapweedhitch/pacing.py
+++ b/knapweedhitch/pacing.py
@@ -25,13 +25,22 @@
         # When the starts so far would have ended at the exact rate.
         self._paced_until_ms = -math.inf
 
-    def set_rate(self, per_s: float | None, now_ms: float) -> None:
-        """Set the starts per second, None for no limit."""
+    def set_rate(
+        self, per_s: float | None, now_ms: float, unknown_before_ms: float = -math.inf
+    ) -> None:
+        """Set the starts per second, None for no limit.
+
+        Until `unknown_before_ms`, starts may have been made at that rate that were not recorded.
+        """
         if per_s is None:
             self._interval_ms = 0.0
-            self._paced_until_ms = -math.inf
+            self._paced_until_ms = min(self._paced_until_ms, now_ms)
             return
+        was_unlimited = not self._interval_ms
         self._interval_ms = min(MAX_INTERVAL_MS, MS_PER_S / per_s if per_s else math.inf)
+        if was_unlimited:
+            unknown_until_ms = unknown_before_ms + TOLERANCE_MS
+            self._paced_until_ms = max(self._paced_until_ms, unknown_until_ms) + self._interval_ms
         # Starts at a lower rate must not delay those at a higher one.
         latest_ms = now_ms + self._interval_ms + TOLERANCE_MS
         self._paced_until_ms = min(self._paced_until_ms, latest_ms)
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -75,12 +75,14 @@
         # Whether the upstream has responded since it was announced or its domain returned.
         self.has_report = False
         self._starts_before_report = 0
+        self._began_ms = -math.inf
         self._limit_log_budget = TokenBucket(
             LIMIT_LOG_LINES_PER_S, LIMIT_LOG_BURST, self._timers.now_ms
         )
 
     async def start(self) -> None:
         """Subscribe to what the upstream reports in its responses."""
+        self._began_ms = self._timers.now_ms()
         self._kernel.get("pool").subscribe_reports(self._on_report)
 
     async def stop(self) -> None:
@@ -231,7 +233,8 @@
         start, now = self.status.start, self._timers.now_ms()
         assert start is not None
         limit_per_s = self.status.limit_per_s
-        self.queue.set_rate_limit(limit_per_s, now)
+        # An earlier process of this node may have started calls until this one began.
+        self.queue.set_rate_limit(limit_per_s, now, unknown_before_ms=self._began_ms)
         self._counters.add("upstream_limit_changes", source)
         if self._limit_log_budget.take():
             logs.event(
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -110,9 +110,14 @@
         # Follows the requests per second that the upstream has named as its limit.
         self._pacer = StartPacer()
 
-    def set_rate_limit(self, per_s: float | None, now_ms: float) -> None:
-        """Set the starts per second that the upstream allows, None if it names no limit."""
-        self._pacer.set_rate(per_s, now_ms)
+    def set_rate_limit(
+        self, per_s: float | None, now_ms: float, unknown_before_ms: float = -math.inf
+    ) -> None:
+        """Set the starts per second that the upstream allows, None if it names no limit.
+
+        Until `unknown_before_ms`, it may have had calls that this queue does not know.
+        """
+        self._pacer.set_rate(per_s, now_ms, unknown_before_ms)
 
     def starts_per_s(self, now_ms: float) -> float:
         """Return the rate of starts in the last second."""
--- a/tests/test_upstreamlimit.py
+++ b/tests/test_upstreamlimit.py
@@ -129,6 +129,9 @@
                 await upstream.admission.start()
                 upstream.pass_report = pool.pass_report
                 upstream.admission.set_upstream(RECORD)
+                # It has responded, and calls before it was announced no longer count.
+                upstream.respond(trio.current_time())
+                await trio.sleep(CONTACT_S)
                 await fn(self, upstream)
                 nursery.cancel_scope.cancel()
 
--- a/tests/test_upstreamstatus.py
+++ b/tests/test_upstreamstatus.py
@@ -206,6 +206,18 @@
                 await trio.sleep(for_s * 9 / 10)
                 process.cancel_scope.cancel()
 
+    @with_upstream
+    async def test_number_of_restarts_does_not_raise_the_limit(
+        self, upstream: Upstream, nursery: trio.Nursery
+    ) -> None:
+        """Guards against a start beyond the limit in each process of a node that restarts often."""
+        for limit_per_s in (0.0, 1.0, 4.4):
+            with self.subTest(limit_per_s):
+                upstream.limit_per_s = limit_per_s
+                upstream.starts_s.clear()
+                await self.run_processes(upstream, RECORD, count=16, for_s=WINDOW_S / 16)
+                self.assertLessEqual(len(upstream.starts_s), limit_per_s * WINDOW_S + 1)
+
     @with_upstream
     async def test_start_of_a_node_keeps_the_limit(
         self, upstream: Upstream, nursery: trio.Nursery
