Probe an upstream only once the path of its health check is known

Cause: the heartbeat came before the configuration, which holds the path of the health check. The probe used the default path, failed, and the next one was due only 250 ms later. Now the first probe waits for a configuration and is sent as soon as there is one.

Before: test_first_probe_waits_for_the_configuration fails (124 probes before any configuration). After: it passes, with one probe at once.

--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -11,6 +11,7 @@
 
 from knapweedhitch import framing, logs
 from knapweedhitch.clock import MS_PER_S
+from knapweedhitch.configuration import Configuration
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import CallerGone, Refusal, UpstreamError
 from knapweedhitch.exchange import CallSpec, Headers
@@ -89,6 +90,7 @@
         self._counters = get("counters")
         self._timers = get("timers")
         if self._cfg.probe_interval_ms:
+            self._config.subscribe(self._on_config)
             self._kernel.nursery.start_soon(self._run)
 
     async def stop(self) -> None:
@@ -98,6 +100,11 @@
         """Request a probe now; admission receives the result."""
         self._requested.set()
 
+    def _on_config(self, config: Configuration) -> None:
+        # It tells the path of the health check, for which the first probe may have had to wait.
+        if not self._admission.has_report:
+            self.request_probe()
+
     async def refresh(self) -> None:
         """Request a probe now and wait for it, at most REFRESH_WAIT_MS."""
         if not self._cfg.probe_interval_ms:
@@ -134,6 +141,9 @@
             await self._discover()
         elif record is None or record.state is not UpstreamState.SERVING:
             return
+        elif not self._config.current.version:
+            # The health check may have another path than the default one.
+            return
         elif self._admission.load_age_ms >= max_age_ms and self._is_of_interest():
             await self._probe(record)
 
--- a/tests/test_loadprobe.py
+++ b/tests/test_loadprobe.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from types import SimpleNamespace
 from typing import Any
 
@@ -18,6 +19,8 @@
 RECORD = UpstreamRecord("robes", Address("127.0.0.1", 80), 9, 220, "i1", 1)
 HEADERS = HeaderSettings(leaving="x-leaving", instance="x-instance")
 SECONDS = 10.0
+# How long before the end of the count a configuration comes into force.
+CONFIG_S = 0.01
 
 
 class CountingProbe(LoadProbe):
@@ -30,6 +33,12 @@
 
 
 class ProbeRateTest(TrioTestCase):
+    def setUp(self) -> None:
+        self.on_config: list[Callable[[Any], None]] = []
+        self.config = SimpleNamespace(
+            current=SimpleNamespace(version=1), subscribe=self.on_config.append
+        )
+
     async def count_probes(
         self, gap_ms: float, idle_ms: float = 0.0, *, has_report: bool = True
     ) -> int:
@@ -41,14 +50,19 @@
         )
         kernel.add("announce", SimpleNamespace(current=RECORD, has_reported=True))
         kernel.add("admission", load)
-        kernel.add("config", SimpleNamespace())
+        kernel.add("config", self.config)
         kernel.add("counters", Counters())
         kernel.add("timers", FakeTimers())
         probe = CountingProbe(kernel)
         async with trio.open_nursery() as nursery:
             kernel._nursery = nursery
             await probe.start()
-            await trio.sleep(SECONDS)
+            await trio.sleep(SECONDS - CONFIG_S)
+            self.probes_before_config = probe.count
+            self.config.current.version = 1
+            for fn in self.on_config:
+                fn(self.config.current)
+            await trio.sleep(CONFIG_S)
             nursery.cancel_scope.cancel()
         return probe.count
 
@@ -69,6 +83,14 @@
         self.assertGreaterEqual(count, SECONDS * 3)
         self.assertLessEqual(count, SECONDS * 4 + 1)
 
+    async def test_first_probe_waits_for_the_configuration(self) -> None:
+        """Guards against a restarted node whose first probe has the wrong path, and which asks its
+        upstream only 250 ms later.
+        """
+        self.config.current.version = 0
+        count = await self.count_probes(gap_ms=100.0, has_report=False)
+        self.assertEqual((self.probes_before_config, count), (0, 1))
+
 
 class ProbeResponseTest(TrioTestCase):
     async def test_response_of_another_upstream_tells_nothing(self) -> None:
