--- a/knapweedhitch/membership.py
+++ b/knapweedhitch/membership.py
@@ -14,6 +14,7 @@
 from knapweedhitch.counters import Counters
 from knapweedhitch.departurenotices import DepartureNotifier
 from knapweedhitch.gossip import MAC_BYTES, GossipSocket, UpdateQueue
+from knapweedhitch.gossiprounds import MIN_GOSSIP_GAP_MS, GossipRounds
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.members import LIVE_STATES, MemberTable, precedence, verdict_of, with_state
 from knapweedhitch.messages import (
@@ -44,8 +45,6 @@
 # upstream.
 OWN_CHANGES_PER_S = 5.0
 OWN_CHANGES_BURST = 10.0
-# A leave or a drain does not wait for the next gossip interval, but keeps this gap between rounds.
-MIN_GOSSIP_GAP_MS = 50.0
 LEAVE_GOSSIP_ROUNDS = 4
 MAX_ADDED_SEEDS = 16
 
@@ -72,8 +71,6 @@
         self.own_id = kernel.cfg.node.id
         self._suspects: dict[str, float] = {}
         self._left = False
-        self._gossip_scheduled = False
-        self._last_gossip_ms = 0.0
         self._announce_pending = False
         self._desired_announcement: tuple[UpstreamRecord | None, bool] = (None, False)
         self._seeds = [Address(s.host, s.port) for s in self._cfg.seeds]
@@ -90,7 +87,7 @@
             self.counters,
         )
         self._event_budget = TokenBucket(cfg.max_events_per_s, 2 * cfg.max_events_per_s, now_ms)
-        self._byte_budget = TokenBucket(cfg.gossip_bytes_per_s, cfg.gossip_burst_bytes, now_ms)
+        self._gossip = GossipRounds(self, self._timers, cfg)
         self._own_change_budget = TokenBucket(OWN_CHANGES_PER_S, OWN_CHANGES_BURST, now_ms)
         self._put_own(self._initial_member())
         self.prober = Prober(self, self._timers, cfg, self._rng)
@@ -186,7 +183,7 @@
         self._change_own(state=MemberState.LEFT)
         for _ in range(LEAVE_GOSSIP_ROUNDS):
             await trio.sleep(MIN_GOSSIP_GAP_MS / 1_000)
-            self._gossip()
+            self._gossip.run()
 
     # Record of this node
 
@@ -219,7 +216,7 @@
     def _put_own(self, member: Member) -> None:
         self.table.put(member)
         self.update_queue.add(member, urgent=True)
-        self._schedule_gossip()
+        self._gossip.schedule()
 
     def _refute(self, verdict: Member | Verdict) -> None:
         """Refute a state of this node that supersedes its record, by a higher incarnation."""
@@ -303,7 +300,7 @@
         urgent = current is not None and _ends_new_work(current, member)
         self.update_queue.add(update, urgent=urgent)
         if urgent:
-            self._schedule_gossip()
+            self._gossip.schedule()
 
     def _ensure_capacity(self) -> bool:
         return len(self.table) < self._cfg.max_members or self.table.drop_oldest_dead()
@@ -332,28 +329,7 @@
             if current is not None and current.state is MemberState.SUSPECT:
                 member = with_state(current, MemberState.DEAD)
                 self._store_member(member, update=verdict_of(member))
-        self._gossip()
-
-    def _schedule_gossip(self) -> None:
-        if not self._gossip_scheduled:
-            self._gossip_scheduled = True
-            wait_ms = self._last_gossip_ms + MIN_GOSSIP_GAP_MS - self._timers.now_ms()
-            self._timers.after(max(1.0, wait_ms), self._gossip)
-
-    def _gossip(self) -> None:
-        self._gossip_scheduled = False
-        self._last_gossip_ms = self._timers.now_ms()
-        for member in self.sample_live(self._cfg.gossip_fanout):
-            if not len(self.update_queue):
-                return
-            if self._byte_budget.tokens < self._cfg.max_datagram_bytes:
-                self.counters.add("gossip_budget_waits")
-                return
-            members, verdicts = self.take_updates()
-            if not (members or verdicts):
-                return
-            size = self.socket.send(Gossip(self.own_id, members, verdicts), member.address)
-            self._byte_budget.take(size)
+        self._gossip.run()
 
     def _on_sync(self) -> None:
         self.table.expire(self._cfg.dead_retention_ms)
