--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -5,6 +5,7 @@
 import json
 import os
 import signal
+import threading
 import time
 from pathlib import Path
 
@@ -42,6 +43,45 @@
         self.heartbeat(seq=3)
         self.assertEqual(self.count_arrivals(APPS[1], time.monotonic(), 3.0), 0)
 
+    def test_limit_holds_while_the_node_beside_the_target_is_killed(self) -> None:
+        """Guards against a target that gets more requests than it says it takes, because each
+        process beside it starts some before it knows the limit.
+        """
+        self.configure()
+        self.wait_until("heartbeat", self.heartbeat, 200)
+        for ip in APPS:
+            self.wait_until("response", lambda ip=ip: self.send_request(ip), 200)
+        StandInTarget.notices = {"Server-Limit": "1"}
+        self.send_request(APPS[1])
+        done = threading.Event()
+
+        def send_requests(name: str) -> None:
+            while not done.is_set():
+                if self.send_request(APPS[1], request_id=f"{name}-{time.monotonic_ns()}") != 200:
+                    time.sleep(0.02)
+
+        clients = [threading.Thread(target=send_requests, args=(f"c{n}",)) for n in range(8)]
+        for client in clients:
+            client.start()
+        try:
+            time.sleep(3.0)
+            first_s = time.monotonic()
+            for seq in range(2, 5):
+                self.kill(APPS[0])
+                self.start(APPS[0])
+                self.wait_until("heartbeat", lambda seq=seq: self.heartbeat(seq=seq), 200)
+                time.sleep(0.5)
+            time.sleep(4.0)
+        finally:
+            done.set()
+            for client in clients:
+                client.join()
+        arrivals_s = [at_s for at_s in StandInTarget.arrivals_s if at_s >= first_s]
+        most = max(sum(0 <= other - at_s < 4.0 for other in arrivals_s) for at_s in arrivals_s)
+        since_s = [round(at_s - first_s, 2) for at_s in arrivals_s]
+        self.assertLessEqual(most, 1.5 * 1 * 4 + 5, since_s)
+        self.assertGreaterEqual(len(arrivals_s), 3)
+
     def test_odd_entries_end_no_process_and_displace_no_target(self) -> None:
         """Guards against an entry of another writer that ends the processes which read it, or takes
         the place of the sound target.
