--- /dev/null
+++ b/knapweedhitch/crashguard.py
@@ -0,0 +1,288 @@
+"""Guard of upstreams against requests that crash them.
+
+The node beside an upstream sees its end: the connection of a call breaks and new ones are refused.
+What was in progress then is the evidence, which all nodes share and judge in the same way.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import random
+from collections.abc import Callable
+from typing import Any
+
+import trio
+
+from knapweedhitch.boundedlog import BoundedLog
+from knapweedhitch.clock import MS_PER_S
+from knapweedhitch.exceptions import (
+    Outcome,
+    RequestCondemned,
+    SuspectWaits,
+    UpstreamFailed,
+    UpstreamShed,
+    UpstreamTimedOut,
+    UpstreamUnreachable,
+)
+from knapweedhitch.exchange import BodySource, CallSpec, ResponseSink
+from knapweedhitch.identity import NO_BODY, IdentifiedBody, Identifier
+from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.model import CallResult, LoadSample, UpstreamEnd, UpstreamRecord, UpstreamState
+from knapweedhitch.suspects import SuspectTable, Verdict
+from knapweedhitch.suspectsharing import SuspectSharing
+
+# An upstream may close its connections some milliseconds before it stops to listen.
+END_CHECKS = 2
+END_CHECK_GAP_S = 0.02
+
+LoadSource = Callable[[], LoadSample | None]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GuardKey:
+    """Name what tells a request apart, at its entry node."""
+
+    service: str
+    route: str
+    method: str
+    target: bytes
+    has_body: bool
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class GuardedRun:
+    """Track one call at the local upstream."""
+
+    body: BodySource
+    head: bytes = b""
+    has_body: bool = False
+    # Whether the call holds the turn of suspects.
+    has_turn: bool = False
+
+    @property
+    def request(self) -> bytes | None:
+        """Return the digest of the request, None while too little of its body was read."""
+        if not self.has_body:
+            return self.head + NO_BODY
+        assert isinstance(self.body, IdentifiedBody)
+        digest = self.body.digest
+        return None if digest is None else self.head + digest
+
+
+class Unguarded:
+    """Let all calls pass, for nodes without the guard."""
+
+    def __init__(self, pool: Any) -> None:
+        self._pool = pool
+
+    def refusal_of(self, key: GuardKey) -> RequestCondemned | None:
+        """Return None."""
+        return None
+
+    async def admit(self, spec: CallSpec, body: BodySource) -> GuardedRun:
+        """Return the run of a call."""
+        return GuardedRun(body)
+
+    def release(self, run: GuardedRun) -> None:
+        """Do nothing."""
+
+    async def exchange(
+        self,
+        run: GuardedRun,
+        record: UpstreamRecord,
+        spec: CallSpec,
+        body: BodySource,
+        sink: ResponseSink,
+        load: LoadSource,
+    ) -> CallResult:
+        """Run the exchange."""
+        result: CallResult = await self._pool.exchange(record.address, spec, body, sink, load)
+        return result
+
+
+@service("crashguard")
+class CrashGuard:
+    """Refuse condemned requests, keep suspects apart and observe ends of the local upstream."""
+
+    def __init__(self, kernel: Kernel, rng: random.Random | None = None) -> None:
+        self._kernel = kernel
+        self._cfg = kernel.cfg.suspects
+        self._counters = kernel.get("counters")
+        self._now_ms = kernel.get("timers").now_ms
+        self.table = SuspectTable(self._cfg, self._now_ms)
+        self.sharing = SuspectSharing(kernel, self.table, rng or random.Random())
+        self._running: dict[GuardedRun, tuple[str, int]] = {}
+        self._checks: dict[tuple[str, int], trio.Event] = {}
+        self._turn_holder: GuardedRun | None = None
+        self._turn_ended = trio.Event()
+
+    async def start(self) -> None:
+        """Start to share evidence."""
+        secret: bytes = self._kernel.get("peers").secret
+        self.identifier = Identifier(secret, self._cfg.identified_body_bytes)
+        self._pool = self._kernel.get("pool")
+        self._log = BoundedLog(self._kernel.cfg.log, self._counters, self._now_ms)
+        self.sharing.start()
+
+    async def stop(self) -> None:
+        """Do nothing; the timers end with the node."""
+
+    # At the entry node
+
+    def refusal_of(self, key: GuardKey) -> RequestCondemned | None:
+        """Return the refusal of a request without a body that is condemned.
+
+        A request with a body is judged at the node of its target, which reads the body anyway.
+        """
+        if key.has_body or self.table.is_empty:
+            return None
+        head = self.identifier.head(key.service, key.route, key.method, key.target)
+        verdict = self.table.verdict(head + NO_BODY)
+        return None if verdict is None else self._refusal(verdict)
+
+    def _refusal(self, verdict: Verdict) -> RequestCondemned:
+        self._counters.add("condemned_refused")
+        self._log.event(
+            "condemned_request_refused", request=verdict.request.hex(), service=verdict.service
+        )
+        refusal = RequestCondemned(Outcome.NOT_RUN, verdict.request.hex())
+        refusal.retry_after_ms = max(1.0, verdict.until_ms - self._now_ms())
+        return refusal
+
+    # At the node of the target
+
+    async def admit(self, spec: CallSpec, body: BodySource) -> GuardedRun:
+        """Return the run of a call once it may go on; raises RequestCondemned, SuspectWaits."""
+        run = GuardedRun(body, self.identifier.of_call(spec), spec.has_body)
+        if spec.has_body:
+            run.body = IdentifiedBody(body, self.identifier)
+        if not self.table.knows_head(run.head):
+            return run
+        if isinstance(run.body, IdentifiedBody):
+            await run.body.identify()
+        request = run.request
+        assert request is not None
+        self._refuse_condemned(request)
+        if self.table.is_suspect(request):
+            await self._wait_for_turn(run, request)
+        return run
+
+    def _refuse_condemned(self, request: bytes) -> None:
+        verdict = self.table.verdict(request)
+        if verdict is not None:
+            raise self._refusal(verdict)
+
+    async def _wait_for_turn(self, run: GuardedRun, request: bytes) -> None:
+        """Wait until no other suspect runs here, so that an end tells them apart."""
+        with trio.move_on_after(self._cfg.turn_wait_ms / MS_PER_S):
+            await self._take_turn(run)
+        if not run.has_turn:
+            self._counters.add("suspects_waited", "refused")
+            raise SuspectWaits(Outcome.NOT_RUN)
+        try:
+            # The suspect before it may have ended the upstream or have shown its own guilt.
+            self._refuse_condemned(request)
+        except RequestCondemned:
+            self.release(run)
+            raise
+        if not self.table.is_suspect(request):
+            self.release(run)
+
+    async def _take_turn(self, run: GuardedRun) -> None:
+        while self._turn_holder is not None:
+            await self._turn_ended.wait()
+        self._turn_holder = run
+        self._turn_ended = trio.Event()
+        run.has_turn = True
+
+    def release(self, run: GuardedRun) -> None:
+        """End the turn of a call that holds it."""
+        if run.has_turn:
+            run.has_turn = False
+            self._turn_holder = None
+            self._turn_ended.set()
+
+    async def exchange(
+        self,
+        run: GuardedRun,
+        record: UpstreamRecord,
+        spec: CallSpec,
+        body: BodySource,
+        sink: ResponseSink,
+        load: LoadSource,
+    ) -> CallResult:
+        """Run the exchange and observe whether the upstream ends; raises CallerGone, Refusal."""
+        upstream = (record.instance_id, record.incarnation)
+        self._running[run] = upstream
+        try:
+            result: CallResult = await self._pool.exchange(record.address, spec, body, sink, load)
+        except UpstreamUnreachable:
+            # Nothing of this call was in progress, but the end shows that upstreams crash.
+            del self._running[run]
+            await self._check_end(record)
+            raise
+        except UpstreamFailed as exc:
+            if exc.outcome is Outcome.UNKNOWN and not isinstance(
+                exc, (UpstreamShed, UpstreamTimedOut)
+            ):
+                await self._check_end(record)
+            raise
+        finally:
+            self._running.pop(run, None)
+        if not self.table.is_empty:
+            self._clear_after_success(run, result)
+        return result
+
+    def _clear_after_success(self, run: GuardedRun, result: CallResult) -> None:
+        request = run.request
+        if result.ok and request is not None and self.table.is_suspect(request):
+            self.sharing.publish_cleared(request, "succeeded")
+
+    # Ends of the local upstream
+
+    async def _check_end(self, record: UpstreamRecord) -> None:
+        """Wait until it is known whether the upstream ended; the first call that fails asks."""
+        upstream = (record.instance_id, record.incarnation)
+        if self.table.has_end(upstream):
+            return
+        done = self._checks.get(upstream)
+        if done is None:
+            done = self._checks[upstream] = trio.Event()
+            in_progress = [run for run, at in self._running.items() if at == upstream]
+            self._kernel.nursery.start_soon(self._observe_end, record, in_progress, done)
+        await done.wait()
+
+    async def _observe_end(
+        self, record: UpstreamRecord, in_progress: list[GuardedRun], done: trio.Event
+    ) -> None:
+        try:
+            if await self._refuses_connections(record) and self._is_in_use(record):
+                self.sharing.publish_end(self._describe_end(record, in_progress))
+        finally:
+            del self._checks[record.instance_id, record.incarnation]
+            done.set()
+
+    async def _refuses_connections(self, record: UpstreamRecord) -> bool:
+        for _ in range(END_CHECKS):
+            if await self._pool.refuses_connections(record.address):
+                return True
+            await trio.sleep(END_CHECK_GAP_S)
+        return False
+
+    def _is_in_use(self, record: UpstreamRecord) -> bool:
+        """Return whether the upstream has not said that it leaves."""
+        current = self._kernel.get("announce").current
+        return (
+            current is not None
+            and current.state is UpstreamState.SERVING
+            and current.is_same_start(record.instance_id, record.incarnation)
+        )
+
+    def _describe_end(self, record: UpstreamRecord, in_progress: list[GuardedRun]) -> UpstreamEnd:
+        known = [run.request for run in in_progress]
+        requests = dict.fromkeys(request for request in known if request is not None)
+        kept = tuple(requests)[: self._cfg.max_requests_per_end]
+        unidentified = known.count(None) + len(requests) - len(kept)
+        return UpstreamEnd(
+            record.service, record.instance_id, record.incarnation, kept, unidentified
+        )
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -401,6 +401,22 @@
     status = 503
 
 
+class RequestCondemned(Refusal):
+    """Refuse a request under which several upstreams ended, before any upstream receives it."""
+
+    reason = "request-condemned"
+    status = 503
+    # The entry node replaces this by what is left of the verdict, if it knows the verdict itself.
+    retry_after_ms = 60_000.0
+
+
+class SuspectWaits(Refusal):
+    """Refuse a request that is kept apart from another suspect at the same upstream."""
+
+    reason = "suspect-waits"
+    status = 503
+
+
 class RetryBudgetExhausted(Refusal):
     """Refuse a call that a repeated run makes, when its service has no retries left."""
 
--- a/knapweedhitch/gate.py
+++ b/knapweedhitch/gate.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from knapweedhitch.crashguard import GuardedRun, Unguarded
 from knapweedhitch.exceptions import (
     ConfigStale,
     DomainOut,
@@ -63,6 +64,7 @@
         self._admission = get("admission")
         self._pool = get("pool")
         self._counters = get("counters")
+        self._guard = get("crashguard") if self._kernel.has("crashguard") else Unguarded(self._pool)
         self._config.subscribe(self._on_config)
         self._on_config(self._config.current)
 
@@ -88,12 +90,16 @@
         self._check(spec)
         self.in_progress += 1
         try:
-            return await self._run_admitted(spec, body, sink)
+            run: GuardedRun = await self._guard.admit(spec, body)
+            try:
+                return await self._run_admitted(run, spec, sink)
+            finally:
+                self._guard.release(run)
         finally:
             self.in_progress -= 1
 
     async def _run_admitted(
-        self, spec: CallSpec, body: BodySource, sink: ResponseSink
+        self, run: GuardedRun, spec: CallSpec, sink: ResponseSink
     ) -> CallResult:
         queued_s = trio.current_time()
         slot: Any = await self._admission.admit(spec.deadline, spec)
@@ -103,12 +109,11 @@
         self._runs[spec.request_id] = spec
         try:
             record = self._check(spec)
+            body = run.body
             if spec.has_body:
                 # The caller may send the head long before the body.
                 body = _CheckedBody(body, lambda: self._check(spec))
-            result = await self._pool.exchange(
-                record.address, spec, body, sink, self._admission.load
-            )
+            result = await self._guard.exchange(run, record, spec, body, sink, self._admission.load)
             return result
         except Refusal as exc:
             if not isinstance(exc, CHECK_REFUSALS):
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -8,7 +8,7 @@
 
 from knapweedhitch.codec import Float, Message, Record, message
 from knapweedhitch.exceptions import Outcome
-from knapweedhitch.model import ClaimVerdict, LoadSample, Member, MemberState
+from knapweedhitch.model import ClaimVerdict, LoadSample, Member, MemberState, UpstreamEnd
 
 PROTOCOL_VERSION = 1
 
@@ -588,3 +588,38 @@
     """Reply to an exchange with the wanted records."""
 
     members: tuple[Member, ...]
+
+
+# 70-79: requests that crash their upstreams
+
+
+@message(70)
+class UpstreamEnded(Message, frozen=True):
+    """Tell of an upstream that ended with requests in progress."""
+
+    end: UpstreamEnd
+    age_ms: Float
+
+
+@message(71)
+class RequestCleared(Message, frozen=True):
+    """Tell that a request is cleared of the ends so far: it succeeded, or operators lifted it."""
+
+    request: bytes
+    age_ms: Float
+
+
+@message(72)
+class EvidenceQuery(Message, frozen=True):
+    """Request the evidence of another node; `digest` is that of the evidence already held."""
+
+    digest: bytes
+
+
+@message(73)
+class Evidence(Message, frozen=True):
+    """Reply to an EvidenceQuery; empty if both nodes hold the same."""
+
+    is_same: bool
+    ends: tuple[UpstreamEnded, ...]
+    cleared: tuple[RequestCleared, ...]
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -102,6 +102,23 @@
         return is_earlier or self.is_same_start(instance_id, incarnation)
 
 
+class UpstreamEnd(Record, frozen=True):
+    """Describe an upstream that ended by itself, and the requests that were in progress at it."""
+
+    service: str
+    instance_id: str
+    incarnation: int
+    # Keyed digests of requests, see `identity`.
+    requests: tuple[bytes, ...]
+    # Requests in progress of which too little was read to tell them apart, or over the limit.
+    unidentified: int = 0
+
+    @property
+    def upstream(self) -> tuple[str, int]:
+        """Return the start of the instance that ended."""
+        return self.instance_id, self.incarnation
+
+
 class Member(Record, frozen=True):
     """Represent the membership record of a node."""
 
--- a/knapweedhitch/platform/roles.py
+++ b/knapweedhitch/platform/roles.py
@@ -32,6 +32,7 @@
         ("admission=queue_admission", "queueadmission"),
         ("retry", "retry"),
         ("pool", "pool"),
+        ("crashguard", "crashguard"),
         ("gate", "gate"),
         ("loadprobe", "loadprobe"),
         ("forward", "forward"),
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -218,6 +218,17 @@
         conn.on_report = self._pass_report
         return conn
 
+    async def refuses_connections(self, address: Address) -> bool:
+        """Return whether nothing accepts connections at the address of an upstream."""
+        with trio.move_on_after(self._cfg.connect_timeout_ms / 1_000):
+            try:
+                stream = await self._connect(address)
+            except OSError:
+                return True
+            await trio.aclose_forcefully(stream)
+        # Without an answer in time the address may only be slow.
+        return False
+
     def subscribe_reports(self, fn: Callable[[UpstreamReport], None]) -> None:
         """Register the callback that receives what an upstream reports in each response."""
         self._report_subscribers.append(fn)
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -12,6 +12,7 @@
 import knapweedhitch.expectedtime  # noqa: F401  (registers the policy)
 from knapweedhitch import framing
 from knapweedhitch.attempt import Attempt
+from knapweedhitch.crashguard import GuardKey, Unguarded
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
     DeadlineExceeded,
@@ -20,6 +21,7 @@
     Outcome,
     PeerFailed,
     Refusal,
+    RequestCondemned,
     RetryBudgetExhausted,
     UpstreamShed,
     UpstreamSlow,
@@ -101,6 +103,7 @@
         self._admission = get("admission")
         self._gate = get("gate")
         self._forward = get("forward")
+        self._guard = get("crashguard") if kernel.has("crashguard") else Unguarded(None)
         self._response_sizes = ResponseSizes()
 
     async def run(self, call: RelayCall) -> Attempt:
@@ -122,6 +125,9 @@
         failed_attempt: Attempt | None = None
         cause = "first"
         while True:
+            if (condemned := self._guard.refusal_of(self._guard_key(call))) is not None:
+                failure, failed_attempt = condemned, None
+                break
             target = self._pick(call, cause)
             if target is None:
                 break
@@ -133,6 +139,8 @@
                 failed_attempt, cause = attempt, "server-error"
             except Refusal as exc:
                 failure, cause = exc, exc.reason
+                # A node tells of an end right before it reports the call that failed with it.
+                await trio.lowlevel.checkpoint()
             if not self._may_try_again(call, failure if attempt is None else None, cause):
                 break
         # The error response of an upstream says more than the refusal of a later target.
@@ -147,6 +155,8 @@
         """Return whether to try another target; `failure` is None after an error response."""
         if call.conn.response_started or call.targets_tried >= MAX_TARGETS_PER_CALL:
             return False
+        if isinstance(failure, RequestCondemned):
+            return False
         remaining_ms = call.deadline.remaining_ms()
         if remaining_ms < MIN_ATTEMPT_MS or not call.body.rewind():
             return False
@@ -306,6 +316,11 @@
         objective_ms = call.route.target_latency_ms or call.route.timeout_ms
         return max(0.0, objective_ms - elapsed_ms)
 
+    @staticmethod
+    def _guard_key(call: RelayCall) -> GuardKey:
+        head = call.head
+        return GuardKey(call.svc.name, call.route.name, head.method, head.target, head.has_body)
+
     def _caller_service(self) -> str:
         configured: str = self._cfg.node.service
         if configured:
--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -37,6 +37,7 @@
     ("retry", "retry"),
     ("slotlease", "slotlease"),
     ("pool", "pool"),
+    ("crashguard", "crashguard"),
     ("gate", "gate"),
     ("forward", "forward"),
     ("loadreports", "loadreports"),
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -361,6 +361,29 @@
     background_retries: Count = 6
 
 
+class SuspectSettings(Section, frozen=True):
+    """Configure how requests that crash their upstreams are found and refused."""
+
+    # A request under which this many upstreams ended reaches no other one.
+    max_ends: Annotated[int, Meta(ge=2, le=10)] = 3
+    # How long an end counts as evidence, and so how long a request over `max_ends` is refused.
+    evidence_ttl_ms: Ms = 600_000
+    # How long a request is refused after two ends that it alone explains.
+    two_ends_ttl_ms: Ms = 60_000
+    # The oldest evidence is dropped beyond these numbers.
+    max_ends_held: Count = 256
+    max_requests_per_end: Count = 64
+    max_cleared_held: Count = 1_024
+    # Bodies are told apart by this many of their first bytes and whether more follow.
+    identified_body_bytes: Bytes = 65_536
+    # How long a suspect waits for another one at the same upstream.
+    turn_wait_ms: Ms = 500
+    # Nodes to which a node passes on what it has just learnt.
+    fanout: Count = 24
+    # How often the evidence is compared with that of another node, for what was lost on the way.
+    compare_interval_ms: Ms = 500
+
+
 class OperatorSettings(Section, frozen=True):
     """Configure the operator listener."""
 
@@ -406,6 +429,7 @@
     admission: AdmissionSettings = AdmissionSettings()
     routing: RoutingSettings = RoutingSettings()
     claims: ClaimSettings = ClaimSettings()
+    suspects: SuspectSettings = SuspectSettings()
     operator: OperatorSettings = OperatorSettings()
     stop: StopSettings = StopSettings()
     log: LogSettings = LogSettings()
--- /dev/null
+++ b/knapweedhitch/suspectsharing.py
@@ -0,0 +1,197 @@
+"""Exchange of the evidence about requests that crash their upstreams between nodes."""
+
+from __future__ import annotations
+
+import random
+
+from knapweedhitch import logs
+from knapweedhitch.boundedlog import BoundedLog
+from knapweedhitch.codec import Message
+from knapweedhitch.exceptions import PeerError
+from knapweedhitch.kernel import Kernel
+from knapweedhitch.messages import (
+    Ack,
+    Evidence,
+    EvidenceQuery,
+    RequestCleared,
+    UpstreamEnded,
+)
+from knapweedhitch.model import UpstreamEnd
+from knapweedhitch.suspects import HeldEnd, SuspectTable, Verdict
+
+COMPARE_TIMEOUT_MS = 400.0
+# A node that has just started asks for evidence although it holds none.
+ASK_AFTER_START_MS = 10_000.0
+
+
+class SuspectSharing:
+    """Add evidence to the table of this node, log it, and pass it on to others."""
+
+    def __init__(self, kernel: Kernel, table: SuspectTable, rng: random.Random) -> None:
+        self._kernel = kernel
+        self._cfg = kernel.cfg.suspects
+        self._table = table
+        self._rng = rng
+        self._counters = kernel.get("counters")
+        self._timers = kernel.get("timers")
+        self._peers = kernel.get("peers")
+        self._membership = kernel.get("membership")
+        self._log = BoundedLog(kernel.cfg.log, self._counters, self._timers.now_ms)
+        self._is_comparing = False
+
+    def start(self) -> None:
+        """Register the handlers and compare evidence from time to time."""
+        self._started_ms = self._timers.now_ms()
+        self._peers.handle(UpstreamEnded, self._on_end)
+        self._peers.handle(RequestCleared, self._on_cleared)
+        self._peers.handle(EvidenceQuery, self._on_query)
+        self._timers.every(self._cfg.compare_interval_ms, self._on_tick, jitter=0.1, align=True)
+
+    def publish_end(self, end: UpstreamEnd) -> None:
+        """Record the end of the local upstream and tell other nodes."""
+        self._counters.add("upstream_ends")
+        self._log.warning(
+            "upstream_ended",
+            service=end.service,
+            instance=end.instance_id,
+            incarnation=end.incarnation,
+            requests=",".join(request.hex() for request in end.requests),
+            unidentified=end.unidentified,
+        )
+        if self._add_end(end, 0.0):
+            self._spread(UpstreamEnded(end, 0.0), "")
+
+    def publish_cleared(self, request: bytes, cause: str) -> None:
+        """Record that a request is not guilty and tell other nodes."""
+        self._counters.add("suspects_cleared", cause)
+        logs.event("suspect_cleared", request=request.hex(), cause=cause)
+        if self._table.clear(request, self._timers.now_ms()):
+            self._spread(RequestCleared(request, 0.0), "")
+
+    # Evidence of other nodes
+
+    async def _on_end(self, node_id: str, msg: UpstreamEnded) -> Ack:
+        if self._add_end(msg.end, msg.age_ms):
+            self._spread(msg, node_id)
+        return Ack()
+
+    async def _on_cleared(self, node_id: str, msg: RequestCleared) -> Ack:
+        if self._add_cleared(msg):
+            self._spread(msg, node_id)
+        return Ack()
+
+    def _add_end(self, end: UpstreamEnd, age_ms: float) -> bool:
+        # The order of requests and the number of them come from another process.
+        kept = end.requests[: self._cfg.max_requests_per_end]
+        if len(kept) < len(end.requests):
+            unidentified = end.unidentified + len(end.requests) - len(kept)
+            end = UpstreamEnd(end.service, end.instance_id, end.incarnation, kept, unidentified)
+        known = {verdict.request for verdict in self._table.verdicts()}
+        if not self._table.add_end(end, self._timers.now_ms() - max(0.0, age_ms)):
+            return False
+        for verdict in self._table.verdicts():
+            if verdict.request not in known:
+                self._log_verdict(verdict)
+        return True
+
+    def _add_cleared(self, msg: RequestCleared) -> bool:
+        return self._table.clear(msg.request, self._timers.now_ms() - max(0.0, msg.age_ms))
+
+    def _log_verdict(self, verdict: Verdict) -> None:
+        now = self._timers.now_ms()
+        self._counters.add("requests_condemned", verdict.evidence)
+        ends = (f"{h.end.instance_id}:{now - h.ended_ms:.0f}" for h in verdict.ends)
+        self._log.warning(
+            "request_condemned",
+            request=verdict.request.hex(),
+            service=verdict.service,
+            evidence=verdict.evidence,
+            ended_ms_ago=",".join(ends),
+            refused_ms=round(verdict.until_ms - now),
+        )
+
+    def _spread(self, msg: Message, sender: str) -> None:
+        for node_id in self._choose_peers(self._cfg.fanout):
+            if node_id != sender:
+                self._peers.send(node_id, msg)
+
+    def _choose_peers(self, limit: int) -> list[str]:
+        """Return entry nodes, those with a link first, as a new link costs heartbeats."""
+        members = self._membership.members()
+        linked = [n for n in self._peers.linked_peers() if n in members and self._is_other(n)]
+        self._rng.shuffle(linked)
+        if len(linked) >= limit:
+            return linked[:limit]
+        known = set(linked)
+        others = [n for n in members if n not in known and self._is_other(n)]
+        count = min(limit - len(linked), len(others))
+        return linked + self._rng.sample(others, count)
+
+    def _is_other(self, node_id: str) -> bool:
+        member = self._membership.members().get(node_id)
+        return member is not None and not member.is_control and node_id != self._own_id
+
+    @property
+    def _own_id(self) -> str:
+        own_id: str = self._kernel.cfg.node.id
+        return own_id
+
+    # Comparison, for messages that were lost and for nodes that have just started
+
+    def _on_tick(self) -> None:
+        self._table.expire()
+        ends, cleared = self._table.evidence()
+        is_new = self._timers.now_ms() - self._started_ms < ASK_AFTER_START_MS
+        if self._is_comparing or not (ends or cleared or is_new):
+            return
+        peers = self._choose_peers(self._cfg.fanout)
+        if peers:
+            self._is_comparing = True
+            self._kernel.nursery.start_soon(self._compare, self._rng.choice(peers))
+
+    async def _compare(self, node_id: str) -> None:
+        try:
+            query = EvidenceQuery(self._table.digest())
+            reply = await self._peers.call(node_id, query, COMPARE_TIMEOUT_MS)
+            if isinstance(reply, Evidence) and not reply.is_same:
+                self._send_missing(node_id, reply)
+                self._merge(reply)
+        except PeerError as exc:
+            self._counters.add("evidence_comparisons_failed", type(exc).__name__)
+        finally:
+            self._is_comparing = False
+
+    def _merge(self, evidence: Evidence) -> None:
+        for cleared in evidence.cleared[: self._cfg.max_cleared_held]:
+            self._add_cleared(cleared)
+        for msg in evidence.ends[: self._cfg.max_ends_held]:
+            self._add_end(msg.end, msg.age_ms)
+
+    def _send_missing(self, node_id: str, evidence: Evidence) -> None:
+        their_ends = {msg.end.upstream for msg in evidence.ends}
+        their_cleared = {msg.request for msg in evidence.cleared}
+        own = self._own_evidence()
+        for cleared in own.cleared:
+            if cleared.request not in their_cleared:
+                self._peers.send(node_id, cleared)
+        for msg in own.ends:
+            if msg.end.upstream not in their_ends:
+                self._peers.send(node_id, msg)
+
+    async def _on_query(self, node_id: str, msg: EvidenceQuery) -> Evidence:
+        if msg.digest == self._table.digest():
+            return Evidence(True, (), ())
+        return self._own_evidence()
+
+    def _own_evidence(self) -> Evidence:
+        now = self._timers.now_ms()
+        ends, cleared = self._table.evidence()
+        return Evidence(
+            False,
+            tuple(_with_age(held, now) for held in ends),
+            tuple(RequestCleared(request, now - at_ms) for request, at_ms in cleared),
+        )
+
+
+def _with_age(held: HeldEnd, now: float) -> UpstreamEnded:
+    return UpstreamEnded(held.end, now - held.ended_ms)
