--- a/knapweedhitch/cli.py
+++ b/knapweedhitch/cli.py
@@ -18,6 +18,7 @@
 
 from knapweedhitch import __version__, cli_answers, cli_pages
 from knapweedhitch.cli_answers import Pending, command, expect_known_format
+from knapweedhitch.cli_suspects import SuspectCommands
 from knapweedhitch.exceptions import (
     AnswersError,
     ChangeConflict,
@@ -220,6 +221,7 @@
         self.config = Config(self._context)
         self.domain = Domain(self._context)
         self.node = Node(self._context)
+        self.suspects = SuspectCommands(self._context)
 
     @command
     def status(self) -> None:
--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -127,6 +127,13 @@
     async def stop(self) -> None:
         """Do nothing; the timers end with the node."""
 
+    def lift(self, request: bytes) -> bool:
+        """Drop the evidence against a request at all nodes; return False if there is none."""
+        if self.table.verdict(request) is None and not self.table.is_suspect(request):
+            return False
+        self.sharing.publish_cleared(request, "operator")
+        return True
+
     # At the entry node
 
     def refusal_of(self, key: GuardKey) -> RequestCondemned | None:
--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -6,6 +6,7 @@
 import functools
 import hmac
 import ipaddress
+import re
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
@@ -53,6 +54,7 @@
 # Served without a token, so that a process supervisor can probe it; reveals readiness only.
 PUBLIC_PATHS = frozenset({("ready",)})
 ANY_SEGMENT = "*"
+REQUEST_DIGEST = re.compile("[0-9a-f]{32}")
 COMMAND_FIELDS = frozenset({"change_id", "operator", "allow_last", "allow_unknown"})
 
 
@@ -288,6 +290,29 @@
     return await _page_response(operator_views.members(api.kernel))
 
 
+@route("GET", "/v1/suspects")
+async def _suspects(api: OperatorApi, request: OperatorRequest, _: str) -> OperatorResponse:
+    if not request.query:
+        return await _page_response(operator_views.suspects(api.kernel))
+    missing = sorted({"service", "method", "target"} - set(request.query))
+    if missing:
+        raise BadRequest(detail=f"{missing[0]}: name service, method and target, or none of them")
+    return await _page_response(
+        operator_views.find_suspects(api.kernel, {"route": "", **request.query})
+    )
+
+
+@route("POST", "/v1/suspects/*/lift")
+async def _lift(api: OperatorApi, request: OperatorRequest, digest: str) -> OperatorResponse:
+    fields = _parse_command(request)
+    if not REQUEST_DIGEST.fullmatch(digest):
+        raise BadRequest(detail="use the digest of a request, 32 hexadecimal digits")
+    if not api.kernel.get("crashguard").lift(bytes.fromhex(digest)):
+        raise NoSuchResource(detail=f"no verdict or suspicion on {digest}")
+    logs.event("suspect_lifted", request=digest, operator=fields.get("operator"))
+    return _json_response({"request": digest, "lifted": True})
+
+
 @route("GET", "/v1/explain/*")
 async def _explain(api: OperatorApi, request: OperatorRequest, request_id: str) -> OperatorResponse:
     explanation = api.kernel.get("router").explanations.get(request_id)
--- a/knapweedhitch/operator_views.py
+++ b/knapweedhitch/operator_views.py
@@ -167,3 +167,43 @@
         raise LastDomain(
             detail=f"{domain} is the last domain with usable targets of {', '.join(affected)}"
         )
+
+
+def suspects(kernel: Kernel) -> Mapping[str, Any]:
+    """Return the condemned and the suspected requests that this node knows."""
+    guard = kernel.get("crashguard")
+    now = kernel.get("timers").now_ms()
+    return {
+        "condemned": [
+            {
+                "request": verdict.request.hex(),
+                "service": verdict.service,
+                "evidence": verdict.evidence,
+                "refused_ms": verdict.until_ms - now,
+                "ends": [
+                    {"instance": held.end.instance_id, "ended_ms_ago": now - held.ended_ms}
+                    for held in verdict.ends
+                ],
+            }
+            for verdict in guard.table.verdicts()
+        ],
+        "suspects": [
+            {"request": request.hex(), "service": service}
+            for request, service in guard.table.suspects().items()
+        ],
+    }
+
+
+def find_suspects(kernel: Kernel, fields: Mapping[str, str]) -> Mapping[str, Any]:
+    """Return what is held of requests with the given service, route, method and target."""
+    identifier = kernel.get("crashguard").identifier
+    target = fields["target"].encode("utf-8", errors="replace")
+    head = identifier.head(fields["service"], fields["route"], fields["method"], target).hex()
+    page = suspects(kernel)
+    return {
+        "head": head,
+        **{
+            name: [row for row in rows if row["request"].startswith(head)]
+            for name, rows in page.items()
+        },
+    }
--- a/knapweedhitch/suspects.py
+++ b/knapweedhitch/suspects.py
@@ -6,7 +6,8 @@
 import hashlib
 import itertools
 from collections import OrderedDict
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
+from types import MappingProxyType
 
 from knapweedhitch.identity import HEAD_BYTES
 from knapweedhitch.model import UpstreamEnd
@@ -77,9 +78,9 @@
         now = self._now_ms()
         return [v for v in self._verdicts.values() if v.until_ms > now]
 
-    def suspects(self) -> list[bytes]:
-        """Return the requests that are suspected without a verdict."""
-        return list(self._suspects)
+    def suspects(self) -> Mapping[bytes, str]:
+        """Return the requests that are suspected without a verdict, with their services."""
+        return MappingProxyType(self._suspects)
 
     def has_end(self, upstream: tuple[str, int]) -> bool:
         """Return whether the end of this start of an upstream is held."""
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -17,6 +17,7 @@
 from knapweedhitch.changes import Change
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import PeerTimeout, VersionConflict
+from knapweedhitch.identity import NO_BODY, Identifier
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.messages import ProposeReply, VersionReport
 from knapweedhitch.model import (
@@ -26,9 +27,12 @@
     Member,
     ServiceConfig,
     Target,
+    UpstreamEnd,
     UpstreamRecord,
 )
 from knapweedhitch.operator_client import ATTEMPTS, OperatorClient
+from knapweedhitch.settings import SuspectSettings
+from knapweedhitch.suspects import SuspectTable
 
 TOKEN = "0123456789abcdef0123"
 CFG = settings.parse_settings("""
@@ -152,6 +156,25 @@
         return {"picked": "n2"} if request_id == "req-1" else None
 
 
+class FakeGuard:
+    """Hold one condemned request and one suspect; record what is lifted."""
+
+    def __init__(self) -> None:
+        self.table = SuspectTable(SuspectSettings(), lambda: 5_000.0)
+        self.identifier = Identifier(b"secret", 100)
+        self.head = self.identifier.head("robes", "", "GET", b"/robes/9?size=4")
+        for n in range(2):
+            companion = bytes([n]) * 16
+            end = UpstreamEnd("robes", f"i{n}", 1, (self.head + NO_BODY, companion))
+            self.table.add_end(end, 4_000.0 + n)
+        self.table.add_end(UpstreamEnd("other", "i9", 1, (bytes(16),)), 4_500.0)
+        self.lifted: list[bytes] = []
+
+    def lift(self, request: bytes) -> bool:
+        self.lifted.append(request)
+        return request == self.head + NO_BODY
+
+
 class World:
     """Set up a kernel with the operator listener and all fakes."""
 
@@ -163,6 +186,8 @@
         self.membership = FakeMembership()
         services: dict[str, object] = {"config": self.config, "peers": self.peers}
         services |= {"membership": self.membership, "counters": Counters()}
+        services["timers"] = types.SimpleNamespace(now_ms=lambda: 5_000.0)
+        services["crashguard"] = self.guard = FakeGuard()
         services["router"] = types.SimpleNamespace(explanations=Explanations())
         if control:
             services["control"] = self.control
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -50,6 +50,7 @@
     def test_pages_are_rendered_as_text_and_as_json(self) -> None:
         """Guards against a command that can't render the daemon's response."""
         pages = ["status", "services", "upstreams", "members", "config show", "config history"]
+        pages += ["suspects show", "suspects find robes GET /robes/9"]
         for page in pages:
             with self.subTest(page=page):
                 code, out, err = call(World(), *page.split())
@@ -101,6 +102,20 @@
                 self.assertEqual(code, expected, err)
                 self.assertEqual(len(err.splitlines()), 0 if code == 0 else 1)
 
+    def test_verdicts_are_shown_found_and_lifted(self) -> None:
+        """Guards against a verdict that operators can neither look up nor lift."""
+        world = World()
+        digest = world.guard.head.hex() + 16 * "0"
+        out = call(world, "suspects", "show")[1]
+        self.assertRegex(out, f"{digest} +robes +common-to-two +[0-9]+ +i0:1000,i1:999")
+        self.assertRegex(out, "0{32} +other")
+        self.assertIn(digest, call(world, "suspects", "find", "robes", "GET", "/robes/9?size=4")[1])
+        self.assertNotIn(digest, call(world, "suspects", "find", "robes", "GET", "/robes/9")[1])
+        self.assertEqual(call(world, "suspects", "lift", digest)[0], 0)
+        self.assertEqual(world.guard.lifted, [bytes.fromhex(digest)])
+        for unknown in (32 * "a", "a", digest.upper() + "0"):
+            self.assertEqual(call(world, "suspects", "lift", unknown)[0], 1)
+
     def test_surplus_argument_changes_nothing(self) -> None:
         """Guards against `domain out a b` taking out a before it reports the usage error."""
         world = World()
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -206,7 +206,7 @@
             await trio.sleep(0.1)
             for guard in cluster.guards:
                 self.assertEqual(len(guard.table.verdicts()), 1)
-                self.assertEqual(guard.table.suspects(), [])
+                self.assertEqual(dict(guard.table.suspects()), {})
             # Whichever comes first, the deadly one was alone.
             self.assertEqual(cluster.upstreams[1].arrivals[-1], b"/bad")
             self.assertEqual(cluster.ends, 2)
@@ -243,6 +243,22 @@
             self.assertIsInstance(refused, RequestCondemned)
             self.assertEqual(cluster.upstreams[2].arrivals, [b"/paygood"])
 
+    @run_on_mock_clock
+    async def test_an_operator_lifts_a_verdict_everywhere(self) -> None:
+        """Guards against a verdict that other nodes keep, or tell again, after it was lifted."""
+        async with running_cluster(3) as cluster:
+            cluster.set_deadly(b"/bad")
+            for index in range(2):
+                await cluster.call(index, b"/bad")
+                await trio.sleep(0.1)
+            (verdict,) = cluster.guards[2].table.verdicts()
+            self.assertTrue(cluster.guards[0].lift(verdict.request))
+            self.assertFalse(cluster.guards[0].lift(verdict.request))
+            await trio.sleep(5.0)
+            self.assertEqual([g.table.verdicts() for g in cluster.guards], [[], [], []])
+            cluster.set_deadly()
+            self.assertIs(await cluster.call(2, b"/bad"), OK)
+
     @run_on_mock_clock
     async def test_a_restarted_node_learns_the_verdicts(self) -> None:
         """Guards against a verdict that a node forgets by its restart."""
