--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -599,6 +599,8 @@
 
     end: UpstreamEnd
     age_ms: Float
+    # How often nodes that did not know it pass it on.
+    hops_left: int
 
 
 @message(71)
@@ -606,7 +608,10 @@
     """Tell that a request is cleared of the ends so far: it succeeded, or operators lifted it."""
 
     request: bytes
+    # Grows with each clearance of a request, so that a known one is not passed on again.
+    mark: int
     age_ms: Float
+    hops_left: int
 
 
 @message(72)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -380,6 +380,8 @@
     turn_wait_ms: Ms = 500
     # Nodes to which a node passes on what it has just learnt.
     fanout: Count = 24
+    # Messages about evidence that a node sends; further ones wait for the comparison.
+    max_messages_per_s: Count = 500
     # How often the evidence is compared with that of another node, for what was lost on the way.
     compare_interval_ms: Ms = 500
 
--- a/knapweedhitch/suspects.py
+++ b/knapweedhitch/suspects.py
@@ -26,6 +26,14 @@
     ended_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Clearance:
+    """Represent that a request is cleared of all ends up to a time on the clock of this process."""
+
+    mark: int
+    cleared_ms: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Verdict:
     """Describe a request that is refused, with the ends that count against it."""
@@ -48,7 +56,7 @@
         self._cfg = cfg
         self._now_ms = now_ms
         self._ends: OrderedDict[tuple[str, int], HeldEnd] = OrderedDict()
-        self._cleared: OrderedDict[bytes, float] = OrderedDict()
+        self._cleared: OrderedDict[bytes, Clearance] = OrderedDict()
         self._suspects: dict[bytes, str] = {}
         self._verdicts: dict[bytes, Verdict] = {}
         self._heads: frozenset[bytes] = frozenset()
@@ -92,17 +100,28 @@
         """Add an end; return False if it was known or is too old."""
         if end.upstream in self._ends or ended_ms <= self._now_ms() - self._cfg.evidence_ttl_ms:
             return False
+        if len(self._ends) >= self._cfg.max_ends_held:
+            oldest = min(self._ends, key=lambda key: self._ends[key].ended_ms)
+            if self._ends[oldest].ended_ms >= ended_ms:
+                return False
+            del self._ends[oldest]
         self._ends[end.upstream] = HeldEnd(end, ended_ms)
-        if len(self._ends) > self._cfg.max_ends_held:
-            del self._ends[min(self._ends, key=lambda key: self._ends[key].ended_ms)]
         self._judge()
         return True
 
-    def clear(self, request: bytes, cleared_ms: float) -> bool:
+    def next_mark(self, request: bytes, wall_ms: int) -> int:
+        """Return a mark above that of the last known clearance of a request."""
+        known = self._cleared.get(request)
+        return wall_ms if known is None else max(wall_ms, known.mark + 1)
+
+    def clear(self, request: bytes, mark: int, cleared_ms: float) -> bool:
         """Drop the evidence up to a time against a request; return False if that was known."""
-        if cleared_ms <= self._cleared.get(request, float("-inf")):
+        known = self._cleared.get(request)
+        if known is not None and mark <= known.mark:
+            return False
+        if cleared_ms <= self._now_ms() - self._cfg.evidence_ttl_ms:
             return False
-        self._cleared[request] = cleared_ms
+        self._cleared[request] = Clearance(mark, cleared_ms)
         self._cleared.move_to_end(request)
         if len(self._cleared) > self._cfg.max_cleared_held:
             self._cleared.popitem(last=False)
@@ -114,7 +133,7 @@
         """Drop what is older than the lifetime of evidence."""
         oldest_ms = self._now_ms() - self._cfg.evidence_ttl_ms
         old_ends = [key for key, held in self._ends.items() if held.ended_ms <= oldest_ms]
-        old_cleared = [key for key, at_ms in self._cleared.items() if at_ms <= oldest_ms]
+        old_cleared = [r for r, held in self._cleared.items() if held.cleared_ms <= oldest_ms]
         for key in old_ends:
             del self._ends[key]
         for request in old_cleared:
@@ -122,8 +141,8 @@
         if old_ends or any(v.until_ms <= self._now_ms() for v in self._verdicts.values()):
             self._judge()
 
-    def evidence(self) -> tuple[list[HeldEnd], list[tuple[bytes, float]]]:
-        """Return the ends and the cleared requests with their times."""
+    def evidence(self) -> tuple[list[HeldEnd], list[tuple[bytes, Clearance]]]:
+        """Return the ends and the cleared requests."""
         return list(self._ends.values()), list(self._cleared.items())
 
     def digest(self) -> bytes:
@@ -132,7 +151,7 @@
         for instance_id, incarnation in sorted(self._ends):
             hasher.update(f"{instance_id}\0{incarnation}\0".encode())
         for request in sorted(self._cleared):
-            hasher.update(request)
+            hasher.update(request + b"%d" % self._cleared[request].mark)
         return hasher.digest()
 
     # Judgement
@@ -179,7 +198,8 @@
     def _accusations(self, ends: list[HeldEnd]) -> Iterator[tuple[bytes, HeldEnd]]:
         for held in ends:
             for request in held.end.requests:
-                if held.ended_ms > self._cleared.get(request, float("-inf")):
+                clearance = self._cleared.get(request)
+                if clearance is None or held.ended_ms > clearance.cleared_ms:
                     yield request, held
 
     def _verdict_on(
--- a/knapweedhitch/suspectsharing.py
+++ b/knapweedhitch/suspectsharing.py
@@ -4,8 +4,11 @@
 
 import random
 
+from msgspec import structs
+
 from knapweedhitch import logs
 from knapweedhitch.boundedlog import BoundedLog
+from knapweedhitch.budget import TokenBucket
 from knapweedhitch.codec import Message
 from knapweedhitch.exceptions import PeerError
 from knapweedhitch.kernel import Kernel
@@ -22,6 +25,8 @@
 COMPARE_TIMEOUT_MS = 400.0
 # A node that has just started asks for evidence although it holds none.
 ASK_AFTER_START_MS = 10_000.0
+# With a fanout of 24, three steps reach 13,800 nodes.
+MAX_HOPS = 4
 
 
 class SuspectSharing:
@@ -38,6 +43,8 @@
         self._membership = kernel.get("membership")
         self._log = BoundedLog(kernel.cfg.log, self._counters, self._timers.now_ms)
         self._is_comparing = False
+        rate = float(self._cfg.max_messages_per_s)
+        self._budget = TokenBucket(rate, rate, self._timers.now_ms)
 
     def start(self) -> None:
         """Register the handlers and compare evidence from time to time."""
@@ -59,27 +66,33 @@
             unidentified=end.unidentified,
         )
         if self._add_end(end, 0.0):
-            self._spread(UpstreamEnded(end, 0.0), "")
+            self._spread(UpstreamEnded(end, 0.0, MAX_HOPS), "")
 
     def publish_cleared(self, request: bytes, cause: str) -> None:
         """Record that a request is not guilty and tell other nodes."""
         self._counters.add("suspects_cleared", cause)
         logs.event("suspect_cleared", request=request.hex(), cause=cause)
-        if self._table.clear(request, self._timers.now_ms()):
-            self._spread(RequestCleared(request, 0.0), "")
+        mark = self._table.next_mark(request, self._timers.wall_ms())
+        if self._table.clear(request, mark, self._timers.now_ms()):
+            self._spread(RequestCleared(request, mark, 0.0, MAX_HOPS), "")
 
     # Evidence of other nodes
 
     async def _on_end(self, node_id: str, msg: UpstreamEnded) -> Ack:
         if self._add_end(msg.end, msg.age_ms):
-            self._spread(msg, node_id)
+            self._pass_on(msg, node_id)
         return Ack()
 
     async def _on_cleared(self, node_id: str, msg: RequestCleared) -> Ack:
         if self._add_cleared(msg):
-            self._spread(msg, node_id)
+            self._pass_on(msg, node_id)
         return Ack()
 
+    def _pass_on(self, msg: UpstreamEnded | RequestCleared, sender: str) -> None:
+        if msg.hops_left > 0:
+            hops_left = min(msg.hops_left, MAX_HOPS) - 1
+            self._spread(structs.replace(msg, hops_left=hops_left), sender)
+
     def _add_end(self, end: UpstreamEnd, age_ms: float) -> bool:
         # The order of requests and the number of them come from another process.
         kept = end.requests[: self._cfg.max_requests_per_end]
@@ -95,7 +108,8 @@
         return True
 
     def _add_cleared(self, msg: RequestCleared) -> bool:
-        return self._table.clear(msg.request, self._timers.now_ms() - max(0.0, msg.age_ms))
+        cleared_ms = self._timers.now_ms() - max(0.0, msg.age_ms)
+        return self._table.clear(msg.request, msg.mark, cleared_ms)
 
     def _log_verdict(self, verdict: Verdict) -> None:
         now = self._timers.now_ms()
@@ -113,7 +127,14 @@
     def _spread(self, msg: Message, sender: str) -> None:
         for node_id in self._choose_peers(self._cfg.fanout):
             if node_id != sender:
-                self._peers.send(node_id, msg)
+                self._send(node_id, msg)
+
+    def _send(self, node_id: str, msg: Message) -> None:
+        if self._budget.take():
+            self._counters.add("evidence_sent", type(msg).__name__)
+            self._peers.send(node_id, msg)
+        else:
+            self._counters.add("evidence_dropped", type(msg).__name__)
 
     def _choose_peers(self, limit: int) -> list[str]:
         """Return entry nodes, those with a link first, as a new link costs heartbeats."""
@@ -169,14 +190,14 @@
 
     def _send_missing(self, node_id: str, evidence: Evidence) -> None:
         their_ends = {msg.end.upstream for msg in evidence.ends}
-        their_cleared = {msg.request for msg in evidence.cleared}
+        their_marks = {msg.request: msg.mark for msg in evidence.cleared}
         own = self._own_evidence()
         for cleared in own.cleared:
-            if cleared.request not in their_cleared:
-                self._peers.send(node_id, cleared)
+            if cleared.mark > their_marks.get(cleared.request, -1):
+                self._send(node_id, cleared)
         for msg in own.ends:
             if msg.end.upstream not in their_ends:
-                self._peers.send(node_id, msg)
+                self._send(node_id, msg)
 
     async def _on_query(self, node_id: str, msg: EvidenceQuery) -> Evidence:
         if msg.digest == self._table.digest():
@@ -189,9 +210,12 @@
         return Evidence(
             False,
             tuple(_with_age(held, now) for held in ends),
-            tuple(RequestCleared(request, now - at_ms) for request, at_ms in cleared),
+            tuple(
+                RequestCleared(request, held.mark, now - held.cleared_ms, 0)
+                for request, held in cleared
+            ),
         )
 
 
 def _with_age(held: HeldEnd, now: float) -> UpstreamEnded:
-    return UpstreamEnded(held.end, now - held.ended_ms)
+    return UpstreamEnded(held.end, now - held.ended_ms, 0)
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -195,6 +195,20 @@
             await trio.sleep(0.1)
             self.assertEqual([len(g.table.suspects()) for g in cluster.guards], [1] * 5)
 
+    @run_on_mock_clock
+    async def test_evidence_is_sent_a_limited_number_of_times(self) -> None:
+        """Guards against nodes that pass on what they know already, which filled all links."""
+        async with running_cluster() as cluster:
+            cluster.set_deadly(b"/bad")
+            await cluster.call_all((0, b"/bad"), (0, b"/a"))
+            await trio.sleep(0.1)
+            await cluster.call(1, b"/a")
+            await trio.sleep(10.0)
+            for name in ("UpstreamEnded", "RequestCleared"):
+                sent = sum(node.counters.get("evidence_sent", name) for node in cluster.nodes)
+                # Each of five nodes tells the other ones once, and two that do not run.
+                self.assertLessEqual(sent, 5 * 5)
+
     @run_on_mock_clock
     async def test_suspects_run_one_after_another_at_an_upstream(self) -> None:
         """Guards against suspects that end the next upstream together, which tells nothing."""
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -97,12 +97,19 @@
     def test_success_clears_and_later_ends_count_again(self) -> None:
         """Guards against a request that stays guilty although it ran well after the ends."""
         self.add(end(1, BAD), end(2, BAD), end(3, BAD))
-        self.assertTrue(self.table.clear(BAD, self.now))
+        self.assertTrue(self.table.clear(BAD, 1, self.now))
         self.assertEqual(self.condemned(), set())
         self.assertTrue(self.table.is_empty)
         self.add(end(4, BAD), end(5, BAD), end(6, BAD))
         self.assertEqual(self.condemned(), {BAD})
 
+    def test_a_known_clearance_is_not_new(self) -> None:
+        """Guards against nodes that pass the same clearance on to each other without end."""
+        mark = self.table.next_mark(BAD, 7)
+        self.assertTrue(self.table.clear(BAD, mark, self.now))
+        self.assertFalse(self.table.clear(BAD, mark, self.now + 50.0))
+        self.assertGreater(self.table.next_mark(BAD, 3), mark)
+
     def test_two_deadly_requests_are_both_condemned_by_three_ends(self) -> None:
         """Guards against guilty requests that excuse each other."""
         self.add(*(end(n, BAD, THIRD) for n in (1, 3, 5)), *(end(n, OTHER) for n in (2, 4, 6)))
@@ -128,9 +135,11 @@
         for n in range(2 * self.cfg.max_ends_held):
             self.table.add_end(end(n, n.to_bytes(16, "big")), self.now + n)
         for n in range(2 * self.cfg.max_cleared_held):
-            self.table.clear(n.to_bytes(16, "big"), self.now + n)
+            self.table.clear(n.to_bytes(16, "big"), 1, self.now + n)
         ends, cleared = self.table.evidence()
         self.assertEqual(len(ends), self.cfg.max_ends_held)
+        # An end that was dropped must not look new when another node tells of it.
+        self.assertFalse(self.table.add_end(end(0, bytes(16)), self.now))
         self.assertEqual(len(cleared), self.cfg.max_cleared_held)
 
     @settings(derandomize=True, max_examples=60, deadline=None)
@@ -144,7 +153,7 @@
             for n in order:
                 table.add_end(ends[n], self.now + n)
                 if n == 0:
-                    table.clear(OTHER, self.now + 0.5)
+                    table.clear(OTHER, 1, self.now + 0.5)
             known = (v.request for v in table.verdicts())
             outcomes.add((frozenset(known), frozenset(table.suspects()), table.digest()))
         self.assertEqual(len(outcomes), 1)
