--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -79,6 +79,10 @@
         """Return None."""
         return None
 
+    def is_watching(self, service: str) -> bool:
+        """Return False."""
+        return False
+
     async def admit(self, spec: CallSpec, body: BodySource) -> GuardedRun:
         """Return the run of a call."""
         return GuardedRun(body)
@@ -147,6 +151,10 @@
         verdict = self.table.verdict(head + NO_BODY)
         return None if verdict is None else self._refusal(verdict)
 
+    def is_watching(self, service: str) -> bool:
+        """Return whether upstreams of the service have ended lately."""
+        return self.table.has_ends_of(service)
+
     def _refusal(self, verdict: Verdict) -> RequestCondemned:
         self._counters.add("condemned_refused")
         self._log.event(
--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -10,6 +10,7 @@
 
 from knapweedhitch import explain, framing
 from knapweedhitch.attempt import Attempt
+from knapweedhitch.crashguard import GuardKey, Unguarded
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
     ColdLimit,
@@ -99,6 +100,7 @@
         self._gate = kernel.get("gate")
         self._forward = kernel.get("forward")
         self._direct: Any = kernel.get("direct") if kernel.has("direct") else None
+        self._guard = kernel.get("crashguard") if kernel.has("crashguard") else Unguarded(None)
 
     async def run(self, call: Call) -> Attempt:
         """Return the attempt with a complete or committed response; raises Refusal, CallerGone."""
@@ -117,13 +119,16 @@
         if target is None:
             raise NoTarget
         while True:
-            failure: Refusal | None = None
+            failure: Refusal | None = self._guard.refusal_of(self._guard_key(call))
             try:
-                attempt, call.result = await self._try(call, target)
-                if call.result.status not in RETRY_STATUSES or not call.idempotent:
-                    return attempt
+                if failure is None:
+                    attempt, call.result = await self._try(call, target)
+                    if call.result.status not in RETRY_STATUSES or not call.idempotent:
+                        return attempt
             except Refusal as exc:
                 failure = exc
+                # A node tells of an end right before it reports the call that failed with it.
+                await trio.lowlevel.checkpoint()
             excluded |= {choice.picked for choice in call.choices}
             next_target = self._next_target(call, failure, excluded)
             if next_target is not None:
@@ -255,7 +260,8 @@
             self._record_path(call, "gate")
             result = await self._gate.execute(node_id, spec, call.body, attempt)
             return result
-        if self._direct is not None:
+        # The node of the target observes what is in progress there, but not calls under leases.
+        if self._direct is not None and not self._guard.is_watching(spec.service):
             try:
                 result = await self._direct.execute(node_id, spec, call.body, attempt)
                 self._record_path(call, "direct")
@@ -266,6 +272,11 @@
         result = await self._forward.execute(node_id, spec, call.body, attempt)
         return result
 
+    @staticmethod
+    def _guard_key(call: Call) -> GuardKey:
+        head = call.head
+        return GuardKey(call.svc.name, "", head.method, head.target, head.has_body)
+
     def _record_path(self, call: Call, path: str) -> None:
         call.path = path
         self._counters.add("calls", path)
--- a/knapweedhitch/suspects.py
+++ b/knapweedhitch/suspects.py
@@ -60,6 +60,7 @@
         self._suspects: dict[bytes, str] = {}
         self._verdicts: dict[bytes, Verdict] = {}
         self._heads: frozenset[bytes] = frozenset()
+        self._services: frozenset[str] = frozenset()
 
     @property
     def is_empty(self) -> bool:
@@ -94,6 +95,10 @@
         """Return whether the end of this start of an upstream is held."""
         return upstream in self._ends
 
+    def has_ends_of(self, service: str) -> bool:
+        """Return whether ends of upstreams of a service are held."""
+        return service in self._services
+
     # Evidence
 
     def add_end(self, end: UpstreamEnd, ended_ms: float) -> bool:
@@ -161,6 +166,7 @@
         by_service: dict[str, list[HeldEnd]] = {}
         for held in self._ends.values():
             by_service.setdefault(held.end.service, []).append(held)
+        self._services = frozenset(by_service)
         self._suspects, self._verdicts = {}, {}
         for service, ends in by_service.items():
             self._judge_service(service, ends, now)
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -21,7 +21,7 @@
     UpstreamUnreachable,
 )
 from knapweedhitch.exchange import CallSpec
-from knapweedhitch.model import Address, CallResult, UpstreamRecord, UpstreamState
+from knapweedhitch.model import Address, CallResult, UpstreamEnd, UpstreamRecord, UpstreamState
 from knapweedhitch.suspects import MANY_ENDS
 from tests.fake_net import MemoryNet, Node, running_nodes
 from tests.test_forward import Body, Sink, make_spec
@@ -350,6 +350,45 @@
             self.assertEqual(cluster.guards[0].table.verdicts(), [])
             self.assertEqual(len(cluster.guards[0].table.suspects()), 1)
 
+    @run_on_mock_clock
+    async def test_killed_nodes_and_a_lost_zone(self) -> None:
+        """Guards against guilt of requests that ended with the node beside their upstream."""
+        async with running_cluster() as cluster, trio.open_nursery() as nursery:
+            for index in range(3):
+                nursery.start_soon(cluster.call, index, b"/a")
+            await trio.sleep(0.05)
+            await cluster.nodes[0].crash(cluster.net)
+            for index in (1, 2):
+                cluster.upstreams[index].is_alive = False
+                await cluster.nodes[index].crash(cluster.net)
+            nursery.cancel_scope.cancel()
+            await trio.sleep(2.0)
+            self.assertTrue(all(guard.table.is_empty for guard in cluster.guards))
+
+    @run_on_mock_clock
+    async def test_a_cut_link_or_a_caller_that_leaves(self) -> None:
+        """Guards against guilt of calls that are cancelled while their upstream goes on."""
+        async with running_cluster(2) as cluster:
+            with trio.move_on_after(0.05):
+                await cluster.call(0, b"/a")
+            await trio.sleep(1.0)
+            self.assertTrue(cluster.guards[0].table.is_empty)
+            self.assertEqual(cluster.guards[0]._running, {})
+
+    @run_on_mock_clock
+    async def test_a_call_that_another_service_makes(self) -> None:
+        """Guards against a parent that is held guilty of the end that a call of it caused."""
+        async with running_cluster(3) as cluster:
+            table = cluster.guards[0].table
+            parent, child = (bytes([n]) * 16 for n in (1, 2))
+            for n in range(3):
+                end = UpstreamEnd("t", f"t{n}", 1, (child,))
+                cluster.guards[1].sharing.publish_end(end)
+            cluster.guards[0].sharing.publish_end(UpstreamEnd("s", "s0", 1, (parent,)))
+            await trio.sleep(0.1)
+            self.assertEqual([v.request for v in table.verdicts()], [child])
+            self.assertTrue(table.is_suspect(parent))
+
     @run_on_mock_clock
     async def test_flapping_upstreams_leave_no_verdict(self) -> None:
         """Guards against lasting guilt by chance where upstreams go down and up by themselves."""
