--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -26,6 +26,7 @@
     QueueDelay,
     QueueFull,
     Refusal,
+    SuspectWaits,
     UpstreamDraining,
     UpstreamFailed,
 )
@@ -51,6 +52,7 @@
     PeerFailed,
     QueueDelay,
     QueueFull,
+    SuspectWaits,
     UpstreamDraining,
     UpstreamFailed,
 )
