A success lifts the verdict on a frequent request

A request with many copies in progress was refused by all nodes for 10 minutes after three upstreams had failed together, although copies of it succeeded at others.

Cause: only the success of a suspect cleared it; a condemned request that was in progress elsewhere was not asked. A request that ends its upstreams does not succeed, so a success after the ends is evidence against the verdict.

test_success_lifts_the_verdict_on_a_frequent_request failed before (verdicts in place of none on 5 nodes) and passes now; its mutation is caught.

--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -133,7 +133,7 @@
 
     def lift(self, request: bytes) -> bool:
         """Drop the evidence against a request at all nodes; return False if there is none."""
-        if self.table.verdict(request) is None and not self.table.is_suspect(request):
+        if not self.table.is_accused(request):
             return False
         self.sharing.publish_cleared(request, "operator")
         return True
@@ -250,7 +250,7 @@
 
     def _clear_after_success(self, run: GuardedRun, result: CallResult) -> None:
         request = run.request
-        if result.ok and request is not None and self.table.is_suspect(request):
+        if result.ok and request is not None and self.table.is_accused(request):
             self.sharing.publish_cleared(request, "succeeded")
 
     # Ends of the local upstream
--- a/knapweedhitch/suspects.py
+++ b/knapweedhitch/suspects.py
@@ -75,6 +75,10 @@
         """Return whether an end may be the fault of a request that is not condemned."""
         return request in self._suspects
 
+    def is_accused(self, request: bytes) -> bool:
+        """Return whether there is evidence against a request, condemned or not."""
+        return request in self._suspects or self.verdict(request) is not None
+
     def verdict(self, request: bytes) -> Verdict | None:
         """Return the verdict in force on a request, if there is one."""
         verdict = self._verdicts.get(request)
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -195,6 +195,22 @@
             await trio.sleep(0.1)
             self.assertEqual([len(g.table.suspects()) for g in cluster.guards], [1] * 5)
 
+    @run_on_mock_clock
+    async def test_success_lifts_the_verdict_on_a_frequent_request(self) -> None:
+        """Guards against a request that all nodes refuse since it ran at upstreams that failed
+        together, although it succeeds at others.
+        """
+        async with running_cluster() as cluster:
+            async with trio.open_nursery() as nursery:
+                for index in range(4):
+                    nursery.start_soon(cluster.call, index, b"/frequent")
+                await trio.sleep(RUN_S / 2)
+                for upstream in cluster.upstreams[:3]:
+                    upstream.crash()
+            await trio.sleep(0.1)
+            self.assertEqual([g.table.verdicts() for g in cluster.guards], [[]] * 5)
+            self.assertEqual(await cluster.call(4, b"/frequent"), OK)
+
     @run_on_mock_clock
     async def test_evidence_is_sent_a_limited_number_of_times(self) -> None:
         """Guards against nodes that pass on what they know already, which filled all links."""
