Begin no response whose turn comes after its deadline

A connection was reset with the requests behind a response for which there was no memory: earlier responses took until after its deadline, it was begun then, and cut when the 400 ms for its transfer were over.

Cause: the wait for the turn of such a response was bounded by the limit of its transfer, which counts from its deadline. Its caller does not wait that long. The wait ends at the deadline now, as it does for held responses, and the caller gets a 504 in its turn.

--- a/knapweedhitch/attempt.py
+++ b/knapweedhitch/attempt.py
@@ -2,13 +2,15 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 import trio
 
 from knapweedhitch import framing
-from knapweedhitch.exceptions import CallerGone
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import CallerGone, DeadlineExceeded, Outcome
 from knapweedhitch.exchange import Headers
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.model import LoadSample, Target
@@ -77,6 +79,8 @@
         self._has_length = False
         self._discarded_bytes = 0
         self.headers: Headers = ()
+        # Bounds the wait for the turn of a response for which there is no memory.
+        self.deadline = Deadline(math.inf)
         self.on_head: Callable[[Headers], None] = lambda headers: None
 
     @property
@@ -165,10 +169,22 @@
     async def _commit(self) -> None:
         await self._claim()
         self.committed = True
-        await self._conn.order.wait_due()
+        await self._wait_due()
         body = self._take_buffered()
         await self._write_to_caller(self._conn.send_head(self.status, self._all_headers(), [body]))
 
+    async def _wait_due(self) -> None:
+        """Wait for the turn of the response; raises DeadlineExceeded.
+
+        Begun after its deadline, it would soon be cut, with the requests behind it.
+        """
+        if self._conn.order.is_due:
+            return
+        with trio.move_on_at(self.deadline.at_s):
+            await self._conn.order.wait_due()
+        if not self._conn.order.is_due:
+            raise DeadlineExceeded(Outcome.UNKNOWN, "before the turn of the response")
+
     def _take_buffered(self) -> bytes:
         body, self._buffered = bytes(self._buffered), bytearray()
         return body
--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -222,6 +222,7 @@
         svc = call.svc
         max_recorded_bytes = svc.max_recorded_answer_bytes if call.keyed else None
         attempt = Attempt(call.conn, target, added, svc.hold_back_bytes, max_recorded_bytes)
+        attempt.deadline = call.deadline
         attempt.on_head = functools.partial(self._on_head, call)
         return attempt
 
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -211,6 +211,7 @@
     def _create_attempt(self, call: RelayCall, target: Target) -> Attempt:
         added = ((self._names.request_id, call.request_id.encode("ascii")),)
         attempt = Attempt(call.conn, target, added, call.svc.hold_back_bytes, None)
+        attempt.deadline = call.deadline
         attempt.on_head = functools.partial(self._on_head, call, attempt)
         return attempt
 
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -330,6 +330,22 @@
 
         run_caller(handlers, play, ByteBudget(0))
 
+    def test_response_whose_turn_comes_after_its_deadline_is_not_begun(self) -> None:
+        """Guards against a response without memory that is begun too late to be completed, and so
+        cut, with the requests behind it.
+        """
+        handlers = {
+            "r1": respond_after(0.7, 20),
+            "r2": respond_after(0.1, LARGE_BYTES, pause_s=0.5),
+            "r3": respond_after(0.1, 20),
+        }
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 1_900) + get(2, 500) + get(3, 1_900))
+            self.assertEqual([(await caller.read()).status for _ in range(3)], [200, 504, 200])
+
+        run_caller(handlers, play, ByteBudget(0))
+
     def test_deadline_right_before_the_first_byte_ends_no_later_request(self) -> None:
         """Guards against a connection that is reset, with the requests behind, although no byte of
         the response was written when its deadline passed.
--- a/tests/test_pipelining_seeds.py
+++ b/tests/test_pipelining_seeds.py
@@ -32,6 +32,8 @@
     pause_s: float
     response_bytes: int
     fails: bool
+    # Whether the node of the target is silent, so that another attempt runs beside the first.
+    is_silent: bool
 
     @property
     def request(self) -> bytes:
@@ -51,6 +53,9 @@
         if self.fails:
             sink.mark_dispatched()
             raise UpstreamFailed(Outcome.UNKNOWN)
+        if self.is_silent and spec.on_silence is not None:
+            await trio.sleep(self.delay_s / 2)
+            spec.on_silence()
         return await respond_after(self.delay_s, self.response_bytes, self.pause_s)(spec, sink)
 
 
@@ -68,6 +73,7 @@
         pause_s=rng.choice((0.0, 0.05, 0.3)),
         response_bytes=rng.choice((10, 1_000, LARGE_BYTES)) + number,
         fails=rng.random() < 0.1,
+        is_silent=rng.random() < 0.3,
     )
 
 
