Refuse numbers in YAML that overflow

Callers saw nothing if the file was wrong at the start: the daemon ended with a traceback and exit code 1 in place of the place and exit code 2. If such a file came with SIGHUP, the running process would have ended with all of its requests, as the signal handler expects SettingsError only.

Cause: YAML 1.1 has numbers of base 60. PyYAML computes the value of 1:1:1:...:1.5 with more than 170 parts as a float and raises OverflowError, which `yamltext.load` did not name among the errors of a text. The platform's settings were safe, as their reader also catches OverflowError.

Found by a fuzz test that mutates the fields of valid settings, boot files and answers. Before: OverflowError from `parse_settings` and `parse_answers`. After: SettingsError and AnswersError.

--- a/knapweedhitch/yamltext.py
+++ b/knapweedhitch/yamltext.py
@@ -64,6 +64,7 @@
         # PyYAML constructors raise these for scalars that are invalid for an explicit tag.
         ValueError,
         LookupError,
+        ArithmeticError,
         AttributeError,
         TypeError,
         RecursionError,
