Refuse tagged values in messages of peers

What callers and operators could see: a node that reports its version as an integer of 20,000 bits makes each request for the status page fail with 500, as Python refuses to format integers of over 4,300 digits; a message of such a number ended its link without a line in the log.

Cause: cbor2 decodes some twenty tags itself, among them integers of any size, references that make a list contain itself, decimal fractions and regular expressions. The codec expected plain values, and `int` in a message has no bound.

`load_plain` now refuses each tag, so that integers have at most 64 bits.

--- a/knapweedhitch/codec.py
+++ b/knapweedhitch/codec.py
@@ -19,6 +19,13 @@
 
 MAX_MESSAGE_BYTES = 1_048_576
 
+# Tags that cbor2 decodes itself: dates, integers of over 64 bits, fractions, references, regular
+# expressions, sets and the like. No message has them, and later steps can't handle all of them:
+# Python refuses to format an integer of over 4,300 digits, and a list may contain itself.
+KNOWN_TAGS = (
+    *(0, 1, 2, 3, 4, 5, 25, 28, 29, 30, 35, 36, 37, 100),
+    *(256, 258, 260, 261, 1004, 43_000, 55_799),
+)
 
 # CBOR has byte strings of its own, so they are passed on as they are.
 BYTES = (bytes,)
@@ -89,11 +96,18 @@
     return msg
 
 
+def _refuse_tag(*args: object) -> Any:
+    raise CodecError("tags are not accepted")
+
+
+_tag_decoders = dict.fromkeys(KNOWN_TAGS, _refuse_tag)
+
+
 def load_plain(data: bytes) -> Any:
-    """Decode a single CBOR value; raises CodecError on invalid data or trailing bytes."""
+    """Decode a single CBOR value; raises CodecError on invalid data, tags or trailing bytes."""
     stream = io.BytesIO(data)
     try:
-        raw = cbor2.load(stream)
+        raw = cbor2.load(stream, tag_hook=_refuse_tag, semantic_decoders=_tag_decoders)
     except (cbor2.CBORError, ValueError, TypeError, OverflowError, RecursionError, EOFError) as exc:
         raise CodecError(f"not valid CBOR: {exc}") from None
     if stream.tell() != len(data):
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -30,6 +30,10 @@
             (cbor2.dumps([4, "x"]), CodecError),
             (cbor2.dumps([4, 1, 2]), CodecError),
             (cbor2.dumps([4, True]), CodecError),
+            (cbor2.dumps([4, 1 << 64]), CodecError),
+            (cbor2.dumps([4, -(1 << 65)]), CodecError),
+            (cbor2.dumps([1 << 20_000, 1]), CodecError),
+            (b"\xd8\x1c\x82\x04\xd8\x1d\x00", CodecError),
             (b"x" * 2_000_000, MessageTooLarge),
         ]
         for data, error in cases:
--- /dev/null
+++ b/tests/test_outside_bytes.py
@@ -0,0 +1,230 @@
+"""Fuzz tests of each reader of bytes from outside: valid messages with mutated fields."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+import unittest
+import zlib
+from collections.abc import Iterator
+from typing import Any
+
+import cbor2
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from knapweedhitch import (
+    announcement,
+    changes,
+    changes_json,
+    codec,
+    configuration,
+    framing,
+    plain,
+    snapshot,
+    upstreamload,
+    wal,
+)
+from knapweedhitch.exceptions import (
+    ChangeError,
+    CodecError,
+    CorruptFile,
+    InvalidChange,
+    Refusal,
+)
+from knapweedhitch.history import ConfigurationMachine
+from knapweedhitch.platform import heartbeats
+from knapweedhitch.platform import items as platform_items
+from knapweedhitch.platform.settings import HEADERS
+from knapweedhitch.settings import ControlSettings
+from tests.message_samples import plain as plain_message
+from tests.message_samples import samples
+from tests.outside_bytes import cbor_bodies, damaged, json_bodies
+from tests.test_platform import FIRST_PATCH
+
+BOUNDED = settings(derandomize=True, deadline=None, max_examples=150)
+
+HEARTBEAT = {
+    "address": "127.0.0.1:9000",
+    "info": {"service": "robes", "slots": 6},
+    "status": {"state": "ready", "seq": 1, "coldRemainingS": 0.5},
+    "born": 1_000,
+}
+ANNOUNCEMENT = {
+    "service": "robes",
+    "address": "127.0.0.1:9000",
+    "slots": 6,
+    "connections": 60,
+    "instance_id": "i-1",
+    "incarnation": 7,
+    "state": "serving",
+}
+SERVICE = {
+    "name": "robes",
+    "hosts": ["robes.example"],
+    "default_deadline_ms": 1_000,
+    "hedge": True,
+    "max_ejected_ratio": 0.5,
+}
+OPS = (
+    {"kind": "put_service", "service": SERVICE},
+    {"kind": "apply_all", "services": [SERVICE, {**SERVICE, "name": "b", "hosts": ["b"]}]},
+    {"kind": "remove_service", "name": "robes"},
+    {"kind": "domain_out", "domain": "d0", "allow_last": True},
+    {"kind": "node_drain", "node_id": "n0"},
+)
+CHANGES = tuple(
+    {"change_id": "c-1", "base_version": 0, "operator": "op", "op": dict(op)} for op in OPS
+)
+
+
+def stamped_change(op: Any) -> changes.StampedChange:
+    """Return the stamped change of an operation."""
+    return changes.StampedChange(changes.Change("c-1", None, "op", op), 1_000, {})
+
+
+@contextlib.contextmanager
+def refused(*errors: type[Exception]) -> Iterator[None]:
+    """Let a reader refuse its input by one of its typed errors only."""
+    try:
+        yield
+    except errors:
+        pass
+
+
+def sample_operations() -> tuple[changes.Operation, ...]:
+    """Return an operation of each kind."""
+    forms = [changes_json.to_change(changes_json.parse_change(raw)).op for raw in CHANGES]
+    patch = platform_items.decode_patch(plain.dump(FIRST_PATCH))
+    return (*forms, changes.PatchItems(patch))
+
+
+class PeerTest(unittest.TestCase):
+    DOCUMENTS = tuple(plain_message(msg) for msg in samples().values())
+
+    @BOUNDED
+    @given(cbor_bodies(DOCUMENTS))
+    def test_message_of_a_peer_is_decoded_or_refused(self, data: bytes) -> None:
+        """Guards against a message whose decoding ends a link, or a process, untyped; what was
+        decoded can be logged and sent on.
+        """
+        with refused(CodecError):
+            msg = codec.decode(data)
+            str(msg)
+            self.assertEqual(type(codec.decode(codec.encode(msg))), type(msg))
+
+    @BOUNDED
+    @given(
+        st.sampled_from(sample_operations()).flatmap(
+            lambda op: cbor_bodies((cbor2.loads(changes.encode_stamped(stamped_change(op))),))
+        )
+    )
+    def test_logged_change_is_applied_or_refused(self, data: bytes) -> None:
+        """Guards against a change in the log that ends each control instance that applies it."""
+        machine = ConfigurationMachine(ControlSettings(members=()))
+        machine.apply(data)
+        ConfigurationMachine(ControlSettings(members=())).restore(machine.snapshot())
+        configuration.to_state(machine.current)
+
+    @BOUNDED
+    @given(st.data())
+    def test_state_of_a_peer_is_decoded_or_refused(self, data: st.DataObject) -> None:
+        """Guards against a state in a poll reply or a snapshot that ends the process."""
+        state = data.draw(cbor_bodies((_state(),)))
+        packed = data.draw(damaged(zlib.compress(state)))
+        with refused(CodecError):
+            cfg = configuration.from_state(packed)
+            str(cfg)
+            configuration.to_state(cfg)
+        snap = data.draw(cbor_bodies(([3, 1, {"n0": "d"}, "g", b"s"],)))
+        with refused(CodecError, CorruptFile):
+            raw = codec.load_plain(snap)
+            snapshot.decode(wal.frame(0, raw))
+        with refused(ChangeError, CodecError, CorruptFile):
+            machine = ConfigurationMachine(ControlSettings(members=()))
+            machine.restore(zlib.compress(data.draw(cbor_bodies((_history(),)))))
+            str(machine.history())
+
+
+def _filled_machine() -> ConfigurationMachine:
+    machine = ConfigurationMachine(ControlSettings(members=()))
+    for number, op in enumerate(sample_operations()):
+        change = changes.Change(f"c-{number}", None, "op", op)
+        machine.apply(changes.encode_stamped(changes.StampedChange(change, 1_000, {})))
+    return machine
+
+
+def _state() -> Any:
+    return cbor2.loads(zlib.decompress(configuration.to_state(_filled_machine().current)))
+
+
+def _history() -> Any:
+    return cbor2.loads(zlib.decompress(_filled_machine().snapshot()))
+
+
+class OperatorTest(unittest.TestCase):
+    @BOUNDED
+    @given(json_bodies(CHANGES))
+    def test_change_of_an_operator_is_logged_or_refused(self, body: bytes) -> None:
+        """Guards against an answer of 500 to a change that is malformed."""
+        with refused(InvalidChange, Refusal):
+            change = changes_json.to_change(changes_json.parse_change(plain.parse_object(body)))
+            self.assertEqual(changes.decode_change(changes.encode_change(change)), change)
+
+    @BOUNDED
+    @given(json_bodies((FIRST_PATCH,)))
+    def test_patch_of_an_operator_is_logged_or_refused(self, body: bytes) -> None:
+        """Guards against a patch that is accepted and can't be logged, merged or read again."""
+        with refused(InvalidChange):
+            patch = platform_items.decode_patch(body)
+            machine = ConfigurationMachine(ControlSettings(members=()))
+            machine.apply(changes.encode_stamped(stamped_change(changes.PatchItems(patch))))
+            platform_items.encode_items(machine.current.items)
+            configuration.from_state(configuration.to_state(machine.current))
+
+    @BOUNDED
+    @given(json_bodies((HEARTBEAT,)))
+    def test_heartbeat_of_an_upstream_is_taken_or_refused(self, body: bytes) -> None:
+        """Guards against an answer of 500 to a heartbeat that is malformed."""
+        with refused(Refusal):
+            heartbeat = heartbeats.decode_heartbeat(body)
+            announcement.check_record(heartbeat.record("i-1", 5))
+            self.assertTrue(math.isfinite(heartbeat.cold_ms))
+        with refused(Refusal):
+            heartbeats.decode_deregistration(body)
+
+    @BOUNDED
+    @given(json_bodies((ANNOUNCEMENT,)))
+    def test_announcement_is_taken_or_refused(self, body: bytes) -> None:
+        """Guards against an announcement that ends its connection without an answer."""
+        with refused(Refusal):
+            announcement.check_record(announcement.parse_announcement(body))
+
+
+class HeaderTest(unittest.TestCase):
+    REPORTS = (
+        (b"server-load", b"1,0,6,100"),
+        (b"server-limit", b"11.5"),
+        (b"server-leaving", b"1"),
+        (b"keep-alive", b"timeout=5, max=3"),
+    )
+
+    @BOUNDED
+    @given(
+        st.sampled_from(REPORTS).flatmap(
+            lambda field: st.tuples(
+                st.just(field[0]),
+                damaged(field[1])
+                | st.sampled_from(
+                    (b"nan", b"1e999", b"-1", b"9" * 5_000, b"1,,2", b"\xff", b"0x1", b"1_0,0,1")
+                ),
+            )
+        )
+    )
+    def test_report_of_an_upstream_is_used_or_counted(self, field: tuple[bytes, bytes]) -> None:
+        """Guards against a header of an upstream that fails the request it came with."""
+        names = framing.header_names(HEADERS)
+        report = upstreamload.parse_report([field], names, "i-1", 0.0)
+        if report.load is not None:
+            self.assertTrue(math.isfinite(report.load.slowdown))
+        framing.keep_alive_s([field])
