Refuse addresses of members that are no IP addresses

What callers saw: all requests at a node were cut, and a control instance was gone, until a restart. Two datagrams were enough: a record of a member with the host "a\0b", then a request to probe it.

Cause: the host of an address was any text. The socket raises TypeError for text with a NUL or a lone surrogate, where the sender of datagrams expects OSError. From a timer that was an error a second, without any gossip; from the task that handles datagrams it ended the process. Other text was looked up as a name, which holds up the event loop until the resolver gives up.

Settings, heartbeats and announcements were checked already.

--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import socket
 from collections.abc import Mapping
 from typing import Annotated
 
@@ -23,12 +24,26 @@
 INSTANCE_ID = r"\A[!-~]{1,128}\Z"
 
 
+def _is_ip_address(host: str) -> bool:
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    try:
+        socket.inet_pton(family, host.partition("%")[0])
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 class Address(Record, frozen=True, order=True):
     """Represent an IP address and port."""
 
     host: str
     port: Annotated[int, Meta(ge=0, le=65_535)]
 
+    def __post_init__(self) -> None:
+        # A socket would look up any other text as a name, which blocks, or refuse it untyped.
+        if not _is_ip_address(self.host):
+            raise ValueError(f"host: {self.host[:60]!r} is not an IP address")
+
     def __str__(self) -> str:
         return f"[{self.host}]:{self.port}" if ":" in self.host else f"{self.host}:{self.port}"
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -10,6 +10,7 @@
 
 from knapweedhitch import codec, messages
 from knapweedhitch.exceptions import CodecError, MessageTooLarge, UnknownMessage
+from knapweedhitch.model import Address
 
 PING = messages.Ping(7)
 
@@ -40,6 +41,14 @@
             with self.subTest(data=data[:12]), self.assertRaises(error):
                 codec.decode(data)
 
+    def test_address_that_is_no_ip_address_is_refused(self) -> None:
+        """Guards against the address of a peer that a socket looks up as a name, or can't take."""
+        for host in ("a\x00b", "name.example", "999.1.1.1", "1.2.3.4.5", "", "x" * 300, "::g"):
+            with self.subTest(host=host), self.assertRaises(CodecError):
+                codec.from_plain(Address, [host, 7_000])
+        for host in ("10.0.0.1", "::1", "fe80::1%eth0"):
+            self.assertEqual(codec.from_plain(Address, [host, 7_000]), Address(host, 7_000))
+
     @settings(derandomize=True, max_examples=500, deadline=None)
     @given(st.binary(max_size=200))
     def test_any_bytes_give_a_message_or_a_codec_error(self, data: bytes) -> None:
