--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import dataclasses
-import random
 from collections.abc import Callable
 from typing import Any
 
@@ -28,11 +27,11 @@
 from knapweedhitch.identity import NO_BODY, IdentifiedBody, Identifier
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import CallResult, LoadSample, UpstreamEnd, UpstreamRecord, UpstreamState
-from knapweedhitch.suspects import SuspectTable, Verdict
+from knapweedhitch.suspects import Verdict
 from knapweedhitch.suspectsharing import SuspectSharing
 
-# An upstream may close its connections some milliseconds before it stops to listen.
-END_CHECKS = 2
+# An upstream may close its connections some milliseconds before it stops to listen, so that a
+# connection that is accepted is tried once more.
 END_CHECK_GAP_S = 0.02
 
 LoadSource = Callable[[], LoadSample | None]
@@ -108,28 +107,27 @@
 class CrashGuard:
     """Refuse condemned requests, keep suspects apart and observe ends of the local upstream."""
 
-    def __init__(self, kernel: Kernel, rng: random.Random | None = None) -> None:
+    def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._cfg = kernel.cfg.suspects
         self._counters = kernel.get("counters")
         self._now_ms = kernel.get("timers").now_ms
-        self.table = SuspectTable(self._cfg, self._now_ms)
-        self.sharing = SuspectSharing(kernel, self.table, rng or random.Random())
+        self.sharing: SuspectSharing = kernel.get("suspects")
+        self.table = self.sharing.table
         self._running: dict[GuardedRun, tuple[str, int]] = {}
         self._checks: dict[tuple[str, int], trio.Event] = {}
         self._turn_holder: GuardedRun | None = None
         self._turn_ended = trio.Event()
 
     async def start(self) -> None:
-        """Start to share evidence."""
+        """Look up the services that the guard uses."""
         secret: bytes = self._kernel.get("peers").secret
         self.identifier = Identifier(secret, self._cfg.identified_body_bytes)
         self._pool = self._kernel.get("pool")
         self._log = BoundedLog(self._kernel.cfg.log, self._counters, self._now_ms)
-        self.sharing.start()
 
     async def stop(self) -> None:
-        """Do nothing; the timers end with the node."""
+        """Do nothing; calls end with their tasks."""
 
     def lift(self, request: bytes) -> bool:
         """Drop the evidence against a request at all nodes; return False if there is none."""
@@ -278,11 +276,11 @@
             done.set()
 
     async def _refuses_connections(self, record: UpstreamRecord) -> bool:
-        for _ in range(END_CHECKS):
-            if await self._pool.refuses_connections(record.address):
-                return True
-            await trio.sleep(END_CHECK_GAP_S)
-        return False
+        if await self._pool.refuses_connections(record.address):
+            return True
+        await trio.sleep(END_CHECK_GAP_S)
+        refuses: bool = await self._pool.refuses_connections(record.address)
+        return refuses
 
     def _is_in_use(self, record: UpstreamRecord) -> bool:
         """Return whether the upstream has not said that it leaves."""
--- a/knapweedhitch/platform/roles.py
+++ b/knapweedhitch/platform/roles.py
@@ -17,6 +17,7 @@
     ("metrics_page", "http_api"),
     ("peers", "peers"),
     ("membership", "membership"),
+    ("suspects", "suspectsharing"),
     ("config", "feed"),
 )
 SERVICES_BY_ROLE = {
--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -30,6 +30,7 @@
     ("timers", "timers"),
     ("peers", "peers"),
     ("membership", "membership"),
+    ("suspects", "suspectsharing"),
     ("config", "feed"),
     ("control", "control"),
     ("picker", "pick"),
--- a/knapweedhitch/suspectsharing.py
+++ b/knapweedhitch/suspectsharing.py
@@ -11,7 +11,7 @@
 from knapweedhitch.budget import TokenBucket
 from knapweedhitch.codec import Message
 from knapweedhitch.exceptions import PeerError
-from knapweedhitch.kernel import Kernel
+from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import (
     Ack,
     Evidence,
@@ -25,20 +25,26 @@
 COMPARE_TIMEOUT_MS = 400.0
 # A node that has just started asks for evidence although it holds none.
 ASK_AFTER_START_MS = 10_000.0
+# A node that restarts may meet a condemned request at once, and others may have no link to it yet.
+EARLY_ASKS_MS = (50.0, 150.0, 300.0)
 # With a fanout of 24, three steps reach 13,800 nodes.
 MAX_HOPS = 4
 
 
+@service("suspects")
 class SuspectSharing:
-    """Add evidence to the table of this node, log it, and pass it on to others."""
+    """Hold the evidence that this node knows, log it, and pass it on to others.
 
-    def __init__(self, kernel: Kernel, table: SuspectTable, rng: random.Random) -> None:
+    Control instances hold it as well, so that it outlasts the restart of all entry nodes.
+    """
+
+    def __init__(self, kernel: Kernel, rng: random.Random | None = None) -> None:
         self._kernel = kernel
         self._cfg = kernel.cfg.suspects
-        self._table = table
-        self._rng = rng
+        self._rng = rng or random.Random()
         self._counters = kernel.get("counters")
         self._timers = kernel.get("timers")
+        self.table = SuspectTable(self._cfg, self._timers.now_ms)
         self._peers = kernel.get("peers")
         self._membership = kernel.get("membership")
         self._log = BoundedLog(kernel.cfg.log, self._counters, self._timers.now_ms)
@@ -46,13 +52,18 @@
         rate = float(self._cfg.max_messages_per_s)
         self._budget = TokenBucket(rate, rate, self._timers.now_ms)
 
-    def start(self) -> None:
+    async def start(self) -> None:
         """Register the handlers and compare evidence from time to time."""
         self._started_ms = self._timers.now_ms()
         self._peers.handle(UpstreamEnded, self._on_end)
         self._peers.handle(RequestCleared, self._on_cleared)
         self._peers.handle(EvidenceQuery, self._on_query)
         self._timers.every(self._cfg.compare_interval_ms, self._on_tick, jitter=0.1, align=True)
+        for delay_ms in EARLY_ASKS_MS:
+            self._timers.after(delay_ms, self._on_tick)
+
+    async def stop(self) -> None:
+        """Do nothing; the timers end with the node."""
 
     def publish_end(self, end: UpstreamEnd) -> None:
         """Record the end of the local upstream and tell other nodes."""
@@ -72,8 +83,8 @@
         """Record that a request is not guilty and tell other nodes."""
         self._counters.add("suspects_cleared", cause)
         logs.event("suspect_cleared", request=request.hex(), cause=cause)
-        mark = self._table.next_mark(request, self._timers.wall_ms())
-        if self._table.clear(request, mark, self._timers.now_ms()):
+        mark = self.table.next_mark(request, self._timers.wall_ms())
+        if self.table.clear(request, mark, self._timers.now_ms()):
             self._spread(RequestCleared(request, mark, 0.0, MAX_HOPS), "")
 
     # Evidence of other nodes
@@ -99,17 +110,17 @@
         if len(kept) < len(end.requests):
             unidentified = end.unidentified + len(end.requests) - len(kept)
             end = UpstreamEnd(end.service, end.instance_id, end.incarnation, kept, unidentified)
-        known = {verdict.request for verdict in self._table.verdicts()}
-        if not self._table.add_end(end, self._timers.now_ms() - max(0.0, age_ms)):
+        known = {verdict.request for verdict in self.table.verdicts()}
+        if not self.table.add_end(end, self._timers.now_ms() - max(0.0, age_ms)):
             return False
-        for verdict in self._table.verdicts():
+        for verdict in self.table.verdicts():
             if verdict.request not in known:
                 self._log_verdict(verdict)
         return True
 
     def _add_cleared(self, msg: RequestCleared) -> bool:
         cleared_ms = self._timers.now_ms() - max(0.0, msg.age_ms)
-        return self._table.clear(msg.request, msg.mark, cleared_ms)
+        return self.table.clear(msg.request, msg.mark, cleared_ms)
 
     def _log_verdict(self, verdict: Verdict) -> None:
         now = self._timers.now_ms()
@@ -137,31 +148,22 @@
             self._counters.add("evidence_dropped", type(msg).__name__)
 
     def _choose_peers(self, limit: int) -> list[str]:
-        """Return entry nodes, those with a link first, as a new link costs heartbeats."""
+        """Return other nodes, those with a link first, as a new link costs heartbeats."""
         members = self._membership.members()
-        linked = [n for n in self._peers.linked_peers() if n in members and self._is_other(n)]
+        linked = [n for n in self._peers.linked_peers() if n in members]
         self._rng.shuffle(linked)
         if len(linked) >= limit:
             return linked[:limit]
         known = set(linked)
-        others = [n for n in members if n not in known and self._is_other(n)]
+        others = [n for n in members if n not in known and n != self._kernel.cfg.node.id]
         count = min(limit - len(linked), len(others))
         return linked + self._rng.sample(others, count)
 
-    def _is_other(self, node_id: str) -> bool:
-        member = self._membership.members().get(node_id)
-        return member is not None and not member.is_control and node_id != self._own_id
-
-    @property
-    def _own_id(self) -> str:
-        own_id: str = self._kernel.cfg.node.id
-        return own_id
-
     # Comparison, for messages that were lost and for nodes that have just started
 
     def _on_tick(self) -> None:
-        self._table.expire()
-        ends, cleared = self._table.evidence()
+        self.table.expire()
+        ends, cleared = self.table.evidence()
         is_new = self._timers.now_ms() - self._started_ms < ASK_AFTER_START_MS
         if self._is_comparing or not (ends or cleared or is_new):
             return
@@ -172,7 +174,7 @@
 
     async def _compare(self, node_id: str) -> None:
         try:
-            query = EvidenceQuery(self._table.digest())
+            query = EvidenceQuery(self.table.digest())
             reply = await self._peers.call(node_id, query, COMPARE_TIMEOUT_MS)
             if isinstance(reply, Evidence) and not reply.is_same:
                 self._send_missing(node_id, reply)
@@ -200,13 +202,13 @@
                 self._send(node_id, msg)
 
     async def _on_query(self, node_id: str, msg: EvidenceQuery) -> Evidence:
-        if msg.digest == self._table.digest():
+        if msg.digest == self.table.digest():
             return Evidence(True, (), ())
         return self._own_evidence()
 
     def _own_evidence(self) -> Evidence:
         now = self._timers.now_ms()
-        ends, cleared = self._table.evidence()
+        ends, cleared = self.table.evidence()
         return Evidence(
             False,
             tuple(_with_age(held, now) for held in ends),
--- a/scripts/measure_guard.py
+++ b/scripts/measure_guard.py
@@ -24,6 +24,7 @@
 from knapweedhitch.model import Address, CallResult, UpstreamEnd, UpstreamRecord
 from knapweedhitch.payload import BufferedBody, NoBody
 from knapweedhitch.settings import Settings, parse_settings
+from knapweedhitch.suspectsharing import SuspectSharing
 from knapweedhitch.timers import Timers
 
 RECORD = UpstreamRecord("s", Address("127.0.0.1", 1), 9, 9, "i", 1)
@@ -57,6 +58,7 @@
     services = {"counters": Counters(), "timers": Timers(kernel), "peers": peers}
     for name, part in {**services, "membership": SimpleNamespace(members=dict)}.items():
         kernel.add(name, part)
+    kernel.add("suspects", SuspectSharing(kernel))
     guard = CrashGuard(kernel)
     guard._pool = EmptyPool()
     guard.identifier = Identifier(b"secret", kernel.cfg.suspects.identified_body_bytes)
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -23,6 +23,7 @@
 from knapweedhitch.exchange import CallSpec
 from knapweedhitch.model import Address, CallResult, UpstreamEnd, UpstreamRecord, UpstreamState
 from knapweedhitch.suspects import MANY_ENDS
+from knapweedhitch.suspectsharing import SuspectSharing
 from tests.fake_net import MemoryNet, Node, running_nodes
 from tests.test_forward import Body, Sink, make_spec
 from tests.test_peers import run_on_mock_clock
@@ -152,7 +153,8 @@
     node.kernel.get("membership").members = lambda: members
     announce = SimpleNamespace(current=upstream.record, start=trio.lowlevel.checkpoint)
     node.add("announce", announce)
-    node.add("crashguard", CrashGuard(node.kernel, random.Random(index)))
+    node.add("suspects", SuspectSharing(node.kernel, random.Random(index)))
+    node.add("crashguard", CrashGuard(node.kernel))
 
 
 @contextlib.asynccontextmanager
