--- a/knapweedhitch/suspectsharing.py
+++ b/knapweedhitch/suspectsharing.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Callable
 
 from msgspec import structs
 
-from knapweedhitch import logs
 from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.budget import TokenBucket
 from knapweedhitch.codec import Message
@@ -82,10 +82,11 @@
     def publish_cleared(self, request: bytes, cause: str) -> None:
         """Record that a request is not guilty and tell other nodes."""
         self._counters.add("suspects_cleared", cause)
-        logs.event("suspect_cleared", request=request.hex(), cause=cause)
+        self._log.event("suspect_cleared", request=request.hex(), cause=cause)
         mark = self.table.next_mark(request, self._timers.wall_ms())
-        if self.table.clear(request, mark, self._timers.now_ms()):
-            self._spread(RequestCleared(request, mark, 0.0, MAX_HOPS), "")
+        msg = RequestCleared(request, mark, 0.0, MAX_HOPS)
+        if self._add_cleared(msg):
+            self._spread(msg, "")
 
     # Evidence of other nodes
 
@@ -110,17 +111,26 @@
         if len(kept) < len(end.requests):
             unidentified = end.unidentified + len(end.requests) - len(kept)
             end = UpstreamEnd(end.service, end.instance_id, end.incarnation, kept, unidentified)
-        known = {verdict.request for verdict in self.table.verdicts()}
-        if not self.table.add_end(end, self._timers.now_ms() - max(0.0, age_ms)):
-            return False
-        for verdict in self.table.verdicts():
-            if verdict.request not in known:
-                self._log_verdict(verdict)
-        return True
+        ended_ms = self._timers.now_ms() - max(0.0, age_ms)
+        return self._change(lambda: self.table.add_end(end, ended_ms))
 
     def _add_cleared(self, msg: RequestCleared) -> bool:
         cleared_ms = self._timers.now_ms() - max(0.0, msg.age_ms)
-        return self.table.clear(msg.request, msg.mark, cleared_ms)
+        return self._change(lambda: self.table.clear(msg.request, msg.mark, cleared_ms))
+
+    def _change(self, change: Callable[[], bool]) -> bool:
+        """Change the evidence, log the verdicts that follow, and return whether it was new."""
+        before = {verdict.request: verdict for verdict in self.table.verdicts()}
+        if not change():
+            return False
+        after = {verdict.request: verdict for verdict in self.table.verdicts()}
+        for request, verdict in after.items():
+            if request not in before:
+                self._log_verdict(verdict)
+        for request in before.keys() - after.keys():
+            self._counters.add("verdicts_dropped")
+            self._log.event("verdict_dropped", request=request.hex())
+        return True
 
     def _log_verdict(self, verdict: Verdict) -> None:
         now = self._timers.now_ms()
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -9,6 +9,7 @@
 from types import SimpleNamespace
 from typing import Any
 
+import logbook
 import trio
 
 from knapweedhitch.crashguard import CrashGuard, GuardKey
@@ -275,6 +276,24 @@
             self.assertIsInstance(refused, RequestCondemned)
             self.assertEqual(cluster.upstreams[2].arrivals, [b"/paygood"])
 
+    @run_on_mock_clock
+    async def test_each_verdict_is_logged_when_it_comes_and_goes(self) -> None:
+        """Guards against a verdict that no line tells, here one that a clearance brings about."""
+        async with running_cluster(1) as cluster:
+            sharing = cluster.guards[0].sharing
+            bad, other = (bytes([n]) * 16 for n in (1, 2))
+            with logbook.TestHandler() as handler:
+                for n in range(2):
+                    sharing.publish_end(UpstreamEnd("s", f"i{n}", 1, (bad, other)))
+                self.assertFalse(any("request_condemned" in r.message for r in handler.records))
+                sharing.publish_cleared(other, "succeeded")
+                sharing.publish_end(UpstreamEnd("s", "i9", 1, ()))
+            lines = [r.message for r in handler.records]
+            (condemned,) = [line for line in lines if "event=request_condemned" in line]
+            for part in (f"request={bad.hex()}", "common-to-two", "i0:0,i1:0", "refused_ms=60000"):
+                self.assertIn(part, condemned)
+            self.assertTrue(any(f"verdict_dropped request={bad.hex()}" in line for line in lines))
+
     @run_on_mock_clock
     async def test_an_operator_lifts_a_verdict_everywhere(self) -> None:
         """Guards against a verdict that other nodes keep, or tell again, after it was lifted."""
