--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -181,8 +181,14 @@
         return send_http(address, "POST", path, json.dumps(heartbeat).encode())[0]
 
     def send_request(self, ip: str, method: str = "GET", request_id: str = "r1") -> int:
+        return self.get_response(ip, method, request_id)[0]
+
+    def get_response(
+        self, ip: str, method: str = "GET", request_id: str = "r1"
+    ) -> tuple[int, bytes]:
+        """Send a request through an entry node and return the status and the body."""
         headers = {"Host": "a.example", "Attempt-Id": request_id, "Deadline-Ms": "1500"}
-        return send_http(self.address(ip, "outbound"), method, "/x/1", b"", headers)[0]
+        return send_http(self.address(ip, "outbound"), method, "/x/1", b"", headers)
 
     def configure(self) -> None:
         route = {**FIRST_PATCH["upsert"]["routes"][0], "service": "robes"}
--- a/tests/test_log_reader.py
+++ b/tests/test_log_reader.py
@@ -45,7 +45,8 @@
     def check_service(self) -> None:
         """Check requests through the entry node, its readiness and a read of the configuration."""
         for i in range(N_REQUESTS):
-            self.assertEqual(self.send_request(APPS[1], request_id=f"r{i}"), 200, f"request {i}")
+            status, body = self.get_response(APPS[1], request_id=f"r{i}")
+            self.assertEqual(status, 200, f"request {i}: {body!r}")
         ready = self.address(APPS[1], "ready")
         self.assertEqual(send_http(ready, "GET", "/knapweedhitch/readiness")[0], 200)
         self.assertEqual(self.read_config(), self.patch["upsert"])
