--- a/knapweedhitch/cli_suspects.py
+++ b/knapweedhitch/cli_suspects.py
@@ -14,8 +14,8 @@
 
 
 def render(page: Mapping[str, Any]) -> str:
-    """Render the condemned and the suspected requests."""
-    condemned = [
+    """Render the quarantined and the suspected requests."""
+    quarantined = [
         (
             row["request"],
             row["service"],
@@ -23,11 +23,11 @@
             row["refused_ms"],
             [f"{end['instance']}:{end['ended_ms_ago']:.0f}" for end in row["ends"]],
         )
-        for row in page["condemned"]
+        for row in page["quarantined"]
     ]
-    header = ("condemned", "service", "evidence", "refused_ms", "ended_ms_ago")
+    header = ("quarantined", "service", "evidence", "refused_ms", "ended_ms_ago")
     suspects = [(row["request"], row["service"]) for row in page["suspects"]]
-    return f"{table(header, condemned)}\n\n{table(('suspect', 'service'), suspects)}"
+    return f"{table(header, quarantined)}\n\n{table(('suspect', 'service'), suspects)}"
 
 
 class SuspectCommands:
@@ -38,7 +38,7 @@
 
     @command
     def show(self) -> None:
-        """Show the condemned and the suspected requests that this node knows."""
+        """Show the quarantined and the suspected requests that this node knows."""
         self._context.show(self._context.get("/v1/suspects"), render)
 
     @command
--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -16,7 +16,7 @@
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.exceptions import (
     Outcome,
-    RequestCondemned,
+    RequestQuarantined,
     SuspectWaits,
     UpstreamFailed,
     UpstreamShed,
@@ -74,7 +74,7 @@
     def __init__(self, pool: Any) -> None:
         self._pool = pool
 
-    def refusal_of(self, key: GuardKey) -> RequestCondemned | None:
+    def refusal_of(self, key: GuardKey) -> RequestQuarantined | None:
         """Return None."""
         return None
 
@@ -105,7 +105,7 @@
 
 @service("crashguard")
 class CrashGuard:
-    """Refuse condemned requests, keep suspects apart and observe ends of the local upstream."""
+    """Refuse quarantined requests, keep suspects apart and observe ends of the local upstream."""
 
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
@@ -138,8 +138,8 @@
 
     # At the entry node
 
-    def refusal_of(self, key: GuardKey) -> RequestCondemned | None:
-        """Return the refusal of a request without a body that is condemned.
+    def refusal_of(self, key: GuardKey) -> RequestQuarantined | None:
+        """Return the refusal of a request without a body that is quarantined.
 
         A request with a body is judged at the node of its target, which reads the body anyway.
         """
@@ -153,19 +153,19 @@
         """Return whether upstreams of the service have ended lately."""
         return self.table.has_ends_of(service)
 
-    def _refusal(self, verdict: Verdict) -> RequestCondemned:
-        self._counters.add("condemned_refused")
+    def _refusal(self, verdict: Verdict) -> RequestQuarantined:
+        self._counters.add("quarantined_refused")
         self._log.event(
-            "condemned_request_refused", request=verdict.request.hex(), service=verdict.service
+            "quarantined_request_refused", request=verdict.request.hex(), service=verdict.service
         )
-        refusal = RequestCondemned(Outcome.NOT_RUN, verdict.request.hex())
+        refusal = RequestQuarantined(Outcome.NOT_RUN, verdict.request.hex())
         refusal.retry_after_ms = max(1.0, verdict.until_ms - self._now_ms())
         return refusal
 
     # At the node of the target
 
     async def admit(self, spec: CallSpec, body: BodySource) -> GuardedRun:
-        """Return the run of a call once it may go on; raises RequestCondemned, SuspectWaits."""
+        """Return the run of a call once it may go on; raises RequestQuarantined, SuspectWaits."""
         run = GuardedRun(body, self.identifier.of_call(spec), spec.has_body)
         if spec.has_body:
             run.body = IdentifiedBody(body, self.identifier)
@@ -175,12 +175,12 @@
             await run.body.identify()
         request = run.request
         assert request is not None
-        self._refuse_condemned(request)
+        self._refuse_quarantined(request)
         if self.table.is_suspect(request):
             await self._wait_for_turn(run, request)
         return run
 
-    def _refuse_condemned(self, request: bytes) -> None:
+    def _refuse_quarantined(self, request: bytes) -> None:
         verdict = self.table.verdict(request)
         if verdict is not None:
             raise self._refusal(verdict)
@@ -194,8 +194,8 @@
             raise SuspectWaits(Outcome.NOT_RUN)
         try:
             # The suspect before it may have ended the upstream or have shown its own guilt.
-            self._refuse_condemned(request)
-        except RequestCondemned:
+            self._refuse_quarantined(request)
+        except RequestQuarantined:
             self.release(run)
             raise
         if not self.table.is_suspect(request):
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -401,10 +401,10 @@
     status = 503
 
 
-class RequestCondemned(Refusal):
+class RequestQuarantined(Refusal):
     """Refuse a request under which several upstreams ended, before any upstream receives it."""
 
-    reason = "request-condemned"
+    reason = "request-quarantined"
     status = 503
     # The entry node replaces this by what is left of the verdict, if it knows the verdict itself.
     retry_after_ms = 60_000.0
--- a/knapweedhitch/operator_views.py
+++ b/knapweedhitch/operator_views.py
@@ -170,11 +170,11 @@
 
 
 def suspects(kernel: Kernel) -> Mapping[str, Any]:
-    """Return the condemned and the suspected requests that this node knows."""
+    """Return the quarantined and the suspected requests that this node knows."""
     guard = kernel.get("crashguard")
     now = kernel.get("timers").now_ms()
     return {
-        "condemned": [
+        "quarantined": [
             {
                 "request": verdict.request.hex(),
                 "service": verdict.service,
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -21,7 +21,7 @@
     Outcome,
     PeerFailed,
     Refusal,
-    RequestCondemned,
+    RequestQuarantined,
     RetryBudgetExhausted,
     UpstreamShed,
     UpstreamSlow,
@@ -125,8 +125,8 @@
         failed_attempt: Attempt | None = None
         cause = "first"
         while True:
-            if (condemned := self._guard.refusal_of(self._guard_key(call))) is not None:
-                failure, failed_attempt = condemned, None
+            if (quarantined := self._guard.refusal_of(self._guard_key(call))) is not None:
+                failure, failed_attempt = quarantined, None
                 break
             target = self._pick(call, cause)
             if target is None:
@@ -155,7 +155,7 @@
         """Return whether to try another target; `failure` is None after an error response."""
         if call.conn.response_started or call.targets_tried >= MAX_TARGETS_PER_CALL:
             return False
-        if isinstance(failure, RequestCondemned):
+        if isinstance(failure, RequestQuarantined):
             return False
         remaining_ms = call.deadline.remaining_ms()
         if remaining_ms < MIN_ATTEMPT_MS or not call.body.rewind():
--- a/knapweedhitch/suspects.py
+++ b/knapweedhitch/suspects.py
@@ -68,15 +68,15 @@
         return not self._heads
 
     def knows_head(self, head: bytes) -> bool:
-        """Return whether a request with this head is a suspect or condemned."""
+        """Return whether a request with this head is a suspect or quarantined."""
         return head in self._heads
 
     def is_suspect(self, request: bytes) -> bool:
-        """Return whether an end may be the fault of a request that is not condemned."""
+        """Return whether an end may be the fault of a request that is not quarantined."""
         return request in self._suspects
 
     def is_accused(self, request: bytes) -> bool:
-        """Return whether there is evidence against a request, condemned or not."""
+        """Return whether there is evidence against a request, quarantined or not."""
         return request in self._suspects or self.verdict(request) is not None
 
     def verdict(self, request: bytes) -> Verdict | None:
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -157,7 +157,7 @@
 
 
 class FakeGuard:
-    """Hold one condemned request and one suspect; record what is lifted."""
+    """Hold one quarantined request and one suspect; record what is lifted."""
 
     def __init__(self) -> None:
         self.table = SuspectTable(SuspectSettings(), lambda: 5_000.0)
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -16,7 +16,7 @@
 from knapweedhitch.exceptions import (
     Outcome,
     Refusal,
-    RequestCondemned,
+    RequestQuarantined,
     SuspectWaits,
     UpstreamFailed,
     UpstreamUnreachable,
@@ -178,11 +178,11 @@
             self.assertEqual(cluster.ends, 2)
             for index in range(5):
                 refusal = await cluster.call(index, b"/bad")
-                assert isinstance(refusal, RequestCondemned)
+                assert isinstance(refusal, RequestQuarantined)
                 self.assertIs(refusal.outcome, Outcome.NOT_RUN)
                 self.assertGreater(refusal.retry_after_ms, 50_000)
                 key = GuardKey("s", "", "GET", b"/bad", False)
-                self.assertIsInstance(cluster.guards[index].refusal_of(key), RequestCondemned)
+                self.assertIsInstance(cluster.guards[index].refusal_of(key), RequestQuarantined)
             self.assertEqual(cluster.ends, 2)
             self.assertIs(await cluster.call(3, b"/a0"), OK)
 
@@ -273,7 +273,7 @@
                 await trio.sleep(0.1)
             self.assertIs(await cluster.call(2, b"/pay", b"good", "POST"), OK)
             refused = await cluster.call(2, b"/pay", b"bad", "POST")
-            self.assertIsInstance(refused, RequestCondemned)
+            self.assertIsInstance(refused, RequestQuarantined)
             self.assertEqual(cluster.upstreams[2].arrivals, [b"/paygood"])
 
     @run_on_mock_clock
@@ -285,13 +285,13 @@
             with logbook.TestHandler() as handler:
                 for n in range(2):
                     sharing.publish_end(UpstreamEnd("s", f"i{n}", 1, (bad, other)))
-                self.assertFalse(any("request_condemned" in r.message for r in handler.records))
+                self.assertFalse(any("request_quarantined" in r.message for r in handler.records))
                 sharing.publish_cleared(other, "succeeded")
                 sharing.publish_end(UpstreamEnd("s", "i9", 1, ()))
             lines = [r.message for r in handler.records]
-            (condemned,) = [line for line in lines if "event=request_condemned" in line]
+            (quarantined,) = [line for line in lines if "event=request_quarantined" in line]
             for part in (f"request={bad.hex()}", "common-to-two", "i0:0,i1:0", "refused_ms=60000"):
-                self.assertIn(part, condemned)
+                self.assertIn(part, quarantined)
             self.assertTrue(any(f"verdict_dropped request={bad.hex()}" in line for line in lines))
 
     @run_on_mock_clock
@@ -337,7 +337,7 @@
             for index in range(2):
                 await cluster.call(index, b"/bad")
                 await trio.sleep(0.1)
-            self.assertIsInstance(await cluster.call(2, b"/bad"), RequestCondemned)
+            self.assertIsInstance(await cluster.call(2, b"/bad"), RequestQuarantined)
             self.assertEqual(cluster.guards[3].table.verdicts(), [])
             cluster.net.groups.clear()
             await trio.sleep(5.0)
@@ -460,7 +460,7 @@
             self.assertGreater(cluster.ends, 10)
             # Two ends may meet one request by chance, which the next end without it shows.
             for guard, node in zip(cluster.guards, cluster.nodes, strict=True):
-                self.assertEqual(node.counters.get("requests_condemned", MANY_ENDS), 0)
+                self.assertEqual(node.counters.get("requests_quarantined", MANY_ENDS), 0)
                 self.assertEqual(guard.table.verdicts(), [])
-            refused = sum(isinstance(result, RequestCondemned) for result in cluster.results)
+            refused = sum(isinstance(result, RequestQuarantined) for result in cluster.results)
             self.assertLess(refused, len(cluster.results) / 100)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -35,34 +35,34 @@
             self.now += 100.0
             self.assertTrue(self.table.add_end(item, self.now))
 
-    def condemned(self) -> set[bytes]:
-        """Return the condemned requests."""
+    def quarantined(self) -> set[bytes]:
+        """Return the quarantined requests."""
         return {verdict.request for verdict in self.table.verdicts()}
 
-    def test_three_ends_condemn(self) -> None:
+    def test_three_ends_quarantine(self) -> None:
         """Guards against a request that ends a fourth upstream."""
         self.add(end(1, BAD, OTHER), end(2, BAD, OTHER, THIRD), end(9, THIRD))
-        self.assertEqual(self.condemned(), set())
+        self.assertEqual(self.quarantined(), set())
         self.assertTrue(self.table.is_suspect(BAD))
         self.add(end(3, BAD))
-        self.assertEqual(self.condemned(), {BAD})
+        self.assertEqual(self.quarantined(), {BAD})
         verdict = self.table.verdict(BAD)
         assert verdict is not None
         self.assertEqual(verdict.evidence, MANY_ENDS)
         self.assertEqual(verdict.until_ms, self.now + self.cfg.evidence_ttl_ms)
 
-    def test_two_ends_condemn_the_only_request_common_to_all(self) -> None:
+    def test_two_ends_quarantine_the_only_request_common_to_all(self) -> None:
         """Guards against a third upstream that ends although two have told the request apart."""
         self.add(end(1, BAD, OTHER), end(2, BAD, THIRD))
-        self.assertEqual(self.condemned(), {BAD})
+        self.assertEqual(self.quarantined(), {BAD})
         verdict = self.table.verdict(BAD)
         assert verdict is not None
         self.assertEqual(verdict.evidence, COMMON_TO_TWO)
         self.assertEqual([h.end.instance_id for h in verdict.ends], ["i1", "i2"])
         self.now += self.cfg.two_ends_ttl_ms
-        self.assertEqual(self.condemned(), set())
+        self.assertEqual(self.quarantined(), set())
 
-    def test_companions_of_a_condemned_request_are_no_suspects(self) -> None:
+    def test_companions_of_a_quarantined_request_are_no_suspects(self) -> None:
         """Guards against requests that are held guilty since they ran beside a guilty one."""
         self.add(end(1, BAD, OTHER), end(2, BAD, THIRD))
         self.assertFalse(self.table.is_suspect(OTHER) or self.table.is_suspect(THIRD))
@@ -70,38 +70,38 @@
     def test_two_requests_at_the_same_two_ends_are_not_told_apart(self) -> None:
         """Guards against a verdict by guess."""
         self.add(end(1, BAD, OTHER), end(2, BAD, OTHER))
-        self.assertEqual(self.condemned(), set())
+        self.assertEqual(self.quarantined(), set())
 
     def test_requests_that_could_not_be_identified_leave_a_doubt(self) -> None:
         """Guards against a verdict while the guilty request may be one that was not read."""
         self.add(end(1, BAD), end(2, BAD, unidentified=1))
-        self.assertEqual(self.condemned(), set())
+        self.assertEqual(self.quarantined(), set())
 
-    def test_upstreams_that_crash_by_themselves_condemn_nobody(self) -> None:
+    def test_upstreams_that_crash_by_themselves_quarantine_nobody(self) -> None:
         """Guards against a retry that is held guilty because it met two flapping upstreams."""
         self.add(end(1, OTHER), end(2, BAD), end(3, THIRD), end(4, BAD))
-        self.assertEqual(self.condemned(), set())
+        self.assertEqual(self.quarantined(), set())
 
     def test_an_end_without_the_request_lifts_a_verdict_by_two(self) -> None:
         """Guards against a verdict that stands although upstreams crash by themselves."""
         self.add(end(1, BAD, OTHER), end(2, BAD, THIRD))
-        self.assertEqual(self.condemned(), {BAD})
+        self.assertEqual(self.quarantined(), {BAD})
         self.add(end(3))
-        self.assertEqual(self.condemned(), set())
+        self.assertEqual(self.quarantined(), set())
 
     def test_ends_of_another_service_are_no_evidence(self) -> None:
         """Guards against a request that is judged by the ends of other services."""
         self.add(end(1, BAD), end(2, BAD, service="t"))
-        self.assertEqual(self.condemned(), set())
+        self.assertEqual(self.quarantined(), set())
 
     def test_success_clears_and_later_ends_count_again(self) -> None:
         """Guards against a request that stays guilty although it ran well after the ends."""
         self.add(end(1, BAD), end(2, BAD), end(3, BAD))
         self.assertTrue(self.table.clear(BAD, 1, self.now))
-        self.assertEqual(self.condemned(), set())
+        self.assertEqual(self.quarantined(), set())
         self.assertTrue(self.table.is_empty)
         self.add(end(4, BAD), end(5, BAD), end(6, BAD))
-        self.assertEqual(self.condemned(), {BAD})
+        self.assertEqual(self.quarantined(), {BAD})
 
     def test_a_known_clearance_is_not_new(self) -> None:
         """Guards against nodes that pass the same clearance on to each other without end."""
@@ -110,10 +110,10 @@
         self.assertFalse(self.table.clear(BAD, mark, self.now + 50.0))
         self.assertGreater(self.table.next_mark(BAD, 3), mark)
 
-    def test_two_deadly_requests_are_both_condemned_by_three_ends(self) -> None:
+    def test_two_deadly_requests_are_both_quarantined_by_three_ends(self) -> None:
         """Guards against guilty requests that excuse each other."""
         self.add(*(end(n, BAD, THIRD) for n in (1, 3, 5)), *(end(n, OTHER) for n in (2, 4, 6)))
-        self.assertEqual(self.condemned(), {BAD, OTHER, THIRD})
+        self.assertEqual(self.quarantined(), {BAD, OTHER, THIRD})
 
     def test_the_same_end_counts_once(self) -> None:
         """Guards against an end that several nodes tell and that counts for each."""
@@ -124,7 +124,7 @@
         """Guards against a verdict without end, and against evidence that nobody drops."""
         self.add(end(1, BAD), end(2, BAD), end(3, BAD))
         self.now += self.cfg.evidence_ttl_ms
-        self.assertEqual(self.condemned(), set())
+        self.assertEqual(self.quarantined(), set())
         self.table.expire()
         self.assertTrue(self.table.is_empty)
         self.assertEqual(self.table.evidence(), ([], []))
