--- a/knapweedhitch/suspectsharing.py
+++ b/knapweedhitch/suspectsharing.py
@@ -25,7 +25,7 @@
 COMPARE_TIMEOUT_MS = 400.0
 # A node that has just started asks for evidence although it holds none.
 ASK_AFTER_START_MS = 10_000.0
-# A node that restarts may meet a quarantined request at once, and others may have no link to it yet.
+# A node that restarts may meet such a request at once, and others may have no link to it yet.
 EARLY_ASKS_MS = (50.0, 150.0, 300.0)
 # With a fanout of 24, three steps reach 13,800 nodes.
 MAX_HOPS = 4
