--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -27,7 +27,7 @@
 from knapweedhitch.identity import NO_BODY, IdentifiedBody, Identifier
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import CallResult, LoadSample, UpstreamEnd, UpstreamRecord, UpstreamState
-from knapweedhitch.suspects import Verdict
+from knapweedhitch.suspects import RequestVerdict
 from knapweedhitch.suspectsharing import SuspectSharing
 
 # An upstream may close its connections some milliseconds before it stops to listen, so that a
@@ -153,7 +153,7 @@
         """Return whether upstreams of the service have ended lately."""
         return self.table.has_ends_of(service)
 
-    def _refusal(self, verdict: Verdict) -> RequestQuarantined:
+    def _refusal(self, verdict: RequestVerdict) -> RequestQuarantined:
         self._counters.add("quarantined_refused")
         self._log.event(
             "quarantined_request_refused", request=verdict.request.hex(), service=verdict.service
--- a/knapweedhitch/suspects.py
+++ b/knapweedhitch/suspects.py
@@ -35,7 +35,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Verdict:
+class RequestVerdict:
     """Describe a request that is refused, with the ends that count against it."""
 
     request: bytes
@@ -58,7 +58,7 @@
         self._ends: OrderedDict[tuple[str, int], HeldEnd] = OrderedDict()
         self._cleared: OrderedDict[bytes, Clearance] = OrderedDict()
         self._suspects: dict[bytes, str] = {}
-        self._verdicts: dict[bytes, Verdict] = {}
+        self._verdicts: dict[bytes, RequestVerdict] = {}
         self._heads: frozenset[bytes] = frozenset()
         self._services: frozenset[str] = frozenset()
 
@@ -79,14 +79,14 @@
         """Return whether there is evidence against a request, quarantined or not."""
         return request in self._suspects or self.verdict(request) is not None
 
-    def verdict(self, request: bytes) -> Verdict | None:
+    def verdict(self, request: bytes) -> RequestVerdict | None:
         """Return the verdict in force on a request, if there is one."""
         verdict = self._verdicts.get(request)
         if verdict is None or verdict.until_ms <= self._now_ms():
             return None
         return verdict
 
-    def verdicts(self) -> list[Verdict]:
+    def verdicts(self) -> list[RequestVerdict]:
         """Return all verdicts in force."""
         now = self._now_ms()
         return [v for v in self._verdicts.values() if v.until_ms > now]
@@ -220,7 +220,7 @@
         open_ends: list[HeldEnd],
         accused: dict[bytes, list[HeldEnd]],
         now: float,
-    ) -> Verdict | None:
+    ) -> RequestVerdict | None:
         if len(its_ends) >= self._cfg.max_ends:
             evidence, ttl_ms = MANY_ENDS, self._cfg.evidence_ttl_ms
         elif len(its_ends) >= MIN_ENDS and self._is_common_to_all(
@@ -232,7 +232,7 @@
         until_ms = max(held.ended_ms for held in its_ends) + ttl_ms
         if until_ms <= now:
             return None
-        return Verdict(request, service, evidence, tuple(its_ends), until_ms)
+        return RequestVerdict(request, service, evidence, tuple(its_ends), until_ms)
 
     @staticmethod
     def _is_common_to_all(
--- a/knapweedhitch/suspectsharing.py
+++ b/knapweedhitch/suspectsharing.py
@@ -20,7 +20,7 @@
     UpstreamEnded,
 )
 from knapweedhitch.model import UpstreamEnd
-from knapweedhitch.suspects import HeldEnd, SuspectTable, Verdict
+from knapweedhitch.suspects import HeldEnd, RequestVerdict, SuspectTable
 
 COMPARE_TIMEOUT_MS = 400.0
 # A node that has just started asks for evidence although it holds none.
@@ -132,7 +132,7 @@
             self._log.event("verdict_dropped", request=request.hex())
         return True
 
-    def _log_verdict(self, verdict: Verdict) -> None:
+    def _log_verdict(self, verdict: RequestVerdict) -> None:
         now = self._timers.now_ms()
         self._counters.add("requests_quarantined", verdict.evidence)
         ends = (f"{h.end.instance_id}:{now - h.ended_ms:.0f}" for h in verdict.ends)
