--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -117,7 +117,7 @@
         self._running: dict[GuardedRun, tuple[str, int]] = {}
         self._checks: dict[tuple[str, int], trio.Event] = {}
         self._turn_holder: GuardedRun | None = None
-        self._turn_ended = trio.Event()
+        self._run_ended = trio.Event()
 
     async def start(self) -> None:
         """Look up the services that the guard uses."""
@@ -202,18 +202,26 @@
             self.release(run)
 
     async def _take_turn(self, run: GuardedRun) -> None:
-        while self._turn_holder is not None:
-            await self._turn_ended.wait()
+        while self._turn_holder is not None or self._has_running_suspect():
+            await self._run_ended.wait()
         self._turn_holder = run
-        self._turn_ended = trio.Event()
         run.has_turn = True
 
+    def _has_running_suspect(self) -> bool:
+        """Return whether a call in progress has become a suspect by an end elsewhere."""
+        requests = (run.request for run in self._running)
+        return any(request is not None and self.table.is_suspect(request) for request in requests)
+
+    def _wake_waiting(self) -> None:
+        self._run_ended.set()
+        self._run_ended = trio.Event()
+
     def release(self, run: GuardedRun) -> None:
         """End the turn of a call that holds it."""
         if run.has_turn:
             run.has_turn = False
             self._turn_holder = None
-            self._turn_ended.set()
+            self._wake_waiting()
 
     async def exchange(
         self,
@@ -242,6 +250,8 @@
             raise
         finally:
             self._running.pop(run, None)
+            if not self.table.is_empty:
+                self._wake_waiting()
         if not self.table.is_empty:
             self._clear_after_success(run, result)
         return result
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -244,6 +244,22 @@
             self.assertEqual(cluster.upstreams[1].arrivals[-1], b"/bad")
             self.assertEqual(cluster.ends, 2)
 
+    @run_on_mock_clock
+    async def test_a_suspect_waits_for_a_call_that_has_become_one(self) -> None:
+        """Guards against two suspects at the next end, one of which was in progress before."""
+        async with running_cluster() as cluster, trio.open_nursery() as nursery:
+            cluster.set_deadly(b"/bad")
+            nursery.start_soon(cluster.call_all, (0, b"/bad"), (0, b"/a"))
+            await trio.sleep(0.04)
+            nursery.start_soon(cluster.call, 1, b"/bad")
+            await trio.sleep(0.03)
+            self.assertEqual(cluster.ends, 1)
+            await cluster.call(1, b"/a")
+            await trio.sleep(0.1)
+            self.assertEqual(cluster.upstreams[1].arrivals, [b"/bad"])
+            (verdict,) = cluster.guards[2].table.verdicts()
+            self.assertEqual(len(verdict.ends), 2)
+
     @run_on_mock_clock
     async def test_a_suspect_waits_for_a_limited_time(self) -> None:
         """Guards against calls that wait for their deadline behind a suspect that hangs."""
