Test that one heartbeat is applied as a whole without a probe

The rule that calls wait for the first response hides the order in which a heartbeat is applied: calls-start-before-the-cold-time-is-known survived with the earlier test. At an upstream that is not probed and takes nothing while cold, it is caught again.

--- a/tests/test_upstreamstatus.py
+++ b/tests/test_upstreamstatus.py
@@ -66,7 +66,9 @@
 class Node:
     """Run the announcement and the admission of one process beside the upstream."""
 
-    def __init__(self, upstream: Upstream, nursery: trio.Nursery) -> None:
+    def __init__(
+        self, upstream: Upstream, nursery: trio.Nursery, probe_interval_ms: int = 80
+    ) -> None:
         self._upstream = upstream
         cfg = Settings(
             node=NodeSettings(id="n1", domain="d1"),
@@ -74,7 +76,9 @@
             control=ControlSettings(members=(ControlMember("c1", "127.0.0.1", 1),)),
             headers=HeaderSettings(limit="x-limit", cold="x-cold", load="x-load"),
             listen=ListenSettings(announce=Listener(enabled=False)),
-            upstream=UpstreamSettings(probe_interval_ms=80, probe_timeout_ms=PROBE_TIMEOUT_MS),
+            upstream=UpstreamSettings(
+                probe_interval_ms=probe_interval_ms, probe_timeout_ms=PROBE_TIMEOUT_MS
+            ),
         )
         self.kernel = kernel = Kernel(cfg)
         kernel._nursery = nursery
@@ -311,6 +315,29 @@
         await trio.sleep(0.9)
         self.assertLessEqual(len(upstream.starts_s), 1)
 
+    @with_upstream
+    async def test_new_start_that_takes_nothing_while_cold_gets_no_queued_call(
+        self, upstream: Upstream, nursery: trio.Nursery
+    ) -> None:
+        """Guards against a call that starts between two parts of one heartbeat, at an upstream that
+        is not probed.
+        """
+        node = Node(upstream, nursery, probe_interval_ms=0)
+        await node.start()
+        item = structs.replace(backend(), cold_calls_per_s=0.0)
+        node.kernel.get("config").current.items = Items(backends={"s1": item})
+        upstream.limit_per_s = 2.0
+        node.announce.record_heartbeat(RECORD, 1, 0.0)
+        node.respond(now_ms())
+        for _ in range(3):
+            nursery.start_soon(node.call)
+        await trio.sleep(0.01)
+        self.assertEqual((node.admission.in_flight, node.admission.load().queued), (0, 3))
+        born_later = structs.replace(RECORD, incarnation=BORN_MS + 1)
+        node.announce.record_heartbeat(born_later, 1, 5_000.0)
+        await trio.sleep(0.5)
+        self.assertEqual(upstream.starts_s, [])
+
     @with_upstream
     async def test_queued_calls_wait_for_the_response_of_a_new_start(
         self, upstream: Upstream, nursery: trio.Nursery
