Supervise background tasks

An unexpected exception on a link that a peer had opened closed it without a line in the log, as the library that calls the handler is muted.

Cause: tasks were started in the nursery of the kernel, and each decided for itself what it caught.

The kernel now starts them with `start_task` and a policy: `END` for one request or round, `RESTART` with a backoff of 100 ms to 10 s for loops without state of their own, `STOP` for what the process needs (listeners, timers, the stop itself): a planned stop, then exit code 1. `faults.record` counts and logs each unexpected exception with its traceback, at most a line a second for each place. A failed assertion still ends the process at once, and so does `InvariantViolated` from a handler of messages or requests, which was only logged before. The tasks of consensus are not supervised: what they raise ends the process as before.

--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -79,7 +79,7 @@
         if self._kernel.has("peers"):
             self._kernel.get("peers").handle(UpstreamDeparted, self._on_departed)
         if is_enabled:
-            await self._server.start(self._kernel.nursery)
+            await self._server.start(self._kernel)
         self._warning_budget = TokenBucket(WARNING_LINES_PER_S, WARNING_BURST, self._timers.now_ms)
         self._timers.every(self._cfg.upstream.announcement_ttl_ms / 4, self._expire, align=True)
 
--- a/knapweedhitch/claims.py
+++ b/knapweedhitch/claims.py
@@ -39,6 +39,7 @@
     Headers,
 )
 from knapweedhitch.model import ClaimGroup, ClaimVerdict, ServiceConfig
+from knapweedhitch.supervisor import OnFault
 
 RETRY_DELAY_MS = 100.0
 
@@ -347,7 +348,7 @@
             return
         self._background_sends += 1
         self._background_bytes += n_bytes
-        self._kernel.nursery.start_soon(self._retry_send, node_id, msg, n_bytes)
+        self._kernel.start_task(OnFault.END, self._retry_send, node_id, msg, n_bytes)
 
     async def _retry_send(self, node_id: str, msg: Message, n_bytes: int) -> None:
         try:
--- a/knapweedhitch/consensus.py
+++ b/knapweedhitch/consensus.py
@@ -18,6 +18,7 @@
 from knapweedhitch.election import Elections
 from knapweedhitch.exceptions import (
     CorruptFile,
+    InvariantViolated,
     NotLeader,
     ReplicaBusy,
     ReplicaStopped,
@@ -248,7 +249,8 @@
         await proposal.done.wait()
         if proposal.error is not None:
             raise proposal.error
-        assert proposal.result is not None, "a committed change has a result"
+        if proposal.result is None:
+            raise InvariantViolated("a committed change has no result")
         return proposal.result.unwrap()
 
     def freshness_age_ms(self) -> float | None:
--- a/knapweedhitch/control.py
+++ b/knapweedhitch/control.py
@@ -32,6 +32,7 @@
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import Propose, ProposeReply, VersionReport
 from knapweedhitch.model import ClaimGroup
+from knapweedhitch.supervisor import OnFault
 
 CLAIM_GROUP_INTERVAL_MS = 1_000
 # At 300 bytes each, this many groups stay below max_change_bytes in one change.
@@ -219,7 +220,7 @@
         if self.replica is None or not self.replica.is_leader:
             self._planner.reset()
         elif not self._is_planning and self.replica.freshness_age_ms() is not None:
-            self._kernel.nursery.start_soon(self._maintain_groups)
+            self._kernel.start_task(OnFault.END, self._maintain_groups)
 
     def _with_start_time(self, group: ClaimGroup) -> ClaimGroup:
         """Return the group with a current start time, because earlier proposals took time.
--- a/knapweedhitch/direct.py
+++ b/knapweedhitch/direct.py
@@ -19,6 +19,7 @@
 )
 from knapweedhitch.model import Address, CallResult
 from knapweedhitch.peers import Peers
+from knapweedhitch.supervisor import OnFault
 from knapweedhitch.timers import Timers
 
 LEASE_REQUEST_TIMEOUT_MS = 200.0
@@ -85,8 +86,8 @@
                 result = CallResult(False, elapsed_ms, result.status)
             if self._may_retain(elapsed_ms, result) and leases.retain(spec.instance_id, lease_id):
                 self._pending_renewals += 1
-                self._kernel.nursery.start_soon(
-                    self._renew, node_id, spec.instance_id, lease_id, result
+                self._kernel.start_task(
+                    OnFault.END, self._renew, node_id, spec.instance_id, lease_id, result
                 )
             elif not leases.release(spec.instance_id, lease_id, used=used):
                 self._return_lease(node_id, spec.instance_id, lease_id, used, result)
@@ -153,7 +154,7 @@
         ):
             return
         self._pending_requests.add(instance_id)
-        self._kernel.nursery.start_soon(self._send_request, node_id, instance_id, wanted)
+        self._kernel.start_task(OnFault.END, self._send_request, node_id, instance_id, wanted)
 
     async def _send_request(self, node_id: str, instance_id: str, wanted: int) -> None:
         leases = self._kernel.get("slotlease")
--- a/knapweedhitch/drain.py
+++ b/knapweedhitch/drain.py
@@ -11,6 +11,7 @@
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.supervisor import OnFault
 
 POLL_INTERVAL_MS = 20
 # Callers that do not read their response must not hold up the stop for longer.
@@ -82,9 +83,9 @@
             trio.current_time() + (self._cfg.announce_ms + self._cfg.drain_timeout_ms) / MS_PER_S
         )
         if not self._serves_calls:
-            self._kernel.nursery.start_soon(self._stop_control)
+            self._kernel.start_task(OnFault.STOP, self._stop_control)
         else:
-            self._kernel.nursery.start_soon(self._run_planned_stop)
+            self._kernel.start_task(OnFault.STOP, self._run_planned_stop)
 
     def stop_now(self) -> None:
         """Stop at once and log the requests that are cut."""
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -45,6 +45,14 @@
     """Report a second registration under the same key."""
 
 
+class InvariantViolated(AssertionError):
+    """Report that the replicated or durable state is wrong, which ends the process at once."""
+
+
+class TaskFailed(KnapweedhitchError):
+    """Report that the process stopped because a background task that it needs has failed."""
+
+
 class MissingModule(KernelError):
     """Report a module of the daemon that cannot be imported."""
 
--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -18,6 +18,7 @@
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import FeedPoll, FeedPush, FeedReply, VersionReport
 from knapweedhitch.model import Configuration, DomainStatus
+from knapweedhitch.supervisor import OnFault
 
 MAX_POLLS_IN_FLIGHT = 4
 SOURCES_PER_POLL = 3
@@ -65,7 +66,7 @@
         self._peers.handle(FeedPush, self._on_push)
         if self._machine is not None:
             self._machine.subscribe(self._on_accepted)
-        self._kernel.nursery.start_soon(self._subscribers.run)
+        self._kernel.start_task(OnFault.RESTART, self._subscribers.run)
         # Every other proof is older than the one of its control instance, so control instances
         # poll at the shorter heartbeat interval; as they are few, that costs little.
         interval_ms = self._kernel.cfg.control.heartbeat_ms if is_control else 0
@@ -165,7 +166,7 @@
 
     def _poll_soon(self) -> None:
         if self._polls_in_flight < MAX_POLLS_IN_FLIGHT:
-            self._kernel.nursery.start_soon(self._poll_sources)
+            self._kernel.start_task(OnFault.END, self._poll_sources)
 
     async def _poll_sources(self) -> None:
         self._polls_in_flight += 1
--- a/knapweedhitch/gossip.py
+++ b/knapweedhitch/gossip.py
@@ -9,7 +9,7 @@
 
 import cbor2
 
-from knapweedhitch import codec
+from knapweedhitch import codec, faults
 from knapweedhitch.codec import Message
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import CodecError
@@ -27,6 +27,7 @@
 NORMAL_LEVEL = 1
 
 Update = Member | Verdict
+DatagramHandler = Callable[[Message, Address], None]
 
 
 def encoded_bytes(update: Update) -> int:
@@ -139,13 +140,22 @@
         self._counters.add("gossip_bytes_out", type(msg).__name__, len(data))
         return len(data)
 
-    async def run(self, fn: Callable[[Message, Address], None]) -> None:
+    async def run(self, fn: DatagramHandler) -> None:
         """Call fn with every valid message until cancelled."""
         while True:
             data, address = await self._datagrams.receive()
             msg = self._verify_and_decode(data)
             if msg is not None:
-                fn(msg, address)
+                self._handle(fn, msg, address)
+
+    def _handle(self, fn: DatagramHandler, msg: Message, address: Address) -> None:
+        try:
+            fn(msg, address)
+        except Exception as exc:
+            if faults.breaks_invariant(exc):
+                raise
+            # Any node may have sent it; the others still need this one.
+            faults.record(self._counters, "datagram_fault", exc, message=type(msg).__name__)
 
     def _verify_and_decode(self, data: bytes) -> Message | None:
         self._counters.add("gossip_bytes_in", "", len(data))
--- a/knapweedhitch/handlers.py
+++ b/knapweedhitch/handlers.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-from knapweedhitch import logs
+from knapweedhitch import faults
 from knapweedhitch.codec import Message
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import (
@@ -24,6 +24,7 @@
 from knapweedhitch.messages import OpenStream, StreamFail
 from knapweedhitch.model import LoadSample
 from knapweedhitch.streams import PeerStream
+from knapweedhitch.supervisor import OnFault
 
 Handler = Callable[[str, Any], Awaitable[Message | None]]
 StreamHandler = Callable[[str, OpenStream, PeerStream], Awaitable[None]]
@@ -70,7 +71,7 @@
         load = self._loads.setdefault(link.peer_id, _PeerLoad())
         if load.running < self._cfg.max_handlers:
             load.running += 1
-            self._kernel.nursery.start_soon(self._run_handlers, load, link, msg, call_id)
+            self._kernel.start_task(OnFault.END, self._run_handlers, load, link, msg, call_id)
         elif len(load.waiting) < self._cfg.max_queued_messages:
             load.waiting.append((link, msg, call_id))
         else:
@@ -105,7 +106,9 @@
             # An error in one handler must not stop the process.
             error = f"{type(exc).__name__}: {exc}"
             if not isinstance(exc, KnapweedhitchError):
-                logs.warning("peer_handler_failed", message=type(msg).__name__, error=error)
+                faults.record(
+                    self._counters, "peer_handler_failed", exc, message=type(msg).__name__
+                )
         if error:
             self._counters.add("peer_handler_errors", type(msg).__name__)
         if call_id:
@@ -131,14 +134,14 @@
             refusal = QueueFull(Outcome.NOT_RUN)
             link.put_frame(fail_frame(opening.stream_id, refusal))
             return
-        self._kernel.nursery.start_soon(self._run_stream, link, opening, stream)
+        self._kernel.start_task(OnFault.END, self._run_stream, link, opening, stream)
 
     async def _run_stream(self, link: Link, opening: OpenStream, stream: PeerStream) -> None:
         assert self._stream_handler is not None
         try:
             await self._stream_handler(link.peer_id, opening, stream)
         except Exception as exc:
-            logs.warning("stream_handler_failed", error=f"{type(exc).__name__}: {exc}")
+            faults.record(self._counters, "stream_handler_failed", exc)
             self._counters.add("peer_handler_errors", "OpenStream")
         if not stream.finished:
             stream.put(fail_frame(stream.stream_id, InternalError(Outcome.UNKNOWN)))
--- a/knapweedhitch/http_api.py
+++ b/knapweedhitch/http_api.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from knapweedhitch import logs, metrics
+from knapweedhitch import faults, metrics
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import InternalError, NotFound, Refusal, TooManyConnections
 from knapweedhitch.kernel import Kernel, service
@@ -32,9 +32,9 @@
         self._connections: set[OperatorConnection] = set()
         self._server = StreamServer(listener, cfg.max_connections, self._serve, self._refuse)
 
-    async def start(self, nursery: trio.Nursery) -> None:
+    async def start(self, kernel: Kernel) -> None:
         """Open the listener; raises OSError."""
-        await self._server.start(nursery)
+        await self._server.start(kernel)
 
     def close(self) -> None:
         """Stop accepting connections."""
@@ -66,7 +66,7 @@
             self._counters.add("api_refused", exc.reason)
             return refusal_response(exc)
         except Exception as exc:
-            logs.warning("api-fault", path="/".join(req.segments), error=type(exc).__name__)
+            faults.record(self._counters, "api-fault", exc, path="/".join(req.segments)[:100])
             return refusal_response(InternalError(detail=type(exc).__name__))
 
 
@@ -87,7 +87,7 @@
     async def start(self) -> None:
         """Open the listener if the settings enable it; raises OSError."""
         if self._listener.enabled:
-            await self._server.start(self._kernel.nursery)
+            await self._server.start(self._kernel)
 
     async def stop(self) -> None:
         """Close the listener."""
--- a/knapweedhitch/ingress.py
+++ b/knapweedhitch/ingress.py
@@ -46,7 +46,7 @@
         self._counters = self._kernel.get("counters")
         timers = self._kernel.get("timers")
         self._log = BoundedLog(self._kernel.cfg.log, self._counters, timers.now_ms)
-        await self._server.start(self._kernel.nursery)
+        await self._server.start(self._kernel)
 
     async def stop(self) -> None:
         """Close the listener and the idle connections."""
--- a/knapweedhitch/kernel.py
+++ b/knapweedhitch/kernel.py
@@ -8,6 +8,7 @@
 import trio
 
 from knapweedhitch.exceptions import DuplicateRegistration, DuplicateService, UnknownService
+from knapweedhitch.supervisor import OnFault, Supervisor, Task
 
 if TYPE_CHECKING:
     from knapweedhitch.settings import Settings
@@ -55,6 +56,7 @@
         self._services: dict[str, Any] = {}
         self._order: list[str] = []
         self._nursery: trio.Nursery | None = None
+        self.supervisor = Supervisor(self)
 
     @property
     def nursery(self) -> trio.Nursery:
@@ -63,6 +65,10 @@
             raise UnknownService("the kernel is not running")
         return self._nursery
 
+    def start_task(self, on_fault: OnFault, fn: Task, *args: object) -> None:
+        """Start a background task; raises UnknownService before `run`."""
+        self.nursery.start_soon(self.supervisor.run, on_fault, fn, *args)
+
     def add(self, name: str, instance: object) -> None:
         """Add a service object under a name; raises DuplicateService."""
         if name in self._services:
--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -9,7 +9,7 @@
 import trio
 from msgspec import structs
 
-from knapweedhitch import codec
+from knapweedhitch import codec, faults
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.codec import Message
 from knapweedhitch.counters import Counters
@@ -344,6 +344,11 @@
                     self._scope.cancel()
                 nursery.start_soon(self._write)
                 await self._read()
+        except Exception as exc:
+            if faults.breaks_invariant(exc):
+                raise
+            faults.record(self._counters, "link_fault", exc, peer=self.peer_id)
+            reason = f"fault: {next(faults.leaves(exc))!r:.100}"
         finally:
             self.close(reason)
             with trio.CancelScope(shield=True):
--- a/knapweedhitch/listener.py
+++ b/knapweedhitch/listener.py
@@ -6,9 +6,12 @@
 
 import trio
 
-from knapweedhitch import earlylisten, logs
+from knapweedhitch import earlylisten, faults
+from knapweedhitch.counters import Counters
+from knapweedhitch.kernel import Kernel
 from knapweedhitch.model import Address
 from knapweedhitch.settings import Listener
+from knapweedhitch.supervisor import OnFault
 
 Handler = Callable[[trio.abc.Stream], Awaitable[None]]
 
@@ -24,10 +27,12 @@
         self._max_connections = max_connections
         self._serve = serve
         self._refuse = refuse
+        self._counters = Counters()
         self._accept_scope: trio.CancelScope | None = None
 
-    async def start(self, nursery: trio.Nursery) -> None:
-        """Bind the listener and serve connections in the nursery; raises OSError."""
+    async def start(self, kernel: Kernel) -> None:
+        """Bind the listener and serve connections in tasks of the kernel; raises OSError."""
+        self._counters = kernel.get("counters")
         sock = earlylisten.take_socket(self.address.host, self.address.port)
         if sock is not None:
             listeners = [trio.SocketListener(trio.socket.from_stdlib_socket(sock))]
@@ -35,7 +40,7 @@
             listeners = await trio.open_tcp_listeners(self.address.port, host=self.address.host)
         self.address = Address(*listeners[0].socket.getsockname()[:2])
         self._accept_scope = trio.CancelScope()
-        nursery.start_soon(self._accept, nursery, listeners, self._accept_scope)
+        kernel.start_task(OnFault.STOP, self._accept, kernel.nursery, listeners, self._accept_scope)
 
     def close(self) -> None:
         """Stop accepting connections; open ones are kept."""
@@ -62,7 +67,7 @@
         try:
             await (self._refuse(stream) if is_over_limit else self._serve(stream))
         except Exception as exc:
-            logs.warning("connection-fault", error=type(exc).__name__, detail=exc)
+            faults.record(self._counters, "connection-fault", exc, listener=self.address)
         finally:
             self.active -= 1
             await trio.aclose_forcefully(stream)
--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -9,7 +9,7 @@
 import trio
 from msgspec import structs
 
-from knapweedhitch import framing, logs
+from knapweedhitch import faults, framing
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.configuration import Configuration
 from knapweedhitch.deadline import Deadline
@@ -27,6 +27,7 @@
 )
 from knapweedhitch.payload import NoBody
 from knapweedhitch.pool import connect_tcp
+from knapweedhitch.supervisor import OnFault
 from knapweedhitch.upstreamload import LEAVING_VALUE, parse_load, parse_report
 
 HTTP_OK = 200
@@ -91,7 +92,7 @@
         self._timers = get("timers")
         if self._cfg.probe_interval_ms:
             self._config.subscribe(self._on_config)
-            self._kernel.nursery.start_soon(self._run)
+            self._kernel.start_task(OnFault.RESTART, self._run)
 
     async def stop(self) -> None:
         """Do nothing; the connection ends with the process."""
@@ -192,7 +193,7 @@
         except Exception as exc:
             # No response of an upstream may stop the node, which can work without probes.
             self._counters.add("probe_failed", type(exc).__name__)
-            logs.warning("probe_fault", error=type(exc).__name__, detail=exc)
+            faults.record(self._counters, "probe_fault", exc)
             await self._close_connection()
             return None
         self._counters.add("probes")
--- a/knapweedhitch/membership.py
+++ b/knapweedhitch/membership.py
@@ -35,6 +35,7 @@
 )
 from knapweedhitch.peers import Peers
 from knapweedhitch.probing import Prober
+from knapweedhitch.supervisor import OnFault
 from knapweedhitch.sync import Syncer
 from knapweedhitch.timers import Timers
 
@@ -97,8 +98,8 @@
         self._timers.every(cfg.gossip_interval_ms, self._on_tick, jitter=0.1, align=True)
         self._timers.every(cfg.probe_interval_ms, self.prober.tick, jitter=0.1, align=True)
         self._timers.every(cfg.sync_interval_ms, self._on_sync, jitter=0.2, align=True)
-        self._kernel.nursery.start_soon(self.socket.run, self._on_message)
-        self._kernel.nursery.start_soon(self.syncer.run)
+        self._kernel.start_task(OnFault.RESTART, self.socket.run, self._on_message)
+        self._kernel.start_task(OnFault.RESTART, self.syncer.run)
         self._join()
 
     async def stop(self) -> None:
--- a/knapweedhitch/operator_api.py
+++ b/knapweedhitch/operator_api.py
@@ -12,7 +12,7 @@
 
 import trio
 
-from knapweedhitch import changes_json, logs, metrics, operator_views, plain
+from knapweedhitch import changes_json, faults, logs, metrics, operator_views, plain
 from knapweedhitch.exceptions import (
     BadRequest,
     ChangeConflict,
@@ -46,6 +46,7 @@
 from knapweedhitch.orders import SEEN_VERSION, Orders, parse_seen_version
 from knapweedhitch.proposals import Proposer
 from knapweedhitch.settings import load_secret
+from knapweedhitch.supervisor import OnFault
 
 RouteHandler = Callable[["OperatorApi", OperatorRequest, str], Awaitable[OperatorResponse]]
 
@@ -99,7 +100,7 @@
         if not ipaddress.ip_address(listener.host).is_loopback:
             # Tokens and responses cross the network unencrypted.
             logs.warning("operator_listener_open", address=self.address)
-        self.kernel.nursery.start_soon(self._listen, listeners)
+        self.kernel.start_task(OnFault.STOP, self._listen, listeners)
         if self.kernel.has("drain"):
             self.kernel.get("drain").add_server(self)
 
@@ -125,6 +126,8 @@
         self._connections.add(connection)
         try:
             await connection.serve()
+        except Exception as exc:
+            faults.record(self.kernel.get("counters"), "connection-fault", exc, listener="operator")
         finally:
             self._connections.discard(connection)
 
@@ -166,7 +169,7 @@
         refusal, fields = _refusal_of(exc)
         self._count("operator_refused", refusal.reason)
         if isinstance(refusal, InternalError):
-            logs.warning("operator_request_failed", error=type(exc).__name__, detail=exc)
+            faults.record(self.kernel.get("counters"), "operator_request_failed", exc)
         return refusal_response(refusal, **fields)
 
     def _count(self, name: str, reason: str) -> None:
--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from knapweedhitch import handshake, logs
+from knapweedhitch import faults, handshake, logs
 from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.codec import Message
@@ -27,6 +27,7 @@
 from knapweedhitch.model import Address
 from knapweedhitch.settings import PeerSettings, load_secret
 from knapweedhitch.streams import PeerStream
+from knapweedhitch.supervisor import OnFault
 from knapweedhitch.timers import Timers
 from knapweedhitch.transport import NetTransport, Transport, Wire
 
@@ -102,7 +103,7 @@
         self._identity = handshake.Identity(node.cluster, node.id, self.secret)
         listen = self._kernel.cfg.listen.peers
         self.address = await self._transport.bind(listen.host, listen.port)
-        self._kernel.nursery.start_soon(self._transport.serve, self._accept)
+        self._kernel.start_task(OnFault.STOP, self._transport.serve, self._accept)
         self._timers.every(
             self._cfg.heartbeat_interval_ms / HEARTBEAT_CHECKS_PER_INTERVAL,
             self._check_heartbeats,
@@ -237,7 +238,7 @@
             self._drop_pending_sends(peer)
             return dial
         peer.dial = dial
-        self._kernel.nursery.start_soon(self._run_dial, peer, dial)
+        self._kernel.start_task(OnFault.END, self._run_dial, peer, dial)
         return dial
 
     async def _run_dial(self, peer: _Peer, dial: _Dial) -> None:
@@ -247,7 +248,7 @@
             self._record_dial_failure(peer, dial, exc)
         except Exception as exc:
             # An unexpected error of one link must not end the process and its other links.
-            logs.warning("dial-fault", peer=peer.node_id, error=type(exc).__name__, detail=exc)
+            faults.record(self._counters, "dial-fault", exc, peer=peer.node_id)
             fault = PeerDisconnected(f"{peer.node_id}: {type(exc).__name__}")
             self._record_dial_failure(peer, dial, fault)
         finally:
--- a/knapweedhitch/platform/apis.py
+++ b/knapweedhitch/platform/apis.py
@@ -55,7 +55,7 @@
 
     async def start(self) -> None:
         """Open the listener; raises OSError."""
-        await self._server.start(self._kernel.nursery)
+        await self._server.start(self._kernel)
         if self._kernel.has("drain"):
             self._kernel.get("drain").add_server(self._server)
 
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -28,6 +28,7 @@
 from knapweedhitch.http1_client import ClientConnection, ExchangeTimes
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import SAFE_METHODS, Address, CallResult, LoadSample
+from knapweedhitch.supervisor import OnFault
 from knapweedhitch.transfer import TransferSink
 from knapweedhitch.upstreamload import UpstreamReport
 
@@ -108,7 +109,7 @@
     async def start(self) -> None:
         """Start the task that closes connections after the idle timeout."""
         self._counters = self._kernel.get("counters")
-        self._kernel.nursery.start_soon(self._sweep)
+        self._kernel.start_task(OnFault.RESTART, self._sweep)
 
     async def stop(self) -> None:
         """Close every idle connection."""
--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -6,13 +6,13 @@
 import importlib
 import signal
 import sys
-from collections.abc import AsyncIterator, Iterator, Sequence
+from collections.abc import AsyncIterator, Sequence
 
 import trio
 
-from knapweedhitch import __version__, logs, signals
+from knapweedhitch import __version__, faults, logs, signals
 from knapweedhitch.clock import SuspendAwareClock
-from knapweedhitch.exceptions import KnapweedhitchError, MissingModule, SettingsError
+from knapweedhitch.exceptions import KnapweedhitchError, MissingModule, SettingsError, TaskFailed
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.model import Address
 from knapweedhitch.settings import Settings
@@ -86,7 +86,7 @@
 
 
 async def serve(cfg: Settings, names: Sequence[str], file: SettingsFile) -> None:
-    """Run the named services until a graceful or a hard stop has finished."""
+    """Run the named services until a stop has finished; raises TaskFailed if a task caused it."""
     kernel = Kernel(cfg)
     # Opened before the services start, so that no signal kills a half-started process.
     with trio.open_signal_receiver(*signals.SIGNALS) as receiver:
@@ -94,6 +94,7 @@
         async with trio.open_nursery() as nursery:
             handler = _SignalHandler(kernel, nursery.cancel_scope, file)
             nursery.start_soon(handler.run, receiver)
+            nursery.start_soon(handler.stop_on_fault)
             await nursery.start(kernel.run, names)
             _set_phase(kernel, "running")
             _exempt_from_collection()
@@ -111,6 +112,8 @@
             await kernel.get("drain").finished.wait()
             logs.event("stopped", node=cfg.node.id)
             nursery.cancel_scope.cancel()
+    if kernel.supervisor.failed_task:
+        raise TaskFailed(kernel.supervisor.failed_task)
 
 
 def _exempt_from_collection() -> None:
@@ -146,6 +149,11 @@
             else:
                 self._handle_stop(signal.Signals(number).name)
 
+    async def stop_on_fault(self) -> None:
+        """Start a planned stop, or end one at once, when a task fails that the process needs."""
+        await self._kernel.supervisor.stop_requested.wait()
+        self._handle_stop("task-fault")
+
     def set_running(self) -> None:
         """Act through the services from now on, also on an earlier SIGHUP."""
         self._is_running = True
@@ -200,14 +208,6 @@
     logs.event("reload", node=cfg.node.id, seeds=len(cfg.membership.seeds))
 
 
-def _iter_leaves(exc: BaseException) -> Iterator[BaseException]:
-    if isinstance(exc, BaseExceptionGroup):
-        for inner in exc.exceptions:
-            yield from _iter_leaves(inner)
-    else:
-        yield exc
-
-
 def print_error(problem: str, code: int) -> int:
     """Print a problem for the user and return the exit code."""
     print(f"knapweedhitchd: {problem}", file=sys.stderr)
@@ -232,17 +232,17 @@
 
 
 def _report_failure(exc: BaseException) -> int:
-    faults = list(_iter_leaves(exc))
-    for fault in faults:
+    found = list(faults.leaves(exc))
+    for fault in found:
         logs.warning(
             "fault", error=type(fault).__name__, place=logs.location_of(fault), detail=fault
         )
-    for fault in faults:
+    for fault in found:
         if isinstance(fault, SettingsError):
             return print_error(str(fault), EXIT_SETTINGS)
-    unknown = [f for f in faults if not isinstance(f, (KnapweedhitchError, OSError))]
+    unknown = [f for f in found if not isinstance(f, (KnapweedhitchError, OSError))]
     if unknown and not all(isinstance(f, trio.TooSlowError) for f in unknown):
         # A bug in the program; a bug report needs the traceback.
         raise exc
-    problem = "; ".join(f"{type(f).__name__}: {f}" for f in faults)
+    problem = "; ".join(f"{type(f).__name__}: {f}" for f in found)
     return print_error(f"stopped by a fault: {problem}", EXIT_FAULT)
--- a/knapweedhitch/timers.py
+++ b/knapweedhitch/timers.py
@@ -15,6 +15,7 @@
 from knapweedhitch import logs
 from knapweedhitch.clock import MS_PER_S, now_ms
 from knapweedhitch.kernel import Kernel, service
+from knapweedhitch.supervisor import OnFault
 
 # Step of the grid of aligned timers. Wake-ups are most of the processor time of a node at rest.
 GRID_MS = 62.5
@@ -55,7 +56,7 @@
 
     async def start(self) -> None:
         """Start the timer task."""
-        self._kernel.nursery.start_soon(self._run)
+        self._kernel.start_task(OnFault.STOP, self._run)
 
     async def stop(self) -> None:
         """Remove all subscriptions."""
--- a/tests/outside_senders.py
+++ b/tests/outside_senders.py
@@ -18,11 +18,23 @@
 from tests.message_samples import SENDER
 
 CLUSTER = "knapweedhitch"
-FAULT = re.compile(
-    r"event=(api-fault|connection-fault|peer_handler_failed|stream_handler_failed|dial-fault"
-    r"|probe_fault|timer_error|member_subscriber_failed|fault|operator_request_failed|task_fault"
-    r"|input_fault)\b(.*)|^Traceback"
+FAULT_EVENTS = (
+    "api-fault",
+    "connection-fault",
+    "datagram_fault",
+    "dial-fault",
+    "fault",
+    "input_fault",
+    "link_fault",
+    "member_subscriber_failed",
+    "operator_request_failed",
+    "peer_handler_failed",
+    "probe_fault",
+    "stream_handler_failed",
+    "task_fault",
+    "timer_error",
 )
+FAULT = re.compile(rf"event=({'|'.join(FAULT_EVENTS)})\b(.*)|^Traceback")
 # For each call of a node, the type of its reply.
 REPLIES = {
     "FeedPoll": "FeedReply",
--- a/tests/test_http_api.py
+++ b/tests/test_http_api.py
@@ -61,7 +61,7 @@
                 server = ApiServer(
                     Listener("127.0.0.1", 0), OperatorSettings(), node.counters, respond
                 )
-                await server.start(node.kernel.nursery)
+                await server.start(node.kernel)
                 node.kernel.get("drain").add_server(server)
                 address = server._server.address
                 idle = await trio.open_tcp_stream(address.host, address.port)
