Refuse settings that their parser fails on

An exception of the parser that it does not name would end a running process at SIGHUP, with all of its requests (the overflow in YAML did). `SettingsFile` is the one place that reads settings at the start and at a reload; it now refuses the file by SettingsError, whatever the parser raises, so that a start ends with one line and exit code 2 and a reload is `reload_refused`.

Before: RuntimeError from `reload`. After: SettingsError.

--- a/knapweedhitch/settingsfile.py
+++ b/knapweedhitch/settingsfile.py
@@ -23,7 +23,13 @@
         """Return the validated settings; raises SettingsError."""
         self._text = None
         self._text = read_text(self._path)
-        return self._parse(self._text, self._path)
+        try:
+            return self._parse(self._text, self._path)
+        except SettingsError:
+            raise
+        except Exception as exc:
+            # A reload must not end the process, whatever its file holds.
+            raise SettingsError(self._path, f"cannot be parsed: {exc!r:.200}") from exc
 
     def reload(self) -> Settings:
         """Return the validated settings of a regular file; raises SettingsError."""
--- a/tests/test_outside_bytes.py
+++ b/tests/test_outside_bytes.py
@@ -4,12 +4,15 @@
 
 import contextlib
 import math
+import types
 import unittest
 import zlib
 from collections.abc import Iterator
 from typing import Any
 
 import cbor2
+import trio
+import trio.testing
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -37,6 +40,7 @@
 from knapweedhitch.platform import items as platform_items
 from knapweedhitch.platform.settings import HEADERS
 from knapweedhitch.settings import ControlSettings
+from tests import operator_fakes
 from tests.message_samples import plain as plain_message
 from tests.message_samples import samples
 from tests.outside_bytes import cbor_bodies, damaged, json_bodies
@@ -201,6 +205,56 @@
             announcement.check_record(announcement.parse_announcement(body))
 
 
+class OperatorApiTest(unittest.TestCase):
+    COMMAND = types.MappingProxyType({"change_id": "c-1", "operator": "op"})
+    PATHS = (
+        "/v1/changes",
+        "/v1/domains/d0/out",
+        "/v1/domains/%ff/in",
+        "/v1/nodes/n0/drain",
+        "/v1/nodes/%00%0d%0a/undrain?seen_version=3",
+        "/v1/config/history?limit=" + "9" * 30,
+        "/v1/config/history?limit=%d9%a1",
+        "/v1/explain/%ed%a0%80",
+        "/v1/status?" + "&" * 20,
+        "*",
+        "//",
+        "/%",
+    )
+    AUTHORIZATIONS = (
+        f"Bearer {operator_fakes.TOKEN}",
+        f"Bearer {operator_fakes.TOKEN}",
+        f"Bearer {operator_fakes.TOKEN}",
+        "Bearer \u00ff",
+        "Basic",
+    )
+
+    @BOUNDED
+    @given(
+        st.sampled_from(("POST", "POST", "POST", "GET", "HEAD", "\u00ff")),
+        st.sampled_from(PATHS),
+        st.sampled_from(AUTHORIZATIONS),
+        json_bodies((*CHANGES, dict(COMMAND))),
+        st.data(),
+    )
+    def test_request_of_an_operator_gets_no_500(
+        self, method: str, path: str, authorization: str, body: bytes, data: st.DataObject
+    ) -> None:
+        """Guards against malformed requests that look like a fault of the process."""
+        head = f"{method} {path} HTTP/1.1\r\nHost: x\r\nAuthorization: {authorization}\r\n"
+        head += f"Content-Length: {len(body)}\r\n\r\n"
+        raw = data.draw(damaged(head.encode("latin-1") + body))
+        world = operator_fakes.World()
+
+        async def main() -> bytes:
+            return await world.raw(raw, end=data.draw(st.booleans()) or len(raw) < 400)
+
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        received = trio.run(main, clock=clock)
+        self.assertNotIn(b"HTTP/1.1 500", received)
+        self.assertEqual(world.kernel.get("counters").get("faults", "connection-fault"), 0)
+
+
 class HeaderTest(unittest.TestCase):
     REPORTS = (
         (b"server-load", b"1,0,6,100"),
--- a/tests/test_outside_files.py
+++ b/tests/test_outside_files.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import tempfile
 import unittest
 from collections.abc import Callable
 from typing import Any
@@ -13,7 +14,8 @@
 from knapweedhitch.exceptions import AnswersError, SettingsError
 from knapweedhitch.platform.settings import parse_settings as parse_platform_settings
 from knapweedhitch.questionnaire import parse_answers
-from knapweedhitch.settings import parse_settings
+from knapweedhitch.settings import Settings, parse_settings
+from knapweedhitch.settingsfile import SettingsFile
 from tests.answers_strategy import choir
 from tests.outside_bytes import mutated
 from tests.test_platform import BOOT_SETTINGS
@@ -77,6 +79,18 @@
         with self.assertRaisesRegex(SettingsError, "not valid YAML"):
             parse_settings(text)
 
+    def test_file_that_the_parser_fails_on_is_refused(self) -> None:
+        """Guards against a reload that ends the process by an error of the parser."""
+
+        def fail(text: str, place: str) -> Settings:
+            raise RuntimeError("unexpected")
+
+        with (
+            tempfile.NamedTemporaryFile("w") as file,
+            self.assertRaisesRegex(SettingsError, "cannot be parsed: RuntimeError"),
+        ):
+            SettingsFile(file.name, fail).reload()
+
     @BOUNDED
     @given(st.data())
     def test_settings_are_read_or_refused(self, data: st.DataObject) -> None:
