Refuse JSON with half of a surrogate pair

What operators saw: 500 to a change whose operator or policy held an escape such as \ud800. Nothing was changed, but the answer said that the outcome is not known.

Cause: JSON allows such escapes, Python's parser keeps them, and the checks of names pass them on in free text. The change then could not be encoded for the log (UnicodeEncodeError).

`plain.parse_object` reads all JSON of operators; it now refuses such a body with 400. The platform's calls use msgspec, which refuses them. Before: `parse_object` returns the text, and `changes.encode_change` raises UnicodeEncodeError. After: BadRequest.

--- a/knapweedhitch/plain.py
+++ b/knapweedhitch/plain.py
@@ -52,6 +52,9 @@
         raise BadRequest(detail=f"the body is over {MAX_JSON_BYTES} bytes")
     try:
         raw = json.loads(data, parse_constant=_reject_constant)
+        if b"\\u" in data:
+            # An escape can stand for half of a surrogate pair, which no later step can encode.
+            json.dumps(raw, ensure_ascii=False).encode()
     except (ValueError, RecursionError) as exc:
         raise BadRequest(detail=f"the body is not JSON: {exc}") from None
     if not isinstance(raw, dict):
--- a/tests/test_outside_bytes.py
+++ b/tests/test_outside_bytes.py
@@ -29,6 +29,7 @@
     wal,
 )
 from knapweedhitch.exceptions import (
+    BadRequest,
     ChangeError,
     CodecError,
     CorruptFile,
@@ -167,6 +168,14 @@
 
 
 class OperatorTest(unittest.TestCase):
+    def test_text_that_no_log_can_hold_is_refused(self) -> None:
+        """Guards against an answer of 500 to a change with half of a surrogate pair."""
+        for body in (b'{"operator": "\\ud800"}', b'{"a": [{"\\uDFFF": 1}]}'):
+            with self.subTest(body=body), self.assertRaises(BadRequest):
+                plain.parse_object(body)
+        pair = plain.parse_object(b'{"a": "\\ud83d\\ude00"}')
+        self.assertEqual(pair, {"a": "\U0001f600"})
+
     @BOUNDED
     @given(json_bodies(CHANGES))
     def test_change_of_an_operator_is_logged_or_refused(self, body: bytes) -> None:
