Feed: ask control instances again while they elect a leader

Seen at load 16 beside six busy processes: all nodes refused requests with config-stale from 0.6 to 1.0 s after a new leader had been elected, 1.5 s after the old one had lost its processor time. Near the end of its lease a node polls every 100 ms, but avoided each source without a recent proof for 1 s. A control instance that was asked just before the election was so asked next a second later. Small simulations don't show it: with few members, all sources are soon avoided, and then all are asked.

A node whose proof is older than 0.75 leases now asks one control instance that replies again after 250 ms, first in its poll; the other sources of the poll stay, since all control instances may be full while other nodes have a proof. Weighed: without the 250 ms every poll asks one (10 a second a node in place of 4), which thousands of nodes must not do; all control instances first would ask nobody else.

test_control_instances_are_asked_again_while_they_elect_a_leader failed before (2 polls of control instances in 800 ms, 8 now; 5 needed).

--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -22,6 +22,12 @@
 
 MAX_POLLS_IN_FLIGHT = 4
 SOURCES_PER_POLL = 3
+# A source without a recent proof is avoided for so many poll intervals.
+AVOIDED_INTERVALS = 2
+# A node with an old proof asks a control instance again after this part of a poll interval.
+REPEATED_INTERVALS = 0.5
+# Part of the configuration lease after which a proof counts as old.
+OLD_PROOF_RATIO = 0.75
 # Applies shortly before and after the configuration lease expires.
 POLLS_PER_INTERVAL_NEAR_EXPIRY = 5
 PEERS_PER_POLL = 2
@@ -47,6 +53,8 @@
         self._preferred_source = ""
         self._avoid_until_ms: dict[str, float] = {}
         self._polled_sources: set[str] = set()
+        # The sources that did not reply to their last poll.
+        self._silent: set[str] = set()
         self._polls_in_flight = 0
         self._report_is_due = False
         self._needs_state = False
@@ -161,7 +169,7 @@
             self._poll_soon()
             return
         # Bounded in time, so that a long loss of the quorum does not keep the poll rate high.
-        if age_ms is not None and 0.75 * lease_ms < age_ms < 1.25 * lease_ms:
+        if age_ms is not None and OLD_PROOF_RATIO * lease_ms < age_ms < 1.25 * lease_ms:
             self._poll_soon()
 
     def _poll_soon(self) -> None:
@@ -190,8 +198,26 @@
         available = [
             n for n in usable if n not in self._avoid_until_ms and n not in self._polled_sources
         ]
+        if self._has_old_proof():
+            # A control instance without a proof has one as soon as a leader is elected. Only one
+            # goes first, since all may be full while other nodes have a proof.
+            self._silent.intersection_update(control)
+            asked = [n for n in control if n not in available and self._may_ask_again(n)]
+            available = asked[:1] + available
         return available or [n for n in usable if n not in self._polled_sources]
 
+    def _may_ask_again(self, source: str) -> bool:
+        if source in self._silent or source in self._polled_sources or source == self.node_id:
+            return False
+        # Thousands of nodes ask at the same time.
+        remaining_ms = self._avoid_until_ms.get(source, 0.0) - now_ms()
+        wait_ms = (AVOIDED_INTERVALS - REPEATED_INTERVALS) * self._cfg.poll_interval_ms
+        return remaining_ms <= wait_ms
+
+    def _has_old_proof(self) -> bool:
+        age_ms = self.age_ms()
+        return age_ms is not None and age_ms > OLD_PROOF_RATIO * self._cfg.config_lease_ms
+
     def _control_ids(self) -> list[str]:
         if self._kernel.has("membership"):
             return list(self._kernel.get("membership").control_ids())
@@ -213,7 +239,10 @@
             reply = await self._peers.call(source, msg, self._cfg.call_timeout_ms)
         except PeerError as exc:
             self._counters.add("feed_poll_failed", type(exc).__name__)
+            self._silent.add(source)
             reply = None
+        else:
+            self._silent.discard(source)
         finally:
             self._polled_sources.discard(source)
         # Nodes that poll each other give ever older proofs, so a source with an old proof is used
@@ -225,7 +254,7 @@
             and reply.age_ms <= max_age_ms
         ):
             return True
-        self._avoid_until_ms[source] = now_ms() + 2 * self._cfg.poll_interval_ms
+        self._avoid_until_ms[source] = now_ms() + AVOIDED_INTERVALS * self._cfg.poll_interval_ms
         if self._preferred_source == source:
             self._preferred_source = ""
         return False
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import logbook
 import trio
@@ -128,6 +130,57 @@
 
 
 class SourceTest(unittest.TestCase):
+    def count_polls_without_leader(self, known: tuple[str, ...]) -> Counter[str]:
+        """Return which sources replied to one of many nodes around the end of its lease.
+
+        The node knows the given control instances, of which none can lead.
+        """
+        polled: Counter[str] = Counter()
+
+        def watch(world: World, name: str) -> None:
+            handlers = world.network.endpoints[name].handlers
+            handle = handlers[FeedPoll]
+
+            async def record(node_id: str, msg: FeedPoll) -> Any:
+                if node_id == "n0":
+                    polled[name if name.startswith("c") else "others"] += 1
+                return await handle(node_id, msg)
+
+            handlers[FeedPoll] = record
+
+        async def check(world: World) -> None:
+            await world.start(*(f"n{number}" for number in range(40)))
+            feed = world.hosts["n0"].feed
+            await wait_until(feed.is_fresh)
+            for name in world.hosts:
+                world.membership.add(name, "d1", "a")
+                watch(world, name)
+            for name in ("c1", "c2", "c3"):
+                world.network.cut |= {(name, f"c{n}") for n in (1, 2, 3)}
+            world.membership.control = known
+            await wait_until(lambda: (feed.age_ms() or 0.0) > 0.8 * LEASE_MS)
+            polled.clear()
+            await trio.sleep(0.4 * LEASE_MS / 1_000)
+
+        run(check, size=3)
+        return polled
+
+    def test_control_instances_are_asked_again_while_they_elect_a_leader(self) -> None:
+        """Guards against nodes that stay stale for a second after an election, since they had just
+        asked all control instances, and against nodes that then ask nobody else.
+        """
+        polled = self.count_polls_without_leader(("c1", "c2", "c3"))
+        self.assertGreaterEqual(polled["c1"] + polled["c2"] + polled["c3"], 5, polled)
+        self.assertGreaterEqual(polled["others"], 8, polled)
+
+    def test_one_control_instance_is_not_asked_by_every_poll(self) -> None:
+        """Guards against thousands of nodes that ask the last control instance ten times a second,
+        which it can't answer.
+        """
+        polled = self.count_polls_without_leader(("c1",))
+        self.assertGreaterEqual(polled["c1"], 2, polled)
+        self.assertLessEqual(polled["c1"], 4, polled)
+
     def test_any_fresh_node_is_a_source(self) -> None:
         """Guards against nodes that depend on reaching a control instance."""
 
