--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -27,6 +27,7 @@
 from knapweedhitch.identity import NO_BODY, IdentifiedBody, Identifier
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import CallResult, LoadSample, UpstreamEnd, UpstreamRecord, UpstreamState
+from knapweedhitch.supervisor import OnFault
 from knapweedhitch.suspects import RequestVerdict
 from knapweedhitch.suspectsharing import SuspectSharing
 
@@ -272,7 +273,7 @@
         if done is None:
             done = self._checks[upstream] = trio.Event()
             in_progress = [run for run, at in self._running.items() if at == upstream]
-            self._kernel.nursery.start_soon(self._observe_end, record, in_progress, done)
+            self._kernel.start_task(OnFault.END, self._observe_end, record, in_progress, done)
         await done.wait()
 
     async def _observe_end(
--- a/knapweedhitch/suspectsharing.py
+++ b/knapweedhitch/suspectsharing.py
@@ -20,6 +20,7 @@
     UpstreamEnded,
 )
 from knapweedhitch.model import UpstreamEnd
+from knapweedhitch.supervisor import OnFault
 from knapweedhitch.suspects import HeldEnd, RequestVerdict, SuspectTable
 
 COMPARE_TIMEOUT_MS = 400.0
@@ -180,7 +181,7 @@
         peers = self._choose_peers(self._cfg.fanout)
         if peers:
             self._is_comparing = True
-            self._kernel.nursery.start_soon(self._compare, self._rng.choice(peers))
+            self._kernel.start_task(OnFault.END, self._compare, self._rng.choice(peers))
 
     async def _compare(self, node_id: str) -> None:
         try:
