--- a/knapweedhitch/suspects.py
+++ b/knapweedhitch/suspects.py
@@ -178,21 +178,25 @@
         self._heads = frozenset(request[:HEAD_BYTES] for request in known)
 
     def _judge_service(self, service: str, ends: list[HeldEnd], now: float) -> None:
-        """Judge the requests with most ends first; an end that one explains accuses no other."""
-        accused: dict[bytes, list[HeldEnd]] = {}
-        for request, held in self._accusations(ends):
-            accused.setdefault(request, []).append(held)
+        """Judge the requests with most ends first; an end that one explains counts against no other."""
+        ends_by_request: dict[bytes, list[HeldEnd]] = {}
+        for request, held in self._iter_evidence(ends):
+            ends_by_request.setdefault(request, []).append(held)
         explained: set[tuple[str, int]] = set()
-        ordered = sorted(accused, key=lambda request: -len(accused[request]))
-        for _, group in itertools.groupby(ordered, key=lambda request: len(accused[request])):
+        ordered = sorted(ends_by_request, key=lambda request: -len(ends_by_request[request]))
+        for _, group in itertools.groupby(
+            ordered, key=lambda request: len(ends_by_request[request])
+        ):
             open_ends = [held for held in ends if held.end.upstream not in explained]
             open_upstreams = {held.end.upstream for held in open_ends}
             against = {
-                request: [h for h in accused[request] if h.end.upstream in open_upstreams]
+                request: [h for h in ends_by_request[request] if h.end.upstream in open_upstreams]
                 for request in group
             }
             for request, its_ends in against.items():
-                verdict = self._verdict_on(request, service, its_ends, open_ends, accused, now)
+                verdict = self._verdict_on(
+                    request, service, its_ends, open_ends, ends_by_request, now
+                )
                 if verdict is not None:
                     self._verdicts[request] = verdict
                     explained.update(held.end.upstream for held in its_ends)
@@ -201,11 +205,11 @@
         # Requests with as many ends were judged together, before they explained each other's ends.
         for request in list(self._suspects):
             if self._suspects[request] == service and all(
-                held.end.upstream in explained for held in accused[request]
+                held.end.upstream in explained for held in ends_by_request[request]
             ):
                 del self._suspects[request]
 
-    def _accusations(self, ends: list[HeldEnd]) -> Iterator[tuple[bytes, HeldEnd]]:
+    def _iter_evidence(self, ends: list[HeldEnd]) -> Iterator[tuple[bytes, HeldEnd]]:
         for held in ends:
             for request in held.end.requests:
                 clearance = self._cleared.get(request)
@@ -218,13 +222,13 @@
         service: str,
         its_ends: list[HeldEnd],
         open_ends: list[HeldEnd],
-        accused: dict[bytes, list[HeldEnd]],
+        ends_by_request: dict[bytes, list[HeldEnd]],
         now: float,
     ) -> RequestVerdict | None:
         if len(its_ends) >= self._cfg.max_ends:
             evidence, ttl_ms = MANY_ENDS, self._cfg.evidence_ttl_ms
         elif len(its_ends) >= MIN_ENDS and self._is_common_to_all(
-            request, its_ends, open_ends, accused
+            request, its_ends, open_ends, ends_by_request
         ):
             evidence, ttl_ms = COMMON_TO_TWO, self._cfg.two_ends_ttl_ms
         else:
@@ -239,7 +243,7 @@
         request: bytes,
         its_ends: list[HeldEnd],
         open_ends: list[HeldEnd],
-        accused: dict[bytes, list[HeldEnd]],
+        ends_by_request: dict[bytes, list[HeldEnd]],
     ) -> bool:
         """Return whether one request alone explains every end of the service.
 
@@ -249,6 +253,6 @@
         if len(its_ends) < len(open_ends) or any(h.end.unidentified for h in its_ends):
             return False
         return not any(
-            other != request and all(held in accused.get(other, ()) for held in its_ends)
+            other != request and all(held in ends_by_request.get(other, ()) for held in its_ends)
             for other in its_ends[0].end.requests
         )
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -111,7 +111,7 @@
         self.assertGreater(self.table.next_mark(BAD, 3), mark)
 
     def test_two_deadly_requests_are_both_quarantined_by_three_ends(self) -> None:
-        """Guards against guilty requests that excuse each other."""
+        """Guards against two faulty requests of which only one is found."""
         self.add(*(end(n, BAD, THIRD) for n in (1, 3, 5)), *(end(n, OTHER) for n in (2, 4, 6)))
         self.assertEqual(self.quarantined(), {BAD, OTHER, THIRD})
 
