--- a/knapweedhitch/suspects.py
+++ b/knapweedhitch/suspects.py
@@ -178,7 +178,7 @@
         self._heads = frozenset(request[:HEAD_BYTES] for request in known)
 
     def _judge_service(self, service: str, ends: list[HeldEnd], now: float) -> None:
-        """Judge the requests with most ends first; an end that one explains counts against no other."""
+        """Judge requests with most ends first; an end that one explains counts against no other."""
         ends_by_request: dict[bytes, list[HeldEnd]] = {}
         for request, held in self._iter_evidence(ends):
             ends_by_request.setdefault(request, []).append(held)
