--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -52,7 +52,15 @@
                 caller.server_stream.put_received(b"GET / HTTP/1.1\r\nHost: shop.test\r\n\r\n")
             return int(in_progress)
 
+        send_all = caller.server_stream.send_all
+
+        async def send_slowly(data: bytes) -> None:
+            # Without the wait, whether the refusal is sent first depends on the order of tasks.
+            await trio.sleep(0.02)
+            await send_all(data)
+
         drain._in_progress = count_as_a_request_arrives
+        caller.server_stream.send_all = send_slowly  # type: ignore[method-assign]
         sent_bytes = caller.server_stream.sent
         drain.begin()
         await drain.finished.wait()
