Control: stop waiting for a leader once another one leads

A control instance sends a change to the leader that it knows and waits up to 1,200 ms for the reply. If that leader is suspended, the next one is known after about 0.8 s, but the change still waited for the old one. The call now ends as soon as another instance is known to lead, and the change is sent there under the same change id, so that it is applied once.

--- a/knapweedhitch/control.py
+++ b/knapweedhitch/control.py
@@ -13,6 +13,7 @@
 from knapweedhitch.changes import AddClaimGroup, AddClaimGroups, Change, DomainOut, StampedChange
 from knapweedhitch.claimgroups import ByteWindow, ClaimGroupPlanner
 from knapweedhitch.clock import now_ms
+from knapweedhitch.codec import Message
 from knapweedhitch.consensus import Replica
 from knapweedhitch.disk import FolderDisk
 from knapweedhitch.exceptions import (
@@ -23,6 +24,7 @@
     NotLeader,
     PeerError,
     PeerQueueFull,
+    PeerTimeout,
     PeerUnreachable,
     ProposalUnknown,
     ReplicaBusy,
@@ -152,7 +154,7 @@
             raise NotLeader(None)
         timeout_ms = min(remaining_ms, 2.0 * self._cfg.election_timeout_ms)
         try:
-            reply = await self._peers.call(target, Propose(data), timeout_ms)
+            reply = await self._call(target, Propose(data), timeout_ms)
         except PeerError:
             self._leader_hint = None
             raise
@@ -160,6 +162,25 @@
             raise ProposalUnknown(f"{target} sent an unexpected reply")
         return self._unwrap(change, reply)
 
+    async def _call(self, target: str, msg: Propose, timeout_ms: float) -> Message:
+        """Call a control instance, but a leader only until another one leads; raises PeerError."""
+        scope = trio.CancelScope()
+
+        def check_leader() -> None:
+            if self.leader_id not in (None, target):
+                scope.cancel()
+
+        timer = None
+        if target == self.leader_id:
+            timer = self._timers.every(RETRY_DELAY_MS, check_leader)
+        try:
+            with scope:
+                return await self._peers.call(target, msg, timeout_ms)
+        finally:
+            if timer is not None:
+                timer.cancel()
+        raise PeerTimeout(f"{target} no longer leads")
+
     def _choose_target(self) -> str | None:
         """Return the leader if known, else a random other control instance."""
         leader = self.leader_id
--- a/tests/test_control.py
+++ b/tests/test_control.py
@@ -163,6 +163,31 @@
 
         run(check, size=3)
 
+    def test_change_at_a_follower_waits_no_longer_for_a_replaced_leader(self) -> None:
+        """Guards against changes that wait for a suspended leader after the next one is known."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            await world.submit("n1", DomainOut("d1"))
+            replicas = {n: world.hosts[n].control.replica for n in ("c1", "c2", "c3")}
+            old = next(name for name, replica in replicas.items() if replica.is_leader)
+            follower = next(name for name in replicas if name != old)
+            world.isolate(old)
+            took_s: list[float] = []
+
+            async def submit() -> None:
+                await world.submit(follower, DomainOut("d2"))
+                took_s.append(trio.current_time() - start_s)
+
+            start_s = trio.current_time()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(submit)
+                await wait_until(lambda: replicas[follower].leader_id not in (None, old))
+                known_s = trio.current_time() - start_s
+            self.assertLess(took_s[0] - known_s, 0.2)
+
+        run(check, size=3)
+
 
 def record_changes(world: World) -> list[tuple[float, int]]:
     """Return a list that collects the time and the size of each accepted change."""
