--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -18,14 +18,11 @@
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import FeedPoll, FeedPush, FeedReply, VersionReport
 from knapweedhitch.model import Configuration, DomainStatus
+from knapweedhitch.pollsources import PollSources
 from knapweedhitch.supervisor import OnFault
 
 MAX_POLLS_IN_FLIGHT = 4
 SOURCES_PER_POLL = 3
-# A source without a recent proof is avoided for so many poll intervals.
-AVOIDED_INTERVALS = 2
-# A node with an old proof asks a control instance again after this part of a poll interval.
-REPEATED_INTERVALS = 0.5
 # Part of the configuration lease after which a proof counts as old.
 OLD_PROOF_RATIO = 0.75
 # Applies shortly before and after the configuration lease expires.
@@ -50,11 +47,7 @@
         self._proof_ms: float | None = None
         self._bodies: deque[bytes] = deque(maxlen=self._cfg.max_changes_per_reply)
         self._subscriptions: list[Callable[[Configuration], None]] = []
-        self._preferred_source = ""
-        self._avoid_until_ms: dict[str, float] = {}
-        self._polled_sources: set[str] = set()
-        # The sources that did not reply to their last poll.
-        self._silent: set[str] = set()
+        self._sources = PollSources(self._cfg, self.node_id)
         self._polls_in_flight = 0
         self._report_is_due = False
         self._needs_state = False
@@ -179,40 +172,20 @@
     async def _poll_sources(self) -> None:
         self._polls_in_flight += 1
         try:
-            for source in self._sources()[:SOURCES_PER_POLL]:
+            for source in self._sources_in_order()[:SOURCES_PER_POLL]:
                 if await self._poll(source):
-                    self._preferred_source = source
+                    self._sources.record_proof(source)
                     return
         finally:
             self._polls_in_flight -= 1
 
-    def _sources(self) -> list[str]:
-        """Return the sources in poll order: leader, last good source, control instances, peers."""
-        current_ms = now_ms()
-        self._avoid_until_ms = {n: t for n, t in self._avoid_until_ms.items() if t > current_ms}
+    def _sources_in_order(self) -> list[str]:
         control = self._control_ids()
         self._rng.shuffle(control)
         leader = self._control.leader_id if self._control is not None else None
-        order = [leader or "", self._preferred_source, *control, *self._sample_peers()]
-        usable = [n for n in dict.fromkeys(order) if n and n != self.node_id]
-        available = [
-            n for n in usable if n not in self._avoid_until_ms and n not in self._polled_sources
-        ]
-        if self._has_old_proof():
-            # A control instance without a proof has one as soon as a leader is elected. Only one
-            # goes first, since all may be full while other nodes have a proof.
-            self._silent.intersection_update(control)
-            asked = [n for n in control if n not in available and self._may_ask_again(n)]
-            available = asked[:1] + available
-        return available or [n for n in usable if n not in self._polled_sources]
-
-    def _may_ask_again(self, source: str) -> bool:
-        if source in self._silent or source in self._polled_sources or source == self.node_id:
-            return False
-        # Thousands of nodes ask at the same time.
-        remaining_ms = self._avoid_until_ms.get(source, 0.0) - now_ms()
-        wait_ms = (AVOIDED_INTERVALS - REPEATED_INTERVALS) * self._cfg.poll_interval_ms
-        return remaining_ms <= wait_ms
+        return self._sources.in_order(
+            leader or "", control, self._sample_peers(), has_old_proof=self._has_old_proof()
+        )
 
     def _has_old_proof(self) -> bool:
         age_ms = self.age_ms()
@@ -233,18 +206,13 @@
         """Poll a source, apply its reply and return whether it gave a recent proof."""
         sent_ms = now_ms()
         version = FULL_STATE_VERSION if self._needs_state else self.current.version
-        self._polled_sources.add(source)
         try:
-            msg = FeedPoll(version, True)
-            reply = await self._peers.call(source, msg, self._cfg.call_timeout_ms)
+            with self._sources.polling(source):
+                msg = FeedPoll(version, True)
+                reply = await self._peers.call(source, msg, self._cfg.call_timeout_ms)
         except PeerError as exc:
             self._counters.add("feed_poll_failed", type(exc).__name__)
-            self._silent.add(source)
             reply = None
-        else:
-            self._silent.discard(source)
-        finally:
-            self._polled_sources.discard(source)
         # Nodes that poll each other give ever older proofs, so a source with an old proof is used
         # but not preferred.
         max_age_ms = self._cfg.config_lease_ms / 2
@@ -254,9 +222,7 @@
             and reply.age_ms <= max_age_ms
         ):
             return True
-        self._avoid_until_ms[source] = now_ms() + AVOIDED_INTERVALS * self._cfg.poll_interval_ms
-        if self._preferred_source == source:
-            self._preferred_source = ""
+        self._sources.record_no_proof(source)
         return False
 
     def _apply_reply(self, reply: FeedReply, sent_ms: float) -> bool:
