Take only node ids that are addresses for the address of their node

A node that is named by a peer, but does not exist, made the dial fail by an unexpected exception (event dial-fault with a traceback) where node ids are addresses, as on the platform.

Cause: Settings.control_address made an address of any node id.

The new test failed before (ValueError: host: 'n9' is not an IP address) and passes now; its mutation is caught. The check of hosts in settings uses the same function.

--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -24,7 +24,8 @@
 INSTANCE_ID = r"\A[!-~]{1,128}\Z"
 
 
-def _is_ip_address(host: str) -> bool:
+def is_ip_address(host: str) -> bool:
+    """Return whether a text is an IPv4 or IPv6 address."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     try:
         socket.inet_pton(family, host.partition("%")[0])
@@ -41,7 +42,7 @@
 
     def __post_init__(self) -> None:
         # A socket would look up any other text as a name, which blocks, or refuse it untyped.
-        if not _is_ip_address(self.host):
+        if not is_ip_address(self.host):
             raise ValueError(f"host: {self.host[:60]!r} is not an IP address")
 
     def __str__(self) -> str:
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ipaddress
 import os
 import stat
 from pathlib import Path
@@ -13,7 +12,7 @@
 
 from knapweedhitch import yamltext
 from knapweedhitch.exceptions import SettingsError
-from knapweedhitch.model import Address
+from knapweedhitch.model import Address, is_ip_address
 from knapweedhitch.validation import describe_problem
 
 MAX_SETTINGS_BYTES = 1_048_576
@@ -31,10 +30,8 @@
 
 
 def _check_host(host: str) -> None:
-    try:
-        ipaddress.ip_address(host)
-    except ValueError:
-        raise ValueError(f"host: {host[:80]!r} is not an IP address") from None
+    if not is_ip_address(host):
+        raise ValueError(f"host: {host[:80]!r} is not an IP address")
 
 
 class Section(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -448,7 +445,10 @@
         for member in self.control.members:
             if member.id == node_id:
                 return Address(member.host, member.port)
-        return Address(node_id, self.listen.peers.port) if self.node.id_is_address else None
+        # A peer may name any node as the leader or as a member.
+        if self.node.id_is_address and is_ip_address(node_id):
+            return Address(node_id, self.listen.peers.port)
+        return None
 
 
 def parse_settings(text: str, place: str = "settings") -> Settings:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -101,6 +101,17 @@
                 load_secret(folder)
 
 
+class NodeIdTest(unittest.TestCase):
+    def test_node_id_that_is_no_address_has_no_address(self) -> None:
+        """Guards against a dial that fails by an unexpected exception since a peer named a node."""
+        node = {**base()["node"], "id": "127.0.0.1", "id_is_address": True}
+        cfg = parse_settings(yamltext.dump(base(node=node)))
+        self.assertEqual(
+            str(cfg.control_address("127.0.0.2")), f"127.0.0.2:{cfg.listen.peers.port}"
+        )
+        self.assertIsNone(cfg.control_address("n9"))
+
+
 class YamlTest(unittest.TestCase):
     def test_aliases_are_refused(self) -> None:
         """Guards against aliases that expand a few lines until memory is exhausted."""
