--- a/knapweedhitch/history.py
+++ b/knapweedhitch/history.py
@@ -64,6 +64,10 @@
 AcceptedCallback = Callable[[HistoryRecord], None]
 
 
+# Configuration, version of the last change of an operator, results by change id, records.
+_State = tuple[Configuration, int, list[tuple[str, ChangeResult]], list[HistoryRecord]]
+
+
 class ConfigurationMachine:
     """Apply log entries in order and deterministically, so that all replicas agree."""
 
@@ -195,8 +199,17 @@
         ]
         return zlib.compress(cbor2.dumps(plain), 1)
 
+    def check(self, data: bytes) -> None:
+        """Raise CodecError if `restore` would refuse a snapshot."""
+        self._decode(data)
+
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a snapshot; raises CodecError."""
+        self.current, self.operator_version, results, records = self._decode(data)
+        self._results = OrderedDict(results)
+        self._history = deque(records, maxlen=self._limits.max_history_entries)
+
+    def _decode(self, data: bytes) -> _State:
         raw = _unpack(data, self._limits.max_snapshot_bytes)
         try:
             state, operator_version, results, history = raw
@@ -206,10 +219,7 @@
             records = [from_plain(HistoryRecord, r) for r in history]
         except (TypeError, ValueError) as exc:
             raise CodecError(f"invalid state: {exc}") from None
-        self._results = OrderedDict(pairs)
-        self._history = deque(records, maxlen=self._limits.max_history_entries)
-        self.operator_version = version
-        self.current = current
+        return current, version, pairs, records
 
 
 def _drain_lines(op: Operation) -> tuple[str, ...]:
--- a/knapweedhitch/replication.py
+++ b/knapweedhitch/replication.py
@@ -8,7 +8,7 @@
 
 from knapweedhitch import logs, snapshot
 from knapweedhitch.clock import MS_PER_S, now_ms
-from knapweedhitch.exceptions import CorruptFile, PeerError
+from knapweedhitch.exceptions import CodecError, CorruptFile, PeerError
 from knapweedhitch.messages import AppendReply, AppendRequest, SnapshotChunk, SnapshotReply
 from knapweedhitch.raftstate import MEMBERS, Progress, Proposal, ReplicaState, Role, encode_members
 
@@ -318,7 +318,9 @@
         s = self._s
         try:
             snap = snapshot.decode(data, "received snapshot")
-        except CorruptFile as exc:
+            # Once it is durable, a replica that refuses its state would not start again.
+            s.machine.check(snap.state)
+        except (CodecError, CorruptFile) as exc:
             s.counters.add("consensus_snapshot_refused")
             logs.warning("snapshot_refused", node=s.node_id, detail=exc)
             return False
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -20,6 +20,8 @@
 from knapweedhitch.raftstate import ReplicaState, Role, encode_members
 from knapweedhitch.readmission import Readmission
 from knapweedhitch.replication import Replication
+from knapweedhitch.snapshot import Snapshot
+from knapweedhitch.snapshot import encode as encode_snapshot
 from knapweedhitch.store import Store
 from tests.faulty_disk import FaultyDisk
 from tests.state_cluster import (
@@ -411,6 +413,28 @@
 
         run(check)
 
+    def test_transfer_of_a_wrong_state_is_not_made_durable(self) -> None:
+        """Guards against a replica that stops, and does not start again, for a state that another
+        replica has sent.
+        """
+
+        async def check(cluster: Cluster) -> None:
+            await cluster.change()
+            leader = await cluster.wait_for_leader()
+            follower = next(n for n in cluster.nodes.values() if n is not leader)
+            state = leader.replica.state
+            term = state.store.term
+            handler = cluster.network.endpoints[follower.node_id].handlers[SnapshotChunk]
+            snap = Snapshot(90, term, state.voters, state.group_id, b"no state")
+            chunk = SnapshotChunk(term, leader.node_id, 90, term, 0, encode_snapshot(snap), True)
+            self.assertEqual((await handler(leader.node_id, chunk)).next_offset, 0)
+            self.assertFalse(follower.replica.is_stopped)
+            await cluster.crash(follower.node_id)
+            await cluster.restart(follower.node_id)
+            await cluster.check_nothing_lost()
+
+        run(check)
+
     def test_failed_sync_stops_the_replica_for_good(self) -> None:
         """Guards against acknowledging changes after a failed sync, which may not be on disk."""
 
