--- a/tests/outside_senders.py
+++ b/tests/outside_senders.py
@@ -24,7 +24,7 @@
     "datagram_fault",
     "dial-fault",
     "fault",
-    "input_fault",
+    "internal-error",
     "link_fault",
     "member_subscriber_failed",
     "operator_request_failed",
