--- a/knapweedhitch/handlers.py
+++ b/knapweedhitch/handlers.py
@@ -20,9 +20,10 @@
     Refusal,
 )
 from knapweedhitch.kernel import Kernel
-from knapweedhitch.link import BUSY_ERROR, Link
+from knapweedhitch.link import Link
 from knapweedhitch.messages import OpenStream, StreamFail
 from knapweedhitch.model import LoadSample
+from knapweedhitch.pendingcalls import BUSY_ERROR
 from knapweedhitch.streams import PeerStream
 from knapweedhitch.supervisor import OnFault
 
--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -16,8 +16,6 @@
 from knapweedhitch.delivery import DeliveryTracker
 from knapweedhitch.exceptions import (
     CodecError,
-    PeerBusy,
-    PeerCallFailed,
     PeerDisconnected,
     PeerProtocolError,
     PeerQueueFull,
@@ -36,6 +34,7 @@
     ReplyMessage,
     Retire,
 )
+from knapweedhitch.pendingcalls import PendingCalls
 from knapweedhitch.settings import PeerSettings
 from knapweedhitch.streams import STREAM_FRAMES, PeerStream, StreamTable
 from knapweedhitch.timers import Timers
@@ -44,7 +43,6 @@
 
 HEARTBEAT_MESSAGES = (Ping, Pong)
 HANDSHAKE_MESSAGES = (Hello, Proof, Rejected)
-BUSY_ERROR = "busy"
 # Bodies wait while more than this is queued, so that they do not delay short messages.
 CONGESTED_BYTES = 262_144
 MAX_WRITE_BYTES = 262_144
@@ -71,15 +69,6 @@
         ...
 
 
-class _PendingCall:
-    __slots__ = ("done", "error", "reply")
-
-    def __init__(self) -> None:
-        self.done = trio.Event()
-        self.reply: Message | None = None
-        self.error: Exception | None = None
-
-
 class Link:
     """Run one link to a peer; `run` returns when the link is closed."""
 
@@ -118,7 +107,7 @@
         self._sequence = itertools.count(1)
         self._calls_in_progress = 0
         self._writing = False
-        self._calls: dict[int, _PendingCall] = {}
+        self._calls = PendingCalls(peer_id, cfg, counters)
         self._streams = StreamTable(self, dialled=dialled)
         self._scope = trio.CancelScope()
 
@@ -139,7 +128,7 @@
     def is_idle(self) -> bool:
         """Return whether the link has no open calls or streams and nothing left to write."""
         is_busy = (
-            self._calls
+            len(self._calls)
             or self._calls_in_progress
             or len(self._streams)
             or self._queue
@@ -201,21 +190,11 @@
 
         Raises PeerQueueFull, PeerDisconnected, PeerBusy and PeerCallFailed.
         """
-        if len(self._calls) >= self.cfg.max_queued_messages:
-            raise PeerQueueFull(f"peer={self.peer_id} calls={len(self._calls)}")
+        self._calls.check_room()
         call_id = next(self._sequence)
-        pending = _PendingCall()
         self.last_used_ms = Timers.now_ms()
         self.put(CallMessage(call_id, codec.encode(msg)))
-        self._calls[call_id] = pending
-        try:
-            await pending.done.wait()
-        finally:
-            del self._calls[call_id]
-        if pending.error is not None:
-            raise pending.error
-        assert pending.reply is not None
-        return pending.reply
+        return await self._calls.wait_reply(call_id)
 
     def open_stream(self, opening: OpenStream) -> PeerStream:
         """Open a stream under a new id; raises PeerQueueFull and PeerDisconnected."""
@@ -269,16 +248,11 @@
             return
         self.disconnect_error = PeerDisconnected(f"peer={self.peer_id} {reason}")
         self._owner.on_link_change(self)
-        self._fail_calls(self.disconnect_error)
+        self._calls.fail_all(self.disconnect_error)
         self._streams.fail_all(self.disconnect_error)
         self._batch_written.set()
         self._scope.cancel()
 
-    def _fail_calls(self, exc: PeerDisconnected) -> None:
-        for pending in self._calls.values():
-            pending.error = exc
-            pending.done.set()
-
     @property
     def silent_ms(self) -> float:
         """Return for how long the peer has sent nothing although frames were due."""
@@ -324,7 +298,7 @@
             self._counters.add("peer_links_silent")
             # A peer that still hears this node must not use the link either.
             self.retire()
-            self._fail_calls(PeerDisconnected(f"peer={self.peer_id} missed heartbeats"))
+            self._calls.fail_all(PeerDisconnected(f"peer={self.peer_id} missed heartbeats"))
             self._streams.stop_waiting("the other node is silent")
 
     def _end_silence(self) -> None:
@@ -421,7 +395,7 @@
             self.last_used_ms = received_ms
             self._on_call(msg)
         elif isinstance(msg, ReplyMessage):
-            self._on_reply(msg)
+            self._calls.on_reply(msg)
         elif isinstance(msg, Ping):
             self.put_frame(Pong(msg.sequence), "control")
         elif isinstance(msg, Retire):
@@ -454,16 +428,3 @@
         if len(body) > self.cfg.max_message_bytes - REPLY_MARGIN_BYTES:
             body, error = b"", f"a reply of {len(body)} bytes is too large"
         self.put_frame(ReplyMessage(call_id, body, error), "control")
-
-    def _on_reply(self, msg: ReplyMessage) -> None:
-        pending = self._calls.get(msg.call_id)
-        if pending is None or pending.done.is_set():
-            self._counters.add("peer_late_frames", "reply")
-            return
-        if msg.error == BUSY_ERROR:
-            pending.error = PeerBusy(f"peer={self.peer_id}")
-        elif msg.error:
-            pending.error = PeerCallFailed(f"peer={self.peer_id} error={msg.error[:200]}")
-        else:
-            pending.reply = codec.decode(msg.body, self.cfg.max_message_bytes)
-        pending.done.set()
