Count an end once that follows the first heartbeat of its upstream

A node that has restarted finds its upstream by a probe, which does not tell the incarnation. Calls that began before the first heartbeat and others after it were taken for those of two starts. When the upstream ended, two ends were recorded, so that one crash was enough to refuse a frequent request for a minute at all nodes, and with another crash for ten.

The end is now recorded for the newest announced record of the same start, with the calls of all records of it.

Test: with one crash after the first heartbeat, a verdict 'common-to-two' came, and now none.

--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -115,7 +115,7 @@
         self._now_ms = kernel.get("timers").now_ms
         self.sharing: SuspectSharing = kernel.get("suspects")
         self.table = self.sharing.table
-        self._running: dict[GuardedRun, tuple[str, int]] = {}
+        self._running: dict[GuardedRun, UpstreamRecord] = {}
         self._checks: dict[tuple[str, int], trio.Event] = {}
         self._turn_holder: GuardedRun | None = None
         self._run_ended = trio.Event()
@@ -234,8 +234,7 @@
         load: LoadSource,
     ) -> CallResult:
         """Run the exchange and observe whether the upstream ends; raises CallerGone, Refusal."""
-        upstream = (record.instance_id, record.incarnation)
-        self._running[run] = upstream
+        self._running[run] = record
         try:
             result: CallResult = await self._pool.exchange(record.address, spec, body, sink, load)
         except UpstreamUnreachable:
@@ -266,13 +265,19 @@
 
     async def _check_end(self, record: UpstreamRecord) -> None:
         """Wait until it is known whether the upstream ended; the first call that fails asks."""
+        # Some of its calls may have begun before its first heartbeat told the incarnation.
+        record = self._newest_record(record)
         upstream = (record.instance_id, record.incarnation)
         if self.table.has_end(upstream):
             return
         done = self._checks.get(upstream)
         if done is None:
             done = self._checks[upstream] = trio.Event()
-            in_progress = [run for run, at in self._running.items() if at == upstream]
+            in_progress = [
+                run
+                for run, at in self._running.items()
+                if record.is_same_start(at.instance_id, at.incarnation)
+            ]
             self._kernel.start_task(OnFault.END, self._observe_end, record, in_progress, done)
         await done.wait()
 
@@ -293,6 +298,13 @@
         refuses: bool = await self._pool.refuses_connections(record.address)
         return refuses
 
+    def _newest_record(self, record: UpstreamRecord) -> UpstreamRecord:
+        """Return the announced record of the same start, if there is one."""
+        current: UpstreamRecord | None = self._kernel.get("announce").current
+        if current is None or not current.is_same_start(record.instance_id, record.incarnation):
+            return record
+        return current
+
     def _is_in_use(self, record: UpstreamRecord) -> bool:
         """Return whether the upstream has not said that it leaves."""
         current = self._kernel.get("announce").current
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -22,7 +22,14 @@
     UpstreamUnreachable,
 )
 from knapweedhitch.exchange import CallSpec
-from knapweedhitch.model import Address, CallResult, UpstreamEnd, UpstreamRecord, UpstreamState
+from knapweedhitch.model import (
+    UNKNOWN_INCARNATION,
+    Address,
+    CallResult,
+    UpstreamEnd,
+    UpstreamRecord,
+    UpstreamState,
+)
 from knapweedhitch.suspects import MANY_ENDS
 from knapweedhitch.suspectsharing import SuspectSharing
 from tests.fake_net import MemoryNet, Node, running_nodes
@@ -442,6 +449,31 @@
             self.assertEqual([v.request for v in table.verdicts()], [child])
             self.assertTrue(table.is_suspect(parent))
 
+    @run_on_mock_clock
+    async def test_an_end_right_after_the_first_heartbeat_counts_once(self) -> None:
+        """Guards against a verdict by one end: calls that began before the first heartbeat told the
+        incarnation, and others after it, were each taken for those of another start.
+        """
+        async with running_cluster(2) as cluster:
+            announce, upstream = cluster.nodes[0].kernel.get("announce"), cluster.upstreams[0]
+            upstream.starts = UNKNOWN_INCARNATION
+            announce.current = upstream.record
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(cluster.call, 0, b"/frequent")
+                await trio.sleep(0.05)
+                upstream.starts = 7
+                announce.current = upstream.record
+                nursery.start_soon(cluster.call, 0, b"/frequent")
+                nursery.start_soon(cluster.call, 0, b"/other")
+                await trio.sleep(0.05)
+                upstream.crash()
+            await trio.sleep(0.1)
+            for guard in cluster.guards:
+                self.assertEqual(guard.table.verdicts(), [])
+                self.assertEqual(len(guard.table.suspects()), 2)
+                (held,), _ = guard.table.evidence()
+                self.assertEqual(held.end.incarnation, 7)
+
     @run_on_mock_clock
     async def test_flapping_upstreams_leave_no_verdict(self) -> None:
         """Guards against lasting guilt by chance where upstreams go down and up by themselves."""
