Report a call to a silent upstream without a long check of its end

Where an address does not answer, a call failed after the connection timeout (250 ms) and then waited for the check of whether the upstream had ended, which tried two more connections: the next attempt began after 770 ms in the test. A safe request with a short deadline could be lost.

A local upstream that has ended refuses a connection at once, so the check now takes 100 ms at most. Without an answer in that time, it is no end, as before.

Test: the call is refused after 0.77 s before and within 0.4 s now.

--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -34,6 +34,9 @@
 # An upstream may close its connections some milliseconds before it stops to listen, so that a
 # connection that is accepted is tried once more.
 END_CHECK_GAP_S = 0.02
+# A refusal of the local upstream comes at once. An address that does not answer must not delay the
+# next attempt of the calls that failed there.
+MAX_END_CHECK_S = 0.1
 
 LoadSource = Callable[[], LoadSample | None]
 
@@ -292,11 +295,13 @@
             done.set()
 
     async def _refuses_connections(self, record: UpstreamRecord) -> bool:
-        if await self._pool.refuses_connections(record.address):
-            return True
-        await trio.sleep(END_CHECK_GAP_S)
-        refuses: bool = await self._pool.refuses_connections(record.address)
-        return refuses
+        with trio.move_on_after(MAX_END_CHECK_S):
+            if await self._pool.refuses_connections(record.address):
+                return True
+            await trio.sleep(END_CHECK_GAP_S)
+            refuses: bool = await self._pool.refuses_connections(record.address)
+            return refuses
+        return False
 
     def _newest_record(self, record: UpstreamRecord) -> UpstreamRecord:
         """Return the announced record of the same start, if there is one."""
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -51,6 +51,8 @@
         self.deadly: set[bytes] = set()
         self.arrivals: list[bytes] = []
         self.is_alive = True
+        # How long a connection takes to time out, zero if it is accepted or refused at once.
+        self.connect_s = 0.0
         self._ended = trio.Event()
 
     @property
@@ -71,13 +73,14 @@
         self.starts += 1
 
     async def refuses_connections(self, address: Address) -> bool:
-        await trio.lowlevel.checkpoint()
-        return not self.is_alive
+        await trio.sleep(self.connect_s)
+        return not self.is_alive and not self.connect_s
 
     async def exchange(
         self, address: Address, spec: CallSpec, body: Any, sink: Any, load: Any
     ) -> CallResult:
         if not self.is_alive:
+            await trio.sleep(self.connect_s)
             raise UpstreamUnreachable(Outcome.NOT_RUN)
         received = b""
         while spec.has_body and (part := await body.receive()) is not None:
@@ -449,6 +452,19 @@
             self.assertEqual([v.request for v in table.verdicts()], [child])
             self.assertTrue(table.is_suspect(parent))
 
+    @run_on_mock_clock
+    async def test_a_call_to_a_silent_upstream_is_reported_soon(self) -> None:
+        """Guards against a retry that comes late: the check waited for two further connections to
+        an address that does not answer, for up to 520 ms.
+        """
+        async with running_cluster(1) as cluster:
+            upstream, started_s = cluster.upstreams[0], trio.current_time()
+            upstream.crash()
+            upstream.connect_s = 0.25
+            self.assertIsInstance(await cluster.call(0, b"/a"), UpstreamUnreachable)
+            self.assertLess(trio.current_time() - started_s, 0.25 + 0.15)
+            self.assertEqual(cluster.guards[0].table.evidence(), ([], []))
+
     @run_on_mock_clock
     async def test_an_end_right_after_the_first_heartbeat_counts_once(self) -> None:
         """Guards against a verdict by one end: calls that began before the first heartbeat told the
