Try a third target when the nodes of two attempts are silent

Since a safe call at a silent node waits while another attempt runs, the second attempt waited at a silent node as well, until the deadline: with three attempts allowed and a target that responds, the caller got 504. Nodes of one zone fall silent together, and the picker learns it later. The second attempt also told its upstream of a retry that it did not have.

The retries left now count the attempts in progress. A second attempt with a retry left is given up at a silent node and goes to another target; without one it waits, as before.

--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -226,8 +226,9 @@
             try:
                 return await self._run_attempt(call, attempt)
             except Refusal as exc:
+                is_silent = isinstance(exc, PeerFailed) and not attempt.status
                 # After other failures, the attempt may hold a part of a response.
-                if exc.outcome is not Outcome.NOT_RUN:
+                if exc.outcome is not Outcome.NOT_RUN and not is_silent:
                     raise
                 target = self._pick_second(call, exc)
                 if target is None:
@@ -286,6 +287,9 @@
 
     async def _execute(self, call: RelayCall, target: Target, attempt: Attempt) -> CallResult:
         path = self._gate if target.node_id == self._cfg.node.id else self._forward
+        retries_left = max(0, call.route.max_attempts - call.sent - call.in_progress)
+        # A second attempt is given up at a silent node if a third one may replace it.
+        is_replaceable = call.in_progress > 1 and retries_left > 0
         spec = CallSpec(
             request_id=call.request_id,
             service=call.svc.name,
@@ -295,7 +299,7 @@
             headers=call.head.headers,
             has_body=call.head.has_body,
             deadline=call.deadline.reduced(self._cfg.routing.attempt_margin_ms),
-            retries_left=max(0, call.route.max_attempts - call.sent - 1),
+            retries_left=retries_left,
             depth=0,
             config_version=call.config_version,
             idempotent=call.route.idempotent,
@@ -305,7 +309,7 @@
             route=call.route.name,
             decline_above=call.decline_above,
             is_repeat=call.sent > 0 or call.in_progress > 1 or call.is_repeat,
-            on_silence=call.on_silence,
+            on_silence=None if is_replaceable else call.on_silence,
         )
         result: CallResult = await path.execute(target.node_id, spec, call.body, attempt)
         return result
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -345,6 +345,39 @@
                 marks = [spec.is_repeat for spec in world.specs]
                 self.assertEqual(marks, [False, *[True] * (sent - 1)])
 
+    @run_on_mock_clock
+    async def test_call_at_two_silent_nodes_tries_a_third_target(self) -> None:
+        """Guards against a safe request that waits for two silent nodes until its deadline, with
+        attempts left and targets that respond.
+        """
+
+        async def stay_silent(spec: CallSpec, sink: ResponseSink) -> CallResult:
+            sink.mark_dispatched()
+            await trio.sleep(0.4)
+            if spec.retries_left and spec.on_silence is None:
+                raise PeerFailed(Outcome.UNKNOWN, "silent")
+            if spec.retries_left and spec.on_silence is not None:
+                spec.on_silence()
+            await trio.sleep_forever()
+            raise AssertionError
+
+        for max_attempts, status in ((2, b"504"), (3, b"200")):
+            world = await start_world([])
+            for _ in range(4):
+                await world.request("/safe/x")  # Earns retries.
+            items = world.config.current.items
+            safe = structs.replace(SAFE, version=2, max_attempts=max_attempts)
+            items = merge(items, ItemPatch((safe,), (), None, (), ()))
+            world.config.current = Configuration(version=2, items=items)
+            world.handlers, world.specs = [stay_silent, stay_silent], []
+            async with trio.open_nursery() as nursery:
+                world.relay._kernel._nursery = nursery
+                response = await world.request("/safe/x")
+            with self.subTest(max_attempts):
+                self.assertEqual(response[9:12], status)
+                left = [spec.retries_left for spec in world.specs]
+                self.assertEqual(left, list(reversed(range(max_attempts))))
+
     @run_on_mock_clock
     async def test_run_in_a_planned_stop_makes_its_calls(self) -> None:
         """Guards against a request that fails in a planned stop, although the stop waits for its
