Tell no not-run while a second attempt is in progress

A safe call whose node was silent got a second attempt, then the first one was reported as not-run by its node. When the deadline or the end of a planned stop came next, the caller got 503 not-run, although the second attempt was at its upstream: it runs in a task of its own, which records that it may have run only once it ends, after the answer.

An attempt in progress now makes the outcome unknown.

Test: 503 with outcome not-run before, 504 with unknown now.

--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -111,7 +111,9 @@
         call.scope.deadline = call.deadline.at_s
         with call.scope:
             return await self._run_attempts(call)
-        outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
+        # A second attempt ends in a task of its own, after this one has been cancelled.
+        may_have_run = call.may_have_run or call.in_progress > 0
+        outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
         if call.deadline.expired():
             raise DeadlineExceeded(outcome)
         raise NodeDraining(outcome, "at the end of a planned stop")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -378,6 +378,30 @@
                 left = [spec.retries_left for spec in world.specs]
                 self.assertEqual(left, list(reversed(range(max_attempts))))
 
+    @run_on_mock_clock
+    async def test_attempt_in_progress_at_the_end_of_a_call_may_have_run(self) -> None:
+        """Guards against the outcome not-run while the second attempt is at its upstream, since the
+        first one, at a node that was silent, was not run.
+        """
+
+        async def end_unsent(spec: CallSpec, sink: ResponseSink) -> CallResult:
+            await trio.sleep(0.4)
+            assert spec.on_silence is not None
+            spec.on_silence()
+            await trio.sleep(0.2)
+            raise PeerFailed(Outcome.NOT_RUN, "cancelled there")
+
+        world = await start_world([])
+        for _ in range(4):
+            await world.request("/safe/x")  # Earns retries.
+        world.handlers, world.specs = [end_unsent, hang], []
+        async with trio.open_nursery() as nursery:
+            world.relay._kernel._nursery = nursery
+            response = await world.request("/safe/x")
+        self.assertEqual(len(world.specs), 2)
+        self.assertTrue(response.startswith(b"HTTP/1.1 504"), response)
+        self.assertIn(b'"outcome": "unknown"', response)
+
     @run_on_mock_clock
     async def test_run_in_a_planned_stop_makes_its_calls(self) -> None:
         """Guards against a request that fails in a planned stop, although the stop waits for its
