Tell no not-run while a hedge is in progress

The same fault as of the second attempt at a silent node, in the dispatcher of the product's own interface: the first attempt was refused as not-run, the hedge was at its upstream, and the caller got not-run at the deadline.

Test: deadline-exceeded with not-run before, with unknown now.

--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -81,6 +81,7 @@
     # Cancelled at the end of a planned stop.
     scope: trio.CancelScope = dataclasses.field(default_factory=trio.CancelScope)
     attempts: int = 0
+    in_progress: int = 0
     may_have_run: bool = False
     path: str = ""
     result: CallResult | None = None
@@ -110,7 +111,9 @@
         call.scope.deadline = call.deadline.at_s
         with call.scope:
             return await self._run_attempts(call)
-        outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
+        # A hedge ends in a task of its own, after this one has been cancelled.
+        may_have_run = call.may_have_run or call.in_progress > 0
+        outcome = Outcome.UNKNOWN if may_have_run else Outcome.NOT_RUN
         if call.deadline.expired():
             raise DeadlineExceeded(outcome)
         raise NodeDraining(outcome, "at the end of a planned stop")
@@ -235,6 +238,7 @@
         started_s = trio.current_time()
         result: CallResult | None = None
         call.attempts += 1
+        call.in_progress += 1
         try:
             result = await self._execute_on_path(call, attempt)
             # The upstream has run the call, even if a retry replaces this response.
@@ -246,6 +250,7 @@
             attempt.discard()
             raise
         finally:
+            call.in_progress -= 1
             if result is None:
                 attempt.discard()
                 call.may_have_run = True
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -281,6 +281,25 @@
         await trio.sleep(2)
         self.assertEqual(set(world.picker.in_flight.values()), {0})
 
+    @in_node(HEDGED)
+    async def test_hedge_in_progress_at_the_deadline_may_have_run(self, world: World) -> None:
+        """Guards against the outcome not-run while the second attempt is at its upstream, since the
+        first one was not run.
+        """
+        add_faulty_and_healthy(world)
+        world.picker.hedge_ms = 20
+
+        async def handle(*args: Any) -> Any:
+            if world.forward.calls == 1:
+                await trio.sleep(0.1)
+                raise QueueFull
+            await trio.sleep_forever()
+
+        world.forward.handler = handle
+        response = await world.caller().call()
+        self.assertEqual(world.forward.calls, 2)
+        self.assertEqual(reason_and_outcome(response), ("deadline-exceeded", "unknown"))
+
     @in_node()
     async def test_only_one_attempt_of_a_hedge_writes(self, world: World) -> None:
         """Guards against two long responses that are interleaved."""
