End the process when its planned stop fails

Once a fault of another task had begun the planned stop, nothing waited for that any more: the process went on with its listeners half closed until a second signal.

Test: after a fault in the stop, no end within 5 s before, and an end at once now.

--- a/knapweedhitch/drain.py
+++ b/knapweedhitch/drain.py
@@ -94,12 +94,21 @@
         self.finished.set()
 
     async def _stop_control(self) -> None:
-        for server in self._servers:
-            await server.finish(API_TIMEOUT_MS)
-        await self._peers.finish(CONTROL_LINKS_TIMEOUT_MS)
-        self.finished.set()
+        try:
+            for server in self._servers:
+                await server.finish(API_TIMEOUT_MS)
+            await self._peers.finish(CONTROL_LINKS_TIMEOUT_MS)
+        finally:
+            self.finished.set()
 
     async def _run_planned_stop(self) -> None:
+        try:
+            await self._finish_calls()
+        finally:
+            # Also after a fault; the process would go on without its listeners.
+            self.finished.set()
+
+    async def _finish_calls(self) -> None:
         self._membership.set_draining(True)
         logs.event("stop-announced", in_progress=self._in_progress())
         await trio.sleep(self._cfg.announce_ms / MS_PER_S)
@@ -121,7 +130,6 @@
             remaining_ms = (self._ends_at_s - trio.current_time()) * MS_PER_S
             await self._peers.finish(min(max(remaining_ms, END_TIMEOUT_MS), LINKS_TIMEOUT_MS))
             logs.event("stop-finished", cut=0)
-            self.finished.set()
 
     def bound(self, deadline: Deadline) -> Deadline:
         """Return the deadline of a new request, which ends before a planned stop does."""
--- a/tests/test_drain.py
+++ b/tests/test_drain.py
@@ -102,6 +102,22 @@
                 self.assertEqual(response.headers["knapweedhitch-outcome"], "unknown")
             await drain.finished.wait()
 
+    @in_node()
+    async def test_stop_that_fails_ends_the_process(self, world: World) -> None:
+        """Guards against a process that never ends, since its stop began after a fault of a task
+        and then failed as well.
+        """
+
+        def fail(draining: bool) -> None:
+            raise ValueError("unexpected")
+
+        world.membership.set_draining = fail  # type: ignore[method-assign]
+        drain = world.kernel.get("drain")
+        drain.begin()
+        with trio.fail_after(5.0):
+            await drain.finished.wait()
+        self.assertIn("_run_planned_stop", world.kernel.supervisor.failed_task)
+
     @in_node(stop=StopSettings(announce_ms=1_000, drain_timeout_ms=1_000))
     async def test_request_at_a_node_that_confirms_no_cancel_gets_a_response(
         self, world: World
