Keep a request cleared when its clearance is dropped

A node holds 1,024 clearances. With one more, it dropped the oldest, and the ends that it covered counted again: the request, which had succeeded, became a suspect, ran one at a time at each upstream and was cleared by its next success, which dropped the clearance of another one. After the crash of a zone with more frequent requests in progress than that, this would have gone on until the ends expired after ten minutes.

Such ends now stay dropped at the nodes that knew of the clearance. A node that starts later may suspect the request until its next success there. Two clearances whose marks and times disagree still give the same result in both orders.

Test: the first of three cleared requests was a suspect again with two clearances held, and is none now.

--- a/knapweedhitch/suspects.py
+++ b/knapweedhitch/suspects.py
@@ -85,7 +85,8 @@
     """Hold ends and cleared requests, and judge requests by them.
 
     The verdicts follow from the ends, the cleared requests and the time only, so that nodes with
-    the same evidence come to the same verdicts.
+    the same evidence come to the same verdicts. A request stays cleared at the nodes that knew of
+    it when its clearance is dropped, as there are too many.
     """
 
     def __init__(self, cfg: SuspectSettings, now_ms: Callable[[], float]) -> None:
@@ -183,8 +184,9 @@
             # The wall clocks of two nodes differ. All nodes go by the mark.
             self._count_again(request)
         if len(self._cleared) > self._cfg.max_cleared_held:
-            oldest, _ = self._cleared.popitem(last=False)
-            self._count_again(oldest)
+            # The ends that it covered stay dropped here. If they counted again, requests that
+            # succeed all the time would be suspects again after each clearance of others.
+            self._cleared.popitem(last=False)
         if self._drop_cleared(request, cleared_ms) or self._needs_judgement:
             self._judge()
         return True
@@ -260,7 +262,7 @@
         return has_changed
 
     def _count_again(self, request: bytes) -> None:
-        """Count the ends that a clearance covered which is no longer held."""
+        """Count the ends that only an earlier clearance covered."""
         for held in self._ends.values():
             if request in held.end.requests:
                 self._count(request, held)
