Suspect no request that succeeded while the end of its upstream was checked

An upstream that stops in order may refuse connections first and complete its calls then. The check of its end takes 20 ms or more; a call that succeeded meanwhile found no evidence to clear, and was then named in the end that was published, a suspect at all nodes.

Runs that have succeeded by then are left out.

Test: the end named the request before and names none now.

--- a/knapweedhitch/crashguard.py
+++ b/knapweedhitch/crashguard.py
@@ -61,6 +61,7 @@
     has_body: bool = False
     # Whether the call holds the turn of suspects.
     has_turn: bool = False
+    has_succeeded: bool = False
 
     @property
     def request(self) -> bytes | None:
@@ -251,6 +252,8 @@
             ):
                 await self._check_end(record)
             raise
+        else:
+            run.has_succeeded = result.ok
         finally:
             self._running.pop(run, None)
             if not self.table.is_empty:
@@ -320,7 +323,8 @@
         )
 
     def _describe_end(self, record: UpstreamRecord, in_progress: list[GuardedRun]) -> UpstreamEnd:
-        known = [run.request for run in in_progress]
+        # The upstream may have completed some while its end was checked.
+        known = [run.request for run in in_progress if not run.has_succeeded]
         requests = dict.fromkeys(request for request in known if request is not None)
         kept = tuple(requests)[: self._cfg.max_requests_per_end]
         unidentified = known.count(None) + len(requests) - len(kept)
--- a/tests/test_crashguard.py
+++ b/tests/test_crashguard.py
@@ -452,6 +452,25 @@
             self.assertEqual([v.request for v in table.verdicts()], [child])
             self.assertTrue(table.is_suspect(parent))
 
+    @run_on_mock_clock
+    async def test_a_call_that_succeeds_while_the_end_is_checked(self) -> None:
+        """Guards against suspicion of a request that the upstream completed while it stopped."""
+        async with running_cluster(2) as cluster, trio.open_nursery() as nursery:
+            upstream, answers = cluster.upstreams[0], [False, True]
+
+            async def refuses_connections(address: Address) -> bool:
+                return answers.pop(0)
+
+            upstream.refuses_connections = refuses_connections  # type: ignore[method-assign]
+            nursery.start_soon(cluster.call, 0, b"/a")
+            await trio.sleep(RUN_S - 0.01)
+            # It accepts no more connections, and completes what it has begun.
+            upstream.is_alive = False
+            self.assertIsInstance(await cluster.call(0, b"/b"), UpstreamUnreachable)
+            self.assertIn(OK, cluster.results)
+            (held,), _ = cluster.guards[0].table.evidence()
+            self.assertEqual((held.end.requests, held.end.unidentified), ((), 0))
+
     @run_on_mock_clock
     async def test_a_call_to_a_silent_upstream_is_reported_soon(self) -> None:
         """Guards against a retry that comes late: the check waited for two further connections to
