Start queued calls in time when a limit is raised or a new start responds

The timer of the queue at an upstream was set once, for the turn that the limit of that moment gave the next call, or for the end of the wait for the first response of a new start. When the limit was raised or the response came, calls still waited for that time, up to seconds, unless a call or a health check ended before.

EarliestTimer is set anew when an earlier time is wanted.

--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -29,6 +29,7 @@
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import CallResult, LoadSample, UpstreamRecord, Warmth
 from knapweedhitch.slots import Slot, closed_refusal
+from knapweedhitch.timers import EarliestTimer
 from knapweedhitch.upstreamload import UpstreamReport, parse_report
 from knapweedhitch.upstreamstatus import UpstreamStatus
 from knapweedhitch.workqueue import MAX_LOAD_AGE_MS, Work, WorkQueue
@@ -65,7 +66,7 @@
         self._ids = itertools.count(1)
         self._routes_by_slot: dict[int, str] = {}
         self._waiters: dict[int, _Waiter] = {}
-        self._timer_is_set = False
+        self._timer = EarliestTimer(self._timers, self._on_timer)
         self._names = framing.header_names(kernel.cfg.headers)
         self._load_reported_ms = self._last_request_ms = -math.inf
         # Mean time between calls, which tells how often other nodes need the load.
@@ -385,12 +386,10 @@
         wait_ms = max(self.queue.start_wait_ms(now), self.status.probe_wait_ms)
         if any(self.queue.pause_ms(work, now) for work in self.queue.waiting):
             wait_ms = max(wait_ms, REFRESH_AGE_MS)
-        if self.queue.waiting and wait_ms > 0 and not self._timer_is_set:
-            self._timer_is_set = True
-            self._timers.after(wait_ms, self._on_timer)
+        if self.queue.waiting and wait_ms > 0:
+            self._timer.set(wait_ms)
 
     def _on_timer(self) -> None:
-        self._timer_is_set = False
         if self._kernel.has("loadprobe"):
             # The probe response triggers another dispatch.
             self._kernel.get("loadprobe").request_probe()
--- a/knapweedhitch/timers.py
+++ b/knapweedhitch/timers.py
@@ -19,6 +19,8 @@
 
 # Step of the grid of aligned timers. Wake-ups are most of the processor time of a node at rest.
 GRID_MS = 62.5
+# An earlier time replaces one that was set if it is earlier by this much.
+MIN_GAIN_MS = 1.0
 # A periodic function that fails each time must not flood the log.
 MIN_ERROR_LINE_GAP_MS = 1_000.0
 
@@ -156,3 +158,27 @@
             self._error_logged_ms = self.now_ms()
             fn = getattr(sub.fn, "__qualname__", repr(sub.fn))
             logs.warning("timer_error", function=fn, error=error, detail=exc)
+
+
+class EarliestTimer:
+    """Call a function once, at the earliest of the times that were set since its last call."""
+
+    def __init__(self, timers: Timers, fn: Callable[[], None]) -> None:
+        self._timers = timers
+        self._fn = fn
+        self._subscription: Subscription | None = None
+        self._due_ms = math.inf
+
+    def set(self, delay_ms: float) -> None:
+        """Call the function after the delay, unless it is called before that anyway."""
+        due_ms = self._timers.now_ms() + delay_ms
+        if due_ms > self._due_ms - MIN_GAIN_MS:
+            return
+        if self._subscription is not None:
+            self._subscription.cancel()
+        self._due_ms = due_ms
+        self._subscription = self._timers.after(delay_ms, self._fire)
+
+    def _fire(self) -> None:
+        self._subscription, self._due_ms = None, math.inf
+        self._fn()
--- a/tests/test_upstreamstatus.py
+++ b/tests/test_upstreamstatus.py
@@ -357,6 +357,25 @@
         await trio.sleep(PROBE_MS / 2 / 1_000)
         self.assertEqual(upstream.starts_s, [])
 
+    @with_upstream
+    async def test_queued_calls_follow_a_limit_that_is_raised(
+        self, upstream: Upstream, nursery: trio.Nursery
+    ) -> None:
+        """Guards against queued calls that wait for the turn that the lower limit gave them."""
+        node = await start_node(upstream, nursery)
+        upstream.limit_per_s = 1.0
+        node.announce.record_heartbeat(RECORD, 1, 0.0)
+        await trio.sleep(0.1)
+        for _ in range(6):
+            nursery.start_soon(node.call)
+        await trio.sleep(0.3)  # No call runs, and the next ones wait for their turn.
+        self.assertGreaterEqual(node.admission.load().queued, 2)
+        upstream.starts_s.clear()
+        upstream.limit_per_s = 50.0
+        node.probe()
+        await trio.sleep(0.1)
+        self.assertGreaterEqual(len(upstream.starts_s), 2)
+
     @with_upstream
     async def test_limit_of_a_probed_upstream_ends_with_its_start(
         self, upstream: Upstream, nursery: trio.Nursery
