Hold a request whose short verdict has expired as a suspect at once

After a verdict by two ends, one more try decides. Until the next look at lifetimes, up to 500 ms later, the request was neither quarantined nor a suspect, so that its copies ran together with each other and with other suspects.

Test: no suspect right after the verdict before, and a suspect now.

--- a/knapweedhitch/suspects.py
+++ b/knapweedhitch/suspects.py
@@ -111,9 +111,11 @@
 
     def is_suspect(self, request: bytes) -> bool:
         """Return whether an end may be the fault of a request that is not quarantined."""
-        return request not in self._verdicts and any(
-            evidence.has_open_end(request) for evidence in self._services.values()
-        )
+        verdict = self._verdicts.get(request)
+        if verdict is not None:
+            # An expired one is held until the next judgement.
+            return verdict.until_ms <= self._now_ms()
+        return any(evidence.has_open_end(request) for evidence in self._services.values())
 
     def is_accused(self, request: bytes) -> bool:
         """Return whether there is evidence against a request, quarantined or not."""
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -123,6 +123,16 @@
         self.add(end(1, BAD))
         self.assertFalse(self.table.add_end(end(1, BAD), self.now))
 
+    def test_request_whose_verdict_has_just_expired_is_a_suspect(self) -> None:
+        """Guards against tries after a short verdict that run together with other suspects."""
+        self.add(end(1, BAD), end(2, BAD))
+        self.assertFalse(self.table.is_suspect(BAD))
+        self.now += self.cfg.two_ends_ttl_ms
+        self.assertIsNone(self.table.verdict(BAD))
+        self.assertTrue(self.table.is_suspect(BAD))
+        self.table.expire()
+        self.assertTrue(self.table.is_suspect(BAD))
+
     def test_evidence_expires(self) -> None:
         """Guards against a verdict without end, and against evidence that nobody drops."""
         self.add(end(1, BAD), end(2, BAD), end(3, BAD))
