--- a/tests/message_samples.py
+++ b/tests/message_samples.py
@@ -12,7 +12,8 @@
 from knapweedhitch import codec, messages
 from knapweedhitch.model import Address, UpstreamRecord
 
-SENDER = "127.0.9.9"
+SENDER = "127.0.9.100"
+SENDERS = 100
 # Replaced in encoded messages by ever higher ones, so that each record is newer than the last.
 INCARNATION = 987_654_321
 _BY_NAME: dict[str, Any] = {
@@ -76,7 +77,12 @@
 
 
 def with_incarnation(data: bytes, incarnation: int) -> bytes:
-    """Return an encoded message with another incarnation in its records."""
+    """Return an encoded message about another member, with another incarnation in its records.
+
+    A record that the next one replaced at once would have no effect.
+    """
+    member = f"127.0.9.{100 + incarnation % SENDERS}"
+    data = data.replace(SENDER.encode(), member.encode())
     return data.replace(INCARNATION.to_bytes(4, "big"), incarnation.to_bytes(4, "big"))
 
 
--- a/tests/outside_bytes.py
+++ b/tests/outside_bytes.py
@@ -183,6 +183,7 @@
         self.data = data
 
 
+ODD_HOSTS = ("a\x00b", "name.example", "\x00")
 RAW_CBOR = tuple(_Raw(data) for data in ODD_CBOR)
 _PLACEHOLDER = b"\x00placeholder of raw bytes "
 
@@ -217,5 +218,5 @@
 @st.composite
 def cbor_bodies(draw: st.DrawFn, documents: tuple[Any, ...], *, may_damage: bool = True) -> bytes:
     """Draw mutated documents as CBOR."""
-    data = encode_cbor(draw(mutated(documents, RAW_CBOR)))
+    data = encode_cbor(draw(mutated(documents, (*RAW_CBOR, *ODD_HOSTS))))
     return draw(damaged(data)) if may_damage else data
