--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -225,7 +225,7 @@
 
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(call)
-                    await trio.sleep(0.3)
+                    await b.kernel.get("gate").ended.wait()
                     await stop(b, MemoryNet())
                 self.assertEqual((results, len(sink.body)), ([RESULT], BODY_BYTES))
 
