Customers: types that the parts share

Adds the customer item, the customer of a call on its way to the gate and to the admission queue, and the priority of a call apart from that of its route. Nothing sets them yet, so behaviour is unchanged: tests of items, relay, codec, forward, outside bytes, admission, work queue, members, announce and gate pass.

--- a/knapweedhitch/exchange.py
+++ b/knapweedhitch/exchange.py
@@ -46,6 +46,8 @@
     # Called once if the node of the target is silent, to start another attempt beside this one.
     # Without it, an attempt that may be replaced is given up.
     on_silence: Callable[[], None] | None = None
+    # The customer that sent the request; empty if it is not known or the request is anonymous.
+    customer: str = ""
 
 
 class BodySource(Protocol):
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -149,6 +149,7 @@
             spec.route,
             spec.decline_above,
             spec.is_repeat,
+            spec.customer,
         )
         try:
             return await self._peers.open_stream(node_id, opening)
@@ -274,6 +275,7 @@
             opening.route,
             opening.decline_above,
             opening.is_repeat,
+            customer=opening.customer,
         )
         self._record_interest(node_id, None)
         sink = RemoteSink(stream, self._current_load)
--- a/knapweedhitch/items.py
+++ b/knapweedhitch/items.py
@@ -35,6 +35,8 @@
     parts: tuple[RoutePart, ...]
     max_attempts: int
     document: str
+    # Whether requests without a key of a customer are accepted.
+    allow_anonymous: bool = False
 
 
 class BackendItem(Record, frozen=True):
@@ -60,8 +62,22 @@
     document: str
 
 
+class CustomerItem(Record, frozen=True):
+    """Configure one customer, its keys and the quota of its requests over all nodes."""
+
+    name: str
+    version: int
+    keys: tuple[str, ...]
+    # Requests per second, and requests beyond that rate in a burst; a rate of 0 is no limit.
+    rate_per_s: Float
+    burst: Float
+    # Replaces the priority of the route; None keeps it.
+    priority: int | None
+    document: str
+
+
 class Removal(Record, frozen=True):
-    """Describe the removal of a route or a service at a version."""
+    """Describe the removal of an item at a version."""
 
     name: str
     version: int
@@ -75,6 +91,8 @@
     limits: LimitsItem | None = None
     removed_routes: Mapping[str, int] = msgspec.field(default_factory=dict)
     removed_backends: Mapping[str, int] = msgspec.field(default_factory=dict)
+    customers: Mapping[str, CustomerItem] = msgspec.field(default_factory=dict)
+    removed_customers: Mapping[str, int] = msgspec.field(default_factory=dict)
 
     @property
     def is_empty(self) -> bool:
@@ -90,6 +108,8 @@
     limits: LimitsItem | None
     removed_routes: tuple[Removal, ...]
     removed_backends: tuple[Removal, ...]
+    customers: tuple[CustomerItem, ...] = ()
+    removed_customers: tuple[Removal, ...] = ()
 
 
 def merge(items: Items, patch: ItemPatch) -> Items:
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -113,6 +113,7 @@
     route: str = ""
     decline_above: Float = math.inf
     is_repeat: bool = False
+    customer: str = ""
 
     def after(self, elapsed_ms: float) -> OpenStream:
         """Return this message with the remaining times reduced by the time since it was made."""
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -403,4 +403,4 @@
 def _make_work(deadline: Deadline, spec: CallSpec, now_ms: float) -> Work:
     deadline_ms = deadline.at_s * MS_PER_S
     objective_ms = min(deadline_ms, now_ms + spec.target_latency_ms)
-    return Work(spec.priority, now_ms, deadline_ms, objective_ms, spec.route)
+    return Work(spec.priority, now_ms, deadline_ms, objective_ms, spec.route, spec.customer)
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -182,6 +182,7 @@
             started_s=trace.started_s,
             deadline_ms=deadline_ms,
             is_repeat=parent is not None and parent.is_repeat,
+            priority=route.priority,
             waited_ms=self._caller_waits.record_deadline(route.name, deadline_ms),
         )
 
@@ -252,7 +253,7 @@
                 "instances": ",".join(call.instances),
                 "causes": ",".join(call.causes),
                 "sent": call.sent,
-                "priority": call.route.priority,
+                "priority": call.priority,
                 "deadline_ms": f"{call.deadline_ms:.0f}",
                 "waited_ms": f"{call.waited_ms:.0f}",
             }
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -73,6 +73,10 @@
     waited_ms: float = 0.0
     # Whether a run of the local upstream makes this call that is itself a repetition.
     is_repeat: bool = False
+    # The customer that sent the request; empty if it is not known or the request is anonymous.
+    customer: str = ""
+    # The priority of the customer, or that of the route.
+    priority: int = 0
     # `sent` counts attempts that may have reached an upstream; `targets_tried` counts all attempts.
     sent: int = 0
     targets_tried: int = 0
@@ -306,7 +310,8 @@
             config_version=call.config_version,
             idempotent=call.route.idempotent,
             caller_service=self._caller_service(),
-            priority=call.route.priority,
+            priority=call.priority,
+            customer=call.customer,
             target_latency_ms=max(0.0, self._latency_left_ms(call) - call.waited_ms),
             route=call.route.name,
             decline_above=call.decline_above,
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -48,6 +48,8 @@
     objective_ms: float
     # Name of the route; calls of one route have similar service times.
     route: str = ""
+    # Name of the customer; empty for calls without one.
+    customer: str = ""
 
 
 def is_late_on_arrival(work: Work) -> bool:
