Items: customers with versions and keys, and their translation

Customers are merged, removed and checked like other items. A key of two customers, a key that no header can carry, and a rate, burst or priority below 0 refuse the call as a whole. Calls with lists that the adapter cannot keep are refused with 400; they were acknowledged and dropped.

--- a/knapweedhitch/configuration.py
+++ b/knapweedhitch/configuration.py
@@ -282,7 +282,7 @@
                 lines.append(f"- {part} {name}: {old[name]}")
             elif old[name] != new[name]:
                 lines.append(f"~ {part} {name}: {old[name]} -> {new[name]}")
-    for kind in ("routes", "backends"):
+    for kind in ("routes", "backends", "customers"):
         old_items, new_items = getattr(before.items, kind), getattr(after.items, kind)
         if old_items is not new_items:
             names = sorted(old_items.keys() | new_items.keys())
--- a/knapweedhitch/items.py
+++ b/knapweedhitch/items.py
@@ -1,7 +1,9 @@
-"""Configuration items: routes, backend services and limits, each with its own version."""
+"""Configuration items: routes, services, customers and limits, each with its own version."""
 
 from __future__ import annotations
 
+import math
+import re
 from collections.abc import Iterable, Mapping
 from typing import Any
 
@@ -12,6 +14,10 @@
 
 MAX_TIMEOUT_MS = 600_000
 MAX_ITEMS = 100_000
+MAX_KEY_CHARS = 1_024
+MAX_CUSTOMER_NAME_CHARS = 128
+# Both are sent as the value of a header, where spaces at either end are not part of the value.
+HEADER_VALUE = re.compile(r"[!-~](?:[ -~]*[!-~])?")
 
 
 class RoutePart(Record, frozen=True):
@@ -75,6 +81,10 @@
     priority: int | None
     document: str
 
+    def __repr__(self) -> str:
+        """Return a text without keys, which must not reach logs or error messages."""
+        return f"CustomerItem(name={self.name!r}, version={self.version})"
+
 
 class Removal(Record, frozen=True):
     """Describe the removal of an item at a version."""
@@ -97,7 +107,8 @@
     @property
     def is_empty(self) -> bool:
         """Return whether no item has ever been accepted."""
-        return not (self.routes or self.backends or self.removed_routes) and self.limits is None
+        has_items = bool(self.routes or self.backends or self.customers)
+        return not (has_items or self.removed_routes) and self.limits is None
 
 
 class ItemPatch(Record, frozen=True):
@@ -123,6 +134,9 @@
         check_route(route)
     for backend in patch.backends:
         _check_backend(backend)
+    for customer in patch.customers:
+        _check_customer(customer)
+    _check_keys(patch.customers)
     _check_versions(patch)
     routes, removed_routes = _merge_kind(
         items.routes, items.removed_routes, patch.routes, patch.removed_routes
@@ -130,12 +144,23 @@
     backends, removed_backends = _merge_kind(
         items.backends, items.removed_backends, patch.backends, patch.removed_backends
     )
+    customers, removed_customers = _merge_kind(
+        items.customers, items.removed_customers, patch.customers, patch.removed_customers
+    )
     limits = items.limits
     if patch.limits is not None and (limits is None or patch.limits.version > limits.version):
         limits = patch.limits
     elif patch.limits is not None and limits is not None:
         _check_same_content("limits", limits, patch.limits)
-    after = Items(routes, backends, limits, removed_routes, removed_backends)
+    after = Items(
+        routes,
+        backends,
+        limits,
+        removed_routes,
+        removed_backends,
+        customers,
+        removed_customers,
+    )
     if after == items:
         return items
     _check_consistency(after)
@@ -195,12 +220,44 @@
         raise InvalidChange(f"service {backend.name}: use one connection or more")
 
 
+def _check_customer(customer: CustomerItem) -> None:
+    name, keys = customer.name, customer.keys
+    if len(name) > MAX_CUSTOMER_NAME_CHARS or not HEADER_VALUE.fullmatch(name):
+        raise InvalidChange(
+            f"customer {name[:80]!r}: use a name of 1 to {MAX_CUSTOMER_NAME_CHARS} printable "
+            "ASCII characters"
+        )
+    # Errors tell the position of a key, never the key itself.
+    for number, key in enumerate(keys, start=1):
+        if len(key) > MAX_KEY_CHARS or not HEADER_VALUE.fullmatch(key):
+            raise InvalidChange(f"customer {name}: key {number} cannot be the value of a header")
+    if len(set(keys)) < len(keys):
+        raise InvalidChange(f"customer {name}: a key is listed twice")
+    if not all(
+        math.isfinite(value) and value >= 0 for value in (customer.rate_per_s, customer.burst)
+    ):
+        raise InvalidChange(f"customer {name}: use a rate and a burst from 0")
+    if customer.priority is not None and customer.priority < 0:
+        raise InvalidChange(f"customer {name}: use a priority from 0")
+
+
+def _check_keys(customers: Iterable[CustomerItem]) -> None:
+    """Raise InvalidChange if two customers have the same key."""
+    owners: dict[str, str] = {}
+    for customer in customers:
+        for key in customer.keys:
+            other = owners.setdefault(key, customer.name)
+            if other != customer.name:
+                raise InvalidChange(f"customers {other} and {customer.name} have the same key")
+
+
 def _check_versions(patch: ItemPatch) -> None:
     """Raise InvalidChange for a version below 0, which would be accepted and have no effect."""
     versions = [(item.name, item.version) for item in patch.routes]
     versions += [(item.name, item.version) for item in patch.backends]
-    versions += [(item.name, item.version) for item in patch.removed_routes]
-    versions += [(item.name, item.version) for item in patch.removed_backends]
+    versions += [(item.name, item.version) for item in patch.customers]
+    for removals in (patch.removed_routes, patch.removed_backends, patch.removed_customers):
+        versions += [(item.name, item.version) for item in removals]
     if patch.limits is not None:
         versions.append(("limits", patch.limits.version))
     for name, version in versions:
@@ -209,7 +266,7 @@
 
 
 def _check_consistency(items: Items) -> None:
-    if len(items.routes) + len(items.backends) > MAX_ITEMS:
+    if len(items.routes) + len(items.backends) + len(items.customers) > MAX_ITEMS:
         raise InvalidChange(f"over {MAX_ITEMS} items")
     owners: dict[tuple[str, str], str] = {}
     for route in items.routes.values():
@@ -219,22 +276,34 @@
         other = owners.setdefault((route.host.lower(), route.path_prefix), route.name)
         if other != route.name:
             raise InvalidChange(f"routes {other} and {route.name} share host and path prefix")
+    _check_keys(items.customers.values())
 
 
 def to_state(items: Items) -> list[Any]:
-    """Return the items as CBOR arrays and scalars."""
-    return [
+    """Return the items as CBOR arrays and scalars.
+
+    The fields of customers are left out where there are none, so that nodes of an earlier version
+    can read the state.
+    """
+    state = [
         [to_plain(route) for _, route in sorted(items.routes.items())],
         [to_plain(backend) for _, backend in sorted(items.backends.items())],
         to_plain(items.limits),
         sorted([name, version] for name, version in items.removed_routes.items()),
         sorted([name, version] for name, version in items.removed_backends.items()),
     ]
+    if items.customers or items.removed_customers:
+        state += [
+            [to_plain(customer) for _, customer in sorted(items.customers.items())],
+            sorted([name, version] for name, version in items.removed_customers.items()),
+        ]
+    return state
 
 
 def from_state(raw: Any) -> Items:
     """Decode the items from CBOR arrays; raises CodecError, TypeError, ValueError."""
-    routes, backends, limits, removed_routes, removed_backends = raw
+    routes, backends, limits, removed_routes, removed_backends, *of_customers = raw
+    customers, removed_customers = of_customers or ((), ())
     return Items(
         {route.name: route for route in (from_plain(RouteItem, plain) for plain in routes)},
         {
@@ -244,4 +313,6 @@
         None if limits is None else from_plain(LimitsItem, limits),
         {str(name): int(version) for name, version in removed_routes},
         {str(name): int(version) for name, version in removed_backends},
+        {item.name: item for item in (from_plain(CustomerItem, plain) for plain in customers)},
+        {str(name): int(version) for name, version in removed_customers},
     )
--- a/knapweedhitch/platform/items.py
+++ b/knapweedhitch/platform/items.py
@@ -10,7 +10,15 @@
 
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.exceptions import InvalidChange
-from knapweedhitch.items import BackendItem, ItemPatch, Items, LimitsItem, Removal, RouteItem
+from knapweedhitch.items import (
+    BackendItem,
+    CustomerItem,
+    ItemPatch,
+    Items,
+    LimitsItem,
+    Removal,
+    RouteItem,
+)
 from knapweedhitch.items import RoutePart as Part
 
 # Requests of routes of this kind are idempotent; those of any other kind are not.
@@ -37,6 +45,7 @@
     service: str | None = None
     weighted_services: tuple[WeightedService, ...] = field(name="weightedServices", default=())
     max_attempts: int = field(name="maxAttempts", default=1)
+    allow_anonymous: bool = field(name="allowAnonymous", default=False)
     version: int
 
 
@@ -51,6 +60,17 @@
     version: int
 
 
+class Tenant(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one customer as sent by an operator."""
+
+    name: str
+    api_keys: tuple[str, ...] = field(name="apiKeys")
+    priority: int | None = None
+    rate_per_s: float = field(name="ratePerS", default=0)
+    burst: float = 0
+    version: int
+
+
 class Limits(msgspec.Struct, frozen=True):
     """Describe the limits of callers as sent by an operator."""
 
@@ -68,22 +88,26 @@
     version: int
 
 
-class Upsert(msgspec.Struct, frozen=True):
+# A field of an item that is unknown here is kept in the item's document. A list of items that is
+# unknown here could not be kept, so it must not be acknowledged.
+class Upsert(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """List the items that a call creates or replaces."""
 
     routes: tuple[dict[str, Any], ...] = ()
     services: tuple[dict[str, Any], ...] = ()
+    tenants: tuple[dict[str, Any], ...] = ()
     limits: dict[str, Any] | None = None
 
 
-class Remove(msgspec.Struct, frozen=True):
+class Remove(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """List the items that a call removes."""
 
     routes: tuple[RemovedItem, ...] = ()
     services: tuple[RemovedItem, ...] = ()
+    tenants: tuple[RemovedItem, ...] = ()
 
 
-class Patch(msgspec.Struct, frozen=True):
+class Patch(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """Represent the body of one configuration call."""
 
     upsert: Upsert = Upsert()
@@ -99,8 +123,10 @@
             tuple(_decode_route(fields) for fields in patch.upsert.routes),
             tuple(_decode_service(fields) for fields in patch.upsert.services),
             None if limits is None else _decode_limits(limits),
-            tuple(Removal(item.name, item.version) for item in patch.remove.routes),
-            tuple(Removal(item.name, item.version) for item in patch.remove.services),
+            _removals(patch.remove.routes),
+            _removals(patch.remove.services),
+            tuple(_decode_customer(fields) for fields in patch.upsert.tenants),
+            _removals(patch.remove.tenants),
         )
     except msgspec.ValidationError as exc:
         raise InvalidChange(f"body: {exc}") from None
@@ -108,6 +134,10 @@
         raise InvalidChange(f"the body is not JSON: {exc}") from None
 
 
+def _removals(items: tuple[RemovedItem, ...]) -> tuple[Removal, ...]:
+    return tuple(Removal(item.name, item.version) for item in items)
+
+
 def _encode_document(fields: dict[str, Any]) -> str:
     return json.dumps(fields, separators=(",", ":"), ensure_ascii=False, sort_keys=True)
 
@@ -133,6 +163,7 @@
         parts,
         route.max_attempts,
         _encode_document(fields),
+        route.allow_anonymous,
     )
 
 
@@ -149,6 +180,19 @@
     )
 
 
+def _decode_customer(fields: dict[str, Any]) -> CustomerItem:
+    tenant = msgspec.convert(fields, Tenant)
+    return CustomerItem(
+        tenant.name,
+        tenant.version,
+        tenant.api_keys,
+        float(tenant.rate_per_s),
+        float(tenant.burst),
+        tenant.priority,
+        _encode_document(fields),
+    )
+
+
 def _decode_limits(fields: dict[str, Any]) -> LimitsItem:
     item = msgspec.convert(fields, Limits)
     return LimitsItem(
@@ -167,6 +211,9 @@
         f'"routes":[{",".join(route.document for route in items.routes.values())}]',
         f'"services":[{",".join(item.document for item in items.backends.values())}]',
     ]
+    if items.customers:
+        documents = ",".join(item.document for item in items.customers.values())
+        parts.append(f'"tenants":[{documents}]')
     if items.limits is not None:
         parts.append(f'"limits":{items.limits.document}')
     return ("{" + ",".join(parts) + "}").encode("utf-8")
