Customers: find the sender of a request at its entry node

A key is read from the header named in the settings and looked up once per request. Upstreams get the customer's name in place of what the caller sent; the key is not sent on. Requests without a known key get 401 where the route needs one and the configuration is known to be current. Calls of runs of the local upstream need no key and belong to the customer of their run.

--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -388,6 +388,27 @@
     status = 404
 
 
+class CustomerKeyMissing(Refusal):
+    """Refuse a request without a key on a route that needs one."""
+
+    reason = "customer-key-missing"
+    status = 401
+
+
+class CustomerKeyUnknown(Refusal):
+    """Refuse a request with a key that no customer has."""
+
+    reason = "customer-key-unknown"
+    status = 401
+
+
+class RunEnded(Refusal):
+    """Refuse a call of a run of the local upstream that is no longer in progress."""
+
+    reason = "run-ended"
+    status = 503
+
+
 class ConfigUnknown(Refusal):
     """Refuse a request at a node that has not received a configuration yet."""
 
--- a/knapweedhitch/exchange.py
+++ b/knapweedhitch/exchange.py
@@ -48,6 +48,9 @@
     on_silence: Callable[[], None] | None = None
     # The customer that sent the request; empty if it is not known or the request is anonymous.
     customer: str = ""
+    # Whether a run of an upstream makes this call. It belongs to the customer of the run, but its
+    # target is not told the customer, since no key came with the call.
+    is_nested: bool = False
 
 
 class BodySource(Protocol):
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -150,6 +150,7 @@
             spec.decline_above,
             spec.is_repeat,
             spec.customer,
+            spec.is_nested,
         )
         try:
             return await self._peers.open_stream(node_id, opening)
@@ -276,6 +277,7 @@
             opening.decline_above,
             opening.is_repeat,
             customer=opening.customer,
+            is_nested=opening.is_nested,
         )
         self._record_interest(node_id, None)
         sink = RemoteSink(stream, self._current_load)
--- a/knapweedhitch/framing.py
+++ b/knapweedhitch/framing.py
@@ -25,6 +25,8 @@
 KEEP_ALIVE_TIMEOUT = re.compile(
     rb"(?:\A|[,;\s])timeout\s*=\s*([0-9]{1,6})(?:[,;\s]|\Z)", re.IGNORECASE
 )
+# The part of an error of the parser in which it quotes a line.
+QUOTED_BYTES = re.compile(r"b(?:ytearray\(b)?['\"].*", re.DOTALL)
 
 DEADLINE = b"knapweedhitch-deadline-ms"
 RETRIES = b"knapweedhitch-retries"
@@ -61,6 +63,8 @@
     depth: bytes
     expected_instance: bytes
     caller_service: bytes
+    credential: bytes
+    customer: bytes
     not_run: bytes
     load: bytes
     limit: bytes
@@ -69,7 +73,7 @@
     instance: bytes
     # Must not be repeated, since two parsers could each use a different value.
     single_valued: frozenset[bytes]
-    # Always set by the load balancer on requests to upstreams; the caller's values are dropped.
+    # Set by the load balancer on requests to upstreams, or left out; the caller's are dropped.
     overwritten: frozenset[bytes]
 
 
@@ -77,11 +81,11 @@
     """Return the configured header names in the form in which headers are compared."""
     fields = {name: getattr(cfg, name).encode("ascii") for name in cfg.__struct_fields__}
     single = {b"host", b"content-length", KEY, EXPLAIN}
-    single |= {fields[n] for n in ("request_id", "deadline", "retries", "depth")}
+    single |= {fields[n] for n in ("request_id", "deadline", "retries", "depth", "credential")}
     overwritten = {
         fields[n] for n in ("request_id", "expected_instance", "caller_service", "exchange")
     }
-    overwritten |= {fields[n] for n in ("deadline", "retries", "depth")}
+    overwritten |= {fields[n] for n in ("deadline", "retries", "depth", "credential", "customer")}
     return HeaderNames(
         **fields,
         single_valued=frozenset(single - {b""}),
@@ -165,6 +169,11 @@
     return is_idempotent(spec.method, spec.headers)
 
 
+def describe_problem(exc: Exception) -> str:
+    """Return an error of the parser without the line it quotes, which may contain a key."""
+    return QUOTED_BYTES.sub("...", str(exc))
+
+
 def find_framing_problem(block: bytes) -> str:
     """Return why the framing of a raw head without its blank line is ambiguous, '' if it is not."""
     breaks = block.count(b"\r\n")
--- a/knapweedhitch/gate.py
+++ b/knapweedhitch/gate.py
@@ -77,9 +77,13 @@
     async def stop(self) -> None:
         """Do nothing; calls end with their tasks."""
 
+    def is_nested(self, request_id: str) -> bool:
+        """Return whether the id of a request tells that a run of the local upstream made it."""
+        return bool(self._separator) and self._separator in request_id
+
     def find_parent(self, request_id: str) -> CallSpec | None:
         """Return the run of the local upstream that made a request, told by the request's id."""
-        if not self._separator or self._separator not in request_id:
+        if not self.is_nested(request_id):
             return None
         return self._runs.get(request_id.rpartition(self._separator)[0])
 
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -90,7 +90,7 @@
         try:
             event = self._conn.next_event()
         except h11.RemoteProtocolError as exc:
-            raise BadRequest(detail=str(exc)) from None
+            raise BadRequest(detail=framing.describe_problem(exc)) from None
         if not isinstance(event, h11.Request):
             raise BadRequest(detail="no request")
         self._is_head_request = event.method == b"HEAD"
@@ -227,7 +227,7 @@
         try:
             return self._conn.next_event()
         except h11.RemoteProtocolError as exc:
-            raise AmbiguousFraming(detail=str(exc)) from None
+            raise AmbiguousFraming(detail=framing.describe_problem(exc)) from None
 
     # Writing
 
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -114,6 +114,7 @@
     decline_above: Float = math.inf
     is_repeat: bool = False
     customer: str = ""
+    is_nested: bool = False
 
     def after(self, elapsed_ms: float) -> OpenStream:
         """Return this message with the remaining times reduced by the time since it was made."""
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -5,7 +5,7 @@
 from typing import Annotated
 
 import msgspec
-from msgspec import Meta, field
+from msgspec import Meta, field, structs
 
 from knapweedhitch import yamltext
 from knapweedhitch.exceptions import SettingsError
@@ -57,6 +57,10 @@
     cold="cold-ms",
     instance="instance-id",
 )
+# The contract of deployments whose configuration may list customers, and the headers for them.
+CUSTOMERS_CONTRACT = "tenants"
+CREDENTIAL_HEADER = "credential"
+CUSTOMER_HEADER = "tenant-id"
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -107,6 +111,8 @@
     data_dir: str | None = field(name="dataDir", default=None)
     fault_tolerance: Tolerance = field(name="faultTolerance")
     bounds: Bounds
+    # Names of the groups of rules that hold in the deployment.
+    contracts: tuple[str, ...] = ()
     # Service of the local target; None on control instances.
     service: str | None = None
     app_address: str | None = field(name="appAddr", default=None)
@@ -149,6 +155,12 @@
         raise SettingsError(place, f"use host:port, got {text!r}") from None
 
 
+def _translate_headers(boot: Boot) -> HeaderSettings:
+    if CUSTOMERS_CONTRACT not in boot.contracts:
+        return HEADERS
+    return structs.replace(HEADERS, credential=CREDENTIAL_HEADER, customer=CUSTOMER_HEADER)
+
+
 def translate(boot: Boot, place: str) -> Settings:
     """Return the daemon settings; raises SettingsError."""
     peer_port = boot.port_range[0] + PEER_PORT_OFFSET
@@ -187,7 +199,7 @@
             operator=Listener(enabled=False),
             metrics=Listener(boot.ip, boot.port_range[0] + METRICS_PORT_OFFSET),
         ),
-        headers=HEADERS,
+        headers=_translate_headers(boot),
         feed=FeedSettings(serve_stale=True),
         membership=MembershipSettings(
             seeds=tuple(Listener(ip, peer_port) for ip in seeds),
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -193,6 +193,7 @@
             (names.depth, b"%d" % spec.depth),
             (names.expected_instance, spec.instance_id.encode("ascii")),
             (names.caller_service, spec.caller_service.encode("ascii")),
+            (names.customer, b"" if spec.is_nested else spec.customer.encode("ascii")),
         )
         added = [(name, value) for name, value in fields if name and value]
         if spec.has_body and framing.content_length(spec.headers) is None:
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -13,10 +13,14 @@
 from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.callerwait import CallerWaits
 from knapweedhitch.clock import MS_PER_S, now_ms
+from knapweedhitch.customers import CustomerTable, Sender
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
     CallerGone,
+    ConfigStale,
     ConfigUnknown,
+    CustomerKeyMissing,
+    CustomerKeyUnknown,
     DeadlineExceeded,
     InternalError,
     NodeDraining,
@@ -24,6 +28,7 @@
     Outcome,
     Refusal,
 )
+from knapweedhitch.exchange import CallSpec
 from knapweedhitch.framing import RequestHead
 from knapweedhitch.http1 import ServerConnection, refusal_headers
 from knapweedhitch.items import Items, RouteItem
@@ -53,6 +58,7 @@
         self._caller_waits = CallerWaits()
         self._items = Items()
         self._table = RouteTable(self._items)
+        self._customers = CustomerTable(self._items)
         self.active: dict[Trace[RelayCall], None] = {}
 
     @property
@@ -161,6 +167,7 @@
         if current.items.is_empty:
             raise ConfigUnknown
         route = self._match_route(current.items, head)
+        sender = self._identify_sender(trace, head, route, parent)
         if current.items.limits is not None:
             conn.limit_body(head, current.items.limits.max_body_bytes)
         header_ms = framing.parse_int_header(head, self._names.deadline)
@@ -182,19 +189,52 @@
             started_s=trace.started_s,
             deadline_ms=deadline_ms,
             is_repeat=parent is not None and parent.is_repeat,
-            priority=route.priority,
+            is_nested=sender.is_nested,
+            customer=sender.customer_name,
+            priority=sender.priority(route),
             waited_ms=self._caller_waits.record_deadline(route.name, deadline_ms),
         )
 
     def _match_route(self, items: Items, head: RequestHead) -> RouteItem:
         if items is not self._items:
             self._items, self._table = items, RouteTable(items)
+            self._customers = CustomerTable(items)
             self._split.prune(items.routes)
         route = self._table.match(head.host, head.target)
         if route is None:
             raise NoSuchRoute(detail=head.host[:200])
         return route
 
+    def _identify_sender(
+        self,
+        trace: Trace[RelayCall],
+        head: RequestHead,
+        route: RouteItem,
+        run: CallSpec | None,
+    ) -> Sender:
+        """Return the sender of a request; raises Refusal."""
+        if not self._names.credential:
+            return Sender(run=run)
+        key = head.control.get(self._names.credential, b"")
+        is_nested = self._gate.is_nested(trace.request_id)
+        try:
+            sender = self._customers.identify(key, route, run, is_nested=is_nested)
+        except (CustomerKeyMissing, CustomerKeyUnknown) as exc:
+            if not self._config.is_fresh():
+                # A newer configuration may have the key.
+                raise ConfigStale from None
+            self._log.event(
+                "customer_key_refused",
+                id=trace.request_id,
+                reason=exc.reason,
+                route=route.name,
+                config=self._config.current.version,
+            )
+            raise
+        if self._customers.requires_keys:
+            self._counters.add("requests_by_sender", sender.kind)
+        return sender
+
     async def _run_until_caller_leaves(self, call: RelayCall) -> Attempt:
         """Return the attempt that got a response; cancels the call if the caller closes."""
         attempt: Attempt | None = None
@@ -257,6 +297,8 @@
                 "deadline_ms": f"{call.deadline_ms:.0f}",
                 "waited_ms": f"{call.waited_ms:.0f}",
             }
+            if call.customer:
+                fields["customer"] = call.customer
             if call.result is not None:
                 self._counters.record("added", max(0.0, total_ms - call.result.service_ms))
                 fields["service_ms"] = f"{call.result.service_ms:.1f}"
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -73,8 +73,11 @@
     waited_ms: float = 0.0
     # Whether a run of the local upstream makes this call that is itself a repetition.
     is_repeat: bool = False
-    # The customer that sent the request; empty if it is not known or the request is anonymous.
+    # The customer that sent the request, or that of the run which makes this call; empty if it is
+    # not known or the request is anonymous.
     customer: str = ""
+    # Whether a run of the local upstream makes this call.
+    is_nested: bool = False
     # The priority of the customer, or that of the route.
     priority: int = 0
     # `sent` counts attempts that may have reached an upstream; `targets_tried` counts all attempts.
@@ -312,6 +315,7 @@
             caller_service=self._caller_service(),
             priority=call.priority,
             customer=call.customer,
+            is_nested=call.is_nested,
             target_latency_ms=max(0.0, self._latency_left_ms(call) - call.waited_ms),
             route=call.route.name,
             decline_above=call.decline_above,
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -84,6 +84,10 @@
     # Sent to the upstream: the intended instance and the calling service.
     expected_instance: OptionalFieldName = ""
     caller_service: OptionalFieldName = ""
+    # The key of a customer, which is read from requests of callers and not sent on, and the name of
+    # its customer, which is sent to the upstream. Without them, customers are not told apart.
+    credential: OptionalFieldName = ""
+    customer: OptionalFieldName = ""
     # Read from responses of the upstream: whether the request was not run, and the load.
     not_run: OptionalFieldName = ""
     load: OptionalFieldName = ""
