--- a/tests/platform_boot.py
+++ b/tests/platform_boot.py
@@ -28,6 +28,7 @@
     tolerated_machines: int = 1,
     retry_slack: float = 0.0,
     seeds: Sequence[str] = (),
+    contracts: Sequence[str] = (),
 ) -> Path:
     """Write the settings file of one process and return its path."""
     is_core = ip in cores
@@ -44,6 +45,7 @@
         "limits": {"maxFds": 2_000},
         "dataDir": f"{folder}/{ip}" if is_core else None,
         "faultTolerance": {"machines": tolerated_machines},
+        "contracts": list(contracts),
         "bounds": {"graceS": 6, "retryBudgetSlack": retry_slack},
         "service": None if is_core else service,
         "appAddr": f"{ip}:{base + TARGET_PORT}",
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -98,6 +98,8 @@
 class PlatformWorld(unittest.TestCase):
     """Start three control instances and two nodes, of which the first has a target."""
 
+    contracts: ClassVar[tuple[str, ...]] = ()
+
     def setUp(self) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.base = 20_000 + os.getpid() % 400 * 20
@@ -122,7 +124,12 @@
 
     def write_boot_file(self, ip: str) -> Path:
         return platform_boot.write_boot_file(
-            self.folder.name, ip, CORES, self.base, bootstrap=self.bootstrap
+            self.folder.name,
+            ip,
+            CORES,
+            self.base,
+            bootstrap=self.bootstrap,
+            contracts=self.contracts,
         )
 
     def start(self, *ips: str) -> None:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -47,7 +47,12 @@
 from tests.test_items import backend, route
 
 HEADERS = HeaderSettings(
-    request_id="x-id", deadline="x-deadline", caller_service="x-caller", leaving="x-leaving"
+    request_id="x-id",
+    deadline="x-deadline",
+    caller_service="x-caller",
+    leaving="x-leaving",
+    credential="x-key",
+    customer="x-customer",
 )
 SAFE = route("safe", path_prefix="/safe/", timeout_ms=2_000.0)
 PAID = route("paid", path_prefix="/paid/", idempotent=False, timeout_ms=2_000.0)
@@ -104,7 +109,9 @@
         kernel.add("counters", self.counters)
         kernel.add("timers", Timers(kernel))
         self.config = SimpleNamespace(
-            current=Configuration(version=1, items=items), may_serve=lambda: True
+            current=Configuration(version=1, items=items),
+            may_serve=lambda: True,
+            is_fresh=lambda: True,
         )
         kernel.add("config", self.config)
         kernel.add("membership", self)
@@ -126,6 +133,9 @@
     def record_departure(self, target: Target) -> None:
         self.departed.add(target.node_id)
 
+    def is_nested(self, request_id: str) -> bool:
+        return "." in request_id
+
     def find_parent(self, request_id: str) -> CallSpec | None:
         return self.runs.get(request_id.rpartition(".")[0])
 
