--- a/tests/test_customers.py
+++ b/tests/test_customers.py
@@ -5,6 +5,7 @@
 import json
 import unittest
 from collections.abc import Iterable
+from types import SimpleNamespace
 from typing import Any
 
 import h11
@@ -13,12 +14,25 @@
 from hypothesis import strategies as st
 from trio.testing import memory_stream_pair
 
-from knapweedhitch import configuration, framing, items, metrics
-from knapweedhitch.exceptions import BadRequest, InvalidChange, ItemConflict
+from knapweedhitch import codec, configuration, framing, items, metrics
+from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import (
+    BadRequest,
+    InvalidChange,
+    ItemConflict,
+    NoRoom,
+    PeerFailed,
+    PeerUnreachable,
+)
+from knapweedhitch.exchange import CallSpec
+from knapweedhitch.forward import Forward
 from knapweedhitch.http1 import ServerConnection
 from knapweedhitch.items import CustomerItem, ItemPatch, Items, Removal, merge
+from knapweedhitch.messages import OpenStream
 from knapweedhitch.model import Configuration
+from knapweedhitch.payload import NoBody
 from knapweedhitch.platform import items as platform_items
+from knapweedhitch.pool import Pool
 from knapweedhitch.settings import CallerSettings, HeaderSettings
 from tests.test_items import BASE, backend, patch, route
 from tests.test_relay import HEADERS, World, run_on_mock_clock, start_world
@@ -34,6 +48,11 @@
     return CustomerItem(name, version, keys, document=f"{name}@{version} {keys}", **values)
 
 
+def call_spec(**fields: Any) -> CallSpec:
+    deadline = Deadline.after_ms(1_000)
+    return CallSpec("r", "s1", "i1", "GET", b"/", (), False, deadline, 0, 0, 1, **fields)
+
+
 def send(*customers: CustomerItem, gone: Iterable[Removal] = ()) -> ItemPatch:
     return ItemPatch((), (), None, (), (), customers, tuple(gone))
 
@@ -306,3 +325,39 @@
         names = framing.header_names(HeaderSettings())
         head = framing.parse_request(b"GET", b"/", b"1.1", sent, 100, names)
         self.assertEqual(list(head.headers), sent)
+
+    @run_on_mock_clock
+    async def test_target_is_told_the_customer_of_a_key_only(self) -> None:
+        """Guards against the customer of a run in the header of a call that came without a key."""
+        pool = Pool(World([]).relay._kernel)
+        for name, is_nested, told in (("c1", False, b"c1"), ("c1", True, None), ("", False, None)):
+            spec = call_spec(customer=name, is_nested=is_nested)
+            headers = dict(pool._build_headers(spec, b"e"))
+            self.assertEqual(headers.get(b"x-customer"), told)
+
+    @run_on_mock_clock
+    async def test_sender_reaches_the_node_of_the_target(self) -> None:
+        """Guards against a gate that takes a call for one of another customer."""
+        openings: list[OpenStream] = []
+        specs: list[CallSpec] = []
+
+        async def open_stream(node_id: str, opening: OpenStream) -> None:
+            openings.append(opening)
+            raise PeerUnreachable
+
+        async def execute(node_id: str, spec: CallSpec, *args: object) -> None:
+            specs.append(spec)
+            raise NoRoom
+
+        kernel = World([]).relay._kernel
+        kernel.add("peers", SimpleNamespace(open_stream=open_stream))
+        forward = Forward(kernel)
+        kernel.get("gate").execute = execute
+        sent = call_spec(customer="c1", is_nested=True, priority=3, is_repeat=True)
+        with self.assertRaises(PeerFailed):
+            await forward.execute("n2", sent, NoBody(), None)  # type: ignore[arg-type]
+        opening = codec.decode(codec.encode(openings[0]))
+        stream = SimpleNamespace(on_stop=lambda fn: None, end_reason="", finished=True)
+        await forward._serve("n1", opening, stream)  # type: ignore[arg-type]
+        names = ("customer", "is_nested", "priority", "is_repeat")
+        self.assertEqual(*([getattr(spec, name) for name in names] for spec in (sent, specs[0])))
