Upstreams: a reset during an upload completes no response; refuse a status outside HTTP

A failed write takes the error of a reset off the socket. The next read sees the end of the stream, and a body without a length ends with the stream, so a cut body reached the caller as a complete 200. The end of the stream after a failed write is now UpstreamClosed. A response with a length or chunks that is complete stays valid. The operator client had the same fault.

A refusal marked as not run, whose body is cut, still counts as not run: its head proves it. A status outside 200..599 is an invalid response.

--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -195,6 +195,8 @@
                 received.body_bytes += len(msg.data)
                 await sink.data(msg.data)
             elif isinstance(msg, StreamHead):
+                if msg.status not in framing.FINAL_STATUSES:
+                    raise PeerProtocolError(f"status {msg.status}")
                 received.has_head = True
                 self._record_load(spec, msg.load)
                 await sink.head(msg.status, msg.headers, msg.load)
--- a/knapweedhitch/framing.py
+++ b/knapweedhitch/framing.py
@@ -20,6 +20,8 @@
 MAX_FRAMING_BYTES = 65_536
 # Any 18-digit length fits in 64 bits.
 MAX_LENGTH_DIGITS = 18
+# RFC 9110: the classes 1xx to 5xx, of which 1xx is never final.
+FINAL_STATUSES = range(200, 600)
 VALID_REQUEST_ID = re.compile(rb"[!-~]{1,128}\Z")
 WHOLE_NUMBER = re.compile(rb"[0-9]{1,9}\Z")
 KEEP_ALIVE_TIMEOUT = re.compile(
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -22,7 +22,12 @@
 from knapweedhitch.model import LoadSample
 from knapweedhitch.responsereader import ResponseReader
 from knapweedhitch.settings import UpstreamSettings
-from knapweedhitch.sockets import READ_BYTES, receive_when_ready, send_at_once
+from knapweedhitch.sockets import (
+    READ_BYTES,
+    receive_when_ready,
+    send_at_once,
+    send_when_ready,
+)
 from knapweedhitch.upstreamload import UpstreamReport
 
 MAX_RECENT_REQUEST_IDS = 8
@@ -67,6 +72,8 @@
         self.echoes_exchange_id = False
         self.echoes_request_id = False
         self._writer_error: Exception | None = None
+        # The end of the stream after a failed write may be a reset whose error the write has taken.
+        self._has_failed_write = False
         self.on_report: Callable[[UpstreamReport], None] = lambda report: None
         # The ids of the last requests on this connection.
         self.recent_request_ids: collections.deque[bytes] = collections.deque(
@@ -175,8 +182,9 @@
             if not data:
                 return
             with trio.move_on_after(self.cfg.progress_timeout_ms / 1_000) as scope:
-                await self.stream.send_all(data)
+                await send_when_ready(self.stream, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self._has_failed_write = True
             raise UpstreamClosed(f"cannot write: {exc}", bytes_sent=True) from None
         if scope.cancelled_caught:
             raise UpstreamTimeout("the request is not taken", bytes_sent=True)
@@ -212,9 +220,12 @@
 
     async def _receive(self) -> bytes:
         try:
-            return await receive_when_ready(self.stream, READ_BYTES)
+            data = await receive_when_ready(self.stream, READ_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise UpstreamClosed(f"cannot read: {exc}", bytes_sent=True) from None
+        if not data and self._has_failed_write:
+            raise UpstreamClosed("closed while the request was sent", bytes_sent=True)
+        return data
 
     def next_event(self) -> object:
         """Return the next h11 event; raises UpstreamProtocolError, UpstreamClosed."""
@@ -251,6 +262,8 @@
 
     def finish(self) -> None:
         """Mark the connection reusable if the exchange is complete and no bytes are left."""
+        if self._has_failed_write:
+            return
         # Bytes after the end of a response belong to no request of this connection.
         if self._conn.trailing_data[0] or self._conn.trailing_data[1]:
             return
--- a/knapweedhitch/operator_client.py
+++ b/knapweedhitch/operator_client.py
@@ -196,20 +196,27 @@
         data = conn.send(h11.Request(method=method, target=path, headers=headers)) or b""
         data += (conn.send(h11.Data(payload)) or b"") if payload else b""
         data += conn.send(h11.EndOfMessage()) or b""
+        is_sent = True
         try:
             await stream.send_all(data)
         except trio.BrokenResourceError:
             # A listener that refuses early closes the connection; its response is still readable.
-            pass
-        return await self._receive(stream, conn)
+            is_sent = False
+        return await self._receive(stream, conn, is_sent=is_sent)
 
-    async def _receive(self, stream: trio.abc.Stream, conn: h11.Connection) -> Any:
+    async def _receive(
+        self, stream: trio.abc.Stream, conn: h11.Connection, *, is_sent: bool
+    ) -> Any:
         head: h11.Response | None = None
         body = bytearray()
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
-                conn.receive_data(bytes(await stream.receive_some(READ_BYTES)))
+                received = bytes(await stream.receive_some(READ_BYTES))
+                if not received and not is_sent:
+                    # The failed write has taken the error of a reset, which now looks like an end.
+                    raise _ResponseLost("the connection closed while the request was sent")
+                conn.receive_data(received)
             elif isinstance(event, h11.Response):
                 head = event
             elif isinstance(event, h11.Data):
--- a/knapweedhitch/responsereader.py
+++ b/knapweedhitch/responsereader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
@@ -10,7 +11,12 @@
 
 from knapweedhitch import framing
 from knapweedhitch.clock import MS_PER_S
-from knapweedhitch.exceptions import UpstreamClosed, UpstreamNotRun, UpstreamProtocolError
+from knapweedhitch.exceptions import (
+    UpstreamClosed,
+    UpstreamError,
+    UpstreamNotRun,
+    UpstreamProtocolError,
+)
 from knapweedhitch.exchange import CallSpec, ResponseSink
 from knapweedhitch.model import LoadSample
 from knapweedhitch.upstreamload import parse_report
@@ -73,7 +79,9 @@
         if (idle_timeout_s := framing.keep_alive_s(event.headers)) is not None:
             self._conn.idle_timeout_ms = idle_timeout_s * MS_PER_S
         if self._was_not_run(event):
-            await self._skip_body()
+            # The head alone proves it, so a connection that breaks in the body changes nothing.
+            with contextlib.suppress(UpstreamError):
+                await self._skip_body()
             raise UpstreamNotRun(f"status {event.status_code}", bytes_sent=True)
         headers = framing.response_headers(list(event.headers), self._conn.names)
         await self._sink.head(event.status_code, headers, self._load())
@@ -170,6 +178,8 @@
             raise UpstreamProtocolError(problem, bytes_sent=True)
 
     def _validate(self, event: h11.Response) -> None:
+        if event.status_code not in framing.FINAL_STATUSES:
+            raise UpstreamProtocolError(f"status {event.status_code}", bytes_sent=True)
         names = self._conn.names
         is_framed = closes = has_exchange_id = has_request_id = False
         for name, value in event.headers:
--- a/knapweedhitch/sockets.py
+++ b/knapweedhitch/sockets.py
@@ -31,6 +31,30 @@
     return data[sent:]
 
 
+async def send_when_ready(stream: trio.abc.Stream, data: bytes) -> None:
+    """Write all data, waiting for room as needed.
+
+    `send_all` can yield between a failed write and its exception. A failed write takes the error
+    of the connection with it, so a task that reads meanwhile would see a plain end of the stream.
+    Raises trio.BrokenResourceError and trio.ClosedResourceError.
+    """
+    if not isinstance(stream, trio.SocketStream):
+        await stream.send_all(data)
+        return
+    sock = stream.socket
+    rest = memoryview(data)
+    while rest:
+        if sock.fileno() < 0:
+            raise trio.ClosedResourceError("this socket was already closed")
+        await trio.lowlevel.wait_writable(sock)
+        try:
+            rest = rest[os.write(sock.fileno(), rest) :]
+        except BlockingIOError:
+            continue
+        except OSError as exc:
+            raise _stream_error(exc) from exc
+
+
 def has_room(stream: trio.abc.Stream) -> bool:
     """Return whether a short write completes at once; unknown streams count as having room."""
     if not isinstance(stream, trio.SocketStream):
