Links: drive the websocket protocol of the library directly

The trio connections of websockets load asyncio and urllib, start tasks for each connection and pass each message through a channel and a lock, which costs scheduler turns. websocketwire uses the same protocol classes over the project's own reads and writes: no task or channel of its own, no lock, and nothing is read while messages wait. peers.max_received_messages has no use any more and is gone: a wire holds at most one read of 64 KiB.

An unexpected error of an accepted link is counted and logged, as that of a dialled link; the library swallowed it.

test_transport, test_slow_links and test_full_link reach the socket by wire.stream instead of wire._conn.stream; the check for keepalive pings now looks at the bytes that the protocol has to write. New tests drive the wire with a foreign client: parts, pings, long messages, a close.

--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -303,6 +303,14 @@
     # Links
 
     async def _accept(self, wire: Wire) -> None:
+        """Run a link that a peer has dialled."""
+        try:
+            await self._accept_and_run(wire)
+        except Exception as exc:
+            # An unexpected error of one link must not end the process and its other links.
+            faults.record(self._counters, "accept-fault", exc)
+
+    async def _accept_and_run(self, wire: Wire) -> None:
         assert self._identity is not None
         if self._is_finishing:
             self._counters.add("peer_rejected", "stopping")
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -208,7 +208,6 @@
     max_message_bytes: Bytes = 1_048_576
     max_queued_messages: Count = 1_024
     max_queued_bytes: Bytes = 8_388_608
-    max_received_messages: Count = 64
     max_handlers: Count = 64
     max_pending_sends: Count = 64
     max_streams: Count = 1_024
--- a/knapweedhitch/transport.py
+++ b/knapweedhitch/transport.py
@@ -4,24 +4,17 @@
 
 import contextlib
 import errno
-import logging
-import math
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from typing import Protocol
 
 import trio
-from websockets.exceptions import ConnectionClosed, WebSocketException
-from websockets.protocol import State
-from websockets.trio.client import ClientConnection, connect
-from websockets.trio.connection import Connection
-from websockets.trio.server import ServerConnection, serve
 
-from knapweedhitch.clock import now_ms
+from knapweedhitch import websocketwire
+from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.exceptions import PeerDisconnected, PeerUnreachable
 from knapweedhitch.model import Address
 from knapweedhitch.settings import PeerSettings
-from knapweedhitch.sockets import send_at_once
 
 # With port 0 the system picks the TCP port; if that UDP port is in use, another pair is tried.
 BIND_ATTEMPTS = 16
@@ -29,22 +22,6 @@
 # A connection that was accepted has this limit until its peer has proved itself; the messages of a
 # handshake are shorter.
 MAX_HANDSHAKE_BYTES = 1_024
-# Link frames hold at most 64 KiB plus a header, and closing a link must not delay its successor.
-CLOSE_TIMEOUT_S = 0.2
-
-# Failed handshakes are counted, not logged: any client can cause them at any rate.
-# A reset may show as any of these, as the reader or the writer of a connection meets it first.
-CONNECTION_ERRORS = (
-    OSError,
-    WebSocketException,
-    trio.BrokenResourceError,
-    trio.ClosedResourceError,
-)
-
-_muted_logger = logging.getLogger("knapweedhitch.websockets")
-_muted_logger.addHandler(logging.NullHandler())
-_muted_logger.propagate = False
-_muted_logger.setLevel(logging.CRITICAL)
 
 
 class Wire(Protocol):
@@ -113,76 +90,6 @@
         ...
 
 
-class _UnblockedReading(Connection):
-    """Read on while a write waits for the peer.
-
-    The library calls `send_data` after each read, which waits for the lock of the write. Two nodes
-    whose writes wait for each other to read would wait for ever.
-    """
-
-    last_read_ms = -math.inf
-
-    async def send_data(self) -> None:
-        """Write what a read has caused, mostly nothing; the library calls this after each read."""
-        self.last_read_ms = now_ms()
-        if self.protocol.writes:
-            await super().send_data()
-
-
-class _AcceptedConnection(_UnblockedReading, ServerConnection):
-    """Represent a connection that a peer has opened."""
-
-
-class _DialledConnection(_UnblockedReading, ClientConnection):
-    """Represent a connection to a peer."""
-
-
-class WebsocketWire:
-    """Transfer messages over one websocket connection."""
-
-    def __init__(self, conn: _UnblockedReading, max_message_bytes: int, *, masked: bool) -> None:
-        self._conn = conn
-        self._max_message_bytes = max_message_bytes
-        # RFC 6455: a 2-byte header, and a 4-byte mask in frames from the client.
-        self.overhead_bytes = 6 if masked else 2
-
-    @property
-    def last_read_ms(self) -> float:
-        """Return when the last bytes arrived, also those of an incomplete message."""
-        return self._conn.last_read_ms
-
-    async def send(self, frames: Sequence[bytes]) -> None:
-        """Send messages in one write; raises PeerDisconnected."""
-        conn = self._conn
-        # A single write for all messages saves a system call and a packet per message.
-        async with conn.send_lock:
-            if conn.protocol.state is not State.OPEN:
-                raise PeerDisconnected("the link is closed")
-            for frame in frames:
-                conn.protocol.send_binary(frame)
-            try:
-                unsent = await send_at_once(conn.stream, b"".join(conn.protocol.data_to_send()))
-                if unsent:
-                    await conn.stream.send_all(unsent)
-            except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as exc:
-                raise PeerDisconnected(f"the link broke: {exc}") from None
-
-    async def receive(self) -> bytes:
-        """Return the next message; raises PeerDisconnected."""
-        try:
-            return await self._conn.recv(decode=False)
-        except ConnectionClosed as exc:
-            raise PeerDisconnected(f"the link was closed: {exc}") from None
-
-    def accept_long_messages(self) -> None:
-        """Accept messages of any length that links use, once the peer has proved itself."""
-        self._conn.protocol.max_message_size = self._max_message_bytes
-
-    async def abort(self) -> None:
-        """Close the connection at once, without a close handshake."""
-        await trio.aclose_forcefully(self._conn.stream)
-
-
 class BoundedListener(trio.abc.Listener[trio.SocketStream]):
     """Accept connections up to a limit and close those above it at once."""
 
@@ -285,28 +192,33 @@
         if self._listener is None:
             raise PeerUnreachable("the listener is not bound")
 
-        async def handle(conn: ServerConnection) -> None:
-            assert isinstance(conn, _AcceptedConnection)
-            await handler(WebsocketWire(conn, self._cfg.max_message_bytes, masked=False))
+        async def handle(stream: trio.SocketStream) -> None:
+            try:
+                wire = await self._open_accepted(stream)
+                if wire is not None:
+                    await handler(wire)
+                    await wire.close()
+            finally:
+                await trio.aclose_forcefully(stream)
 
         try:
-            await serve(
-                handle,
-                listeners=[self._listener],  # type: ignore[list-item]
-                create_connection=_AcceptedConnection,
-                compression=None,
-                server_header=None,
-                open_timeout=self._cfg.handshake_timeout_ms / 1_000,
-                ping_interval=None,
-                close_timeout=CLOSE_TIMEOUT_S,
-                max_size=MAX_HANDSHAKE_BYTES,
-                max_queue=self._cfg.max_received_messages,
-                logger=_muted_logger,
-            )
+            await trio.serve_listeners(handle, [self._listener])
         finally:
             if self._udp is not None:
                 self._udp.close()
 
+    async def _open_accepted(self, stream: trio.SocketStream) -> websocketwire.WebsocketWire | None:
+        """Return a new connection, or None if its client does not open a websocket in time."""
+        with trio.move_on_after(self._cfg.handshake_timeout_ms / MS_PER_S):
+            try:
+                return await websocketwire.accept(
+                    stream, MAX_HANDSHAKE_BYTES, self._cfg.max_message_bytes
+                )
+            except PeerDisconnected:
+                # Not logged: any client can cause this at any rate.
+                return None
+        return None
+
     async def aclose(self) -> None:
         """Close both sockets of a transport that is not serving."""
         if self._udp is not None:
@@ -318,37 +230,17 @@
     async def connect(self, address: Address) -> AsyncIterator[Wire]:
         """Open a connection to a node; raises PeerUnreachable, and PeerDisconnected at its end."""
         try:
-            with trio.fail_after(self._cfg.connect_timeout_ms / 1_000):
+            with trio.fail_after(self._cfg.connect_timeout_ms / MS_PER_S):
                 # trio sets TCP_NODELAY on every stream it opens or accepts.
                 stream = await trio.open_tcp_stream(address.host, address.port)
         except (OSError, trio.TooSlowError) as exc:
             raise PeerUnreachable(f"{address}: {exc or 'no connection in time'}") from None
-        connecting = connect(
-            f"ws://{address}/",
-            stream=stream,
-            create_connection=_DialledConnection,
-            compression=None,
-            proxy=None,
-            user_agent_header=None,
-            open_timeout=self._cfg.connect_timeout_ms / 1_000,
-            ping_interval=None,
-            close_timeout=CLOSE_TIMEOUT_S,
-            max_size=self._cfg.max_message_bytes,
-            max_queue=self._cfg.max_received_messages,
-            logger=_muted_logger,
-        )
-        opened = False
         try:
-            async with connecting as conn:
-                opened = True
-                try:
-                    assert isinstance(conn, _DialledConnection)
-                    yield WebsocketWire(conn, self._cfg.max_message_bytes, masked=True)
-                finally:
-                    # A close handshake would delay the end of a silent link.
-                    await trio.aclose_forcefully(stream)
-        except CONNECTION_ERRORS as exc:
+            try:
+                with trio.fail_after(self._cfg.connect_timeout_ms / MS_PER_S):
+                    wire = await websocketwire.dial(stream, address, self._cfg.max_message_bytes)
+            except (PeerDisconnected, trio.TooSlowError) as exc:
+                raise PeerUnreachable(f"{address}: {exc or 'no handshake in time'}") from None
+            yield wire
+        finally:
             await trio.aclose_forcefully(stream)
-            if opened:
-                raise PeerDisconnected(f"{address}: {exc}") from None
-            raise PeerUnreachable(f"{address}: {exc}") from None
--- a/tests/test_full_link.py
+++ b/tests/test_full_link.py
@@ -138,7 +138,7 @@
 
         async def exchange(wire: Wire, received: list[int]) -> None:
             """Send all frames at once and receive as many."""
-            wire._conn.stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * RELAY_BYTES)  # type: ignore[attr-defined]
+            wire.stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2 * RELAY_BYTES)  # type: ignore[attr-defined]
             wire.accept_long_messages()
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(wire.send, frames)
--- a/tests/test_slow_links.py
+++ b/tests/test_slow_links.py
@@ -21,7 +21,7 @@
     """Give the socket of a link small buffers."""
     wire: Any = link_of(node, peer_id)._wire
     for option in (socket.SO_SNDBUF, socket.SO_RCVBUF):
-        wire._conn.stream.setsockopt(socket.SOL_SOCKET, option, SMALL_BUFFER_BYTES)
+        wire.stream.setsockopt(socket.SOL_SOCKET, option, SMALL_BUFFER_BYTES)
 
 
 class SlowLinkTest(unittest.TestCase):
--- a/tests/test_transport.py
+++ b/tests/test_transport.py
@@ -12,8 +12,18 @@
 
 import trio
 from msgspec import structs
-
-from knapweedhitch import direct, forward, loadreports, membership, timers  # noqa: F401
+from websockets.client import ClientProtocol
+from websockets.frames import Frame, Opcode
+from websockets.uri import parse_uri
+
+from knapweedhitch import (  # noqa: F401
+    direct,
+    forward,
+    loadreports,
+    membership,
+    timers,
+    websocketwire,
+)
 from knapweedhitch.codec import Message
 from knapweedhitch.exceptions import PeerDisconnected, PeerUnreachable
 from knapweedhitch.gossip import GossipSocket
@@ -22,8 +32,10 @@
 from knapweedhitch.model import Address
 from knapweedhitch.peers import Peers
 from knapweedhitch.settings import ListenSettings, PeerSettings, replace
-from knapweedhitch.transport import NetTransport, WebsocketWire
+from knapweedhitch.transport import MAX_HANDSHAKE_BYTES, NetTransport
+from knapweedhitch.websocketwire import WebsocketWire
 from tests.fake_net import SECRET, MemoryNet, Node, StaticMembership, listen, make_settings
+from tests.test_sockets import connected_pair
 
 POLL = FeedPoll(1, False)
 
@@ -69,11 +81,12 @@
                     (link,) = node.peers._links
                     wire = link._wire
                     assert isinstance(wire, WebsocketWire)
-                    stream = wire._conn.stream
+                    stream = wire.stream
                     assert isinstance(stream, trio.SocketStream)
                     self.assertTrue(stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
-                    self.assertEqual(wire._conn.protocol.extensions, [])
-                    self.assertIsNone(wire._conn.ping_interval)
+                    self.assertEqual(wire.protocol.extensions, [])
+                    # The wire writes only messages, and what the protocol itself has to answer.
+                    self.assertEqual(wire.protocol.writes, [])
 
         trio.run(main)
 
@@ -196,6 +209,73 @@
         trio.run(main)
 
 
+class WireTest(unittest.TestCase):
+    """Drive one end of a connection with the bytes of a foreign client."""
+
+    def run_with_client(self, *frames: Frame) -> tuple[list[bytes], str, bytes]:
+        """Return what the wire receives, why it ends and what the client has read."""
+        messages: list[bytes] = []
+        ends: list[str] = []
+        answer = bytearray()
+
+        async def main() -> None:
+            near, far = connected_pair()
+            client = ClientProtocol(parse_uri("ws://h/"))
+            client.send_request(client.connect())
+            await far.send_all(b"".join(client.data_to_send()))
+            wire = await websocketwire.accept(near, MAX_HANDSHAKE_BYTES, 10_000)
+            client.receive_data(await far.receive_some())
+            for frame in frames:
+                await far.send_all(frame.serialize(mask=True))
+            await far.send_eof()
+            try:
+                while True:
+                    messages.append(await wire.receive())
+            except PeerDisconnected as exc:
+                ends.append(str(exc))
+            await wire.abort()
+            with contextlib.suppress(trio.BrokenResourceError):
+                while data := await far.receive_some():
+                    answer.extend(data)
+            await far.aclose()
+
+        trio.run(main)
+        return messages, ends[0], bytes(answer)
+
+    def test_message_in_several_frames_is_joined(self) -> None:
+        """Guards against parts of a message that count as messages."""
+        parts = (
+            Frame(Opcode.BINARY, b"a" * 600, fin=False),
+            Frame(Opcode.PING, b"x"),
+            Frame(Opcode.CONT, b"", fin=False),
+            Frame(Opcode.CONT, b"b"),
+            Frame(Opcode.BINARY, b"second"),
+        )
+        messages, _, answer = self.run_with_client(*parts)
+        self.assertEqual(messages, [b"a" * 600 + b"b", b"second"])
+        # The ping is answered although nothing else is written.
+        self.assertEqual(answer, Frame(Opcode.PONG, b"x").serialize(mask=False))
+
+    def test_message_over_the_limit_of_a_handshake_ends_the_connection(self) -> None:
+        """Guards against long messages of a client that has not proved itself."""
+        big = Frame(Opcode.BINARY, b"a" * (MAX_HANDSHAKE_BYTES + 1))
+        in_parts = (
+            Frame(Opcode.BINARY, b"a" * MAX_HANDSHAKE_BYTES, fin=False),
+            Frame(Opcode.CONT, b"b"),
+        )
+        for frames in ((big,), in_parts):
+            messages, end, _ = self.run_with_client(Frame(Opcode.BINARY, b"first"), *frames)
+            self.assertEqual(messages, [b"first"])
+            self.assertIn("exceeds limit", end)
+
+    def test_close_frame_ends_the_connection(self) -> None:
+        """Guards against a wire that waits for a peer that has closed."""
+        messages, end, _ = self.run_with_client(
+            Frame(Opcode.BINARY, b"m"), Frame(Opcode.CLOSE, b"\x03\xe8")
+        )
+        self.assertEqual((messages, end), ([b"m"], "the link was closed: by a close frame"))
+
+
 class WiringTest(unittest.TestCase):
     def test_services_start_by_name(self) -> None:
         """Guards against services that cannot be built and started in the order of the daemon."""
