Customers: tolerate keys beyond ASCII in the state of another node

The state of a peer is not checked again, and a key that cannot be encoded would have failed every request.

--- a/knapweedhitch/customers.py
+++ b/knapweedhitch/customers.py
@@ -47,9 +47,7 @@
 
     def __init__(self, items: Items) -> None:
         self._by_key = {
-            key.encode("ascii"): customer
-            for customer in items.customers.values()
-            for key in customer.keys
+            key.encode(): customer for customer in items.customers.values() for key in customer.keys
         }
         # The removal of the last customer must not open the routes to everybody.
         self.requires_keys = bool(items.customers or items.removed_customers)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -113,6 +113,16 @@
             [m.id for m in cfg.control.members], ["10.1.0.12", "10.2.0.9", "10.3.0.10"]
         )
 
+    def test_headers_for_customers_are_used_where_the_deployment_has_them(self) -> None:
+        """Guards against headers that are dropped, or keys that pass, in the wrong deployment."""
+        for contracts, expected in (
+            (["base", "tenants"], ("credential", "tenant-id")),
+            ([], ("", "")),
+        ):
+            boot = yaml.dump({**BOOT_SETTINGS, "contracts": contracts})
+            headers = parse_settings(boot, "boot").headers
+            self.assertEqual((headers.credential, headers.customer), expected)
+
     def test_retry_budget_is_that_of_the_deployment(self) -> None:
         """Guards against a start that fails on a fractional slack, and a fixed retry budget."""
         bounds = {
