Quotas of customers over all nodes

Each voter of the replicated log holds an equal part of each quota in a token bucket of its own; entry nodes take tokens that live for 150 ms. Nothing is sent or started without a customer that has a limit.

--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -395,6 +395,25 @@
     status = 503
 
 
+class QuotaExceeded(Refusal):
+    """Refuse a request of a customer that is over its quota."""
+
+    reason = "quota-exceeded"
+    status = 429
+
+    def __init__(self, retry_after_ms: float, detail: str = "") -> None:
+        super().__init__(Outcome.NOT_RUN, detail)
+        self.retry_after_ms = retry_after_ms
+
+
+class QuotaUnknown(Refusal):
+    """Refuse a request because no holder of the customer's quota replies."""
+
+    reason = "quota-unknown"
+    status = 503
+    retry_after_ms = 500.0
+
+
 class NoRoom(Refusal):
     """Refuse a request that cannot be served within its remaining deadline."""
 
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import math
+from typing import Annotated
 
-from msgspec import structs
+from msgspec import Meta, structs
 
 from knapweedhitch.codec import Float, Message, Record, message
 from knapweedhitch.exceptions import Outcome
@@ -13,6 +14,10 @@
 PROTOCOL_VERSION = 1
 
 Headers = tuple[tuple[bytes, bytes], ...]
+# Requests and tokens of a quota in one message.
+TokenCount = Annotated[int, Meta(ge=0, le=100_000)]
+# Requests per second, tokens or milliseconds; the bounds exclude NaN and infinity.
+Amount = Annotated[float, Meta(ge=0.0, le=1e15)]
 
 # Copying a message costs more than it is worth for a shorter time.
 MIN_ELAPSED_MS = 1.0
@@ -629,3 +634,69 @@
     is_same: bool
     ends: tuple[UpstreamEnded, ...]
     cleared: tuple[RequestCleared, ...]
+
+
+# 80-89: quotas
+
+
+@message(80)
+class QuotaRequest(Message, frozen=True):
+    """Request tokens of a customer from the holder of a part of its quota.
+
+    The limits are those that the requesting node knows; the higher version takes effect.
+    """
+
+    customer: str
+    version: int
+    rate_per_s: Amount
+    burst: Amount
+    # For requests that wait, and for those that are expected within the life of a token.
+    wanted: TokenCount
+    expected: TokenCount
+    # Requests refused for this quota since the last message to this holder.
+    refused: TokenCount
+    # Whether the receiver may pass the request on to a holder.
+    may_relay: bool
+
+
+@message(81)
+class QuotaGrant(Message, frozen=True):
+    """Grant tokens, or tell when the part has one again."""
+
+    holder: str
+    # False if the node holds no part or cannot prove that it still does.
+    holds_part: bool
+    granted: TokenCount
+    # Process and time of the grant at its holder, for tokens that are returned.
+    process: int
+    granted_ms: Amount
+    next_token_ms: Amount
+    retry_after_ms: Amount
+
+
+@message(82)
+class QuotaReturn(Message, frozen=True):
+    """Return tokens of requests that were not run."""
+
+    customer: str
+    process: int
+    granted_ms: Amount
+    count: TokenCount
+
+
+@message(83)
+class VoterQuery(Message, frozen=True):
+    """Ask the leader whether the sender is a voter of the replicated log."""
+
+
+@message(84)
+class VoterReply(Message, frozen=True):
+    """Tell whether the node is a voter; only a leader with a recent proof replies with `known`."""
+
+    known: bool
+    is_voter: bool
+    # Log index of the last committed members entry, and whether there have never been more voters
+    # than parts of a quota.
+    members_index: int
+    none_replaced: bool
+    age_ms: Amount
--- a/knapweedhitch/platform/roles.py
+++ b/knapweedhitch/platform/roles.py
@@ -24,6 +24,7 @@
     "core": (
         *SHARED_SERVICES,
         ("control", "control"),
+        ("quotas", "quotas"),
         ("platform_operators", "platform.apis"),
         ("drain", "drain"),
     ),
@@ -39,6 +40,7 @@
         ("forward", "forward"),
         ("loadreports", "loadreports"),
         ("announce", "announce"),
+        ("quotas", "quotas"),
         ("router=relay", "relay"),
         ("ingress", "ingress"),
         ("platform_heartbeats", "platform.apis"),
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -23,6 +23,7 @@
     NodeSettings,
     OperatorSettings,
     PeerSettings,
+    QuotaSettings,
     RoutingSettings,
     SecretSettings,
     Settings,
@@ -41,6 +42,13 @@
 MAX_PATCH_BYTES = 16_777_216
 MAX_HEARTBEAT_BYTES = 65_536
 CANCEL_WAIT_MS = 120
+# Contracts of which either brings customers with quotas.
+QUOTA_CONTRACTS = frozenset({"quota", "tenants"})
+# Part of the overage that the life of a token takes; as much is for tokens returned late, and the
+# rest for requests that wait at their target.
+TOKEN_LIFE_SHARE = 0.3
+MIN_TOKEN_LIFE_MS = 20
+MAX_TOKEN_LIFE_MS = 250
 
 HEADERS = HeaderSettings(
     request_id="attempt-id",
@@ -82,6 +90,10 @@
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = field(name="retryBudgetRatio", default=0.1)
     retry_slack: Annotated[float, Meta(ge=0)] = field(name="retryBudgetSlack", default=0.0)
     retry_window_s: Annotated[float, Meta(gt=0)] = field(name="budgetWindowS", default=10.0)
+    # Requests of a customer in any window, beyond rate and burst, over all nodes.
+    quota_window_s: Annotated[float, Meta(gt=0)] = field(name="quotaWindowS", default=5.0)
+    quota_overage: Annotated[float, Meta(ge=0, le=1)] = field(name="quotaOverage", default=0.1)
+    quota_slack: Annotated[float, Meta(ge=0)] = field(name="quotaSlack", default=20.0)
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -107,6 +119,7 @@
     data_dir: str | None = field(name="dataDir", default=None)
     fault_tolerance: Tolerance = field(name="faultTolerance")
     bounds: Bounds
+    contracts: tuple[str, ...] = ()
     # Service of the local target; None on control instances.
     service: str | None = None
     app_address: str | None = field(name="appAddr", default=None)
@@ -149,6 +162,21 @@
         raise SettingsError(place, f"use host:port, got {text!r}") from None
 
 
+def _translate_quotas(boot: Boot) -> QuotaSettings:
+    """Return the settings of quotas, the defaults if the deployment has no quotas."""
+    if not QUOTA_CONTRACTS.intersection(boot.contracts):
+        return QuotaSettings()
+    bounds = boot.bounds
+    window_ms = bounds.quota_window_s * 1_000
+    life_ms = TOKEN_LIFE_SHARE * bounds.quota_overage * window_ms
+    return QuotaSettings(
+        window_ms=int(window_ms),
+        overage_ratio=bounds.quota_overage,
+        slack=bounds.quota_slack,
+        token_life_ms=int(min(max(life_ms, MIN_TOKEN_LIFE_MS), MAX_TOKEN_LIFE_MS)),
+    )
+
+
 def translate(boot: Boot, place: str) -> Settings:
     """Return the daemon settings; raises SettingsError."""
     peer_port = boot.port_range[0] + PEER_PORT_OFFSET
@@ -227,6 +255,7 @@
             measure_budget_bytes_per_s=8_000,
             max_candidates=16,
         ),
+        quotas=_translate_quotas(boot),
         operator=OperatorSettings(
             max_body_bytes=MAX_PATCH_BYTES if boot.service is None else MAX_HEARTBEAT_BYTES
         ),
--- a/knapweedhitch/raftstate.py
+++ b/knapweedhitch/raftstate.py
@@ -97,6 +97,16 @@
         self.done.set()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommittedMembers:
+    """Describe the voters of the last committed members entry."""
+
+    index: int
+    voters: Mapping[str, str]
+    # The nodes that have ever been voters; None if earlier entries are no longer known.
+    n_ever: int | None
+
+
 @dataclasses.dataclass
 class Progress:
     """Track the replication state of one peer, as the leader sees it."""
@@ -252,6 +262,14 @@
                 group_id, voters = entry_group_id, entry_voters
         return group_id, voters
 
+    def committed_members(self) -> CommittedMembers:
+        """Return the voters as of the last committed members entry."""
+        committed = [entry for entry in self._members if entry[0] <= self.commit_index]
+        index, _, voters = committed[-1] if committed else self._members[0]
+        ever = {node_id for _, _, entry_voters in self._members for node_id in entry_voters}
+        is_complete = self._members[0][0] == 0
+        return CommittedMembers(index, voters, len(ever) if is_complete else None)
+
     def record_members(self, entry: LogEntry) -> None:
         """Record the voters of a members entry, ignoring other kinds; raises CorruptFile."""
         if entry.kind != MEMBERS:
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -30,6 +30,7 @@
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import ServiceConfig
 from knapweedhitch.payload import NoBody, ReplayBody
+from knapweedhitch.quotatokens import TokenLot
 from knapweedhitch.routedispatch import POLICY, RelayCall, RouteDispatcher
 from knapweedhitch.routetable import RouteTable, WeightedSplit
 from knapweedhitch.trace import Trace
@@ -135,7 +136,13 @@
         if self._config.current.items.is_empty:
             await self._wait_for_first_config()
         call = trace.call = self._prepare(trace, conn, head)
-        attempt = await self._run_until_caller_leaves(call)
+        token = await self._take_token(call)
+        try:
+            attempt = await self._run_until_caller_leaves(call)
+        except (Refusal, CallerGone) as exc:
+            if token is not None and _has_not_run(call, exc):
+                self._kernel.get("quotas").give_back(token)
+            raise
         trace.status = attempt.status
         await attempt.deliver()
 
@@ -186,6 +193,15 @@
             waited_ms=self._caller_waits.record_deadline(route.name, deadline_ms),
         )
 
+    async def _take_token(self, call: RelayCall) -> TokenLot | None:
+        """Return a token of the customer's quota, None if there is no quota; raises Refusal."""
+        customer = self._config.current.items.customers.get(call.customer)
+        if customer is None or customer.rate_per_s <= 0.0:
+            return None
+        objective_ms = call.route.target_latency_ms or call.route.timeout_ms
+        token: TokenLot | None = await self._kernel.get("quotas").take(customer, objective_ms)
+        return token
+
     def _match_route(self, items: Items, head: RequestHead) -> RouteItem:
         if items is not self._items:
             self._items, self._table = items, RouteTable(items)
@@ -264,6 +280,13 @@
         self._log.event("request", **fields)
 
 
+def _has_not_run(call: RelayCall, failure: Refusal | CallerGone) -> bool:
+    """Return whether no upstream has run a call or will run it."""
+    if isinstance(failure, Refusal):
+        return failure.outcome is Outcome.NOT_RUN
+    return not call.may_have_run and not call.in_progress
+
+
 def _status_of(refusal: Refusal) -> int:
     """Return a status that is in NOT_RUN_STATUSES only if the request is known not to have run."""
     if refusal.outcome is Outcome.NOT_RUN:
--- a/knapweedhitch/runtime.py
+++ b/knapweedhitch/runtime.py
@@ -33,6 +33,7 @@
     ("suspects", "suspectsharing"),
     ("config", "feed"),
     ("control", "control"),
+    ("quotas", "quotas"),
     ("picker", "pick"),
     ("admission", "admission"),
     ("retry", "retry"),
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -358,6 +358,32 @@
     background_retries: Count = 6
 
 
+class QuotaSettings(Section, frozen=True):
+    """Configure the quotas of customers over all nodes; only customers with a rate have one."""
+
+    # In any window, at most (rate * window + burst) * (1 + overage_ratio) + slack requests run.
+    window_ms: Ms = 5_000
+    overage_ratio: Ratio = 0.1
+    slack: Annotated[float, Meta(ge=0.0, le=1_000_000.0)] = 20.0
+    # A token can be used or returned for this long; it counts from the request for the token.
+    token_life_ms: Annotated[int, Meta(ge=10, le=60_000)] = 150
+    # Another holder is asked as well if one does not reply within this time.
+    ask_timeout_ms: Ms = 20
+    # A request waits for replies, and for a part that is empty, up to these shares of its latency
+    # objective, and up to the life of a token.
+    max_reply_wait_share: Ratio = 0.25
+    max_refill_wait_share: Ratio = 0.08
+    # Others are asked for this long before a holder that does not reply or that holds no part.
+    silent_backoff_ms: Ms = 500
+    no_part_backoff_ms: Ms = 2_000
+    # A voter grants tokens up to this time after it was last proved to be one. A new voter waits as
+    # long, so that the one it replaces has stopped.
+    voter_lease_ms: Ms = 10_000
+    voter_query_ms: Ms = 1_500
+    max_retry_after_ms: Ms = 5_000
+    max_customers: Count = 20_000
+
+
 class SuspectSettings(Section, frozen=True):
     """Configure how requests that crash their upstreams are found and refused."""
 
@@ -428,11 +454,17 @@
     admission: AdmissionSettings = AdmissionSettings()
     routing: RoutingSettings = RoutingSettings()
     claims: ClaimSettings = ClaimSettings()
+    quotas: QuotaSettings = QuotaSettings()
     suspects: SuspectSettings = SuspectSettings()
     operator: OperatorSettings = OperatorSettings()
     stop: StopSettings = StopSettings()
     log: LogSettings = LogSettings()
 
+    @property
+    def quota_parts(self) -> int:
+        """Return the number of parts of each quota, one for each voter of the replicated log."""
+        return self.control.max_voters or len(self.control.members)
+
     @property
     def is_control(self) -> bool:
         """Return whether this node is a control instance."""
@@ -494,6 +526,13 @@
         raise SettingsError(
             f"{place}: feed.poll_interval_ms", "use at most half of feed.config_lease_ms"
         )
+    # Tokens used late or returned late add their lifetime to the window, up to twice.
+    spread_ms = cfg.quotas.window_ms * cfg.quotas.overage_ratio
+    if 2 * cfg.quotas.token_life_ms > spread_ms:
+        raise SettingsError(
+            f"{place}: quotas.token_life_ms",
+            f"use at most half of quotas.window_ms * quotas.overage_ratio = {spread_ms / 2:.0f}",
+        )
     if cfg.control.election_timeout_ms < 3 * cfg.control.heartbeat_ms:
         raise SettingsError(
             f"{place}: control.election_timeout_ms", "use at least 3 * control.heartbeat_ms"
