--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -150,6 +150,7 @@
             spec.decline_above,
             spec.is_repeat,
             spec.customer,
+            spec.is_nested,
         )
         try:
             return await self._peers.open_stream(node_id, opening)
@@ -195,6 +196,8 @@
                 received.body_bytes += len(msg.data)
                 await sink.data(msg.data)
             elif isinstance(msg, StreamHead):
+                if msg.status not in framing.FINAL_STATUSES:
+                    raise PeerProtocolError(f"status {msg.status}")
                 received.has_head = True
                 self._record_load(spec, msg.load)
                 await sink.head(msg.status, msg.headers, msg.load)
@@ -276,6 +279,7 @@
             opening.decline_above,
             opening.is_repeat,
             customer=opening.customer,
+            is_nested=opening.is_nested,
         )
         self._record_interest(node_id, None)
         sink = RemoteSink(stream, self._current_load)
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -5,7 +5,7 @@
 from typing import Annotated
 
 import msgspec
-from msgspec import Meta, field
+from msgspec import Meta, field, structs
 
 from knapweedhitch import yamltext
 from knapweedhitch.exceptions import SettingsError
@@ -65,6 +65,10 @@
     cold="cold-ms",
     instance="instance-id",
 )
+# The contract of deployments whose configuration may list customers, and the headers for them.
+CUSTOMERS_CONTRACT = "tenants"
+CREDENTIAL_HEADER = "credential"
+CUSTOMER_HEADER = "tenant-id"
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -92,7 +96,7 @@
     retry_window_s: Annotated[float, Meta(gt=0)] = field(name="budgetWindowS", default=10.0)
     # Requests of a customer in any window, beyond rate and burst, over all nodes.
     quota_window_s: Annotated[float, Meta(gt=0)] = field(name="quotaWindowS", default=5.0)
-    quota_overage: Annotated[float, Meta(ge=0, le=1)] = field(name="quotaOverage", default=0.1)
+    quota_overage: Annotated[float, Meta(ge=0)] = field(name="quotaOverage", default=0.1)
     quota_slack: Annotated[float, Meta(ge=0)] = field(name="quotaSlack", default=20.0)
 
 
@@ -119,6 +123,7 @@
     data_dir: str | None = field(name="dataDir", default=None)
     fault_tolerance: Tolerance = field(name="faultTolerance")
     bounds: Bounds
+    # Names of the groups of rules that hold in the deployment.
     contracts: tuple[str, ...] = ()
     # Service of the local target; None on control instances.
     service: str | None = None
@@ -168,15 +173,22 @@
         return QuotaSettings()
     bounds = boot.bounds
     window_ms = bounds.quota_window_s * 1_000
-    life_ms = TOKEN_LIFE_SHARE * bounds.quota_overage * window_ms
+    overage_ratio = min(1.0, bounds.quota_overage)
+    life_ms = TOKEN_LIFE_SHARE * overage_ratio * window_ms
     return QuotaSettings(
         window_ms=int(window_ms),
-        overage_ratio=bounds.quota_overage,
+        overage_ratio=overage_ratio,
         slack=bounds.quota_slack,
         token_life_ms=int(min(max(life_ms, MIN_TOKEN_LIFE_MS), MAX_TOKEN_LIFE_MS)),
     )
 
 
+def _translate_headers(boot: Boot) -> HeaderSettings:
+    if CUSTOMERS_CONTRACT not in boot.contracts:
+        return HEADERS
+    return structs.replace(HEADERS, credential=CREDENTIAL_HEADER, customer=CUSTOMER_HEADER)
+
+
 def translate(boot: Boot, place: str) -> Settings:
     """Return the daemon settings; raises SettingsError."""
     peer_port = boot.port_range[0] + PEER_PORT_OFFSET
@@ -215,7 +227,7 @@
             operator=Listener(enabled=False),
             metrics=Listener(boot.ip, boot.port_range[0] + METRICS_PORT_OFFSET),
         ),
-        headers=HEADERS,
+        headers=_translate_headers(boot),
         feed=FeedSettings(serve_stale=True),
         membership=MembershipSettings(
             seeds=tuple(Listener(ip, peer_port) for ip in seeds),
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -84,6 +84,10 @@
     # Sent to the upstream: the intended instance and the calling service.
     expected_instance: OptionalFieldName = ""
     caller_service: OptionalFieldName = ""
+    # The key of a customer, which is read from requests of callers and not sent on, and the name of
+    # its customer, which is sent to the upstream. Without them, customers are not told apart.
+    credential: OptionalFieldName = ""
+    customer: OptionalFieldName = ""
     # Read from responses of the upstream: whether the request was not run, and the load.
     not_run: OptionalFieldName = ""
     load: OptionalFieldName = ""
@@ -208,7 +212,6 @@
     max_message_bytes: Bytes = 1_048_576
     max_queued_messages: Count = 1_024
     max_queued_bytes: Bytes = 8_388_608
-    max_received_messages: Count = 64
     max_handlers: Count = 64
     max_pending_sends: Count = 64
     max_streams: Count = 1_024
