--- a/knapweedhitch/quotaholder.py
+++ b/knapweedhitch/quotaholder.py
@@ -16,7 +16,7 @@
     VoterReply,
 )
 from knapweedhitch.model import Configuration
-from knapweedhitch.quotapart import LeaseState, QuotaLimits, QuotaTable, VoterLease
+from knapweedhitch.quotapart import Division, LeaseState, QuotaLimits, QuotaTable, VoterLease
 from knapweedhitch.supervisor import OnFault
 from knapweedhitch.timers import Subscription
 
@@ -38,7 +38,8 @@
         self._now_ms = self._timers.now_ms
         self._control = kernel.get("control")
         self._n_parts = kernel.cfg.quota_parts
-        self._table = QuotaTable(self._n_parts, self._cfg.max_customers, self._now_ms)
+        division = Division(self._n_parts, self._cfg.slack)
+        self._table = QuotaTable(division, self._cfg.max_customers, self._now_ms)
         # Tells the grants of this process from those of an earlier one.
         self._process = secrets.randbelow(MAX_PROCESS_ID)
         self._lease = VoterLease(self._cfg.voter_lease_ms, None)
--- a/knapweedhitch/quotapart.py
+++ b/knapweedhitch/quotapart.py
@@ -17,6 +17,8 @@
 
 # Of the tokens left over, the share that one node may get for requests that it only expects.
 EXPECTED_SHARE = 0.25
+# Higher limits don't fit into messages, and no customer reaches them.
+MAX_LIMIT = 1e12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,7 +34,25 @@
         """Return the limits of a customer, None if it has none."""
         if item.rate_per_s <= 0.0:
             return None
-        return cls(item.version, item.rate_per_s, item.burst)
+        rate, burst = min(item.rate_per_s, MAX_LIMIT), min(item.burst, MAX_LIMIT)
+        return cls(item.version, rate, burst)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Division:
+    """Divide quotas into equal parts.
+
+    A part holds up to one token more than its share of the burst, as only whole tokens can be
+    granted. All parts together stay within the slack.
+    """
+
+    parts: int
+    slack: float
+
+    def divide(self, limits: QuotaLimits) -> tuple[float, float]:
+        """Return the rate per second and the burst of one part."""
+        extra = min(1.0, self.slack / self.parts)
+        return limits.rate_per_s / self.parts, limits.burst / self.parts + extra
 
 
 class QuotaPart:
@@ -41,20 +61,18 @@
     The part begins empty: what an earlier holder granted within the last window is not known.
     """
 
-    def __init__(self, limits: QuotaLimits, parts: int, now_ms: Callable[[], float]) -> None:
-        self._parts = parts
+    def __init__(
+        self, limits: QuotaLimits, division: Division, now_ms: Callable[[], float]
+    ) -> None:
+        self._division = division
         self._now_ms = now_ms
         self.limits = limits
-        rate, burst = self._divided(limits)
+        rate, burst = division.divide(limits)
         self._bucket = TokenBucket(rate, burst, now_ms, full=False)
         # Tokens of the future that refused callers were told to come back for.
         self._promised = 0.0
         self._promised_ms = now_ms()
 
-    def _divided(self, limits: QuotaLimits) -> tuple[float, float]:
-        # A bucket that holds less than one token would never grant any.
-        return limits.rate_per_s / self._parts, max(1.0, limits.burst / self._parts)
-
     @property
     def tokens(self) -> float:
         """Return the number of tokens that are left."""
@@ -63,7 +81,7 @@
     def set_limits(self, limits: QuotaLimits) -> None:
         """Change the limits; tokens beyond a lower burst are lost, a raise adds none."""
         self.limits = limits
-        self._bucket.set_limits(*self._divided(limits))
+        self._bucket.set_limits(*self._division.divide(limits))
 
     def clear(self) -> None:
         """Drop all tokens."""
@@ -84,7 +102,7 @@
     def record_refused(self, count: int) -> None:
         """Record refusals of which each caller was told a time to come back."""
         self._decay_promised()
-        self._promised += count / self._parts
+        self._promised += count / self._division.parts
 
     def next_token_ms(self) -> float:
         """Return the time until the part has a token."""
@@ -110,8 +128,8 @@
 class QuotaTable:
     """Hold the parts of all customers with a quota at one holder."""
 
-    def __init__(self, parts: int, max_customers: int, now_ms: Callable[[], float]) -> None:
-        self._n_parts = parts
+    def __init__(self, division: Division, max_customers: int, now_ms: Callable[[], float]) -> None:
+        self._division = division
         self._max_customers = max_customers
         self._now_ms = now_ms
         self._parts: dict[str, QuotaPart] = {}
@@ -152,7 +170,7 @@
         known = max(self._removed.get(customer, -1), self._unlimited.get(customer, -1))
         if limits.version <= known or len(self._parts) >= self._max_customers:
             return None
-        part = self._parts[customer] = QuotaPart(limits, self._n_parts, self._now_ms)
+        part = self._parts[customer] = QuotaPart(limits, self._division, self._now_ms)
         return part
 
     def is_unlimited(self, customer: str, version: int) -> bool:
--- a/tests/quota_world.py
+++ b/tests/quota_world.py
@@ -372,3 +372,12 @@
     window_s = cfg.window_ms / MS_PER_S
     most = max(item.rate_per_s * window_s + item.burst for item in limits)
     return most * (1.0 + cfg.overage_ratio) + cfg.slack
+
+
+def granted_in_window(limits: Iterable[CustomerItem], cfg: QuotaSettings, parts: int) -> float:
+    """Return the requests for which the parts can have granted tokens.
+
+    It leaves room below `allowed_in_window` for requests that wait at their targets.
+    """
+    span_s = (cfg.window_ms + 2.0 * cfg.token_life_ms) / MS_PER_S
+    return max(item.rate_per_s * span_s + item.burst for item in limits) + parts
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -17,6 +17,7 @@
 from knapweedhitch.model import Address, UpstreamState
 from knapweedhitch.platform import heartbeats, items
 from knapweedhitch.platform.settings import parse_boot, parse_settings, translate
+from knapweedhitch.settings import QuotaSettings
 
 BOOT_SETTINGS: dict[str, Any] = {
     "node": "app_host-east-1",
@@ -113,6 +114,18 @@
             [m.id for m in cfg.control.members], ["10.1.0.12", "10.2.0.9", "10.3.0.10"]
         )
 
+    def test_quotas_follow_the_bounds_where_the_deployment_has_them(self) -> None:
+        """Guards against a token life that the allowed overage doesn't cover."""
+        bounds = {"graceS": 6, "quotaWindowS": 2, "quotaOverage": 0.05, "quotaSlack": 7}
+        fields = {**BOOT_SETTINGS, "bounds": bounds}
+        cfg = translate(parse_boot(yaml.dump(fields), "boot"), "boot").quotas
+        self.assertEqual(cfg, QuotaSettings())
+        for contract in ("quota", "tenants"):
+            boot = parse_boot(yaml.dump({**fields, "contracts": [contract]}), "boot")
+            cfg = translate(boot, "boot").quotas
+            self.assertEqual((cfg.window_ms, cfg.overage_ratio, cfg.slack), (2_000, 0.05, 7.0))
+            self.assertEqual(cfg.token_life_ms, 30)
+
     def test_retry_budget_is_that_of_the_deployment(self) -> None:
         """Guards against a start that fails on a fractional slack, and a fixed retry budget."""
         bounds = {
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -19,6 +19,8 @@
     NoRoom,
     Outcome,
     PeerFailed,
+    QuotaExceeded,
+    QuotaUnknown,
     Refusal,
     UpstreamFailed,
     UpstreamShed,
@@ -27,7 +29,7 @@
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
 from knapweedhitch.framing import header_names
 from knapweedhitch.http1 import ServerConnection
-from knapweedhitch.items import ItemPatch, Items, merge
+from knapweedhitch.items import CustomerItem, ItemPatch, Items, merge
 from knapweedhitch.kernel import Kernel
 from knapweedhitch.model import Address, CallResult, Configuration, Target, UpstreamRecord
 from knapweedhitch.pick import Picker
@@ -539,6 +541,80 @@
             self.assertEqual(world.cancelled, 1)
 
 
+class FakeQuotas:
+    """Record the tokens that are taken and given back; refuse while `refusal` is set."""
+
+    def __init__(self) -> None:
+        self.taken = 0
+        self.returned: list[object] = []
+        self.refusal: Refusal | None = None
+
+    async def take(self, customer: CustomerItem, objective_ms: float) -> int:
+        if self.refusal is not None:
+            raise self.refusal
+        self.taken += 1
+        return self.taken
+
+    def give_back(self, token: object) -> None:
+        self.returned.append(token)
+
+
+class QuotaTest(unittest.TestCase):
+    async def start(self, handlers: list[Handler], rate_per_s: float = 10.0) -> World:
+        customers = {"acme": CustomerItem("acme", 1, ("k1",), rate_per_s, 10.0, None, "")}
+        world = await start_world(handlers, items=structs.replace(ITEMS, customers=customers))
+        self.quotas = FakeQuotas()
+        world.relay._kernel.add("quotas", self.quotas)
+        return world
+
+    @run_on_mock_clock
+    async def test_request_over_the_quota_reaches_no_target(self) -> None:
+        """Guards against 429 without the time at which there is room, or after a target has it."""
+        world = await self.start([])
+        self.quotas.refusal = QuotaExceeded(1_234.0)
+        data = await world.request("/safe/x", headers="X-Key: k1\r\n")
+        self.assertTrue(data.startswith(b"HTTP/1.1 429"), data)
+        self.assertIn(b"retry-after: 1.23\r\n", data)
+        self.assertIn(b'"outcome": "not-run"', data)
+        self.quotas.refusal = QuotaUnknown()
+        data = await world.request("/safe/x", headers="X-Key: k1\r\n")
+        self.assertTrue(data.startswith(b"HTTP/1.1 503"), data)
+        self.assertEqual(world.specs, [])
+
+    @run_on_mock_clock
+    async def test_token_comes_back_only_if_the_request_did_not_run(self) -> None:
+        """Guards against a quota that is spent on refused requests, and against one that is used
+        twice since a request that may have run gives its token back.
+        """
+        cases: tuple[tuple[Handler, int], ...] = (
+            (respond, 0),
+            (fail_with(NoRoom()), 1),
+            (fail_with(UpstreamFailed(Outcome.UNKNOWN)), 0),
+            (fail_with(PeerFailed(Outcome.NOT_RUN)), 1),
+            (functools.partial(respond, status=503), 0),
+            (hang, 0),
+        )
+        for handler, returned in cases:
+            world = await self.start([handler] * 4)
+            await world.request("/paid/x", "POST", "X-Key: k1\r\nContent-Length: 0\r\n")
+            with self.subTest(handler):
+                self.assertEqual((self.quotas.taken, len(self.quotas.returned)), (1, returned))
+
+    @run_on_mock_clock
+    async def test_only_requests_with_a_key_and_a_limit_take_tokens(self) -> None:
+        """Guards against calls of runs that count against the quota of the customer whose request
+        they serve, and against a customer without a limit that needs a token.
+        """
+        for rate_per_s, taken in ((10.0, 1), (0.0, 0)):
+            world = await self.start([], rate_per_s)
+            await world.request("/safe/x", headers="X-Key: k1\r\n")
+            world.runs = {"r1": world.specs[0]}
+            await world.request("/safe/y", request_id="r1.1")
+            with self.subTest(rate_per_s):
+                self.assertEqual(len(world.specs), 2)
+                self.assertEqual(self.quotas.taken, taken)
+
+
 class RouteChangeTest(unittest.TestCase):
     @run_on_mock_clock
     async def test_new_items_are_used_at_once(self) -> None:
