Links: skip the checks of a heartbeat that can find nothing to do

A check now tells before which time nothing can be due, at most one heartbeat ahead. A use of a link ends its rest at once instead of at the next check, so a silent peer is found as early as before (tests/test_heartbeat.py).

--- a/knapweedhitch/heartbeat.py
+++ b/knapweedhitch/heartbeat.py
@@ -30,6 +30,8 @@
         self.queued_ms = now_ms
         # Whether the last check found the peer silent for longer than it may be.
         self.is_silent = False
+        # A check before this time finds nothing to do. Nodes hold many links, and most are at rest.
+        self._next_check_ms = now_ms
         self._active_since_ms = now_ms
         self._checked_ms = now_ms
         self._pinged_ms = 0.0
@@ -47,7 +49,14 @@
         """Start to count silence anew; while the link rested, few frames were due."""
         if self._is_resting:
             self._is_resting = False
-            self._active_since_ms = now_ms
+            self._active_since_ms = self._next_check_ms = now_ms
+
+    def is_check_due(self, now_ms: float) -> bool:
+        """Return whether a check may find something to do; called as often as a check."""
+        if now_ms >= self._next_check_ms:
+            return True
+        self._checked_ms = now_ms
+        return False
 
     def check(
         self, now_ms: float, last_read_ms: float, interval_ms: float, *, resting: bool
@@ -63,8 +72,13 @@
         self.is_silent = is_over_limit and not was_paused
         # Any frame that arrived within the interval counts as a pong. A peer that only receives
         # pings as well, since the pings of the other side wait behind what it receives.
-        quiet_ms = now_ms - min(self.received_ms, self.queued_ms)
-        if quiet_ms >= interval_ms and now_ms - self._pinged_ms >= interval_ms:
+        quiet_since_ms = min(self.received_ms, self.queued_ms)
+        is_ping_due = now_ms - max(quiet_since_ms, self._pinged_ms) >= interval_ms
+        if is_ping_due:
             self._pinged_ms = now_ms
-            return Action.PING
-        return Action.NONE
+        self._next_check_ms = min(
+            max(quiet_since_ms, self._pinged_ms) + interval_ms,
+            max(self.received_ms, self._active_since_ms) + limit_ms,
+            now_ms + self._cfg.heartbeat_interval_ms,
+        )
+        return Action.PING if is_ping_due else Action.NONE
--- a/knapweedhitch/link.py
+++ b/knapweedhitch/link.py
@@ -150,6 +150,11 @@
         """Wait until the next batch has been written or the link is closed."""
         await self._batch_written.wait()
 
+    def mark_used(self, now: float) -> None:
+        """Record a call, a stream or a message, after which the link does not rest."""
+        self.last_used_ms = now
+        self._heartbeat.end_rest(now)
+
     # Sending
 
     def put(self, msg: Message) -> None:
@@ -192,7 +197,7 @@
         """
         self._calls.check_room()
         call_id = next(self._sequence)
-        self.last_used_ms = Timers.now_ms()
+        self.mark_used(Timers.now_ms())
         self.put(CallMessage(call_id, codec.encode(msg)))
         return await self._calls.wait_reply(call_id)
 
@@ -200,8 +205,8 @@
         """Open a stream under a new id; raises PeerQueueFull and PeerDisconnected."""
         if len(self._streams) >= self.cfg.max_streams:
             raise PeerQueueFull(f"peer={self.peer_id} streams={len(self._streams)}")
-        now = self.last_used_ms = Timers.now_ms()
-        self._heartbeat.end_rest(now)
+        now = Timers.now_ms()
+        self.mark_used(now)
         if self._transit.is_clock_due(now):
             self.put_frame(Clock(now))
         self.has_carried_streams = True
@@ -258,14 +263,13 @@
         """Return for how long the peer has sent nothing although frames were due."""
         return self._heartbeat.silent_ms(Timers.now_ms(), self._wire.last_read_ms)
 
-    def check_heartbeat(self, rest_heartbeat_ms: float) -> None:
+    def check_heartbeat(self, now: float, rest_heartbeat_ms: float) -> None:
         """Ping a quiet peer, close a silent link and retire an unused one.
 
         Called several times per heartbeat interval. A resting link uses the given interval.
         """
-        if self.disconnect_error is not None:
+        if self.disconnect_error is not None or not self._heartbeat.is_check_due(now):
             return
-        now = Timers.now_ms()
         # A heartbeat costs 150 bytes with headers; at the full rate 50 unused links would use
         # 8 KB/s of a budget of 3 KB/s.
         is_unused = self.is_idle and not self.retired
@@ -385,14 +389,14 @@
             if not self._streams.deliver(msg.stream_id, msg):
                 self._counters.add("peer_late_frames", "stream")
         elif isinstance(msg, OpenStream):
-            self.last_used_ms = received_ms
+            self.mark_used(received_ms)
             self.has_carried_streams = True
             msg = msg.after(self._transit.excess_ms(received_ms))
             self._owner.on_stream(self, msg, self._streams.accept(msg))
         elif isinstance(msg, Clock):
             self._transit.record(msg.sent_ms, received_ms)
         elif isinstance(msg, CallMessage):
-            self.last_used_ms = received_ms
+            self.mark_used(received_ms)
             self._on_call(msg)
         elif isinstance(msg, ReplyMessage):
             self._calls.on_reply(msg)
--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -127,8 +127,9 @@
 
     def _check_heartbeats(self) -> None:
         rest_heartbeat_ms = compute_rest_heartbeat_ms(self._cfg, len(self._links))
+        now = Timers.now_ms()
         for link in list(self._links):
-            link.check_heartbeat(rest_heartbeat_ms)
+            link.check_heartbeat(now, rest_heartbeat_ms)
 
     # Interface
 
@@ -170,7 +171,7 @@
         try:
             if peer.preferred is not None and peer.preferred.is_usable:
                 peer.preferred.put(msg)
-                peer.preferred.last_used_ms = Timers.now_ms()
+                peer.preferred.mark_used(Timers.now_ms())
                 return
         except PeerError as exc:
             self._counters.add("peer_sends_dropped", type(exc).__name__)
