Platform: 12 heartbeats a second on links at rest instead of 40

Pings and their answers were 54 of 68 messages a second that a node of 20 sends at rest (counted by type on loopback). The interval at rest grows to its bound of 2 s at 24 links; nodes with more than 80 links had that bound already. The interval of links in use stays at 250 ms.

--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -201,7 +201,7 @@
             rest_after_ms=500,
             rest_heartbeat_ms=250,
             max_rest_heartbeat_ms=2_000,
-            max_rest_heartbeats_per_s=40,
+            max_rest_heartbeats_per_s=12,
             cancel_wait_ms=CANCEL_WAIT_MS,
             max_message_bytes=16_777_216,
         ),
