Load reports: shorter, none for the mean latency, fewer to other domains

Three changes:

- A changed mean latency is no reason for a report: no receiver reads it.
- A changed number of calls alone goes to other domains at most once in four intervals.
A changed slowdown, wait, limit, warmth or drain goes at once.

New tests: codec sizes, reports by domain.

--- a/knapweedhitch/codec.py
+++ b/knapweedhitch/codec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import struct
 import sys
 from collections.abc import Callable
 from typing import Annotated, Any, TypeVar
@@ -30,6 +31,9 @@
 # CBOR has byte strings of its own, so they are passed on as they are.
 BYTES = (bytes,)
 
+# 11 significant bits.
+HALF_PRECISION = struct.Struct("e")
+
 # The bound excludes NaN, which compares unequal to everything.
 Float = Annotated[float, msgspec.Meta(ge=-sys.float_info.max)]
 
@@ -78,8 +82,17 @@
 
 
 def encode(msg: Message) -> bytes:
-    """Encode a message."""
-    return cbor2.dumps([_numbers[type(msg)], *to_plain(msg)])
+    """Encode a message, with floats as short as their value allows."""
+    return cbor2.dumps([_numbers[type(msg)], *to_plain(msg)], canonical=True)
+
+
+def round_to_half(value: float) -> float:
+    """Return a float of half precision, which takes 3 bytes of a message instead of 9."""
+    try:
+        rounded: float = HALF_PRECISION.unpack(HALF_PRECISION.pack(value))[0]
+    except OverflowError:
+        return value
+    return rounded
 
 
 def decode(data: bytes, max_bytes: int = MAX_MESSAGE_BYTES) -> Message:
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from knapweedhitch import framing, logs
+from knapweedhitch import codec, framing, logs
 from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.counters import Counters
@@ -138,16 +138,17 @@
             spec.target,
             spec.headers,
             spec.has_body,
-            spec.deadline.remaining_ms(),
+            # Whole numbers are short in a message; rounding up would extend the deadline.
+            math.floor(spec.deadline.remaining_ms()),
             spec.retries_left,
             spec.depth,
             spec.config_version,
             spec.idempotent,
             spec.caller_service,
             spec.priority,
-            spec.target_latency_ms,
+            math.floor(spec.target_latency_ms),
             spec.route,
-            spec.decline_above,
+            codec.round_to_half(spec.decline_above),
             spec.is_repeat,
             spec.customer,
         )
--- a/knapweedhitch/loadreports.py
+++ b/knapweedhitch/loadreports.py
@@ -16,6 +16,9 @@
 
 # Smaller relative changes of slowdown, load or latency hardly affect a pick.
 MIN_RELEVANT_CHANGE = 0.2
+# A changed number of calls is reported to other failure domains once in so many intervals: nodes
+# there prefer targets nearby, and bytes between domains are paid for.
+REMOTE_INTERVALS = 4
 MAX_SOURCES = 40_000
 # TCP, IP and websocket headers of a report in a packet of its own.
 PACKET_OVERHEAD_BYTES = 58
@@ -34,18 +37,21 @@
 
 def is_relevant(old: LoadSample | None, new: LoadSample) -> bool:
     """Return whether the new sample differs enough to affect a pick."""
-    if old is None:
+    if old is None or is_urgent(old, new):
         return True
+    before, after = old.in_flight + old.queued, new.in_flight + new.queued
+    return abs(after - before) > MIN_RELEVANT_CHANGE * max(before, new.limit, 1)
+
+
+def is_urgent(old: LoadSample, new: LoadSample) -> bool:
+    """Return whether the new sample tells that calls are served slower or faster than before."""
     if abs(new.slowdown - old.slowdown) > MIN_RELEVANT_CHANGE * old.slowdown:
         return True
     if (old.warmth, old.draining, old.limit) != (new.warmth, new.draining, new.limit):
         return True
-    before, after = old.in_flight + old.queued, new.in_flight + new.queued
-    if abs(after - before) > MIN_RELEVANT_CHANGE * max(before, new.limit, 1):
-        return True
-    if abs(new.wait_ms - old.wait_ms) > MIN_RELEVANT_CHANGE * max(old.wait_ms, new.latency_ms, 1.0):
-        return True
-    return abs(new.latency_ms - old.latency_ms) > MIN_RELEVANT_CHANGE * max(old.latency_ms, 1.0)
+    return abs(new.wait_ms - old.wait_ms) > MIN_RELEVANT_CHANGE * max(
+        old.wait_ms, new.latency_ms, 1.0
+    )
 
 
 @service("loadreports")
@@ -120,13 +126,24 @@
                 del self._subscribers[node_id]
             elif now - entry.sent_ms < 0.5 * self._cfg.report_interval_ms:
                 continue
-            elif not is_relevant(entry.sample, sample):
+            elif not is_relevant(entry.sample, sample) or self._may_wait(
+                node_id, entry, sample, now
+            ):
                 self._counters.add("load_reports_suppressed", "no-change")
             elif not self._budget.take(size_bytes):
                 self._counters.add("load_reports_suppressed", "budget")
             else:
                 self._send(node_id, entry, report, size_bytes, now)
 
+    def _may_wait(self, node_id: str, entry: _Subscriber, sample: LoadSample, now: float) -> bool:
+        """Return whether a node of another domain gets the report later, with other changes."""
+        if entry.sample is None or is_urgent(entry.sample, sample):
+            return False
+        if now - entry.sent_ms >= REMOTE_INTERVALS * self._cfg.report_interval_ms:
+            return False
+        member = self._kernel.get("membership").members().get(node_id)
+        return member is not None and member.domain != self._kernel.cfg.node.domain
+
     def _send(
         self, node_id: str, entry: _Subscriber, report: LoadReport, size_bytes: int, now: float
     ) -> None:
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -12,6 +12,7 @@
 from knapweedhitch import framing, logs
 from knapweedhitch.budget import TokenBucket
 from knapweedhitch.clock import MS_PER_S
+from knapweedhitch.codec import round_to_half
 from knapweedhitch.coldtime import ColdTime
 from knapweedhitch.deadline import Deadline
 from knapweedhitch.exceptions import (
@@ -268,11 +269,11 @@
             in_flight=self.queue.running,
             queued=len(self.queue.waiting),
             limit=self.queue.limit,
-            latency_ms=self.queue.mean_ms,
+            latency_ms=round_to_half(self.queue.mean_ms),
             warmth=Warmth.COLD if cold else Warmth.WARM,
             draining=self._draining or self._domain_out or self.status.leaving,
-            slowdown=round(self.queue.slowdown, 2),
-            wait_ms=round(self.queue.expected_wait_ms(now), 1),
+            slowdown=round_to_half(self.queue.slowdown),
+            wait_ms=round_to_half(self.queue.expected_wait_ms(now)),
         )
 
     def set_upstream(self, record: UpstreamRecord | None) -> None:
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 import cbor2
@@ -10,7 +11,7 @@
 
 from knapweedhitch import codec, messages
 from knapweedhitch.exceptions import CodecError, MessageTooLarge, UnknownMessage
-from knapweedhitch.model import Address
+from knapweedhitch.model import Address, LoadSample, Warmth
 
 PING = messages.Ping(7)
 
@@ -20,6 +21,21 @@
         """Guards against fields that change when a message is encoded and decoded."""
         self.assertEqual(codec.decode(codec.encode(PING)), PING)
 
+    @given(st.floats(0.0, 60_000.0))
+    def test_floats_of_half_precision_are_short(self, value: float) -> None:
+        """Guards against load samples that take more bytes than their precision is worth."""
+        rounded = codec.round_to_half(value)
+        self.assertAlmostEqual(rounded, value, delta=max(1e-6, value / 2_000))
+        sample = LoadSample(1, 0, 5, rounded, Warmth.WARM, False, rounded, rounded)
+        msg = messages.LoadReport("i", 1, sample)
+        self.assertEqual(codec.decode(codec.encode(msg)), msg)
+        self.assertLess(len(codec.encode(msg)), 30)
+
+    def test_float_beyond_half_precision_is_kept(self) -> None:
+        """Guards against a long wait that becomes infinite or fails."""
+        for value in (70_000.0, math.inf):
+            self.assertEqual(codec.round_to_half(value), value)
+
     def test_damaged_messages_are_refused(self) -> None:
         """Guards against damaged messages that are decoded in part or raise an untyped error."""
         cases = [
--- a/tests/test_loadreports.py
+++ b/tests/test_loadreports.py
@@ -10,9 +10,10 @@
 
 from knapweedhitch.direct import Direct
 from knapweedhitch.exceptions import NoLease, Outcome, Refusal, UpstreamFailed
-from knapweedhitch.loadreports import LoadReports
+from knapweedhitch.loadreports import REMOTE_INTERVALS, LoadReports
 from knapweedhitch.messages import LeaseRevoke, LoadReport
 from knapweedhitch.model import Address, CallResult, LoadSample, Target, UpstreamRecord, Warmth
+from knapweedhitch.settings import RoutingSettings
 from tests.fake_net import Node, StaticMembership, running_nodes
 from tests.test_forward import Body, FakeServices, Sink, make_spec
 from tests.test_peers import run_on_mock_clock
@@ -26,6 +27,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.in_flight = 0
+        self.slowdown = 1.0
         self.held: list[int] = []
         self.granted_ids: list[tuple[str, int]] = []
         self.returned: list[tuple[int, bool, CallResult]] = []
@@ -39,7 +41,7 @@
 
     def load(self) -> LoadSample:
         """Return a load sample with the configured calls in flight."""
-        return LoadSample(self.in_flight, 0, 9, 4.0, Warmth.WARM)
+        return LoadSample(self.in_flight, 0, 9, 4.0, Warmth.WARM, slowdown=self.slowdown)
 
     def grant_leases(self, peer_id: str, wanted: int) -> list[int]:
         """Grant all wanted leases."""
@@ -123,6 +125,7 @@
 
     upstream: UpstreamRecord = UPSTREAM
     started_wall_ms: int = 1_000
+    domain: str = "d1"
 
 
 class Members(StaticMembership):
@@ -134,6 +137,10 @@
         """Return the only target."""
         return (Target("n1", "d", UPSTREAM),)
 
+    def members(self) -> dict[str, Own]:
+        """Return the members, of which n0 is in another domain than n1."""
+        return {"n0": Own(domain="d0"), "n4": Own(domain="d1")}
+
 
 def prepare(node: Node) -> None:
     """Add the fakes and the services under test."""
@@ -169,6 +176,29 @@
             await trio.sleep(1)
             self.assertEqual(len(fake(a).observed), 2)
 
+    @run_on_mock_clock
+    async def test_changes_of_load_reach_other_domains_less_often(self) -> None:
+        """Guards against bytes between failure domains for each call that starts or ends, and
+        against a node there that learns late that a target has become slow.
+        """
+        routing = RoutingSettings(measure_budget_bytes_per_s=50_000)
+        async with running_nodes(2, prepare=prepare, routing=routing) as (_, b):
+            reports, admission = b.kernel.get("loadreports"), fake(b)
+            sent: list[str] = []
+            b.peers.send = lambda node_id, msg: sent.append(node_id)  # type: ignore[method-assign]
+            for node_id in ("n0", "n4"):
+                reports.record_interest(node_id)
+            interval_ms = b.kernel.cfg.routing.report_interval_ms
+            for i in range(40):
+                admission.in_flight = i % 5 * 9
+                await trio.sleep(2 * interval_ms / 1_000)
+            self.assertGreater(sent.count("n4"), 35)
+            self.assertAlmostEqual(sent.count("n0"), 80 / REMOTE_INTERVALS, delta=4)
+            sent.clear()
+            admission.slowdown = 4.0
+            await trio.sleep(2 * interval_ms / 1_000)
+            self.assertEqual(sorted(sent), ["n0", "n4"])
+
     @run_on_mock_clock
     async def test_budget_holds_while_a_thousand_users_churn(self) -> None:
         """Guards against reports that exceed the byte budget, and nodes that get none."""
