Rollouts: state, rules and versions of targets in the replicated configuration

Targets announce the version of their software. An empty version is left out of the encoded record, so datagrams without versions keep their size.

--- a/knapweedhitch/changes.py
+++ b/knapweedhitch/changes.py
@@ -13,6 +13,7 @@
 from knapweedhitch.exceptions import CodecError, DuplicateRegistration, InvalidChange
 from knapweedhitch.items import ItemPatch
 from knapweedhitch.model import ClaimGroup, ServiceConfig
+from knapweedhitch.rollout import Step
 
 MAX_ID_CHARS = 128
 MAX_UNPACKED_BYTES = 524_288
@@ -131,6 +132,50 @@
         return self.node_id
 
 
+@operation("start_rollout")
+class StartRollout(Operation, frozen=True):
+    """Move a service's traffic to targets of a version; equal orders of one id are one order."""
+
+    service: str
+    target_version: str
+    duration_ms: int
+    order_id: str = ""
+
+    @property
+    def subject(self) -> str:
+        """Return the service."""
+        return self.service
+
+
+@operation("advance_rollout")
+class AdvanceRollout(Operation, frozen=True):
+    """Record a step of the roll-out that was ordered at a version of the log."""
+
+    service: str
+    order_version: int
+    step: Step
+
+    @property
+    def subject(self) -> str:
+        """Return the service."""
+        return self.service
+
+
+@operation("finish_rollout")
+class FinishRollout(Operation, frozen=True):
+    """End the roll-out that was ordered at a version of the log."""
+
+    service: str
+    order_version: int
+    completed: bool
+    reason: str
+
+    @property
+    def subject(self) -> str:
+        """Return the service."""
+        return self.service
+
+
 @operation("claim_group")
 class AddClaimGroup(Operation, frozen=True):
     """Add the next claim group of a service."""
@@ -176,7 +221,10 @@
 
 
 class StampedChange(Record, frozen=True):
-    """Describe a change with the leader's wall clock and the domains that serve each service."""
+    """Describe a change with the leader's wall clock and what serves each service.
+
+    That is the domains for an order about a domain, and the versions for a roll-out.
+    """
 
     change: Change
     wall_ms: int
--- a/knapweedhitch/codec.py
+++ b/knapweedhitch/codec.py
@@ -37,6 +37,10 @@
 class Record(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """Represent data that is sent or stored as an array of its fields."""
 
+    @classmethod
+    def compact(cls, plain: list[Any]) -> None:
+        """Shorten the array of the fields in place; most records have nothing to leave out."""
+
 
 class Message(Record, frozen=True):
     """Represent any message between nodes."""
@@ -64,9 +68,12 @@
 def to_plain(value: Any) -> Any:
     """Convert a value to CBOR arrays and scalars; raises CodecError."""
     try:
-        return msgspec.to_builtins(value, builtin_types=BYTES)
+        plain = msgspec.to_builtins(value, builtin_types=BYTES)
     except TypeError as exc:
         raise CodecError(str(exc)) from None
+    if isinstance(value, Record):
+        value.compact(plain)
+    return plain
 
 
 def from_plain(cls: Any, raw: Any) -> Any:
--- a/knapweedhitch/configuration.py
+++ b/knapweedhitch/configuration.py
@@ -10,12 +10,13 @@
 import cbor2
 from msgspec import structs
 
-from knapweedhitch import changes
+from knapweedhitch import changes, rollout
 from knapweedhitch import items as itemrules
 from knapweedhitch.changes import StampedChange
 from knapweedhitch.codec import from_plain, load_plain, to_plain
 from knapweedhitch.exceptions import CodecError, InvalidChange
 from knapweedhitch.model import ClaimGroup, Configuration, DomainStatus, ServiceConfig
+from knapweedhitch.rollout import Rollout
 
 NAME = re.compile(r"[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?")
 MAX_HOSTS = 100
@@ -164,6 +165,42 @@
     return structs.replace(cfg, draining_nodes=cfg.draining_nodes - {op.node_id})
 
 
+@_register_rule(changes.StartRollout)
+def _start_rollout(
+    cfg: Configuration, op: changes.StartRollout, stamped: StampedChange, version: int
+) -> Configuration:
+    if op.service not in cfg.items.backends and op.service not in cfg.services:
+        raise InvalidChange(f"no service {op.service[:80]!r}")
+    order = rollout.Rollout(
+        op.service, op.target_version, op.duration_ms, op.order_id, version, stamped.wall_ms
+    )
+    versions = stamped.serving.get(op.service, frozenset())
+    return structs.replace(cfg, rollouts=rollout.start(cfg.rollouts, order, versions))
+
+
+@_register_rule(changes.AdvanceRollout)
+def _advance_rollout(
+    cfg: Configuration, op: changes.AdvanceRollout, stamped: StampedChange, version: int
+) -> Configuration:
+    rollouts = rollout.advance(cfg.rollouts, op.service, op.order_version, op.step)
+    return structs.replace(cfg, rollouts=rollouts)
+
+
+@_register_rule(changes.FinishRollout)
+def _finish_rollout(
+    cfg: Configuration, op: changes.FinishRollout, stamped: StampedChange, version: int
+) -> Configuration:
+    rollouts = rollout.finish(
+        cfg.rollouts,
+        op.service,
+        op.order_version,
+        completed=op.completed,
+        reason=op.reason,
+        versions=stamped.serving.get(op.service, frozenset()),
+    )
+    return structs.replace(cfg, rollouts=rollouts)
+
+
 @_register_rule(changes.AddClaimGroup)
 def _add_claim_group(
     cfg: Configuration, op: changes.AddClaimGroup, stamped: StampedChange, version: int
@@ -233,6 +270,9 @@
         [[to_plain(g) for g in groups] for _, groups in sorted(cfg.claim_groups.items())],
         itemrules.to_state(cfg.items),
     ]
+    if cfg.rollouts:
+        # States of earlier builds have no seventh field.
+        plain.append([to_plain(r) for _, r in sorted(cfg.rollouts.items())])
     return zlib.compress(cbor2.dumps(plain), 6)
 
 
@@ -243,9 +283,10 @@
         plain = unpacker.decompress(data, max_bytes)
         if not unpacker.eof or unpacker.unused_data:
             raise CodecError(f"a state is cut short, or over {max_bytes} bytes")
-        version, services, domains, draining, groups, items = load_plain(plain)
+        version, services, domains, draining, groups, items, *rest = load_plain(plain)
         svcs = [from_plain(ServiceConfig, raw) for raw in services]
         group_lists = [tuple(from_plain(ClaimGroup, g) for g in raw) for raw in groups]
+        rollouts = [from_plain(Rollout, raw) for raw in (rest[0] if rest else ())]
         return Configuration(
             version=_version(version),
             services={svc.name: svc for svc in svcs},
@@ -253,6 +294,7 @@
             draining_nodes=frozenset(str(node) for node in draining),
             claim_groups={gs[0].service: gs for gs in group_lists},
             items=itemrules.from_state(items),
+            rollouts={r.service: r for r in rollouts},
         )
     except (zlib.error, TypeError, ValueError, IndexError) as exc:
         raise CodecError(f"invalid configuration state: {exc}") from None
@@ -271,7 +313,7 @@
 def diff(before: Configuration, after: Configuration, max_lines: int = 50) -> tuple[str, ...]:
     """Return the differences as lines that start with +, - or ~ and name the section."""
     lines: list[str] = []
-    for part in ("services", "domains", "claim_groups"):
+    for part in ("services", "domains", "claim_groups", "rollouts"):
         old, new = getattr(before, part), getattr(after, part)
         if old is new:
             continue
--- a/knapweedhitch/control.py
+++ b/knapweedhitch/control.py
@@ -10,7 +10,15 @@
 from msgspec import structs
 
 from knapweedhitch import changes, logs
-from knapweedhitch.changes import AddClaimGroup, AddClaimGroups, Change, DomainOut, StampedChange
+from knapweedhitch.changes import (
+    AddClaimGroup,
+    AddClaimGroups,
+    Change,
+    DomainOut,
+    FinishRollout,
+    StampedChange,
+    StartRollout,
+)
 from knapweedhitch.claimgroups import ByteWindow, ClaimGroupPlanner
 from knapweedhitch.clock import now_ms
 from knapweedhitch.codec import Message
@@ -28,6 +36,7 @@
     PeerUnreachable,
     ProposalUnknown,
     ReplicaBusy,
+    RolloutInProgress,
     VersionConflict,
 )
 from knapweedhitch.history import ConfigurationMachine, HistoryRecord
@@ -196,6 +205,8 @@
             return reply.version
         if reply.error == VersionConflict.__name__:
             raise VersionConflict(change.base_version or 0, reply.version, reply.detail)
+        if reply.error == RolloutInProgress.__name__:
+            raise RolloutInProgress(reply.detail)
         if reply.error == InvalidChange.__name__:
             raise InvalidChange(reply.detail)
         if reply.error in (NotLeader.__name__, ReplicaBusy.__name__):
@@ -226,10 +237,15 @@
         return await self.replica.propose(changes.encode_stamped(stamped))
 
     def _serving(self, change: Change) -> Mapping[str, frozenset[str]]:
-        """Return the domains with targets by service name, empty unless a domain goes out."""
-        if not isinstance(change.op, DomainOut) or self.machine is None:
+        """Return the domains or versions of the targets by service name, as the rules need them."""
+        if self.machine is None:
             return {}
         membership = self._kernel.get("membership")
+        if isinstance(change.op, StartRollout | FinishRollout):
+            targets = membership.targets(change.op.service)
+            return {change.op.service: frozenset(t.upstream.version for t in targets)}
+        if not isinstance(change.op, DomainOut):
+            return {}
         return {
             name: frozenset(t.domain for t in membership.targets(name) if not t.draining)
             for name in self.machine.current.services
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -203,6 +203,10 @@
     """Report a change that violates the rules of the configuration."""
 
 
+class RolloutInProgress(InvalidChange):
+    """Report an order to roll out a version while another one is being rolled out."""
+
+
 class ItemConflict(InvalidChange):
     """Report an item whose version is already stored with other content."""
 
@@ -467,6 +471,13 @@
     status = 503
 
 
+class RolloutLimited(Refusal):
+    """Refuse a call at a target whose version may not take it at this point of a roll-out."""
+
+    reason = "rollout-limited"
+    status = 503
+
+
 class NoTarget(Refusal):
     """Refuse a request because no target of the service can accept it."""
 
--- a/knapweedhitch/history.py
+++ b/knapweedhitch/history.py
@@ -18,21 +18,30 @@
     NodeUndrain,
     Operation,
     StampedChange,
+    StartRollout,
     decode_stamped,
 )
 from knapweedhitch.codec import Record, from_plain, load_plain, to_plain
 from knapweedhitch.configuration import drain_line
-from knapweedhitch.exceptions import ChangeError, CodecError, InvalidChange, VersionConflict
+from knapweedhitch.exceptions import (
+    ChangeError,
+    CodecError,
+    InvalidChange,
+    RolloutInProgress,
+    VersionConflict,
+)
 from knapweedhitch.model import Configuration
 from knapweedhitch.settings import ControlSettings
 
 MAX_DETAIL_CHARS = 400
+# The leader makes these changes by itself; they must not make changes of operators conflict.
+AUTOMATIC_KINDS = frozenset({"claim_group", "claim_groups", "advance_rollout", "finish_rollout"})
 
 
 class ChangeResult(Record, frozen=True):
     """Describe the outcome of a change.
 
-    The error is empty, `VersionConflict` or `InvalidChange`.
+    The error is empty, `VersionConflict`, `InvalidChange` or `RolloutInProgress`.
     """
 
     version: int
@@ -41,9 +50,11 @@
     base_version: int = 0
 
     def unwrap(self) -> int:
-        """Return the version of an accepted change; raises VersionConflict, InvalidChange."""
+        """Return the version of an accepted change; raises ChangeError."""
         if self.error == VersionConflict.__name__:
             raise VersionConflict(self.base_version, self.version, self.detail)
+        if self.error == RolloutInProgress.__name__:
+            raise RolloutInProgress(self.detail)
         if self.error:
             raise InvalidChange(self.detail)
         return self.version
@@ -74,8 +85,7 @@
     def __init__(self, limits: ControlSettings) -> None:
         self._limits = limits
         self.current = Configuration()
-        # The lowest valid base version. Claim groups do not raise it: the leader adds them by
-        # itself, and they must not make changes of operators conflict.
+        # The lowest valid base version; changes of AUTOMATIC_KINDS do not raise it.
         self.operator_version = 0
         self._results: OrderedDict[str, ChangeResult] = OrderedDict()
         self._history: deque[HistoryRecord] = deque(maxlen=limits.max_history_entries)
@@ -115,9 +125,10 @@
                 exc.current_version, type(exc).__name__, exc.winner, exc.base_version
             )
         except ChangeError as exc:
-            return ChangeResult(before.version, "InvalidChange", str(exc)[:MAX_DETAIL_CHARS])
+            cls = RolloutInProgress if isinstance(exc, RolloutInProgress) else InvalidChange
+            return ChangeResult(before.version, cls.__name__, str(exc)[:MAX_DETAIL_CHARS])
         self.current = after
-        if change.op.kind not in ("claim_group", "claim_groups"):
+        if change.op.kind not in AUTOMATIC_KINDS:
             self.operator_version = after.version
         record = HistoryRecord(
             after.version,
@@ -156,6 +167,9 @@
         if isinstance(op, DomainOut | DomainIn):
             status = self.current.domains.get(op.domain)
             return status.version if status is not None else 0
+        if isinstance(op, StartRollout):
+            rollout = self.current.rollouts.get(op.service)
+            return rollout.version if rollout is not None else 0
         if isinstance(op, NodeDrain | NodeUndrain):
             lines = {drain_line(op.node_id, draining) for draining in (True, False)}
             records = (r for r in reversed(self._history) if not lines.isdisjoint(r.diff))
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from typing import Any
 
 from msgspec import structs
 
@@ -509,8 +510,18 @@
     state: MemberState
 
 
+class _WithMembers(Message, frozen=True):
+    """Define the base of messages with member records."""
+
+    @classmethod
+    def compact(cls, plain: list[Any]) -> None:
+        """Shorten the member records."""
+        for member in plain[cls.__struct_fields__.index("members")]:
+            Member.compact(member)
+
+
 @message(60)
-class Probe(Message, frozen=True):
+class Probe(_WithMembers, frozen=True):
     """Request an ack from a node; an empty target means any node at the address."""
 
     sequence: int
@@ -521,7 +532,7 @@
 
 
 @message(61)
-class ProbeAck(Message, frozen=True):
+class ProbeAck(_WithMembers, frozen=True):
     """Acknowledge a probe; `sender` is the probed node."""
 
     sequence: int
@@ -540,7 +551,7 @@
 
 
 @message(63)
-class Gossip(Message, frozen=True):
+class Gossip(_WithMembers, frozen=True):
     """Disseminate member records and verdicts."""
 
     sender: str
@@ -576,7 +587,7 @@
 
 
 @message(66)
-class SyncExchange(Message, frozen=True):
+class SyncExchange(_WithMembers, frozen=True):
     """Send the records that the peer lacks and request the wanted ones."""
 
     wanted: tuple[str, ...]
@@ -585,7 +596,7 @@
 
 
 @message(67)
-class SyncMembers(Message, frozen=True):
+class SyncMembers(_WithMembers, frozen=True):
     """Reply to an exchange with the wanted records."""
 
     members: tuple[Member, ...]
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -5,13 +5,14 @@
 import enum
 import socket
 from collections.abc import Mapping
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 from msgspec import Meta
 
 from knapweedhitch.codec import Float, Record
 from knapweedhitch.items import Items
+from knapweedhitch.rollout import Rollout
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"})
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
@@ -20,6 +21,7 @@
 MAX_INCARNATION = (1 << 63) - 1
 MAX_COUNT = 1_000_000
 MAX_NAME_CHARS = 1_024
+MAX_VERSION_CHARS = 128
 # Headers carry the id of an instance, so it is visible ASCII.
 INSTANCE_ID = r"\A[!-~]{1,128}\Z"
 
@@ -99,6 +101,14 @@
     instance_id: Annotated[str, Meta(pattern=INSTANCE_ID)]
     incarnation: Annotated[int, Meta(ge=0, le=MAX_INCARNATION)]
     state: UpstreamState = UpstreamState.SERVING
+    # The version of its software; empty where versions are not announced.
+    version: Annotated[str, Meta(max_length=MAX_VERSION_CHARS)] = ""
+
+    @classmethod
+    def compact(cls, plain: list[Any]) -> None:
+        """Leave out an empty version, so that datagrams hold as many records without one."""
+        if not plain[-1]:
+            plain.pop()
 
     def is_same_start(self, instance_id: str, incarnation: int) -> bool:
         """Return whether this may be a record of that start of an instance.
@@ -149,6 +159,13 @@
     started_wall_ms: int = 0
     is_control: bool = False
 
+    @classmethod
+    def compact(cls, plain: list[Any]) -> None:
+        """Shorten the record of the upstream."""
+        upstream = plain[cls.__struct_fields__.index("upstream")]
+        if upstream is not None:
+            UpstreamRecord.compact(upstream)
+
 
 class MemberEvent(Record, frozen=True):
     """Describe a change of a member; `old` is None for a new member."""
@@ -228,6 +245,8 @@
     draining_nodes: frozenset[str] = frozenset()
     claim_groups: Mapping[str, tuple[ClaimGroup, ...]] = msgspec.field(default_factory=dict)
     items: Items = msgspec.field(default_factory=Items)
+    # The last roll-out of each service.
+    rollouts: Mapping[str, Rollout] = msgspec.field(default_factory=dict)
 
     def is_domain_out(self, domain: str) -> bool:
         """Return whether operators took the failure domain out of service."""
--- a/knapweedhitch/orders.py
+++ b/knapweedhitch/orders.py
@@ -1,4 +1,4 @@
-"""Accept orders about a domain or node only if no later order can have replaced them.
+"""Accept orders about a domain, node or roll-out only if no later one can have replaced them.
 
 An order carries no version, and a paused process or a slow link may deliver it after any delay. Its
 caller has then sent it elsewhere and may have replaced it by the opposite one. So an order that
@@ -18,7 +18,15 @@
 
 from knapweedhitch import logs
 from knapweedhitch.caller import Caller
-from knapweedhitch.changes import Change, DomainIn, DomainOut, NodeDrain, NodeUndrain, Operation
+from knapweedhitch.changes import (
+    Change,
+    DomainIn,
+    DomainOut,
+    NodeDrain,
+    NodeUndrain,
+    Operation,
+    StartRollout,
+)
 from knapweedhitch.clock import now_ms
 from knapweedhitch.counters import Counters
 from knapweedhitch.exceptions import BadRequest, OrderAbandoned, OrderRedirected, VersionConflict
@@ -138,6 +146,12 @@
         case NodeDrain(node_id=node_id) | NodeUndrain(node_id=node_id):
             is_draining = node_id in current.draining_nodes
             return current.version if is_draining == isinstance(op, NodeDrain) else None
+        case StartRollout():
+            last = current.rollouts.get(op.service)
+            if last is None:
+                return 0
+            is_same = last.is_same_order(op.target_version, op.duration_ms, op.order_id)
+            return last.version if is_same else None
     return None
 
 
