Rollouts: canaries, verdict, shift and drain, conducted by the control group's leader

Calls of a canary are granted one by one within the exposure bound, by a ledger whose total is in the log.

--- a/knapweedhitch/gate.py
+++ b/knapweedhitch/gate.py
@@ -14,15 +14,24 @@
     NodeDraining,
     NoTarget,
     Refusal,
+    RolloutLimited,
     UpstreamDraining,
 )
 from knapweedhitch.exchange import BodySource, CallSpec, ResponseSink
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import CallResult, Configuration, UpstreamRecord, UpstreamState
 from knapweedhitch.pool import refused_result
+from knapweedhitch.rolloutgate import AlwaysOpen
 
 # Refusals of the gate itself, which are no evidence of the state of the upstream.
-CHECK_REFUSALS = (ConfigStale, DomainOut, NodeDraining, NoTarget, UpstreamDraining)
+CHECK_REFUSALS = (
+    ConfigStale,
+    DomainOut,
+    NodeDraining,
+    NoTarget,
+    RolloutLimited,
+    UpstreamDraining,
+)
 # The result of a slot without a call, which is no evidence of the state of the upstream.
 UNUSED_RESULT = CallResult(ok=True, service_ms=0.0, cancelled=True)
 
@@ -65,6 +74,7 @@
         self._pool = get("pool")
         self._counters = get("counters")
         self._guard = get("crashguard") if self._kernel.has("crashguard") else Unguarded(self._pool)
+        self._rollouts = get("rolloutgate") if self._kernel.has("rolloutgate") else AlwaysOpen()
         self._config.subscribe(self._on_config)
         self._on_config(self._config.current)
 
@@ -87,16 +97,23 @@
         self, node_id: str, spec: CallSpec, body: BodySource, sink: ResponseSink
     ) -> CallResult:
         """Run the call; raises Refusal, NOT_RUN only if no byte reached the upstream."""
-        self._check(spec)
+        record = self._check(spec)
+        call = self._rollouts.begin(record)
         self.in_progress += 1
         try:
             run: GuardedRun = await self._guard.admit(spec, body)
             try:
-                return await self._run_admitted(run, spec, sink)
+                result = await self._run_admitted(run, spec, sink)
             finally:
                 self._guard.release(run)
+            self._rollouts.record_result(call, spec, result)
+            return result
+        except Refusal as exc:
+            self._rollouts.record_refusal(call, spec, exc)
+            raise
         finally:
             self.in_progress -= 1
+            self._rollouts.end(call)
 
     async def _run_admitted(
         self, run: GuardedRun, spec: CallSpec, sink: ResponseSink
@@ -144,6 +161,7 @@
             raise NoTarget(detail="the upstream was replaced")
         if record.state is not UpstreamState.SERVING:
             raise UpstreamDraining
+        self._rollouts.check(record)
         return record
 
     def _is_draining(self) -> bool:
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -7,6 +7,7 @@
 
 from msgspec import structs
 
+from knapweedhitch.answertally import Count, RouteAnswers
 from knapweedhitch.codec import Float, Message, Record, message
 from knapweedhitch.exceptions import Outcome
 from knapweedhitch.model import ClaimVerdict, LoadSample, Member, MemberState, UpstreamEnd
@@ -640,3 +641,39 @@
     is_same: bool
     ends: tuple[UpstreamEnded, ...]
     cleared: tuple[RequestCleared, ...]
+
+
+# 90-99: roll-outs
+
+
+@message(90)
+class RolloutReport(Message, frozen=True):
+    """Report a target of a service that is rolled out, and request calls for it.
+
+    Counts are those since the order in this process, which `node_started_ms` tells apart.
+    """
+
+    service: str
+    order_version: int
+    instance_id: str
+    node_started_ms: int
+    sequence: int
+    version: str
+    slots: int
+    is_warm: bool
+    is_closed: bool
+    in_progress: int
+    arrivals: Count
+    spent: Count
+    held: Count
+    wanted: Count
+    answers: tuple[RouteAnswers, ...]
+
+
+@message(91)
+class RolloutGrant(Message, frozen=True):
+    """Grant calls to a target, or name the leader to which it should report."""
+
+    is_leader: bool
+    leader_id: str
+    calls: int
--- a/knapweedhitch/platform/apis.py
+++ b/knapweedhitch/platform/apis.py
@@ -16,19 +16,21 @@
     NotFound,
     OrderRedirected,
     PeerError,
+    RolloutInProgress,
 )
 from knapweedhitch.http_api import ApiServer
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import MAX_COUNT
 from knapweedhitch.operator_http import OperatorRequest, OperatorResponse
 from knapweedhitch.orders import SEEN_VERSION, Orders, Submit, parse_seen_version
-from knapweedhitch.platform import heartbeats, items
+from knapweedhitch.platform import heartbeats, items, rollouts
 from knapweedhitch.platform.settings import BOOT_VARIABLE, Boot, parse_listener, read_boot
 
 PREFIX = "knapweedhitch"
 OK_REPLY = OperatorResponse(b"{}")
 NOT_READY_REPLY = OperatorResponse(b"{}", 503)
 BAD_REQUEST = 400
+CONFLICT = 409
 SERVICE_UNAVAILABLE = 503
 READ_TIMEOUT_MS = 900.0
 DEFAULT_CONNECTIONS = 64
@@ -110,7 +112,11 @@
             if backends and backend is None:
                 raise AnnouncementInvalid(detail=f"unknown service {heartbeat.info.service[:80]!r}")
             connections = backend.max_connections if backend is not None else DEFAULT_CONNECTIONS
-            record = heartbeat.record(instance_id, min(connections, MAX_COUNT))
+            record = heartbeat.record(
+                instance_id,
+                min(connections, MAX_COUNT),
+                with_version=self._kernel.cfg.rollouts.enabled,
+            )
             self._announce.record_heartbeat(record, heartbeat.status.seq, heartbeat.cold_ms)
         except AnnouncementInvalid as exc:
             self._counters.add("heartbeats_invalid")
@@ -151,8 +157,30 @@
                 return await self._submit_order(DomainOut(zone, allow_last=True), req)
             case "POST", "knapweedhitch", "evacuations", zone, "finish":
                 return await self._submit_order(DomainIn(zone), req)
+        if self._kernel.cfg.rollouts.enabled:
+            match req.method, *req.segments:
+                case "POST", "knapweedhitch", "rollouts", "start":
+                    return await self._start_rollout(req)
+                case "GET", "knapweedhitch", "rollouts", name, "get":
+                    return await self._get_rollout(name)
         raise NotFound
 
+    async def _start_rollout(self, req: OperatorRequest) -> OperatorResponse:
+        try:
+            op = rollouts.decode_order(req.body)
+        except InvalidChange as exc:
+            return _error_reply(BAD_REQUEST, exc)
+        return await self._submit_order(op, req)
+
+    async def _get_rollout(self, name: str) -> OperatorResponse:
+        if not await self._config.wait_for_proof(READ_TIMEOUT_MS):
+            logs.warning("read_without_proof", version=self._config.current.version)
+            return OperatorResponse(b"{}", SERVICE_UNAVAILABLE)
+        rollout = self._config.current.rollouts.get(name)
+        if rollout is None:
+            raise NotFound
+        return OperatorResponse(rollouts.encode_state(rollout))
+
     async def _patch(self, body: bytes) -> OperatorResponse:
         try:
             patch = items.decode_patch(body)
@@ -177,6 +205,8 @@
         change = Change(changes.new_change_id(), None, "operator", op)
         try:
             version = await submit(change)
+        except RolloutInProgress as exc:
+            return _error_reply(CONFLICT, exc)
         except ChangeError as exc:
             return _error_reply(BAD_REQUEST, exc)
         except (ConsensusError, PeerError) as exc:
--- a/knapweedhitch/platform/heartbeats.py
+++ b/knapweedhitch/platform/heartbeats.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import Annotated, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 from msgspec import Meta, field
@@ -11,10 +11,13 @@
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.exceptions import AnnouncementInvalid
 from knapweedhitch.model import MAX_COUNT, UpstreamRecord, UpstreamState
+from knapweedhitch.rollout import VERSION_LABEL
 
 # The end of the year 9999. A later start would make all heartbeats of other starts look late.
 MAX_UNIX_MS = 253_402_300_799_999
 MAX_SEQUENCE = (1 << 53) - 1
+# The version of a target that tells none; empty stands for one that is not known yet.
+NO_VERSION = "-"
 UnixMs = Annotated[int, Meta(ge=0, le=MAX_UNIX_MS)]
 UPSTREAM_STATES = {"ready": UpstreamState.SERVING, "draining": UpstreamState.LEAVING}
 
@@ -27,6 +30,8 @@
 
     service: str
     slots: Annotated[int, Meta(ge=1, le=MAX_COUNT)]
+    # Read only where versions are rolled out, so that others may send anything.
+    version: Any = None
 
 
 class Status(msgspec.Struct, frozen=True):
@@ -45,8 +50,10 @@
     status: Status
     born: UnixMs
 
-    def record(self, instance_id: str, max_connections: int) -> UpstreamRecord:
-        """Return the announced upstream; raises AnnouncementInvalid."""
+    def record(
+        self, instance_id: str, max_connections: int, *, with_version: bool = False
+    ) -> UpstreamRecord:
+        """Return the announced upstream, with its version if asked; raises AnnouncementInvalid."""
         state = UPSTREAM_STATES.get(self.status.state)
         if state is None:
             raise AnnouncementInvalid(detail=f"unknown state {self.status.state[:40]!r}")
@@ -58,8 +65,17 @@
             instance_id,
             self.born,
             state,
+            self._version() if with_version else "",
         )
 
+    def _version(self) -> str:
+        version = self.info.version
+        if version is None:
+            return NO_VERSION
+        if not isinstance(version, str) or not VERSION_LABEL.fullmatch(version):
+            raise AnnouncementInvalid(detail="version: use 1 to 128 visible ASCII characters")
+        return version
+
     @property
     def cold_ms(self) -> float:
         """Return the time until the target is warm."""
--- a/knapweedhitch/platform/roles.py
+++ b/knapweedhitch/platform/roles.py
@@ -24,6 +24,7 @@
     "core": (
         *SHARED_SERVICES,
         ("control", "control"),
+        ("rollouts", "rolloutcontrol"),
         ("platform_operators", "platform.apis"),
         ("drain", "drain"),
     ),
@@ -34,6 +35,7 @@
         ("retry", "retry"),
         ("pool", "pool"),
         ("crashguard", "crashguard"),
+        ("rolloutgate", "rolloutgate"),
         ("gate", "gate"),
         ("loadprobe", "loadprobe"),
         ("forward", "forward"),
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -23,6 +23,7 @@
     NodeSettings,
     OperatorSettings,
     PeerSettings,
+    RolloutSettings,
     RoutingSettings,
     SecretSettings,
     Settings,
@@ -41,6 +42,10 @@
 MAX_PATCH_BYTES = 16_777_216
 MAX_HEARTBEAT_BYTES = 65_536
 CANCEL_WAIT_MS = 120
+ROLLOUT_CONTRACT = "rollout"
+# Part of the time to stop a bad version after which grants lapse without contact; the rest is for
+# the verdict and the log.
+ROLLOUT_LEASE_RATIO = 0.3
 
 HEADERS = HeaderSettings(
     request_id="attempt-id",
@@ -82,6 +87,11 @@
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = field(name="retryBudgetRatio", default=0.1)
     retry_slack: Annotated[float, Meta(ge=0)] = field(name="retryBudgetSlack", default=0.0)
     retry_window_s: Annotated[float, Meta(gt=0)] = field(name="budgetWindowS", default=10.0)
+    # Calls that a bad version may get during its roll-out, as a share of all and a constant.
+    exposure_share: Annotated[float, Meta(gt=0, le=1)] = field(name="exposureShare", default=0.1)
+    exposure_slack: Annotated[float, Meta(ge=0)] = field(name="exposureSlack", default=0.0)
+    # After its 50th bad answer, a bad version may get calls for this long.
+    rollback_s: Annotated[float, Meta(gt=0)] = field(name="rollbackS", default=5.0)
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -110,6 +120,12 @@
     # Service of the local target; None on control instances.
     service: str | None = None
     app_address: str | None = field(name="appAddr", default=None)
+    contracts: tuple[str, ...] = ()
+
+    @property
+    def has_rollouts(self) -> bool:
+        """Return whether operators of the deployment may roll out versions."""
+        return ROLLOUT_CONTRACT in self.contracts
 
 
 def parse_boot(text: str, place: str) -> Boot:
@@ -227,6 +243,12 @@
             measure_budget_bytes_per_s=8_000,
             max_candidates=16,
         ),
+        rollouts=RolloutSettings(
+            enabled=boot.has_rollouts,
+            exposure_share=boot.bounds.exposure_share,
+            exposure_slack=boot.bounds.exposure_slack,
+            lease_ms=max(1, int(ROLLOUT_LEASE_RATIO * boot.bounds.rollback_s * 1_000)),
+        ),
         operator=OperatorSettings(
             max_body_bytes=MAX_PATCH_BYTES if boot.service is None else MAX_HEARTBEAT_BYTES
         ),
--- a/knapweedhitch/rollout.py
+++ b/knapweedhitch/rollout.py
@@ -9,7 +9,7 @@
 
 from msgspec import Meta, structs
 
-from knapweedhitch.codec import Float, Record
+from knapweedhitch.codec import Record
 from knapweedhitch.exceptions import InvalidChange, RolloutInProgress
 
 VERSION_LABEL = re.compile(r"[!-~]{1,128}")
--- /dev/null
+++ b/knapweedhitch/rolloutplan.py
@@ -0,0 +1,201 @@
+"""Decide the next step of a roll-out from what the leader of the control group knows.
+
+A bad version must not get more than a bounded share of the calls before its deadline, and may turn
+bad late or under load only. So the canaries get a small share, in calls that are granted one by
+one, until the time left is just enough to move the traffic and to drain the other targets.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+from collections.abc import Sequence
+
+from knapweedhitch.rollout import MAX_CANARIES, Phase, Rollout, Step
+from knapweedhitch.rolloutverdict import Verdict
+from knapweedhitch.settings import RolloutSettings
+
+# Share of the deadline kept for moving the traffic and draining, within bounds.
+FINAL_RATIO = 0.3
+MIN_FINAL_MS = 1_500.0
+MAX_FINAL_MS = 3_500.0
+# Parts of the exposure bounds that canaries may use; the rest is for calls while traffic moves.
+CANARY_SLACK_PART = 0.6
+CANARY_SHARE_PART = 0.7
+MIN_CANARIES = 4
+CANARIES_PER_SHARE = 2.0
+# Time at a share before the next step, in which its answers come back and are reported.
+SHIFT_STEP_MS = 600.0
+SHIFT_SHARES = (0.5, 1.0)
+# New targets together have at least this share of the slots of the others.
+MIN_SLOTS_RATIO = 0.8
+# Answers of canaries that are needed before traffic moves, and the lowest number that will do.
+GOOD_ANSWERS = 40
+MIN_GOOD_ANSWERS = 12
+# Calls are reserved in the log for about this time ahead.
+RESERVE_MS = 1_000.0
+MIN_RESERVE = 8
+MIN_SHARE_CHANGE = 0.02
+MAX_CANARY_SHARE = 0.5
+# A report that is older than this says nothing about the calls in progress at a target.
+MAX_REPORT_AGE_MS = 1_000.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetReport:
+    """Describe one target of the service as the node beside it last reported it."""
+
+    instance_id: str
+    is_new: bool
+    slots: int = 1
+    is_warm: bool = True
+    # Whether its node takes no calls for it, and how many calls are in progress there.
+    is_closed: bool = False
+    in_progress: int = 0
+    # infinite if its node has not reported since the order, or since the leader began.
+    age_ms: float = math.inf
+
+    @property
+    def is_drained(self) -> bool:
+        """Return whether no call is at this target or can reach it."""
+        return self.is_closed and not self.in_progress and self.age_ms <= MAX_REPORT_AGE_MS
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Situation:
+    """Describe what the leader knows of a running roll-out."""
+
+    rollout: Rollout
+    # Since the order, and since the last step that changed phase or share.
+    elapsed_ms: float
+    step_age_ms: float
+    targets: tuple[TargetReport, ...]
+    verdict: Verdict
+    # Calls that have reached any target of the service since the order, and those granted.
+    arrivals: int = 0
+    issued: int = 0
+    # Nodes of targets of other versions that cannot be reached; their targets may still run calls.
+    lost_nodes: int = 0
+
+    @property
+    def new(self) -> tuple[TargetReport, ...]:
+        """Return the targets of the new version."""
+        return tuple(t for t in self.targets if t.is_new)
+
+    @property
+    def old(self) -> tuple[TargetReport, ...]:
+        """Return the targets of all other versions."""
+        return tuple(t for t in self.targets if not t.is_new)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """Represent the decision to end a roll-out."""
+
+    completed: bool
+    reason: str
+
+
+def next_step(now: Situation, cfg: RolloutSettings) -> Step | End | None:
+    """Return the step that is due, None if there is none."""
+    rollout = now.rollout
+    if now.verdict.is_bad and now.verdict.worst is not None:
+        worst = now.verdict.worst
+        figures = f"{worst.new_bad}/{worst.new} new, {worst.old_bad}/{worst.old} old"
+        return End(False, f"{worst.measure} on {worst.route}: {figures}")
+    if now.elapsed_ms >= rollout.duration_ms:
+        return End(False, f"deadline in phase {rollout.step.phase.value}")
+    match rollout.step.phase:
+        case Phase.CANARY:
+            return _shift(now) or _canary_step(now, cfg)
+        case Phase.SHIFT:
+            return _next_share(now)
+        case Phase.DRAIN:
+            return _complete(now)
+    return None
+
+
+def final_ms(duration_ms: float) -> float:
+    """Return the time before the deadline at which traffic begins to move."""
+    return min(MAX_FINAL_MS, max(MIN_FINAL_MS, FINAL_RATIO * duration_ms), 0.7 * duration_ms)
+
+
+def canary_limit(arrivals: int, cfg: RolloutSettings) -> int:
+    """Return how many calls canaries may have been granted after so many arrivals."""
+    slack = CANARY_SLACK_PART * cfg.exposure_slack
+    return int(slack + CANARY_SHARE_PART * cfg.exposure_share * arrivals)
+
+
+def _shift(now: Situation) -> Step | None:
+    left_ms = now.rollout.duration_ms - now.elapsed_ms
+    if left_ms > final_ms(now.rollout.duration_ms) or now.verdict.is_suspicious:
+        return None
+    # Services with few calls give few answers before the time is up.
+    is_late = left_ms < 0.8 * final_ms(now.rollout.duration_ms)
+    needed = MIN_GOOD_ANSWERS if is_late else GOOD_ANSWERS
+    if now.verdict.new_answers < needed or not _has_capacity(now):
+        return None
+    return Step(Phase.SHIFT, SHIFT_SHARES[0], now.rollout.step.granted)
+
+
+def _has_capacity(now: Situation) -> bool:
+    ready = [t for t in now.new if t.is_warm and t.age_ms <= MAX_REPORT_AGE_MS]
+    return bool(ready) and sum(t.slots for t in ready) >= MIN_SLOTS_RATIO * sum(
+        t.slots for t in now.old
+    )
+
+
+def _canary_step(now: Situation, cfg: RolloutSettings) -> Step | None:
+    step = now.rollout.step
+    canaries = choose_canaries(now.new, step.canaries, cfg.exposure_share)
+    limit = canary_limit(now.arrivals, cfg)
+    per_ms = now.arrivals / max(now.elapsed_ms, 1.0)
+    share = _canary_share(now, cfg, per_ms)
+    reserve = max(MIN_RESERVE, math.ceil(per_ms * share * RESERVE_MS))
+    granted = max(step.granted, min(limit, now.issued + reserve))
+    # A reservation that is half used is renewed, so that canaries do not wait for the log.
+    is_low = step.granted - now.issued < reserve / 2 and granted > step.granted
+    if abs(share - step.share) < MIN_SHARE_CHANGE:
+        share = step.share
+    if canaries == step.canaries and share == step.share and not is_low:
+        return None
+    return Step(Phase.CANARY, share, granted, canaries)
+
+
+def _canary_share(now: Situation, cfg: RolloutSettings, per_ms: float) -> float:
+    """Return the share that uses up the limit of the canaries when traffic begins to move."""
+    canary_ms = now.rollout.duration_ms - final_ms(now.rollout.duration_ms)
+    left_ms = max(canary_ms - now.elapsed_ms, 0.1 * canary_ms)
+    expected = per_ms * left_ms
+    if expected < 1.0:
+        return cfg.exposure_share
+    limit = canary_limit(now.arrivals + int(expected), cfg)
+    return min(MAX_CANARY_SHARE, max(0.0, (limit - now.issued) / expected))
+
+
+def choose_canaries(
+    new: Sequence[TargetReport], current: Sequence[str], share: float
+) -> tuple[str, ...]:
+    """Return the canaries; those that are ready stay, and cold ones serve only if all are cold."""
+    present = [t for t in new if t.age_ms <= MAX_REPORT_AGE_MS]
+    usable = [t for t in present if t.is_warm] or present
+    count = min(MAX_CANARIES, max(MIN_CANARIES, math.ceil(CANARIES_PER_SHARE * share * len(new))))
+    kept = [t.instance_id for t in usable if t.instance_id in current]
+    others = sorted(t.instance_id for t in usable if t.instance_id not in current)
+    return tuple(sorted((kept + others)[:count]))
+
+
+def _next_share(now: Situation) -> Step | None:
+    step = now.rollout.step
+    if now.step_age_ms < SHIFT_STEP_MS or now.verdict.is_suspicious or not _has_capacity(now):
+        return None
+    for share in SHIFT_SHARES:
+        if share > step.share:
+            return Step(Phase.SHIFT, share, step.granted)
+    return Step(Phase.DRAIN, 1.0, step.granted)
+
+
+def _complete(now: Situation) -> End | None:
+    if now.lost_nodes or not now.new or not all(t.is_drained for t in now.old):
+        return None
+    return End(True, f"{len(now.old)} targets drained, {now.verdict.new_answers} answers")
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -5,12 +5,14 @@
 import dataclasses
 import functools
 import math
+import random
 from collections.abc import Callable
 
 import trio
+from msgspec import structs
 
 import knapweedhitch.expectedtime  # noqa: F401  (registers the policy)
-from knapweedhitch import framing
+from knapweedhitch import framing, rolloutrouting
 from knapweedhitch.attempt import Attempt
 from knapweedhitch.crashguard import GuardKey, Unguarded
 from knapweedhitch.deadline import Deadline
@@ -94,9 +96,10 @@
 class RouteDispatcher:
     """Run calls on targets of the service that their route selects."""
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, rng: random.Random | None = None) -> None:
         self._kernel = kernel
         self._cfg = kernel.cfg
+        self._rng = rng or random.Random()
         self._names = framing.header_names(kernel.cfg.headers)
         get = kernel.get
         self._config = get("config")
@@ -183,12 +186,22 @@
     def _pick(self, call: RelayCall, cause: str) -> Target | None:
         current = self._config.current
         targets = serving_targets(self._membership.targets(call.svc.name), current)
+        svc = call.svc
+        rollout = current.rollouts.get(svc.name)
+        if rollout is not None:
+            on_new = rolloutrouting.offers_new(
+                rollout, self._rng.random(), is_first=not call.instances
+            )
+            targets = rolloutrouting.usable_targets(targets, rollout, on_new=on_new)
+            if on_new and rollout.is_running:
+                # The picker forgets targets that are not among those of its last pick.
+                svc = structs.replace(svc, name=f"{svc.name} {rollout.target_version}")
         node = self._cfg.node
         # A declining target reports its load, so its score tells whether it is still the best one.
         excluded = frozenset(call.instances) - call.declined
         request_bytes = call.head.content_length or 0
         body_bytes = request_bytes + self._response_sizes.mean_bytes(call.route.name)
-        picked = self._picker.pick(call.svc, targets, excluded, node.domain, node.id, body_bytes)
+        picked = self._picker.pick(svc, targets, excluded, node.domain, node.id, body_bytes)
         target: Target | None = picked.target
         if target is not None and target.upstream.instance_id in excluded:
             return None
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -339,6 +339,21 @@
     max_candidates: Count = 32
 
 
+class RolloutSettings(Section, frozen=True):
+    """Configure how a service is moved to targets of a new version."""
+
+    enabled: bool = False
+    # Calls that a bad version may get between the order and its deadline, as a share of all calls
+    # of the service plus a constant.
+    exposure_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.1
+    exposure_slack: Annotated[float, Meta(ge=0.0, le=1_000_000.0)] = 50.0
+    report_interval_ms: Ms = 250
+    # A target of the new version stops to take calls this long after its last contact with the
+    # leader of the control group, until the other targets drain.
+    lease_ms: Ms = 1_500
+    call_timeout_ms: Ms = 300
+
+
 class ClaimSettings(Section, frozen=True):
     """Configure the limits of idempotency claims."""
 
@@ -427,6 +442,7 @@
     upstream: UpstreamSettings = UpstreamSettings()
     admission: AdmissionSettings = AdmissionSettings()
     routing: RoutingSettings = RoutingSettings()
+    rollouts: RolloutSettings = RolloutSettings()
     claims: ClaimSettings = ClaimSettings()
     suspects: SuspectSettings = SuspectSettings()
     operator: OperatorSettings = OperatorSettings()
--- a/tests/platform_boot.py
+++ b/tests/platform_boot.py
@@ -28,6 +28,7 @@
     tolerated_machines: int = 1,
     retry_slack: float = 0.0,
     seeds: Sequence[str] = (),
+    contracts: Sequence[str] = (),
 ) -> Path:
     """Write the settings file of one process and return its path."""
     is_core = ip in cores
@@ -44,7 +45,8 @@
         "limits": {"maxFds": 2_000},
         "dataDir": f"{folder}/{ip}" if is_core else None,
         "faultTolerance": {"machines": tolerated_machines},
-        "bounds": {"graceS": 6, "retryBudgetSlack": retry_slack},
+        "bounds": {"graceS": 6, "retryBudgetSlack": retry_slack, "exposureSlack": 50},
+        "contracts": list(contracts),
         "service": None if is_core else service,
         "appAddr": f"{ip}:{base + TARGET_PORT}",
     }
@@ -56,11 +58,13 @@
     return path
 
 
-def heartbeat(ip: str, base: int, state: str = "ready", seq: int = 1) -> dict[str, object]:
+def heartbeat(
+    ip: str, base: int, state: str = "ready", seq: int = 1, version: str = "v1"
+) -> dict[str, object]:
     """Return a heartbeat of the target beside a process."""
     return {
         "address": f"{ip}:{base + TARGET_PORT}",
-        "info": {"service": "robes", "version": "v1", "zone": "zone-1", "slots": 6},
+        "info": {"service": "robes", "version": version, "zone": "zone-1", "slots": 6},
         "status": {"state": state, "seq": seq, "coldRemainingS": 0},
         "born": 1_000,
     }
