--- a/knapweedhitch/rolloutplan.py
+++ b/knapweedhitch/rolloutplan.py
@@ -35,7 +35,9 @@
 # Calls are reserved in the log for about this time ahead.
 RESERVE_MS = 1_000.0
 MIN_RESERVE = 8
+# Smaller changes of the share are not worth a change of the log.
 MIN_SHARE_CHANGE = 0.02
+MIN_SHARE_RATIO = 0.3
 MAX_CANARY_SHARE = 0.5
 # A report that is older than this says nothing about the calls in progress at a target.
 MAX_REPORT_AGE_MS = 1_000.0
@@ -154,8 +156,8 @@
     reserve = max(MIN_RESERVE, math.ceil(per_ms * share * RESERVE_MS))
     granted = max(step.granted, min(limit, now.issued + reserve))
     # A reservation that is half used is renewed, so that canaries do not wait for the log.
-    is_low = step.granted - now.issued < reserve / 2 and granted > step.granted
-    if abs(share - step.share) < MIN_SHARE_CHANGE:
+    is_low = step.granted - now.issued < reserve / 2 and granted >= step.granted + MIN_RESERVE / 4
+    if abs(share - step.share) < max(MIN_SHARE_CHANGE, MIN_SHARE_RATIO * step.share):
         share = step.share
     if canaries == step.canaries and share == step.share and not is_low:
         return None
--- a/knapweedhitch/rolloutrouting.py
+++ b/knapweedhitch/rolloutrouting.py
@@ -38,3 +38,11 @@
         case Phase.COMPLETED:
             return tuple(t for t in targets if t.upstream.version not in rollout.replaced)
     return old
+
+
+def open_targets(targets: Targets, serving: Targets, closed_versions: frozenset[str]) -> Targets:
+    """Return the targets without those of closed versions, which other serving ones replace."""
+    for candidates in (targets, serving):
+        if found := tuple(t for t in candidates if t.upstream.version not in closed_versions):
+            return found
+    return targets
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -25,6 +25,7 @@
     Refusal,
     RequestQuarantined,
     RetryBudgetExhausted,
+    RolloutLimited,
     UpstreamShed,
     UpstreamSlow,
 )
@@ -39,6 +40,7 @@
 from knapweedhitch.pick import PickResult, serving_targets
 from knapweedhitch.pool import cancelled_result, refused_result
 from knapweedhitch.responsesizes import ResponseSizes
+from knapweedhitch.rollout import Rollout
 from knapweedhitch.transfer import extend_for_transfer
 from knapweedhitch.upstreamload import LEAVING_VALUE
 
@@ -89,6 +91,8 @@
     may_have_run: bool = False
     decline_above: float = math.inf
     declined: frozenset[str] = frozenset()
+    # Versions whose targets refused the call at this point of a roll-out.
+    closed_versions: frozenset[str] = frozenset()
     # Starts another attempt beside the one in progress, whose node is silent.
     on_silence: Callable[[], None] | None = None
 
@@ -185,17 +189,8 @@
 
     def _pick(self, call: RelayCall, cause: str) -> Target | None:
         current = self._config.current
-        targets = serving_targets(self._membership.targets(call.svc.name), current)
-        svc = call.svc
-        rollout = current.rollouts.get(svc.name)
-        if rollout is not None:
-            on_new = rolloutrouting.offers_new(
-                rollout, self._rng.random(), is_first=not call.instances
-            )
-            targets = rolloutrouting.usable_targets(targets, rollout, on_new=on_new)
-            if on_new and rollout.is_running:
-                # The picker forgets targets that are not among those of its last pick.
-                svc = structs.replace(svc, name=f"{svc.name} {rollout.target_version}")
+        serving = serving_targets(self._membership.targets(call.svc.name), current)
+        svc, targets = self._with_rollout(call, serving, current.rollouts.get(call.svc.name))
         node = self._cfg.node
         # A declining target reports its load, so its score tells whether it is still the best one.
         excluded = frozenset(call.instances) - call.declined
@@ -213,6 +208,23 @@
             call.decline_above = _decline_above(picked) if may_decline else math.inf
         return target
 
+    def _with_rollout(
+        self, call: RelayCall, serving: tuple[Target, ...], rollout: Rollout | None
+    ) -> tuple[ServiceConfig, tuple[Target, ...]]:
+        """Return the targets that a call may use at this point of a roll-out, and their service."""
+        svc, targets = call.svc, serving
+        if rollout is not None:
+            is_first = not call.instances
+            on_new = rolloutrouting.offers_new(rollout, self._rng.random(), is_first=is_first)
+            targets = rolloutrouting.usable_targets(serving, rollout, on_new=on_new)
+            if on_new and rollout.is_running:
+                # The picker forgets targets that are not among those of its last pick.
+                svc = structs.replace(svc, name=f"{svc.name} {rollout.target_version}")
+        if call.closed_versions:
+            # The nodes of targets may know a later step than this node.
+            targets = rolloutrouting.open_targets(targets, serving, call.closed_versions)
+        return svc, targets
+
     async def _try(self, call: RelayCall, target: Target) -> tuple[Attempt, CallResult]:
         attempt = self._create_attempt(call, target)
         is_remote = target.node_id != self._cfg.node.id
@@ -280,6 +292,8 @@
                 call.declined |= {instance_id}
                 if target.node_id == self._cfg.node.id:
                     self._picker.observe(instance_id, self._admission.load())
+            if isinstance(exc, RolloutLimited):
+                call.closed_versions |= {target.upstream.version}
             if exc.outcome is Outcome.UNKNOWN or isinstance(exc, UpstreamShed):
                 call.sent += 1
             call.may_have_run = call.may_have_run or exc.outcome is Outcome.UNKNOWN
