--- a/knapweedhitch/rolloutgate.py
+++ b/knapweedhitch/rolloutgate.py
@@ -13,7 +13,14 @@
 
 from knapweedhitch import logs
 from knapweedhitch.answertally import AnswerTally
-from knapweedhitch.exceptions import Outcome, PeerError, Refusal, RolloutLimited, UpstreamShed
+from knapweedhitch.exceptions import (
+    Outcome,
+    PeerError,
+    PeerProtocolError,
+    Refusal,
+    RolloutLimited,
+    UpstreamShed,
+)
 from knapweedhitch.exchange import CallSpec
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import RolloutGrant, RolloutReport
@@ -25,6 +32,8 @@
 WANTED_INTERVALS = 2.0
 MIN_WANTED = 2
 MAX_WANTED = 50
+# An instance that does not lead names the one that does.
+MAX_REDIRECTS = 1
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -226,20 +235,23 @@
     async def _report(self, rollout: Rollout, record: UpstreamRecord) -> None:
         order = self._current_order(rollout, record)
         order.sequence += 1
-        sent_ms = self._timers.now_ms()
-        target = self._leader_id or self._any_control_id()
+        msg = self._make_report(rollout, record, order)
         try:
-            reply = await self._peers.call(
-                target, self._make_report(rollout, record, order), self._cfg.call_timeout_ms
-            )
+            for _ in range(MAX_REDIRECTS + 1):
+                sent_ms = self._timers.now_ms()
+                target = self._leader_id or self._any_control_id()
+                reply = await self._peers.call(target, msg, self._cfg.call_timeout_ms)
+                if not isinstance(reply, RolloutGrant):
+                    raise PeerProtocolError(f"{target} sent an unexpected reply")
+                if reply.is_leader:
+                    self._apply_grant(order, reply, sent_ms)
+                    return
+                self._leader_id = reply.leader_id
         except PeerError as exc:
             self._counters.add("rollout_report_failed", type(exc).__name__)
             self._leader_id = ""
-            return
         finally:
             self._is_reporting = False
-        if isinstance(reply, RolloutGrant):
-            self._apply_grant(order, reply, sent_ms)
 
     def _make_report(
         self, rollout: Rollout, record: UpstreamRecord, order: _Order
@@ -266,9 +278,6 @@
         )
 
     def _apply_grant(self, order: _Order, grant: RolloutGrant, sent_ms: float) -> None:
-        if not grant.is_leader:
-            self._leader_id = grant.leader_id
-            return
         if order.lease_end_ms == -math.inf:
             logs.event("rollout_reported", order=order.version, instance=order.instance_id)
         order.held += grant.calls
--- a/knapweedhitch/rolloutplan.py
+++ b/knapweedhitch/rolloutplan.py
@@ -16,7 +16,7 @@
 from knapweedhitch.settings import RolloutSettings
 
 # Share of the deadline kept for moving the traffic and draining, within bounds.
-FINAL_RATIO = 0.3
+FINAL_RATIO = 0.35
 MIN_FINAL_MS = 1_500.0
 MAX_FINAL_MS = 3_500.0
 # Parts of the exposure bounds that canaries may use; the rest is for calls while traffic moves.
