--- a/knapweedhitch/rolloutplan.py
+++ b/knapweedhitch/rolloutplan.py
@@ -39,7 +39,7 @@
 MIN_SHARE_CHANGE = 0.02
 MIN_SHARE_RATIO = 0.3
 MAX_CANARY_SHARE = 0.5
-# A report that is older than this says nothing about the calls in progress at a target.
+# A target without a report for this long may not take the load.
 MAX_REPORT_AGE_MS = 1_000.0
 
 
@@ -59,8 +59,8 @@
 
     @property
     def is_drained(self) -> bool:
-        """Return whether no call is at this target or can reach it."""
-        return self.is_closed and not self.in_progress and self.age_ms <= MAX_REPORT_AGE_MS
+        """Return whether no call is at this target or can reach it; a closed node stays closed."""
+        return self.is_closed and not self.in_progress
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_rollout_services.py
+++ b/tests/test_rollout_services.py
@@ -261,6 +261,25 @@
             with self.subTest(phase=phase):
                 run(test)
 
+    def test_bound_holds_when_every_leader_is_lost(self) -> None:
+        """Guards against a new leader that grants again what an earlier one has granted."""
+
+        async def test(world: World) -> None:
+            served = arrivals = 0
+            for n in range(80):
+                calls = await world.round()
+                if world.rollout.step.phase is not Phase.CANARY:
+                    break
+                served += calls
+                arrivals += CALLS_PER_ROUND * len(OLD)
+                if n in (6, 12):
+                    world.lose_leader()
+                bound = CFG.exposure_share * (arrivals + served) + CFG.exposure_slack
+                self.assertLessEqual(served, bound)
+                self.assertLessEqual(served, world.rollout.step.granted)
+
+        run(test)
+
     def test_bad_version_without_any_leader(self) -> None:
         """Guards against a version that goes on to get calls when nobody can judge it."""
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -12,6 +12,7 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from msgspec import structs
 
+from knapweedhitch.answertally import RouteAnswers
 from knapweedhitch.caller import Caller
 from knapweedhitch.changes import (
     AdvanceRollout,
@@ -30,10 +31,10 @@
 from knapweedhitch.model import Configuration, ServiceConfig
 from knapweedhitch.orders import Orders
 from knapweedhitch.rollout import Phase, Rollout, Step
-from knapweedhitch.rolloutevidence import GrantLedger
+from knapweedhitch.rolloutevidence import Evidence, GrantLedger
 from knapweedhitch.rolloutplan import Situation, canary_limit, next_step
 from knapweedhitch.rolloutrouting import offers_new, open_targets, usable_targets
-from knapweedhitch.rolloutverdict import Verdict
+from knapweedhitch.rolloutverdict import Sample, Verdict, judge
 from knapweedhitch.settings import RolloutSettings
 from scripts.replay_rollouts import FAULTS, Replay
 from tests.decision_fakes import target
@@ -249,6 +250,29 @@
                 if fault.is_bad:
                     self.assertLessEqual(result.new_calls, result.bound)
 
+    def test_fault_on_a_rare_route_is_found(self) -> None:
+        """Guards against a fault on one route that the answers on all others hide."""
+        samples = []
+        for n, is_new in enumerate((True, True, False, False)):
+            for route, answers, failures in (("r1", 400, 1), ("r2", 20, 6 * is_new)):
+                counts = RouteAnswers(route, answers, failures)
+                samples.append(Sample.of(0.0, f"i{n}", counts, is_new=is_new))
+        self.assertFalse(judge([s for s in samples if s.route == "r1"], 2).is_suspicious)
+        verdict = judge(samples, 2)
+        self.assertTrue(verdict.is_bad)
+        self.assertEqual(verdict.worst and verdict.worst.route, "r2")
+
+    def test_fault_that_begins_late_is_found(self) -> None:
+        """Guards against good answers of the past that hide a version that turned bad."""
+        evidence = Evidence()
+        for n, is_new in enumerate((True, True, False, False)):
+            good = RouteAnswers("r1", 300, 2)
+            late = RouteAnswers("r1", 308 if is_new else 400, 2 + 4 * is_new)
+            evidence.record((f"i{n}", 1), (good,), 1_000.0, is_new=is_new)
+            evidence.record((f"i{n}", 1), (late,), 9_000.0, is_new=is_new)
+        self.assertFalse(judge(evidence._samples, 2).is_bad)
+        self.assertTrue(evidence.verdict(10_000.0, 0.0, 2).is_bad)
+
     def test_no_step_without_evidence_ends_at_the_deadline(self) -> None:
         """Guards against a version without targets that stays in roll-out or completes."""
         for phase in RUNNING:
