--- a/knapweedhitch/rolloutcontrol.py
+++ b/knapweedhitch/rolloutcontrol.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Callable
 
 from knapweedhitch import changes, logs
 from knapweedhitch.changes import AdvanceRollout, Change, FinishRollout, Operation
 from knapweedhitch.exceptions import ChangeError, ConsensusError, PeerError
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import RolloutGrant, RolloutReport
-from knapweedhitch.model import Configuration, Target, UpstreamState
+from knapweedhitch.model import Configuration, Target
+from knapweedhitch.pick import serving_targets
 from knapweedhitch.rollout import Phase, Rollout, Step
 from knapweedhitch.rolloutevidence import Evidence, GrantLedger
 from knapweedhitch.rolloutplan import End, Situation, TargetReport, next_step
@@ -200,13 +200,20 @@
 
     def _situation(self, rollout: Rollout, conduct: _Conduct) -> Situation:
         now = self._timers.now_ms()
+        current = self._config.current
         targets = self._membership.targets(rollout.service)
+        serving = frozenset(t.node_id for t in serving_targets(targets, current))
         reports = tuple(
-            _describe(target, rollout, conduct.reports.get(target.upstream.instance_id), now)
+            _describe(
+                target,
+                rollout,
+                conduct.reports.get(target.upstream.instance_id),
+                now,
+                is_serving=target.node_id in serving,
+            )
             for target in targets
-            if _counts(target, rollout.is_new)
         )
-        new_count = sum(1 for report in reports if report.is_new)
+        new_count = sum(1 for report in reports if report.is_new and report.is_serving)
         return Situation(
             rollout,
             now - self._started_ms[rollout.version],
@@ -230,22 +237,22 @@
         )
 
 
-def _counts(target: Target, is_new: Callable[[str], bool]) -> bool:
-    """Return whether a target matters: a new one that leaves takes no traffic over."""
-    is_leaving = target.draining or target.upstream.state is UpstreamState.LEAVING
-    return not (is_leaving and is_new(target.upstream.version))
-
-
 def _describe(
-    target: Target, rollout: Rollout, received: _Received | None, now_ms: float
+    target: Target,
+    rollout: Rollout,
+    received: _Received | None,
+    now_ms: float,
+    *,
+    is_serving: bool,
 ) -> TargetReport:
     is_new = rollout.is_new(target.upstream.version)
     if received is None:
-        return TargetReport(target.upstream.instance_id, is_new, target.upstream.slots)
+        return TargetReport(target.upstream.instance_id, is_new, is_serving)
     report = received.report
     return TargetReport(
         report.instance_id,
         is_new,
+        is_serving,
         report.slots,
         report.is_warm,
         report.is_closed,
--- a/knapweedhitch/rolloutgate.py
+++ b/knapweedhitch/rolloutgate.py
@@ -91,6 +91,7 @@
         self._rng = rng or random.Random()
         self._order: _Order | None = None
         self._timer: Any = None
+        self._last_record: UpstreamRecord | None = None
         self._is_reporting = False
         self._leader_id = ""
         self.in_progress = 0
@@ -221,7 +222,8 @@
             self._start_report()
 
     def _start_report(self) -> None:
-        record = self._announce.current
+        # A target that has deregistered may still be at work on calls.
+        record = self._last_record = self._announce.current or self._last_record
         rollout = None
         if record is not None:
             rollout = self._config.current.rollouts.get(record.service)
@@ -257,6 +259,7 @@
         self, rollout: Rollout, record: UpstreamRecord, order: _Order
     ) -> RolloutReport:
         is_old = not rollout.is_new(record.version)
+        is_closed = self._announce.current is None or (is_old and rollout.step.phase is Phase.DRAIN)
         if record.instance_id not in rollout.step.canaries:
             # The leader may grant these calls to the canaries whose turn it is.
             order.held = 0
@@ -271,7 +274,7 @@
             record.version,
             record.slots,
             self._admission.load().warmth is Warmth.WARM,
-            is_old and rollout.step.phase is Phase.DRAIN,
+            is_closed,
             self.in_progress,
             order.arrivals,
             order.spent,
--- a/knapweedhitch/rolloutplan.py
+++ b/knapweedhitch/rolloutplan.py
@@ -54,6 +54,8 @@
 
     instance_id: str
     is_new: bool
+    # Whether entry nodes send it calls: neither leaving nor draining, in a domain that is in.
+    is_serving: bool = True
     slots: int = 1
     is_warm: bool = True
     # Whether its node takes no calls for it, and how many calls are in progress there.
@@ -86,14 +88,19 @@
 
     @property
     def new(self) -> tuple[TargetReport, ...]:
-        """Return the targets of the new version."""
-        return tuple(t for t in self.targets if t.is_new)
+        """Return the targets of the new version that may take calls over."""
+        return tuple(t for t in self.targets if t.is_new and t.is_serving)
 
     @property
     def old(self) -> tuple[TargetReport, ...]:
         """Return the targets of all other versions."""
         return tuple(t for t in self.targets if not t.is_new)
 
+    @property
+    def old_serving(self) -> tuple[TargetReport, ...]:
+        """Return the targets of all other versions that get calls."""
+        return tuple(t for t in self.old if t.is_serving)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class End:
@@ -148,17 +155,17 @@
 def _has_capacity(now: Situation) -> bool:
     ready = [t for t in now.new if t.is_warm and t.age_ms <= MAX_REPORT_AGE_MS]
     return bool(ready) and sum(t.slots for t in ready) >= MIN_SLOTS_RATIO * sum(
-        t.slots for t in now.old
+        t.slots for t in now.old_serving
     )
 
 
 def _canary_step(now: Situation, cfg: RolloutSettings) -> Step | None:
     step = now.rollout.step
-    canaries = choose_canaries(now.new, len(now.old), cfg.exposure_share, now.elapsed_ms)
+    canaries = choose_canaries(now.new, len(now.old_serving), cfg.exposure_share, now.elapsed_ms)
     limit = canary_limit(now.arrivals, cfg)
     per_ms = now.arrivals / max(now.elapsed_ms, 1.0)
     mean_share = _canary_share(now, cfg, per_ms)
-    share = pulsed_share(mean_share, len(canaries), len(now.old), now.elapsed_ms)
+    share = pulsed_share(mean_share, len(canaries), len(now.old_serving), now.elapsed_ms)
     reserve = max(MIN_RESERVE, math.ceil(per_ms * share * RESERVE_MS))
     granted = max(step.granted, min(limit, now.issued + reserve))
     # A reservation that is half used is renewed, so that canaries do not wait for the log.
--- a/scripts/replay_rollouts.py
+++ b/scripts/replay_rollouts.py
@@ -258,11 +258,11 @@
         return TargetReport(
             target.name,
             target.is_new,
-            6,
-            not is_cold,
-            self.rollout.step.phase is Phase.DRAIN and not target.is_new,
-            len(target.pending),
-            0.0,
+            slots=6,
+            is_warm=not is_cold,
+            is_closed=self.rollout.step.phase is Phase.DRAIN and not target.is_new,
+            in_progress=len(target.pending),
+            age_ms=0.0,
         )
 
 
--- a/tests/test_rollout_services.py
+++ b/tests/test_rollout_services.py
@@ -22,6 +22,8 @@
 from knapweedhitch.rollout import Phase, Rollout
 from knapweedhitch.rolloutcontrol import RolloutControl
 from knapweedhitch.rolloutgate import RolloutGate
+from knapweedhitch.rolloutplan import Situation, TargetReport, next_step
+from knapweedhitch.rolloutverdict import Verdict
 from knapweedhitch.settings import RolloutSettings
 from tests.decision_fakes import FakeTimers, record, sample, settings, target
 from tests.state_cluster import make_settings
@@ -371,6 +373,29 @@
             with self.subTest(name=name):
                 run(test)
 
+    def test_end_does_not_wait_for_a_target_that_has_deregistered(self) -> None:
+        """Guards against an end that a target without calls holds, which others still list."""
+
+        async def test(world: World) -> None:
+            await world.run_until(Phase.SHIFT)
+            world.gates[1].gate._announce.current = None
+            await world.run_until(Phase.COMPLETED)
+
+        run(test)
+
+    def test_targets_that_get_no_calls_count_for_no_load(self) -> None:
+        """Guards against traffic that moves to too few targets, or never moves, in a domain out."""
+        for new_serving, old_serving, may_shift in ((4, 4, True), (2, 4, False), (2, 2, True)):
+            targets = tuple(
+                TargetReport(f"{side}{n}", side == "n", n < serving, age_ms=0.0)
+                for side, serving in (("n", new_serving), ("o", old_serving))
+                for n in range(4)
+            )
+            rollout = Rollout("robes", "v2", 12_000, "", 1, 0)
+            verdict = Verdict(None, 100, 4)
+            due = next_step(Situation(rollout, 9_000.0, 9_000.0, targets, verdict), CFG)
+            self.assertIs(getattr(due, "phase", None) is Phase.SHIFT, may_shift)
+
     def test_restarted_old_node_opens_only_with_a_proof(self) -> None:
         """Guards against an old target that a node reopens by an earlier step from its peers."""
 
