--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 import math
-from typing import Annotated
+from typing import Annotated, Any
 
 from msgspec import Meta, structs
 
+from knapweedhitch.answertally import Count, RouteAnswers
 from knapweedhitch.codec import Float, Message, Record, message
 from knapweedhitch.exceptions import Outcome
 from knapweedhitch.model import ClaimVerdict, LoadSample, Member, MemberState, UpstreamEnd
@@ -515,8 +516,18 @@
     state: MemberState
 
 
+class _WithMembers(Message, frozen=True):
+    """Define the base of messages with member records."""
+
+    @classmethod
+    def compact(cls, plain: list[Any]) -> None:
+        """Shorten the member records."""
+        for member in plain[cls.__struct_fields__.index("members")]:
+            Member.compact(member)
+
+
 @message(60)
-class Probe(Message, frozen=True):
+class Probe(_WithMembers, frozen=True):
     """Request an ack from a node; an empty target means any node at the address."""
 
     sequence: int
@@ -527,7 +538,7 @@
 
 
 @message(61)
-class ProbeAck(Message, frozen=True):
+class ProbeAck(_WithMembers, frozen=True):
     """Acknowledge a probe; `sender` is the probed node."""
 
     sequence: int
@@ -546,7 +557,7 @@
 
 
 @message(63)
-class Gossip(Message, frozen=True):
+class Gossip(_WithMembers, frozen=True):
     """Disseminate member records and verdicts."""
 
     sender: str
@@ -582,7 +593,7 @@
 
 
 @message(66)
-class SyncExchange(Message, frozen=True):
+class SyncExchange(_WithMembers, frozen=True):
     """Send the records that the peer lacks and request the wanted ones."""
 
     wanted: tuple[str, ...]
@@ -591,7 +602,7 @@
 
 
 @message(67)
-class SyncMembers(Message, frozen=True):
+class SyncMembers(_WithMembers, frozen=True):
     """Reply to an exchange with the wanted records."""
 
     members: tuple[Member, ...]
@@ -701,3 +712,39 @@
     members_index: int
     none_replaced: bool
     age_ms: Amount
+
+
+# 90-99: roll-outs
+
+
+@message(90)
+class RolloutReport(Message, frozen=True):
+    """Report a target of a service that is rolled out, and request calls for it.
+
+    Counts are those since the order in this process, which `node_started_ms` tells apart.
+    """
+
+    service: str
+    order_version: int
+    instance_id: str
+    node_started_ms: int
+    sequence: int
+    version: str
+    slots: int
+    is_warm: bool
+    is_closed: bool
+    in_progress: int
+    arrivals: Count
+    spent: Count
+    held: Count
+    wanted: Count
+    answers: tuple[RouteAnswers, ...]
+
+
+@message(91)
+class RolloutGrant(Message, frozen=True):
+    """Grant calls to a target, or name the leader to which it should report."""
+
+    is_leader: bool
+    leader_id: str
+    calls: int
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -24,6 +24,7 @@
     OperatorSettings,
     PeerSettings,
     QuotaSettings,
+    RolloutSettings,
     RoutingSettings,
     SecretSettings,
     Settings,
@@ -49,6 +50,10 @@
 TOKEN_LIFE_SHARE = 0.3
 MIN_TOKEN_LIFE_MS = 20
 MAX_TOKEN_LIFE_MS = 250
+ROLLOUT_CONTRACT = "rollout"
+# Part of the time to stop a bad version after which grants lapse without contact; the rest is for
+# the verdict and the log.
+ROLLOUT_LEASE_RATIO = 0.3
 
 HEADERS = HeaderSettings(
     request_id="attempt-id",
@@ -98,6 +103,11 @@
     quota_window_s: Annotated[float, Meta(gt=0)] = field(name="quotaWindowS", default=5.0)
     quota_overage: Annotated[float, Meta(ge=0)] = field(name="quotaOverage", default=0.1)
     quota_slack: Annotated[float, Meta(ge=0)] = field(name="quotaSlack", default=20.0)
+    # Calls that a bad version may get during its roll-out, as a share of all and a constant.
+    exposure_share: Annotated[float, Meta(gt=0, le=1)] = field(name="exposureShare", default=0.1)
+    exposure_slack: Annotated[float, Meta(ge=0)] = field(name="exposureSlack", default=0.0)
+    # After its 50th bad answer, a bad version may get calls for this long.
+    rollback_s: Annotated[float, Meta(gt=0)] = field(name="rollbackS", default=5.0)
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -129,6 +139,11 @@
     service: str | None = None
     app_address: str | None = field(name="appAddr", default=None)
 
+    @property
+    def has_rollouts(self) -> bool:
+        """Return whether operators of the deployment may roll out versions."""
+        return ROLLOUT_CONTRACT in self.contracts
+
 
 def parse_boot(text: str, place: str) -> Boot:
     """Return the validated settings file; raises SettingsError with the field."""
@@ -268,6 +283,12 @@
             max_candidates=16,
         ),
         quotas=_translate_quotas(boot),
+        rollouts=RolloutSettings(
+            enabled=boot.has_rollouts,
+            exposure_share=boot.bounds.exposure_share,
+            exposure_slack=boot.bounds.exposure_slack,
+            lease_ms=max(1, int(ROLLOUT_LEASE_RATIO * boot.bounds.rollback_s * 1_000)),
+        ),
         operator=OperatorSettings(
             max_body_bytes=MAX_PATCH_BYTES if boot.service is None else MAX_HEARTBEAT_BYTES
         ),
--- a/tests/platform_boot.py
+++ b/tests/platform_boot.py
@@ -45,8 +45,8 @@
         "limits": {"maxFds": 2_000},
         "dataDir": f"{folder}/{ip}" if is_core else None,
         "faultTolerance": {"machines": tolerated_machines},
+        "bounds": {"graceS": 6, "retryBudgetSlack": retry_slack, "exposureSlack": 50},
         "contracts": list(contracts),
-        "bounds": {"graceS": 6, "retryBudgetSlack": retry_slack},
         "service": None if is_core else service,
         "appAddr": f"{ip}:{base + TARGET_PORT}",
     }
@@ -58,11 +58,13 @@
     return path
 
 
-def heartbeat(ip: str, base: int, state: str = "ready", seq: int = 1) -> dict[str, object]:
+def heartbeat(
+    ip: str, base: int, state: str = "ready", seq: int = 1, version: str = "v1"
+) -> dict[str, object]:
     """Return a heartbeat of the target beside a process."""
     return {
         "address": f"{ip}:{base + TARGET_PORT}",
-        "info": {"service": "robes", "version": "v1", "zone": "zone-1", "slots": 6},
+        "info": {"service": "robes", "version": version, "zone": "zone-1", "slots": 6},
         "status": {"state": state, "seq": seq, "coldRemainingS": 0},
         "born": 1_000,
     }
