Membership: leave empty buckets out of the digest of a sync

An older node takes the short form for a digest of another size, which it answers with the verdicts of all buckets.

--- a/knapweedhitch/members.py
+++ b/knapweedhitch/members.py
@@ -12,6 +12,7 @@
 from knapweedhitch.messages import Verdict
 from knapweedhitch.model import Member, MemberEvent, MemberState, Target, UpstreamState
 
+# The number of a bucket fits in one byte of a digest.
 BUCKETS = 256
 HASH_BYTES = 4
 LIVE_STATES = frozenset({MemberState.ALIVE, MemberState.SUSPECT})
@@ -49,6 +50,19 @@
     return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest(), "big")
 
 
+def _parse_digest(digest: bytes) -> list[int] | None:
+    """Return the hashes of all buckets, None if the digest has neither form."""
+    if len(digest) == BUCKETS * HASH_BYTES:
+        steps = range(0, len(digest), HASH_BYTES)
+        return [int.from_bytes(digest[i : i + HASH_BYTES], "big") for i in steps]
+    hashes = [0] * BUCKETS
+    if len(digest) % (HASH_BYTES + 1) or len(digest) > BUCKETS * HASH_BYTES:
+        return None
+    for i in range(0, len(digest), HASH_BYTES + 1):
+        hashes[digest[i]] = int.from_bytes(digest[i + 1 : i + 1 + HASH_BYTES], "big")
+    return hashes
+
+
 class MemberTable:
     """Store the newest record of every node, with indexes of targets and buckets."""
 
@@ -181,20 +195,22 @@
     # different nodes, and must neither count as a difference nor return from another node.
 
     def digest(self) -> bytes:
-        """Return the concatenated hashes of all buckets."""
+        """Return the hashes of all buckets, or only those that are not zero if that is shorter."""
+        sparse = b"".join(
+            bytes((bucket,)) + value.to_bytes(HASH_BYTES, "big")
+            for bucket, value in enumerate(self._hashes)
+            if value
+        )
+        if len(sparse) < BUCKETS * HASH_BYTES:
+            return sparse
         return b"".join(value.to_bytes(HASH_BYTES, "big") for value in self._hashes)
 
     def differing_buckets(self, digest: bytes) -> tuple[int, ...]:
-        """Return the buckets whose hashes differ, or all buckets for a digest of another size."""
-        own = self.digest()
-        if len(digest) != len(own):
+        """Return the buckets whose hashes differ, or all buckets for a digest of another form."""
+        other = _parse_digest(digest)
+        if other is None:
             return tuple(range(BUCKETS))
-        return tuple(
-            i
-            for i in range(BUCKETS)
-            if own[i * HASH_BYTES : (i + 1) * HASH_BYTES]
-            != digest[i * HASH_BYTES : (i + 1) * HASH_BYTES]
-        )
+        return tuple(i for i in range(BUCKETS) if self._hashes[i] != other[i])
 
     def members_in_buckets(self, buckets: Iterable[int]) -> list[Member]:
         """Return the members in the buckets, in any state."""
