--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -432,7 +432,7 @@
 
     reason = "quota-unknown"
     status = 503
-    retry_after_ms = 500.0
+    retry_after_ms = 200.0
 
 
 class NoRoom(Refusal):
--- a/knapweedhitch/quotas.py
+++ b/knapweedhitch/quotas.py
@@ -46,6 +46,8 @@
         self._store = TokenStore(self._cfg.max_customers)
         self._chooser = HolderChooser(kernel.cfg.node.domain, self._rng)
         self._holders_ms: float | None = None
+        # When a request began to wait for the first reply since the last one.
+        self._silent_since_ms: float | None = None
         self._holder: QuotaHolder | None = None
         # Customers for which tokens are being requested.
         self._fetching: set[str] = set()
@@ -105,8 +107,8 @@
         """Return a token, None if there is none within the share of the objective."""
         self._cleanup.set(CLEANUP_INTERVAL_MS)
         started_ms = self._now_ms()
-        reply_wait_ms = min(self._cfg.token_life_ms, self._cfg.max_reply_wait_share * objective_ms)
-        refill_wait_ms = min(reply_wait_ms, self._cfg.max_refill_wait_share * objective_ms)
+        refill_wait_ms = self._cfg.max_refill_wait_share * objective_ms
+        reply_wait_ms = self._reply_wait_ms(objective_ms, started_ms)
         tokens.waiting += 1
         try:
             while (token := tokens.take(self._now_ms())) is None:
@@ -127,6 +129,14 @@
         finally:
             tokens.waiting -= 1
 
+    def _reply_wait_ms(self, objective_ms: float, now: float) -> float:
+        """Return how long a request waits for replies of holders."""
+        if self._silent_since_ms is None:
+            self._silent_since_ms = now
+        if now - self._silent_since_ms > self._cfg.max_silence_ms:
+            return self._cfg.max_refill_wait_share * objective_ms
+        return min(self._cfg.max_reply_wait_ms, self._cfg.max_reply_wait_share * objective_ms)
+
     def _next_token_ms(self, tokens: CustomerTokens, now: float) -> float:
         states = tokens.known_parts(now).values()
         return min((s.next_token_ms for s in states if s.next_token_ms > now), default=math.inf)
@@ -186,10 +196,13 @@
             while tokens.wanted(self._now_ms()) > 0:
                 holder = self._chooser.choose(tokens, asked, self._now_ms())
                 if holder is None:
-                    return
+                    break
                 # A holder that has granted tokens may have more for the requests that wait by now.
                 if not await self._ask_soon(tokens, limits, holder):
                     asked.add(holder)
+            if not self._chooser.has_replying(self._now_ms()):
+                # Calls may fail without any wait, and the next round begins when this one ends.
+                await trio.sleep(self._cfg.ask_timeout_ms / MS_PER_S)
         finally:
             self._fetching.discard(tokens.customer)
             self._notify(tokens.customer)
@@ -246,6 +259,7 @@
         self, tokens: CustomerTokens, asked: str, reply: QuotaGrant, sent_ms: float
     ) -> int:
         now = self._now_ms()
+        self._silent_since_ms = None
         if not reply.holds_part:
             self._avoid(asked, self._cfg.no_part_backoff_ms)
             self._counters.add("quota_holders_without_part")
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -373,9 +373,11 @@
     # Another holder is asked as well if one does not reply within this time.
     ask_timeout_ms: Ms = 20
     # A request waits for replies, and for a part that is empty, up to these shares of its latency
-    # objective, and up to the life of a token.
-    max_reply_wait_share: Ratio = 0.25
+    # objective. It no longer waits for replies when all have been silent for `max_silence_ms`.
+    max_reply_wait_ms: Ms = 400
+    max_reply_wait_share: Ratio = 0.5
     max_refill_wait_share: Ratio = 0.08
+    max_silence_ms: Ms = 2_000
     # Others are asked for this long before a holder that does not reply or that holds no part.
     silent_backoff_ms: Ms = 500
     no_part_backoff_ms: Ms = 2_000
