Rollouts: compare in the same period once traffic moves; the others keep a part until they drain

At load 30 a process test was rolled back at its deadline: with all calls at the new target, answers of both sides came from different times, so the suspicion of slowness stayed.

--- a/knapweedhitch/rolloutcontrol.py
+++ b/knapweedhitch/rolloutcontrol.py
@@ -41,6 +41,8 @@
         self.reports: dict[str, _Received] = {}
         self._arrivals: dict[tuple[str, int], int] = {}
         self.step_ms = now_ms
+        # When traffic began to move, as far as this leader knows.
+        self.moved_ms = None if rollout.step.phase is Phase.CANARY else now_ms
         self.is_proposing = False
 
     def record(self, rollout: Rollout, msg: RolloutReport, now_ms: float) -> int:
@@ -171,6 +173,7 @@
             moved = (op.step.phase, op.step.share) != (step.phase, step.share)
             if moved and op.step.phase is not Phase.CANARY:
                 conduct.step_ms = self._timers.now_ms()
+                conduct.moved_ms = conduct.moved_ms or conduct.step_ms
             self._counters.add("rollout_steps", op.step.phase.value)
             self._log("rollout_step", version, situation, op.step)
         elif isinstance(op, FinishRollout):
@@ -219,7 +222,7 @@
             now - self._started_ms[rollout.version],
             now - conduct.step_ms,
             reports,
-            conduct.evidence.verdict(now, conduct.step_ms, new_count),
+            conduct.evidence.verdict(now, new_count, conduct.moved_ms),
             conduct.evidence.arrivals,
             conduct.ledger.issued,
             self._count_lost_nodes(rollout),
--- a/knapweedhitch/rolloutevidence.py
+++ b/knapweedhitch/rolloutevidence.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections import deque
 from collections.abc import Mapping, Sequence
 
@@ -23,6 +24,7 @@
     def __init__(self) -> None:
         self._samples: deque[Sample] = deque(maxlen=MAX_SAMPLES)
         self._counts: dict[Source, Mapping[str, RouteAnswers]] = {}
+        self._new_answers = 0
         self.arrivals = 0
 
     def record(
@@ -30,6 +32,7 @@
     ) -> None:
         """Record the cumulative counts of one report."""
         for grown in added(counts, self._counts.get(source, {})):
+            self._new_answers += grown.answers if is_new else 0
             self._samples.append(Sample.of(at_ms, source[0], grown, is_new=is_new))
         self._counts[source] = {c.route: c for c in counts}
 
@@ -37,14 +40,19 @@
         """Record calls that reached a target for the first time."""
         self.arrivals += count
 
-    def verdict(self, now_ms: float, step_ms: float, target_count: int) -> Verdict:
-        """Return the strongest verdict on all answers, the last ones and those of this step."""
-        verdicts = [judge(self._samples, target_count)]
-        for since_ms in (*(now_ms - window for window in WINDOWS_MS), step_ms):
-            recent = [s for s in self._samples if s.at_ms > since_ms]
-            if len(recent) < len(self._samples):
-                verdicts.append(judge(recent, target_count))
-        return worst_of(verdicts)
+    def verdict(self, now_ms: float, target_count: int, moved_ms: float | None = None) -> Verdict:
+        """Return the strongest verdict on all answers and on the last ones.
+
+        Once traffic has moved at a time, only answers since then and the last ones count: most of
+        the others' answers are older than those of the new version.
+        """
+        starts = [now_ms - window for window in WINDOWS_MS]
+        starts.insert(0, -math.inf if moved_ms is None else moved_ms)
+        verdicts = [
+            judge((s for s in self._samples if s.at_ms > since_ms), target_count)
+            for since_ms in starts
+        ]
+        return dataclasses.replace(worst_of(verdicts), new_answers=self._new_answers)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
--- a/knapweedhitch/rolloutplan.py
+++ b/knapweedhitch/rolloutplan.py
@@ -31,7 +31,8 @@
 MIN_PULSE_MS = 500.0
 # Time at a share before the next step, in which its answers come back and are reported.
 SHIFT_STEP_MS = 600.0
-SHIFT_SHARES = (0.5, 1.0)
+# The others keep a part until they drain, so that there are answers to compare with.
+SHIFT_SHARES = (0.5, 0.8)
 # New targets together have at least this share of the slots of the others.
 MIN_SLOTS_RATIO = 0.8
 # Answers of canaries that are needed before traffic moves, and the lowest number that will do.
--- a/scripts/replay_rollouts.py
+++ b/scripts/replay_rollouts.py
@@ -122,6 +122,7 @@
         self.evidence = Evidence()
         self.ledger = GrantLedger(0)
         self.step_ms = 0.0
+        self.moved_ms: float | None = None
         self.sequence = 0
         self.new_calls = self.all_calls = self.bad_answers = 0
         # Slow periods of each target's machine, by the period's number.
@@ -237,14 +238,15 @@
             now,
             now - self.step_ms,
             tuple(self._describe(t, now) for t in (*self.old, *self.new)),
-            self.evidence.verdict(now, self.step_ms, len(self.new)),
+            self.evidence.verdict(now, len(self.new), self.moved_ms),
             self.evidence.arrivals,
             self.ledger.issued,
         )
         due = next_step(situation, CFG)
         if isinstance(due, Step):
-            if due.phase is not step.phase or (due.phase is Phase.SHIFT and due != step):
+            if due.phase is not Phase.CANARY and due != step:
                 self.step_ms = now
+                self.moved_ms = self.moved_ms or now
             self.rollout = structs.replace(self.rollout, step=due)
         elif isinstance(due, End):
             phase = Phase.COMPLETED if due.completed else Phase.ROLLED_BACK
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -29,6 +29,8 @@
     """Respond like a target of the platform."""
 
     protocol_version = "HTTP/1.1"
+    # Otherwise a response in two writes waits 40 ms for an acknowledgement.
+    disable_nagle_algorithm = True
     instance: ClassVar[str] = ""
     requests: ClassVar[list[dict[str, str]]] = []
     arrivals_s: ClassVar[list[float]] = []
--- a/tests/test_rollout_processes.py
+++ b/tests/test_rollout_processes.py
@@ -11,13 +11,22 @@
 from typing import Any, ClassVar
 
 from tests import platform_boot
-from tests.platform_world import APPS, CORES, PlatformWorld, StandInTarget, send_http
+from tests.platform_world import (
+    APPS,
+    CORES,
+    START_TIMEOUT_S,
+    PlatformWorld,
+    StandInTarget,
+    send_http,
+)
 
 HEARTBEAT_S = 0.5
-DURATION_S = 8.0
+DURATION_S = 12.0
 EXPOSURE_SHARE = 0.1
 EXPOSURE_SLACK = 50
 CALLERS = 4
+BACKLOG = 128
+TIMEOUT_S = 10.0
 
 
 class NewTarget(StandInTarget):
@@ -42,8 +51,12 @@
         threading.Thread(target=self.new_target.serve_forever, daemon=True).start()
         self.addCleanup(self.new_target.server_close)
         self.addCleanup(self.new_target.shutdown)
+        for server in (self.target, self.new_target):
+            # With the usual backlog of 5, connections made at the same time wait for a second.
+            server.socket.listen(BACKLOG)
         self.versions = {APPS[0]: ("i-1", "v1")}
         self.configure()
+        self.extend_timeout()
         self.stopping = threading.Event()
         self.statuses: list[int] = []
         self.threads = [threading.Thread(target=self.send_heartbeats, daemon=True)]
@@ -61,6 +74,22 @@
             contracts=("rollout",),
         )
 
+    def extend_timeout(self) -> None:
+        """Give requests time enough that none fails since a stand-in gets no processor time."""
+        route = {**self.patch["upsert"]["routes"][0], "timeoutS": TIMEOUT_S, "version": 1_000}
+        body = json.dumps({"upsert": {"routes": [route]}, "remove": {}}).encode()
+        address = self.address(CORES[0], "control")
+        path = "/knapweedhitch/config/patch"
+        self.wait_until("timeout", lambda: send_http(address, "POST", path, body)[0], 200)
+
+    def get_response(
+        self, ip: str, method: str = "GET", request_id: str = "r1"
+    ) -> tuple[int, bytes]:
+        deadline_ms = str(int(TIMEOUT_S * 1_000))
+        headers = {"Host": "a.example", "Attempt-Id": request_id, "Deadline-Ms": deadline_ms}
+        address = self.address(ip, "outbound")
+        return send_http(address, method, "/x/1", b"", headers, timeout_s=TIMEOUT_S + 1.0)
+
     def stop_threads(self) -> None:
         self.stopping.set()
         for thread in self.threads:
@@ -104,7 +133,7 @@
 
     def wait_for_end(self, core: str) -> str:
         """Return the final state."""
-        end_s = time.monotonic() + DURATION_S + 4.0
+        end_s = time.monotonic() + DURATION_S + START_TIMEOUT_S
         while time.monotonic() < end_s:
             state = self.state(core)
             if isinstance(state, dict) and state["state"] != "running":
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -273,7 +273,7 @@
             evidence.record((f"i{n}", 1), (good,), 1_000.0, is_new=is_new)
             evidence.record((f"i{n}", 1), (late,), 9_000.0, is_new=is_new)
         self.assertFalse(judge(evidence._samples, 2).is_bad)
-        self.assertTrue(evidence.verdict(10_000.0, 0.0, 2).is_bad)
+        self.assertTrue(evidence.verdict(10_000.0, 2).is_bad)
 
     def test_no_step_without_evidence_ends_at_the_deadline(self) -> None:
         """Guards against a version without targets that stays in roll-out or completes."""
