--- a/knapweedhitch/changes.py
+++ b/knapweedhitch/changes.py
@@ -17,6 +17,10 @@
 
 MAX_ID_CHARS = 128
 MAX_UNPACKED_BYTES = 524_288
+# Links of a few Mbit/s take seconds for a change of many routes, whose texts are alike.
+COMPRESS_FROM_BYTES = 4_096
+# Twice what control.max_change_bytes allows on the platform, since the stamp adds to a change.
+MAX_UNPACKED_CHANGE_BYTES = 33_554_432
 
 
 class Operation(Record, frozen=True):
@@ -197,12 +201,9 @@
     def groups(self) -> tuple[ClaimGroup, ...]:
         """Return the unpacked groups; raises InvalidChange."""
         try:
-            unpacker = zlib.decompressobj()
-            data = unpacker.decompress(self.packed, MAX_UNPACKED_BYTES)
-            if not unpacker.eof or unpacker.unused_data:
-                raise CodecError(f"cut short, or over {MAX_UNPACKED_BYTES} bytes")
+            data = _decompress(self.packed, MAX_UNPACKED_BYTES)
             return tuple(from_plain(ClaimGroup, raw) for raw in load_plain(data))
-        except (CodecError, TypeError, zlib.error) as exc:
+        except (CodecError, TypeError) as exc:
             raise InvalidChange(f"not a list of claim groups: {exc}") from None
 
 
@@ -252,13 +253,16 @@
 def encode_stamped(stamped: StampedChange) -> bytes:
     """Encode a stamped change, as stored in the log."""
     serving = [[name, sorted(domains)] for name, domains in sorted(stamped.serving.items())]
-    return cbor2.dumps([_change_to_plain(stamped.change), stamped.wall_ms, serving])
+    data = cbor2.dumps([_change_to_plain(stamped.change), stamped.wall_ms, serving])
+    return data if len(data) < COMPRESS_FROM_BYTES else cbor2.dumps(zlib.compress(data))
 
 
 def decode_stamped(data: bytes) -> StampedChange:
     """Decode and validate a stamped change; raises InvalidChange."""
     try:
         raw = load_plain(data)
+        if isinstance(raw, bytes):
+            raw = load_plain(_decompress(raw, MAX_UNPACKED_CHANGE_BYTES))
         if not isinstance(raw, list) or len(raw) != 3 or type(raw[1]) is not int:
             raise CodecError("a change, a time and the serving domains are expected")
         serving = {str(name): frozenset(map(str, domains)) for name, domains in raw[2]}
@@ -267,6 +271,18 @@
         raise InvalidChange(f"not a stamped change: {exc}") from None
 
 
+def _decompress(data: bytes, max_bytes: int) -> bytes:
+    """Return the decompressed data; raises CodecError if it is damaged or over a limit."""
+    unpacker = zlib.decompressobj()
+    try:
+        unpacked = unpacker.decompress(data, max_bytes)
+    except zlib.error as exc:
+        raise CodecError(str(exc)) from None
+    if not unpacker.eof or unpacker.unused_data:
+        raise CodecError(f"cut short, or over {max_bytes} bytes")
+    return unpacked
+
+
 def _change_to_plain(change: Change) -> list[Any]:
     plain = [
         change.change_id,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -5,6 +5,7 @@
 import unittest
 import zlib
 
+import cbor2
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -16,6 +17,7 @@
 from knapweedhitch.history import ChangeResult, ConfigurationMachine
 from knapweedhitch.model import ClaimGroup
 from tests.state_cluster import make_settings, service_config
+from tests.test_items import patch, route
 
 LIMITS = make_settings("c1", 1, max_change_ids=50, max_history_entries=20).control
 
@@ -151,6 +153,27 @@
     return StampedChange(Change("x", None, "op", changes.DomainIn("d")), 0, {})
 
 
+class StampedChangeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        routes = [route(f"route-{number}", document="{} " * 100) for number in range(800)]
+        change = Change(changes.new_change_id(), None, "op", changes.PatchItems(patch(routes)))
+        self.stamped = StampedChange(change, 1, {})
+
+    def test_change_of_many_routes_is_short(self) -> None:
+        """Guards against a change that fills thin links, so that requests wait for seconds."""
+        data = changes.encode_stamped(self.stamped)
+        self.assertEqual(changes.decode_stamped(data), self.stamped)
+        self.assertLess(len(data), len(changes.encode_change(self.stamped.change)) / 5)
+
+    def test_damaged_or_endless_changes_are_refused(self) -> None:
+        """Guards against a change that ends the process or takes its memory."""
+        data = cbor2.loads(changes.encode_stamped(self.stamped))
+        endless = zlib.compress(bytes(changes.MAX_UNPACKED_CHANGE_BYTES + 1))
+        for bad in (data[:-10], data + b"x", b"", b"no zlib", endless):
+            with self.assertRaises(InvalidChange):
+                changes.decode_stamped(cbor2.dumps(bad))
+
+
 class VersionsMachine(RuleBasedStateMachine):
     """Compare versions, change ids and domains with a simple model."""
 
