--- a/scripts/replay_quota.py
+++ b/scripts/replay_quota.py
@@ -36,12 +36,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class Case:
-    """Describe a load: its flooding customers, failed voters and entry nodes over time."""
+    """Describe a load: its flooding customers, lost voters and entry nodes over time."""
 
     name: str
     flood: bool = False
     moves: bool = False
-    lost_voter: bool = False
+    lost_voters: int = 0
 
 
 CASES = (
@@ -49,7 +49,8 @@
     Case("usual, one node then all", moves=True),
     Case("one customer at 7.5 times", flood=True),
     Case("the same, one node then all", flood=True, moves=True),
-    Case("usual, one voter lost", lost_voter=True),
+    Case("usual, one voter lost", lost_voters=1),
+    Case("usual, two voters lost", lost_voters=2),
 )
 
 
@@ -176,8 +177,8 @@
             await world.start()
             for number, arrival in enumerate(arrivals):
                 await trio.sleep(max(0.0, arrival.at_s - trio.current_time()))
-                if case.lost_voter and arrival.at_s > WARM_UP_S:
-                    world.nodes.pop("v2", None)
+                for voter in range(case.lost_voters if arrival.at_s > WARM_UP_S else 0):
+                    world.nodes.pop(f"v{2 + voter}", None)
                 nursery.start_soon(send, world, number, arrival)
             await trio.sleep(1.0)
             nursery.cancel_scope.cancel()
@@ -206,6 +207,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=26.0, help="including 6 s of warm-up")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--load", default="", help="only loads whose name contains this")
     args = parser.parse_args()
     print(
         "| load | quota held by | wrongly refused | most over the bound | messages/s a node |"
@@ -214,7 +216,7 @@
     print("|---|---|---|---|---|---|---|")
     items = make_customers()
     with logbook.NullHandler().applicationbound():
-        for case in CASES:
+        for case in (case for case in CASES if args.load in case.name):
             arrivals = make_arrivals(case, items, args.seconds, args.seed)
             reference = admit_by_buckets(arrivals, items, 1)
             for name, replay in WAYS:
