Quotas: holders that are slow for a moment are asked again soon

A backoff that doubles replaces a fixed one of 500 ms, and requests wait up to their latency objective for the first reply. Right after all processes had lost power, 26 requests got 429 after the reply of one slow holder of five.

--- a/knapweedhitch/quotas.py
+++ b/knapweedhitch/quotas.py
@@ -25,6 +25,8 @@
 # Nodes that are asked to pass a request on when this node reaches no holder itself.
 MAX_RELAYS = 2
 MIN_RETRY_AFTER_MS = 1.0
+# Pause between two rounds of requests to holders of which none has replied.
+NO_REPLY_PAUSE_MS = 50.0
 
 
 @service("quotas")
@@ -202,7 +204,7 @@
                     asked.add(holder)
             if not self._chooser.has_replying(self._now_ms()):
                 # Calls may fail without any wait, and the next round begins when this one ends.
-                await trio.sleep(self._cfg.ask_timeout_ms / MS_PER_S)
+                await trio.sleep(NO_REPLY_PAUSE_MS / MS_PER_S)
         finally:
             self._fetching.discard(tokens.customer)
             self._notify(tokens.customer)
@@ -226,7 +228,7 @@
         with trio.move_on_after(self._cfg.ask_timeout_ms / MS_PER_S) as scope:
             await replied.wait()
         if scope.cancelled_caught:
-            self._avoid(holder, self._cfg.silent_backoff_ms)
+            self._chooser.record_silence(holder, self._now_ms(), self._cfg)
             self._counters.add("quota_holders_slow")
         return granted > 0
 
@@ -248,7 +250,7 @@
             reply = await self._peers.call(holder, msg, life_ms)
         except PeerError as exc:
             self._counters.add("quota_requests_failed", type(exc).__name__)
-            self._avoid(holder, self._cfg.silent_backoff_ms)
+            self._chooser.record_silence(holder, self._now_ms(), self._cfg)
             self._notify(tokens.customer)
             return 0
         if not isinstance(reply, QuotaGrant):
@@ -261,7 +263,7 @@
         now = self._now_ms()
         self._silent_since_ms = None
         if not reply.holds_part:
-            self._avoid(asked, self._cfg.no_part_backoff_ms)
+            self._chooser.avoid(asked, now + self._cfg.no_part_backoff_ms)
             self._counters.add("quota_holders_without_part")
             self._notify(tokens.customer)
             return 0
@@ -307,9 +309,6 @@
             domains[node_id] = "" if member is None else member.domain
         self._chooser.set_holders(domains)
 
-    def _avoid(self, holder: str, backoff_ms: float) -> None:
-        self._chooser.avoid(holder, self._now_ms() + backoff_ms)
-
     def _relays(self) -> list[str]:
         """Return nodes that may reach a holder although this node reaches none."""
         holders = set(self._chooser.holders)
--- a/knapweedhitch/quotatokens.py
+++ b/knapweedhitch/quotatokens.py
@@ -9,6 +9,7 @@
 from collections.abc import Collection, Mapping
 
 from knapweedhitch.clock import MS_PER_S
+from knapweedhitch.settings import QuotaSettings
 
 # Requests within this time tell how many to expect next.
 DEMAND_MS = 500.0
@@ -17,6 +18,8 @@
 MAX_TOKENS_PER_REQUEST = 1_000
 # A part that has tokens may have none after this time.
 PART_STATE_MS = 1_000.0
+# Bounds the exponent of the backoff.
+MAX_SILENCES = 30
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -155,6 +158,7 @@
         self._rng = rng
         self._domains: Mapping[str, str] = {}
         self._avoided_until_ms: dict[str, float] = {}
+        self._silences: dict[str, int] = {}
 
     @property
     def holders(self) -> Collection[str]:
@@ -165,15 +169,25 @@
         """Replace the possible holders, with the failure domain of each."""
         self._domains = domains
         for node_id in self._avoided_until_ms.keys() - domains.keys():
-            del self._avoided_until_ms[node_id]
+            self.record_reply(node_id)
 
     def avoid(self, holder: str, until_ms: float) -> None:
-        """Ask other holders until a time, because this one is silent or holds no part."""
+        """Ask other holders until a time, because this one holds no part."""
         self._avoided_until_ms[holder] = until_ms
 
+    def record_silence(self, holder: str, now: float, cfg: QuotaSettings) -> None:
+        """Ask other holders for a while, the longer the more often this one has not replied."""
+        if self._avoided_until_ms.get(holder, -math.inf) > now:
+            return
+        silences = self._silences.get(holder, 0)
+        backoff_ms = min(cfg.max_silent_backoff_ms, cfg.silent_backoff_ms * 2.0**silences)
+        self._avoided_until_ms[holder] = now + backoff_ms
+        self._silences[holder] = min(silences + 1, MAX_SILENCES)
+
     def record_reply(self, holder: str) -> None:
         """Ask a holder again, because it has replied."""
         self._avoided_until_ms.pop(holder, None)
+        self._silences.pop(holder, None)
 
     def has_replying(self, now: float) -> bool:
         """Return whether any holder is neither silent nor without a part."""
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -389,12 +389,14 @@
     ask_timeout_ms: Ms = 20
     # A request waits for replies, and for a part that is empty, up to these shares of its latency
     # objective. It no longer waits for replies when all have been silent for `max_silence_ms`.
-    max_reply_wait_ms: Ms = 400
-    max_reply_wait_share: Ratio = 0.5
+    max_reply_wait_ms: Ms = 500
+    max_reply_wait_share: Ratio = 1.0
     max_refill_wait_share: Ratio = 0.08
     max_silence_ms: Ms = 2_000
-    # Others are asked for this long before a holder that does not reply or that holds no part.
-    silent_backoff_ms: Ms = 500
+    # A holder that does not reply is not asked for this long, doubled with each further time.
+    silent_backoff_ms: Ms = 50
+    max_silent_backoff_ms: Ms = 1_000
+    # A control instance that holds no part is not asked for this long.
     no_part_backoff_ms: Ms = 2_000
     # A voter grants tokens up to this time after it was last proved to be one. A new voter waits as
     # long, so that the one it replaces has stopped.
