--- a/knapweedhitch/loadreports.py
+++ b/knapweedhitch/loadreports.py
@@ -126,10 +126,10 @@
                 del self._subscribers[node_id]
             elif now - entry.sent_ms < 0.5 * self._cfg.report_interval_ms:
                 continue
-            elif not is_relevant(entry.sample, sample) or self._may_wait(
-                node_id, entry, sample, now
-            ):
+            elif not is_relevant(entry.sample, sample):
                 self._counters.add("load_reports_suppressed", "no-change")
+            elif self._may_wait(node_id, entry, sample, now):
+                self._counters.add("load_reports_suppressed", "other-domain")
             elif not self._budget.take(size_bytes):
                 self._counters.add("load_reports_suppressed", "budget")
             else:
--- a/knapweedhitch/peers.py
+++ b/knapweedhitch/peers.py
@@ -308,7 +308,7 @@
         try:
             await self._accept_and_run(wire)
         except Exception as exc:
-            # An unexpected error of one link must not end the process and its other links.
+            # As for a dial: one link must not end the others.
             faults.record(self._counters, "accept-fault", exc)
 
     async def _accept_and_run(self, wire: Wire) -> None:
