--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -138,15 +138,14 @@
             spec.target,
             spec.headers,
             spec.has_body,
-            # Whole numbers are short in a message; rounding up would extend the deadline.
-            math.floor(spec.deadline.remaining_ms()),
+            _whole_ms(spec.deadline.remaining_ms()),
             spec.retries_left,
             spec.depth,
             spec.config_version,
             spec.idempotent,
             spec.caller_service,
             spec.priority,
-            math.floor(spec.target_latency_ms),
+            _whole_ms(spec.target_latency_ms),
             spec.route,
             codec.round_to_half(spec.decline_above),
             spec.is_repeat,
@@ -360,6 +359,11 @@
         return load
 
 
+def _whole_ms(remaining_ms: float) -> float:
+    """Round down, which is short in a message and extends no deadline."""
+    return math.floor(remaining_ms) if math.isfinite(remaining_ms) else remaining_ms
+
+
 def _clamp_deadline_ms(deadline_ms: float) -> float:
     return min(max(0.0, deadline_ms), 86_400_000.0) if math.isfinite(deadline_ms) else 0.0
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import unittest
 from collections.abc import Awaitable, Callable
 from types import SimpleNamespace
@@ -24,7 +25,7 @@
     UpstreamFailed,
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
-from knapweedhitch.forward import Forward
+from knapweedhitch.forward import Forward, _whole_ms
 from knapweedhitch.handlers import fail_frame
 from knapweedhitch.messages import OpenStream, StreamHead
 from knapweedhitch.model import CallResult, LoadSample, Warmth
@@ -195,6 +196,23 @@
             self.assertEqual(services.observed, [("i", LOAD)] * 2)
             self.assertGreater(a.counters.get("peer_bytes_out", "payload"), 840_000)
 
+    @run_on_mock_clock
+    async def test_status_outside_http_from_another_node_is_refused(self) -> None:
+        """Guards against a number that is no status of HTTP and passes through an older node."""
+
+        async def respond_oddly(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            await sink.head(600, (), None)
+            return RESULT
+
+        async with running_nodes(2, prepare=install(respond_oddly)) as (a, _):
+            self.assert_refused(await execute(a, make_spec()), PeerFailed, Outcome.UNKNOWN)
+
+    def test_remaining_times_are_rounded_down(self) -> None:
+        """Guards against a deadline that grows on its way, and a call without one that fails."""
+        for value, expected in ((999.9, 999), (0.4, 0), (math.inf, math.inf)):
+            self.assertEqual(_whole_ms(value), expected)
+
     @run_on_mock_clock
     async def test_refusals_keep_reason_and_outcome(self) -> None:
         """Guards against a refusal of the target whose type or outcome is changed in transit."""
