--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -650,13 +650,13 @@
 class RolloutReport(Message, frozen=True):
     """Report a target of a service that is rolled out, and request calls for it.
 
-    Counts are those since the order in this process, which `node_started_ms` tells apart.
+    Counts are those since the order in one process, which its random `process_id` tells apart.
     """
 
     service: str
     order_version: int
     instance_id: str
-    node_started_ms: int
+    process_id: int
     sequence: int
     version: str
     slots: int
--- a/knapweedhitch/rolloutcontrol.py
+++ b/knapweedhitch/rolloutcontrol.py
@@ -16,7 +16,7 @@
 from knapweedhitch.model import Configuration, Target
 from knapweedhitch.pick import serving_targets
 from knapweedhitch.rollout import Phase, Rollout, Step
-from knapweedhitch.rolloutevidence import Evidence, GrantLedger
+from knapweedhitch.rolloutevidence import Evidence, GrantLedger, Source
 from knapweedhitch.rolloutplan import End, Situation, TargetReport, next_step
 from knapweedhitch.supervisor import OnFault
 
@@ -39,7 +39,9 @@
         self.evidence = Evidence()
         self.ledger = GrantLedger(rollout.step.granted)
         self.reports: dict[str, _Received] = {}
-        self._arrivals: dict[tuple[str, int], int] = {}
+        self._arrivals: dict[Source, int] = {}
+        # Processes after which another one has reported the same instance.
+        self._ended: set[Source] = set()
         self.step_ms = now_ms
         # When traffic began to move, as far as this leader knows.
         self.moved_ms = None if rollout.step.phase is Phase.CANARY else now_ms
@@ -47,9 +49,8 @@
 
     def record(self, rollout: Rollout, msg: RolloutReport, now_ms: float) -> int:
         """Record a report and return the calls to grant."""
-        last = self.reports.get(msg.instance_id)
-        source = (msg.instance_id, msg.node_started_ms)
-        if last is not None and _order_of(msg) <= _order_of(last.report):
+        source = (msg.instance_id, msg.process_id)
+        if not self._is_newest(msg, source):
             return 0
         self.reports[msg.instance_id] = _Received(msg, now_ms)
         is_new = rollout.is_new(msg.version)
@@ -69,9 +70,15 @@
             reserved=rollout.step.granted,
         )
 
-
-def _order_of(msg: RolloutReport) -> tuple[int, int]:
-    return msg.node_started_ms, msg.sequence
+    def _is_newest(self, msg: RolloutReport, source: Source) -> bool:
+        """Return whether no later report of this process or a later one has come."""
+        last = self.reports.get(msg.instance_id)
+        if last is None:
+            return True
+        if last.report.process_id == msg.process_id:
+            return msg.sequence > last.report.sequence
+        self._ended.add((msg.instance_id, last.report.process_id))
+        return source not in self._ended
 
 
 @service("rollouts")
--- a/knapweedhitch/rolloutevidence.py
+++ b/knapweedhitch/rolloutevidence.py
@@ -14,7 +14,7 @@
 WINDOWS_MS = (4_000.0, 2_000.0)
 MAX_SAMPLES = 50_000
 
-# An instance and the start of the process that counts its answers.
+# An instance and the process that counts its answers.
 Source = tuple[str, int]
 
 
--- a/knapweedhitch/rolloutgate.py
+++ b/knapweedhitch/rolloutgate.py
@@ -32,6 +32,7 @@
 WANTED_INTERVALS = 2.0
 MIN_WANTED = 4
 MAX_WANTED = 50
+PROCESS_ID_BITS = 62
 # An instance that does not lead names the one that does.
 MAX_REDIRECTS = 1
 
@@ -89,6 +90,8 @@
         self._kernel = kernel
         self._cfg = kernel.cfg.rollouts
         self._rng = rng or random.Random()
+        # The start time of a node may go back with its clock, or be that of an earlier process.
+        self._process_id = self._rng.getrandbits(PROCESS_ID_BITS)
         self._order: _Order | None = None
         self._timer: Any = None
         self._last_record: UpstreamRecord | None = None
@@ -269,7 +272,7 @@
             record.service,
             rollout.version,
             record.instance_id,
-            self._membership.own_member.started_wall_ms,
+            self._process_id,
             order.sequence,
             record.version,
             record.slots,
--- a/tests/test_rollout_services.py
+++ b/tests/test_rollout_services.py
@@ -66,13 +66,12 @@
         self.record = record(n, version=self.version)
         self.config = config
         self.is_cut = False
-        own = types.SimpleNamespace(started_wall_ms=int(trio.current_time() * 1_000) + 1)
         self.gate = RolloutGate(
             world.kernel(
                 config,
                 announce=types.SimpleNamespace(current=self.record),
                 admission=types.SimpleNamespace(load=sample),
-                membership=types.SimpleNamespace(own_member=own, control_ids=lambda: CONTROL_IDS),
+                membership=types.SimpleNamespace(control_ids=lambda: CONTROL_IDS),
                 peers=types.SimpleNamespace(call=self.call),
             )
         )
@@ -373,6 +372,25 @@
             with self.subTest(name=name):
                 run(test)
 
+    def test_late_report_of_an_earlier_process_changes_nothing(self) -> None:
+        """Guards against counts and grants of a process that has ended."""
+
+        async def test(world: World) -> None:
+            await world.round()
+            control, node = world.controls["c1"], world.gates[1]
+            rollout = world.rollout
+            earlier = node.gate._make_report(rollout, node.record, node.gate._order)
+            earlier = structs.replace(earlier, sequence=99, arrivals=1_000)
+            await world.start_gate(1, node.config)
+            await world.round()
+            await world.round()
+            conduct = control._conduct_of(rollout)
+            arrivals = conduct.evidence.arrivals
+            await control._on_report("n1", earlier)
+            self.assertEqual(conduct.evidence.arrivals, arrivals)
+
+        run(test)
+
     def test_end_does_not_wait_for_a_target_that_has_deregistered(self) -> None:
         """Guards against an end that a target without calls holds, which others still list."""
 
