--- a/knapweedhitch/rolloutplan.py
+++ b/knapweedhitch/rolloutplan.py
@@ -36,7 +36,7 @@
 # New targets together have at least this share of the slots of the others.
 MIN_SLOTS_RATIO = 0.8
 # Answers of canaries that are needed before traffic moves, and the lowest number that will do.
-GOOD_ANSWERS = 40
+GOOD_ANSWERS = 25
 MIN_GOOD_ANSWERS = 12
 # Calls are reserved in the log for about this time ahead.
 RESERVE_MS = 1_000.0
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -252,6 +252,18 @@
                 if fault.is_bad:
                     self.assertLessEqual(result.new_calls, result.bound)
 
+    def test_one_bad_target_gives_no_verdict(self) -> None:
+        """Guards against a version that is taken back for one target, or kept despite several."""
+        for n_bad, is_bad in ((0, False), (1, False), (2, True)):
+            samples = [
+                Sample.of(0.0, f"{side}{n}", counts, is_new=side == "n")
+                for side in "no"
+                for n in range(4)
+                for counts in [RouteAnswers("r1", 20, 16 * (side == "n" and n < n_bad))]
+            ]
+            verdict = judge(samples, 4)
+            self.assertEqual((verdict.is_bad, verdict.is_suspicious), (is_bad, is_bad))
+
     def test_fault_on_a_rare_route_is_found(self) -> None:
         """Guards against a fault on one route that the answers on all others hide."""
         samples = []
