Admission: less urgent calls and customers over their share yield in a shortage

While urgent calls are refused at an upstream, less urgent ones and those of a customer that asks for far more than usual leave the last free slot to them; who would be displaced is refused on arrival. A call may be declined for the wait in the queue, so that another upstream takes it. Both are off unless admission.shortage_window_ms and admission.decline_for_queue are set.

Tests of work queue, queue admission, settings, gate and upstream limit pass.

--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -10,6 +10,7 @@
 import trio
 
 from knapweedhitch import framing, logs
+from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.budget import TokenBucket
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.coldtime import ColdTime
@@ -60,6 +61,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._cfg = kernel.cfg.admission
+        self._call_separator = kernel.cfg.routing.call_id_separator
         self._timers = kernel.get("timers")
         self._counters = kernel.get("counters")
         self._draining = self._domain_out = False
@@ -80,6 +82,7 @@
         self._limit_log_budget = TokenBucket(
             LIMIT_LOG_LINES_PER_S, LIMIT_LOG_BURST, self._timers.now_ms
         )
+        self._yield_log = BoundedLog(kernel.cfg.log, self._counters, self._timers.now_ms)
 
     async def start(self) -> None:
         """Subscribe to what the upstream reports in its responses."""
@@ -104,23 +107,53 @@
         await self._refresh_load()
         self._refuse_if_closed()
         now = self._timers.now_ms()
-        work = _make_work(deadline, spec, now)
+        work = self._make_work(deadline, spec, now)
         if work.deadline_ms <= now + self._cfg.min_service_ms:
             raise self._count_refusal(DeadlineExceeded())
         if self._expected_delay(work, now) > spec.decline_above:
             raise self._count_refusal(UpstreamSlow())
-        pause_ms = self.queue.pause_ms(work, now)
-        if not self.queue.waiting and self.queue.has_room(now) and not pause_ms:
+        self.queue.record_arrival(work, now)
+        if self.queue.may_start(work, now):
             return self._start_call(0.0, work)
         if not self.queue.may_wait(work, now):
+            self._record_yield(work, now)
+            self.queue.record_refusal(work, now)
             raise self._count_refusal(self._no_room(work, now))
         return await self._wait(work)
 
+    def _make_work(self, deadline: Deadline, spec: CallSpec, now: float) -> Work:
+        deadline_ms = deadline.at_s * MS_PER_S
+        return Work(
+            spec.priority,
+            now,
+            deadline_ms,
+            min(deadline_ms, now + spec.target_latency_ms),
+            spec.route,
+            spec.customer,
+            is_call=bool(self._call_separator) and self._call_separator in spec.request_id,
+        )
+
     def _expected_delay(self, work: Work, now: float) -> float:
         """Return the expected time of a call relative to its usual service time."""
         is_known = self.load_age_ms < MAX_LOAD_AGE_MS
         slowdown = self.queue.expected_slowdown(work, now) if is_known else 1.0
-        return slowdown + self.queue.expected_rate_delay(work, now)
+        return slowdown + self.queue.expected_delay(work, now)
+
+    def _record_yield(self, work: Work, now: float) -> None:
+        """Count and log a refusal that leaves a slot to other calls."""
+        reason = self.queue.yield_reason(work, now)
+        if reason is None:
+            return
+        self._counters.add("admission_yielded", reason.value)
+        self._yield_log.event(
+            "admission-yielded",
+            reason=reason.value,
+            route=work.route,
+            priority=work.priority,
+            customer=work.customer,
+            running=self.queue.running,
+            limit=self.queue.limit,
+        )
 
     def _record_request(self) -> None:
         now = self._timers.now_ms()
@@ -136,7 +169,7 @@
 
     def _no_room(self, work: Work, now: float) -> Refusal:
         refusal = NoRoom()
-        refusal.retry_after_ms = max(1.0, self.queue.expected_wait_ms(now, work))
+        refusal.retry_after_ms = self.queue.retry_after_ms(now, work)
         return refusal
 
     async def _wait(self, work: Work) -> Slot:
@@ -398,9 +431,3 @@
     def _count_refusal(self, refusal: Refusal) -> Refusal:
         self._counters.add("admission_refused", refusal.reason)
         return refusal
-
-
-def _make_work(deadline: Deadline, spec: CallSpec, now_ms: float) -> Work:
-    deadline_ms = deadline.at_s * MS_PER_S
-    objective_ms = min(deadline_ms, now_ms + spec.target_latency_ms)
-    return Work(spec.priority, now_ms, deadline_ms, objective_ms, spec.route, spec.customer)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -295,6 +295,11 @@
     min_patience_ms: Annotated[int, Meta(ge=0, le=60_000)] = 300
     # Usual length of a slow period of a shared machine; long calls wait for its end. 0 is off.
     slow_moment_ms: Annotated[int, Meta(ge=0, le=60_000)] = 0
+    # Decline a call for the wait in the queue if another upstream is expected to respond sooner.
+    decline_for_queue: bool = False
+    # While urgent calls have been refused in this time, less urgent ones leave them the last free
+    # slot, and so do those of a customer that asks for far more than usual. 0 is off.
+    shortage_window_ms: Annotated[int, Meta(ge=0, le=60_000)] = 0
     # A call with less time left is not started.
     min_service_ms: Annotated[int, Meta(ge=0, le=60_000)] = 5
 
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -13,6 +13,7 @@
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.pacing import StartPacer
 from knapweedhitch.settings import AdmissionSettings
+from knapweedhitch.shortage import Shortage, YieldReason
 
 # EWMA weight of the newest service time.
 MEAN_WEIGHT = 0.05
@@ -50,6 +51,8 @@
     route: str = ""
     # Name of the customer; empty for calls without one.
     customer: str = ""
+    # Whether a running request makes this call.
+    is_call: bool = False
 
 
 def is_late_on_arrival(work: Work) -> bool:
@@ -111,6 +114,7 @@
         self._cold_per_s = math.inf
         # Follows the requests per second that the upstream has named as its limit.
         self._pacer = StartPacer()
+        self._shortage = Shortage(cfg.shortage_window_ms) if cfg.shortage_window_ms else None
 
     def set_rate_limit(
         self, per_s: float | None, now_ms: float, unknown_before_ms: float = -math.inf
@@ -188,6 +192,38 @@
         wait_ms = self._rate_wait_ms(now_ms, self._count_ahead(work, now_ms))
         return wait_ms / max(1.0, self.service_ms(work))
 
+    def expected_delay(self, work: Work, now_ms: float) -> float:
+        """Return the expected time of a call that arrives now relative to its service time.
+
+        It excludes a change of speed, which `expected_slowdown` tells.
+        """
+        delay = self.expected_rate_delay(work, now_ms)
+        if self._cfg.decline_for_queue:
+            delay += self._slot_wait_ms(now_ms, work) / max(1.0, self.service_ms(work))
+        return delay
+
+    def record_arrival(self, work: Work, now_ms: float) -> None:
+        """Record a call that asks for a slot."""
+        if self._shortage is not None and not is_late_on_arrival(work):
+            self._shortage.record_arrival(work, self.service_ms(work), now_ms)
+
+    def record_refusal(self, work: Work, now_ms: float) -> None:
+        """Record that a call was refused on arrival."""
+        if self._shortage is not None and not is_late_on_arrival(work):
+            self._shortage.record_refusal(work, now_ms)
+
+    def yield_reason(self, work: Work, now_ms: float) -> YieldReason | None:
+        """Return why a call leaves the last free slot to others, None if it need not."""
+        if self._shortage is None or self.running < self.limit - 1:
+            return None
+        return self._shortage.yield_reason(work, now_ms)
+
+    def may_start(self, work: Work, now_ms: float) -> bool:
+        """Return whether a call that arrives now may start without a wait."""
+        if self.waiting or not self.has_room(now_ms) or self.pause_ms(work, now_ms):
+            return False
+        return self.yield_reason(work, now_ms) is None
+
     def has_room(self, now_ms: float) -> bool:
         """Return whether the limits allow a call to start now."""
         return self.running < self.limit and self.start_wait_ms(now_ms) <= 0
@@ -198,13 +234,26 @@
         if self.has_room(now_ms) and not self.waiting:
             return pause_ms
         ahead = self._count_ahead(work, now_ms)
-        wait_ms = 0.0
-        if self.running >= self.limit:
-            wait_ms = (ahead + 1) * self.mean_ms / max(1, self.limit)
-            if work is not None and self._is_sustained(now_ms):
-                wait_ms = max(wait_ms, self._overtaken_wait_ms(work, now_ms))
+        wait_ms = self._slot_wait_ms(now_ms, work)
         return max(wait_ms, self._rate_wait_ms(now_ms, ahead), pause_ms)
 
+    def _slot_wait_ms(self, now_ms: float, work: Work | None) -> float:
+        """Return the expected time until a slot is free for a call."""
+        if self.running < self.limit:
+            return 0.0
+        wait_ms = (self._count_ahead(work, now_ms) + 1) * self.mean_ms / max(1, self.limit)
+        if work is not None and self._is_sustained(now_ms):
+            wait_ms = max(wait_ms, self._overtaken_wait_ms(work, now_ms))
+        return wait_ms
+
+    def retry_after_ms(self, now_ms: float, work: Work) -> float:
+        """Return the time after which a refused call is expected to find room."""
+        wait_ms = self.expected_wait_ms(now_ms, work)
+        if self.yield_reason(work, now_ms) is None:
+            return max(1.0, wait_ms)
+        # The slot that it left is taken for the length of another call.
+        return max(wait_ms, self.mean_ms)
+
     def _count_ahead(self, work: Work | None, now_ms: float) -> int:
         """Return the number of queued calls that run before a call, all of them for None."""
         if work is None:
@@ -249,6 +298,8 @@
         """Return whether a call that arrives now is likely to finish in time."""
         if len(self.waiting) >= self._cfg.max_queue:
             return False
+        if self.yield_reason(work, now_ms) is not None:
+            return False
         done_ms = now_ms + self.expected_wait_ms(now_ms, work) + self.service_ms(work)
         return done_ms <= min(work.deadline_ms, self._finish_by_ms(work))
 
@@ -289,9 +340,10 @@
         self.drop(first)
         return first
 
-    def _order(self, work: Work, now_ms: float) -> tuple[bool, int, float]:
+    def _order(self, work: Work, now_ms: float) -> tuple[bool, bool, int, float]:
         # Calls that can still meet their objective run before late ones.
-        return self._is_late(work, now_ms), work.priority, work.objective_ms
+        is_over_share = self._shortage is not None and self._shortage.is_over_share(work, now_ms)
+        return self._is_late(work, now_ms), is_over_share, work.priority, work.objective_ms
 
     def _is_late(self, work: Work, now_ms: float) -> bool:
         return is_late_on_arrival(work) or self._misses_wait_limit(work, now_ms)
