--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -214,7 +214,9 @@
             probe_interval_ms=80,
             address=parse_listener(boot.app_address, f"{place}: appAddr"),
         ),
-        admission=AdmissionSettings(slots_share=0.84, slow_moment_ms=300),
+        admission=AdmissionSettings(
+            slots_share=0.84, slow_moment_ms=300, decline_for_queue=True, shortage_window_ms=2_000
+        ),
         routing=RoutingSettings(
             retry_ratio=boot.bounds.retry_ratio,
             retry_floor_per_s=0.0,
--- a/scripts/replay_shortage.py
+++ b/scripts/replay_shortage.py
@@ -87,7 +87,12 @@
     # Share of each customer in the requests of every kind, and its own kinds if not all.
     customers: tuple[tuple[str, float], ...] = (("", 1.0),)
     customer_kinds: tuple[tuple[str, str], ...] = ()
-    customer_priority: int | None = None
+    # A customer whose own priority is above that of all kinds.
+    urgent: str = ""
+
+    def is_surge(self, now_ms: float) -> bool:
+        """Return whether a surge goes on."""
+        return any(surge.start_ms <= now_ms < surge.end_ms for surge in self.surges)
 
 
 @dataclasses.dataclass(eq=False)
@@ -215,9 +220,9 @@
         self._at(now_ms + TICK_MS, self._tick, gate)
 
     def _arrive(self, now_ms: float, kind: RequestKind, customer: str) -> None:
-        priority = self.load.customer_priority
+        priority = 0 if customer and customer == self.load.urgent else kind.priority
         request = Request(
-            kind.name, kind.service, customer, kind.priority if priority is None else priority,
+            kind.name, kind.service, customer, priority,
             kind.work_ms * self._rng.uniform(0.7, 1.3), now_ms, now_ms + kind.objective_ms,
             now_ms + kind.deadline_ms, kind.retries, self._end_request, kind.calls,
         )  # fmt: skip
@@ -225,7 +230,8 @@
 
     def _end_request(self, request: Request, result: str, now_ms: float) -> None:
         self.results[request.name, result] += 1
-        self.by_customer[request.customer, result] += 1
+        if self.load.is_surge(request.first_ms):
+            self.by_customer[request.customer, result] += 1
 
     def _send(self, now_ms: float, request: Request) -> None:
         request.sent_ms, request.waited = now_ms, False
@@ -391,11 +397,35 @@
 CAFE_SERVICES = {"rota": (9, 10), "pay": (3, 10)}
 
 
+def _customers(count: int, exponent: float) -> tuple[tuple[str, float], ...]:
+    """Return customers whose shares fall with their rank, the largest first."""
+    weights = [1.0 / rank**exponent for rank in range(1, count + 1)]
+    return tuple((f"c{rank}", weight / sum(weights)) for rank, weight in enumerate(weights, 1))
+
+
+def _hot(*ranks: int, factor: float = 8.0) -> tuple[Surge, ...]:
+    return tuple(Surge(4_000, 14_000, factor, customer=f"c{rank}") for rank in ranks)
+
+
 def _busy(factor: float) -> tuple[Surge, ...]:
     return (Surge(3_000, 17_000, factor),)
 
 
+CUSTOMERS = _customers(40, 1.2)
+# The fifth customer sends only bookings, which need most work.
+DEAR_ONLY = (("c5", "booking"),)
+
+
 LOADS = {
+    "one-hot": Load(RIDES_SERVICES, RIDES, _hot(4), customers=CUSTOMERS),
+    "one-hot-urgent": Load(RIDES_SERVICES, RIDES, _hot(4), customers=CUSTOMERS, urgent="c4"),
+    "largest-hot": Load(RIDES_SERVICES, RIDES, _hot(1), customers=CUSTOMERS),
+    "three-hot": Load(RIDES_SERVICES, RIDES, _hot(1, 2, 3), customers=CUSTOMERS),
+    "dear-hot": Load(
+        RIDES_SERVICES, RIDES, _hot(5, factor=20.0), customers=CUSTOMERS, customer_kinds=DEAR_ONLY
+    ),
+    "all-hot": Load(RIDES_SERVICES, RIDES, (Surge(4_000, 14_000, 2.2),), customers=CUSTOMERS),
+    "alone": Load(RIDES_SERVICES, RIDES, (Surge(4_000, 14_000, 1.5),), customers=(("c1", 1.0),)),
     "rides-usual": Load(RIDES_SERVICES, RIDES),
     "rides-bookings": Load(RIDES_SERVICES, RIDES, (BOOKINGS,)),
     "rides-busy": Load(RIDES_SERVICES, RIDES, (BOOKINGS, *_busy(1.4))),
