Admission: hold calls back from an upstream that breaks its connections

A health check may pass while each request is reset, and every entry node had to learn it by five calls of its own, so that unsafe ones among them ended in 502.

--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -402,6 +402,13 @@
     status = 503
 
 
+class UpstreamBreaks(Refusal):
+    """Refuse a request because its upstream has broken the exchanges before it."""
+
+    reason = "upstream-breaks"
+    status = 503
+
+
 class UpstreamSlow(Refusal):
     """Decline a call at a slowed upstream, since another one may respond sooner."""
 
@@ -514,6 +521,8 @@
 
     reason = "upstream-failed"
     status = 502
+    # Whether the connection had been used and then idle before.
+    was_reused: bool = False
 
 
 class UpstreamUnreachable(UpstreamFailed):
--- a/knapweedhitch/model.py
+++ b/knapweedhitch/model.py
@@ -245,3 +245,7 @@
     timed_out: bool = False
     shed: bool = False
     cancelled: bool = False
+    # Whether the upstream broke the exchange after the request was sent.
+    broken: bool = False
+    # Whether it did so on a connection that had been idle, which may have been dead before.
+    was_reused: bool = False
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -215,7 +215,11 @@
             address=parse_listener(boot.app_address, f"{place}: appAddr"),
         ),
         admission=AdmissionSettings(
-            slots_share=0.84, slow_moment_ms=300, decline_for_queue=True, shortage_window_ms=2_000
+            slots_share=0.84,
+            slow_moment_ms=300,
+            decline_for_queue=True,
+            shortage_window_ms=2_000,
+            break_hold_ms=500,
         ),
         routing=RoutingSettings(
             retry_ratio=boot.bounds.retry_ratio,
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -81,9 +81,17 @@
         connect_failed=isinstance(refusal, UpstreamUnreachable),
         timed_out=isinstance(refusal, (UpstreamTimedOut, DeadlineExceeded)),
         shed=refusal.outcome is Outcome.NOT_RUN and refusal.status == SHED_STATUS,
+        broken=_is_broken(refusal),
+        was_reused=isinstance(refusal, UpstreamFailed) and refusal.was_reused,
     )
 
 
+def _is_broken(refusal: Refusal) -> bool:
+    is_other = isinstance(refusal, (UpstreamShed, UpstreamTimedOut, UpstreamUnreachable))
+    is_failure = isinstance(refusal, UpstreamFailed) and not is_other
+    return is_failure and refusal.outcome is Outcome.UNKNOWN
+
+
 def cancelled_result(deadline: Deadline, service_ms: float) -> CallResult:
     """Return the result of a cancelled call, which timed out if its deadline has passed."""
     timed_out = deadline.expired()
@@ -180,7 +188,9 @@
         outcome = Outcome.UNKNOWN if conn.has_sent else Outcome.NOT_RUN
         if isinstance(exc, UpstreamTimeout):
             return UpstreamTimedOut(outcome, str(exc))
-        return UpstreamFailed(outcome, str(exc))
+        failed = UpstreamFailed(outcome, str(exc))
+        failed.was_reused = conn.used
+        return failed
 
     def _build_headers(self, spec: CallSpec, exchange_id: bytes) -> Headers:
         remaining_ms = max(1, int(spec.deadline.remaining_ms()) - self._routing.attempt_margin_ms)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -300,6 +300,9 @@
     # While urgent calls have been refused in this time, less urgent ones leave them the last free
     # slot, and so do those of a customer that asks for far more than usual. 0 is off.
     shortage_window_ms: Annotated[int, Meta(ge=0, le=60_000)] = 0
+    # After two broken exchanges in a row, send the upstream no call for this time, doubled up to
+    # three times, and then one at a time until one succeeds. 0 is off.
+    break_hold_ms: Annotated[int, Meta(ge=0, le=60_000)] = 0
     # A call with less time left is not started.
     min_service_ms: Annotated[int, Meta(ge=0, le=60_000)] = 5
 
