Admission: a customer's own priority takes no places of other customers

Yielding compared kinds by the priority that their customer has, so that others yielded to a customer of high priority at eight times its usual load. Kinds of requests with a customer are now compared by how long they can wait, and what a customer asks for beyond its share isn't counted.

--- a/knapweedhitch/customershares.py
+++ b/knapweedhitch/customershares.py
@@ -14,7 +14,7 @@
 # A customer is over its share if its demand has grown by this factor more than that of the others.
 OVER_FACTOR = 2.0
 # One gate gets few calls of a customer, so smaller differences are chance.
-MIN_EXCESS_CALLS = 3.0
+MIN_EXCESS_CALLS = 2.0
 # How far back the usual demand reaches, in windows of the recent demand.
 USUAL_WINDOWS = 30.0
 UPDATE_INTERVAL_MS = 200.0
--- a/knapweedhitch/shortage.py
+++ b/knapweedhitch/shortage.py
@@ -21,6 +21,8 @@
 # a refused call is tried at up to three further upstreams.
 MAX_OVER_REFUSED_SHARE = 0.9
 MAX_KINDS = 64
+# One gate gets few calls of each customer, so their demand is compared over a longer time.
+SHARE_WINDOWS = 2.0
 
 
 class CallToPlace(Protocol):
@@ -93,26 +95,27 @@
     def __init__(self, window_ms: float) -> None:
         self._window_ms = window_ms
         self._kinds: dict[tuple[int, str], _Kind] = {}
-        self._shares = CustomerShares(window_ms)
+        self._shares = CustomerShares(SHARE_WINDOWS * window_ms)
         self._within_share = _Refusals(window_ms)
         self._over_share = _Refusals(window_ms)
 
     def record_arrival(self, work: CallToPlace, service_ms: float, now_ms: float) -> None:
         """Record a call that could be timely, with its expected service time."""
-        kind = self._kind_of(work, service_ms)
-        if kind is not None:
-            kind.record_arrival(now_ms)
         if work.customer:
             self._shares.record_arrival(work.customer, service_ms, now_ms)
             self._group_of(work, now_ms).record_arrival(now_ms)
+        kind = self._kind_of(work, service_ms)
+        if kind is not None and not self.is_over_share(work, now_ms):
+            # Nobody yields to what a customer asks for beyond its share.
+            kind.record_arrival(now_ms)
 
     def record_refusal(self, work: CallToPlace, now_ms: float) -> None:
         """Record that a call was refused on arrival."""
-        kind = self._kinds.get((work.priority, work.route))
-        if kind is not None:
-            kind.record_refusal(now_ms)
         if work.customer:
             self._group_of(work, now_ms).record_refusal(now_ms)
+        kind = self._kinds.get(_kind_key(work))
+        if kind is not None and not self.is_over_share(work, now_ms):
+            kind.record_refusal(now_ms)
 
     def is_over_share(self, work: CallToPlace, now_ms: float) -> bool:
         """Return whether the customer of a call asks for far more than usual."""
@@ -135,7 +138,7 @@
         return self._over_share.share(now_ms) < MAX_OVER_REFUSED_SHARE
 
     def _yields_to_urgent_kind(self, work: CallToPlace, now_ms: float) -> bool:
-        own = self._kinds.get((work.priority, work.route))
+        own = self._kinds.get(_kind_key(work))
         if own is None:
             return False
         own_share = own.share(now_ms)
@@ -147,12 +150,17 @@
         )
 
     def _kind_of(self, work: CallToPlace, service_ms: float) -> _Kind | None:
-        key = (work.priority, work.route)
+        key = _kind_key(work)
         kind = self._kinds.get(key)
         if kind is None and len(self._kinds) < MAX_KINDS:
             patience_ms = work.objective_ms - work.arrived_ms - service_ms
-            kind = self._kinds[key] = _Kind(self._window_ms, work.priority, patience_ms)
+            kind = self._kinds[key] = _Kind(self._window_ms, key[0], patience_ms)
         return kind
 
     def _group_of(self, work: CallToPlace, now_ms: float) -> _Refusals:
         return self._over_share if self.is_over_share(work, now_ms) else self._within_share
+
+
+def _kind_key(work: CallToPlace) -> tuple[int, str]:
+    # The priority of a customer orders its calls, but takes no place of other customers.
+    return 0 if work.customer else work.priority, work.route
