Admission: count calls that the upstream reports beyond those known at its gate

Cancelled calls that still run and calls of an earlier process use slots, so that a call could be sent without room and be reset.

--- a/knapweedhitch/breakguard.py
+++ b/knapweedhitch/breakguard.py
@@ -12,7 +12,7 @@
 from knapweedhitch.model import CallResult
 
 # Breaks in a row after which no call is sent for a time. A single one may be chance.
-BREAKS_BEFORE_HOLD = 2
+BREAKS_BEFORE_HOLD = 3
 MAX_DOUBLINGS = 3
 
 
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -217,9 +217,9 @@
         admission=AdmissionSettings(
             slots_share=0.84,
             slow_moment_ms=300,
-            decline_for_queue=True,
             shortage_window_ms=2_000,
-            break_hold_ms=500,
+            count_unknown_calls=True,
+            break_hold_ms=250,
         ),
         routing=RoutingSettings(
             retry_ratio=boot.bounds.retry_ratio,
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -273,6 +273,12 @@
         if report.load is not None:
             self._load_reported_ms = now
             self.queue.set_slowdown(report.load.slowdown, now)
+            if self._cfg.count_unknown_calls:
+                # A call that responds is known here until it is released, so this counts too few
+                # rather than too many.
+                reported = report.load.running + report.load.waiting
+                unknown = max(0, reported - self.queue.running)
+                self.queue.set_slots_left(max(0, report.load.slots - unknown), now)
         self._apply_status()
 
     def _log_first_report(self, report: UpstreamReport, source: str) -> None:
@@ -447,7 +453,8 @@
         """Schedule a dispatch for the next start on a cold upstream or the end of a slow period."""
         now = self._timers.now_ms()
         wait_ms = max(self.queue.start_wait_ms(now), self.status.probe_wait_ms)
-        if any(self.queue.pause_ms(work, now) for work in self.queue.waiting):
+        is_paused = any(self.queue.pause_ms(work, now) for work in self.queue.waiting)
+        if is_paused or self.queue.awaits_report(now):
             wait_ms = max(wait_ms, REFRESH_AGE_MS)
         if self.queue.waiting and wait_ms > 0:
             self._timer.set(wait_ms)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -297,10 +297,13 @@
     slow_moment_ms: Annotated[int, Meta(ge=0, le=60_000)] = 0
     # Decline a call for the wait in the queue if another upstream is expected to respond sooner.
     decline_for_queue: bool = False
-    # While urgent calls have been refused in this time, less urgent ones leave them the last free
-    # slot, and so do those of a customer that asks for far more than usual. 0 is off.
+    # While urgent calls have been refused in this time, less urgent ones don't wait for a slot, and
+    # calls of a customer that asks for far more than usual leave the last free one. 0 is off.
     shortage_window_ms: Annotated[int, Meta(ge=0, le=60_000)] = 0
-    # After two broken exchanges in a row, send the upstream no call for this time, doubled up to
+    # Count the calls that the upstream reports beyond those known here, so that no call is sent
+    # without room for it.
+    count_unknown_calls: bool = False
+    # After three broken exchanges in a row, send the upstream no call for this time, doubled up to
     # three times, and then one at a time until one succeeds. 0 is off.
     break_hold_ms: Annotated[int, Meta(ge=0, le=60_000)] = 0
     # A call with less time left is not started.
--- a/knapweedhitch/shortage.py
+++ b/knapweedhitch/shortage.py
@@ -1,7 +1,8 @@
 """Decide which calls leave their place to others while an upstream has too little room.
 
 An urgent call can hardly wait: it finds the slots taken by calls that could have waited longer and
-is refused. So while urgent calls are refused, less urgent ones don't take the last free slot.
+is refused. So while urgent calls are refused, less urgent ones take free slots, but don't wait for
+them, and calls of a customer over its share leave the last free slot to others.
 """
 
 from __future__ import annotations
@@ -122,7 +123,7 @@
         return bool(work.customer) and self._shares.is_over(work.customer, now_ms)
 
     def yield_reason(self, work: CallToPlace, now_ms: float) -> YieldReason | None:
-        """Return why a call must not take the last free slot, None if it may."""
+        """Return why a call leaves its place to others, None if it need not."""
         if work.is_call:
             # A refused call costs the whole run that made it.
             return None
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -31,6 +31,8 @@
 ON_TIME_END_SHARE = 0.75
 # A slowdown of a shared machine has probably ended if its report is older.
 MAX_LOAD_AGE_MS = 150.0
+# After this time, a report no longer tells which calls run.
+MAX_UNKNOWN_AGE_MS = 500.0
 # Mean service time that is assumed before any call has ended.
 INITIAL_MEAN_MS = 50.0
 
@@ -114,6 +116,9 @@
         self._cold_per_s = math.inf
         # Follows the requests per second that the upstream has named as its limit.
         self._pacer = StartPacer()
+        # Slots that calls which this queue does not know leave, and when that was reported.
+        self._slots_left = 0
+        self._slots_left_ms = -math.inf
         self._shortage = Shortage(cfg.shortage_window_ms) if cfg.shortage_window_ms else None
 
     def set_rate_limit(
@@ -213,10 +218,13 @@
             self._shortage.record_refusal(work, now_ms)
 
     def yield_reason(self, work: Work, now_ms: float) -> YieldReason | None:
-        """Return why a call leaves the last free slot to others, None if it need not."""
+        """Return why a call leaves its place to others, None if it need not."""
         if self._shortage is None or self.running < self.limit - 1:
             return None
-        return self._shortage.yield_reason(work, now_ms)
+        reason = self._shortage.yield_reason(work, now_ms)
+        # A slot that is left free for an urgent call is often left unused.
+        is_free = reason is YieldReason.LESS_URGENT and self.running < self.limit
+        return None if is_free else reason
 
     def may_start(self, work: Work, now_ms: float) -> bool:
         """Return whether a call that arrives now may start without a wait."""
@@ -226,7 +234,23 @@
 
     def has_room(self, now_ms: float) -> bool:
         """Return whether the limits allow a call to start now."""
-        return self.running < self.limit and self.start_wait_ms(now_ms) <= 0
+        return self.running < self._usable_limit(now_ms) and self.start_wait_ms(now_ms) <= 0
+
+    def set_slots_left(self, slots: int, now_ms: float) -> None:
+        """Set how many slots are left by calls that this queue does not know.
+
+        These are cancelled calls that still run, calls of an earlier process and of other senders.
+        """
+        self._slots_left, self._slots_left_ms = slots, now_ms
+
+    def awaits_report(self, now_ms: float) -> bool:
+        """Return whether calls wait only for slots that others were reported to use."""
+        return self._usable_limit(now_ms) <= self.running < self.limit
+
+    def _usable_limit(self, now_ms: float) -> int:
+        if now_ms - self._slots_left_ms > MAX_UNKNOWN_AGE_MS:
+            return self.limit
+        return min(self.limit, self._slots_left)
 
     def expected_wait_ms(self, now_ms: float, work: Work | None = None) -> float:
         """Return the expected queueing time of a call, or of one at the end of the queue."""
@@ -239,7 +263,7 @@
 
     def _slot_wait_ms(self, now_ms: float, work: Work | None) -> float:
         """Return the expected time until a slot is free for a call."""
-        if self.running < self.limit:
+        if self.running < self._usable_limit(now_ms):
             return 0.0
         wait_ms = (self._count_ahead(work, now_ms) + 1) * self.mean_ms / max(1, self.limit)
         if work is not None and self._is_sustained(now_ms):
--- a/tests/test_workqueue.py
+++ b/tests/test_workqueue.py
@@ -406,3 +406,59 @@
                 # 5 slots serve 33 of 60 calls per second, 0.55 of the callers.
                 self.assertGreater(with_waits.share("timely"), 0.5)
                 self.assertLess(without_waits.share("timely"), 0.5)
+
+
+class FullUpstream:
+    """Simulate an upstream that runs cancelled calls and resets those beyond its queue."""
+
+    SLOTS, QUEUE, SERVICE_MS, REPORT_MS = 3, 3, 200.0, 80.0
+    # Of the steps of 10 ms.
+    CALL_SHARE = 0.4
+
+    def __init__(self, seed: int, *, counts_unknown: bool) -> None:
+        self.resets = self.sent = 0
+        self._queue = queue(limit=2)
+        self._rng = random.Random(seed)
+        self._counts_unknown = counts_unknown
+        self._ends_ms: list[float] = []
+        self._cancels_ms: list[float] = []
+
+    def run(self, seconds: int) -> None:
+        """Send calls whose callers leave after 40 ms, while calls of an earlier process run."""
+        self._ends_ms = [self.SERVICE_MS * n for n in range(1, 6)]
+        for now_ms in range(0, seconds * 1_000, 10):
+            self._ends_ms = [at_ms for at_ms in self._ends_ms if at_ms > now_ms]
+            while self._cancels_ms and self._cancels_ms[0] <= now_ms:
+                self._cancels_ms.pop(0)
+                self._queue.finish(None)
+            if self._counts_unknown and now_ms % self.REPORT_MS == 0:
+                unknown = max(0, len(self._ends_ms) - self._queue.running)
+                self._queue.set_slots_left(max(0, self.SLOTS - unknown), now_ms)
+            if self._rng.random() < self.CALL_SHARE and self._queue.has_room(now_ms):
+                self._send(now_ms)
+
+    def _send(self, now_ms: float) -> None:
+        self._queue.start(now_ms)
+        self._cancels_ms.append(now_ms + 40.0)
+        self.sent += 1
+        if len(self._ends_ms) >= self.SLOTS + self.QUEUE:
+            self.resets += 1
+            return
+        start_ms = max([now_ms, *sorted(self._ends_ms)[-self.SLOTS :][:1]])
+        busy = len(self._ends_ms) >= self.SLOTS
+        self._ends_ms.append((start_ms if busy else now_ms) + self.SERVICE_MS)
+
+
+class FullUpstreamTest(unittest.TestCase):
+    def test_no_call_is_sent_without_known_room(self) -> None:
+        """Guards against sends that a full upstream resets: cancelled calls still run there, and so
+        do those of the process before a restart.
+        """
+        for seed in (1, 2, 3):
+            unaware = FullUpstream(seed, counts_unknown=False)
+            unaware.run(20)
+            self.assertGreater(unaware.resets, 0)
+            aware = FullUpstream(seed, counts_unknown=True)
+            aware.run(20)
+            self.assertEqual(aware.resets, 0)
+            self.assertGreater(aware.sent, 100)
