--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -11,7 +11,6 @@
 
 from knapweedhitch import framing, logs
 from knapweedhitch.boundedlog import BoundedLog
-from knapweedhitch.breakguard import BreakGuard
 from knapweedhitch.budget import TokenBucket
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.coldtime import ColdTime
@@ -33,6 +32,7 @@
 from knapweedhitch.model import CallResult, LoadSample, UpstreamRecord, Warmth
 from knapweedhitch.slots import Slot, closed_refusal
 from knapweedhitch.timers import EarliestTimer
+from knapweedhitch.upstreamhold import UpstreamHold
 from knapweedhitch.upstreamload import UpstreamReport, parse_report
 from knapweedhitch.upstreamstatus import UpstreamStatus
 from knapweedhitch.workqueue import MAX_LOAD_AGE_MS, Work, WorkQueue
@@ -84,8 +84,8 @@
         self._limit_log_budget = TokenBucket(
             LIMIT_LOG_LINES_PER_S, LIMIT_LOG_BURST, self._timers.now_ms
         )
-        self._break_guard = BreakGuard(self._cfg.break_hold_ms)
-        self._decision_log = BoundedLog(kernel.cfg.log, self._counters, self._timers.now_ms)
+        self._log = BoundedLog(kernel.cfg.log, self._counters, self._timers.now_ms)
+        self._hold = UpstreamHold(self._cfg, self._counters, self._log, self._timers.now_ms)
 
     async def start(self) -> None:
         """Subscribe to what the upstream reports in its responses."""
@@ -110,7 +110,7 @@
         await self._refresh_load()
         self._refuse_if_closed()
         now = self._timers.now_ms()
-        self._refuse_if_breaking(spec, now)
+        self._refuse_if_held(spec)
         work = self._make_work(deadline, spec, now)
         if work.deadline_ms <= now + self._cfg.min_service_ms:
             raise self._count_refusal(DeadlineExceeded())
@@ -149,7 +149,7 @@
         if reason is None:
             return
         self._counters.add("admission_yielded", reason.value)
-        self._decision_log.event(
+        self._log.event(
             "admission-yielded",
             reason=reason.value,
             route=work.route,
@@ -210,7 +210,7 @@
             self._starts_before_report += 1
             self._counters.add("starts_before_report")
         self.queue.start(now, work.priority)
-        self._break_guard.record_start()
+        self._hold.record_start()
         self._counters.record("queue_ms", queued_ms)
         return slot
 
@@ -226,23 +226,10 @@
         self._end_call(slot, result.service_ms if is_measured else None)
         if result.connect_failed:
             self._assume_cold()
-        self._record_break(result)
-        self._dispatch()
-
-    def _record_break(self, result: CallResult) -> None:
-        """Hold calls back if the upstream has broken several exchanges."""
-        if not self._cfg.break_hold_ms:
-            return
-        now = self._timers.now_ms()
-        if self._break_guard.record_end(result, now):
-            wait_ms = self._break_guard.wait_ms(now, may_repeat=True)
-            self._counters.add("upstream_holds")
-            self._decision_log.event("upstream-hold", hold_ms=round(wait_ms), **self._instance())
-            self._refuse_queue(UpstreamBreaks)
-
-    def _instance(self) -> dict[str, str]:
         record = self.status.record
-        return {} if record is None else {"instance": record.instance_id}
+        if record is not None and self._hold.record_end(result, record.instance_id):
+            self._refuse_queue(UpstreamBreaks)
+        self._dispatch()
 
     @property
     def load_age_ms(self) -> float:
@@ -324,7 +311,6 @@
         """Return a load sample of the local upstream."""
         now = self._timers.now_ms()
         cold = self.queue.is_cold(now)
-        hold_ms = self._break_guard.wait_ms(now, may_repeat=True)
         return LoadSample(
             in_flight=self.queue.running,
             queued=len(self.queue.waiting),
@@ -333,7 +319,7 @@
             warmth=Warmth.COLD if cold else Warmth.WARM,
             draining=self._draining or self._domain_out or self.status.leaving,
             slowdown=round(self.queue.slowdown, 2),
-            wait_ms=round(max(self.queue.expected_wait_ms(now), hold_ms), 1),
+            wait_ms=round(max(self.queue.expected_wait_ms(now), self._hold.left_ms), 1),
         )
 
     def set_upstream(self, record: UpstreamRecord | None) -> None:
@@ -351,7 +337,7 @@
         if self.status.set_record(record):
             self.queue.set_rate_limit(None, self._timers.now_ms())
             self._starts_before_report = 0
-            self._break_guard.reset()
+            self._hold.reset()
             self._request_probe()
 
     def _apply_status(self) -> None:
@@ -415,12 +401,11 @@
             # A late heartbeat may end the assumption, but not what a response tells.
             self._request_probe()
 
-    def _refuse_if_breaking(self, spec: CallSpec, now: float) -> None:
-        wait_ms = self._break_guard.wait_ms(now, may_repeat=framing.may_repeat(spec))
-        if wait_ms > 0:
-            refusal = UpstreamBreaks()
-            refusal.retry_after_ms = wait_ms
-            raise self._count_refusal(refusal)
+    def _refuse_if_held(self, spec: CallSpec) -> None:
+        try:
+            self._hold.check(spec)
+        except UpstreamBreaks as refusal:
+            raise self._count_refusal(refusal) from None
 
     def _refuse_if_closed(self) -> None:
         refusal = closed_refusal(
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import math
 
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.pacing import StartPacer
+from knapweedhitch.ratewindow import RateWindow
 from knapweedhitch.settings import AdmissionSettings
 from knapweedhitch.shortage import Shortage, YieldReason
 
@@ -62,38 +62,6 @@
     return work.objective_ms <= work.arrived_ms
 
 
-class RateWindow:
-    """Count the started calls in a sliding window."""
-
-    def __init__(self, window_ms: float) -> None:
-        self._window_ms = window_ms
-        self._starts_ms: collections.deque[float] = collections.deque()
-
-    def record_start(self, now_ms: float) -> None:
-        """Record a started call."""
-        self._starts_ms.append(now_ms)
-        self._trim(now_ms)
-
-    def per_ms(self, now_ms: float) -> float:
-        """Return the starts per millisecond, counting at least one start in the window."""
-        self._trim(now_ms)
-        return max(1, len(self._starts_ms)) / self._window_ms
-
-    def wait_ms(self, now_ms: float, allowed: float) -> float:
-        """Return the time until another start fits in the allowed starts per window."""
-        self._trim(now_ms)
-        if allowed == math.inf:
-            return 0.0
-        allowed = max(1, math.ceil(allowed))
-        if len(self._starts_ms) < allowed:
-            return 0.0
-        return self._starts_ms[-allowed] + self._window_ms - now_ms
-
-    def _trim(self, now_ms: float) -> None:
-        while self._starts_ms and self._starts_ms[0] <= now_ms - self._window_ms:
-            self._starts_ms.popleft()
-
-
 class WorkQueue:
     """Schedule the calls to one upstream by its concurrency limit and mean service times."""
 
--- a/scripts/measure_shortage.py
+++ b/scripts/measure_shortage.py
@@ -18,7 +18,8 @@
 
 BEFORE = AdmissionSettings(slots_share=0.84, slow_moment_ms=300)
 DECLINE = AdmissionSettings(slots_share=0.84, slow_moment_ms=300, decline_for_queue=True)
-PRODUCT = AdmissionSettings(
+YIELD = AdmissionSettings(slots_share=0.84, slow_moment_ms=300, shortage_window_ms=2_000)
+YIELD_AND_DECLINE = AdmissionSettings(
     slots_share=0.84, slow_moment_ms=300, decline_for_queue=True, shortage_window_ms=2_000
 )
 LATE_VALUE = 0.1
@@ -65,7 +66,8 @@
     "earliest-deadline": lambda: EarliestDeadlineQueue(BEFORE),
     "value-density": lambda: ValueDensityQueue(BEFORE),
     "decline": lambda: WorkQueue(DECLINE),
-    "product": lambda: WorkQueue(PRODUCT),
+    "yield": lambda: WorkQueue(YIELD),
+    "yield-and-decline": lambda: WorkQueue(YIELD_AND_DECLINE),
 }
 
 
--- a/tests/test_workqueue.py
+++ b/tests/test_workqueue.py
@@ -9,8 +9,9 @@
 import unittest
 from collections import Counter
 
+from knapweedhitch.ratewindow import RateWindow
 from knapweedhitch.settings import AdmissionSettings
-from knapweedhitch.workqueue import RateWindow, Work, WorkQueue
+from knapweedhitch.workqueue import Work, WorkQueue
 
 CFG = AdmissionSettings()
 
