Shortage: compare kinds by priority only between requests without a customer

Anonymous requests had a lower priority than all kinds of customers and yielded to less urgent ones. Tests of which results count as broken exchanges.

--- a/knapweedhitch/shortage.py
+++ b/knapweedhitch/shortage.py
@@ -76,17 +76,18 @@
 
 
 class _Kind(_Refusals):
-    """Track the calls of one route and priority."""
+    """Track the calls of one route and priority, None if customers have their own."""
 
-    def __init__(self, window_ms: float, priority: int, patience_ms: float) -> None:
+    def __init__(self, window_ms: float, priority: int | None, patience_ms: float) -> None:
         super().__init__(window_ms)
         self.priority = priority
         self._patience_ms = patience_ms
 
     def is_more_urgent_than(self, other: _Kind) -> bool:
         """Return whether this kind has a higher priority or, at an equal one, can wait less."""
-        if self.priority != other.priority:
-            return self.priority < other.priority
+        if self.priority is not None and other.priority is not None:
+            if self.priority != other.priority:
+                return self.priority < other.priority
         return self._patience_ms + PATIENCE_MARGIN_MS < other._patience_ms
 
 
@@ -95,7 +96,7 @@
 
     def __init__(self, window_ms: float) -> None:
         self._window_ms = window_ms
-        self._kinds: dict[tuple[int, str], _Kind] = {}
+        self._kinds: dict[tuple[int | None, str], _Kind] = {}
         self._shares = CustomerShares(SHARE_WINDOWS * window_ms)
         self._within_share = _Refusals(window_ms)
         self._over_share = _Refusals(window_ms)
@@ -162,6 +163,6 @@
         return self._over_share if self.is_over_share(work, now_ms) else self._within_share
 
 
-def _kind_key(work: CallToPlace) -> tuple[int, str]:
+def _kind_key(work: CallToPlace) -> tuple[int | None, str]:
     # The priority of a customer orders its calls, but takes no place of other customers.
-    return 0 if work.customer else work.priority, work.route
+    return None if work.customer else work.priority, work.route
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -7,11 +7,36 @@
 import trio
 
 from knapweedhitch.deadline import Deadline
+from knapweedhitch.exceptions import (
+    BodyTimeout,
+    Outcome,
+    UpstreamFailed,
+    UpstreamShed,
+    UpstreamTimedOut,
+    UpstreamUnreachable,
+)
 from knapweedhitch.exchange import CallSpec
 from knapweedhitch.model import Address
+from knapweedhitch.pool import refused_result
 from tests.request_world import World, in_node
 
 
+class RefusedResultTest(unittest.TestCase):
+    def test_only_exchanges_that_the_upstream_broke_count_as_broken(self) -> None:
+        """Guards against calls that are held back from a sound upstream after timeouts, refusals or
+        failures of the caller.
+        """
+        for refusal, is_broken in (
+            (UpstreamFailed(Outcome.UNKNOWN), True),
+            (UpstreamFailed(Outcome.NOT_RUN), False),
+            (UpstreamShed(Outcome.NOT_RUN), False),
+            (UpstreamTimedOut(Outcome.UNKNOWN), False),
+            (UpstreamUnreachable(Outcome.NOT_RUN), False),
+            (BodyTimeout(Outcome.UNKNOWN), False),
+        ):
+            self.assertEqual(refused_result(refusal, 1.0).broken, is_broken, refusal)
+
+
 class PoolTest(unittest.TestCase):
     @in_node()
     async def test_unsound_idle_connections_are_not_used(self, world: World) -> None:
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -74,6 +74,9 @@
             (LOOKUP, less_urgent_first, None),
             (BOOKING, LOOKUP, None),
             (LOOKUP, CALL, None),
+            # A customer's own priority takes no places of others, nor of anonymous requests.
+            (dataclasses.replace(BOOKING, priority=0, customer="c1"), LOOKUP, None),
+            (LOOKUP, dataclasses.replace(BOOKING, customer="c1"), YieldReason.LESS_URGENT),
         ):
             shortage = Shortage(WINDOW_MS)
             shortage.record_arrival(asks, 190.0, 0.0)
