--- a/knapweedhitch/shortage.py
+++ b/knapweedhitch/shortage.py
@@ -85,10 +85,10 @@
 
     def is_more_urgent_than(self, other: _Kind) -> bool:
         """Return whether this kind has a higher priority or, at an equal one, can wait less."""
-        if self.priority is not None and other.priority is not None:
-            if self.priority != other.priority:
-                return self.priority < other.priority
-        return self._patience_ms + PATIENCE_MARGIN_MS < other._patience_ms
+        if None in (self.priority, other.priority) or self.priority == other.priority:
+            return self._patience_ms + PATIENCE_MARGIN_MS < other._patience_ms
+        assert self.priority is not None and other.priority is not None
+        return self.priority < other.priority
 
 
 class Shortage:
