--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -55,6 +55,8 @@
 # the verdict and the log.
 ROLLOUT_LEASE_RATIO = 0.3
 
+ADMISSION = AdmissionSettings(slots_share=0.84, slow_moment_ms=300)
+
 HEADERS = HeaderSettings(
     request_id="attempt-id",
     deadline="deadline-ms",
@@ -198,6 +200,15 @@
     )
 
 
+def _translate_admission(boot: Boot) -> AdmissionSettings:
+    """Return the settings of admission; customers compete for the room of their upstreams."""
+    if CUSTOMERS_CONTRACT not in boot.contracts:
+        return ADMISSION
+    return structs.replace(
+        ADMISSION, shortage_window_ms=2_000, count_unknown_calls=True, break_hold_ms=250
+    )
+
+
 def _translate_headers(boot: Boot) -> HeaderSettings:
     if CUSTOMERS_CONTRACT not in boot.contracts:
         return HEADERS
@@ -269,7 +280,7 @@
             probe_interval_ms=80,
             address=parse_listener(boot.app_address, f"{place}: appAddr"),
         ),
-        admission=AdmissionSettings(slots_share=0.84, slow_moment_ms=300),
+        admission=_translate_admission(boot),
         routing=RoutingSettings(
             retry_ratio=boot.bounds.retry_ratio,
             retry_floor_per_s=0.0,
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -10,6 +10,7 @@
 import trio
 
 from knapweedhitch import framing, logs
+from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.budget import TokenBucket
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.codec import round_to_half
@@ -22,6 +23,7 @@
     NoRoom,
     NoTarget,
     Refusal,
+    UpstreamBreaks,
     UpstreamDraining,
     UpstreamSlow,
 )
@@ -31,6 +33,7 @@
 from knapweedhitch.model import CallResult, LoadSample, UpstreamRecord, Warmth
 from knapweedhitch.slots import Slot, closed_refusal
 from knapweedhitch.timers import EarliestTimer
+from knapweedhitch.upstreamhold import UpstreamHold
 from knapweedhitch.upstreamload import UpstreamReport, parse_report
 from knapweedhitch.upstreamstatus import UpstreamStatus
 from knapweedhitch.workqueue import MAX_LOAD_AGE_MS, Work, WorkQueue
@@ -61,6 +64,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._cfg = kernel.cfg.admission
+        self._call_separator = kernel.cfg.routing.call_id_separator
         self._timers = kernel.get("timers")
         self._counters = kernel.get("counters")
         self._draining = self._domain_out = False
@@ -81,6 +85,8 @@
         self._limit_log_budget = TokenBucket(
             LIMIT_LOG_LINES_PER_S, LIMIT_LOG_BURST, self._timers.now_ms
         )
+        self._log = BoundedLog(kernel.cfg.log, self._counters, self._timers.now_ms)
+        self._hold = UpstreamHold(self._cfg, self._counters, self._log, self._timers.now_ms)
 
     async def start(self) -> None:
         """Subscribe to what the upstream reports in its responses."""
@@ -105,23 +111,54 @@
         await self._refresh_load()
         self._refuse_if_closed()
         now = self._timers.now_ms()
-        work = _make_work(deadline, spec, now)
+        self._refuse_if_held(spec)
+        work = self._make_work(deadline, spec, now)
         if work.deadline_ms <= now + self._cfg.min_service_ms:
             raise self._count_refusal(DeadlineExceeded())
         if self._expected_delay(work, now) > spec.decline_above:
             raise self._count_refusal(UpstreamSlow())
-        pause_ms = self.queue.pause_ms(work, now)
-        if not self.queue.waiting and self.queue.has_room(now) and not pause_ms:
+        self.queue.record_arrival(work, now)
+        if self.queue.may_start(work, now):
             return self._start_call(0.0, work)
         if not self.queue.may_wait(work, now):
+            self._record_yield(work, now)
+            self.queue.record_refusal(work, now)
             raise self._count_refusal(self._no_room(work, now))
         return await self._wait(work)
 
+    def _make_work(self, deadline: Deadline, spec: CallSpec, now: float) -> Work:
+        deadline_ms = deadline.at_s * MS_PER_S
+        return Work(
+            spec.priority,
+            now,
+            deadline_ms,
+            min(deadline_ms, now + spec.target_latency_ms),
+            spec.route,
+            spec.customer,
+            is_call=bool(self._call_separator) and self._call_separator in spec.request_id,
+        )
+
     def _expected_delay(self, work: Work, now: float) -> float:
         """Return the expected time of a call relative to its usual service time."""
         is_known = self.load_age_ms < MAX_LOAD_AGE_MS
         slowdown = self.queue.expected_slowdown(work, now) if is_known else 1.0
-        return slowdown + self.queue.expected_rate_delay(work, now)
+        return slowdown + self.queue.expected_delay(work, now)
+
+    def _record_yield(self, work: Work, now: float) -> None:
+        """Count and log a refusal that leaves a slot to other calls."""
+        reason = self.queue.yield_reason(work, now)
+        if reason is None:
+            return
+        self._counters.add("admission_yielded", reason.value)
+        self._log.event(
+            "admission-yielded",
+            reason=reason.value,
+            route=work.route,
+            priority=work.priority,
+            customer=work.customer,
+            running=self.queue.running,
+            limit=self.queue.limit,
+        )
 
     def _record_request(self) -> None:
         now = self._timers.now_ms()
@@ -137,7 +174,7 @@
 
     def _no_room(self, work: Work, now: float) -> Refusal:
         refusal = NoRoom()
-        refusal.retry_after_ms = max(1.0, self.queue.expected_wait_ms(now, work))
+        refusal.retry_after_ms = self.queue.retry_after_ms(now, work)
         return refusal
 
     async def _wait(self, work: Work) -> Slot:
@@ -174,6 +211,7 @@
             self._starts_before_report += 1
             self._counters.add("starts_before_report")
         self.queue.start(now, work.priority)
+        self._hold.record_start()
         self._counters.record("queue_ms", queued_ms)
         return slot
 
@@ -189,6 +227,9 @@
         self._end_call(slot, result.service_ms if is_measured else None)
         if result.connect_failed:
             self._assume_cold()
+        record = self.status.record
+        if record is not None and self._hold.record_end(result, record.instance_id):
+            self._refuse_queue(UpstreamBreaks)
         self._dispatch()
 
     @property
@@ -220,6 +261,12 @@
         if report.load is not None:
             self._load_reported_ms = now
             self.queue.set_slowdown(report.load.slowdown, now)
+            if self._cfg.count_unknown_calls:
+                # A call that responds is known here until it is released, so this counts too few
+                # rather than too many.
+                reported = report.load.running + report.load.waiting
+                unknown = max(0, reported - self.queue.running)
+                self.queue.set_slots_left(max(0, report.load.slots - unknown), now)
         self._apply_status()
 
     def _log_first_report(self, report: UpstreamReport, source: str) -> None:
@@ -273,7 +320,7 @@
             warmth=Warmth.COLD if cold else Warmth.WARM,
             draining=self._draining or self._domain_out or self.status.leaving,
             slowdown=round_to_half(self.queue.slowdown),
-            wait_ms=round_to_half(self.queue.expected_wait_ms(now)),
+            wait_ms=round_to_half(max(self.queue.expected_wait_ms(now), self._hold.left_ms)),
         )
 
     def set_upstream(self, record: UpstreamRecord | None) -> None:
@@ -291,6 +338,7 @@
         if self.status.set_record(record):
             self.queue.set_rate_limit(None, self._timers.now_ms())
             self._starts_before_report = 0
+            self._hold.reset()
             self._request_probe()
 
     def _apply_status(self) -> None:
@@ -354,6 +402,12 @@
             # A late heartbeat may end the assumption, but not what a response tells.
             self._request_probe()
 
+    def _refuse_if_held(self, spec: CallSpec) -> None:
+        try:
+            self._hold.check(spec)
+        except UpstreamBreaks as refusal:
+            raise self._count_refusal(refusal) from None
+
     def _refuse_if_closed(self) -> None:
         refusal = closed_refusal(
             self.status.record, draining=self._draining, domain_out=self._domain_out
@@ -385,7 +439,8 @@
         """Schedule a dispatch for the next start on a cold upstream or the end of a slow period."""
         now = self._timers.now_ms()
         wait_ms = max(self.queue.start_wait_ms(now), self.status.probe_wait_ms)
-        if any(self.queue.pause_ms(work, now) for work in self.queue.waiting):
+        is_paused = any(self.queue.pause_ms(work, now) for work in self.queue.waiting)
+        if is_paused or self.queue.awaits_report(now):
             wait_ms = max(wait_ms, REFRESH_AGE_MS)
         if self.queue.waiting and wait_ms > 0:
             self._timer.set(wait_ms)
@@ -399,9 +454,3 @@
     def _count_refusal(self, refusal: Refusal) -> Refusal:
         self._counters.add("admission_refused", refusal.reason)
         return refusal
-
-
-def _make_work(deadline: Deadline, spec: CallSpec, now_ms: float) -> Work:
-    deadline_ms = deadline.at_s * MS_PER_S
-    objective_ms = min(deadline_ms, now_ms + spec.target_latency_ms)
-    return Work(spec.priority, now_ms, deadline_ms, objective_ms, spec.route, spec.customer)
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
-import collections
 import dataclasses
 import math
 
 from knapweedhitch.clock import MS_PER_S
 from knapweedhitch.pacing import StartPacer
+from knapweedhitch.ratewindow import RateWindow
 from knapweedhitch.settings import AdmissionSettings
+from knapweedhitch.shortage import Shortage, YieldReason
 
 # EWMA weight of the newest service time.
 MEAN_WEIGHT = 0.05
@@ -30,6 +31,8 @@
 ON_TIME_END_SHARE = 0.75
 # A slowdown of a shared machine has probably ended if its report is older.
 MAX_LOAD_AGE_MS = 150.0
+# After this time, a report no longer tells which calls run.
+MAX_UNKNOWN_AGE_MS = 500.0
 # Mean service time that is assumed before any call has ended.
 INITIAL_MEAN_MS = 50.0
 
@@ -50,6 +53,8 @@
     route: str = ""
     # Name of the customer; empty for calls without one.
     customer: str = ""
+    # Whether a running request makes this call.
+    is_call: bool = False
 
 
 def is_late_on_arrival(work: Work) -> bool:
@@ -57,38 +62,6 @@
     return work.objective_ms <= work.arrived_ms
 
 
-class RateWindow:
-    """Count the started calls in a sliding window."""
-
-    def __init__(self, window_ms: float) -> None:
-        self._window_ms = window_ms
-        self._starts_ms: collections.deque[float] = collections.deque()
-
-    def record_start(self, now_ms: float) -> None:
-        """Record a started call."""
-        self._starts_ms.append(now_ms)
-        self._trim(now_ms)
-
-    def per_ms(self, now_ms: float) -> float:
-        """Return the starts per millisecond, counting at least one start in the window."""
-        self._trim(now_ms)
-        return max(1, len(self._starts_ms)) / self._window_ms
-
-    def wait_ms(self, now_ms: float, allowed: float) -> float:
-        """Return the time until another start fits in the allowed starts per window."""
-        self._trim(now_ms)
-        if allowed == math.inf:
-            return 0.0
-        allowed = max(1, math.ceil(allowed))
-        if len(self._starts_ms) < allowed:
-            return 0.0
-        return self._starts_ms[-allowed] + self._window_ms - now_ms
-
-    def _trim(self, now_ms: float) -> None:
-        while self._starts_ms and self._starts_ms[0] <= now_ms - self._window_ms:
-            self._starts_ms.popleft()
-
-
 class WorkQueue:
     """Schedule the calls to one upstream by its concurrency limit and mean service times."""
 
@@ -111,6 +84,10 @@
         self._cold_per_s = math.inf
         # Follows the requests per second that the upstream has named as its limit.
         self._pacer = StartPacer()
+        # Slots that calls which this queue does not know leave, and when that was reported.
+        self._slots_left = 0
+        self._slots_left_ms = -math.inf
+        self._shortage = Shortage(cfg.shortage_window_ms) if cfg.shortage_window_ms else None
 
     def set_rate_limit(
         self, per_s: float | None, now_ms: float, unknown_before_ms: float = -math.inf
@@ -188,9 +165,60 @@
         wait_ms = self._rate_wait_ms(now_ms, self._count_ahead(work, now_ms))
         return wait_ms / max(1.0, self.service_ms(work))
 
+    def expected_delay(self, work: Work, now_ms: float) -> float:
+        """Return the expected time of a call that arrives now relative to its service time.
+
+        It excludes a change of speed, which `expected_slowdown` tells.
+        """
+        delay = self.expected_rate_delay(work, now_ms)
+        if self._cfg.decline_for_queue:
+            delay += self._slot_wait_ms(now_ms, work) / max(1.0, self.service_ms(work))
+        return delay
+
+    def record_arrival(self, work: Work, now_ms: float) -> None:
+        """Record a call that asks for a slot."""
+        if self._shortage is not None and not is_late_on_arrival(work):
+            self._shortage.record_arrival(work, self.service_ms(work), now_ms)
+
+    def record_refusal(self, work: Work, now_ms: float) -> None:
+        """Record that a call was refused on arrival."""
+        if self._shortage is not None and not is_late_on_arrival(work):
+            self._shortage.record_refusal(work, now_ms)
+
+    def yield_reason(self, work: Work, now_ms: float) -> YieldReason | None:
+        """Return why a call leaves its place to others, None if it need not."""
+        if self._shortage is None or self.running < self.limit - 1:
+            return None
+        reason = self._shortage.yield_reason(work, now_ms)
+        # A slot that is left free for an urgent call is often left unused.
+        is_free = reason is YieldReason.LESS_URGENT and self.running < self.limit
+        return None if is_free else reason
+
+    def may_start(self, work: Work, now_ms: float) -> bool:
+        """Return whether a call that arrives now may start without a wait."""
+        if self.waiting or not self.has_room(now_ms) or self.pause_ms(work, now_ms):
+            return False
+        return self.yield_reason(work, now_ms) is None
+
     def has_room(self, now_ms: float) -> bool:
         """Return whether the limits allow a call to start now."""
-        return self.running < self.limit and self.start_wait_ms(now_ms) <= 0
+        return self.running < self._usable_limit(now_ms) and self.start_wait_ms(now_ms) <= 0
+
+    def set_slots_left(self, slots: int, now_ms: float) -> None:
+        """Set how many slots are left by calls that this queue does not know.
+
+        These are cancelled calls that still run, calls of an earlier process and of other senders.
+        """
+        self._slots_left, self._slots_left_ms = slots, now_ms
+
+    def awaits_report(self, now_ms: float) -> bool:
+        """Return whether calls wait only for slots that others were reported to use."""
+        return self._usable_limit(now_ms) <= self.running < self.limit
+
+    def _usable_limit(self, now_ms: float) -> int:
+        if now_ms - self._slots_left_ms > MAX_UNKNOWN_AGE_MS:
+            return self.limit
+        return min(self.limit, self._slots_left)
 
     def expected_wait_ms(self, now_ms: float, work: Work | None = None) -> float:
         """Return the expected queueing time of a call, or of one at the end of the queue."""
@@ -198,13 +226,26 @@
         if self.has_room(now_ms) and not self.waiting:
             return pause_ms
         ahead = self._count_ahead(work, now_ms)
-        wait_ms = 0.0
-        if self.running >= self.limit:
-            wait_ms = (ahead + 1) * self.mean_ms / max(1, self.limit)
-            if work is not None and self._is_sustained(now_ms):
-                wait_ms = max(wait_ms, self._overtaken_wait_ms(work, now_ms))
+        wait_ms = self._slot_wait_ms(now_ms, work)
         return max(wait_ms, self._rate_wait_ms(now_ms, ahead), pause_ms)
 
+    def _slot_wait_ms(self, now_ms: float, work: Work | None) -> float:
+        """Return the expected time until a slot is free for a call."""
+        if self.running < self._usable_limit(now_ms):
+            return 0.0
+        wait_ms = (self._count_ahead(work, now_ms) + 1) * self.mean_ms / max(1, self.limit)
+        if work is not None and self._is_sustained(now_ms):
+            wait_ms = max(wait_ms, self._overtaken_wait_ms(work, now_ms))
+        return wait_ms
+
+    def retry_after_ms(self, now_ms: float, work: Work) -> float:
+        """Return the time after which a refused call is expected to find room."""
+        wait_ms = self.expected_wait_ms(now_ms, work)
+        if self.yield_reason(work, now_ms) is None:
+            return max(1.0, wait_ms)
+        # The slot that it left is taken for the length of another call.
+        return max(wait_ms, self.mean_ms)
+
     def _count_ahead(self, work: Work | None, now_ms: float) -> int:
         """Return the number of queued calls that run before a call, all of them for None."""
         if work is None:
@@ -249,6 +290,8 @@
         """Return whether a call that arrives now is likely to finish in time."""
         if len(self.waiting) >= self._cfg.max_queue:
             return False
+        if self.yield_reason(work, now_ms) is not None:
+            return False
         done_ms = now_ms + self.expected_wait_ms(now_ms, work) + self.service_ms(work)
         return done_ms <= min(work.deadline_ms, self._finish_by_ms(work))
 
@@ -289,9 +332,10 @@
         self.drop(first)
         return first
 
-    def _order(self, work: Work, now_ms: float) -> tuple[bool, int, float]:
+    def _order(self, work: Work, now_ms: float) -> tuple[bool, bool, int, float]:
         # Calls that can still meet their objective run before late ones.
-        return self._is_late(work, now_ms), work.priority, work.objective_ms
+        is_over_share = self._shortage is not None and self._shortage.is_over_share(work, now_ms)
+        return self._is_late(work, now_ms), is_over_share, work.priority, work.objective_ms
 
     def _is_late(self, work: Work, now_ms: float) -> bool:
         return is_late_on_arrival(work) or self._misses_wait_limit(work, now_ms)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -114,6 +114,15 @@
             [m.id for m in cfg.control.members], ["10.1.0.12", "10.2.0.9", "10.3.0.10"]
         )
 
+    def test_decisions_for_a_shortage_are_off_without_customers(self) -> None:
+        """Guards against a deployment that is served differently without having asked for it."""
+        for contracts, expected in ((["base"], 0), (["base", "tenants"], 2_000)):
+            boot = yaml.dump({**BOOT_SETTINGS, "contracts": contracts})
+            admission = parse_settings(boot, "boot").admission
+            self.assertEqual(admission.shortage_window_ms, expected)
+            self.assertEqual(admission.count_unknown_calls, bool(expected))
+            self.assertEqual(bool(admission.break_hold_ms), bool(expected))
+
     def test_headers_for_customers_are_used_where_the_deployment_has_them(self) -> None:
         """Guards against headers that are dropped, or keys that pass, in the wrong deployment."""
         for contracts, expected in (
