--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -203,6 +203,10 @@
     """Report a change that violates the rules of the configuration."""
 
 
+class RolloutInProgress(InvalidChange):
+    """Report an order to roll out a version while another one is being rolled out."""
+
+
 class ItemConflict(InvalidChange):
     """Report an item whose version is already stored with other content."""
 
@@ -388,6 +392,27 @@
     status = 404
 
 
+class CustomerKeyMissing(Refusal):
+    """Refuse a request without a key on a route that needs one."""
+
+    reason = "customer-key-missing"
+    status = 401
+
+
+class CustomerKeyUnknown(Refusal):
+    """Refuse a request with a key that no customer has."""
+
+    reason = "customer-key-unknown"
+    status = 401
+
+
+class RunEnded(Refusal):
+    """Refuse a call of a run of the local upstream that is no longer in progress."""
+
+    reason = "run-ended"
+    status = 503
+
+
 class ConfigUnknown(Refusal):
     """Refuse a request at a node that has not received a configuration yet."""
 
@@ -395,6 +420,25 @@
     status = 503
 
 
+class QuotaExceeded(Refusal):
+    """Refuse a request of a customer that is over its quota."""
+
+    reason = "quota-exceeded"
+    status = 429
+
+    def __init__(self, retry_after_ms: float, detail: str = "") -> None:
+        super().__init__(Outcome.NOT_RUN, detail)
+        self.retry_after_ms = retry_after_ms
+
+
+class QuotaUnknown(Refusal):
+    """Refuse a request because no holder of the customer's quota replies."""
+
+    reason = "quota-unknown"
+    status = 503
+    retry_after_ms = 200.0
+
+
 class NoRoom(Refusal):
     """Refuse a request that cannot be served within its remaining deadline."""
 
@@ -467,6 +511,13 @@
     status = 503
 
 
+class RolloutLimited(Refusal):
+    """Refuse a call at a target whose version may not take it at this point of a roll-out."""
+
+    reason = "rollout-limited"
+    status = 503
+
+
 class NoTarget(Refusal):
     """Refuse a request because no target of the service can accept it."""
 
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import math
+from typing import Annotated, Any
 
-from msgspec import structs
+from msgspec import Meta, structs
 
+from knapweedhitch.answertally import Count, RouteAnswers
 from knapweedhitch.codec import Float, Message, Record, message
 from knapweedhitch.exceptions import Outcome
 from knapweedhitch.model import ClaimVerdict, LoadSample, Member, MemberState, UpstreamEnd
@@ -13,6 +15,10 @@
 PROTOCOL_VERSION = 1
 
 Headers = tuple[tuple[bytes, bytes], ...]
+# Requests and tokens of a quota in one message.
+TokenCount = Annotated[int, Meta(ge=0, le=100_000)]
+# Requests per second, tokens or milliseconds; the bounds exclude NaN and infinity.
+Amount = Annotated[float, Meta(ge=0.0, le=1e15)]
 
 # Copying a message costs more than it is worth for a shorter time.
 MIN_ELAPSED_MS = 1.0
@@ -114,6 +120,7 @@
     decline_above: Float = math.inf
     is_repeat: bool = False
     customer: str = ""
+    is_nested: bool = False
 
     def after(self, elapsed_ms: float) -> OpenStream:
         """Return this message with the remaining times reduced by the time since it was made."""
@@ -509,8 +516,18 @@
     state: MemberState
 
 
+class _WithMembers(Message, frozen=True):
+    """Define the base of messages with member records."""
+
+    @classmethod
+    def compact(cls, plain: list[Any]) -> None:
+        """Shorten the member records."""
+        for member in plain[cls.__struct_fields__.index("members")]:
+            Member.compact(member)
+
+
 @message(60)
-class Probe(Message, frozen=True):
+class Probe(_WithMembers, frozen=True):
     """Request an ack from a node; an empty target means any node at the address."""
 
     sequence: int
@@ -521,7 +538,7 @@
 
 
 @message(61)
-class ProbeAck(Message, frozen=True):
+class ProbeAck(_WithMembers, frozen=True):
     """Acknowledge a probe; `sender` is the probed node."""
 
     sequence: int
@@ -540,7 +557,7 @@
 
 
 @message(63)
-class Gossip(Message, frozen=True):
+class Gossip(_WithMembers, frozen=True):
     """Disseminate member records and verdicts."""
 
     sender: str
@@ -576,7 +593,7 @@
 
 
 @message(66)
-class SyncExchange(Message, frozen=True):
+class SyncExchange(_WithMembers, frozen=True):
     """Send the records that the peer lacks and request the wanted ones."""
 
     wanted: tuple[str, ...]
@@ -585,7 +602,7 @@
 
 
 @message(67)
-class SyncMembers(Message, frozen=True):
+class SyncMembers(_WithMembers, frozen=True):
     """Reply to an exchange with the wanted records."""
 
     members: tuple[Member, ...]
@@ -629,3 +646,105 @@
     is_same: bool
     ends: tuple[UpstreamEnded, ...]
     cleared: tuple[RequestCleared, ...]
+
+
+# 80-89: quotas
+
+
+@message(80)
+class QuotaRequest(Message, frozen=True):
+    """Request tokens of a customer from the holder of a part of its quota.
+
+    The limits are those that the requesting node knows; the higher version takes effect.
+    """
+
+    customer: str
+    version: int
+    rate_per_s: Amount
+    burst: Amount
+    # For requests that wait, and for those that are expected within the life of a token.
+    wanted: TokenCount
+    expected: TokenCount
+    # Requests refused for this quota since the last message to this holder.
+    refused: TokenCount
+    # Whether the receiver may pass the request on to a holder.
+    may_relay: bool
+
+
+@message(81)
+class QuotaGrant(Message, frozen=True):
+    """Grant tokens, or tell when the part has one again."""
+
+    holder: str
+    # False if the node holds no part or cannot prove that it still does.
+    holds_part: bool
+    granted: TokenCount
+    # Process and time of the grant at its holder, for tokens that are returned.
+    process: int
+    granted_ms: Amount
+    next_token_ms: Amount
+    retry_after_ms: Amount
+
+
+@message(82)
+class QuotaReturn(Message, frozen=True):
+    """Return tokens of requests that were not run."""
+
+    customer: str
+    process: int
+    granted_ms: Amount
+    count: TokenCount
+
+
+@message(83)
+class VoterQuery(Message, frozen=True):
+    """Ask the leader whether the sender is a voter of the replicated log."""
+
+
+@message(84)
+class VoterReply(Message, frozen=True):
+    """Tell whether the node is a voter; only a leader with a recent proof replies with `known`."""
+
+    known: bool
+    is_voter: bool
+    # Log index of the last committed members entry, and whether there have never been more voters
+    # than parts of a quota.
+    members_index: int
+    none_replaced: bool
+    age_ms: Amount
+
+
+# 90-99: roll-outs
+
+
+@message(90)
+class RolloutReport(Message, frozen=True):
+    """Report a target of a service that is rolled out, and request calls for it.
+
+    Counts are those since the order in this process, which `node_started_ms` tells apart.
+    """
+
+    service: str
+    order_version: int
+    instance_id: str
+    node_started_ms: int
+    sequence: int
+    version: str
+    slots: int
+    is_warm: bool
+    is_closed: bool
+    in_progress: int
+    arrivals: Count
+    spent: Count
+    held: Count
+    wanted: Count
+    answers: tuple[RouteAnswers, ...]
+
+
+@message(91)
+class RolloutGrant(Message, frozen=True):
+    """Grant calls to a target, or name the leader to which it should report."""
+
+    is_leader: bool
+    leader_id: str
+    calls: int
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -5,7 +5,7 @@
 from typing import Annotated
 
 import msgspec
-from msgspec import Meta, field
+from msgspec import Meta, field, structs
 
 from knapweedhitch import yamltext
 from knapweedhitch.exceptions import SettingsError
@@ -23,6 +23,8 @@
     NodeSettings,
     OperatorSettings,
     PeerSettings,
+    QuotaSettings,
+    RolloutSettings,
     RoutingSettings,
     SecretSettings,
     Settings,
@@ -41,6 +43,17 @@
 MAX_PATCH_BYTES = 16_777_216
 MAX_HEARTBEAT_BYTES = 65_536
 CANCEL_WAIT_MS = 120
+# Contracts of which either brings customers with quotas.
+QUOTA_CONTRACTS = frozenset({"quota", "tenants"})
+# Part of the overage that the life of a token takes; as much is for tokens returned late, and the
+# rest for requests that wait at their target.
+TOKEN_LIFE_SHARE = 0.3
+MIN_TOKEN_LIFE_MS = 20
+MAX_TOKEN_LIFE_MS = 250
+ROLLOUT_CONTRACT = "rollout"
+# Part of the time to stop a bad version after which grants lapse without contact; the rest is for
+# the verdict and the log.
+ROLLOUT_LEASE_RATIO = 0.3
 
 HEADERS = HeaderSettings(
     request_id="attempt-id",
@@ -57,6 +70,10 @@
     cold="cold-ms",
     instance="instance-id",
 )
+# The contract of deployments whose configuration may list customers, and the headers for them.
+CUSTOMERS_CONTRACT = "tenants"
+CREDENTIAL_HEADER = "credential"
+CUSTOMER_HEADER = "tenant-id"
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -82,6 +99,15 @@
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = field(name="retryBudgetRatio", default=0.1)
     retry_slack: Annotated[float, Meta(ge=0)] = field(name="retryBudgetSlack", default=0.0)
     retry_window_s: Annotated[float, Meta(gt=0)] = field(name="budgetWindowS", default=10.0)
+    # Requests of a customer in any window, beyond rate and burst, over all nodes.
+    quota_window_s: Annotated[float, Meta(gt=0)] = field(name="quotaWindowS", default=5.0)
+    quota_overage: Annotated[float, Meta(ge=0)] = field(name="quotaOverage", default=0.1)
+    quota_slack: Annotated[float, Meta(ge=0)] = field(name="quotaSlack", default=20.0)
+    # Calls that a bad version may get during its roll-out, as a share of all and a constant.
+    exposure_share: Annotated[float, Meta(gt=0, le=1)] = field(name="exposureShare", default=0.1)
+    exposure_slack: Annotated[float, Meta(ge=0)] = field(name="exposureSlack", default=0.0)
+    # After its 50th bad answer, a bad version may get calls for this long.
+    rollback_s: Annotated[float, Meta(gt=0)] = field(name="rollbackS", default=5.0)
 
 
 class Limits(msgspec.Struct, frozen=True):
@@ -107,10 +133,17 @@
     data_dir: str | None = field(name="dataDir", default=None)
     fault_tolerance: Tolerance = field(name="faultTolerance")
     bounds: Bounds
+    # Names of the groups of rules that hold in the deployment.
+    contracts: tuple[str, ...] = ()
     # Service of the local target; None on control instances.
     service: str | None = None
     app_address: str | None = field(name="appAddr", default=None)
 
+    @property
+    def has_rollouts(self) -> bool:
+        """Return whether operators of the deployment may roll out versions."""
+        return ROLLOUT_CONTRACT in self.contracts
+
 
 def parse_boot(text: str, place: str) -> Boot:
     """Return the validated settings file; raises SettingsError with the field."""
@@ -149,6 +182,28 @@
         raise SettingsError(place, f"use host:port, got {text!r}") from None
 
 
+def _translate_quotas(boot: Boot) -> QuotaSettings:
+    """Return the settings of quotas, the defaults if the deployment has no quotas."""
+    if not QUOTA_CONTRACTS.intersection(boot.contracts):
+        return QuotaSettings()
+    bounds = boot.bounds
+    window_ms = bounds.quota_window_s * 1_000
+    overage_ratio = min(1.0, bounds.quota_overage)
+    life_ms = TOKEN_LIFE_SHARE * overage_ratio * window_ms
+    return QuotaSettings(
+        window_ms=int(window_ms),
+        overage_ratio=overage_ratio,
+        slack=bounds.quota_slack,
+        token_life_ms=int(min(max(life_ms, MIN_TOKEN_LIFE_MS), MAX_TOKEN_LIFE_MS)),
+    )
+
+
+def _translate_headers(boot: Boot) -> HeaderSettings:
+    if CUSTOMERS_CONTRACT not in boot.contracts:
+        return HEADERS
+    return structs.replace(HEADERS, credential=CREDENTIAL_HEADER, customer=CUSTOMER_HEADER)
+
+
 def translate(boot: Boot, place: str) -> Settings:
     """Return the daemon settings; raises SettingsError."""
     peer_port = boot.port_range[0] + PEER_PORT_OFFSET
@@ -187,7 +242,7 @@
             operator=Listener(enabled=False),
             metrics=Listener(boot.ip, boot.port_range[0] + METRICS_PORT_OFFSET),
         ),
-        headers=HEADERS,
+        headers=_translate_headers(boot),
         feed=FeedSettings(serve_stale=True),
         membership=MembershipSettings(
             seeds=tuple(Listener(ip, peer_port) for ip in seeds),
@@ -227,6 +282,13 @@
             measure_budget_bytes_per_s=8_000,
             max_candidates=16,
         ),
+        quotas=_translate_quotas(boot),
+        rollouts=RolloutSettings(
+            enabled=boot.has_rollouts,
+            exposure_share=boot.bounds.exposure_share,
+            exposure_slack=boot.bounds.exposure_slack,
+            lease_ms=max(1, int(ROLLOUT_LEASE_RATIO * boot.bounds.rollback_s * 1_000)),
+        ),
         operator=OperatorSettings(
             max_body_bytes=MAX_PATCH_BYTES if boot.service is None else MAX_HEARTBEAT_BYTES
         ),
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -29,6 +29,8 @@
     """Respond like a target of the platform."""
 
     protocol_version = "HTTP/1.1"
+    # Otherwise a response in two writes waits 40 ms for an acknowledgement.
+    disable_nagle_algorithm = True
     instance: ClassVar[str] = ""
     requests: ClassVar[list[dict[str, str]]] = []
     arrivals_s: ClassVar[list[float]] = []
@@ -98,6 +100,8 @@
 class PlatformWorld(unittest.TestCase):
     """Start three control instances and two nodes, of which the first has a target."""
 
+    contracts: ClassVar[tuple[str, ...]] = ()
+
     def setUp(self) -> None:
         self.folder = tempfile.TemporaryDirectory()
         self.base = 20_000 + os.getpid() % 400 * 20
@@ -122,7 +126,12 @@
 
     def write_boot_file(self, ip: str) -> Path:
         return platform_boot.write_boot_file(
-            self.folder.name, ip, CORES, self.base, bootstrap=self.bootstrap
+            self.folder.name,
+            ip,
+            CORES,
+            self.base,
+            bootstrap=self.bootstrap,
+            contracts=self.contracts,
         )
 
     def start(self, *ips: str) -> None:
