--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -432,7 +432,7 @@
 
 
 class QuotaUnknown(Refusal):
-    """Refuse a request because no holder of the customer's quota replies."""
+    """Refuse a request because most holders of the customer's quota do not reply."""
 
     reason = "quota-unknown"
     status = 503
--- a/knapweedhitch/quotas.py
+++ b/knapweedhitch/quotas.py
@@ -73,8 +73,8 @@
     async def take(self, customer: CustomerItem, objective_ms: float) -> TokenLot | None:
         """Take a token for one request, None if the customer has no quota.
 
-        Waits for a small share of the latency objective at most. Raises QuotaExceeded and
-        QuotaUnknown.
+        Waits for a small share of the latency objective if all parts are empty, and longer only
+        while holders do not reply. Raises QuotaExceeded and QuotaUnknown.
         """
         limits = QuotaLimits.of(customer)
         if limits is None:
@@ -106,7 +106,7 @@
     async def _wait_for_token(
         self, tokens: CustomerTokens, limits: QuotaLimits, objective_ms: float
     ) -> TokenLot | None:
-        """Return a token, None if there is none within the share of the objective."""
+        """Return a token, None if there is none in time."""
         self._cleanup.set(CLEANUP_INTERVAL_MS)
         started_ms = self._now_ms()
         refill_wait_ms = self._cfg.max_refill_wait_share * objective_ms
@@ -159,10 +159,11 @@
             "burst": f"{limits.burst:g}",
             "seen_per_s": f"{tokens.rate_per_s(now):.1f}",
         }
-        if not parts:
+        if 2 * len(parts) <= self._kernel.cfg.quota_parts:
+            # The parts that have not replied may have tokens.
             self._counters.add("quota_refused", "quota-unknown")
-            self._log.warning("quota_unknown", **fields)
-            return QuotaUnknown(detail="no holder of the quota replies")
+            self._log.warning("quota_unknown", **fields, replied=",".join(parts))
+            return QuotaUnknown(detail="most holders of the quota do not reply")
         self._counters.add("quota_refused", "quota-exceeded")
         retry_after_ms = max(MIN_RETRY_AFTER_MS, min(s.retry_ms for s in parts.values()) - now)
         waits = (f"{holder}:{max(0.0, s.next_token_ms - now):.0f}" for holder, s in parts.items())
