--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -260,7 +260,7 @@
         if report.load is not None:
             self._load_reported_ms = now
             self.queue.set_slowdown(report.load.slowdown, now)
-            if self._cfg.count_unknown_calls:
+            if self._cfg.count_unknown_calls and report.load.slots:
                 # A call that responds is known here until it is released, so this counts too few
                 # rather than too many.
                 reported = report.load.running + report.load.waiting
@@ -338,6 +338,7 @@
             self.queue.set_rate_limit(None, self._timers.now_ms())
             self._starts_before_report = 0
             self._hold.reset()
+            self.queue.forget_slots_left()
             self._request_probe()
 
     def _apply_status(self) -> None:
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -211,6 +211,10 @@
         """
         self._slots_left, self._slots_left_ms = slots, now_ms
 
+    def forget_slots_left(self) -> None:
+        """Forget the report of an earlier start of the upstream."""
+        self._slots_left_ms = -math.inf
+
     def awaits_report(self, now_ms: float) -> bool:
         """Return whether calls wait only for slots that others were reported to use."""
         return self._usable_limit(now_ms) <= self.running < self.limit
--- a/tests/test_queueadmission.py
+++ b/tests/test_queueadmission.py
@@ -155,6 +155,12 @@
         self.assertIsInstance(refusal, NoRoom)
         a.record_probe(RECORD, {b"x-load": b"0,0,2"}, now_ms())
         await admit(a, spec())
+        # What an earlier start reported says nothing of this one.
+        a.record_probe(RECORD, {b"x-load": b"3,0,2"}, now_ms())
+        restarted = structs.replace(RECORD, instance_id="i2")
+        a.set_upstream(restarted)
+        a.record_probe(restarted, {}, now_ms())
+        await admit(a, spec())
 
     @with_admission
     async def test_cancelled_wait_leaks_no_slot(self, a: QueueAdmission) -> None:
