--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -218,7 +218,6 @@
             slots_share=0.84,
             slow_moment_ms=300,
             shortage_window_ms=2_000,
-            count_unknown_calls=True,
             break_hold_ms=250,
         ),
         routing=RoutingSettings(
