--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -204,9 +204,7 @@
     """Return the settings of admission; customers compete for the room of their upstreams."""
     if CUSTOMERS_CONTRACT not in boot.contracts:
         return ADMISSION
-    return structs.replace(
-        ADMISSION, shortage_window_ms=2_000, count_unknown_calls=True, break_hold_ms=250
-    )
+    return structs.replace(ADMISSION, shortage_window_ms=2_000, break_hold_ms=250)
 
 
 def _translate_headers(boot: Boot) -> HeaderSettings:
