--- a/knapweedhitch/rolloutcontrol.py
+++ b/knapweedhitch/rolloutcontrol.py
@@ -1,4 +1,4 @@
-"""Conduct roll-outs at the leader of the control group.
+"""Run roll-outs at the leader of the control group.
 
 Nodes beside targets report to the leader, which grants calls to canaries and proposes each step to
 the log. A new leader goes on from the step in the log and counts all reserved calls as granted.
@@ -32,7 +32,7 @@
     at_ms: float
 
 
-class _Conduct:
+class _Tracker:
     """Track what the leader knows of one running roll-out."""
 
     def __init__(self, rollout: Rollout, now_ms: float) -> None:
@@ -88,7 +88,7 @@
     def __init__(self, kernel: Kernel) -> None:
         self._kernel = kernel
         self._cfg = kernel.cfg.rollouts
-        self._conducts: dict[int, _Conduct] = {}
+        self._trackers: dict[int, _Tracker] = {}
         # When this process first saw each order, adjusted by the wall clock if that was late.
         self._started_ms: dict[int, float] = {}
 
@@ -118,7 +118,7 @@
         running = {r.version: r for r in current.rollouts.values() if r.is_running}
         for version in self._started_ms.keys() - running.keys():
             del self._started_ms[version]
-            self._conducts.pop(version, None)
+            self._trackers.pop(version, None)
         now, wall = self._timers.now_ms(), self._timers.wall_ms()
         for version, rollout in running.items():
             if version not in self._started_ms:
@@ -132,29 +132,29 @@
         rollout = self._config.current.rollouts.get(msg.service)
         if rollout is None or rollout.version != msg.order_version or not rollout.is_running:
             return RolloutGrant(False, "", 0)
-        conduct = self._conduct_of(rollout)
-        calls = conduct.record(rollout, msg, self._timers.now_ms())
+        tracker = self._tracker_of(rollout)
+        calls = tracker.record(rollout, msg, self._timers.now_ms())
         return RolloutGrant(True, "", calls)
 
-    def _conduct_of(self, rollout: Rollout) -> _Conduct:
-        conduct = self._conducts.get(rollout.version)
-        if conduct is None:
-            conduct = _Conduct(rollout, self._timers.now_ms())
-            self._conducts[rollout.version] = conduct
-        return conduct
+    def _tracker_of(self, rollout: Rollout) -> _Tracker:
+        tracker = self._trackers.get(rollout.version)
+        if tracker is None:
+            tracker = _Tracker(rollout, self._timers.now_ms())
+            self._trackers[rollout.version] = tracker
+        return tracker
 
     def _tick(self) -> None:
         if not self._started_ms:
             return
         if not self._is_leader:
-            self._conducts.clear()
+            self._trackers.clear()
             return
         for rollout in self._config.current.rollouts.values():
-            if rollout.is_running and not self._conduct_of(rollout).is_proposing:
-                self._decide(rollout, self._conduct_of(rollout))
+            if rollout.is_running and not self._tracker_of(rollout).is_proposing:
+                self._decide(rollout, self._tracker_of(rollout))
 
-    def _decide(self, rollout: Rollout, conduct: _Conduct) -> None:
-        situation = self._situation(rollout, conduct)
+    def _decide(self, rollout: Rollout, tracker: _Tracker) -> None:
+        situation = self._situation(rollout, tracker)
         due = next_step(situation, self._cfg)
         if due is None:
             return
@@ -163,10 +163,10 @@
             op = FinishRollout(rollout.service, rollout.version, due.completed, due.reason)
         else:
             op = AdvanceRollout(rollout.service, rollout.version, due)
-        conduct.is_proposing = True
-        self._kernel.start_task(OnFault.END, self._propose, op, conduct, situation)
+        tracker.is_proposing = True
+        self._kernel.start_task(OnFault.END, self._propose, op, tracker, situation)
 
-    async def _propose(self, op: Operation, conduct: _Conduct, situation: Situation) -> None:
+    async def _propose(self, op: Operation, tracker: _Tracker, situation: Situation) -> None:
         change = Change(changes.new_change_id(), None, OPERATOR, op)
         step = situation.rollout.step
         try:
@@ -175,12 +175,12 @@
             self._counters.add("rollout_step_failed", type(exc).__name__)
             return
         finally:
-            conduct.is_proposing = False
+            tracker.is_proposing = False
         if isinstance(op, AdvanceRollout):
             moved = (op.step.phase, op.step.share) != (step.phase, step.share)
             if moved and op.step.phase is not Phase.CANARY:
-                conduct.step_ms = self._timers.now_ms()
-                conduct.moved_ms = conduct.moved_ms or conduct.step_ms
+                tracker.step_ms = self._timers.now_ms()
+                tracker.moved_ms = tracker.moved_ms or tracker.step_ms
             self._counters.add("rollout_steps", op.step.phase.value)
             self._log("rollout_step", version, situation, op.step)
         elif isinstance(op, FinishRollout):
@@ -208,7 +208,7 @@
             **(worst.fields() if worst is not None else {}),
         )
 
-    def _situation(self, rollout: Rollout, conduct: _Conduct) -> Situation:
+    def _situation(self, rollout: Rollout, tracker: _Tracker) -> Situation:
         now = self._timers.now_ms()
         current = self._config.current
         targets = self._membership.targets(rollout.service)
@@ -217,7 +217,7 @@
             _describe(
                 target,
                 rollout,
-                conduct.reports.get(target.upstream.instance_id),
+                tracker.reports.get(target.upstream.instance_id),
                 now,
                 is_serving=target.node_id in serving,
             )
@@ -227,11 +227,11 @@
         return Situation(
             rollout,
             now - self._started_ms[rollout.version],
-            now - conduct.step_ms,
+            now - tracker.step_ms,
             reports,
-            conduct.evidence.verdict(now, new_count, conduct.moved_ms),
-            conduct.evidence.arrivals,
-            conduct.ledger.issued,
+            tracker.evidence.verdict(now, new_count, tracker.moved_ms),
+            tracker.evidence.arrivals,
+            tracker.ledger.issued,
             self._count_lost_nodes(rollout),
         )
 
--- a/tests/test_rollout_services.py
+++ b/tests/test_rollout_services.py
@@ -386,10 +386,10 @@
             await world.start_gate(1, node.config)
             await world.round()
             await world.round()
-            conduct = control._conduct_of(rollout)
-            arrivals = conduct.evidence.arrivals
+            tracker = control._tracker_of(rollout)
+            arrivals = tracker.evidence.arrivals
             await control._on_report("n1", earlier)
-            self.assertEqual(conduct.evidence.arrivals, arrivals)
+            self.assertEqual(tracker.evidence.arrivals, arrivals)
 
         run(test)
 
