--- a/knapweedhitch/customershares.py
+++ b/knapweedhitch/customershares.py
@@ -18,6 +18,8 @@
 # How far back the usual demand reaches, in windows of the recent demand.
 USUAL_WINDOWS = 30.0
 UPDATE_INTERVAL_MS = 200.0
+# EWMA weight of the newest call in the mean work.
+MEAN_WEIGHT = 0.05
 # Beyond this number, the customer whose demand is least is forgotten.
 MAX_CUSTOMERS = 256
 
@@ -56,7 +58,7 @@
         """Record a call and the service time that it is expected to need."""
         if self._since_ms is None:
             self._since_ms, self._call_ms = now_ms, work_ms
-        self._call_ms += 0.05 * (work_ms - self._call_ms)
+        self._call_ms += MEAN_WEIGHT * (work_ms - self._call_ms)
         demand = self._demands.get(customer) or self._add(customer, now_ms)
         demand.recent.add(work_ms, now_ms)
         if customer not in self._over:
