Command: check a configuration call before it is sent

`knapweedhitch items check` tells with the place in the file what nodes would refuse, which entries have no effect, and what differs from the configuration in force. The checks of items are split so that all conflicts are found and not only the first; nodes decide as before.

--- a/knapweedhitch/cli.py
+++ b/knapweedhitch/cli.py
@@ -25,6 +25,7 @@
     ChangeUnconfirmed,
     CommandError,
     KnapweedhitchError,
+    NodeUnreachable,
     NoLeader,
     OperatorAnswerLost,
     OperatorRefused,
@@ -34,6 +35,7 @@
 )
 from knapweedhitch.idempotency import generate_uuid7
 from knapweedhitch.operator_client import OperatorClient, new_change_id, parse_address
+from knapweedhitch.platform.cli_items import ItemCommands
 from knapweedhitch.settings import load_secret, load_settings
 
 EXIT_OK = 0
@@ -44,7 +46,7 @@
 
 DEFAULT_SETTINGS = "/etc/knapweedhitch/settings.yaml"
 # Flags without a value; fire would otherwise consume the next argument as their value.
-SWITCHES = frozenset({"--json", "--yes", "--allow-last", "--allow-unknown", "--force"})
+SWITCHES = frozenset({"--json", "--yes", "--allow-last", "--allow-unknown", "--force", "--strict"})
 TOKEN = re.compile(rb"[A-Za-z0-9._~+/=-]+")
 HELP_REQUESTS = (["--help"], ["-h"], ["help"])
 HELP_NOTE = re.compile(r"^INFO: Showing help.*\n\n?", re.MULTILINE)
@@ -220,6 +222,7 @@
         self.answers = cli_answers.AnswerCommands(self._context)
         self.config = Config(self._context)
         self.domain = Domain(self._context)
+        self.items = ItemCommands(self._context)
         self.node = Node(self._context)
         self.suspects = SuspectCommands(self._context)
 
@@ -299,7 +302,7 @@
         if exc.error in (NoLeader.reason, ChangeUnconfirmed.reason):
             return EXIT_UNREACHABLE
         return EXIT_REFUSED
-    if isinstance(exc, (OperatorUnreachable, OperatorAnswerLost, VersionLags)):
+    if isinstance(exc, (OperatorUnreachable, NodeUnreachable, OperatorAnswerLost, VersionLags)):
         return EXIT_UNREACHABLE
     if isinstance(exc, (CommandError, SettingsError)):
         return EXIT_USAGE
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -225,6 +225,10 @@
     """Report an operator listener that could not be reached; nothing was changed."""
 
 
+class NodeUnreachable(OperatorError):
+    """Report a node whose configuration could not be read."""
+
+
 class OperatorAnswerLost(OperatorError):
     """Report a change whose response was lost; a retry must use the same change id."""
 
@@ -253,6 +257,13 @@
         super().__init__(f"version {version} is not yet in force at {', '.join(lagging)}")
 
 
+class CallInvalid(KnapweedhitchError):
+    """Report a configuration call that must not be sent as it is."""
+
+    def __init__(self, n_errors: int, n_warnings: int) -> None:
+        super().__init__(f"{n_errors} errors, {n_warnings} entries without effect")
+
+
 class CommandError(KnapweedhitchError):
     """Report an invalid command line."""
 
--- a/knapweedhitch/items.py
+++ b/knapweedhitch/items.py
@@ -4,7 +4,7 @@
 
 import math
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
 import msgspec
@@ -111,6 +111,15 @@
         return not (has_items or self.removed_routes) and self.limits is None
 
 
+class Conflict(Record, frozen=True):
+    """Describe why an item cannot stand beside the others."""
+
+    # The field of Items that holds the item.
+    kind: str
+    name: str
+    text: str
+
+
 class ItemPatch(Record, frozen=True):
     """Describe the items of one operator request; each takes effect by its own version."""
 
@@ -133,11 +142,22 @@
     for route in patch.routes:
         check_route(route)
     for backend in patch.backends:
-        _check_backend(backend)
+        check_backend(backend)
     for customer in patch.customers:
-        _check_customer(customer)
-    _check_keys(patch.customers)
+        check_customer(customer)
     _check_versions(patch)
+    after = combine(items, patch)
+    _refuse_first(find_shared_keys(patch.customers))
+    if after == items:
+        return items
+    if len(after.routes) + len(after.backends) + len(after.customers) > MAX_ITEMS:
+        raise InvalidChange(f"over {MAX_ITEMS} items")
+    _refuse_first(find_conflicts(after))
+    return after
+
+
+def combine(items: Items, patch: ItemPatch) -> Items:
+    """Return the items after a patch that is not checked; raises ItemConflict."""
     routes, removed_routes = _merge_kind(
         items.routes, items.removed_routes, patch.routes, patch.removed_routes
     )
@@ -152,7 +172,7 @@
         limits = patch.limits
     elif patch.limits is not None and limits is not None:
         _check_same_content("limits", limits, patch.limits)
-    after = Items(
+    return Items(
         routes,
         backends,
         limits,
@@ -161,10 +181,11 @@
         customers,
         removed_customers,
     )
-    if after == items:
-        return items
-    _check_consistency(after)
-    return after
+
+
+def _refuse_first(conflicts: Iterator[Conflict]) -> None:
+    for conflict in conflicts:
+        raise InvalidChange(conflict.text)
 
 
 def _merge_kind(
@@ -215,12 +236,14 @@
         raise InvalidChange(f"route {route.name}: the weights add up to 0")
 
 
-def _check_backend(backend: BackendItem) -> None:
+def check_backend(backend: BackendItem) -> None:
+    """Check one service on its own; raises InvalidChange that names the problem."""
     if backend.max_connections < 1:
         raise InvalidChange(f"service {backend.name}: use one connection or more")
 
 
-def _check_customer(customer: CustomerItem) -> None:
+def check_customer(customer: CustomerItem) -> None:
+    """Check one customer on its own; raises InvalidChange that names the problem, but no key."""
     name, keys = customer.name, customer.keys
     if len(name) > MAX_CUSTOMER_NAME_CHARS or not HEADER_VALUE.fullmatch(name):
         raise InvalidChange(
@@ -241,14 +264,14 @@
         raise InvalidChange(f"customer {name}: use a priority from 0")
 
 
-def _check_keys(customers: Iterable[CustomerItem]) -> None:
-    """Raise InvalidChange if two customers have the same key."""
+def find_shared_keys(customers: Iterable[CustomerItem]) -> Iterator[Conflict]:
+    """Yield the customers with a key that an earlier one has."""
     owners: dict[str, str] = {}
     for customer in customers:
-        for key in customer.keys:
-            other = owners.setdefault(key, customer.name)
-            if other != customer.name:
-                raise InvalidChange(f"customers {other} and {customer.name} have the same key")
+        others = {owners.setdefault(key, customer.name) for key in customer.keys}
+        for other in sorted(others - {customer.name}):
+            text = f"customers {other} and {customer.name} have the same key"
+            yield Conflict("customers", customer.name, text)
 
 
 def _check_versions(patch: ItemPatch) -> None:
@@ -265,18 +288,18 @@
             raise InvalidChange(f"{name}: use a version from 0, got {version}")
 
 
-def _check_consistency(items: Items) -> None:
-    if len(items.routes) + len(items.backends) + len(items.customers) > MAX_ITEMS:
-        raise InvalidChange(f"over {MAX_ITEMS} items")
+def find_conflicts(items: Items) -> Iterator[Conflict]:
+    """Yield the items that cannot stand beside the others."""
     owners: dict[tuple[str, str], str] = {}
-    for route in items.routes.values():
+    for name, route in items.routes.items():
         for part in route.parts:
             if part.service not in items.backends:
-                raise InvalidChange(f"route {route.name}: no service {part.service[:80]!r}")
-        other = owners.setdefault((route.host.lower(), route.path_prefix), route.name)
-        if other != route.name:
-            raise InvalidChange(f"routes {other} and {route.name} share host and path prefix")
-    _check_keys(items.customers.values())
+                yield Conflict("routes", name, f"route {name}: no service {part.service[:80]!r}")
+        other = owners.setdefault((route.host.lower(), route.path_prefix), name)
+        if other != name:
+            text = f"routes {other} and {name} share host and path prefix"
+            yield Conflict("routes", name, text)
+    yield from find_shared_keys(items.customers.values())
 
 
 def to_state(items: Items) -> list[Any]:
