Shortage: a repeated request does not make its kind urgent for good

The first call of a kind at an upstream fixed how long the kind can wait. If its caller had used up most of its time, the kind counted as more urgent than others until the process ended, and these yielded to it.

tests.test_shortage.UrgencyTest.test_repeated_request_does_not_make_its_kind_urgent failed before (less-urgent is not None); tests.test_shortage passes now (14 tests).

--- a/knapweedhitch/shortage.py
+++ b/knapweedhitch/shortage.py
@@ -78,10 +78,21 @@
 class _Kind(_Refusals):
     """Track the calls of one route and priority, None if customers have their own."""
 
-    def __init__(self, window_ms: float, priority: int | None, patience_ms: float) -> None:
+    def __init__(self, window_ms: float, priority: int | None) -> None:
         super().__init__(window_ms)
         self.priority = priority
-        self._patience_ms = patience_ms
+        self._objective_ms = self._service_ms = 0.0
+
+    def record_times(self, objective_ms: float, service_ms: float) -> None:
+        """Record the time to the latency objective of a call, and its expected service time."""
+        # Callers that retry have less left, which says nothing about the kind.
+        self._objective_ms = max(self._objective_ms, objective_ms)
+        self._service_ms = service_ms
+
+    @property
+    def _patience_ms(self) -> float:
+        """Return how long a first call of this kind can wait."""
+        return self._objective_ms - self._service_ms
 
     def is_more_urgent_than(self, other: _Kind) -> bool:
         """Return whether this kind has a higher priority or, at an equal one, can wait less."""
@@ -106,8 +117,11 @@
         if work.customer:
             self._shares.record_arrival(work.customer, service_ms, now_ms)
             self._group_of(work, now_ms).record_arrival(now_ms)
-        kind = self._kind_of(work, service_ms)
-        if kind is not None and not self.is_over_share(work, now_ms):
+        kind = self._kind_of(work)
+        if kind is None:
+            return
+        kind.record_times(work.objective_ms - work.arrived_ms, service_ms)
+        if not self.is_over_share(work, now_ms):
             # Nobody yields to what a customer asks for beyond its share.
             kind.record_arrival(now_ms)
 
@@ -151,12 +165,11 @@
             if kind.is_more_urgent_than(own) and kind.is_shortage(now_ms)
         )
 
-    def _kind_of(self, work: CallToPlace, service_ms: float) -> _Kind | None:
+    def _kind_of(self, work: CallToPlace) -> _Kind | None:
         key = _kind_key(work)
         kind = self._kinds.get(key)
         if kind is None and len(self._kinds) < MAX_KINDS:
-            patience_ms = work.objective_ms - work.arrived_ms - service_ms
-            kind = self._kinds[key] = _Kind(self._window_ms, key[0], patience_ms)
+            kind = self._kinds[key] = _Kind(self._window_ms, key[0])
         return kind
 
     def _group_of(self, work: CallToPlace, now_ms: float) -> _Refusals:
--- a/tests/test_shortage.py
+++ b/tests/test_shortage.py
@@ -86,6 +86,21 @@
             self.assertEqual(shortage.yield_reason(asks, 1_000.0), expected)
             self.assertIsNone(shortage.yield_reason(asks, 60_000.0))
 
+    def test_repeated_request_does_not_make_its_kind_urgent(self) -> None:
+        """Guards against a kind that others yield to for good, since the first of its calls at an
+        upstream came from a caller that had used up most of its time.
+        """
+        for customer in ("", "c1"):
+            lookup = dataclasses.replace(LOOKUP, customer=customer)
+            booking = dataclasses.replace(BOOKING, priority=1, customer=customer)
+            shortage = Shortage(WINDOW_MS)
+            shortage.record_arrival(dataclasses.replace(booking, objective_ms=100.0), 50.0, 0.0)
+            shortage.record_arrival(lookup, 140.0, 0.0)
+            for now_ms in range(0, 1_000, 100):
+                shortage.record_arrival(booking, 190.0, now_ms)
+                shortage.record_refusal(booking, now_ms)
+            self.assertIsNone(shortage.yield_reason(lookup, 1_000.0), customer)
+
     def test_yielding_ends_at_equal_shares(self) -> None:
         """Guards against a less urgent kind that starves beside an urgent one over the capacity."""
         shortage = Shortage(WINDOW_MS)
