Relay: wait for a token no longer than the deadline of the caller

While no holder of a quota replied, a request waited up to 500 ms for a token whatever time its caller had left, so the refusal came too late, and in a planned stop perhaps not at all.

tests.test_relay.QuotaTest.test_wait_for_a_token_ends_with_the_deadline_of_the_caller failed before (0.4 s of 0.1 s); tests.test_relay passes now.

--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -209,7 +209,8 @@
         if customer is None or customer.rate_per_s <= 0.0 or call.is_nested:
             return None
         objective_ms = call.route.target_latency_ms or call.route.timeout_ms
-        token: TokenLot | None = await self._kernel.get("quotas").take(customer, objective_ms)
+        wait_ms = min(objective_ms, max(0.0, call.deadline.remaining_ms()))
+        token: TokenLot | None = await self._kernel.get("quotas").take(customer, wait_ms)
         return token
 
     def _match_route(self, items: Items, head: RequestHead) -> RouteItem:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -548,8 +548,11 @@
         self.taken = 0
         self.returned: list[object] = []
         self.refusal: Refusal | None = None
+        self.is_silent = False
 
     async def take(self, customer: CustomerItem, objective_ms: float) -> int:
+        if self.is_silent:
+            await trio.sleep(objective_ms / 1_000)
         if self.refusal is not None:
             raise self.refusal
         self.taken += 1
@@ -581,6 +584,18 @@
         self.assertTrue(data.startswith(b"HTTP/1.1 503"), data)
         self.assertEqual(world.specs, [])
 
+    @run_on_mock_clock
+    async def test_wait_for_a_token_ends_with_the_deadline_of_the_caller(self) -> None:
+        """Guards against a refusal that comes after the caller has given up, and after the end of a
+        planned stop, while no holder of the quota replies.
+        """
+        world = await self.start([])
+        self.quotas.is_silent, self.quotas.refusal = True, QuotaUnknown()
+        started_s = trio.current_time()
+        data = await world.request("/safe/x", headers="X-Key: k1\r\nX-Deadline: 100\r\n")
+        self.assertTrue(data.startswith(b"HTTP/1.1 503"), data)
+        self.assertLessEqual(trio.current_time() - started_s, 0.1 + 1e-6)
+
     @run_on_mock_clock
     async def test_token_comes_back_only_if_the_request_did_not_run(self) -> None:
         """Guards against a quota that is spent on refused requests, and against one that is used
