Quotas: holders that were not asked are not silent

The time since the last reply counted from the first request that needed a token, also if it was refused without a request to a holder. After two seconds of that, a request of another customer waited 0.08 of its objective only and got 503.

--- a/knapweedhitch/quotas.py
+++ b/knapweedhitch/quotas.py
@@ -48,7 +48,7 @@
         self._store = TokenStore(self._cfg.max_customers)
         self._chooser = HolderChooser(kernel.cfg.node.domain, self._rng)
         self._holders_ms: float | None = None
-        # When a request began to wait for the first reply since the last one.
+        # When the first request was sent to a holder since the last reply.
         self._silent_since_ms: float | None = None
         self._holder: QuotaHolder | None = None
         # Customers for which tokens are being requested.
@@ -133,9 +133,8 @@
 
     def _reply_wait_ms(self, objective_ms: float, now: float) -> float:
         """Return how long a request waits for replies of holders."""
-        if self._silent_since_ms is None:
-            self._silent_since_ms = now
-        if now - self._silent_since_ms > self._cfg.max_silence_ms:
+        silent_since_ms = now if self._silent_since_ms is None else self._silent_since_ms
+        if now - silent_since_ms > self._cfg.max_silence_ms:
             return self._cfg.max_refill_wait_share * objective_ms
         return min(self._cfg.max_reply_wait_ms, self._cfg.max_reply_wait_share * objective_ms)
 
@@ -246,6 +245,8 @@
             refused=tokens.take_refused(holder),
             may_relay=True,
         )
+        if self._silent_since_ms is None:
+            self._silent_since_ms = sent_ms
         self._counters.add("quota_requests_sent")
         try:
             reply = await self._peers.call(holder, msg, life_ms)
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -363,6 +363,19 @@
         # Five holders in each round of 50 ms.
         self.assertLess(world.nodes["n0"].endpoint.failed_calls, 6 * sum(waits_s) / 0.05 + 100)
 
+    @run_world(customers=[customer(rate=0.1, burst=1.0), customer("other")])
+    async def test_refusals_without_a_request_to_holders_are_no_silence(
+        self, world: QuotaWorld
+    ) -> None:
+        """Guards against a customer that is refused at a node whose holders only answer slowly,
+        since another customer was refused there for a while without asking any of them.
+        """
+        for _ in range(60):
+            await world.request("n0")
+            await trio.sleep(0.05)
+        world.latency_ms = 30.0
+        self.assertEqual(await world.request("n0", "other"), "ran")
+
     @run_world()
     async def test_request_right_after_a_start_waits_for_the_first_links(
         self, world: QuotaWorld
