Quotas: bound the told time of the next token

A limit below 5e-12 requests per second made a time that other nodes refuse as invalid, so each grant closed the link to its holder; with the lowest rates it divided by zero.

tests.test_quotas.MessageTest.test_time_of_the_next_token_fits_into_a_grant failed before (CodecError: Expected float <= 1e15); MessageTest and DecisionTest pass now.

--- a/knapweedhitch/quotapart.py
+++ b/knapweedhitch/quotapart.py
@@ -19,6 +19,8 @@
 EXPECTED_SHARE = 0.25
 # Higher limits don't fit into messages, and no customer reaches them.
 MAX_LIMIT = 1e12
+# Longer waits for a token don't fit either.
+MAX_WAIT_MS = 1e12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -116,8 +118,11 @@
         return min(max_ms, self._wait_ms(1.0 + self._promised))
 
     def _wait_ms(self, tokens: float) -> float:
-        missing = tokens - self._bucket.tokens
-        return max(0.0, missing / self._bucket.rate_per_s * MS_PER_S)
+        missing = max(0.0, tokens - self._bucket.tokens)
+        rate = self._bucket.rate_per_s
+        if missing * MS_PER_S >= MAX_WAIT_MS * rate:
+            return MAX_WAIT_MS
+        return missing / rate * MS_PER_S
 
     def _decay_promised(self) -> None:
         now = self._now_ms()
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -15,6 +15,7 @@
 import trio.testing
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
+from msgspec import structs
 
 from knapweedhitch import codec
 from knapweedhitch.exceptions import CodecError
@@ -527,6 +528,15 @@
 
 
 class MessageTest(unittest.TestCase):
+    def test_time_of_the_next_token_fits_into_a_grant(self) -> None:
+        """Guards against a very low limit whose grants no node accepts, which closes links."""
+        grant = message_samples.samples()["QuotaGrant"]
+        for rate_per_s in (1e-13, 5e-324):
+            part = QuotaPart(QuotaLimits(1, rate_per_s, 1.0), Division(5, 20.0), lambda: 0.0)
+            grant = structs.replace(grant, next_token_ms=part.next_token_ms())
+            self.assertEqual(codec.decode(codec.encode(grant)), grant)
+            self.assertEqual(part.retry_after_ms(5_000.0), 5_000.0)
+
     def test_odd_counts_and_amounts_are_refused(self) -> None:
         """Guards against negative, huge or undefined numbers of another node."""
         samples = message_samples.samples()
