Quotas: forget customers whose unused tokens have expired

Expired tokens were dropped only with the next request, so a customer that left one stayed in memory, and the cleanup timer ran on.

tests.test_quotas.DecisionTest.test_customer_with_expired_tokens_is_forgotten failed before (1 customer, not 0); DecisionTest passes now.

--- a/knapweedhitch/quotatokens.py
+++ b/knapweedhitch/quotatokens.py
@@ -74,6 +74,7 @@
 
     def is_idle(self, now: float) -> bool:
         """Return whether nothing depends on this object any more."""
+        self._drop_expired(now)
         return not self.waiting and not self._lots and now - self._demand_ms > 10 * DEMAND_MS
 
     # Tokens
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -30,6 +30,7 @@
     QuotaTable,
     VoterLease,
 )
+from knapweedhitch.quotatokens import TokenLot, TokenStore
 from knapweedhitch.settings import QuotaSettings
 from tests import message_samples
 from tests.quota_world import QuotaWorld, allowed_in_window, customer, granted_in_window
@@ -515,6 +516,16 @@
         table.set_items(Items(removed_customers={"acme": 3}))
         self.assertIsNone(table.get("acme", QuotaLimits(3, 2.0, 2.0)))
 
+    def test_customer_with_expired_tokens_is_forgotten(self) -> None:
+        """Guards against memory of each customer that has ever left a token unused."""
+        store = TokenStore(10)
+        lot = TokenLot("acme", "v0", 1, 0.0, LIFE_S * 1_000)
+        store.get("acme", 0.0).add(lot, 1)
+        store.drop_idle(LIFE_S * 1_000 - 1.0)
+        self.assertEqual(len(store), 1)
+        store.drop_idle(60_000.0)
+        self.assertEqual(len(store), 0)
+
     def test_raise_adds_no_tokens_and_a_cut_drops_them(self) -> None:
         """Guards against a burst that each change of a limit grants again."""
         now = 0.0
