--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -15,6 +15,7 @@
 import trio.testing
 from hypothesis import HealthCheck, example, given, settings
 from hypothesis import strategies as st
+from msgspec import structs
 
 from knapweedhitch import codec
 from knapweedhitch.exceptions import CodecError
@@ -29,6 +30,7 @@
     QuotaTable,
     VoterLease,
 )
+from knapweedhitch.quotatokens import TokenLot, TokenStore
 from knapweedhitch.settings import QuotaSettings
 from tests import message_samples
 from tests.quota_world import QuotaWorld, allowed_in_window, customer, granted_in_window
@@ -363,6 +365,19 @@
         # Five holders in each round of 50 ms.
         self.assertLess(world.nodes["n0"].endpoint.failed_calls, 6 * sum(waits_s) / 0.05 + 100)
 
+    @run_world(customers=[customer(rate=0.1, burst=1.0), customer("other")])
+    async def test_refusals_without_a_request_to_holders_are_no_silence(
+        self, world: QuotaWorld
+    ) -> None:
+        """Guards against a customer that is refused at a node whose holders only answer slowly,
+        since another customer was refused there for a while without asking any of them.
+        """
+        for _ in range(60):
+            await world.request("n0")
+            await trio.sleep(0.05)
+        world.latency_ms = 30.0
+        self.assertEqual(await world.request("n0", "other"), "ran")
+
     @run_world()
     async def test_request_right_after_a_start_waits_for_the_first_links(
         self, world: QuotaWorld
@@ -501,6 +516,16 @@
         table.set_items(Items(removed_customers={"acme": 3}))
         self.assertIsNone(table.get("acme", QuotaLimits(3, 2.0, 2.0)))
 
+    def test_customer_with_expired_tokens_is_forgotten(self) -> None:
+        """Guards against memory of each customer that has ever left a token unused."""
+        store = TokenStore(10)
+        lot = TokenLot("acme", "v0", 1, 0.0, LIFE_S * 1_000)
+        store.get("acme", 0.0).add(lot, 1)
+        store.drop_idle(LIFE_S * 1_000 - 1.0)
+        self.assertEqual(len(store), 1)
+        store.drop_idle(60_000.0)
+        self.assertEqual(len(store), 0)
+
     def test_raise_adds_no_tokens_and_a_cut_drops_them(self) -> None:
         """Guards against a burst that each change of a limit grants again."""
         now = 0.0
@@ -514,6 +539,15 @@
 
 
 class MessageTest(unittest.TestCase):
+    def test_time_of_the_next_token_fits_into_a_grant(self) -> None:
+        """Guards against a very low limit whose grants no node accepts, which closes links."""
+        grant = message_samples.samples()["QuotaGrant"]
+        for rate_per_s in (1e-13, 5e-324):
+            part = QuotaPart(QuotaLimits(1, rate_per_s, 1.0), Division(5, 20.0), lambda: 0.0)
+            grant = structs.replace(grant, next_token_ms=part.next_token_ms())
+            self.assertEqual(codec.decode(codec.encode(grant)), grant)
+            self.assertEqual(part.retry_after_ms(5_000.0), 5_000.0)
+
     def test_odd_counts_and_amounts_are_refused(self) -> None:
         """Guards against negative, huge or undefined numbers of another node."""
         samples = message_samples.samples()
