Use DecayedSum for the demand of a customer with a quota

The same decay stood twice. The limit of idle time gets a name, and three comments that were hard to read or wrong about the order are reworded.

--- a/knapweedhitch/quotatokens.py
+++ b/knapweedhitch/quotatokens.py
@@ -9,14 +9,17 @@
 from collections.abc import Collection, Mapping
 
 from knapweedhitch.clock import MS_PER_S
+from knapweedhitch.decayedsum import DecayedSum
 from knapweedhitch.settings import QuotaSettings
 
 # Requests within this time tell how many to expect next.
-DEMAND_MS = 500.0
-# Of the life of a token, the share of which the expected requests get tokens in advance.
+DEMAND_WINDOW_MS = 500.0
+# A customer without a request for this long is forgotten.
+IDLE_MS = 10 * DEMAND_WINDOW_MS
+# Share of a token's life; tokens are requested in advance for the requests expected in it.
 EXPECTED_LIFE_SHARE = 0.5
 MAX_TOKENS_PER_REQUEST = 1_000
-# A part that has tokens may have none after this time.
+# What is known of a part that has tokens may be wrong after this time.
 PART_STATE_MS = 1_000.0
 # Bounds the exponent of the backoff.
 MAX_SILENCES = 30
@@ -37,7 +40,7 @@
 class PartState:
     """Describe a part of a quota, as its holder has told it."""
 
-    # When the part has a token again, and when a refused caller should come back.
+    # When the part has a token again, and when a refused caller may retry.
     next_token_ms: float
     retry_ms: float
     recorded_ms: float
@@ -55,26 +58,24 @@
         # Requests that wait for a token.
         self.waiting = 0
         self._lots: deque[tuple[TokenLot, int]] = deque()
-        self._demand = 0.0
-        self._demand_ms = now
+        self._demand = DecayedSum(DEMAND_WINDOW_MS)
+        self._last_request_ms = now
         self._parts: dict[str, PartState] = {}
         # Refusals that the holder of a part has not been told of yet.
         self._refused: dict[str, int] = {}
 
     def record_demand(self, now: float) -> None:
         """Count one request."""
-        elapsed_ms = max(0.0, now - self._demand_ms)
-        self._demand = self._demand * math.exp(-elapsed_ms / DEMAND_MS) + 1.0
-        self._demand_ms = now
+        self._demand.add(1.0, now)
+        self._last_request_ms = now
 
     def rate_per_s(self, now: float) -> float:
         """Return the recent rate of requests."""
-        elapsed_ms = max(0.0, now - self._demand_ms)
-        return self._demand * math.exp(-elapsed_ms / DEMAND_MS) / DEMAND_MS * MS_PER_S
+        return self._demand.total(now) / DEMAND_WINDOW_MS * MS_PER_S
 
     def is_idle(self, now: float) -> bool:
         """Return whether nothing depends on this object any more."""
-        return not self.waiting and not self._lots and now - self._demand_ms > 10 * DEMAND_MS
+        return not self.waiting and not self._lots and now - self._last_request_ms > IDLE_MS
 
     # Tokens
 
@@ -212,7 +213,7 @@
 
 
 class TokenStore:
-    """Hold the tokens of the customers that use this node, the least recently used one last."""
+    """Hold the tokens of the customers that use this node, the least recently used one first."""
 
     def __init__(self, max_customers: int) -> None:
         self._max_customers = max_customers
