Count the silence of quota holders from a request to them

A request that was refused without a message, since all parts were known to be empty, started the time of silence. The next request for a token then waited for replies as if no holder had replied for that time, and got 503 quota-unknown behind slow links. The new test fails without the change.

--- a/knapweedhitch/quotas.py
+++ b/knapweedhitch/quotas.py
@@ -48,7 +48,7 @@
         self._store = TokenStore(self._cfg.max_customers)
         self._chooser = HolderChooser(kernel.cfg.node.domain, self._rng)
         self._holders_ms: float | None = None
-        # When a request began to wait for the first reply since the last one.
+        # When a holder was first asked since the last reply.
         self._silent_since_ms: float | None = None
         self._holder: QuotaHolder | None = None
         # Customers for which tokens are being requested.
@@ -133,9 +133,8 @@
 
     def _reply_wait_ms(self, objective_ms: float, now: float) -> float:
         """Return how long a request waits for replies of holders."""
-        if self._silent_since_ms is None:
-            self._silent_since_ms = now
-        if now - self._silent_since_ms > self._cfg.max_silence_ms:
+        asked_ms = now if self._silent_since_ms is None else self._silent_since_ms
+        if now - asked_ms > self._cfg.max_silence_ms:
             return self._cfg.max_refill_wait_share * objective_ms
         return min(self._cfg.max_reply_wait_ms, self._cfg.max_reply_wait_share * objective_ms)
 
@@ -235,6 +234,8 @@
 
     async def _ask(self, tokens: CustomerTokens, limits: QuotaLimits, holder: str) -> int:
         sent_ms = self._now_ms()
+        if self._silent_since_ms is None:
+            self._silent_since_ms = sent_ms
         life_ms = self._cfg.token_life_ms
         msg = QuotaRequest(
             customer=tokens.customer,
--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -375,6 +375,20 @@
         await trio.sleep(0.1)
         self.assertEqual(len(world.tallies["acme"].ran_s), 1)
 
+    @run_world(customers=[customer(rate=5.0, burst=5.0)])
+    async def test_refusals_without_a_message_are_no_silence_of_holders(
+        self, world: QuotaWorld
+    ) -> None:
+        """Guards against 503 for a request whose holders reply, but were not asked for a while
+        because all parts were known to be empty.
+        """
+        while await world.request("n0") == "ran":
+            pass
+        self.assertEqual(await world.request("n0"), "exceeded")
+        await trio.sleep(2.0 * CFG.max_silence_ms / 1_000)
+        world.latency_ms = 60.0
+        self.assertEqual(await world.request("n0"), "ran")
+
     @run_world()
     async def test_dead_and_silent_voters_delay_nobody(self, world: QuotaWorld) -> None:
         """Guards against requests that wait for, or are refused by, voters that do not reply."""
