--- a/knapweedhitch/rolloutplan.py
+++ b/knapweedhitch/rolloutplan.py
@@ -16,10 +16,16 @@
 from knapweedhitch.rolloutverdict import Verdict
 from knapweedhitch.settings import RolloutSettings
 
-# Share of the deadline kept for moving the traffic and draining, within bounds.
+# Share of the duration kept for moving the traffic and draining, within bounds.
 FINAL_RATIO = 0.35
 MIN_FINAL_MS = 1_500.0
 MAX_FINAL_MS = 3_500.0
+# Canaries get at least the rest of a short duration.
+MAX_FINAL_RATIO = 0.7
+# Fewer answers will do when less than this share of the final time is left.
+LATE_RATIO = 0.8
+# Near the end of the canary phase, the share is computed as if this part of it were left.
+MIN_LEFT_RATIO = 0.1
 # Parts of the exposure bounds that canaries may use; the rest is for calls while traffic moves.
 CANARY_SLACK_PART = 0.6
 CANARY_SHARE_PART = 0.7
@@ -62,7 +68,7 @@
     # Whether its node takes no calls for it, and how many calls are in progress there.
     is_closed: bool = False
     in_progress: int = 0
-    # infinite if its node has not reported since the order, or since the leader began.
+    # Infinite if its node has not reported since the order, or since the leader began.
     age_ms: float = math.inf
 
     @property
@@ -111,28 +117,30 @@
     reason: str
 
 
-def next_step(now: Situation, cfg: RolloutSettings) -> Step | End | None:
+def next_step(situation: Situation, cfg: RolloutSettings) -> Step | End | None:
     """Return the step that is due, None if there is none."""
-    rollout = now.rollout
-    if now.verdict.is_bad and now.verdict.worst is not None:
-        worst = now.verdict.worst
+    rollout = situation.rollout
+    if situation.verdict.is_bad and situation.verdict.worst is not None:
+        worst = situation.verdict.worst
         figures = f"{worst.new_bad}/{worst.new} new, {worst.old_bad}/{worst.old} old"
         return End(False, f"{worst.measure} on {worst.route}: {figures}")
-    if now.elapsed_ms >= rollout.duration_ms:
+    if situation.elapsed_ms >= rollout.duration_ms:
         return End(False, f"deadline in phase {rollout.step.phase.value}")
     match rollout.step.phase:
         case Phase.CANARY:
-            return _shift(now) or _canary_step(now, cfg)
+            return _shift(situation) or _canary_step(situation, cfg)
         case Phase.SHIFT:
-            return _next_share(now)
+            return _next_share(situation)
         case Phase.DRAIN:
-            return _complete(now)
+            return _complete(situation)
     return None
 
 
 def final_ms(duration_ms: float) -> float:
     """Return the time before the deadline at which traffic begins to move."""
-    return min(MAX_FINAL_MS, max(MIN_FINAL_MS, FINAL_RATIO * duration_ms), 0.7 * duration_ms)
+    return min(
+        MAX_FINAL_MS, max(MIN_FINAL_MS, FINAL_RATIO * duration_ms), MAX_FINAL_RATIO * duration_ms
+    )
 
 
 def canary_limit(arrivals: int, cfg: RolloutSettings) -> int:
@@ -141,36 +149,42 @@
     return int(slack + CANARY_SHARE_PART * cfg.exposure_share * arrivals)
 
 
-def _shift(now: Situation) -> Step | None:
-    left_ms = now.rollout.duration_ms - now.elapsed_ms
-    if left_ms > final_ms(now.rollout.duration_ms) or now.verdict.is_suspicious:
+def _shift(situation: Situation) -> Step | None:
+    left_ms = situation.rollout.duration_ms - situation.elapsed_ms
+    if left_ms > final_ms(situation.rollout.duration_ms) or situation.verdict.is_suspicious:
         return None
     # Services with few calls give few answers before the time is up.
-    is_late = left_ms < 0.8 * final_ms(now.rollout.duration_ms)
+    is_late = left_ms < LATE_RATIO * final_ms(situation.rollout.duration_ms)
     needed = MIN_GOOD_ANSWERS if is_late else GOOD_ANSWERS
-    if now.verdict.new_answers < needed or not _has_capacity(now):
+    if situation.verdict.new_answers < needed or not _has_capacity(situation):
         return None
-    return Step(Phase.SHIFT, SHIFT_SHARES[0], now.rollout.step.granted)
+    return Step(Phase.SHIFT, SHIFT_SHARES[0], situation.rollout.step.granted)
 
 
-def _has_capacity(now: Situation) -> bool:
-    ready = [t for t in now.new if t.is_warm and t.age_ms <= MAX_REPORT_AGE_MS]
+def _has_capacity(situation: Situation) -> bool:
+    ready = [t for t in situation.new if t.is_warm and t.age_ms <= MAX_REPORT_AGE_MS]
     return bool(ready) and sum(t.slots for t in ready) >= MIN_SLOTS_RATIO * sum(
-        t.slots for t in now.old_serving
+        t.slots for t in situation.old_serving
     )
 
 
-def _canary_step(now: Situation, cfg: RolloutSettings) -> Step | None:
-    step = now.rollout.step
-    canaries = choose_canaries(now.new, len(now.old_serving), cfg.exposure_share, now.elapsed_ms)
-    limit = canary_limit(now.arrivals, cfg)
-    per_ms = now.arrivals / max(now.elapsed_ms, 1.0)
-    mean_share = _canary_share(now, cfg, per_ms)
-    share = pulsed_share(mean_share, len(canaries), len(now.old_serving), now.elapsed_ms)
+def _canary_step(situation: Situation, cfg: RolloutSettings) -> Step | None:
+    step = situation.rollout.step
+    canaries = choose_canaries(
+        situation.new, len(situation.old_serving), cfg.exposure_share, situation.elapsed_ms
+    )
+    limit = canary_limit(situation.arrivals, cfg)
+    per_ms = situation.arrivals / max(situation.elapsed_ms, 1.0)
+    mean_share = _canary_share(situation, cfg, per_ms)
+    share = pulsed_share(
+        mean_share, len(canaries), len(situation.old_serving), situation.elapsed_ms
+    )
     reserve = max(MIN_RESERVE, math.ceil(per_ms * share * RESERVE_MS))
-    granted = max(step.granted, min(limit, now.issued + reserve))
+    granted = max(step.granted, min(limit, situation.issued + reserve))
     # A reservation that is half used is renewed, so that canaries do not wait for the log.
-    is_low = step.granted - now.issued < reserve / 2 and granted >= step.granted + MIN_RESERVE / 4
+    is_low = (
+        step.granted - situation.issued < reserve / 2 and granted >= step.granted + MIN_RESERVE / 4
+    )
     if abs(share - step.share) < max(MIN_SHARE_CHANGE, MIN_SHARE_RATIO * step.share):
         share = step.share
     if canaries == step.canaries and share == step.share and not is_low:
@@ -178,15 +192,15 @@
     return Step(Phase.CANARY, share, granted, canaries)
 
 
-def _canary_share(now: Situation, cfg: RolloutSettings, per_ms: float) -> float:
+def _canary_share(situation: Situation, cfg: RolloutSettings, per_ms: float) -> float:
     """Return the share that uses up the limit of the canaries when traffic begins to move."""
-    canary_ms = now.rollout.duration_ms - final_ms(now.rollout.duration_ms)
-    left_ms = max(canary_ms - now.elapsed_ms, 0.1 * canary_ms)
+    canary_ms = situation.rollout.duration_ms - final_ms(situation.rollout.duration_ms)
+    left_ms = max(canary_ms - situation.elapsed_ms, MIN_LEFT_RATIO * canary_ms)
     expected = per_ms * left_ms
     if expected < 1.0:
         return cfg.exposure_share
-    limit = canary_limit(now.arrivals + int(expected), cfg)
-    return min(MAX_CANARY_SHARE, max(0.0, (limit - now.issued) / expected))
+    limit = canary_limit(situation.arrivals + int(expected), cfg)
+    return min(MAX_CANARY_SHARE, max(0.0, (limit - situation.issued) / expected))
 
 
 def pulsed_share(mean: float, canaries: int, old: int, elapsed_ms: float) -> float:
@@ -219,9 +233,13 @@
     return tuple(sorted(sorted((t.instance_id for t in usable), key=rank)[:count]))
 
 
-def _next_share(now: Situation) -> Step | None:
-    step = now.rollout.step
-    if now.step_age_ms < SHIFT_STEP_MS or now.verdict.is_suspicious or not _has_capacity(now):
+def _next_share(situation: Situation) -> Step | None:
+    step = situation.rollout.step
+    if (
+        situation.step_age_ms < SHIFT_STEP_MS
+        or situation.verdict.is_suspicious
+        or not _has_capacity(situation)
+    ):
         return None
     for share in SHIFT_SHARES:
         if share > step.share:
@@ -229,7 +247,9 @@
     return Step(Phase.DRAIN, 1.0, step.granted)
 
 
-def _complete(now: Situation) -> End | None:
-    if now.lost_nodes or not now.new or not all(t.is_drained for t in now.old):
+def _complete(situation: Situation) -> End | None:
+    if situation.lost_nodes or not situation.new or not all(t.is_drained for t in situation.old):
         return None
-    return End(True, f"{len(now.old)} targets drained, {now.verdict.new_answers} answers")
+    return End(
+        True, f"{len(situation.old)} targets drained, {situation.verdict.new_answers} answers"
+    )
