--- a/knapweedhitch/itemcheck.py
+++ b/knapweedhitch/itemcheck.py
@@ -66,7 +66,7 @@
             itemrules.merge(held, patch)
         except InvalidChange as exc:
             errors = errors or [Finding("", "", "", str(exc))]
-    warnings = [*_overtaken(patch, held), *_ineffective(patch), *_unused_services(patch, after)]
+    warnings = [*_outdated(patch, held), *_ineffective(patch), *_unused_services(patch, after)]
     lines = () if errors else difference(held, after)
     return Report(tuple(errors), tuple(warnings), tuple(lines))
 
@@ -121,7 +121,7 @@
 # Entries without effect
 
 
-def _overtaken(patch: ItemPatch, held: Items) -> Iterator[Finding]:
+def _outdated(patch: ItemPatch, held: Items) -> Iterator[Finding]:
     for kind, item, current in _pairs(patch, held):
         removed_at = getattr(held, f"removed_{kind}").get(item.name, -1)
         newest = removed_at if current is None else current.version
--- a/knapweedhitch/rollout.py
+++ b/knapweedhitch/rollout.py
@@ -32,7 +32,7 @@
 
 
 FINAL_PHASES = frozenset({Phase.COMPLETED, Phase.ROLLED_BACK})
-_ORDER = {phase: rank for rank, phase in enumerate(Phase)}
+_RANKS = {phase: rank for rank, phase in enumerate(Phase)}
 
 Share = Annotated[float, Meta(ge=0.0, le=1.0)]
 Count = Annotated[int, Meta(ge=0)]
@@ -112,7 +112,7 @@
 def advance(rollouts: Rollouts, service: str, version: int, step: Step) -> Rollouts:
     """Return the roll-outs after a step of a running one; raises InvalidChange."""
     last = _running(rollouts, service, version)
-    if step.phase in FINAL_PHASES or _ORDER[step.phase] < _ORDER[last.step.phase]:
+    if step.phase in FINAL_PHASES or _RANKS[step.phase] < _RANKS[last.step.phase]:
         raise InvalidChange(f"no step from {last.step.phase.value} to {step.phase.value}")
     if step.granted < last.step.granted:
         raise InvalidChange("calls that were granted cannot be taken back")
--- a/knapweedhitch/shortage.py
+++ b/knapweedhitch/shortage.py
@@ -13,9 +13,9 @@
 from knapweedhitch.customershares import CustomerShares
 from knapweedhitch.decayedsum import DecayedSum
 
-# Two kinds of equal priority are equally urgent if they can wait about equally long.
-PATIENCE_MARGIN_MS = 50.0
-# A smaller share of refused calls is no shortage, and neither are less refusals in the window.
+# Two kinds of equal priority are equally urgent if their slacks differ by less.
+SLACK_MARGIN_MS = 50.0
+# A smaller share of refused calls is no shortage, and neither are fewer refusals in the window.
 MIN_REFUSED_SHARE = 0.05
 MIN_REFUSALS = 1.0
 # Calls of a customer over its share yield up to this share of refusals, so that it does not starve:
@@ -76,17 +76,20 @@
 
 
 class _Kind(_Refusals):
-    """Track the calls of one route and priority, None if customers have their own."""
+    """Track the calls of one route and priority; slack is the time that they can wait.
 
-    def __init__(self, window_ms: float, priority: int | None, patience_ms: float) -> None:
+    The priority is None for calls of customers, which may have priorities of their own.
+    """
+
+    def __init__(self, window_ms: float, priority: int | None, slack_ms: float) -> None:
         super().__init__(window_ms)
         self.priority = priority
-        self._patience_ms = patience_ms
+        self._slack_ms = slack_ms
 
     def is_more_urgent_than(self, other: _Kind) -> bool:
         """Return whether this kind has a higher priority or, at an equal one, can wait less."""
         if None in (self.priority, other.priority) or self.priority == other.priority:
-            return self._patience_ms + PATIENCE_MARGIN_MS < other._patience_ms
+            return self._slack_ms + SLACK_MARGIN_MS < other._slack_ms
         assert self.priority is not None and other.priority is not None
         return self.priority < other.priority
 
@@ -155,8 +158,8 @@
         key = _kind_key(work)
         kind = self._kinds.get(key)
         if kind is None and len(self._kinds) < MAX_KINDS:
-            patience_ms = work.objective_ms - work.arrived_ms - service_ms
-            kind = self._kinds[key] = _Kind(self._window_ms, key[0], patience_ms)
+            slack_ms = work.objective_ms - work.arrived_ms - service_ms
+            kind = self._kinds[key] = _Kind(self._window_ms, key[0], slack_ms)
         return kind
 
     def _group_of(self, work: CallToPlace, now_ms: float) -> _Refusals:
--- a/knapweedhitch/websocketwire.py
+++ b/knapweedhitch/websocketwire.py
@@ -1,7 +1,7 @@
-"""Websocket connections between nodes, with the protocol of the library and sockets of our own.
+"""Websocket connections between nodes: the protocol of the library, without its connections.
 
 The connections of the library start a task each, pass messages through channels and load asyncio,
-which took a tenth of the memory of a node.
+which takes memory on every node.
 """
 
 from __future__ import annotations
@@ -91,7 +91,7 @@
         """
         while not self._messages:
             for event in await self.read_events():
-                self._take(event)
+                self.take(event)
         return self._messages.popleft()
 
     async def read_events(self) -> list[Event]:
@@ -111,7 +111,7 @@
         return self.protocol.events_received()
 
     async def _send_control_frames(self) -> None:
-        """Send what a read has caused, which no other node does: the answer to a ping, a close.
+        """Send the pong or close frame that a read has caused; other nodes cause none.
 
         It never waits, since two nodes whose writes wait for each other to read would wait for
         ever.
@@ -123,7 +123,8 @@
         if unsent:
             raise PeerDisconnected("the peer does not read")
 
-    def _take(self, event: Event) -> None:
+    def take(self, event: Event) -> None:
+        """Keep the message that an event completes; other events are ignored."""
         if not isinstance(event, Frame) or event.opcode not in DATA_OPCODES:
             return
         if event.fin and not self._parts:
@@ -187,7 +188,7 @@
         events = await wire.read_events()
         if events and not isinstance(events[0], Frame):
             for event in events[1:]:
-                wire._take(event)
+                wire.take(event)
             return events[0]
     return None
 
