Explain terms of roll-out verdicts, reports, slots and shares

Comments and docs use the words of the field in place of 'the others' and 'overtaken', a bare ratio gets a name, the settings of roll-outs get a function beside that of quotas, and the connection of 'items check' is closed.

--- a/knapweedhitch/answertally.py
+++ b/knapweedhitch/answertally.py
@@ -1,4 +1,4 @@
-"""Counts of answers by route, which the nodes beside targets keep and report."""
+"""Counts of the answers of one target by route, kept and reported by the node beside it."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 
 from knapweedhitch.codec import Record
 
-# Quarters of an octave, from 1 ms to 65 s.
+# Service times are counted in quarters of an octave, from 1 ms to 65 s.
 BUCKETS_PER_OCTAVE = 4
 BUCKETS = 64
 # Routes beyond this number are counted together.
--- a/knapweedhitch/customershares.py
+++ b/knapweedhitch/customershares.py
@@ -15,10 +15,10 @@
 OVER_FACTOR = 2.0
 # One gate gets few calls of a customer, so smaller differences are chance.
 MIN_EXCESS_CALLS = 2.0
-# How far back the usual demand reaches, in windows of the recent demand.
+# Length of the window of the usual demand, in windows of the recent demand.
 USUAL_WINDOWS = 30.0
 UPDATE_INTERVAL_MS = 200.0
-# EWMA weight of the newest call in the mean work.
+# EWMA weight of the newest call in the mean work of a call.
 MEAN_WEIGHT = 0.05
 # Beyond this number, the customer whose demand is least is forgotten.
 MAX_CUSTOMERS = 256
--- a/knapweedhitch/platform/cli_items.py
+++ b/knapweedhitch/platform/cli_items.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import http.client
 from typing import TYPE_CHECKING, Any
 
@@ -102,9 +103,10 @@
 def _fetch(node: str) -> bytes:
     try:
         conn = http.client.HTTPConnection(node, timeout=FETCH_TIMEOUT_S)
-        conn.request("GET", CONFIG_PATH)
-        response = conn.getresponse()
-        data = response.read(MAX_CALL_BYTES)
+        with contextlib.closing(conn):
+            conn.request("GET", CONFIG_PATH)
+            response = conn.getresponse()
+            data = response.read(MAX_CALL_BYTES)
     except (OSError, http.client.HTTPException) as exc:
         raise NodeUnreachable(f"{node} does not respond: {exc}") from None
     if response.status != http.client.OK:
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -213,6 +213,15 @@
     return structs.replace(HEADERS, credential=CREDENTIAL_HEADER, customer=CUSTOMER_HEADER)
 
 
+def _translate_rollouts(boot: Boot) -> RolloutSettings:
+    return RolloutSettings(
+        enabled=boot.has_rollouts,
+        exposure_share=boot.bounds.exposure_share,
+        exposure_slack=boot.bounds.exposure_slack,
+        lease_ms=max(1, int(ROLLOUT_LEASE_RATIO * boot.bounds.rollback_s * 1_000)),
+    )
+
+
 def translate(boot: Boot, place: str) -> Settings:
     """Return the daemon settings; raises SettingsError."""
     peer_port = boot.port_range[0] + PEER_PORT_OFFSET
@@ -292,12 +301,7 @@
             max_candidates=16,
         ),
         quotas=_translate_quotas(boot),
-        rollouts=RolloutSettings(
-            enabled=boot.has_rollouts,
-            exposure_share=boot.bounds.exposure_share,
-            exposure_slack=boot.bounds.exposure_slack,
-            lease_ms=max(1, int(ROLLOUT_LEASE_RATIO * boot.bounds.rollback_s * 1_000)),
-        ),
+        rollouts=_translate_rollouts(boot),
         operator=OperatorSettings(
             max_body_bytes=MAX_PATCH_BYTES if boot.service is None else MAX_HEARTBEAT_BYTES
         ),
--- a/knapweedhitch/queueadmission.py
+++ b/knapweedhitch/queueadmission.py
@@ -262,8 +262,8 @@
             self._load_reported_ms = now
             self.queue.set_slowdown(report.load.slowdown, now)
             if self._cfg.count_unknown_calls and report.load.slots:
-                # A call that responds is known here until it is released, so this counts too few
-                # rather than too many.
+                # A call is counted here until its slot is released, which is after its response was
+                # reported, so unknown calls are counted too low rather than too high.
                 reported = report.load.running + report.load.waiting
                 unknown = max(0, reported - self.queue.running)
                 self.queue.set_slots_left(max(0, report.load.slots - unknown), now)
--- a/knapweedhitch/rolloutevidence.py
+++ b/knapweedhitch/rolloutevidence.py
@@ -41,10 +41,10 @@
         self.arrivals += count
 
     def verdict(self, now_ms: float, target_count: int, moved_ms: float | None = None) -> Verdict:
-        """Return the strongest verdict on all answers and on the last ones.
+        """Return the strongest of the verdicts on all answers and on those in each of WINDOWS_MS.
 
-        Once traffic has moved at a time, only answers since then and the last ones count: most of
-        the others' answers are older than those of the new version.
+        Once traffic has moved, answers since `moved_ms` take the place of all answers: most
+        answers of the other versions are older than those of the new one.
         """
         starts = [now_ms - window for window in WINDOWS_MS]
         starts.insert(0, -math.inf if moved_ms is None else moved_ms)
--- a/knapweedhitch/rolloutgate.py
+++ b/knapweedhitch/rolloutgate.py
@@ -28,7 +28,7 @@
 from knapweedhitch.rollout import Phase, Rollout
 from knapweedhitch.supervisor import OnFault
 
-# Calls that a canary holds in advance: those of about two report intervals.
+# A canary holds grants for the calls of about this many report intervals.
 WANTED_INTERVALS = 2.0
 MIN_WANTED = 4
 MAX_WANTED = 50
@@ -39,7 +39,7 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Order:
-    """Track one roll-out at the target beside this node."""
+    """Track the order of a roll-out at the target beside this node, with its grants."""
 
     version: int
     instance_id: str
@@ -194,7 +194,7 @@
     ) -> None:
         if call.order is None:
             return
-        # Repeated attempts are no calls of their own in the bound on exposure.
+        # The bound on exposure counts calls, not attempts.
         call.order.arrivals += not spec.is_repeat
         call.order.tally.record(spec.route, failed=failed, time_ms=time_ms)
 
--- a/knapweedhitch/rolloutverdict.py
+++ b/knapweedhitch/rolloutverdict.py
@@ -1,8 +1,8 @@
-"""Judge a new version by its answers beside those of the others at the same time.
+"""Compare the answers of a new version with those of the other versions in the same period.
 
-Failures and slow answers are compared on each route and on all of them. The worst target counts no
-worse than the next one, so that no verdict follows from one target. The new version then has to be
-as bad as the other versions hardly ever are.
+Failures and slow answers are compared on each route and on all routes together. The worst new
+target counts no worse than the next one, so that no verdict follows from one target. A version is
+bad if others of the usual rate would hardly ever give as many bad answers.
 """
 
 from __future__ import annotations
@@ -20,16 +20,18 @@
 SUSPICIOUS_CHANCE = 0.01
 MIN_BAD = 4
 MIN_SUSPICIOUS = 3
-# The others' rate of bad answers is taken at this many standard errors above the measured one.
+# The usual rate is that of the other versions plus this many standard errors.
 RATE_ERRORS = 1.0
 MIN_FAILURE_RATE = 0.01
 # Targets of one version differ in speed and in their neighbours.
 MIN_SLOW_RATE = 0.1
 SLOW_RATE_MARGIN = 1.5
-# With fewer answers of the others, failures are compared to this rate and times not at all.
+# At a higher usual rate, no number of bad answers would be unlikely.
+MAX_USUAL_RATE = 0.9
+# With fewer answers of the other versions, times are not compared, and failures with this rate.
 MIN_OLD_ANSWERS = 8
 UNKNOWN_FAILURE_RATE = 0.1
-# An answer is slow above 2.0 to 2.4 times the median of the others.
+# An answer is slow above 2.0 to 2.4 times the median of the other versions.
 SLOW_BUCKETS = BUCKETS_PER_OCTAVE + 1
 
 
@@ -123,7 +125,8 @@
         for bucket, n in sample.times:
             self.times[bucket] += n
 
-    def judged(self, slow_from: int) -> _Counts:
+    def counts(self, slow_from: int) -> _Counts:
+        """Return the counts, with the times from a bucket on as slow."""
         timed = sum(self.times)
         return _Counts(self.answers, self.failures, timed, sum(self.times[slow_from:]))
 
@@ -143,8 +146,8 @@
     comparisons = []
     for route, (old, new) in sides.items():
         slow_from = _slow_from(old.values())
-        judged_old = {i: group.judged(slow_from) for i, group in old.items()}
-        judged_new = {i: group.judged(slow_from) for i, group in new.items()}
+        judged_old = {i: group.counts(slow_from) for i, group in old.items()}
+        judged_new = {i: group.counts(slow_from) for i, group in new.items()}
         _add(total_old, judged_old)
         _add(total_new, judged_new)
         comparisons += _compare(route, judged_old, judged_new, target_count)
@@ -180,11 +183,11 @@
 
 def _add(total: dict[str, _Counts], judged: Mapping[str, _Counts]) -> None:
     for instance_id, counts in judged.items():
-        sum_ = total.setdefault(instance_id, _Counts())
-        sum_.answers += counts.answers
-        sum_.failures += counts.failures
-        sum_.timed += counts.timed
-        sum_.slow += counts.slow
+        target = total.setdefault(instance_id, _Counts())
+        target.answers += counts.answers
+        target.failures += counts.failures
+        target.timed += counts.timed
+        target.slow += counts.slow
 
 
 def _compare(
@@ -244,8 +247,8 @@
     rate = (k + 1.0) / (n + 2.0)
     rate += RATE_ERRORS * math.sqrt(rate * (1.0 - rate) / n)
     if measure == "slow":
-        return min(0.9, max(MIN_SLOW_RATE, SLOW_RATE_MARGIN * rate))
-    return min(0.9, max(MIN_FAILURE_RATE, rate))
+        return min(MAX_USUAL_RATE, max(MIN_SLOW_RATE, SLOW_RATE_MARGIN * rate))
+    return min(MAX_USUAL_RATE, max(MIN_FAILURE_RATE, rate))
 
 
 def binomial_tail(k: int, n: int, p: float) -> float:
--- a/knapweedhitch/workqueue.py
+++ b/knapweedhitch/workqueue.py
@@ -84,7 +84,7 @@
         self._cold_per_s = math.inf
         # Follows the requests per second that the upstream has named as its limit.
         self._pacer = StartPacer()
-        # Slots that calls which this queue does not know leave, and when that was reported.
+        # Slots not taken by calls unknown to this queue, and when that was reported.
         self._slots_left = 0
         self._slots_left_ms = -math.inf
         self._shortage = Shortage(cfg.shortage_window_ms) if cfg.shortage_window_ms else None
@@ -205,7 +205,7 @@
         return self.running < self._usable_limit(now_ms) and self.start_wait_ms(now_ms) <= 0
 
     def set_slots_left(self, slots: int, now_ms: float) -> None:
-        """Set how many slots are left by calls that this queue does not know.
+        """Set how many slots are not taken by calls unknown to this queue.
 
         These are cancelled calls that still run, calls of an earlier process and of other senders.
         """
@@ -216,7 +216,7 @@
         self._slots_left_ms = -math.inf
 
     def awaits_report(self, now_ms: float) -> bool:
-        """Return whether calls wait only for slots that others were reported to use."""
+        """Return whether calls wait only for slots that unknown calls were reported to use."""
         return self._usable_limit(now_ms) <= self.running < self.limit
 
     def _usable_limit(self, now_ms: float) -> int:
