--- a/knapweedhitch/rolloutgate.py
+++ b/knapweedhitch/rolloutgate.py
@@ -14,6 +14,7 @@
 from knapweedhitch import logs
 from knapweedhitch.answertally import AnswerTally
 from knapweedhitch.exceptions import (
+    NoLeader,
     Outcome,
     PeerError,
     PeerProtocolError,
@@ -252,6 +253,7 @@
                     self._apply_grant(order, reply, sent_ms)
                     return
                 self._leader_id = reply.leader_id
+            self._counters.add("rollout_report_failed", NoLeader.__name__)
         except PeerError as exc:
             self._counters.add("rollout_report_failed", type(exc).__name__)
             self._leader_id = ""
--- a/tests/test_rollout_services.py
+++ b/tests/test_rollout_services.py
@@ -297,6 +297,17 @@
 
         run(test)
 
+    def test_report_that_finds_no_leader_is_counted(self) -> None:
+        """Guards against canaries that stop without any trace of the cause."""
+
+        async def test(world: World) -> None:
+            world.leader = ""
+            await world.round()
+            counters = world.gates[NEW[0]].gate._counters
+            self.assertEqual(counters.get("rollout_report_failed", "NoLeader"), 1)
+
+        run(test)
+
     def test_bad_version_is_rolled_back(self) -> None:
         """Guards against calls above the bound, or after the end, at any node."""
 
