--- a/knapweedhitch/quotatokens.py
+++ b/knapweedhitch/quotatokens.py
@@ -144,12 +144,6 @@
         """Return and reset the number of refusals that a holder has not been told of."""
         return min(MAX_TOKENS_PER_REQUEST, self._refused.pop(holder, 0))
 
-    def keep_parts(self, holders: Collection[str]) -> None:
-        """Forget the parts of nodes that are no holders any more."""
-        for holder in [holder for holder in self._parts if holder not in holders]:
-            del self._parts[holder]
-            self._refused.pop(holder, None)
-
 
 class HolderChooser:
     """Choose which holder of a part is asked next: a near one that replies and has tokens."""
@@ -223,7 +217,7 @@
         return len(self._customers)
 
     def get(self, customer: str, now: float) -> CustomerTokens:
-        """Return the tokens of a customer; drops those of idle ones beyond the limit."""
+        """Return the tokens of a customer; forgets the least recently used one beyond the limit."""
         tokens = self._customers.get(customer)
         if tokens is None:
             tokens = self._customers[customer] = CustomerTokens(customer, now)
