--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -84,20 +84,20 @@
 )
 
 
-class Story:
-    """Bring a list of faults about while callers press, and record the limits in force."""
+class FaultSchedule:
+    """Inject faults while callers send requests, and record the limits in force."""
 
     def __init__(self, world: QuotaWorld) -> None:
         self.world = world
         self.targets: list[str] = list(NODES)
         self.limits: list[tuple[float, CustomerItem]] = [(0.0, world.items.customers["acme"])]
 
-    async def press(self, rate_per_s: float, for_s: float, runs_share: float) -> None:
+    async def send_load(self, rate_per_s: float, for_s: float, runs_share: float) -> None:
         end_s = trio.current_time() + for_s
         while trio.current_time() < end_s:
             await self.world.load(rate_per_s, 0.25, self.targets, runs_share=runs_share)
 
-    async def bring_about(self, at_s: float, fault: str, number: int, for_s: float) -> None:
+    async def inject(self, at_s: float, fault: str, number: int, for_s: float) -> None:
         await trio.sleep(at_s)
         world = self.world
         voters = list(world.voters)
@@ -209,15 +209,15 @@
         """
 
         async def check(world: QuotaWorld) -> None:
-            story = Story(world)
+            faults = FaultSchedule(world)
             for event in events:
-                world.nursery.start_soon(story.bring_about, *event)
-            await story.press(60.0 * factor, 10.0, runs_share)
+                world.nursery.start_soon(faults.inject, *event)
+            await faults.send_load(60.0 * factor, 10.0, runs_share)
             await trio.sleep(1.0)
             ran = sorted(world.tallies["acme"].ran_s)
             for number, start_s in enumerate(ran):
                 n_ran = bisect.bisect_left(ran, start_s + WINDOW_S) - number
-                limits = story.limits_in(start_s)
+                limits = faults.limits_in(start_s)
                 self.assertLessEqual(n_ran, allowed_in_window(limits, CFG))
                 self.assertLessEqual(n_ran, granted_in_window(limits, CFG, world.parts))
 
