--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -734,7 +734,9 @@
     is_warm: bool
     is_closed: bool
     in_progress: int
+    # Calls that have reached the target, without repeated attempts.
     arrivals: Count
+    # Grants: those used, those held, and those to hold after the reply.
     spent: Count
     held: Count
     wanted: Count
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -362,7 +362,7 @@
     exposure_share: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.1
     exposure_slack: Annotated[float, Meta(ge=0.0, le=1_000_000.0)] = 50.0
     report_interval_ms: Ms = 250
-    # A target of the new version stops to take calls this long after its last contact with the
+    # A target of the new version stops taking calls this long after its last contact with the
     # leader of the control group, until the other targets drain.
     lease_ms: Ms = 1_500
     call_timeout_ms: Ms = 300
