--- a/knapweedhitch/shortage.py
+++ b/knapweedhitch/shortage.py
@@ -13,9 +13,9 @@
 from knapweedhitch.customershares import CustomerShares
 from knapweedhitch.decayedsum import DecayedSum
 
-# Two kinds of equal priority are equally urgent if they can wait about equally long.
-PATIENCE_MARGIN_MS = 50.0
-# A smaller share of refused calls is no shortage, and neither are less refusals in the window.
+# Two kinds of equal priority are equally urgent if their slacks differ by less.
+SLACK_MARGIN_MS = 50.0
+# A smaller share of refused calls is no shortage, and neither are fewer refusals in the window.
 MIN_REFUSED_SHARE = 0.05
 MIN_REFUSALS = 1.0
 # Calls of a customer over its share yield up to this share of refusals, so that it does not starve:
@@ -76,7 +76,10 @@
 
 
 class _Kind(_Refusals):
-    """Track the calls of one route and priority, None if customers have their own."""
+    """Track the calls of one route and priority; slack is the time that they can wait.
+
+    The priority is None for calls of customers, which may have priorities of their own.
+    """
 
     def __init__(self, window_ms: float, priority: int | None) -> None:
         super().__init__(window_ms)
@@ -90,14 +93,14 @@
         self._service_ms = service_ms
 
     @property
-    def _patience_ms(self) -> float:
+    def _slack_ms(self) -> float:
         """Return how long a first call of this kind can wait."""
         return self._objective_ms - self._service_ms
 
     def is_more_urgent_than(self, other: _Kind) -> bool:
         """Return whether this kind has a higher priority or, at an equal one, can wait less."""
         if None in (self.priority, other.priority) or self.priority == other.priority:
-            return self._patience_ms + PATIENCE_MARGIN_MS < other._patience_ms
+            return self._slack_ms + SLACK_MARGIN_MS < other._slack_ms
         assert self.priority is not None and other.priority is not None
         return self.priority < other.priority
 
