Items: a configuration of removals only counts as known

A node with such a configuration refused requests with config-unknown and was not ready. test_items_of_removals_only_are_known failed before (True is not false for removed services), passes now.

--- a/knapweedhitch/items.py
+++ b/knapweedhitch/items.py
@@ -107,8 +107,9 @@
     @property
     def is_empty(self) -> bool:
         """Return whether no item has ever been accepted."""
-        has_items = bool(self.routes or self.backends or self.customers)
-        return not (has_items or self.removed_routes) and self.limits is None
+        items = (self.routes, self.backends, self.customers)
+        removed = (self.removed_routes, self.removed_backends, self.removed_customers)
+        return not any((*items, *removed)) and self.limits is None
 
 
 class Conflict(Record, frozen=True):
--- a/tests/test_items.py
+++ b/tests/test_items.py
@@ -113,6 +113,12 @@
             with self.subTest(name), self.assertRaises(InvalidChange):
                 merge(BASE, patch([route("r3", 2), bad]))
 
+    def test_items_of_removals_only_are_known(self) -> None:
+        """Guards against a node that waits for a configuration although it has one."""
+        self.assertTrue(Items().is_empty)
+        for kind in ("removed_routes", "removed_backends", "removed_customers"):
+            self.assertFalse(Items(**{kind: {"a": 1}}).is_empty)  # type: ignore[arg-type]
+
     def test_version_below_zero_is_refused(self) -> None:
         """Guards against an item that is acknowledged and never in force."""
         cases = (
