Pool: only the deadline ends a request at which an upstream is at work

Cause: each exchange had limits of its own for the first byte and between two parts (10 s each), and for a request that is not taken, which took a silent upstream for a dead one.

Change: a silence ends nothing. After first_byte_timeout_ms, or silent_ratio of the time left on a connection that was idle before, another attempt starts beside the silent one if the request may be repeated and the retry budget allows it; the node of the target tells the entry node with StreamSilent, which older nodes ignore. Dead and cut paths are still found by keepalive and user timeout within 2 s. progress_timeout_ms is gone.

--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -4,6 +4,8 @@
 
 import dataclasses
 import functools
+import math
+from collections.abc import Callable
 from typing import Any
 
 import trio
@@ -29,6 +31,7 @@
     SuspectWaits,
     UpstreamDraining,
     UpstreamFailed,
+    UpstreamTimedOut,
 )
 from knapweedhitch.exchange import CallSpec, Headers
 from knapweedhitch.framing import RequestHead
@@ -85,6 +88,8 @@
     may_have_run: bool = False
     path: str = ""
     result: CallResult | None = None
+    # Starts another attempt beside the one in progress, whose node or upstream is silent.
+    on_silence: Callable[[], None] | None = None
     choices: list[explain.Choice] = dataclasses.field(default_factory=list)
 
 
@@ -189,22 +194,39 @@
 
     async def _try(self, call: Call, target: Target) -> tuple[Attempt, CallResult]:
         attempt = self._create_attempt(call, target)
-        delay_ms = self._hedge_delay_ms(call)
-        if delay_ms is None:
+        if not call.idempotent or call.head.has_body:
             return attempt, await self._execute(call, attempt)
-        hedge = Hedge(
-            self._kernel,
-            lambda a: self._execute(call, a),
-            lambda: self._create_hedge(call, target),
-        )
-        return await hedge.run(attempt, delay_ms)
+        is_silent = False
 
-    def _hedge_delay_ms(self, call: Call) -> float | None:
-        head = call.head
-        if not call.svc.hedge or head.method not in HEDGE_METHODS or head.has_body:
-            return None
+        def create_second() -> Attempt | None:
+            if is_silent:
+                return self._create_replacement(call)
+            return self._create_hedge(call, target)
+
+        def on_silence() -> None:
+            nonlocal is_silent
+            is_silent = True
+            hedge.start_second()
+
+        async def execute(chosen: Attempt) -> CallResult:
+            run = self._run_replacement if is_silent and chosen is not attempt else self._execute
+            return await run(call, chosen)
+
+        hedge = Hedge(self._kernel, execute, create_second)
+        call.on_silence = on_silence
+        return await hedge.run(attempt, self._hedge_delay_ms(call))
+
+    def _hedge_delay_ms(self, call: Call) -> float:
+        if not call.svc.hedge or call.head.method not in HEDGE_METHODS:
+            return math.inf
         delay_ms: float | None = self._picker.hedge_delay_ms(call.svc.name)
-        return None if delay_ms is None else max(delay_ms, self._routing.hedge_min_ms)
+        return math.inf if delay_ms is None else max(delay_ms, self._routing.hedge_min_ms)
+
+    def _create_replacement(self, call: Call) -> Attempt | None:
+        """Return an attempt beside a silent one, None if the call must not be sent again."""
+        excluded = frozenset(choice.picked for choice in call.choices)
+        target = self._next_target(call, UpstreamTimedOut(Outcome.UNKNOWN), excluded)
+        return None if target is None else self._create_attempt(call, target)
 
     def _create_hedge(self, call: Call, first: Target) -> Attempt | None:
         """Return an attempt on another target, None without one or without hedging budget."""
@@ -218,6 +240,21 @@
         self._counters.add("hedges", "started")
         return self._create_attempt(call, target)
 
+    async def _run_replacement(self, call: Call, attempt: Attempt) -> CallResult:
+        """Run an attempt beside a silent one on the first target that takes it."""
+        while True:
+            try:
+                return await self._execute(call, attempt)
+            except Refusal as exc:
+                is_silent = isinstance(exc, PeerFailed) and not attempt.status
+                if exc.outcome is not Outcome.NOT_RUN and not is_silent:
+                    raise
+                excluded = frozenset(choice.picked for choice in call.choices)
+                target = self._next_target(call, exc, excluded)
+                if target is None:
+                    raise
+                attempt.target = target
+
     def _create_attempt(self, call: Call, target: Target) -> Attempt:
         added: Headers = ((framing.REQUEST_ID, call.request_id.encode("ascii")),)
         if call.wants_explanation:
@@ -302,4 +339,6 @@
             retries_left=call.retries_left,
             depth=call.depth,
             config_version=call.config_version,
+            # A second attempt is given up at a silent node if a third one may replace it.
+            on_silence=None if call.in_progress > 1 else call.on_silence,
         )
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -288,10 +288,6 @@
     """Report an upstream that did not accept a connection."""
 
 
-class UpstreamTimeout(UpstreamError):
-    """Report an upstream that made no progress within its timeout."""
-
-
 class UpstreamClosed(UpstreamError):
     """Report an upstream that closed the connection before the end of its response."""
 
--- a/knapweedhitch/exchange.py
+++ b/knapweedhitch/exchange.py
@@ -43,8 +43,8 @@
     # Whether another upstream may have received this call before, or the caller is itself a run
     # that was repeated.
     is_repeat: bool = False
-    # Called once if the node of the target is silent, to start another attempt beside this one.
-    # Without it, an attempt that may be replaced is given up.
+    # Called if the node of the target or its upstream is silent, to start another attempt beside
+    # this one. Without it, an attempt at a silent node that may be replaced is given up.
     on_silence: Callable[[], None] | None = None
     # The customer that sent the request; empty if it is not known or the request is anonymous.
     customer: str = ""
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import dataclasses
+import functools
 import math
 from collections.abc import Iterator
 
@@ -37,6 +39,7 @@
     StreamHead,
     StreamInformational,
     StreamResult,
+    StreamSilent,
 )
 from knapweedhitch.model import CallResult, LoadSample
 from knapweedhitch.peers import Peers
@@ -219,7 +222,15 @@
             msg = await stream.receive()
 
     async def _receive_first_frame(self, stream: PeerStream, spec: CallSpec) -> Message:
-        """Return the first frame; a silent node is reported, or given up if a retry is possible.
+        """Return the first frame of the response; raises PeerFailed."""
+        while isinstance(msg := await self._receive_from_live_node(stream, spec), StreamSilent):
+            self._counters.add("forward_silent_upstreams")
+            if spec.on_silence is not None:
+                spec.on_silence()
+        return msg
+
+    async def _receive_from_live_node(self, stream: PeerStream, spec: CallSpec) -> Message:
+        """Return the next frame; a silent node is reported, or given up if a retry is possible.
 
         Raises PeerFailed.
         """
@@ -279,6 +290,7 @@
             opening.decline_above,
             opening.is_repeat,
             customer=opening.customer,
+            on_silence=functools.partial(self._report_silence, stream),
             is_nested=opening.is_nested,
         )
         self._record_interest(node_id, None)
@@ -308,6 +320,11 @@
         self._finish(stream, sink, result, failure, load)
         self._record_interest(node_id, load)
 
+    @staticmethod
+    def _report_silence(stream: PeerStream) -> None:
+        with contextlib.suppress(PeerDisconnected):
+            stream.put(StreamSilent(stream.stream_id))
+
     def _log_end(self, node_id: str, spec: CallSpec, sink: RemoteSink, why: str) -> None:
         """Log a forwarded call whose entry node does not wait for its result."""
         self._log.event(
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -16,7 +16,6 @@
     UpstreamNotRun,
     UpstreamProtocolError,
     UpstreamResponseTooLarge,
-    UpstreamTimeout,
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
 from knapweedhitch.model import LoadSample
@@ -42,6 +41,17 @@
     total_ms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silence:
+    """Describe after which time without a first byte to call a function, in ms."""
+
+    after_ms: float
+    notify: Callable[[], None]
+
+
+NO_NOTICE = Silence(math.inf, lambda: None)
+
+
 class ClientConnection:
     """Run exchanges on one connection to an upstream and track whether it can be reused."""
 
@@ -75,6 +85,7 @@
         # The end of the stream after a failed write may be a reset whose error the write has taken.
         self._has_failed_write = False
         self.on_report: Callable[[UpstreamReport], None] = lambda report: None
+        self._silence = NO_NOTICE
         # The ids of the last requests on this connection.
         self.recent_request_ids: collections.deque[bytes] = collections.deque(
             maxlen=MAX_RECENT_REQUEST_IDS
@@ -93,16 +104,17 @@
         body: BodySource,
         sink: ResponseSink,
         load: Callable[[], LoadSample | None],
-        first_byte_timeout_ms: float,
+        silence: Silence = NO_NOTICE,
     ) -> ExchangeTimes:
         """Run one exchange; raises UpstreamError, and Refusal or CallerGone from body and sink."""
         self.reusable = self.has_sent = False
+        self._silence = silence
         self.received_bytes = 0
         self._request_sent_s = self._first_byte_s = math.inf
         request = h11.Request(method=spec.method, target=spec.target, headers=list(headers))
         wire = self._conn.send(request) or b""
         sink.mark_dispatched()
-        reader = ResponseReader(self, spec, exchange_id, sink, load, first_byte_timeout_ms)
+        reader = ResponseReader(self, spec, exchange_id, sink, load)
         self.started_s = started_s = trio.current_time()
         try:
             if await self._send_request(wire, spec, body):
@@ -179,38 +191,19 @@
         self.has_sent = True
         try:
             data = await send_at_once(self.stream, data)
-            if not data:
-                return
-            with trio.move_on_after(self.cfg.progress_timeout_ms / 1_000) as scope:
+            if data:
+                # An upstream may be at work before it reads the rest.
                 await send_when_ready(self.stream, data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self._has_failed_write = True
             raise UpstreamClosed(f"cannot write: {exc}", bytes_sent=True) from None
-        if scope.cancelled_caught:
-            raise UpstreamTimeout("the request is not taken", bytes_sent=True)
-
-    async def receive_more(self, first_byte_timeout_ms: float) -> None:
-        """Feed the next bytes to the parser.
 
-        Raises UpstreamTimeout, UpstreamClosed and UpstreamResponseTooLarge.
-        """
-        while True:
-            started = self._first_byte_s < math.inf
-            limit_ms = self.cfg.progress_timeout_ms if started else first_byte_timeout_ms
-            wait_start_s = trio.current_time() if started else self._request_sent_s
-            if wait_start_s == math.inf:
-                wait_start_s = trio.current_time()
-            with trio.move_on_at(wait_start_s + limit_ms / 1_000) as scope:
-                data = await self._receive()
-            if not scope.cancelled_caught:
-                break
-            if not started and self._request_sent_s == math.inf:
-                continue  # The request is still being sent, so no response is due yet.
-            if not started and trio.current_time() < self._request_sent_s + limit_ms / 1_000:
-                continue
-            problem = "no progress" if started else "no first byte"
-            raise UpstreamTimeout(f"{problem} within {limit_ms:.0f} ms", bytes_sent=True)
-        if not started:
+    async def receive_more(self) -> None:
+        """Feed the next bytes to the parser; raises UpstreamClosed and UpstreamResponseTooLarge."""
+        if self._first_byte_s < math.inf:
+            data = await self._receive()
+        else:
+            data = await self._receive_first()
             self._first_byte_s = trio.current_time()
         self.received_bytes += len(data)
         if self.received_bytes > self.max_response_bytes:
@@ -218,6 +211,18 @@
             raise UpstreamResponseTooLarge(limit, bytes_sent=True)
         self._conn.receive_data(data)
 
+    async def _receive_first(self) -> bytes:
+        """Return the first bytes; reports a silence, which ends nothing, once."""
+        while True:
+            now = trio.current_time()
+            # While the request is being sent, no response is due.
+            sent_s = min(self._request_sent_s, now)
+            with trio.move_on_at(sent_s + self._silence.after_ms / 1_000):
+                return await self._receive()
+            if trio.current_time() >= self._request_sent_s + self._silence.after_ms / 1_000:
+                silence, self._silence = self._silence, NO_NOTICE
+                silence.notify()
+
     async def _receive(self) -> bytes:
         try:
             data = await receive_when_ready(self.stream, READ_BYTES)
--- a/knapweedhitch/loadprobe.py
+++ b/knapweedhitch/loadprobe.py
@@ -236,8 +236,7 @@
             config_version=0,
         )
         headers = ((b"host", host),)
-        limit_ms = float(self._cfg.probe_timeout_ms)
-        await conn.exchange(spec, b"", headers, NoBody(), response, lambda: None, limit_ms)
+        await conn.exchange(spec, b"", headers, NoBody(), response, lambda: None)
         self._conn, self._conn_record = (conn, record) if conn.reusable else (None, None)
         if not conn.reusable:
             await conn.close()
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -214,6 +214,13 @@
     load: LoadSample | None
 
 
+@message(28)
+class StreamSilent(Message, frozen=True):
+    """Report an upstream from which no byte has come for some time; its call goes on."""
+
+    stream_id: int
+
+
 # 20-29: load reports and slot leases
 
 
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -21,11 +21,10 @@
     UpstreamNotRun,
     UpstreamShed,
     UpstreamTimedOut,
-    UpstreamTimeout,
     UpstreamUnreachable,
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
-from knapweedhitch.http1_client import ClientConnection, ExchangeTimes
+from knapweedhitch.http1_client import ClientConnection, ExchangeTimes, Silence
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import SAFE_METHODS, Address, CallResult, LoadSample
 from knapweedhitch.supervisor import OnFault
@@ -156,12 +155,12 @@
         opened.append(conn)
         exchange_id = f"{self._exchange_prefix}-{next(self._exchange_ids)}".encode("ascii")
         headers = self._build_headers(spec, exchange_id)
-        limit_ms = self._first_byte_timeout_ms(conn, spec)
+        silence = Silence(
+            self._silent_after_ms(conn, spec), lambda: self._on_silence(address, conn, spec)
+        )
         try:
-            times = await conn.exchange(spec, exchange_id, headers, body, sink, load, limit_ms)
+            times = await conn.exchange(spec, exchange_id, headers, body, sink, load, silence)
         except UpstreamError as exc:
-            if isinstance(exc, UpstreamTimeout) and conn.used:
-                await self._drop_after_silence(address)
             raise self._to_refusal(exc, conn) from None
         except Refusal as exc:
             # The body could not be read; the upstream may have acted on the part that was sent.
@@ -186,8 +185,6 @@
         if isinstance(exc, UpstreamNotRun):
             return UpstreamShed(Outcome.NOT_RUN, str(exc))
         outcome = Outcome.UNKNOWN if conn.has_sent else Outcome.NOT_RUN
-        if isinstance(exc, UpstreamTimeout):
-            return UpstreamTimedOut(outcome, str(exc))
         failed = UpstreamFailed(outcome, str(exc))
         failed.was_reused = conn.used
         return failed
@@ -210,13 +207,23 @@
             added.append((b"transfer-encoding", b"chunked"))
         return (*spec.headers, *added)
 
-    def _first_byte_timeout_ms(self, conn: ClientConnection, spec: CallSpec) -> float:
+    def _silent_after_ms(self, conn: ClientConnection, spec: CallSpec) -> float:
         limit_ms = float(self._cfg.first_byte_timeout_ms)
         if conn.used and spec.retries_left and framing.may_repeat(spec):
-            # An idle connection may be dead; leave time for a retry on a new one.
+            # An idle connection may be dead; leave time for another attempt on a new one.
             return min(limit_ms, spec.deadline.remaining_ms() * self._cfg.silent_ratio)
         return limit_ms
 
+    def _on_silence(self, address: Address, conn: ClientConnection, spec: CallSpec) -> None:
+        """Let another attempt start beside a silent one, whose upstream may be at work on it."""
+        self._counters.add("silent_exchanges")
+        if conn.used:
+            # The other connections to the same address may be dead as well.
+            self._counters.add("silent_connections")
+            self._kernel.start_task(OnFault.END, self._close_all, self._take_idle(address))
+        if spec.on_silence is not None:
+            spec.on_silence()
+
     async def _open(self, address: Address) -> ClientConnection:
         started_s = trio.current_time()
         try:
@@ -277,17 +284,20 @@
         self._idle.setdefault(address, []).append(conn)
         self._idle_count += 1
 
-    async def _drop_after_silence(self, address: Address) -> None:
-        # After one silent connection, the others to the same address may be dead as well.
-        self._counters.add("silent_connections")
-        await self._close_idle(address)
-
-    async def _close_idle(self, address: Address) -> None:
+    def _take_idle(self, address: Address) -> list[ClientConnection]:
+        """Remove the idle connections to an address and return them."""
         idle = self._idle.pop(address, [])
-        to_close = idle[:]
+        taken = idle[:]
         idle.clear()  # A task that waits in `_acquire_idle` holds this list.
-        self._idle_count -= len(to_close)
-        for conn in to_close:
+        self._idle_count -= len(taken)
+        return taken
+
+    async def _close_idle(self, address: Address) -> None:
+        await self._close_all(self._take_idle(address))
+
+    @staticmethod
+    async def _close_all(conns: list[ClientConnection]) -> None:
+        for conn in conns:
             await conn.close()
 
     async def _sweep(self) -> None:
--- a/knapweedhitch/responsereader.py
+++ b/knapweedhitch/responsereader.py
@@ -44,14 +44,12 @@
         exchange_id: bytes,
         sink: ResponseSink,
         load: Callable[[], LoadSample | None],
-        first_byte_timeout_ms: float,
     ) -> None:
         self._conn = conn
         self._spec = spec
         self._exchange_id = exchange_id
         self._sink = sink
         self._load = load
-        self._first_byte_timeout_ms = first_byte_timeout_ms
         self._max_head_bytes = conn.cfg.max_response_header_bytes
         self._skipped_responses = 0
         self._informational = 0
@@ -96,7 +94,7 @@
                 if framing_bytes.is_over_limit:
                     raise UpstreamProtocolError("too much chunk framing", bytes_sent=True)
                 received_bytes = self._conn.received_bytes
-                await self._conn.receive_more(self._first_byte_timeout_ms)
+                await self._conn.receive_more()
                 framing_bytes.record_received(self._conn.received_bytes - received_bytes)
             elif isinstance(part, h11.Data):
                 framing_bytes.record_data(len(part.data))
@@ -151,7 +149,7 @@
             if part is h11.NEED_DATA:
                 if self._conn.received_bytes > max_received_bytes:
                     return
-                await self._conn.receive_more(self._first_byte_timeout_ms)
+                await self._conn.receive_more()
             elif not isinstance(part, h11.Data):
                 if finish:
                     self._conn.finish()
@@ -169,7 +167,7 @@
                 raise UpstreamProtocolError("bare LF", bytes_sent=True)
             if len(raw) > self._max_head_bytes:
                 raise UpstreamProtocolError("head over the limit", bytes_sent=True)
-            await self._conn.receive_more(self._first_byte_timeout_ms)
+            await self._conn.receive_more()
         # Counted before the parser makes objects of them; the status line ends with the first CRLF.
         if raw.count(b"\r\n", 0, end) > self._conn.cfg.max_response_headers:
             limit = f"more than {self._conn.cfg.max_response_headers} headers"
--- a/knapweedhitch/routedispatch.py
+++ b/knapweedhitch/routedispatch.py
@@ -96,7 +96,7 @@
     declined: frozenset[str] = frozenset()
     # Versions whose targets refused the call at this point of a roll-out.
     closed_versions: frozenset[str] = frozenset()
-    # Starts another attempt beside the one in progress, whose node is silent.
+    # Starts another attempt beside the one in progress, whose node or upstream is silent.
     on_silence: Callable[[], None] | None = None
 
 
@@ -230,8 +230,7 @@
 
     async def _try(self, call: RelayCall, target: Target) -> tuple[Attempt, CallResult]:
         attempt = self._create_attempt(call, target)
-        is_remote = target.node_id != self._cfg.node.id
-        if not (is_remote and call.route.idempotent) or call.head.has_body:
+        if not call.route.idempotent or call.head.has_body:
             return attempt, await self._run_attempt(call, attempt)
 
         async def execute(chosen: Attempt) -> CallResult:
@@ -250,12 +249,12 @@
         return attempt
 
     def _create_second(self, call: RelayCall) -> Attempt | None:
-        """Return an attempt beside the one at a silent node, None if there may be none."""
+        """Return an attempt beside a silent one, None if there may be none."""
         target = self._pick_second(call, PeerFailed(Outcome.UNKNOWN))
         return None if target is None else self._create_attempt(call, target)
 
     async def _run_second(self, call: RelayCall, attempt: Attempt) -> CallResult:
-        """Run an attempt beside the one at a silent node on the first target that takes it."""
+        """Run an attempt beside a silent one on the first target that takes it."""
         while True:
             try:
                 return await self._run_attempt(call, attempt)
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -254,8 +254,9 @@
     """Configure exchanges with the upstream and its announcements."""
 
     connect_timeout_ms: Ms = 250
+    # Without a byte of the response for this long, a call that may be repeated gets another attempt
+    # beside the silent one. Only its deadline ends a call that the upstream may be at work on.
     first_byte_timeout_ms: Ms = 10_000
-    progress_timeout_ms: Ms = 10_000
     idle_timeout_ms: Ms = 15_000
     max_idle_connections: Count = 64
     max_response_header_bytes: Bytes = 65_536
@@ -265,6 +266,7 @@
     max_announcement_bytes: Bytes = 4_096
     max_announcers: Count = 16
     unsafe_reuse_ms: Ms = 1_000
+    # The same for a connection that was idle before, as a share of the remaining time.
     silent_ratio: Ratio = 0.5
     # Probe the upstream for its load if no response has reported it for this long; 0 is never.
     probe_interval_ms: Annotated[int, Meta(ge=0, le=3_600_000)] = 0
--- a/knapweedhitch/streams.py
+++ b/knapweedhitch/streams.py
@@ -21,6 +21,7 @@
     StreamHead,
     StreamInformational,
     StreamResult,
+    StreamSilent,
 )
 
 if TYPE_CHECKING:
@@ -30,11 +31,12 @@
 # Charged to the window for each data frame, so that a window full of one-byte frames cannot make
 # the receiver hold hundreds of thousands of objects.
 FRAME_COST_BYTES = 64
-# 1xx responses are not under flow control; more unread ones than this close the link.
+# Not under flow control; more unread ones than this close the link.
+INFORMATIONAL_FRAMES = (StreamInformational, StreamSilent)
 MAX_UNREAD_INFORMATIONAL = 16
 
 TERMINAL_FRAMES = (StreamFail, StreamResult, StreamCancelled)
-ACCEPTOR_FRAMES = (StreamHead, StreamInformational, *TERMINAL_FRAMES)
+ACCEPTOR_FRAMES = (StreamHead, *INFORMATIONAL_FRAMES, *TERMINAL_FRAMES)
 OPENER_FRAMES = (StreamEnd, StreamCancel)
 STREAM_FRAMES = (*ACCEPTOR_FRAMES, *OPENER_FRAMES, StreamCredit, StreamData)
 
@@ -127,7 +129,7 @@
                 raise PeerProtocolError(f"stream {self.stream_id}: data is not allowed")
         elif not isinstance(msg, ACCEPTOR_FRAMES if self.opener else OPENER_FRAMES):
             raise PeerProtocolError(f"stream {self.stream_id}: {type(msg).__name__}")
-        elif isinstance(msg, StreamInformational):
+        elif isinstance(msg, INFORMATIONAL_FRAMES):
             self._informational += 1
             if self._informational > MAX_UNREAD_INFORMATIONAL:
                 raise PeerProtocolError(f"stream {self.stream_id}: too many 1xx answers")
@@ -168,7 +170,7 @@
         msg = self._inbox.popleft()
         if isinstance(msg, StreamData):
             self._acknowledge(len(msg.data) + FRAME_COST_BYTES)
-        elif isinstance(msg, StreamInformational):
+        elif isinstance(msg, INFORMATIONAL_FRAMES):
             self._informational -= 1
         return msg
 
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -410,6 +410,30 @@
             self.assertEqual(await execute(a, spec), RESULT)
         self.assertEqual(len(noticed_s), 1)
 
+    @run_on_mock_clock
+    async def test_silent_upstream_is_reported_and_its_call_goes_on(self) -> None:
+        """Guards against a call that another node breaks off while its upstream works on it, and
+        against an entry node that learns of a silent upstream only at the deadline.
+        """
+
+        async def report_silence(call: CallSpec, body: BodySource, sink: Any) -> CallResult:
+            await dispatch(sink)
+            await trio.sleep(12)
+            assert call.on_silence is not None
+            call.on_silence()
+            await trio.sleep(12)
+            return await respond(call, body, sink)
+
+        noticed_s: list[float] = []
+        async with running_nodes(2, prepare=install(report_silence)) as (a, _):
+            start_s = trio.current_time()
+            for on_silence in (lambda: noticed_s.append(trio.current_time() - start_s), None):
+                spec = dataclasses.replace(
+                    make_spec(deadline_ms=30_000), idempotent=True, on_silence=on_silence
+                )
+                self.assertEqual(await execute(a, spec), RESULT)
+        self.assertEqual([round(s) for s in noticed_s], [12])
+
     @run_on_mock_clock
     async def test_call_on_a_link_that_rested_is_not_given_up(self) -> None:
         """Guards against a call that fails as peer-failed the moment it is sent, since its link was
--- a/tests/test_router.py
+++ b/tests/test_router.py
@@ -314,6 +314,43 @@
         self.assertTrue(attempts[1].scope.cancel_called)
 
 
+class SilenceTest(unittest.TestCase):
+    @in_node()
+    async def test_replacement_of_a_silent_attempt_tries_further_targets(
+        self, world: World
+    ) -> None:
+        """Guards against a call that waits for a silent upstream until its deadline, because the
+        first other target had no room.
+        """
+        for name in ("silent", "full", "good"):
+            world.add_upstream(name)
+
+        async def handle(node_id: str, spec: Any, body: Any, sink: Any) -> Any:
+            if world.forward.calls == 1:
+                await trio.sleep(0.1)
+                spec.on_silence()
+                await trio.sleep_forever()
+            if world.forward.calls == 2:
+                raise QueueFull
+            return await world.forward.call_target(node_id, spec, body, sink)
+
+        world.forward.handler = handle
+        start_s = trio.current_time()
+        self.assertEqual((await world.caller().call()).status, 200)
+        self.assertLess(trio.current_time() - start_s, 1)
+        self.assertEqual(world.forward.calls, 3)
+
+    @in_node()
+    async def test_call_that_must_not_be_repeated_has_one_attempt(self, world: World) -> None:
+        """Guards against a second run of an unsafe call whose upstream is silent."""
+        world.add_upstream("silent", silent=True)
+        other = world.add_upstream("good")
+        self.assertEqual(
+            reason_and_outcome(await world.caller().call("POST")), ("deadline-exceeded", "unknown")
+        )
+        self.assertEqual(other.requests, [])
+
+
 class FaultMixTest(unittest.TestCase):
     """Mix faults on shared connections; every call has a unique response size."""
 
