Uploads: the kernel no longer resets one that its target reads late

Cause: TCP_USER_TIMEOUT (1 s) also closes a connection whose peer keeps its window closed while it answers every probe.

Change: once a body exceeds what the buffers of a new connection hold (64 KiB), the user timeout is off until the next exchange. A dead path is then found by three packets in turn without an answer (TCP_INFO).

Before: test_upload_that_is_read_late_is_not_reset failed ("closed while the request was sent"); with the user timeout off and no check of the path, test_upload_on_a_dead_path_ends_soon fails. After: both pass.

--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -23,13 +23,21 @@
 from knapweedhitch.settings import UpstreamSettings
 from knapweedhitch.sockets import (
     READ_BYTES,
+    is_path_dead,
     receive_when_ready,
     send_at_once,
     send_when_ready,
+    set_user_timeout,
 )
 from knapweedhitch.upstreamload import UpstreamReport
 
 MAX_RECENT_REQUEST_IDS = 8
+# The kernel closes a connection with unacknowledged data after this time.
+UNACKNOWLEDGED_MS = 1_000
+# It also closes one whose peer reads nothing for as long. An upstream may be at work before it has
+# read a body that does not fit into the socket buffers, so the path is then watched differently.
+MAX_BUFFERED_BODY_BYTES = 65_536
+PATH_CHECK_MS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +94,8 @@
         self._has_failed_write = False
         self.on_report: Callable[[UpstreamReport], None] = lambda report: None
         self._silence = NO_NOTICE
+        self._body_bytes_sent = 0
+        self._body_exceeds_buffers = trio.Event()
         # The ids of the last requests on this connection.
         self.recent_request_ids: collections.deque[bytes] = collections.deque(
             maxlen=MAX_RECENT_REQUEST_IDS
@@ -109,7 +119,10 @@
         """Run one exchange; raises UpstreamError, and Refusal or CallerGone from body and sink."""
         self.reusable = self.has_sent = False
         self._silence = silence
-        self.received_bytes = 0
+        self.received_bytes = self._body_bytes_sent = 0
+        if self._body_exceeds_buffers.is_set():
+            self._body_exceeds_buffers = trio.Event()
+            set_user_timeout(self.stream, UNACKNOWLEDGED_MS)
         self._request_sent_s = self._first_byte_s = math.inf
         request = h11.Request(method=spec.method, target=spec.target, headers=list(headers))
         wire = self._conn.send(request) or b""
@@ -142,6 +155,7 @@
         if spec.has_body:
             first = await body.receive()
             if first is not None:
+                self._count_body(len(first))
                 wire += self._conn.send(h11.Data(data=first)) or b""
                 if len(first) == framing.content_length(spec.headers):
                     is_complete = await body.receive() is None
@@ -161,6 +175,7 @@
         failure: Exception | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_body, body, nursery.cancel_scope)
+            nursery.start_soon(self._watch_path, nursery.cancel_scope)
             try:
                 status = await reader.read()
             except Exception as exc:  # Raised below, since the nursery would wrap it in a group.
@@ -175,6 +190,7 @@
     async def _send_body(self, body: BodySource, scope: trio.CancelScope) -> None:
         try:
             while (part := await body.receive()) is not None:
+                self._count_body(len(part))
                 await self._send(self._conn.send(h11.Data(data=part)) or b"")
             await self._send(self._conn.send(h11.EndOfMessage()) or b"")
             self._request_sent_s = trio.current_time()
@@ -185,6 +201,23 @@
             self._writer_error = exc
             scope.cancel()
 
+    def _count_body(self, n_bytes: int) -> None:
+        self._body_bytes_sent += n_bytes
+        if self._body_bytes_sent > MAX_BUFFERED_BODY_BYTES:
+            if not self._body_exceeds_buffers.is_set():
+                set_user_timeout(self.stream, 0)
+            self._body_exceeds_buffers.set()
+
+    async def _watch_path(self, scope: trio.CancelScope) -> None:
+        """End the exchange if the machine of the upstream no longer answers during a long body."""
+        await self._body_exceeds_buffers.wait()
+        while True:
+            await trio.sleep(PATH_CHECK_MS / 1_000)
+            if is_path_dead(self.stream):
+                break
+        self._writer_error = UpstreamClosed("no packet is answered", bytes_sent=True)
+        scope.cancel()
+
     async def _send(self, data: bytes) -> None:
         if not data:
             return
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -24,7 +24,7 @@
     UpstreamUnreachable,
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
-from knapweedhitch.http1_client import ClientConnection, ExchangeTimes, Silence
+from knapweedhitch.http1_client import UNACKNOWLEDGED_MS, ClientConnection, ExchangeTimes, Silence
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.model import SAFE_METHODS, Address, CallResult, LoadSample
 from knapweedhitch.supervisor import OnFault
@@ -36,7 +36,7 @@
 # is not acknowledged, or a connection that does not answer keepalive probes during an exchange,
 # fails within about two seconds.
 DEAD_CONNECTION_OPTIONS = (
-    (socket.TCP_USER_TIMEOUT, 1_000),
+    (socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
     (socket.TCP_KEEPIDLE, 1),
     (socket.TCP_KEEPINTVL, 1),
     (socket.TCP_KEEPCNT, 1),
--- a/knapweedhitch/sockets.py
+++ b/knapweedhitch/sockets.py
@@ -2,14 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import errno
 import os
 import select
+import socket
 
 import trio
 
 CLOSED_ERRNOS = (errno.EBADF, errno.ENOTSOCK)
 READ_BYTES = 65_536
+# Where the kernel tells in TCP_INFO how many retransmissions and probes in turn had no answer.
+TCP_INFO_BYTES = 8
+TCP_INFO_UNANSWERED = slice(2, 4)
+MAX_UNANSWERED = 3
 
 
 async def send_at_once(stream: trio.abc.Stream, data: bytes) -> bytes:
@@ -67,6 +73,24 @@
     return bool(poll.poll(0))
 
 
+def set_user_timeout(stream: trio.abc.Stream, timeout_ms: int) -> None:
+    """Limit how long sent data may be unacknowledged, or wait unsent for a peer; 0 is no limit."""
+    if isinstance(stream, trio.SocketStream):
+        with contextlib.suppress(OSError):
+            stream.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
+def is_path_dead(stream: trio.abc.Stream) -> bool:
+    """Return whether the machine of the peer has left several packets in turn unanswered."""
+    if not isinstance(stream, trio.SocketStream):
+        return False
+    try:
+        info = stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    except OSError:
+        return False
+    return isinstance(info, bytes) and max(info[TCP_INFO_UNANSWERED], default=0) >= MAX_UNANSWERED
+
+
 async def receive_when_ready(stream: trio.abc.Stream, max_bytes: int) -> bytes:
     """Wait for data and return it, or b"" at the end of the stream.
 
