--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -50,7 +50,7 @@
         headers = ((b"host", b"h"), (b"content-length", str(UPLOAD_BYTES).encode()))
         spec = CallSpec("r1", "s", "i1", "POST", b"/", headers, True, deadline, 0, 0, 1)
         try:
-            await self.conn.exchange(spec, b"", headers, body, self.sink, lambda: None, 5_000.0)
+            await self.conn.exchange(spec, b"", headers, body, self.sink, lambda: None)
         except UpstreamError as exc:
             self.error = exc
 
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -18,6 +18,7 @@
 from knapweedhitch.exchange import CallSpec
 from knapweedhitch.model import Address
 from knapweedhitch.pool import refused_result
+from knapweedhitch.settings import UpstreamSettings
 from tests.request_world import World, in_node
 
 
@@ -129,6 +130,22 @@
         self.assertTrue(world.upstream_streams[1].peer.sent)
         self.assertEqual(world.upstream_streams[0].received, 0)
 
+    @in_node(upstream=UpstreamSettings(announcement_ttl_ms=60_000))
+    async def test_silence_on_a_new_connection_keeps_the_idle_ones(self, world: World) -> None:
+        """Guards against closing all idle connections of an upstream whenever one call is slow."""
+        world.add_upstream("up-1", local=True)
+        slow, fast = world.caller(), world.caller()
+        async with trio.open_nursery() as nursery:
+            headers = "Knapweedhitch-Deadline-Ms: 14000\r\n"
+            nursery.start_soon(
+                lambda: slow.call("POST", behaviour="delay_ms=13000", headers=headers)
+            )
+            await fast.call()
+            await trio.sleep(12)
+            self.assertEqual(world.counters.get("silent_exchanges"), 1)
+            self.assertEqual(world.pool._idle_count, 1)
+        self.assertEqual(world.counters.get("silent_connections"), 0)
+
     @in_node()
     async def test_a_silent_connection_uses_only_a_part_of_the_deadline(self, world: World) -> None:
         """Guards against a call that waits on a silent connection while new ones work."""
