Control group: a stopping voter hands its vote over to a caught-up instance

With one of five voters gone for good, two lost disks leave no majority. The same class: after the loss of a leader, its silence counted from the next election, so that it was a voter for up to 4.6 s after its loss, over catchUpS.

Change: before a planned stop an instance asks the leader to let another one vote in its place (HandOver). The leader adds a caught-up learner first, as sixth voter, and then removes the stopping one, so that two disks may be lost at each moment. Without a learner (a rolling restart) the stop is as quick as before. On the platform, a silent voter is replaced after half of catchUpS, which leaves the rest for an election. The choice of voters is a module of its own. Operators see voters, learners, what is replaced and why, and how many disks may be lost: event control_group, gauges control_*, `knapweedhitch status`.

--- a/knapweedhitch/consensus.py
+++ b/knapweedhitch/consensus.py
@@ -26,6 +26,7 @@
 )
 from knapweedhitch.messages import (
     AppendRequest,
+    HandOver,
     Introduce,
     LogEntry,
     SnapshotChunk,
@@ -47,6 +48,7 @@
 from knapweedhitch.settings import Settings
 from knapweedhitch.snapshot import Snapshot
 from knapweedhitch.store import Store
+from knapweedhitch.voters import GroupView, VoterChanges
 
 M = TypeVar("M", bound=Message)
 
@@ -90,6 +92,9 @@
         self._register_handler(
             Introduce, lambda node_id, msg: self._readmission.on_introduce(node_id, msg)
         )
+        self._register_handler(
+            HandOver, lambda node_id, msg: self._voter_changes.on_hand_over(node_id, msg)
+        )
         nursery.start_soon(self._run)
 
     async def _open(self) -> None:
@@ -98,7 +103,8 @@
             self._cfg, store, self._transport, self._machine, self._counters, self._rng
         )
         self._elections = Elections(s)
-        self._replication = Replication(s)
+        self._voter_changes = VoterChanges(s, self._known_members)
+        self._replication = Replication(s, self._voter_changes)
         self._readmission = Readmission(s, self.freshness_age_ms)
         logs.event(
             "replica_opened",
@@ -233,6 +239,15 @@
         """Return the random id of the group, empty until the group is formed."""
         return self._state.group_id if self._state is not None else ""
 
+    def group_view(self) -> GroupView | None:
+        """Return the state of the group, None unless this replica leads."""
+        return self._voter_changes.view() if self._state is not None else None
+
+    async def hand_over(self) -> None:
+        """Let another instance vote in place of this one before it stops, if one is ready."""
+        if self._state is not None and self._cfg.control.admits_members:
+            await self._voter_changes.hand_over()
+
     async def propose(self, change: bytes) -> int:
         """Commit a change and return its version.
 
--- a/knapweedhitch/control.py
+++ b/knapweedhitch/control.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import random
 from collections.abc import Mapping
 
@@ -44,8 +45,10 @@
 from knapweedhitch.messages import Propose, ProposeReply, VersionReport
 from knapweedhitch.model import ClaimGroup
 from knapweedhitch.supervisor import OnFault
+from knapweedhitch.voters import GroupView
 
 CLAIM_GROUP_INTERVAL_MS = 1_000
+GROUP_VIEW_INTERVAL_MS = 1_000
 # At 300 bytes each, this many groups stay below max_change_bytes in one change.
 MAX_GROUPS_PER_CHANGE = 1_000
 # A node may receive 3,000 B/s, of which 300 are reserved for polls and changes of operators.
@@ -71,6 +74,7 @@
         self._planner = ClaimGroupPlanner(self._cfg)
         self._is_planning = False
         self._byte_window = ByteWindow(MAX_GROUP_BYTES_PER_MINUTE)
+        self._group_view: GroupView | None = None
 
     async def start(self) -> None:
         """Start the replica and claim-group maintenance; raises CorruptFile, StorageError."""
@@ -93,6 +97,7 @@
         voters = [cfg.control_address(node_id) for node_id in self.replica.state.voters]
         self._kernel.get("membership").add_seeds(a for a in voters if a is not None)
         self._timers.every(CLAIM_GROUP_INTERVAL_MS, self._check_groups, align=True)
+        self._timers.every(GROUP_VIEW_INTERVAL_MS, self._report_group, align=True)
 
     def _known_members(self) -> tuple[str, ...]:
         members: tuple[str, ...] = self._kernel.get("membership").control_ids()
@@ -251,6 +256,30 @@
             for name in self.machine.current.services
         }
 
+    def group_view(self) -> GroupView | None:
+        """Return who votes and how many disks may be lost, None unless this replica leads."""
+        return self.replica.group_view() if self.replica is not None else None
+
+    def _report_group(self) -> None:
+        view = self.group_view()
+        self._counters.gauge("control_is_leader", float(view is not None))
+        for name, value in (
+            ("control_voters", len(view.voters) if view else math.nan),
+            ("control_learners", len(view.learners) if view else math.nan),
+            ("control_losable_disks", view.losable_disks if view else math.nan),
+        ):
+            self._counters.gauge(name, float(value))
+        if view is not None and view != self._group_view:
+            logs.event(
+                "control_group",
+                node=self._kernel.cfg.node.id,
+                voters=",".join(view.voters),
+                learners=",".join(view.learners),
+                replaced=",".join(f"{name}:{cause}" for name, cause in view.replaced.items()),
+                losable_disks=view.losable_disks,
+            )
+        self._group_view = view
+
     # Claim groups
 
     def _check_groups(self) -> None:
--- a/knapweedhitch/drain.py
+++ b/knapweedhitch/drain.py
@@ -26,6 +26,8 @@
 LINKS_TIMEOUT_MS = 10_000.0
 # A change of the configuration is decided or given up within this time.
 API_TIMEOUT_MS = 1_000.0
+# Another control instance takes over the vote of a stopping one within this time.
+HAND_OVER_TIMEOUT_MS = 4_000.0
 # A control instance is still counted as a voter while it stops.
 CONTROL_LINKS_TIMEOUT_MS = 500.0
 MAX_LOGGED_IDS = 20
@@ -95,15 +97,30 @@
 
     async def _stop_control(self) -> None:
         try:
+            await self._hand_vote_over()
             for server in self._servers:
                 await server.finish(API_TIMEOUT_MS)
             await self._peers.finish(CONTROL_LINKS_TIMEOUT_MS)
         finally:
             self.finished.set()
 
+    async def _hand_vote_over(self) -> None:
+        """Let another control instance vote in place of this one, which may not come back."""
+        replica = self._kernel.get("control").replica if self._kernel.has("control") else None
+        if replica is None:
+            return
+        rest_s = (API_TIMEOUT_MS + CONTROL_LINKS_TIMEOUT_MS) / MS_PER_S
+        limit_s = trio.current_time() + HAND_OVER_TIMEOUT_MS / MS_PER_S
+        with trio.move_on_at(min(limit_s, self._ends_at_s - rest_s)) as scope:
+            await replica.hand_over()
+        if scope.cancelled_caught:
+            logs.warning("vote-not-handed-over", node=self._kernel.cfg.node.id)
+
     async def _run_planned_stop(self) -> None:
         try:
-            await self._finish_calls()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._hand_vote_over)
+                await self._finish_calls()
         finally:
             # Also after a fault; the process would go on without its listeners.
             self.finished.set()
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -400,6 +400,14 @@
     age_ms: Float
 
 
+@message(46)
+class HandOverReply(Message, frozen=True):
+    """Reply to HandOver; `is_done` if the sender no longer votes or no instance can replace it."""
+
+    is_leader: bool
+    is_done: bool
+
+
 # 50-59: consensus
 
 
@@ -492,6 +500,13 @@
     last_index: int
 
 
+@message(59)
+class HandOver(Message, frozen=True):
+    """Ask the leader to let another instance vote in place of the sender, which stops."""
+
+    disk_id: str
+
+
 @message(58)
 class IntroduceReply(Message, frozen=True):
     """Reply to Introduce with the replying disk and its log state.
--- a/knapweedhitch/operator_views.py
+++ b/knapweedhitch/operator_views.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 from collections.abc import Iterable, Iterator, Mapping
 from typing import Any
 
@@ -29,10 +30,16 @@
         "domains_out": sorted(name for name in current.domains if current.is_domain_out(name)),
         "draining_nodes": current.draining_nodes,
         "control_instances": _control_ids(kernel),
+        "control_group": _control_group(kernel) if kernel.cfg.is_control else None,
         "nodes": _node_versions(kernel, current) if kernel.cfg.is_control else None,
     }
 
 
+def _control_group(kernel: Kernel) -> dict[str, Any] | None:
+    view = kernel.get("control").group_view()
+    return None if view is None else dataclasses.asdict(view)
+
+
 def _node_versions(kernel: Kernel, current: Configuration) -> Iterator[dict[str, Any]]:
     # Copied, because the rows are generated while other tasks run.
     reports = dict(kernel.get("control").versions())
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -101,6 +101,8 @@
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = field(name="retryBudgetRatio", default=0.1)
     retry_slack: Annotated[float, Meta(ge=0)] = field(name="retryBudgetSlack", default=0.0)
     retry_window_s: Annotated[float, Meta(gt=0)] = field(name="budgetWindowS", default=10.0)
+    # A new machine counts as lost for this long after its start.
+    catch_up_s: Annotated[float, Meta(gt=0)] = field(name="catchUpS", default=4.0)
     # Requests of a customer in any window, beyond rate and burst, over all nodes.
     quota_window_s: Annotated[float, Meta(gt=0)] = field(name="quotaWindowS", default=5.0)
     quota_overage: Annotated[float, Meta(ge=0)] = field(name="quotaOverage", default=0.1)
@@ -246,6 +248,9 @@
             election_timeout_ms=700,
             first_election_timeout_ms=150,
             max_voters=2 * boot.fault_tolerance.machines + 1,
+            # A lost voter must be replaced before its successor has had its time, also if it was
+            # the leader and another one is elected first.
+            replace_silent_ms=int(boot.bounds.catch_up_s * 1_000 / 2),
             may_form_group=boot.bootstrap,
             confirm_restarts=False,
             reopen_ms=500,
--- a/knapweedhitch/replication.py
+++ b/knapweedhitch/replication.py
@@ -10,7 +10,8 @@
 from knapweedhitch.clock import MS_PER_S, now_ms
 from knapweedhitch.exceptions import CodecError, CorruptFile, PeerError
 from knapweedhitch.messages import AppendReply, AppendRequest, SnapshotChunk, SnapshotReply
-from knapweedhitch.raftstate import MEMBERS, Progress, Proposal, ReplicaState, Role, encode_members
+from knapweedhitch.raftstate import Progress, ReplicaState, Role
+from knapweedhitch.voters import VoterChanges
 
 MAX_APPEND_BYTES = 524_288
 
@@ -26,8 +27,9 @@
 class Replication:
     """Send entries and snapshots to the peers, or store those of the leader."""
 
-    def __init__(self, state: ReplicaState) -> None:
+    def __init__(self, state: ReplicaState, voter_changes: VoterChanges) -> None:
         self._s = state
+        self._voter_changes = voter_changes
         self._transfer: _SnapshotTransfer | None = None
 
     async def run_peer(self, node_id: str) -> None:
@@ -120,7 +122,7 @@
                 peer.record_disk("")
             peer.next_index = max(1, min(peer.next_index - 1, reply.match_index + 1))
         s.advance_commit()
-        self._manage_members()
+        self._voter_changes.manage()
 
     def _record_ack(self, peer: Progress, index: int) -> None:
         s = self._s
@@ -153,64 +155,6 @@
                 return
             offset = min(reply.next_offset, len(data))
 
-    def _manage_members(self) -> None:
-        """Propose the next membership change, once the previous one is committed."""
-        s = self._s
-        # A leader changes members only after an entry of its own term has committed. Otherwise two
-        # leaders could each use a membership that the other one does not know.
-        if s.members_index > s.commit_index or s.commit_index < s.noop_index:
-            return
-        if any(proposal.kind == MEMBERS for proposal in s.pending):
-            return
-        voters = self._next_voters()
-        if voters is not None:
-            logs.event("members", node=s.node_id, voters=",".join(sorted(voters)))
-            s.pending.append(Proposal(MEMBERS, encode_members(s.group_id, voters)))
-            s.write_needed.set()
-
-    def _next_voters(self) -> dict[str, str] | None:
-        s = self._s
-        for peer in s.progress.values():
-            voting_disk_id = s.voters.get(peer.node_id)
-            if not peer.disk_id or voting_disk_id == peer.disk_id or not self._is_caught_up(peer):
-                continue
-            voters = {n: d for n, d in s.voters.items() if n != peer.node_id}
-            # A replaced disk is removed first and added by a second entry. Swapping both in one
-            # entry would allow disjoint majorities of the old and the new membership.
-            if voting_disk_id is not None:
-                return voters
-            if not s.cfg.admits_members or len(voters) < s.cfg.max_voters:
-                return {**voters, peer.node_id: peer.disk_id}
-            silent_voter = self._find_silent_voter()
-            if silent_voter is not None:
-                return {n: d for n, d in voters.items() if n != silent_voter}
-        if s.cfg.admits_members:
-            return None
-        for node_id in s.voters:
-            if node_id not in s.configured_ids:
-                return {n: d for n, d in s.voters.items() if n != node_id}
-        return None
-
-    def _find_silent_voter(self) -> str | None:
-        """Return a voter that has been silent for replace_silent_ms, None if there is none.
-
-        A joining instance may replace it.
-        """
-        s = self._s
-        oldest_contact_ms = now_ms() - s.cfg.replace_silent_ms
-        for node_id in s.voters:
-            peer = s.progress.get(node_id)
-            if node_id == s.node_id or peer is None:
-                continue
-            if max(peer.acked_ms, s.leader_since_ms) < oldest_contact_ms:
-                return node_id
-        return None
-
-    def _is_caught_up(self, peer: Progress) -> bool:
-        s = self._s
-        is_present = now_ms() - peer.acked_ms <= s.cfg.election_timeout_ms
-        return is_present and peer.match_index >= s.commit_index
-
     async def on_append(self, node_id: str, msg: AppendRequest) -> AppendReply:
         """Store the leader's entries and reply once they are synced; raises StorageError."""
         s = self._s
--- a/tests/operator_fakes.py
+++ b/tests/operator_fakes.py
@@ -33,6 +33,7 @@
 from knapweedhitch.operator_client import ATTEMPTS, OperatorClient
 from knapweedhitch.settings import SuspectSettings
 from knapweedhitch.suspects import SuspectTable
+from knapweedhitch.voters import GroupView
 
 TOKEN = "0123456789abcdef0123"
 CFG = settings.parse_settings("""
@@ -101,6 +102,9 @@
         self.config.current = structs.replace(self.config.current, version=current + 1)
         return current + 1
 
+    def group_view(self) -> GroupView:
+        return GroupView(("c1", "c2", "c3"), ("c4",), {"c1": "stopping"}, 1)
+
     def versions(self) -> dict[str, VersionReport]:
         return {"n1": VersionReport("n1", 7, 3.0), "n2": VersionReport("n2", 6, 900.0)}
 
--- a/tests/state_cluster.py
+++ b/tests/state_cluster.py
@@ -36,7 +36,7 @@
 from tests.faulty_disk import Content, FaultyDisk
 
 Handler = Callable[[str, Any], Awaitable[Message | None]]
-NAMES = ("c1", "c2", "c3", "c4", "c5", "c6")
+NAMES = tuple(f"c{number}" for number in range(1, 13))
 
 
 def make_settings(node_id: str, size: int = 3, domain: str = "d1", **control: Any) -> Settings:
@@ -251,6 +251,12 @@
         if power:
             node.disk.lose_power()
 
+    async def stop(self, name: str, limit_s: float = 4.0) -> None:
+        """Stop a process as planned; it ends once its vote is handed over or after the limit."""
+        with trio.move_on_after(limit_s):
+            await self.nodes[name].replica.hand_over()
+        await self.crash(name)
+
     async def restart(self, name: str, *, empty: bool = False) -> None:
         """Restart a process on its data folder or on an empty one."""
         await self.crash(name)
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -23,6 +23,7 @@
 from knapweedhitch.snapshot import Snapshot
 from knapweedhitch.snapshot import encode as encode_snapshot
 from knapweedhitch.store import Store
+from knapweedhitch.voters import VoterChanges
 from tests.faulty_disk import FaultyDisk
 from tests.state_cluster import (
     Cluster,
@@ -156,7 +157,8 @@
 
         async def check() -> None:
             state = await make_state(FaultyDisk())
-            state.role, peer, replication = Role.LEADER, state.progress["c2"], Replication(state)
+            replication = Replication(state, VoterChanges(state, tuple))
+            state.role, peer = Role.LEADER, state.progress["c2"]
             for ok, match, counted in ((True, 5, 5), (False, 3, 0), (True, 5, 0)):
                 reply = AppendReply(state.store.term, ok, match, "x")
                 self.assertTrue(await replication._check_reply(peer, state.store.term, 0.0, reply))
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -12,6 +12,7 @@
 
 from knapweedhitch import wal
 from knapweedhitch.settings import Settings
+from knapweedhitch.voters import GroupView
 from tests.state_cluster import NAMES, Cluster, Node, make_settings, wait_until
 
 SEEDS = 3
@@ -22,6 +23,8 @@
     "reopen_ms": 500,
     "max_sync_ms": 400,
 }
+# A new instance counts as lost for this long after its start.
+CATCH_UP_S = 4.2
 
 
 class JoiningCluster(Cluster):
@@ -132,6 +135,162 @@
         run(check, may_form_group=False)
 
 
+class PlannedReplacementTest(unittest.TestCase):
+    def test_two_disks_may_be_lost_after_a_planned_replacement(self) -> None:
+        """Guards against a group without a leader for good, after the loss of as many disks as it
+        tolerates, since the replaced instance was still a voter and its successor none.
+        """
+        for old, pause_s in itertools.product(NAMES[:5], (0.0, 1.0)):
+
+            async def check(
+                cluster: JoiningCluster, old: str = old, pause_s: float = pause_s
+            ) -> None:
+                await wait_for_voters(cluster, *NAMES[:5])
+                await cluster.change()
+                await cluster.start(NAMES[5])
+                await trio.sleep(CATCH_UP_S)
+                expected = [name for name in NAMES[:6] if name != old]
+                await cluster.stop(old)
+                del cluster.nodes[old]
+                cluster.names = tuple(expected)
+                await trio.sleep(pause_s)
+                await lose_two_disks(cluster, expected)
+
+            with self.subTest(old=old, pause_s=pause_s):
+                run(check)
+
+    def test_two_disks_may_be_lost_during_a_planned_replacement(self) -> None:
+        """Guards against a vote that is not handed over if the disks are lost at the same time."""
+        for old in NAMES[:5]:
+
+            async def check(cluster: JoiningCluster, old: str = old) -> None:
+                await wait_for_voters(cluster, *NAMES[:5])
+                await cluster.change()
+                await cluster.start(NAMES[5])
+                await trio.sleep(CATCH_UP_S)
+                expected = [name for name in NAMES[:6] if name != old]
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(cluster.stop, old)
+                    await lose_two_disks(cluster, expected)
+                del cluster.nodes[old]
+                cluster.names = tuple(expected)
+                await cluster.check_nothing_lost()
+
+            with self.subTest(old=old):
+                run(check)
+
+    def test_several_planned_replacements_in_quick_turn(self) -> None:
+        """Guards against a group that planned work alone leaves without a majority."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_for_voters(cluster, *NAMES[:5])
+            await cluster.change()
+            async with trio.open_nursery() as nursery:
+                for old, new in zip(NAMES[:5], NAMES[5:10], strict=True):
+                    await cluster.start(new)
+                    nursery.start_soon(stop_later, cluster, old)
+                    await trio.sleep(0.3)
+            for old in NAMES[:5]:
+                del cluster.nodes[old]
+            cluster.names = NAMES[5:10]
+            await cluster.change()
+            await lose_two_disks(cluster, list(NAMES[5:10]))
+
+        run(check)
+
+    def test_leader_lost_for_good_counts_no_longer_than_its_successor_needs(self) -> None:
+        """Guards against a lost leader that is still a voter when two further disks are lost, after
+        its successor, which started at once, has had its time.
+        """
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_for_voters(cluster, *NAMES[:5])
+            await cluster.change()
+            old = (await cluster.wait_for_leader()).node_id
+            await cluster.crash(old, power=True)
+            await trio.sleep(0.1)
+            await cluster.start(NAMES[5])
+            await trio.sleep(CATCH_UP_S)
+            expected = [name for name in NAMES[:6] if name != old]
+            del cluster.nodes[old]
+            cluster.names = tuple(expected)
+            await lose_two_disks(cluster, expected)
+
+        run(check)
+
+    def test_instance_that_comes_back_stops_at_once(self) -> None:
+        """Guards against a restart that waits for a successor, or that shrinks the group."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_for_voters(cluster, *NAMES[:5])
+            for name in NAMES[:5]:
+                start_s = trio.current_time()
+                await cluster.stop(name)
+                self.assertLess(trio.current_time() - start_s, 0.1)
+                await trio.sleep(1.0)
+                await cluster.restart(name)
+                await trio.sleep(2.0)
+                self.assertEqual(set(cluster.voters()), set(NAMES[:5]))
+
+        run(check)
+
+    def test_stopping_learner_does_not_become_a_voter(self) -> None:
+        """Guards against a vote that is handed over to an instance that ends as well."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_for_voters(cluster, *NAMES[:5])
+            await cluster.start(NAMES[5])
+            await trio.sleep(CATCH_UP_S)
+            # It still closes its connections while the other one stops.
+            await cluster.nodes[NAMES[5]].replica.hand_over()
+            await cluster.stop(NAMES[1])
+            await cluster.crash(NAMES[5])
+            await trio.sleep(1.0)
+            self.assertEqual(set(cluster.voters()), set(NAMES[:5]))
+
+        run(check)
+
+    def test_handed_over_vote_shows_in_the_view_of_the_group(self) -> None:
+        """Guards against operators who do not see who votes and how many disks may be lost."""
+
+        async def check(cluster: JoiningCluster) -> None:
+            await wait_for_voters(cluster, *NAMES[:5])
+            await cluster.start(NAMES[5])
+            await trio.sleep(CATCH_UP_S)
+            leader = await cluster.wait_for_leader()
+            other = next(name for name in NAMES[:5] if name != leader.node_id)
+            self.assertEqual(leader.replica.group_view(), GroupView(NAMES[:5], (NAMES[5],), {}, 2))
+            await cluster.crash(other, power=True)
+            await trio.sleep(1.0)
+            view = leader.replica.group_view()
+            self.assertEqual(view and view.losable_disks, 1)
+            await wait_for_voters(cluster, *sorted({*NAMES[:6]} - {other}))
+            await cluster.restart(other)
+            await trio.sleep(1.0)
+            view = leader.replica.group_view()
+            self.assertEqual(view and (view.learners, view.losable_disks), ((other,), 2))
+
+        run(check)
+
+
+async def stop_later(cluster: JoiningCluster, name: str) -> None:
+    await trio.sleep(CATCH_UP_S)
+    await cluster.stop(name)
+
+
+async def lose_two_disks(cluster: JoiningCluster, names: list[str]) -> None:
+    """Lose two disks of the group and check that it goes on with all that it has accepted."""
+    lost = names[1:3]
+    for name in lost:
+        await cluster.crash(name, power=True)
+    await trio.sleep(1.5)
+    for name in lost:
+        await cluster.restart(name, empty=True)
+    await cluster.change()
+    if set(cluster.names) == set(names):
+        await cluster.check_nothing_lost()
+
+
 class StartTest(unittest.TestCase):
     def test_completely_restarted_group_elects_a_leader_at_once(self) -> None:
         """Guards against nodes without a configuration for the time of a normal election."""
