Control group: the first change waits for all voters

Cause: a new group votes with the three seeds only until the other instances have joined (0.1 to 0.5 s), so the acknowledgement stood on two disks of three.

Change: the leader takes the first change once the group has control.max_voters voters, or after control.full_group_wait_ms (catchUpS on the platform). Instances that have not joined by then count as lost, and the voters that are there bear the loss of the rest.

--- a/knapweedhitch/consensus.py
+++ b/knapweedhitch/consensus.py
@@ -256,6 +256,8 @@
         s = self._state
         if s is None or s.role is not Role.LEADER:
             raise NotLeader(self.leader_id)
+        if s.is_growing:
+            raise ReplicaBusy("the group has not got all its voters yet")
         if len(s.pending) >= s.cfg.max_pending_proposals:
             raise ReplicaBusy(f"{len(s.pending)} proposals wait")
         proposal = Proposal(CHANGE, change)
--- a/knapweedhitch/platform/settings.py
+++ b/knapweedhitch/platform/settings.py
@@ -251,6 +251,7 @@
             # A lost voter must be replaced before its successor has had its time, also if it was
             # the leader and another one is elected first.
             replace_silent_ms=int(boot.bounds.catch_up_s * 1_000 / 2),
+            full_group_wait_ms=int(boot.bounds.catch_up_s * 1_000),
             may_form_group=boot.bootstrap,
             confirm_restarts=False,
             reopen_ms=500,
--- a/knapweedhitch/raftstate.py
+++ b/knapweedhitch/raftstate.py
@@ -174,6 +174,8 @@
         self.last_contact_ms = -math.inf
         self.commit_index = 0
         self.applied_index = 0
+        # Whether a change has ever been accepted.
+        self.has_changes = False
         self.promises = PromiseTracker()
         # The last synced (term, index) that each other member reported after the start.
         self.reported_positions: dict[str, tuple[int, int]] = {}
@@ -216,6 +218,7 @@
         except CodecError as exc:
             raise CorruptFile("snapshot", 0, str(exc)) from None
         self._members = [(snap.index, snap.group_id, dict(snap.voters))]
+        self.has_changes = True
         self.commit_index = self.applied_index = snap.index
 
     @property
@@ -375,6 +378,7 @@
             if entry is None:
                 break
             result = self.machine.apply(entry.body) if entry.kind == CHANGE else None
+            self.has_changes = self.has_changes or entry.kind == CHANGE
             self.applied_index = entry.index
             proposal = self.uncommitted.pop(entry.index, None)
             if proposal is not None:
@@ -393,6 +397,18 @@
         """Return the latest send time that a majority acknowledged in this term."""
         return reached_by_majority(self._acked_ms(n, d) for n, d in self.voters.items())
 
+    @property
+    def is_growing(self) -> bool:
+        """Return whether a new group still lacks voters, so that it bears the loss of fewer disks.
+
+        Instances that have not joined in time count as lost themselves.
+        """
+        if self.has_changes or not self.cfg.admits_members:
+            return False
+        is_full = len(self.committed_members().voters) >= self.cfg.max_voters
+        waited_ms = now_ms() - self.leader_since_ms
+        return not is_full and waited_ms < self.cfg.full_group_wait_ms
+
     def _acked_ms(self, node_id: str, disk_id: str) -> float:
         if node_id == self.node_id:
             return now_ms() if disk_id == self.store.disk_id else -math.inf
--- a/knapweedhitch/settings.py
+++ b/knapweedhitch/settings.py
@@ -144,6 +144,9 @@
     max_voters: Annotated[int, Meta(ge=0, le=9)] = 0
     # A joining instance replaces a voter that has been silent for this long.
     replace_silent_ms: Ms = 3_000
+    # The first change waits up to this long for `max_voters` voters. Instances that have not joined
+    # by then count as lost.
+    full_group_wait_ms: Ms = 5_000
     # Whether to form a new group; on only when the cluster starts for the first time.
     may_form_group: bool = True
     # Whether the other members must confirm after a restart that the data folder has lost nothing.
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -135,6 +135,42 @@
         run(check, may_form_group=False)
 
 
+class GrowthTest(unittest.TestCase):
+    def test_two_disks_may_be_lost_right_after_the_first_change(self) -> None:
+        """Guards against a first change that only the seeds hold, of which two lose their disks."""
+        for late_s in (0.0, 0.25, 1.0):
+
+            async def check(cluster: JoiningCluster, late_s: float = late_s) -> None:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(start_late, cluster, late_s)
+                    await cluster.change()
+                await lose_two_disks(cluster, list(NAMES[:5]))
+
+            with self.subTest(late_s=late_s):
+                run(check, size=SEEDS, full_group_wait_ms=4_000)
+
+    def test_instances_that_do_not_join_delay_only_the_first_change(self) -> None:
+        """Guards against a group that accepts no change, or waits after each election, since fewer
+        instances exist than may vote.
+        """
+
+        async def check(cluster: JoiningCluster) -> None:
+            start_s = trio.current_time()
+            await cluster.change()
+            self.assertLess(trio.current_time() - start_s, 6)
+            leader = await cluster.wait_for_leader()
+            await cluster.crash(leader.node_id)
+            await cluster.change(timeout_ms=3_000.0)
+
+        run(check, size=SEEDS, full_group_wait_ms=4_000)
+
+
+async def start_late(cluster: JoiningCluster, late_s: float) -> None:
+    await trio.sleep(late_s)
+    await cluster.start(*NAMES[SEEDS:5])
+    cluster.names = NAMES[:5]
+
+
 class PlannedReplacementTest(unittest.TestCase):
     def test_two_disks_may_be_lost_after_a_planned_replacement(self) -> None:
         """Guards against a group without a leader for good, after the loss of as many disks as it
