Control group: a stopping instance stays marked until its process has ended

A learner that stops asks once and then closes its connections for up to 1.5 s; its mark lasted 1 s, so it could still become a voter in the last half second (found by reading, not seen). The mark lasts 2 s. HandOver has no field any more: the leader knows its sender.

--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -504,8 +504,6 @@
 class HandOver(Message, frozen=True):
     """Ask the leader to let another instance vote in place of the sender, which stops."""
 
-    disk_id: str
-
 
 @message(58)
 class IntroduceReply(Message, frozen=True):
--- a/knapweedhitch/voters.py
+++ b/knapweedhitch/voters.py
@@ -27,7 +27,7 @@
 
 # An instance that hands its vote over asks again at shorter intervals; one that has gone is an
 # ordinary silent voter.
-STOPPING_MS = 1_000.0
+STOPPING_MS = 2_000.0
 # A new leader has heard from each live peer within this many heartbeats.
 FIRST_CONTACT_HEARTBEATS = 3
 
@@ -191,7 +191,7 @@
 
     async def _request_hand_over(self) -> bool:
         s = self._s
-        msg = HandOver(s.store.disk_id)
+        msg = HandOver()
         if s.role is Role.LEADER:
             return (await self.on_hand_over(s.node_id, msg)).is_done
         if s.leader_id is None:
