Callers: a cut response without a length ends no request behind it

Cause: a response that is due was held until it is complete only if it had a length; otherwise its first part went out, and a cut could then only end the connection. On the same path: requests that arrive behind a response of which a part is sent were passed on as well, though a cut can only lose them.

Change: while requests wait behind it, a response without a length is held within the limits for held ones; alone it is passed on as it arrives. A request behind a partly sent response is passed on once that response is complete.

--- a/knapweedhitch/callerconn.py
+++ b/knapweedhitch/callerconn.py
@@ -69,7 +69,7 @@
         """
         if self._has_ended or n_bytes > self.conn.cfg.max_held_response_bytes:
             return False
-        if self.is_due and not until_complete:
+        if self.is_due and self.is_last and not until_complete:
             return False
         more_bytes = max(0, n_bytes - held_bytes)
         if not self._owner.waiting_bytes.reserve(more_bytes):
@@ -202,6 +202,8 @@
             if head is None:
                 return False
             if not head.has_body and self._router.may_run_concurrently(head):
+                if not await self._wait_for_partial_responses(req):
+                    return False
                 self._buffer = req.conn.pipelined_bytes() + self._buffer
                 req.is_detached = True
                 nursery.start_soon(self._run_concurrently, req, head)
@@ -217,6 +219,15 @@
             await self._buffer_until_request_end()
         return True
 
+    async def _wait_for_partial_responses(self, req: PipelinedRequest) -> bool:
+        """Wait while a part of an earlier response is sent; return False if the caller has gone.
+
+        If that response is cut, the connection ends, and a request that has been passed on is lost.
+        """
+        while any(other.conn.is_partly_sent for other in self._pending if other is not req):
+            await self._buffer_until_request_end()
+        return not self.gone.is_set()
+
     async def _receive_head(self, req: PipelinedRequest) -> RequestHead | None:
         """Return the head of the next request, None if the connection takes no further one."""
         try:
--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -181,6 +181,11 @@
                 return
             self._conn.receive_data(data)
 
+    @property
+    def is_partly_sent(self) -> bool:
+        """Return whether a response has begun and not ended."""
+        return self.response_started and not self.response_ended
+
     def stop_waiting(self) -> None:
         """Stop waiting for another request; a request in progress continues."""
         self._stopping = True
--- a/tests/test_pipelining.py
+++ b/tests/test_pipelining.py
@@ -51,8 +51,9 @@
     return handler
 
 
-def fail_in_the_body(n_bytes: int) -> Handler:
+def fail_in_the_body(n_bytes: int, *, has_length: bool = True) -> Handler:
     """Return a handler whose response breaks off in the middle at the first try."""
+    headers = ((b"content-length", b"%d" % n_bytes),) if has_length else ()
     tries: list[str] = []
 
     async def handler(spec: CallSpec, sink: ResponseSink) -> CallResult:
@@ -60,8 +61,9 @@
         if len(tries) > 1:
             return await respond_after(0.0, n_bytes)(spec, sink)
         sink.mark_dispatched()
-        await sink.head(200, ((b"content-length", b"%d" % n_bytes),), None)
+        await sink.head(200, headers, None)
         await sink.data(b"x" * (n_bytes // 2))
+        await trio.sleep(0.2)
         raise PeerFailed(Outcome.UNKNOWN, "the link broke")
 
     return handler
@@ -381,15 +383,37 @@
         """Guards against a connection that is reset, with the requests behind, because the node or
         the link of one of its targets fails in the middle of a large response.
         """
-        handlers = {"r1": fail_in_the_body(LARGE_BYTES), "r2": respond_after(0.0, 20)}
 
         async def play(caller: Caller) -> None:
             await caller.stream.send_all(get(1, 1_900) + get(2, 1_900))
             first, second = await caller.read(), await caller.read()
-            self.assertEqual((first.status, len(first.body)), (200, LARGE_BYTES))
+            self.assertEqual((first.status, len(first.body)), (200, 2 * LARGE_BYTES))
             self.assertEqual((second.status, len(second.body)), (200, 20))
 
-        run_caller(handlers, play, ByteBudget(LARGE_BYTES))
+        # Without a length, the end of a response may be far.
+        for has_length in (True, False):
+            with self.subTest(has_length=has_length):
+                failing = fail_in_the_body(2 * LARGE_BYTES, has_length=has_length)
+                handlers = {"r1": failing, "r2": respond_after(0.0, 20)}
+                run_caller(handlers, play, ByteBudget(2 * LARGE_BYTES))
+
+    def test_request_behind_a_partly_sent_response_is_not_passed_on(self) -> None:
+        """Guards against a request that a target is at work on when the connection must end, since
+        the response before it, which has no length, breaks off.
+        """
+
+        async def play(caller: Caller) -> None:
+            await caller.stream.send_all(get(1, 1_900))
+            await caller.stream.receive_some(1_000)
+            await caller.stream.send_all(get(2, 1_900))
+            with self.assertRaises((trio.BrokenResourceError, EOFError, h11.RemoteProtocolError)):
+                while True:
+                    await caller.read()
+
+        failing = fail_in_the_body(2 * LARGE_BYTES, has_length=False)
+        handlers = {"r1": failing, "r2": respond_after(0.0, 20)}
+        world = run_caller(handlers, play, ByteBudget(2 * LARGE_BYTES))
+        self.assertEqual([spec.request_id for spec in world.specs], ["r1"])
 
     def test_response_over_the_limit_is_passed_on_as_it_arrives(self) -> None:
         """Guards against a response of any size that is held in memory until it is complete."""
