--- a/review/stage3.py
+++ b/review/stage3.py
@@ -147,6 +147,8 @@
 
     slots = 6
     queue = 12
+    # Bytes that it reads ahead of what it works on.
+    read_ahead = 1 << 22
 
     def __init__(self, fleet: Fleet, ip: str, service: str) -> None:
         self.fleet, self.ip, self.service = fleet, ip, service
@@ -163,7 +165,7 @@
 
     async def start(self) -> None:
         self._server = await asyncio.start_server(
-            self._on_connection, self.ip, self.fleet.base + 9, limit=1 << 22
+            self._on_connection, self.ip, self.fleet.base + 9, limit=self.read_ahead
         )
 
     def load(self) -> str:
