Review case 13: an order that has run is answered 503

A target that has run an order may answer 503 without Not-Executed. The status is passed on as it came, and its caller reads it as the promise that the order has not run and never will.

One target of three fails two of five requests in this way.

--- /dev/null
+++ b/review/13/case.py
@@ -0,0 +1,71 @@
+"""Case 13: an order that has run is answered 503, the promise that it has not."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+import sys
+import time
+from pathlib import Path
+
+FOLDER = Path(__file__).resolve().parent
+sys.path.insert(0, str(FOLDER.parent))
+
+import stage3  # noqa: E402
+
+CORES = ["127.0.1.20", "127.0.2.20", "127.0.3.20"]
+APPS = {"127.0.1.10": "expedice", "127.0.2.10": "expedice", "127.0.3.10": "expedice"}
+ORDERS = 60
+# One target fails two requests of five, after it has run them.
+FAILED_OF_FIVE = (1, 3)
+PROMISES = (408, 421, 429, 503)
+
+
+async def run(fleet: stage3.Fleet, trouble: bool) -> bool:
+    grey = fleet.targets[list(APPS)[0]]
+    failed = 0
+
+    async def serve(target, request, reader, writer) -> bool:
+        nonlocal failed
+        request.body = await stage3.read_body(reader, request)
+        target.runs.append((request.attempt_id, time.monotonic()))
+        fleet.record.line(f"target {target.ip} runs {request.attempt_id}")
+        await asyncio.sleep(target.work_s)
+        is_failed = trouble and target is grey and len(target.runs) % 5 in FAILED_OF_FIVE
+        failed += is_failed
+        # Without Not-Executed: no statement that the request has not run.
+        status = 503 if is_failed else 200
+        target.respond(writer, request, status, b"done", target.signed())
+        return True
+
+    for target in fleet.targets.values():
+        target.serve = serve
+    await fleet.open()
+    config = {
+        "routes": [stage3.route_item("odeslani", "expedice", "unsafe")],
+        "services": [stage3.service_item("expedice")],
+        "limits": stage3.LIMITS,
+    }
+    if not await fleet.patch(config, limit_s=30):
+        raise stage3.CannotRun("the first configuration was not accepted")
+    await fleet.wait_ready()
+    await asyncio.sleep(2.0)
+    broken = []
+    for number in range(ORDERS):
+        ip = list(APPS)[number % len(APPS)]
+        attempt = secrets.token_hex(8)
+        headers = {"Host": "odeslani.example", "Attempt-Id": attempt, "Deadline-Ms": "4000"}
+        status, _ = await stage3.send(
+            fleet.address(ip, "outbound"), "POST", "/x/order", b"{}", 5.0, headers
+        )
+        has_run = any(run_id == attempt for t in fleet.targets.values() for run_id, _ in t.runs)
+        fleet.record.line(f"client {ip} order {attempt}: {status} run={has_run}")
+        if status in PROMISES and has_run:
+            broken.append(attempt)
+        await asyncio.sleep(0.05)
+    fleet.record.line(f"failed after the run: {failed}; answered as not run: {broken}")
+    return not broken
+
+
+if __name__ == "__main__":
+    sys.exit(stage3.main(lambda folder: stage3.Fleet(folder, CORES, APPS), run, FOLDER))
