--- a/review/12/case.py
+++ b/review/12/case.py
@@ -14,9 +14,14 @@
 
 import stage3  # noqa: E402
 
-CORES = ["127.0.1.20", "127.0.2.20", "127.0.3.20"]
-APPS = {"127.0.1.10": "archiv", "127.0.2.10": "archiv", "127.0.3.10": "archiv"}
-ROUNDS = 12
+# Ten machines, of which one stands still at a time.
+CORES = ["127.0.1.20", "127.0.2.20", "127.0.3.20", "127.0.1.21", "127.0.2.21"]
+UPLOADED = ["127.0.1.10", "127.0.2.10", "127.0.3.10"]
+APPS = {**dict.fromkeys(UPLOADED, "archiv"), "127.0.1.11": "sablony", "127.0.2.11": "sablony"}
+# Two of the three targets answer early, two of five uploads, for 6 s at a time.
+EARLY = ("127.0.1.10", "127.0.2.10")
+SPELL_S, PAUSE_S, SPELLS = 6.0, 2.0, 4
+MIN_EARLY = 8
 PART = b"p" * 16_384
 PARTS = 6
 # The target answers when it has read this much of a body of 96 KiB.
@@ -29,6 +34,7 @@
     def __init__(self) -> None:
         self.target: stage3.Target | None = None
         self.began = asyncio.Event()
+        self.is_early = False
         self.may_answer = asyncio.Event()
         self.answered = asyncio.Event()
         self.rest = "nothing"
@@ -38,13 +44,21 @@
 async def run(fleet: stage3.Fleet, trouble: bool) -> bool:
     uploads: dict[str, Upload] = {}
     wrong: list[str] = []
+    spells = stage3.Spells(SPELL_S, PAUSE_S, SPELLS)
 
     async def serve(target, request, reader, writer) -> bool:
         upload = uploads.get(request.attempt_id)
         if upload is None:
             return await target.run_plain(request, reader, writer)
-        # An early answer: the connection is kept and the rest of the body is read later.
+        upload.is_early = target.ip in EARLY and spells.takes(target.ip)
         upload.target = target
+        if not upload.is_early:
+            upload.began.set()
+            try:
+                return await target.run_plain(request, reader, writer)
+            finally:
+                upload.ended.set()
+        # An early answer: the connection is kept and the rest of the body is read later.
         target.runs.append((request.attempt_id, time.monotonic()))
         read = 0
         while read < ANSWER_AFTER_BYTES:
@@ -79,21 +93,28 @@
             stage3.route_item("nahrani", "archiv", "upload"),
             stage3.route_item("adresar", "archiv", "safe"),
         ],
-        "services": [stage3.service_item("archiv")],
+        "services": [stage3.service_item("archiv"), stage3.service_item("sablony")],
         "limits": stage3.LIMITS,
     }
     if not await fleet.patch(config, limit_s=30):
         raise stage3.CannotRun("the first configuration was not accepted")
     await fleet.wait_ready()
     await wait_until_served(fleet)
-    for number in range(ROUNDS):
+    spells.begin()
+    number = 0
+    while spells.left_s > 0:
         await play_round(fleet, trouble, number, uploads)
+        number += 1
+    early = sum(upload.is_early for upload in uploads.values())
+    fleet.record.line(f"uploads {len(uploads)}, early {early}")
+    if early < MIN_EARLY:
+        raise stage3.CannotRun(f"only {early} uploads were answered early")
     fleet.record.line(f"uploads whose target got other bytes: {wrong}")
     return not wrong
 
 
 async def wait_until_served(fleet: stage3.Fleet) -> None:
-    for ip in APPS:
+    for ip in UPLOADED:
         for _ in range(100):
             status = await look_up(fleet, ip)
             if status == 200:
@@ -113,10 +134,18 @@
     return status
 
 
+async def read_answer(reader: asyncio.StreamReader) -> int:
+    try:
+        async with asyncio.timeout(3.0):
+            return (await stage3.read_response(reader))[0]
+    except TimeoutError:
+        return 0
+
+
 async def play_round(
     fleet: stage3.Fleet, trouble: bool, number: int, uploads: dict[str, Upload]
 ) -> None:
-    entry = list(APPS)[number % len(APPS)]
+    entry = UPLOADED[number % len(UPLOADED)]
     attempt = secrets.token_hex(8)
     upload = uploads[attempt] = Upload()
     host, _, port = fleet.address(entry, "outbound").rpartition(":")
@@ -138,6 +167,13 @@
         writer.close()
         return
     node = upload.target.ip
+    if not upload.is_early:
+        writer.write(b"0\r\n\r\n")
+        status = await read_answer(reader)
+        fleet.record.line(f"client {entry} upload {attempt}: {status}, not early")
+        writer.close()
+        await asyncio.sleep(0.05)
+        return
     # Long enough for all that was sent so far to arrive.
     await asyncio.sleep(0.15)
     if trouble:
@@ -152,12 +188,8 @@
     await asyncio.sleep(0.1)
     if trouble:
         fleet.signal(node, signal.SIGCONT)
-    try:
-        async with asyncio.timeout(3.0):
-            status, _, body = await stage3.read_response(reader)
-    except TimeoutError:
-        status, body = 0, b""
-    fleet.record.line(f"client {entry} upload {attempt}: {status} {body[:40]!r}")
+    status = await read_answer(reader)
+    fleet.record.line(f"client {entry} upload {attempt}: {status}, early")
     writer.close()
     # The next requests of this machine.
     for _ in range(2):
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -14,16 +14,19 @@
 import stage3  # noqa: E402
 
 CORES = ["127.0.1.20", "127.0.2.20", "127.0.3.20"]
-APPS = {"127.0.1.10": "expedice", "127.0.2.10": "expedice", "127.0.3.10": "expedice"}
-ORDERS = 60
-# One target fails two requests of five, after it has run them.
-FAILED_OF_FIVE = (1, 3)
+# One target of eight fails two of five of its requests for 6 s, after it has run them.
+HOSTS = (10, 11, 12)
+APPS = {f"127.0.{zone}.{host}": "expedice" for zone in (1, 2, 3) for host in HOSTS}
+APPS.pop("127.0.3.12")
+GREY = "127.0.1.10"
+SPELL_S = 6.0
+MIN_ORDERS = 100
 PROMISES = (408, 421, 429, 503)
 
 
 async def run(fleet: stage3.Fleet, trouble: bool) -> bool:
-    grey = fleet.targets[list(APPS)[0]]
     failed = 0
+    spells = stage3.Spells(SPELL_S, 0.0, 1)
 
     async def serve(target, request, reader, writer) -> bool:
         nonlocal failed
@@ -31,7 +34,7 @@
         target.runs.append((request.attempt_id, time.monotonic()))
         fleet.record.line(f"target {target.ip} runs {request.attempt_id}")
         await asyncio.sleep(target.work_s)
-        is_failed = trouble and target is grey and len(target.runs) % 5 in FAILED_OF_FIVE
+        is_failed = trouble and target.ip == GREY and spells.takes(GREY)
         failed += is_failed
         # Without Not-Executed: no statement that the request has not run.
         status = 503 if is_failed else 200
@@ -50,20 +53,29 @@
         raise stage3.CannotRun("the first configuration was not accepted")
     await fleet.wait_ready()
     await asyncio.sleep(2.0)
-    broken = []
-    for number in range(ORDERS):
-        ip = list(APPS)[number % len(APPS)]
-        attempt = secrets.token_hex(8)
-        headers = {"Host": "odeslani.example", "Attempt-Id": attempt, "Deadline-Ms": "4000"}
-        status, _ = await stage3.send(
-            fleet.address(ip, "outbound"), "POST", "/x/order", b"{}", 5.0, headers
-        )
-        has_run = any(run_id == attempt for t in fleet.targets.values() for run_id, _ in t.runs)
-        fleet.record.line(f"client {ip} order {attempt}: {status} run={has_run}")
-        if status in PROMISES and has_run:
-            broken.append(attempt)
-        await asyncio.sleep(0.05)
-    fleet.record.line(f"failed after the run: {failed}; answered as not run: {broken}")
+    broken: list[str] = []
+    orders = 0
+    spells.begin()
+
+    async def call(ip: str) -> None:
+        nonlocal orders
+        while spells.left_s > 0:
+            orders += 1
+            attempt = secrets.token_hex(8)
+            headers = {"Host": "odeslani.example", "Attempt-Id": attempt, "Deadline-Ms": "4000"}
+            status, _ = await stage3.send(
+                fleet.address(ip, "outbound"), "POST", "/x/order", b"{}", 5.0, headers
+            )
+            runs = sum(a == attempt for t in fleet.targets.values() for a, _ in t.runs)
+            fleet.record.line(f"client {ip} order {attempt}: {status} runs={runs}")
+            if status in PROMISES and runs:
+                broken.append(attempt)
+            await asyncio.sleep(0.2)
+
+    await asyncio.gather(*(call(ip) for ip in APPS))
+    if orders < MIN_ORDERS:
+        raise stage3.CannotRun(f"only {orders} orders were sent")
+    fleet.record.line(f"orders {orders}, failed after the run: {failed}; answered as not run: {broken}")
     return not broken
 
 
--- a/review/stage3.py
+++ b/review/stage3.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import json
+import math
 import os
 import secrets
 import shutil
@@ -142,6 +143,37 @@
 Serve = Callable[["Target", Request, asyncio.StreamReader, asyncio.StreamWriter], Awaitable[bool]]
 
 
+class Spells:
+    """Tell when some requests are disturbed: in spells, and two of five at each target."""
+
+    def __init__(self, spell_s: float, pause_s: float, count: int) -> None:
+        self._spell_s, self._pause_s, self._count = spell_s, pause_s, count
+        self._began_s = math.inf
+        self._seen: dict[tuple[str, int], int] = {}
+
+    @property
+    def length_s(self) -> float:
+        return self._count * (self._spell_s + self._pause_s)
+
+    def begin(self) -> None:
+        self._began_s = time.monotonic()
+
+    @property
+    def left_s(self) -> float:
+        return self._began_s + self.length_s - time.monotonic()
+
+    def takes(self, ip: str) -> bool:
+        """Return whether the next request of a target is one of the disturbed ones."""
+        elapsed_s = time.monotonic() - self._began_s
+        spell = int(elapsed_s // (self._spell_s + self._pause_s)) if elapsed_s >= 0 else -1
+        if not 0 <= spell < self._count:
+            return False
+        if elapsed_s - spell * (self._spell_s + self._pause_s) >= self._spell_s:
+            return False
+        number = self._seen[ip, spell] = self._seen.get((ip, spell), -1) + 1
+        return number % 5 in (1, 3)
+
+
 class Target:
     """A sound target beside one node: slots, queue, load header, heartbeats."""
 
@@ -555,10 +587,15 @@
     async def run() -> int:
         fleet = make_fleet(folder)
         fleet.record.line(f"trouble={int(trouble)}")
+        task = asyncio.current_task()
+        assert task is not None
+        # The processes are ended also if this one is asked to end.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(LIMIT_S):
                 held = await case(fleet, trouble)
-        except (CannotRun, TimeoutError) as exc:
+        except (Exception, asyncio.CancelledError) as exc:
+            # Only a broken rule may end with 1.
             fleet.record.line(f"the case could not run: {exc!r}")
             return COULD_NOT_RUN
         finally:
