Upstream connections: use one again only if its whole request was written

Cause: h11 counts an event as sent when it is turned into bytes. The end of a body was turned into bytes, then its write was cancelled, since the response was complete in the same turn of the event loop or the socket had no room. Both states were DONE, so the connection went back to the pool.

Change: a connection is kept only if every byte that the parser handed out was written and every byte received belongs to what was read, decided in one place after the writer and the reader have ended. Same class: a refusal during an upload gave the connection back while the writer ran; the operator listener wrote a 408 within a half-written 100 Continue. connections_not_kept counts the connections that are closed for it, by cause.

--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -75,6 +75,8 @@
         self.used = False
         self.has_sent = False
         self.reusable = False
+        # Why the connection cannot be reused after a complete response.
+        self.not_reusable_cause = ""
         # Bytes on the wire of the current exchange; framing counts, since it can be without end.
         self.received_bytes = 0
         self.max_response_bytes = math.inf
@@ -92,6 +94,9 @@
         self._writer_error: Exception | None = None
         # The end of the stream after a failed write may be a reset whose error the write has taken.
         self._has_failed_write = False
+        # Whether the parser has handed out bytes that the socket has not accepted. Its state counts
+        # them as sent, although the write may have been cancelled, have failed or still wait.
+        self._has_unwritten = False
         self.on_report: Callable[[UpstreamReport], None] = lambda report: None
         self._silence = NO_NOTICE
         self._body_bytes_sent = 0
@@ -125,7 +130,7 @@
             set_user_timeout(self.stream, UNACKNOWLEDGED_MS)
         self._request_sent_s = self._first_byte_s = math.inf
         request = h11.Request(method=spec.method, target=spec.target, headers=list(headers))
-        wire = self._conn.send(request) or b""
+        wire = self._serialize(request)
         sink.mark_dispatched()
         reader = ResponseReader(self, spec, exchange_id, sink, load)
         self.started_s = started_s = trio.current_time()
@@ -137,9 +142,10 @@
         except UpstreamNotRun:
             # The connection goes on, and the same refusal may come once more.
             self._record_request(spec)
+            self._finish()
             raise
         self._record_request(spec)
-        self.finish()
+        self._finish()
         now = trio.current_time()
         return ExchangeTimes(
             status, (self._first_byte_s - started_s) * 1_000, (now - started_s) * 1_000
@@ -156,13 +162,13 @@
             first = await body.receive()
             if first is not None:
                 self._count_body(len(first))
-                wire += self._conn.send(h11.Data(data=first)) or b""
+                wire += self._serialize(h11.Data(data=first))
                 if len(first) == framing.content_length(spec.headers):
                     is_complete = await body.receive() is None
             else:
                 is_complete = True
         if is_complete:
-            wire += self._conn.send(h11.EndOfMessage()) or b""
+            wire += self._serialize(h11.EndOfMessage())
         await self._send(wire)
         if is_complete:
             self._request_sent_s = trio.current_time()
@@ -191,8 +197,8 @@
         try:
             while (part := await body.receive()) is not None:
                 self._count_body(len(part))
-                await self._send(self._conn.send(h11.Data(data=part)) or b"")
-            await self._send(self._conn.send(h11.EndOfMessage()) or b"")
+                await self._send(self._serialize(h11.Data(data=part)))
+            await self._send(self._serialize(h11.EndOfMessage()))
             self._request_sent_s = trio.current_time()
         except UpstreamClosed:
             # An upstream may respond early and close; its response is still to be read.
@@ -218,7 +224,14 @@
         self._writer_error = UpstreamClosed("no packet is answered", bytes_sent=True)
         scope.cancel()
 
+    def _serialize(self, event: h11.Event) -> bytes:
+        """Return the bytes of an event, which `_send` has to write."""
+        data = self._conn.send(event) or b""
+        self._has_unwritten = self._has_unwritten or bool(data)
+        return data
+
     async def _send(self, data: bytes) -> None:
+        """Write all that `_serialize` has returned since the last call; raises UpstreamClosed."""
         if not data:
             return
         self.has_sent = True
@@ -230,6 +243,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self._has_failed_write = True
             raise UpstreamClosed(f"cannot write: {exc}", bytes_sent=True) from None
+        self._has_unwritten = False
 
     async def receive_more(self) -> None:
         """Feed the next bytes to the parser; raises UpstreamClosed and UpstreamResponseTooLarge."""
@@ -298,18 +312,32 @@
         if data:
             self._conn.receive_data(data)
 
-    def finish(self) -> None:
-        """Mark the connection reusable if the exchange is complete and no bytes are left."""
-        if self._has_failed_write:
-            return
-        # Bytes after the end of a response belong to no request of this connection.
-        if self._conn.trailing_data[0] or self._conn.trailing_data[1]:
-            return
-        if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
+    def _finish(self) -> None:
+        """Mark the connection reusable if the exchange is complete and no bytes are left.
+
+        Every byte that the parser has handed out was written, and every byte that was received
+        belongs to what was read. No task may write or read any more.
+        """
+        self.not_reusable_cause = self._find_leftover()
+        if not self.not_reusable_cause:
             self._conn.start_next_cycle()
             self.reusable = True
             self.idle_since_s = trio.current_time()
 
+    def _find_leftover(self) -> str:
+        """Return what is left of an exchange, "" if nothing is."""
+        if self._has_unwritten:
+            return "unwritten-request"
+        if self._conn.our_state is h11.SEND_BODY:
+            return "unfinished-request"
+        unparsed, closed = self._conn.trailing_data
+        if unparsed:
+            # Bytes after the end of a response belong to no request of this connection.
+            return "surplus-bytes"
+        if closed or (self._conn.our_state, self._conn.their_state) != (h11.DONE, h11.DONE):
+            return "closed-by-upstream"
+        return ""
+
     async def close(self) -> None:
         """Close the connection at once."""
         self.reusable = False
--- a/knapweedhitch/operator_http.py
+++ b/knapweedhitch/operator_http.py
@@ -89,6 +89,8 @@
         self._method = b""
         self._cfg = cfg
         self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=cfg.max_header_bytes)
+        # Set while a write is in progress, and for good once one was cancelled or has failed.
+        self._is_writing = False
 
     @property
     def is_busy(self) -> bool:
@@ -123,7 +125,8 @@
         try:
             request = await self._read_request()
         except Refusal as refusal:
-            if self._conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            can_respond = self._conn.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+            if can_respond and not self._is_writing:
                 await self._send(refusal_response(refusal), close=True)
             return False
         if request is None:
@@ -202,7 +205,7 @@
                 return event
             if self._conn.they_are_waiting_for_100_continue:
                 continue_response = h11.InformationalResponse(status_code=100, headers=[])
-                await self._stream.send_all(self._conn.send(continue_response) or b"")
+                await self._write(self._conn.send(continue_response) or b"")
             self._conn.receive_data(bytes(await self._stream.receive_some(READ_BYTES)))
 
     async def _read_body(self) -> bytes:
@@ -234,10 +237,15 @@
             data += self._conn.send(h11.Data(response.body)) or b""
         data += self._conn.send(h11.EndOfMessage()) or b""
         with trio.move_on_after(self._cfg.write_timeout_ms / MS_PER_S) as writing:
-            await self._stream.send_all(data)
+            await self._write(data)
         if writing.cancelled_caught:
             raise trio.BrokenResourceError("the client does not read the response")
 
+    async def _write(self, data: bytes) -> None:
+        self._is_writing = True
+        await self._stream.send_all(data)
+        self._is_writing = False
+
 
 async def wait_responses_sent(connections: Set[OperatorConnection], timeout_ms: float) -> None:
     """Wait until each request that has been read has its response, at most for the timeout."""
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -278,6 +278,8 @@
         return None
 
     async def _release(self, address: Address, conn: ClientConnection) -> None:
+        if conn.not_reusable_cause:
+            self._counters.add("connections_not_kept", conn.not_reusable_cause)
         if not conn.reusable or self._idle_count >= self._cfg.max_idle_connections:
             await conn.close()
             return
--- a/knapweedhitch/responsereader.py
+++ b/knapweedhitch/responsereader.py
@@ -116,7 +116,7 @@
         self._skipped_responses += 1
         if self._skipped_responses > MAX_STALE_RESPONSES or not self._conn.is_request_sent:
             raise UpstreamProtocolError("answer of another request", bytes_sent=True)
-        await self._skip_body(finish=False)
+        await self._skip_body()
         self._conn.expect_another_response(self._spec.method)
 
     def _pass_report(self, event: h11.Response) -> None:
@@ -137,12 +137,12 @@
             return True
         return any(name == names.not_run for name, _ in event.headers)
 
-    async def _skip_body(self, *, finish: bool = True) -> None:
+    async def _skip_body(self) -> None:
         """Read and drop the rest of a response, so that the connection can be reused."""
         with trio.move_on_after(MAX_SKIP_MS / 1_000):
-            await self._read_unwanted_body(finish)
+            await self._read_unwanted_body()
 
-    async def _read_unwanted_body(self, finish: bool) -> None:
+    async def _read_unwanted_body(self) -> None:
         max_received_bytes = self._conn.received_bytes + MAX_SKIPPED_BYTES
         while True:
             part = self._conn.next_event()
@@ -151,8 +151,6 @@
                     return
                 await self._conn.receive_more()
             elif not isinstance(part, h11.Data):
-                if finish:
-                    self._conn.finish()
                 return
 
     async def _receive_raw_head(self) -> None:
