Responses: a 408, 421, 429 or 503 of an upstream proves nothing without its statement

Cause: own refusals get a status by what is known of the request, while each response of a target was passed on as it came. What a response states was decided in three places (reader, dispatcher, relay), each with a part of it, and none asked what the status promises.

Ruled out: a 503 of our own for a request that was sent.

Such a response is read, dropped and replaced by a 502 without the target's headers, outcome unknown: no order is sent again, token and key are kept, the target has failed; repeatable requests try another target within the retry budget. The entry node checks a head that a node of an earlier version passes on. responses_replaced counts them.

--- a/knapweedhitch/dispatch.py
+++ b/knapweedhitch/dispatch.py
@@ -29,6 +29,7 @@
     QueueFull,
     Refusal,
     SuspectWaits,
+    UnprovenRefusal,
     UpstreamDraining,
     UpstreamFailed,
     UpstreamTimedOut,
@@ -56,6 +57,7 @@
     QueueDelay,
     QueueFull,
     SuspectWaits,
+    UnprovenRefusal,
     UpstreamDraining,
     UpstreamFailed,
 )
--- a/knapweedhitch/exceptions.py
+++ b/knapweedhitch/exceptions.py
@@ -300,10 +300,18 @@
     """Report a response over the limit of bytes for its kind."""
 
 
-class UpstreamNotRun(UpstreamError):
+class UpstreamRefused(UpstreamError):
+    """Report a response that ends the exchange, but does not go to the caller."""
+
+
+class UpstreamNotRun(UpstreamRefused):
     """Report a response by which the upstream states that it did not run the request."""
 
 
+class UpstreamUnproven(UpstreamRefused):
+    """Report a status that promises, without proof, that the request was not run."""
+
+
 class CallerGone(HttpError):
     """Report a caller that closed its connection before its response was complete."""
 
@@ -603,6 +611,13 @@
     status = 504
 
 
+class UnprovenRefusal(Refusal):
+    """Replace a response whose status promises, without proof, that the request was not run."""
+
+    reason = "unproven-refusal"
+    status = 502
+
+
 class PeerFailed(Refusal):
     """Report a forwarding node that failed before the response was complete."""
 
--- a/knapweedhitch/forward.py
+++ b/knapweedhitch/forward.py
@@ -26,6 +26,7 @@
     PeerQueueFull,
     PeerUnreachable,
     Refusal,
+    UnprovenRefusal,
 )
 from knapweedhitch.exchange import BodySource, CallSpec, ResponseSink
 from knapweedhitch.handlers import fail_frame
@@ -44,6 +45,7 @@
 from knapweedhitch.model import CallResult, LoadSample
 from knapweedhitch.peers import Peers
 from knapweedhitch.remotecall import RemoteBody, RemoteSink
+from knapweedhitch.responsetable import Meaning, meaning_of
 from knapweedhitch.streams import PeerStream
 from knapweedhitch.timers import Timers
 from knapweedhitch.transfer import TransferSink
@@ -79,6 +81,7 @@
         self._peers: Peers = kernel.get("peers")
         self._counters: Counters = kernel.get("counters")
         self._routing = kernel.cfg.routing
+        self._names = framing.header_names(kernel.cfg.headers)
         self._log = BoundedLog(kernel.cfg.log, self._counters, Timers.now_ms)
 
     async def start(self) -> None:
@@ -203,6 +206,9 @@
                     raise PeerProtocolError(f"status {msg.status}")
                 received.has_head = True
                 self._record_load(spec, msg.load)
+                if meaning_of(msg.status, msg.headers, self._names) is not Meaning.RESULT:
+                    # The node of an earlier version has passed it on.
+                    raise UnprovenRefusal(Outcome.UNKNOWN, f"status {msg.status}")
                 await sink.head(msg.status, msg.headers, msg.load)
             elif isinstance(msg, StreamInformational):
                 await sink.informational(msg.status, msg.headers)
--- a/knapweedhitch/http1_client.py
+++ b/knapweedhitch/http1_client.py
@@ -13,8 +13,8 @@
 from knapweedhitch import framing
 from knapweedhitch.exceptions import (
     UpstreamClosed,
-    UpstreamNotRun,
     UpstreamProtocolError,
+    UpstreamRefused,
     UpstreamResponseTooLarge,
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
@@ -139,8 +139,8 @@
                 status = await reader.read()
             else:
                 status = await self._stream_body(body, reader)
-        except UpstreamNotRun:
-            # The connection goes on, and the same refusal may come once more.
+        except UpstreamRefused:
+            # The connection goes on, and the same response may come once more.
             self._record_request(spec)
             self._finish()
             raise
@@ -330,6 +330,8 @@
             return "unwritten-request"
         if self._conn.our_state is h11.SEND_BODY:
             return "unfinished-request"
+        if self._conn.their_state is h11.SEND_BODY:
+            return "unread-response"
         unparsed, closed = self._conn.trailing_data
         if unparsed:
             # Bytes after the end of a response belong to no request of this connection.
--- a/knapweedhitch/pool.py
+++ b/knapweedhitch/pool.py
@@ -15,12 +15,14 @@
     DeadlineExceeded,
     Outcome,
     Refusal,
+    UnprovenRefusal,
     UpstreamConnectFailed,
     UpstreamError,
     UpstreamFailed,
     UpstreamNotRun,
     UpstreamShed,
     UpstreamTimedOut,
+    UpstreamUnproven,
     UpstreamUnreachable,
 )
 from knapweedhitch.exchange import BodySource, CallSpec, Headers, ResponseSink
@@ -184,6 +186,9 @@
         self._counters.add("upstream_errors", type(exc).__name__)
         if isinstance(exc, UpstreamNotRun):
             return UpstreamShed(Outcome.NOT_RUN, str(exc))
+        if isinstance(exc, UpstreamUnproven):
+            self._counters.add("responses_replaced", str(exc))
+            return UnprovenRefusal(Outcome.UNKNOWN, str(exc))
         outcome = Outcome.UNKNOWN if conn.has_sent else Outcome.NOT_RUN
         failed = UpstreamFailed(outcome, str(exc))
         failed.was_reused = conn.used
--- a/knapweedhitch/relay.py
+++ b/knapweedhitch/relay.py
@@ -36,6 +36,7 @@
 from knapweedhitch.model import ServiceConfig
 from knapweedhitch.payload import NoBody, ReplayBody
 from knapweedhitch.quotatokens import TokenLot
+from knapweedhitch.responsetable import NOT_RUN_STATUSES
 from knapweedhitch.routedispatch import POLICY, RelayCall, RouteDispatcher
 from knapweedhitch.routetable import RouteTable, WeightedSplit
 from knapweedhitch.trace import Trace
@@ -43,8 +44,6 @@
 # A node that has just started learns the configuration within this time if control is in reach.
 FIRST_CONFIG_WAIT_MS = 500.0
 CONFIG_CHECK_MS = 10.0
-# Statuses that promise the caller that its request was not run and never will be.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @service("relay")
--- a/knapweedhitch/responsereader.py
+++ b/knapweedhitch/responsereader.py
@@ -16,15 +16,16 @@
     UpstreamError,
     UpstreamNotRun,
     UpstreamProtocolError,
+    UpstreamUnproven,
 )
 from knapweedhitch.exchange import CallSpec, ResponseSink
 from knapweedhitch.model import LoadSample
+from knapweedhitch.responsetable import MISDIRECTED_STATUS, Meaning, meaning_of
 from knapweedhitch.upstreamload import parse_report
 
 if TYPE_CHECKING:
     from knapweedhitch.http1_client import ClientConnection
 
-MISDIRECTED_STATUS = 421
 # Reading the rest of an unwanted response saves a new connection, which takes a few ms.
 MAX_SKIPPED_BYTES = 65_536
 MAX_SKIP_MS = 100.0
@@ -76,11 +77,13 @@
         self._pass_report(event)
         if (idle_timeout_s := framing.keep_alive_s(event.headers)) is not None:
             self._conn.idle_timeout_ms = idle_timeout_s * MS_PER_S
-        if self._was_not_run(event):
-            # The head alone proves it, so a connection that breaks in the body changes nothing.
+        meaning = meaning_of(event.status_code, event.headers, self._conn.names)
+        if meaning is not Meaning.RESULT:
+            # The head alone decides, so a connection that breaks in the body changes nothing.
             with contextlib.suppress(UpstreamError):
                 await self._skip_body()
-            raise UpstreamNotRun(f"status {event.status_code}", bytes_sent=True)
+            error = UpstreamNotRun if meaning is Meaning.NOT_RUN else UpstreamUnproven
+            raise error(f"status {event.status_code}", bytes_sent=True)
         headers = framing.response_headers(list(event.headers), self._conn.names)
         await self._sink.head(event.status_code, headers, self._load())
         await self._read_body()
@@ -128,15 +131,6 @@
             parse_report(event.headers, names, instance_id, self._conn.started_s * MS_PER_S)
         )
 
-    def _was_not_run(self, event: h11.Response) -> bool:
-        names = self._conn.names
-        if not names.not_run:
-            return False
-        # An instance that is not the expected one responds with 421.
-        if names.expected_instance and event.status_code == MISDIRECTED_STATUS:
-            return True
-        return any(name == names.not_run for name, _ in event.headers)
-
     async def _skip_body(self) -> None:
         """Read and drop the rest of a response, so that the connection can be reused."""
         with trio.move_on_after(MAX_SKIP_MS / 1_000):
