Caller connections: a streamed response drops no part of the body

Cause: before a head was written, the connection dropped what had arrived of the body, to be kept if that was all. A response that is streamed begins while another task passes the body on, which waits for its upstream; its parts, at times with the last chunk, were taken from it.

Change: only a complete response drops the rest. A response that begins before the body was read says Connection: close; a body read before it keeps the connection, as before. A body whose rest was dropped fails at the next read and cannot look ended.

--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -72,6 +72,7 @@
         self._body_bytes = 0
         self._framing_bytes = framing.FramingBytes()
         self._body_read = trio.Event()
+        self._is_body_dropped = False
         self._idle_scope: trio.CancelScope | None = None
         self._stopping = False
 
@@ -200,6 +201,8 @@
 
     async def receive(self) -> bytes | None:
         """Return the next part of the body, None at its end; raises Refusal or CallerGone."""
+        if self._is_body_dropped:
+            raise CallerGone("the response was complete before the body")
         while True:
             event = self._next_body_event()
             if isinstance(event, h11.Data):
@@ -255,6 +258,7 @@
     async def send_response(self, status: int, headers: Headers, parts: Iterable[bytes]) -> None:
         """Write a complete response once it is due; raises CallerGone."""
         await self.order.wait_due()
+        self._drop_buffered_body()
         wire = [self._serialize_head(status, headers), *self._serialize_body(parts)]
         wire.append(self._conn.send(h11.EndOfMessage()) or b"")
         await self._write(b"".join(wire))
@@ -279,7 +283,6 @@
         self.response_ended = True
 
     def _serialize_head(self, status: int, headers: Headers) -> bytes:
-        self._skip_buffered_body()
         fields = list(headers)
         close_requested = (self.close_after or self._stopping) and self.order.is_last
         self.will_close = close_requested or self._conn.their_state is not h11.DONE
@@ -294,10 +297,14 @@
             return []
         return [self._conn.send(h11.Data(data=part)) or b"" for part in parts if part]
 
-    def _skip_buffered_body(self) -> None:
-        # The connection can be kept if the rest of the body has already arrived.
+    def _drop_buffered_body(self) -> None:
+        """Drop what has arrived of the body, so that the connection can be kept if that is all.
+
+        Only a complete response allows it: with a part of one, the body may still be passed on.
+        """
         try:
             while self._conn.their_state is h11.SEND_BODY:
+                self._is_body_dropped = True
                 if self._conn.next_event() is h11.NEED_DATA:
                     break
         except h11.RemoteProtocolError:
@@ -351,6 +358,7 @@
         self._body_limit, self._body_bytes = math.inf, 0
         self._framing_bytes = framing.FramingBytes()
         self._body_read = trio.Event()
+        self._is_body_dropped = False
         return True
 
     async def close(self) -> None:
