Request bodies: a body that failed has no end, and goes to no other target

What callers saw: a request whose body in chunks is broken got 200 in place of 400; a part of its body, or none, had run as a whole one at a second target.

Cause: after an error the parser gives no more events, which the reader of the body took for its end. The first attempt got the error; where it had not reached an upstream, the request was tried again as after any refusal not run, and the second attempt read the end.

Change: the failure comes again at each further read, and such a body cannot be rewound, so that no other attempt is made.

--- a/knapweedhitch/http1.py
+++ b/knapweedhitch/http1.py
@@ -72,7 +72,8 @@
         self._body_bytes = 0
         self._framing_bytes = framing.FramingBytes()
         self._body_read = trio.Event()
-        self._is_body_dropped = False
+        # Why no further part of the body can be read.
+        self._body_failure: Refusal | CallerGone | None = None
         self._idle_scope: trio.CancelScope | None = None
         self._stopping = False
 
@@ -200,9 +201,18 @@
             raise BodyTooLarge(detail=f"limit {max_bytes} bytes")
 
     async def receive(self) -> bytes | None:
-        """Return the next part of the body, None at its end; raises Refusal or CallerGone."""
-        if self._is_body_dropped:
-            raise CallerGone("the response was complete before the body")
+        """Return the next part of the body, None at its end; raises Refusal or CallerGone.
+
+        After a failure, each further call raises it again.
+        """
+        if self._body_failure is None:
+            try:
+                return await self._receive_part()
+            except (Refusal, CallerGone) as exc:
+                self._body_failure = exc
+        raise self._body_failure
+
+    async def _receive_part(self) -> bytes | None:
         while True:
             event = self._next_body_event()
             if isinstance(event, h11.Data):
@@ -304,7 +314,7 @@
         """
         try:
             while self._conn.their_state is h11.SEND_BODY:
-                self._is_body_dropped = True
+                self._body_failure = CallerGone("the response was complete before the body")
                 if self._conn.next_event() is h11.NEED_DATA:
                     break
         except h11.RemoteProtocolError:
@@ -358,7 +368,7 @@
         self._body_limit, self._body_bytes = math.inf, 0
         self._framing_bytes = framing.FramingBytes()
         self._body_read = trio.Event()
-        self._is_body_dropped = False
+        self._body_failure = None
         return True
 
     async def close(self) -> None:
--- a/knapweedhitch/payload.py
+++ b/knapweedhitch/payload.py
@@ -6,7 +6,7 @@
 import hashlib
 
 from knapweedhitch.budget import ByteBudget
-from knapweedhitch.exceptions import KeyedBodyTooLarge, SpoolFull
+from knapweedhitch.exceptions import KeyedBodyTooLarge, KnapweedhitchError, SpoolFull
 from knapweedhitch.exchange import BodySource, Headers
 
 DIGEST_HEADERS = frozenset({b"content-type"})
@@ -44,7 +44,12 @@
             return rest
         if self._is_complete:
             return None
-        part = await self._source.receive()
+        try:
+            part = await self._source.receive()
+        except KnapweedhitchError:
+            # No attempt can send the whole body.
+            self._is_replayable = False
+            raise
         if part is None:
             self._is_complete = True
         elif self._is_replayable:
