Announcements: a start that nobody renews keeps out no other upstream

One heartbeat of a service that is not named, begun later than the sound target, had come before the configuration.

Cause: its start stayed the newest one for good, so all heartbeats of the sound target counted as late. Neither the configuration, which does not name its service, nor the end of its announcement dropped it. Ruled out: the way of the configuration and health checks; the unit test has neither.

Change: a configuration drops an upstream whose service it does not name; the newest start keeps out earlier ones only while its announcement lasts after its last heartbeat.

--- a/knapweedhitch/announce.py
+++ b/knapweedhitch/announce.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import json
+import math
 
 import trio
 from msgspec import structs
@@ -26,7 +27,13 @@
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.listener import StreamServer
 from knapweedhitch.messages import UpstreamDeparted
-from knapweedhitch.model import UNKNOWN_INCARNATION, Address, UpstreamRecord, UpstreamState
+from knapweedhitch.model import (
+    UNKNOWN_INCARNATION,
+    Address,
+    Configuration,
+    UpstreamRecord,
+    UpstreamState,
+)
 from knapweedhitch.upstreamload import UpstreamReport
 from knapweedhitch.upstreamstatus import UpstreamStart, next_start
 
@@ -49,6 +56,7 @@
         # The (incarnation, sequence) of the newest heartbeat and its (instance id, incarnation).
         self._last_heartbeat = NO_HEARTBEAT
         self._last_heartbeat_source = ("", -1)
+        self._last_heartbeat_ms = -math.inf
         self._departures = DepartureTable()
         self._start: UpstreamStart | None = None
         # What other nodes know of a departed upstream.
@@ -76,6 +84,8 @@
         self._admission = self._kernel.get("admission")
         if self._kernel.has("pool"):
             self._kernel.get("pool").subscribe_reports(self.record_report)
+        if self._kernel.has("config"):
+            self._kernel.get("config").subscribe(self._on_config)
         if self._kernel.has("peers"):
             self._kernel.get("peers").handle(UpstreamDeparted, self._on_departed)
         if is_enabled:
@@ -149,14 +159,14 @@
         """Record a heartbeat; return False if it arrived after a newer one.
 
         The upstream stays cold for another `cold_ms`. Heartbeats are ordered by their
-        incarnation, and within one incarnation by their sequence. Raises AnnouncementInvalid.
+        incarnation, and within one incarnation by their sequence. One of a later incarnation holds
+        for as long as an announcement. Raises AnnouncementInvalid.
         """
         check_record(record)
         order = (record.incarnation, sequence)
         same_source = (record.instance_id, record.incarnation) == self._last_heartbeat_source
-        if order <= self._last_heartbeat and (
-            same_source or record.incarnation < self._last_heartbeat[0]
-        ):
+        is_earlier = record.incarnation < self._last_heartbeat[0] and self._holds_last_heartbeat()
+        if order <= self._last_heartbeat and (same_source or is_earlier):
             self._counters.add("heartbeats_late")
             return False
         if self._departures.includes(record) and record.state is UpstreamState.SERVING:
@@ -164,12 +174,30 @@
             return False
         self._last_heartbeat = order
         self._last_heartbeat_source = (record.instance_id, record.incarnation)
+        self._last_heartbeat_ms = self._timers.now_ms()
         if record.state is UpstreamState.LEAVING:
             self._departures.record(record.instance_id, record.incarnation)
         self._renewed_ms = self._timers.now_ms()
         self._set_current(record, "heartbeat", cold_ms)
         return True
 
+    def _holds_last_heartbeat(self) -> bool:
+        """Return whether the newest heartbeat still keeps out those of earlier incarnations.
+
+        Its sender may be a foreign one, or one whose clock was ahead; an upstream that goes on
+        sending while the other is silent is the one that runs.
+        """
+        age_ms = self._timers.now_ms() - self._last_heartbeat_ms
+        return age_ms <= self._cfg.upstream.announcement_ttl_ms
+
+    def _on_config(self, current: Configuration) -> None:
+        """Drop an upstream of a service that is not named, which came before it was known."""
+        backends, record = current.items.backends, self.current
+        if record is None or not backends or record.service in backends:
+            return
+        self._last_heartbeat_ms = -math.inf
+        self._set_current(None, "unnamed-service")
+
     @property
     def has_reported(self) -> bool:
         """Return whether the upstream has reported anything since this node started."""
