Feed: long states travel in parts, from one source at a time

Cause: the state came in one reply within the timeout of one call (1 s), in up to four copies at a time, each from the first byte; over 1 MiB it could not be sent at all.

Change: parts of 32 KiB, one call each, from one source at a time, a failed one asked for again. The source keeps one encoded state while nodes fetch it, also while the configuration changes; the changes since then follow. A state proves nothing for changes after it was encoded.

--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -7,13 +7,16 @@
 from collections.abc import Callable, Mapping, Sequence
 
 import trio
+from msgspec import structs
 
 from knapweedhitch import configuration, logs
 from knapweedhitch.boundedlog import BoundedLog
 from knapweedhitch.changes import decode_stamped
 from knapweedhitch.clock import now_ms
+from knapweedhitch.codec import Message
 from knapweedhitch.exceptions import ChangeError, CodecError, PeerError
 from knapweedhitch.feedsource import Subscribers
+from knapweedhitch.feedstate import StateReceiver, StateSource
 from knapweedhitch.history import ConfigurationMachine, HistoryRecord
 from knapweedhitch.kernel import Kernel, service
 from knapweedhitch.messages import FeedPoll, FeedPush, FeedReply, VersionReport
@@ -31,6 +34,8 @@
 MAX_CHANGES_BYTES = 262_144
 FULL_STATE_VERSION = -1
 PROOF_CHECK_INTERVAL_MS = 10.0
+# Failed calls for one part of a state after which it is fetched from another source.
+MAX_PART_FAILURES = 3
 
 
 @service("config")
@@ -51,6 +56,9 @@
         self._polls_in_flight = 0
         self._report_is_due = False
         self._needs_state = False
+        self._state_source = StateSource()
+        # Whether a state is being fetched in parts; copies from several sources would share a link.
+        self._is_fetching = False
 
     async def start(self) -> None:
         """Start polling and serving."""
@@ -149,6 +157,7 @@
     # Polling
 
     def _tick(self) -> None:
+        self._state_source.drop_unused()
         if not self._refresh_from_replica():
             self._poll_soon()
 
@@ -166,7 +175,7 @@
             self._poll_soon()
 
     def _poll_soon(self) -> None:
-        if self._polls_in_flight < MAX_POLLS_IN_FLIGHT:
+        if self._polls_in_flight < MAX_POLLS_IN_FLIGHT and not self._is_fetching:
             self._kernel.start_task(OnFault.END, self._poll_sources)
 
     async def _poll_sources(self) -> None:
@@ -204,27 +213,65 @@
 
     async def _poll(self, source: str) -> bool:
         """Poll a source, apply its reply and return whether it gave a recent proof."""
-        sent_ms = now_ms()
-        version = FULL_STATE_VERSION if self._needs_state else self.current.version
-        try:
-            with self._sources.polling(source):
-                msg = FeedPoll(version, True)
-                reply = await self._peers.call(source, msg, self._cfg.call_timeout_ms)
-        except PeerError as exc:
-            self._counters.add("feed_poll_failed", type(exc).__name__)
-            reply = None
+        with self._sources.polling(source):
+            reply, has_proof = await self._poll_once(source)
+            if reply is not None and reply.state_version == self.current.version < reply.version:
+                # Changes have been accepted since the state was encoded.
+                reply, has_proof = await self._poll_once(source)
         # Nodes that poll each other give ever older proofs, so a source with an old proof is used
         # but not preferred.
         max_age_ms = self._cfg.config_lease_ms / 2
-        if (
-            isinstance(reply, FeedReply)
-            and self._apply_reply(reply, sent_ms)
-            and reply.age_ms <= max_age_ms
-        ):
+        if reply is not None and has_proof and reply.age_ms <= max_age_ms:
             return True
         self._sources.record_no_proof(source)
         return False
 
+    async def _poll_once(self, source: str) -> tuple[FeedReply | None, bool]:
+        """Apply the reply of a source; return it, and whether it proves the state to be current."""
+        version = FULL_STATE_VERSION if self._needs_state else self.current.version
+        sent_ms, reply = await self._call(source, FeedPoll(version, True, 0))
+        if isinstance(reply, FeedReply) and reply.state_bytes > len(reply.state):
+            sent_ms, reply = await self._fetch_state(source, version, sent_ms, reply)
+        if not isinstance(reply, FeedReply):
+            return None, False
+        return reply, self._apply_reply(reply, sent_ms)
+
+    async def _call(self, source: str, msg: FeedPoll) -> tuple[float, Message | None]:
+        """Return when a poll was sent and its reply, None without one."""
+        sent_ms = now_ms()
+        try:
+            return sent_ms, await self._peers.call(source, msg, self._cfg.call_timeout_ms)
+        except PeerError as exc:
+            self._counters.add("feed_poll_failed", type(exc).__name__)
+            return sent_ms, None
+
+    async def _fetch_state(
+        self, source: str, version: int, sent_ms: float, first: FeedReply
+    ) -> tuple[float, Message | None]:
+        """Fetch the other parts of a state; return when the first was asked for, and the whole.
+
+        Return None in its place if another state is being fetched or the source fails.
+        """
+        if self._is_fetching:
+            return sent_ms, None
+        self._is_fetching = True
+        try:
+            receiver, reply, n_failures = StateReceiver(self._cfg.max_state_bytes), first, 0
+            while (state := receiver.add(reply)) is None:
+                msg = FeedPoll(version, True, receiver.offset, receiver.version)
+                while not isinstance(part := (await self._call(source, msg))[1], FeedReply):
+                    n_failures += 1
+                    if n_failures >= MAX_PART_FAILURES:
+                        return sent_ms, None
+                n_failures, reply = 0, part
+            self._counters.add("feed_states_fetched")
+            return sent_ms, structs.replace(first, state=state)
+        except CodecError as exc:
+            self._record_refusal(exc)
+            return sent_ms, None
+        finally:
+            self._is_fetching = False
+
     def _apply_reply(self, reply: FeedReply, sent_ms: float) -> bool:
         has_proof = reply.age_ms >= 0.0
         if not (has_proof or self._cfg.serve_stale) or not self._is_same_group(reply.group_id):
@@ -338,24 +385,35 @@
             return FeedReply(self.group_id, self.current.version, -1.0, (), b"")
         if age_ms is None or not self.is_fresh():
             # A restarted node that reaches no fresh node still gets the state known here.
-            content = self._changes_since(msg.version) if self._cfg.serve_stale else ((), b"")
-            return FeedReply(self.group_id, self.current.version, -1.0, *content)
+            if self._cfg.serve_stale:
+                return self._reply_to(msg, -1.0)
+            return FeedReply(self.group_id, self.current.version, -1.0, (), b"")
         lag = self.current.version - msg.version
         if not self._subscribers.admit(node_id, lag, subscribe=msg.subscribe):
             return FeedReply(self.group_id, self.current.version, -1.0, (), b"")
-        bodies, state = self._changes_since(msg.version)
-        self._counters.add("feed_polls_served", "state" if state else "")
-        return FeedReply(self.group_id, self.current.version, age_ms, bodies, state)
+        reply = self._reply_to(msg, age_ms)
+        self._counters.add("feed_polls_served", "state" if reply.state else "")
+        return reply
+
+    def _reply_to(self, msg: FeedPoll, age_ms: float) -> FeedReply:
+        """Return a reply with the changes that a node misses, or a part of the state."""
+        bodies = None if msg.offset > 0 else self._changes_since(msg.version)
+        if bodies is not None:
+            return FeedReply(self.group_id, self.current.version, age_ms, bodies, b"")
+        part = self._state_source.part(
+            msg, self.current, lambda version: self._changes_since(version) is not None
+        )
+        return FeedReply(self.group_id, self.current.version, age_ms, (), *part)
 
-    def _changes_since(self, version: int) -> tuple[tuple[bytes, ...], bytes]:
+    def _changes_since(self, version: int) -> tuple[bytes, ...] | None:
+        """Return the changes after a version, None if they are not at hand or too long."""
         missing = self.current.version - version
         if missing <= 0:
-            return (), b""
-        if version >= 0 and missing <= len(self._bodies):
-            bodies = tuple(self._bodies[i] for i in range(-missing, 0))
-            if sum(map(len, bodies)) <= MAX_CHANGES_BYTES:
-                return bodies, b""
-        return (), configuration.to_state(self.current)
+            return ()
+        if version < 0 or missing > len(self._bodies):
+            return None
+        bodies = tuple(self._bodies[i] for i in range(-missing, 0))
+        return bodies if sum(map(len, bodies)) <= MAX_CHANGES_BYTES else None
 
     # Reports
 
--- a/knapweedhitch/messages.py
+++ b/knapweedhitch/messages.py
@@ -352,17 +352,25 @@
 
     version: int
     subscribe: bool
+    # The next part of a state that is being fetched, and its version; a negative offset asks for
+    # the state in one piece.
+    offset: int = -1
+    state_version: int = 0
 
 
 @message(41)
 class FeedReply(Message, frozen=True):
-    """Carry changes or a full state; `age_ms` is negative if the source has no proof."""
+    """Carry changes, or a state or a part of one; `age_ms` is negative without a proof."""
 
     group_id: str
     version: int
     age_ms: Float
     changes: tuple[bytes, ...]
     state: bytes
+    # Where the part begins, and the version and size of the whole state.
+    offset: int = 0
+    state_version: int = 0
+    state_bytes: int = 0
 
 
 @message(42)
--- a/tests/state_cluster.py
+++ b/tests/state_cluster.py
@@ -76,10 +76,18 @@
         self.loss = self.duplication = 0.0
         self.latency_ms = (0.5, 3.0)
         self.n_bytes = 0
+        # Bytes a second that a node receives, and when it will have received what is on its way.
+        self.bytes_per_s: dict[str, float] = {}
+        self._received_s: dict[str, float] = {}
 
-    async def transmit(self, src: str, dst: str) -> None:
-        """Sleep for the one-way latency, or forever if the link is cut or the message is lost."""
+    async def transmit(self, src: str, dst: str, n_bytes: int = 0) -> None:
+        """Sleep for the way of a message, or forever if the link is cut or the message is lost."""
         await trio.sleep(self.rng.uniform(*self.latency_ms) / 1_000.0)
+        if dst in self.bytes_per_s:
+            begin_s = max(trio.current_time(), self._received_s.get(dst, 0.0))
+            self._received_s[dst] = begin_s + n_bytes / self.bytes_per_s[dst]
+            # What is on its way arrives, whether the caller still waits or not.
+            await trio.sleep_until(self._received_s[dst])
         if (src, dst) in self.cut or self.rng.random() < self.loss:
             await trio.sleep_forever()
 
@@ -117,14 +125,14 @@
         data = codec.encode(msg)
         net.n_bytes += len(data)
         with trio.move_on_after(timeout_ms / 1_000.0):
-            await net.transmit(self.node_id, node_id)
+            await net.transmit(self.node_id, node_id, len(data))
             endpoint = net.endpoints.get(node_id)
             if endpoint is None:
                 raise PeerUnreachable(node_id)
             if net.rng.random() < net.duplication:
                 endpoint.nursery.start_soon(endpoint.dispatch_duplicate, self.node_id, data)
             reply = await endpoint.dispatch(self.node_id, data)
-            await net.transmit(node_id, self.node_id)
+            await net.transmit(node_id, self.node_id, len(reply or b""))
             if reply is None:
                 raise PeerCallFailed(node_id)
             net.n_bytes += len(reply)
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+import random
 import unittest
 from collections import Counter
 from collections.abc import Awaitable, Callable
@@ -9,14 +11,21 @@
 
 import logbook
 import trio
+from msgspec import structs
 from trio.testing import MockClock
 
-from knapweedhitch.changes import DomainIn, DomainOut
+from knapweedhitch import configuration
+from knapweedhitch.changes import DomainIn, DomainOut, PatchItems
+from knapweedhitch.clock import now_ms
+from knapweedhitch.feed import Feed
+from knapweedhitch.feedstate import PART_BYTES
+from knapweedhitch.items import ItemPatch
 from knapweedhitch.messages import FeedPoll, FeedPush, FeedReply
 from knapweedhitch.settings import FeedSettings
 from scripts import measure_refusal
 from tests.state_cluster import encode_change, wait_until
 from tests.state_nodes import World
+from tests.test_items import backend
 
 LEASE_MS = FeedSettings().config_lease_ms
 
@@ -252,6 +261,116 @@
         run(check)
 
 
+# 2 Mbit/s, the thinnest link that deployments have, and the time in which a restarted node works.
+THIN_LINK_BYTES_PER_S = 250_000.0
+RECOVERY_MS = 15_000.0
+
+
+async def submit_long_items(world: World, n_bytes: int) -> None:
+    """Submit items until their documents, which hardly compress, have so many bytes."""
+    rng, document_bytes = random.Random(7), 1_500
+    backends = [
+        structs.replace(backend(f"s{n}"), document=rng.randbytes(document_bytes // 2).hex())
+        for n in range(n_bytes // (document_bytes // 2))
+    ]
+    for start in range(0, len(backends), 100):
+        patch = ItemPatch((), tuple(backends[start : start + 100]), None, (), ())
+        await world.submit("c1", PatchItems(patch))
+
+
+class LongStateTest(unittest.TestCase):
+    def test_long_state_over_a_thin_link(self) -> None:
+        """Guards against a node that never gets the configuration, since its state takes longer
+        than one call, is longer than one message, or comes from several sources at once.
+        """
+
+        async def check(world: World) -> None:
+            await world.start("n1", "n2")
+            await submit_long_items(world, self.n_bytes)
+            world.network.bytes_per_s["n3"] = THIN_LINK_BYTES_PER_S
+            feed = (await world.add("n3", feed=FeedSettings(serve_stale=True))).feed
+            version = world.hosts["c1"].feed.current.version
+            await wait_until(
+                lambda: feed.is_fresh() and feed.current.version == version, RECOVERY_MS
+            )
+            self.assertEqual(feed.current, world.hosts["c1"].feed.current)
+            await trio.sleep(5.0)
+            fetched = world.hosts["n3"].counters.get("feed_states_fetched")
+            self.assertEqual(fetched, int(self.n_bytes > 2 * PART_BYTES))
+
+        for self.n_bytes in (20_000, 400_000, 1_500_000):
+            with self.subTest(n_bytes=self.n_bytes):
+                run(check, size=3)
+
+    def test_state_that_changes_while_it_is_fetched(self) -> None:
+        """Guards against a node that begins again with each change, and against a proof for a state
+        that is older than it.
+        """
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            await submit_long_items(world, 600_000)
+            accepted: list[tuple[float, int]] = []
+            feeds: list[Feed] = []
+
+            async def add(name: str) -> None:
+                world.network.bytes_per_s[name] = THIN_LINK_BYTES_PER_S
+                feeds.append((await world.add(name, feed=FeedSettings(serve_stale=True))).feed)
+
+            async def check_proof() -> None:
+                while True:
+                    await trio.sleep(0.005)
+                    for feed in feeds:
+                        proof_ms = now_ms() - (feed.age_ms() or math.inf)
+                        proved = max((v for at_ms, v in accepted if at_ms < proof_ms), default=0)
+                        self.assertGreaterEqual(feed.current.version, proved)
+
+            world.nursery.start_soon(check_proof)
+            await add("n2")
+            for number in range(60):
+                if number == 5:
+                    # Gets the state that the source keeps for the node before.
+                    await add("n3")
+                op = DomainIn("d1") if number % 2 else DomainOut("d1")
+                version = await world.submit("c1", op)
+                accepted.append((now_ms(), version))
+                await trio.sleep(0.1)
+            for feed in feeds:
+                await wait_until(lambda f=feed: f.is_fresh() and f.current.version >= version, 3e3)
+            for name in ("n2", "n3"):
+                self.assertEqual(world.hosts[name].counters.get("feed_states_fetched"), 1)
+
+        run(check)
+
+    def test_source_that_fails_in_the_middle_is_replaced(self) -> None:
+        """Guards against a node that waits for the rest of a state from a source that is gone."""
+
+        async def check(world: World) -> None:
+            await world.start()
+            await submit_long_items(world, 600_000)
+            world.network.bytes_per_s["n3"] = THIN_LINK_BYTES_PER_S
+            feed = (await world.add("n3", feed=FeedSettings(serve_stale=True))).feed
+            await wait_until(lambda: feed._is_fetching)
+            source = next(iter(feed._sources._polled))
+            world.isolate(source)
+            await wait_until(lambda: feed.current.version > 0, RECOVERY_MS)
+
+        run(check, size=3)
+
+    def test_node_of_an_earlier_version_gets_the_state_in_one_piece(self) -> None:
+        """Guards against a node that takes a part for the whole while versions are mixed."""
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            await submit_long_items(world, 200_000)
+            feed = world.hosts["c1"].feed
+            reply = await feed._on_poll("n9", FeedPoll(-1, True))
+            self.assertEqual(len(reply.state), reply.state_bytes)
+            self.assertEqual(configuration.from_state(reply.state), feed.current)
+
+        run(check)
+
+
 class RevertTest(unittest.TestCase):
     def test_older_and_foreign_states_are_never_applied(self) -> None:
         """Guards against a configuration that an older, foreign or damaged state reverts."""
