--- a/tests/test_upstreamstatus.py
+++ b/tests/test_upstreamstatus.py
@@ -90,7 +90,10 @@
             ("counters", self.counters),
             ("timers", self.timers),
             ("pool", SimpleNamespace(subscribe_reports=self._subscribers.append)),
-            ("config", SimpleNamespace(current=SimpleNamespace(items=items))),
+            (
+                "config",
+                SimpleNamespace(current=SimpleNamespace(items=items), subscribe=lambda fn: None),
+            ),
             ("membership", SimpleNamespace(announce_local=lambda record: None)),
             (
                 "loadprobe",
