Feed: a source that has lost its proof meanwhile gives no part of a state

Read in the diff: a reply without a part, from a source that lost its proof while a node fetched its state, reset the parts and counted as a whole state of no bytes. It was not applied, but counted in feed_states_fetched. It counts as a failed part now. The new test fails before (the state is b"").

--- a/knapweedhitch/feed.py
+++ b/knapweedhitch/feed.py
@@ -256,14 +256,18 @@
             return sent_ms, None
         self._is_fetching = True
         try:
-            receiver, reply, n_failures = StateReceiver(self._cfg.max_state_bytes), first, 0
-            while (state := receiver.add(reply)) is None:
+            receiver, n_failures = StateReceiver(self._cfg.max_state_bytes), 0
+            state = receiver.add(first)
+            while state is None:
                 msg = FeedPoll(version, True, receiver.offset, receiver.version)
-                while not isinstance(part := (await self._call(source, msg))[1], FeedReply):
-                    n_failures += 1
-                    if n_failures >= MAX_PART_FAILURES:
-                        return sent_ms, None
-                n_failures, reply = 0, part
+                part = (await self._call(source, msg))[1]
+                # A source that has lost its proof replies without a part.
+                if isinstance(part, FeedReply) and part.state:
+                    n_failures, state = 0, receiver.add(part)
+                    continue
+                n_failures += 1
+                if n_failures >= MAX_PART_FAILURES:
+                    return sent_ms, None
             self._counters.add("feed_states_fetched")
             return sent_ms, structs.replace(first, state=state)
         except CodecError as exc:
--- a/tests/test_feed.py
+++ b/tests/test_feed.py
@@ -17,7 +17,7 @@
 from knapweedhitch import configuration
 from knapweedhitch.changes import DomainIn, DomainOut, PatchItems
 from knapweedhitch.clock import now_ms
-from knapweedhitch.feed import Feed
+from knapweedhitch.feed import MAX_PART_FAILURES, Feed
 from knapweedhitch.feedstate import PART_BYTES
 from knapweedhitch.items import ItemPatch
 from knapweedhitch.messages import FeedPoll, FeedPush, FeedReply
@@ -357,6 +357,28 @@
 
         run(check, size=3)
 
+    def test_source_without_further_parts_gives_no_state(self) -> None:
+        """Guards against a part that is taken for the whole, or asked for without end, when its
+        source has lost its proof.
+        """
+
+        async def check(world: World) -> None:
+            await world.start("n1")
+            feed, n_calls = world.hosts["n1"].feed, 0
+
+            async def call(source: str, msg: FeedPoll) -> tuple[float, FeedReply]:
+                nonlocal n_calls
+                n_calls += 1
+                return 0.0, FeedReply(feed.group_id, 9, -1.0, (), b"")
+
+            feed._call = call
+            first = FeedReply(feed.group_id, 9, 0.0, (), b"part", 0, 9, 100)
+            self.assertIsNone((await feed._fetch_state("c1", 0, 0.0, first))[1])
+            self.assertEqual((n_calls, feed._is_fetching), (MAX_PART_FAILURES, False))
+            self.assertEqual(world.hosts["n1"].counters.get("feed_states_fetched"), 0)
+
+        run(check)
+
     def test_node_of_an_earlier_version_gets_the_state_in_one_piece(self) -> None:
         """Guards against a node that takes a part for the whole while versions are mixed."""
 
