--- a/tests/soak/targets.py
+++ b/tests/soak/targets.py
@@ -26,6 +26,10 @@
 DRAIN_S = 2.0
 
 
+# They promise that the request was not run, which only Not-Executed states.
+UNPROVEN_STATUSES = (408, 429, 503)
+
+
 @dataclasses.dataclass(frozen=True)
 class Behaviour:
     """Configure how a target responds; the ratios are of its requests."""
@@ -36,6 +40,8 @@
     response_bytes: tuple[int, int] = (100, 90_000)
     call_ratio: float = 0.2
     fail_ratio: float = 0.002
+    # A failing target may answer with one of UNPROVEN_STATUSES, without Not-Executed.
+    fails_unproven: bool = False
     close_ratio: float = 0.005
     cut_ratio: float = 0.0
     extra_ratio: float = 0.0
@@ -261,7 +267,9 @@
             if status != 200:
                 return 504 if time.monotonic() >= end_s else 500
         await trio.sleep(work_s)
-        return 500 if rng.random() < behaviour.fail_ratio else 200
+        if rng.random() >= behaviour.fail_ratio:
+            return 200
+        return rng.choice(UNPROVEN_STATUSES) if behaviour.fails_unproven else 500
 
     async def _call(self, request: Received, end_s: float) -> int:
         """Send a call through the node beside the target and return its status."""
